--- /dev/null
+++ b/crates/hickoryhall-clients/src/agent.rs
@@ -0,0 +1,82 @@
+//! Settings of `ureq` that every client shares.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use hickoryhall_types::Step;
+use ureq::Agent;
+use ureq::http::Response;
+
+use crate::error::call_error;
+use crate::{ClientError, ClientErrorKind};
+
+/// Time to make a connection.
+const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
+/// Bytes of an error answer that are kept.
+const ERROR_BODY_LIMIT_BYTES: u64 = 2_048;
+
+/// Whether connections are used again.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Connections {
+    /// One for each call, so that a failed connect certainly sent nothing.
+    Fresh,
+    /// Kept between calls.
+    Kept,
+}
+
+pub(crate) fn agent(connections: Connections, call_timeout: Option<Duration>) -> Agent {
+    let kept = if connections == Connections::Fresh { 0 } else { 8 };
+    Agent::config_builder()
+        .http_status_as_error(false)
+        // A redirect would send the call a second time.
+        .max_redirects(0)
+        .max_redirects_will_error(false)
+        .proxy(None)
+        .max_idle_connections(kept)
+        .max_idle_connections_per_host(kept)
+        .timeout_connect(Some(CONNECT_TIMEOUT))
+        .timeout_global(call_timeout)
+        .build()
+        .new_agent()
+}
+
+/// Turns a failed call or a refusal into an error.
+pub(crate) fn accept(
+    step: Step,
+    peer: SocketAddr,
+    result: Result<Response<ureq::Body>, ureq::Error>,
+) -> Result<Response<ureq::Body>, ClientError> {
+    let response = result.map_err(|error| ClientError::new(step, peer, call_error(&error)))?;
+    let status = response.status().as_u16();
+    if (200..300).contains(&status) {
+        return Ok(response);
+    }
+    let mut body = response.into_body();
+    let text = body.with_config().limit(ERROR_BODY_LIMIT_BYTES).read_to_string();
+    let text = text.unwrap_or_default();
+    let json = serde_json::from_str::<serde_json::Value>(&text).unwrap_or_default();
+    let not_run = json["ran"] == "no";
+    let kind = match (status, json["revision"].as_u64()) {
+        (409, Some(revision)) => ClientErrorKind::Conflict(revision),
+        _ => ClientErrorKind::Status { status, body: text, not_run },
+    };
+    Err(ClientError::new(step, peer, kind))
+}
+
+/// Reads a JSON answer.
+pub(crate) fn read_json<T: serde::de::DeserializeOwned>(
+    step: Step,
+    peer: SocketAddr,
+    response: Response<ureq::Body>,
+    limit_bytes: u64,
+) -> Result<T, ClientError> {
+    let bytes = response
+        .into_body()
+        .with_config()
+        .limit(limit_bytes)
+        .read_to_vec()
+        .map_err(|error| ClientError::new(step, peer, call_error(&error)))?;
+    serde_json::from_slice(&bytes).map_err(|error| {
+        ClientError::new(step, peer, ClientErrorKind::BadAnswer(error.to_string()))
+    })
+}
--- /dev/null
+++ b/crates/hickoryhall-clients/src/lib.rs
@@ -0,0 +1,28 @@
+//! Clients for the store, runners, plain services and the host list, over `ureq`.
+//!
+//! Every error says the step and the peer, and whether the call may have taken effect.
+//!
+//! ```no_run
+//! use hickoryhall_clients::{PutCondition, StoreClient};
+//!
+//! let store = StoreClient::new("127.0.0.1:9000".parse()?);
+//! let revision = store.put("table/head", "{}", PutCondition::Absent, None)?;
+//! # Ok::<(), Box<dyn std::error::Error>>(())
+//! ```
+
+mod agent;
+mod error;
+mod hosts;
+mod runner;
+mod service;
+mod store;
+mod stream;
+
+pub use error::{ClientError, ClientErrorKind};
+pub use hosts::{HostListClient, Listed, ListedKind};
+pub use runner::{LoadAnswer, Message, Order, OrderBody, PromptRequest, RunnerClient};
+pub use service::{ServiceAnswer, ServiceCall, ServiceClient};
+pub use store::{
+    LeaseId, PutCondition, StoreClient, StoreRevision, StoredValue, WatchAnswer, WatchedKey,
+};
+pub use stream::{RunnerStream, StreamCheck, StreamEvent, StreamFault, Token};
--- /dev/null
+++ b/crates/hickoryhall-limits/src/bucket.rs
@@ -0,0 +1,69 @@
+//! Token bucket under a given clock.
+
+use std::time::{Duration, Instant};
+
+/// Units that refill at a rate, up to a burst.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct TokenBucket {
+    units_per_s: f64,
+    burst: f64,
+    left: f64,
+    at: Instant,
+}
+
+impl TokenBucket {
+    /// Creates a full bucket.
+    #[must_use]
+    pub fn new(now: Instant, units_per_s: f64, burst: f64) -> Self {
+        Self { units_per_s, burst, left: burst, at: now }
+    }
+
+    /// Changes rate and burst; what is left stays, up to the new burst.
+    pub fn resize(&mut self, now: Instant, units_per_s: f64, burst: f64) {
+        self.refill(now);
+        self.units_per_s = units_per_s;
+        self.burst = burst;
+        self.left = self.left.min(burst);
+    }
+
+    /// Takes units where all of them are there.
+    pub fn take(&mut self, now: Instant, units: f64) -> bool {
+        self.refill(now);
+        let fits = self.left >= units;
+        if fits {
+            self.left -= units;
+        }
+        fits
+    }
+
+    /// Takes as many whole units as there are, up to `units`.
+    pub fn take_up_to(&mut self, now: Instant, units: u32) -> u32 {
+        self.refill(now);
+        let taken = (self.left.floor() as u32).min(units);
+        self.left -= f64::from(taken);
+        taken
+    }
+
+    /// Returns the time until `units` are there.
+    #[must_use]
+    pub fn wait_for(&self, units: f64) -> Duration {
+        let missing = (units - self.left).max(0.0);
+        if self.units_per_s <= 0.0 {
+            return Duration::MAX;
+        }
+        Duration::from_secs_f64((missing / self.units_per_s).min(3_600.0))
+    }
+
+    /// Returns the units that are there.
+    #[must_use]
+    pub fn left(&mut self, now: Instant) -> f64 {
+        self.refill(now);
+        self.left
+    }
+
+    fn refill(&mut self, now: Instant) {
+        let earned = now.saturating_duration_since(self.at).as_secs_f64() * self.units_per_s;
+        self.left = (self.left + earned).min(self.burst);
+        self.at = now.max(self.at);
+    }
+}
--- /dev/null
+++ b/crates/hickoryhall-limits/src/fair_queue.rs
@@ -0,0 +1,185 @@
+//! Weighted fair queue between workspaces, with deadlines and shedding.
+
+use std::collections::{BTreeMap, HashMap, VecDeque};
+use std::time::Instant;
+
+use hickoryhall_types::WorkspaceId;
+
+/// Something that waits.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Queued<T> {
+    /// Workspace that it belongs to.
+    pub workspace: WorkspaceId,
+    /// Weight of the workspace.
+    pub weight: u32,
+    /// Work that it brings, in any unit.
+    pub cost: f64,
+    /// Moment after which it is of no use.
+    pub deadline: Instant,
+    /// What waits.
+    pub item: T,
+}
+
+/// Why something left the queue without being served.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Shed<T> {
+    /// Its deadline passed.
+    Expired(T),
+    /// The queue was full and its workspace the furthest over its share.
+    OverShare(T),
+}
+
+#[derive(Clone, Debug)]
+struct Line<T> {
+    waiting: VecDeque<Queued<T>>,
+    cost: f64,
+    next_start: f64,
+}
+
+/// Queue that serves workspaces in proportion to their weights.
+///
+/// Each line has a virtual start time that grows by cost divided by weight with each request
+/// served; the line with the lowest one is next.
+#[derive(Clone, Debug)]
+pub struct FairQueue<T> {
+    lines: BTreeMap<WorkspaceId, Line<T>>,
+    served: HashMap<WorkspaceId, f64>,
+    virtual_time: f64,
+    length: usize,
+    limit: usize,
+}
+
+impl<T> FairQueue<T> {
+    /// Creates an empty queue that holds at most `limit` items.
+    #[must_use]
+    pub fn new(limit: usize) -> Self {
+        Self {
+            lines: BTreeMap::new(),
+            served: HashMap::new(),
+            virtual_time: 0.0,
+            length: 0,
+            limit: limit.max(1),
+        }
+    }
+
+    /// Adds an item; where the queue is full, the newest item of the workspace that is furthest
+    /// over its share goes, which may be this one.
+    pub fn push(&mut self, queued: Queued<T>) -> Option<Shed<T>> {
+        let start = self.served.get(&queued.workspace).copied().unwrap_or(0.0);
+        let start = start.max(self.virtual_time);
+        let line = self.lines.entry(queued.workspace.clone()).or_insert_with(|| Line {
+            waiting: VecDeque::new(),
+            cost: 0.0,
+            next_start: start,
+        });
+        line.cost += queued.cost;
+        line.waiting.push_back(queued);
+        self.length += 1;
+        if self.length > self.limit { self.shed_over_share() } else { None }
+    }
+
+    /// Removes the item that is next.
+    pub fn pop(&mut self) -> Option<Queued<T>> {
+        let workspace = self.next_workspace()?;
+        self.take_front(&workspace)
+    }
+
+    /// Returns the item that is next.
+    #[must_use]
+    pub fn peek(&self) -> Option<&Queued<T>> {
+        let workspace = self.next_workspace()?;
+        self.lines.get(&workspace)?.waiting.front()
+    }
+
+    /// Returns the first item of each workspace, the next one first.
+    #[must_use]
+    pub fn fronts(&self) -> Vec<&Queued<T>> {
+        let mut lines = self.lines.values().collect::<Vec<_>>();
+        lines.sort_by(|a, b| a.next_start.total_cmp(&b.next_start));
+        lines.into_iter().filter_map(|line| line.waiting.front()).collect()
+    }
+
+    /// Removes the first item of a workspace.
+    pub fn take_front(&mut self, workspace: &WorkspaceId) -> Option<Queued<T>> {
+        let line = self.lines.get_mut(workspace)?;
+        let queued = line.waiting.pop_front()?;
+        self.length -= 1;
+        self.virtual_time = self.virtual_time.max(line.next_start);
+        line.cost -= queued.cost;
+        line.next_start += queued.cost / f64::from(queued.weight.max(1));
+        self.served.insert(workspace.clone(), line.next_start);
+        self.drop_if_empty(workspace);
+        Some(queued)
+    }
+
+    /// Removes every item whose deadline has passed.
+    pub fn expire(&mut self, now: Instant) -> Vec<Shed<T>> {
+        let mut expired = Vec::new();
+        for line in self.lines.values_mut() {
+            let is_late = |queued: &Queued<T>| queued.deadline <= now;
+            let (late, waiting): (VecDeque<_>, _) = line.waiting.drain(..).partition(is_late);
+            line.waiting = waiting;
+            line.cost -= late.iter().map(|queued| queued.cost).sum::<f64>();
+            expired.extend(late.into_iter().map(|queued| Shed::Expired(queued.item)));
+        }
+        self.length -= expired.len();
+        self.lines.retain(|_, line| !line.waiting.is_empty());
+        let virtual_time = self.virtual_time;
+        self.served.retain(|_, start| *start > virtual_time);
+        expired
+    }
+
+    /// Returns the work that would be served before a new item of a workspace.
+    #[must_use]
+    pub fn cost_ahead(&self, workspace: &WorkspaceId, weight: u32) -> f64 {
+        let weight = f64::from(weight.max(1));
+        let own = self.lines.get(workspace).map_or(0.0, |line| line.cost);
+        let finish = own / weight;
+        let others = self.lines.iter().filter(|(other, _)| *other != workspace);
+        let ahead = others.map(|(_, line)| {
+            let other = line.waiting.front().map_or(1.0, |queued| f64::from(queued.weight.max(1)));
+            line.cost.min(finish * other)
+        });
+        own + ahead.sum::<f64>()
+    }
+
+    /// Returns the number of items.
+    #[must_use]
+    pub fn len(&self) -> usize {
+        self.length
+    }
+
+    /// Tells whether nothing waits.
+    #[must_use]
+    pub fn is_empty(&self) -> bool {
+        self.length == 0
+    }
+
+    fn next_workspace(&self) -> Option<WorkspaceId> {
+        let (workspace, _) =
+            self.lines.iter().min_by(|(_, a), (_, b)| a.next_start.total_cmp(&b.next_start))?;
+        Some(workspace.clone())
+    }
+
+    fn shed_over_share(&mut self) -> Option<Shed<T>> {
+        let share = |line: &Line<T>| {
+            let weight = line.waiting.front().map_or(1, |queued| queued.weight.max(1));
+            line.cost / f64::from(weight)
+        };
+        let (workspace, _) =
+            self.lines.iter().max_by(|(_, a), (_, b)| share(a).total_cmp(&share(b)))?;
+        let workspace = workspace.clone();
+        let line = self.lines.get_mut(&workspace)?;
+        let shed = line.waiting.pop_back()?;
+        line.cost -= shed.cost;
+        self.length -= 1;
+        self.drop_if_empty(&workspace);
+        Some(Shed::OverShare(shed.item))
+    }
+
+    fn drop_if_empty(&mut self, workspace: &WorkspaceId) {
+        if self.lines.get(workspace).is_some_and(|line| line.waiting.is_empty()) {
+            self.lines.remove(workspace);
+        }
+    }
+}
--- /dev/null
+++ b/crates/hickoryhall-limits/src/lib.rs
@@ -0,0 +1,23 @@
+//! Limits of rows over the whole fleet, fair shares between workspaces, and the retry budget.
+//!
+//! ```
+//! use std::time::Instant;
+//! use hickoryhall_limits::TokenBucket;
+//!
+//! let now = Instant::now();
+//! let mut bucket = TokenBucket::new(now, 10.0, 2.0);
+//! assert!(bucket.take(now, 2.0));
+//! assert!(!bucket.take(now, 1.0));
+//! ```
+
+mod bucket;
+mod concurrency;
+mod fair_queue;
+mod fleet;
+mod retry_budget;
+
+pub use bucket::TokenBucket;
+pub use concurrency::Concurrency;
+pub use fair_queue::{FairQueue, Queued, Shed};
+pub use fleet::{BucketServer, FleetShape, HostLimit, LimitKey, Take, UnitGrant};
+pub use retry_budget::RetryBudget;
--- /dev/null
+++ b/crates/hickoryhall-membership/src/hosts.rs
@@ -0,0 +1,199 @@
+//! The hosts that this one knows, and which of them are live.
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::time::{Duration, Instant};
+
+use hickoryhall_types::{FailureDomainId, HostId, Incarnation, hash_name, rendezvous_score};
+use hickoryhall_wire::{Heartbeat, HostHash, Peer};
+
+/// Time without a life sign after which a host is taken to be dead.
+const LIVE_LIMIT: Duration = Duration::from_secs(10);
+/// Time without a life sign after which a host that is not listed is forgotten.
+const FORGET_LIMIT: Duration = Duration::from_secs(60);
+
+/// Name and place of a host.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct HostInfo {
+    /// Name.
+    pub id: HostId,
+    /// Stable hash of the name.
+    pub hash: HostHash,
+    /// Failure domain.
+    pub domain: FailureDomainId,
+    /// Address of the inner protocol.
+    pub address: SocketAddr,
+}
+
+impl HostInfo {
+    /// Creates a description.
+    #[must_use]
+    pub fn new(id: &str, domain: &str, address: SocketAddr) -> Self {
+        Self { id: id.into(), hash: hash_name(id), domain: domain.into(), address }
+    }
+}
+
+/// Duty that few hosts of a failure domain have at a time.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Duty {
+    /// Waits for changes of the table in the store.
+    TableWatcher,
+    /// Gives orders to the runners of the domain.
+    OrderGiver,
+    /// Holds the domain's part of a limit.
+    Bucket(u64),
+    /// Keeps the ledger of a runner.
+    Tracker(u64),
+}
+
+impl Duty {
+    fn key(self) -> u64 {
+        match self {
+            Self::TableWatcher => 0x7761_7463_6865_7221,
+            Self::OrderGiver => 0x6f72_6465_7267_6976,
+            Self::Bucket(bucket) => bucket.rotate_left(17),
+            Self::Tracker(runner) => runner,
+        }
+    }
+}
+
+#[derive(Clone, Debug)]
+struct Known {
+    info: HostInfo,
+    incarnation: Incarnation,
+    count: u32,
+    heard_at: Instant,
+    listed: bool,
+    leaving: bool,
+}
+
+impl Known {
+    fn is_live(&self, now: Instant) -> bool {
+        !self.leaving && now.saturating_duration_since(self.heard_at) < LIVE_LIMIT
+    }
+}
+
+/// The hosts that this one knows.
+#[derive(Clone, Debug)]
+pub struct Hosts {
+    me: HostInfo,
+    incarnation: Incarnation,
+    known: HashMap<HostHash, Known>,
+}
+
+impl Hosts {
+    /// Creates a view with this host alone.
+    #[must_use]
+    pub fn new(me: HostInfo, incarnation: Incarnation) -> Self {
+        Self { me, incarnation, known: HashMap::new() }
+    }
+
+    /// Returns this host.
+    #[must_use]
+    pub fn me(&self) -> &HostInfo {
+        &self.me
+    }
+
+    /// Returns this host as a sender.
+    #[must_use]
+    pub fn my_peer(&self) -> Peer {
+        Peer { host: self.me.hash, incarnation: self.incarnation }
+    }
+
+    /// Takes the platform's list in: new hosts get the benefit of the doubt, and unlisted ones that
+    /// give no life sign are forgotten.
+    pub fn merge_list(&mut self, now: Instant, list: &[HostInfo]) {
+        self.known.values_mut().for_each(|known| known.listed = false);
+        for info in list.iter().filter(|info| info.hash != self.me.hash) {
+            let known = self.known.entry(info.hash).or_insert_with(|| Known {
+                info: info.clone(),
+                incarnation: 0,
+                count: 0,
+                heard_at: now,
+                listed: true,
+                leaving: false,
+            });
+            known.info = info.clone();
+            known.listed = true;
+        }
+        self.known.retain(|_, known| {
+            known.listed || now.saturating_duration_since(known.heard_at) < FORGET_LIMIT
+        });
+    }
+
+    /// Records a life sign; one that is not newer than the last changes nothing.
+    pub fn observe(&mut self, now: Instant, heartbeat: Heartbeat) {
+        let Some(known) = self.known.get_mut(&heartbeat.peer.host) else { return };
+        let Heartbeat { peer, count } = heartbeat;
+        if (peer.incarnation, count) <= (known.incarnation, known.count) {
+            return;
+        }
+        if peer.incarnation > known.incarnation {
+            known.leaving = false;
+        }
+        known.incarnation = peer.incarnation;
+        known.count = count;
+        known.heard_at = now;
+    }
+
+    /// Records that a host is shutting down; returns whether that was news.
+    pub fn mark_leaving(&mut self, peer: Peer) -> bool {
+        let Some(known) = self.known.get_mut(&peer.host) else { return false };
+        let is_news = !known.leaving && peer.incarnation >= known.incarnation;
+        known.leaving |= is_news;
+        is_news
+    }
+
+    /// Returns a host by its hash.
+    #[must_use]
+    pub fn get(&self, host: HostHash) -> Option<&HostInfo> {
+        self.known.get(&host).map(|known| &known.info)
+    }
+
+    /// Returns every known host but this one, live or not.
+    pub fn others(&self) -> impl Iterator<Item = &HostInfo> {
+        self.known.values().map(|known| &known.info)
+    }
+
+    /// Returns the live hosts but this one.
+    pub fn live(&self, now: Instant) -> impl Iterator<Item = &HostInfo> {
+        self.known.values().filter(move |known| known.is_live(now)).map(|known| &known.info)
+    }
+
+    /// Returns the life signs of live hosts of this failure domain.
+    pub fn heartbeats(&self, now: Instant) -> impl Iterator<Item = Heartbeat> {
+        let mine = &self.me.domain;
+        let live = self.known.values().filter(move |k| k.is_live(now) && k.info.domain == *mine);
+        live.filter(|known| known.count > 0).map(|known| Heartbeat {
+            peer: Peer { host: known.info.hash, incarnation: known.incarnation },
+            count: known.count,
+        })
+    }
+
+    /// Returns the hosts of a failure domain that have a duty, first choice first.
+    ///
+    /// Hosts that see other hosts alive may name others; whoever acts on a duty must stay correct
+    /// then.
+    #[must_use]
+    pub fn holders(&self, now: Instant, domain: &str, duty: Duty, count: usize) -> Vec<HostHash> {
+        let here = (self.me.domain.as_ref() == domain).then_some(self.me.hash);
+        let live = self.live(now).filter(|info| info.domain.as_ref() == domain);
+        let mut hosts = live.map(|info| info.hash).chain(here).collect::<Vec<_>>();
+        let key = duty.key();
+        hosts.sort_by_key(|&host| std::cmp::Reverse((rendezvous_score(key, host), host)));
+        hosts.truncate(count);
+        hosts
+    }
+
+    /// Tells whether this host is among the `count` that have a duty in its failure domain.
+    #[must_use]
+    pub fn holds(&self, now: Instant, duty: Duty, count: usize) -> bool {
+        self.holders(now, &self.me.domain, duty, count).contains(&self.me.hash)
+    }
+
+    /// Returns the number of live hosts of this failure domain, this one included.
+    #[must_use]
+    pub fn live_in_domain(&self, now: Instant) -> usize {
+        1 + self.live(now).filter(|info| info.domain == self.me.domain).count()
+    }
+}
--- /dev/null
+++ b/crates/hickoryhall-routing/src/lib.rs
@@ -0,0 +1,35 @@
+//! Where a request goes: prefix keys, owners, load, cost, retries, ejection and suspects.
+//!
+//! Every decision is a plain struct under a given clock, without I/O, threads or hidden randomness.
+//!
+//! ```
+//! use hickoryhall_routing::{PrefixChain, PrefixSeed};
+//!
+//! let seed = PrefixSeed::new("karoo", "planner", None, 1);
+//! let chain = PrefixChain::from_messages(&seed, ["notice text", "question"]);
+//! assert_eq!(chain.levels().len(), 2);
+//! ```
+
+mod backoff;
+mod baseline;
+mod cost;
+mod ejection;
+mod heat;
+mod ledger;
+mod placement;
+mod prefix;
+mod runner;
+mod shadow;
+mod suspects;
+
+pub use backoff::{AttemptOutcome, RetryDecision, RetryPolicy};
+pub use baseline::{Baseline, BaselineKind, RunnerTruth};
+pub use cost::{Cost, CostModel};
+pub use ejection::Ejection;
+pub use heat::Heat;
+pub use ledger::{Ledger, Quote, ReservationId};
+pub use placement::{Candidate, Choice, Placement, PlacementConfig, Reason};
+pub use prefix::{Level, LevelKey, PrefixChain, PrefixSeed};
+pub use runner::{LoadReport, RunnerInfo, RunnerKey, Runners};
+pub use shadow::ShadowCache;
+pub use suspects::{Fingerprint, Suspects, Verdict};
--- /dev/null
+++ b/crates/hickoryhall-routing/src/shadow.rs
@@ -0,0 +1,151 @@
+//! Estimate of what one runner's prefix cache holds, from the requests sent to it.
+
+use std::collections::{BTreeMap, HashMap};
+use std::time::{Duration, Instant};
+
+use hickoryhall_types::TokenCount;
+
+use crate::{Level, LevelKey, PrefixChain};
+
+/// Place in the eviction order: oldest use first, and the deepest level of one use first.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+struct Rank {
+    use_number: u64,
+    height: u32,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct Entry {
+    tokens: TokenCount,
+    used_at: Instant,
+    rank: Rank,
+}
+
+/// Bounded least-recently-used set of prefix levels with a budget in tokens.
+#[derive(Clone, Debug)]
+pub struct ShadowCache {
+    budget_tokens: u64,
+    used_tokens: u64,
+    entry_limit: usize,
+    uses: u64,
+    entries: HashMap<LevelKey, Entry>,
+    order: BTreeMap<Rank, LevelKey>,
+}
+
+impl ShadowCache {
+    /// Creates an empty set for a cache of `budget_tokens`, tracking at most `entry_limit` levels.
+    #[must_use]
+    pub fn new(budget_tokens: u64, entry_limit: usize) -> Self {
+        Self {
+            budget_tokens,
+            used_tokens: 0,
+            entry_limit: entry_limit.max(1),
+            uses: 0,
+            entries: HashMap::new(),
+            order: BTreeMap::new(),
+        }
+    }
+
+    /// Returns the tokens of the longest cached prefix.
+    #[must_use]
+    pub fn cached_tokens(&self, chain: &PrefixChain) -> TokenCount {
+        self.cached_levels(chain).map(|level| level.tokens).sum()
+    }
+
+    /// Returns how much of the cache's recent use would be lost by storing `tokens` more.
+    ///
+    /// The result is in tokens; a victim counts in full when it was used just now, by half after
+    /// `half_life` without use, and so on.
+    #[must_use]
+    pub fn eviction_tokens(&self, now: Instant, tokens: TokenCount, half_life: Duration) -> f64 {
+        let free = self.budget_tokens.saturating_sub(self.used_tokens);
+        let mut missing = u64::from(tokens).saturating_sub(free);
+        let mut lost = 0.0;
+        for key in self.order.values() {
+            if missing == 0 {
+                break;
+            }
+            let entry = &self.entries[key];
+            let idle = now.saturating_duration_since(entry.used_at);
+            let value = 0.5_f64.powf(idle.as_secs_f64() / half_life.as_secs_f64());
+            let evicted = u64::from(entry.tokens).min(missing);
+            lost += evicted as f64 * value;
+            missing -= evicted;
+        }
+        lost
+    }
+
+    /// Records that a request with this prompt was sent.
+    pub fn insert(&mut self, now: Instant, chain: &PrefixChain) {
+        self.uses += 1;
+        let depth = chain.levels().len() as u32;
+        for (index, level) in chain.levels().iter().enumerate() {
+            let rank = Rank { use_number: self.uses, height: depth - index as u32 };
+            self.touch(now, *level, rank);
+        }
+        self.evict();
+    }
+
+    /// Returns the number of the use that last touched the deepest cached level of a prompt.
+    #[must_use]
+    pub fn last_use(&self, chain: &PrefixChain) -> Option<u64> {
+        let deepest = self.cached_levels(chain).last()?;
+        Some(self.entries[&deepest.key].rank.use_number)
+    }
+
+    /// Forgets every level last used by `use_number` or before.
+    ///
+    /// A runner that has evicted one level has evicted those that were idle for longer as well.
+    pub fn forget_until(&mut self, use_number: u64) {
+        while let Some((rank, &key)) = self.order.first_key_value() {
+            if rank.use_number > use_number {
+                return;
+            }
+            self.remove(key);
+        }
+    }
+
+    /// Forgets everything, as after a restart of the runner.
+    pub fn clear(&mut self) {
+        self.entries.clear();
+        self.order.clear();
+        self.used_tokens = 0;
+    }
+
+    /// Returns the number of levels held.
+    #[must_use]
+    pub fn len(&self) -> usize {
+        self.entries.len()
+    }
+
+    /// Tells whether no level is held.
+    #[must_use]
+    pub fn is_empty(&self) -> bool {
+        self.entries.is_empty()
+    }
+
+    fn cached_levels<'a>(&'a self, chain: &'a PrefixChain) -> impl Iterator<Item = &'a Level> {
+        chain.levels().iter().take_while(|level| self.entries.contains_key(&level.key))
+    }
+
+    fn touch(&mut self, now: Instant, level: Level, rank: Rank) {
+        self.remove(level.key);
+        self.entries.insert(level.key, Entry { tokens: level.tokens, used_at: now, rank });
+        self.order.insert(rank, level.key);
+        self.used_tokens += u64::from(level.tokens);
+    }
+
+    fn remove(&mut self, key: LevelKey) {
+        if let Some(entry) = self.entries.remove(&key) {
+            self.order.remove(&entry.rank);
+            self.used_tokens -= u64::from(entry.tokens);
+        }
+    }
+
+    fn evict(&mut self) {
+        while self.used_tokens > self.budget_tokens || self.entries.len() > self.entry_limit {
+            let Some((_, &oldest)) = self.order.first_key_value() else { return };
+            self.remove(oldest);
+        }
+    }
+}
--- /dev/null
+++ b/crates/hickoryhall-standins/src/engine/cache.rs
@@ -0,0 +1,112 @@
+//! Prefix cache with a memory limit.
+
+use std::collections::{BTreeMap, HashMap};
+
+use super::{Piece, PieceKey};
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+struct Rank {
+    use_number: u64,
+    height: u32,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct Entry {
+    tokens: u32,
+    rank: Rank,
+    pins: u32,
+}
+
+/// Least-recently-used cache of prompt pieces; the deepest piece of the oldest use goes first.
+#[derive(Clone, Debug, Default)]
+pub struct PrefixCache {
+    limit_tokens: u64,
+    used_tokens: u64,
+    uses: u64,
+    entries: HashMap<PieceKey, Entry>,
+    order: BTreeMap<Rank, PieceKey>,
+}
+
+impl PrefixCache {
+    /// Creates an empty cache.
+    #[must_use]
+    pub fn new(limit_tokens: u64) -> Self {
+        Self { limit_tokens, ..Self::default() }
+    }
+
+    /// Returns the tokens of the longest cached prefix.
+    #[must_use]
+    pub fn cached_tokens(&self, pieces: &[Piece]) -> u32 {
+        let cached = pieces.iter().take_while(|piece| self.entries.contains_key(&piece.key));
+        cached.map(|piece| piece.tokens).sum()
+    }
+
+    /// Stores the pieces of a prompt, newest use, and returns the keys that had to go.
+    pub fn store(&mut self, pieces: &[Piece]) -> Vec<PieceKey> {
+        self.uses += 1;
+        let depth = pieces.len() as u32;
+        for (index, piece) in pieces.iter().enumerate() {
+            let rank = Rank { use_number: self.uses, height: depth - index as u32 };
+            let pins = self.remove(piece.key).map_or(0, |entry| entry.pins);
+            self.entries.insert(piece.key, Entry { tokens: piece.tokens, rank, pins });
+            self.order.insert(rank, piece.key);
+            self.used_tokens += u64::from(piece.tokens);
+        }
+        self.evict()
+    }
+
+    /// Keeps pieces from eviction until they are unpinned.
+    pub fn pin(&mut self, pieces: &[Piece]) {
+        for piece in pieces {
+            if let Some(entry) = self.entries.get_mut(&piece.key) {
+                entry.pins += 1;
+            }
+        }
+    }
+
+    /// Lets pieces be evicted again.
+    pub fn unpin(&mut self, pieces: &[Piece]) {
+        for piece in pieces {
+            if let Some(entry) = self.entries.get_mut(&piece.key) {
+                entry.pins = entry.pins.saturating_sub(1);
+            }
+        }
+    }
+
+    /// Returns the tokens held.
+    #[must_use]
+    pub fn used_tokens(&self) -> u64 {
+        self.used_tokens
+    }
+
+    /// Empties the cache.
+    pub fn clear(&mut self) {
+        *self = Self::new(self.limit_tokens);
+    }
+
+    fn evict(&mut self) -> Vec<PieceKey> {
+        let mut evicted = Vec::new();
+        let mut over = self.used_tokens.saturating_sub(self.limit_tokens);
+        for &key in self.order.values() {
+            if over == 0 {
+                break;
+            }
+            let entry = self.entries[&key];
+            if entry.pins == 0 {
+                over = over.saturating_sub(u64::from(entry.tokens));
+                evicted.push(key);
+            }
+        }
+        for &key in &evicted {
+            self.remove(key);
+        }
+        evicted
+    }
+
+    fn remove(&mut self, key: PieceKey) -> Option<Entry> {
+        let entry = self.entries.remove(&key)?;
+        self.order.remove(&entry.rank);
+        self.used_tokens -= u64::from(entry.tokens);
+        Some(entry)
+    }
+}
--- /dev/null
+++ b/crates/hickoryhall-standins/src/engine/mod.rs
@@ -0,0 +1,13 @@
+//! Stand-in for a model engine.
+
+mod cache;
+mod model;
+mod protocol;
+mod server;
+mod text;
+
+pub use cache::PrefixCache;
+pub use model::{EngineConfig, EngineEvent, EngineModel, Job, JobId, Piece, PieceKey};
+pub use protocol::{EngineFaults, Fault, LoadBody, Message, Order, OrderBody, PromptBody};
+pub use server::EngineServer;
+pub use text::{continuation_start, pieces_of, token_text};
--- /dev/null
+++ b/crates/hickoryhall-standins/src/engine/model.rs
@@ -0,0 +1,295 @@
+//! The engine under a given clock: prefill, batched decoding and the prefix cache.
+
+use std::collections::VecDeque;
+use std::time::{Duration, Instant};
+
+use super::PrefixCache;
+
+/// Id of a job in an engine.
+pub type JobId = u64;
+/// Key of a piece of a prompt, depending on all before it.
+pub type PieceKey = u64;
+
+/// Piece of a prompt, about 2,000 tokens or up to the end of a message.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Piece {
+    /// Key.
+    pub key: PieceKey,
+    /// Length.
+    pub tokens: u32,
+}
+
+/// Rates and limits of an engine.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct EngineConfig {
+    /// Memory for cached prompts.
+    pub cache_tokens: u64,
+    /// Rate at which prompts are computed, one at a time.
+    pub prefill_tokens_per_s: u32,
+    /// Time between two tokens of one answer.
+    pub decode_interval: Duration,
+    /// Answers decoded together at most.
+    pub max_batch: usize,
+}
+
+impl Default for EngineConfig {
+    fn default() -> Self {
+        Self {
+            cache_tokens: 120_000,
+            prefill_tokens_per_s: 16_000,
+            decode_interval: Duration::from_millis(20),
+            max_batch: 64,
+        }
+    }
+}
+
+/// A request as the engine's model sees it.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Job {
+    /// Id, unique in the engine.
+    pub id: JobId,
+    /// Prompt.
+    pub pieces: Vec<Piece>,
+    /// Tokens to generate, at least 1.
+    pub output_tokens: u32,
+    /// A lower number goes first.
+    pub priority: u32,
+}
+
+/// What happened in an engine.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum EngineEvent {
+    /// A job made its first token.
+    FirstToken {
+        /// Job.
+        id: JobId,
+        /// Tokens of the prompt that were cached.
+        cached_tokens: u32,
+        /// When.
+        at: Instant,
+    },
+    /// A job has made `count` tokens in all.
+    Tokens {
+        /// Job.
+        id: JobId,
+        /// Tokens so far.
+        count: u32,
+    },
+    /// A job has made its last token.
+    Done {
+        /// Job.
+        id: JobId,
+        /// When.
+        at: Instant,
+    },
+    /// A piece entered the cache.
+    Stored(PieceKey),
+    /// A piece left the cache.
+    Evicted(PieceKey),
+}
+
+#[derive(Clone, Debug)]
+struct Prefill {
+    job: Job,
+    cached_tokens: u32,
+    done_at: Instant,
+}
+
+#[derive(Clone, Debug)]
+struct Decoding {
+    job: Job,
+    first_at: Instant,
+    reported: u32,
+}
+
+/// A model engine.
+#[derive(Clone, Debug)]
+pub struct EngineModel {
+    config: EngineConfig,
+    incarnation: u64,
+    cache: PrefixCache,
+    waiting: VecDeque<Job>,
+    prefill: Option<Prefill>,
+    batch: Vec<Decoding>,
+}
+
+impl EngineModel {
+    /// Creates an idle engine with an empty cache.
+    #[must_use]
+    pub fn new(config: EngineConfig) -> Self {
+        Self {
+            config,
+            incarnation: 1,
+            cache: PrefixCache::new(config.cache_tokens),
+            waiting: VecDeque::new(),
+            prefill: None,
+            batch: Vec::new(),
+        }
+    }
+
+    /// Takes a job in; the engine must have been advanced to `now` before.
+    pub fn submit(&mut self, now: Instant, job: Job) {
+        let place = self.waiting.partition_point(|other| other.priority <= job.priority);
+        self.waiting.insert(place, job);
+        self.start_prefill(now);
+    }
+
+    /// Ends a job; its cached prompt stays.
+    pub fn cancel(&mut self, now: Instant, id: JobId) {
+        self.waiting.retain(|job| job.id != id);
+        if let Some(prefill) = self.prefill.take_if(|prefill| prefill.job.id == id) {
+            self.cache.unpin(&prefill.job.pieces);
+        }
+        if let Some(place) = self.batch.iter().position(|decoding| decoding.job.id == id) {
+            let ended = self.batch.swap_remove(place);
+            self.cache.unpin(&ended.job.pieces);
+        }
+        self.start_prefill(now);
+    }
+
+    /// Loses everything, as a crash does, and comes back with the next incarnation.
+    pub fn crash(&mut self) {
+        self.incarnation += 1;
+        self.cache.clear();
+        self.waiting.clear();
+        self.prefill = None;
+        self.batch.clear();
+    }
+
+    /// Empties the cache, as a change of weights does.
+    pub fn clear_cache(&mut self) {
+        self.cache.clear();
+    }
+
+    /// Returns when the next event is due.
+    #[must_use]
+    pub fn next_event_at(&self) -> Option<Instant> {
+        let prefill = self.prefill.iter().map(|prefill| prefill.done_at);
+        let decode = self.batch.iter().map(|decoding| self.token_at(decoding, decoding.reported));
+        prefill.chain(decode).min()
+    }
+
+    /// Returns when the next prefill or the next answer ends, whichever comes first.
+    #[must_use]
+    pub fn next_change_at(&self) -> Option<Instant> {
+        let prefill = self.prefill.iter().map(|prefill| prefill.done_at);
+        let ends =
+            self.batch.iter().map(|decoding| self.token_at(decoding, decoding.job.output_tokens - 1));
+        prefill.chain(ends).min()
+    }
+
+    /// Lets time pass up to `now` and adds what happened, in order.
+    pub fn advance(&mut self, now: Instant, events: &mut Vec<EngineEvent>) {
+        while let Some(at) = self.next_change_at().filter(|&at| at <= now) {
+            self.finish_prefill(at, events);
+            self.finish_answers(at, events);
+            self.start_prefill(at);
+        }
+        self.report_tokens(now, events);
+    }
+
+    /// Returns the prompt tokens that wait to be computed, the rest of the running prefill included.
+    #[must_use]
+    pub fn waiting_tokens(&self, now: Instant) -> u64 {
+        let rest = self.prefill.as_ref().map_or(0.0, |prefill| {
+            let left = prefill.done_at.saturating_duration_since(now).as_secs_f64();
+            left * f64::from(self.config.prefill_tokens_per_s)
+        });
+        let queued = self.waiting.iter().map(|job| self.missing_tokens(&job.pieces));
+        rest as u64 + queued.map(u64::from).sum::<u64>()
+    }
+
+    /// Returns the tokens of a prompt that are cached.
+    #[must_use]
+    pub fn cached_tokens(&self, pieces: &[Piece]) -> u32 {
+        self.cache.cached_tokens(pieces)
+    }
+
+    /// Puts pieces into the cache that came from elsewhere.
+    pub fn import(&mut self, pieces: &[Piece]) {
+        self.cache.store(pieces);
+    }
+
+    /// Returns the number of jobs in the engine.
+    #[must_use]
+    pub fn jobs(&self) -> usize {
+        self.waiting.len() + usize::from(self.prefill.is_some()) + self.batch.len()
+    }
+
+    /// Returns the start number.
+    #[must_use]
+    pub fn incarnation(&self) -> u64 {
+        self.incarnation
+    }
+
+    /// Returns rates and limits.
+    #[must_use]
+    pub fn config(&self) -> &EngineConfig {
+        &self.config
+    }
+
+    fn missing_tokens(&self, pieces: &[Piece]) -> u32 {
+        let all = pieces.iter().map(|piece| piece.tokens).sum::<u32>();
+        all - self.cache.cached_tokens(pieces)
+    }
+
+    fn start_prefill(&mut self, now: Instant) {
+        if self.prefill.is_some() || self.batch.len() >= self.config.max_batch {
+            return;
+        }
+        let Some(job) = self.waiting.pop_front() else { return };
+        let missing = self.missing_tokens(&job.pieces);
+        let cached_tokens = self.cache.cached_tokens(&job.pieces);
+        let rate = f64::from(self.config.prefill_tokens_per_s);
+        let done_at = now + Duration::from_secs_f64(f64::from(missing) / rate);
+        self.cache.pin(&job.pieces);
+        self.prefill = Some(Prefill { job, cached_tokens, done_at });
+    }
+
+    fn finish_prefill(&mut self, at: Instant, events: &mut Vec<EngineEvent>) {
+        let Some(prefill) = self.prefill.take_if(|prefill| prefill.done_at <= at) else { return };
+        let Prefill { job, cached_tokens, .. } = prefill;
+        self.cache.unpin(&job.pieces);
+        let evicted = self.cache.store(&job.pieces);
+        self.cache.pin(&job.pieces);
+        events.extend(job.pieces.iter().map(|piece| EngineEvent::Stored(piece.key)));
+        events.extend(evicted.into_iter().map(EngineEvent::Evicted));
+        events.push(EngineEvent::FirstToken { id: job.id, cached_tokens, at });
+        self.batch.push(Decoding { job, first_at: at, reported: 1 });
+    }
+
+    fn finish_answers(&mut self, at: Instant, events: &mut Vec<EngineEvent>) {
+        let mut index = 0;
+        while index < self.batch.len() {
+            let decoding = &self.batch[index];
+            if self.token_at(decoding, decoding.job.output_tokens - 1) > at {
+                index += 1;
+                continue;
+            }
+            let ended = self.batch.remove(index);
+            if ended.reported < ended.job.output_tokens {
+                let count = ended.job.output_tokens;
+                events.push(EngineEvent::Tokens { id: ended.job.id, count });
+            }
+            events.push(EngineEvent::Done { id: ended.job.id, at });
+            self.cache.unpin(&ended.job.pieces);
+        }
+    }
+
+    fn report_tokens(&mut self, now: Instant, events: &mut Vec<EngineEvent>) {
+        let interval = self.config.decode_interval;
+        for decoding in &mut self.batch {
+            let steps = now.saturating_duration_since(decoding.first_at).as_nanos()
+                / interval.as_nanos().max(1);
+            let count = (steps as u32 + 1).min(decoding.job.output_tokens);
+            if count > decoding.reported {
+                decoding.reported = count;
+                events.push(EngineEvent::Tokens { id: decoding.job.id, count });
+            }
+        }
+    }
+
+    fn token_at(&self, decoding: &Decoding, index: u32) -> Instant {
+        decoding.first_at + self.config.decode_interval * index
+    }
+}
--- /dev/null
+++ b/crates/hickoryhall-standins/src/engine/server.rs
@@ -0,0 +1,674 @@
+//! HTTP server over the engine's model, driven by the real clock.
+
+use std::collections::{HashMap, VecDeque};
+use std::net::SocketAddr;
+use std::sync::{Arc, Condvar, Mutex, MutexGuard, PoisonError};
+use std::thread;
+use std::time::{Duration, Instant};
+
+use crossbeam_channel::{Receiver, Sender, unbounded};
+use hickoryhall_http::{
+    BindError, Caller, EventWriter, Method, Request, header, read_body, respond_json,
+};
+use serde::Deserialize;
+use serde_json::json;
+
+use super::text::answer_key;
+use super::{
+    EngineConfig, EngineEvent, EngineFaults, EngineModel, Fault, Job, JobId, LoadBody, Order,
+    OrderBody, PieceKey, PromptBody, continuation_start, pieces_of, token_text,
+};
+use crate::{Running, start};
+
+/// Largest body that the engine takes.
+const BODY_LIMIT_BYTES: usize = 8 << 20;
+/// Time for which a broken stream may be resumed.
+const RESUME_WINDOW: Duration = Duration::from_secs(5);
+/// Age of a load report at most.
+const LOAD_LAG: Duration = Duration::from_millis(500);
+/// Cache events kept.
+const EVENT_LIMIT: usize = 10_000;
+/// Time to load weights while at most two engines load.
+const WEIGHTS_LOAD: Duration = Duration::from_millis(600);
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Progress {
+    First { cached_tokens: u32 },
+    Tokens { count: u32 },
+    Done,
+}
+
+struct Log {
+    answer_key: u64,
+    first_index: u32,
+    cached_tokens: u32,
+    count: u32,
+    done: bool,
+    unread_since: Option<Instant>,
+    reader: Option<Sender<Progress>>,
+    poisoned: bool,
+}
+
+struct CacheEvent {
+    sequence: u64,
+    stored: bool,
+    key: PieceKey,
+}
+
+struct State {
+    model: EngineModel,
+    name: String,
+    served_model: String,
+    weights_version: u64,
+    weights_ready_at: Instant,
+    wanted_version: u64,
+    loads: u64,
+    check_fencing: bool,
+    fencing: u64,
+    refused_orders: u64,
+    leaving: bool,
+    down_until: Option<Instant>,
+    faults: EngineFaults,
+    jobs: HashMap<JobId, Log>,
+    by_attempt: HashMap<String, JobId>,
+    next_job: JobId,
+    events: VecDeque<CacheEvent>,
+    next_event: u64,
+    load: Option<(Instant, LoadBody)>,
+}
+
+struct Shared {
+    state: Mutex<State>,
+    wake: Condvar,
+}
+
+/// A running engine stand-in.
+pub struct EngineServer {
+    running: Running,
+    shared: Arc<Shared>,
+}
+
+impl EngineServer {
+    /// Starts an engine.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error where the address cannot be listened on.
+    ///
+    /// # Panics
+    ///
+    /// Panics where the system refuses a thread.
+    pub fn start(
+        address: SocketAddr,
+        name: &str,
+        served_model: &str,
+        check_fencing: bool,
+        config: EngineConfig,
+    ) -> Result<Self, BindError> {
+        let state = State::new(name, served_model, check_fencing, config);
+        let shared = Arc::new(Shared { state: Mutex::new(state), wake: Condvar::new() });
+        let weak = Arc::downgrade(&shared);
+        thread::Builder::new()
+            .name("engine-clock".to_owned())
+            .spawn(move || {
+                while let Some(shared) = weak.upgrade() {
+                    shared.tick();
+                }
+            })
+            .expect("a thread at the start of a server");
+        let handler = Arc::clone(&shared);
+        let running = start(address, move |request, caller| handler.handle(request, &caller))?;
+        Ok(Self { running, shared })
+    }
+
+    /// Returns the address that the engine listens on.
+    #[must_use]
+    pub fn address(&self) -> SocketAddr {
+        self.running.address()
+    }
+
+    /// Switches a fault on, as `POST /control` does.
+    pub fn fault(&self, fault: &Fault) {
+        self.shared.lock().apply(fault);
+        self.shared.wake.notify_all();
+    }
+
+    /// Returns the number of jobs in the engine.
+    #[must_use]
+    pub fn jobs(&self) -> usize {
+        self.shared.lock().model.jobs()
+    }
+
+    /// Returns the number of weights loads and of refused orders so far.
+    #[must_use]
+    pub fn orders(&self) -> (u64, u64) {
+        let state = self.shared.lock();
+        (state.loads, state.refused_orders)
+    }
+
+    /// Returns the weights version that the engine serves.
+    #[must_use]
+    pub fn weights_version(&self) -> u64 {
+        self.shared.lock().weights_version
+    }
+}
+
+impl State {
+    fn new(name: &str, served_model: &str, check_fencing: bool, config: EngineConfig) -> Self {
+        Self {
+            model: EngineModel::new(config),
+            name: name.to_owned(),
+            served_model: served_model.to_owned(),
+            weights_version: 1,
+            weights_ready_at: Instant::now(),
+            wanted_version: 1,
+            loads: 0,
+            check_fencing,
+            fencing: 0,
+            refused_orders: 0,
+            leaving: false,
+            down_until: None,
+            faults: EngineFaults::default(),
+            jobs: HashMap::new(),
+            by_attempt: HashMap::new(),
+            next_job: 1,
+            events: VecDeque::new(),
+            next_event: 1,
+            load: None,
+        }
+    }
+
+    fn apply(&mut self, fault: &Fault) {
+        match fault.clone() {
+            Fault::Crash { down_ms } => self.crash(Duration::from_millis(down_ms)),
+            Fault::Leaving { on } => self.leaving = on,
+            Fault::BreakStreams { count, after_tokens } => {
+                self.faults.break_streams = count;
+                self.faults.break_after_tokens = after_tokens;
+            }
+            Fault::Garbage { count } => self.faults.garbage = count,
+            Fault::SkipToken { count } => self.faults.skip_token = count,
+            Fault::WrongId { count } => self.faults.wrong_id = count,
+            Fault::Stall { count, stall_ms } => {
+                self.faults.stall = count;
+                self.faults.stall_ms = stall_ms;
+            }
+            Fault::Poison { marker } => self.faults.poison = marker,
+            Fault::EventGaps { every } => self.faults.event_gaps_every = every,
+        }
+    }
+
+    fn crash(&mut self, down: Duration) {
+        self.model.crash();
+        // Dropping the senders ends every stream.
+        self.jobs.clear();
+        self.by_attempt.clear();
+        self.events.clear();
+        self.load = None;
+        self.leaving = false;
+        self.down_until = Some(Instant::now() + down);
+    }
+
+    fn is_down(&self) -> bool {
+        self.down_until.is_some_and(|until| Instant::now() < until)
+    }
+
+    fn advance(&mut self, now: Instant) {
+        if self.wanted_version != self.weights_version && now >= self.weights_ready_at {
+            self.weights_version = self.wanted_version;
+            self.model.clear_cache();
+        }
+        let mut events = Vec::new();
+        self.model.advance(now, &mut events);
+        events.into_iter().for_each(|event| self.take(event));
+        self.drop_unread(now);
+    }
+
+    fn take(&mut self, event: EngineEvent) {
+        match event {
+            EngineEvent::FirstToken { id, cached_tokens, .. } => {
+                if self.jobs.get(&id).is_some_and(|log| log.poisoned) {
+                    self.crash(Duration::from_millis(500));
+                    return;
+                }
+                self.progress(id, Progress::First { cached_tokens });
+            }
+            EngineEvent::Tokens { id, count } => self.progress(id, Progress::Tokens { count }),
+            EngineEvent::Done { id, .. } => self.progress(id, Progress::Done),
+            EngineEvent::Stored(key) => self.record(true, key),
+            EngineEvent::Evicted(key) => self.record(false, key),
+        }
+    }
+
+    fn progress(&mut self, id: JobId, progress: Progress) {
+        let Some(log) = self.jobs.get_mut(&id) else { return };
+        match progress {
+            Progress::First { cached_tokens } => {
+                log.cached_tokens = cached_tokens;
+                log.count = 1;
+            }
+            Progress::Tokens { count } => log.count = count,
+            Progress::Done => {
+                log.done = true;
+                log.unread_since.get_or_insert_with(Instant::now);
+            }
+        }
+        if let Some(reader) = &log.reader {
+            // A reader that is gone is noticed when its stream ends.
+            let _ = reader.send(progress);
+        }
+    }
+
+    fn record(&mut self, stored: bool, key: PieceKey) {
+        let sequence = self.next_event;
+        self.next_event += 1;
+        let every = self.faults.event_gaps_every;
+        if every > 0 && sequence.is_multiple_of(every) {
+            return;
+        }
+        self.events.push_back(CacheEvent { sequence, stored, key });
+        if self.events.len() > EVENT_LIMIT {
+            self.events.pop_front();
+        }
+    }
+
+    fn drop_unread(&mut self, now: Instant) {
+        let overdue = |log: &Log| {
+            log.unread_since.is_some_and(|at| now.duration_since(at) > RESUME_WINDOW)
+        };
+        let ended = self.jobs.iter().filter(|(_, log)| overdue(log)).map(|(&id, _)| id);
+        for id in ended.collect::<Vec<_>>() {
+            self.drop_job(now, id);
+        }
+    }
+
+    fn drop_job(&mut self, now: Instant, id: JobId) {
+        self.model.cancel(now, id);
+        self.jobs.remove(&id);
+        self.by_attempt.retain(|_, job| *job != id);
+    }
+
+    fn submit(&mut self, attempt: String, body: &PromptBody) -> (JobId, Receiver<Progress>) {
+        let now = Instant::now();
+        self.advance(now);
+        let id = self.next_job;
+        self.next_job += 1;
+        let (reader, progress) = unbounded();
+        let marker = &self.faults.poison;
+        let has_marker = |m: &super::Message| !marker.is_empty() && m.content.contains(marker);
+        let first_index = continuation_start(body);
+        let log = Log {
+            answer_key: answer_key(body),
+            first_index,
+            cached_tokens: 0,
+            count: 0,
+            done: false,
+            unread_since: None,
+            reader: Some(reader),
+            poisoned: body.messages.iter().any(has_marker),
+        };
+        self.jobs.insert(id, log);
+        self.by_attempt.insert(attempt, id);
+        let job = Job {
+            id,
+            pieces: pieces_of(&body.cache_salt, &body.messages),
+            output_tokens: body.max_tokens.saturating_sub(first_index).max(1),
+            priority: body.priority,
+        };
+        self.model.submit(now, job);
+        (id, progress)
+    }
+
+    fn load(&mut self) -> LoadBody {
+        let now = Instant::now();
+        let fresh = self.load.as_ref().filter(|(at, _)| now.duration_since(*at) < LOAD_LAG);
+        if let Some((_, body)) = fresh {
+            return LoadBody { leaving: self.leaving, ..body.clone() };
+        }
+        let body = LoadBody {
+            incarnation: self.model.incarnation(),
+            model: self.served_model.clone(),
+            weights_version: self.weights_version,
+            waiting_tokens: self.model.waiting_tokens(now),
+            jobs: self.model.jobs(),
+            prefill_tokens_per_s: self.model.config().prefill_tokens_per_s,
+            cache_tokens: self.model.config().cache_tokens,
+            leaving: self.leaving,
+        };
+        self.load = Some((now, body.clone()));
+        body
+    }
+
+    fn order(&mut self, body: &OrderBody) -> Result<(), String> {
+        if self.check_fencing && body.fencing < self.fencing {
+            self.refused_orders += 1;
+            return Err(format!("fencing number {} is older than {}", body.fencing, self.fencing));
+        }
+        self.fencing = self.fencing.max(body.fencing);
+        match &body.order {
+            Order::LoadWeights { weights_version } if *weights_version != self.wanted_version => {
+                self.wanted_version = *weights_version;
+                self.weights_ready_at = Instant::now() + WEIGHTS_LOAD;
+                self.loads += 1;
+            }
+            Order::LoadWeights { .. } | Order::LoadAdapter { .. } => {}
+            Order::Drain => self.leaving = true,
+        }
+        Ok(())
+    }
+}
+
+#[derive(Deserialize)]
+struct AttemptBody {
+    request_id: String,
+    attempt_id: u64,
+    #[serde(default)]
+    from_index: u32,
+}
+
+impl AttemptBody {
+    fn attempt(&self) -> String {
+        format!("{}/{}", self.request_id, self.attempt_id)
+    }
+}
+
+/// Stream of one reader, and the faults that it is to show.
+struct StreamPlan {
+    request_id: String,
+    attempt_id: u64,
+    next_index: u32,
+    break_after: Option<u32>,
+    skip: bool,
+    stall: Duration,
+}
+
+impl Shared {
+    fn lock(&self) -> MutexGuard<'_, State> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    fn tick(&self) {
+        const LONGEST_SLEEP: Duration = Duration::from_millis(100);
+        let mut state = self.lock();
+        let now = Instant::now();
+        state.advance(now);
+        let next = state.model.next_event_at().map(|at| at.saturating_duration_since(now));
+        let sleep = next.unwrap_or(LONGEST_SLEEP).min(LONGEST_SLEEP);
+        let sleep = sleep.max(Duration::from_millis(1));
+        drop(self.wake.wait_timeout(state, sleep));
+    }
+
+    fn handle(&self, mut request: Request, caller: &Caller) {
+        let path = request.url().split('?').next().unwrap_or_default().to_owned();
+        let body = match read_body(&mut request, caller, BODY_LIMIT_BYTES) {
+            Ok(body) => body,
+            Err(error) => return respond_json(request, 400, &json!({"error": error.to_string()})),
+        };
+        if path == "/control" {
+            return self.control(request, &body);
+        }
+        if self.lock().is_down() {
+            // Taking the connection without an answer closes it, as a dead engine's host does.
+            drop(request.into_writer());
+            return;
+        }
+        match (request.method().clone(), path.as_str()) {
+            (Method::Get, "/load") => respond_json(request, 200, &self.load()),
+            (Method::Get, "/v1/cache_events") => self.cache_events(request),
+            (Method::Post, "/v1/chat/completions") => self.complete(request, &body),
+            (Method::Post, "/v1/resume") => self.resume(request, &body),
+            (Method::Post, "/v1/cancel") => self.cancel(request, &body),
+            (Method::Post, "/orders") => self.order(request, &body),
+            (Method::Post, "/v1/kv/export") => self.export(request, &body),
+            (Method::Post, "/v1/kv/import") => self.import(request, &body),
+            _ => respond_json(request, 404, &json!({"error": "no such path"})),
+        }
+    }
+
+    fn load(&self) -> LoadBody {
+        self.lock().load()
+    }
+
+    fn control(&self, request: Request, body: &[u8]) {
+        match serde_json::from_slice::<Fault>(body) {
+            Ok(fault) => {
+                self.lock().apply(&fault);
+                self.wake.notify_all();
+                respond_json(request, 200, &json!({"ok": true}));
+            }
+            Err(error) => respond_json(request, 400, &json!({"error": error.to_string()})),
+        }
+    }
+
+    fn complete(&self, request: Request, body: &[u8]) {
+        let body = match serde_json::from_slice::<PromptBody>(body) {
+            Ok(body) => body,
+            Err(error) => return respond_json(request, 400, &json!({"error": error.to_string()})),
+        };
+        let mut state = self.lock();
+        let loading = state.wanted_version != state.weights_version;
+        if state.leaving || loading || state.weights_version != body.weights_version {
+            let answer = json!({
+                "error": "not served here",
+                "leaving": state.leaving,
+                "weights_version": state.weights_version,
+                "ran": "no",
+            });
+            drop(state);
+            return respond_json(request, 503, &answer);
+        }
+        let request_id = header(&request, "X-Request-Id").unwrap_or_default().to_owned();
+        let attempt_id = header(&request, "X-Attempt-Id").and_then(|id| id.parse().ok());
+        let attempt_id = attempt_id.unwrap_or(0);
+        if state.faults.garbage > 0 {
+            state.faults.garbage -= 1;
+            drop(state);
+            return send_garbage(request);
+        }
+        let plan = state.plan(request_id, attempt_id, continuation_start(&body));
+        let (id, progress) = state.submit(format!("{}/{attempt_id}", plan.request_id), &body);
+        let incarnation = state.model.incarnation();
+        drop(state);
+        self.wake.notify_all();
+        self.stream(request, id, &progress, plan, incarnation);
+    }
+
+    fn resume(&self, request: Request, body: &[u8]) {
+        let body = match serde_json::from_slice::<AttemptBody>(body) {
+            Ok(body) => body,
+            Err(error) => return respond_json(request, 400, &json!({"error": error.to_string()})),
+        };
+        let mut state = self.lock();
+        let Some(&id) = state.by_attempt.get(&body.attempt()) else {
+            drop(state);
+            return respond_json(request, 404, &json!({"error": "no such attempt"}));
+        };
+        let incarnation = state.model.incarnation();
+        let (reader, progress) = unbounded();
+        let log = state.jobs.get_mut(&id).expect("an attempt names a job");
+        log.unread_since = None;
+        if log.count > 0 {
+            // A fresh channel takes any number of messages.
+            let _ = reader.send(Progress::First { cached_tokens: log.cached_tokens });
+            let _ = reader.send(Progress::Tokens { count: log.count });
+        }
+        if log.done {
+            let _ = reader.send(Progress::Done);
+        }
+        log.reader = Some(reader);
+        let plan = state.plan(body.request_id, body.attempt_id, body.from_index);
+        drop(state);
+        self.stream(request, id, &progress, plan, incarnation);
+    }
+
+    fn stream(
+        &self,
+        request: Request,
+        id: JobId,
+        progress: &Receiver<Progress>,
+        plan: StreamPlan,
+        incarnation: u64,
+    ) {
+        let whole = self.write_stream(request, id, progress, plan, incarnation);
+        let mut state = self.lock();
+        if whole {
+            state.jobs.remove(&id);
+            state.by_attempt.retain(|_, job| *job != id);
+        } else if let Some(log) = state.jobs.get_mut(&id) {
+            log.unread_since = Some(Instant::now());
+            log.reader = None;
+        }
+    }
+
+    /// Writes tokens as they are made; returns whether the whole answer was written.
+    fn write_stream(
+        &self,
+        request: Request,
+        id: JobId,
+        progress: &Receiver<Progress>,
+        mut plan: StreamPlan,
+        incarnation: u64,
+    ) -> bool {
+        let (answer_key, first_index) = match self.lock().jobs.get(&id) {
+            Some(log) => (log.answer_key, log.first_index),
+            None => {
+                drop(request.into_writer());
+                return false;
+            }
+        };
+        let headers = [("X-Incarnation", incarnation.to_string())];
+        let headers = headers.each_ref().map(|(name, value)| (*name, value.as_str()));
+        let Ok(mut writer) = EventWriter::start(request, &headers) else { return false };
+        let mut cached = None;
+        loop {
+            let Ok(progress) = progress.recv() else { return false };
+            let count = match progress {
+                Progress::First { cached_tokens } => {
+                    cached = Some(cached_tokens);
+                    1
+                }
+                Progress::Tokens { count } => count,
+                Progress::Done => break,
+            };
+            thread::sleep(std::mem::take(&mut plan.stall));
+            while plan.next_index < first_index + count {
+                if plan.break_after.is_some_and(|after| plan.next_index >= first_index + after) {
+                    return false;
+                }
+                let index = plan.next_index;
+                plan.next_index += 1;
+                if std::mem::take(&mut plan.skip) {
+                    continue;
+                }
+                let event = json!({
+                    "id": plan.request_id,
+                    "attempt_id": plan.attempt_id,
+                    "incarnation": incarnation,
+                    "token_index": index,
+                    "cached_tokens": cached,
+                    "choices": [{"index": 0, "delta": {"content": token_text(answer_key, index)}}],
+                });
+                if writer.event(&event.to_string()).is_err() {
+                    return false;
+                }
+            }
+        }
+        let done = json!({
+            "id": plan.request_id,
+            "attempt_id": plan.attempt_id,
+            "incarnation": incarnation,
+            "tokens": plan.next_index,
+            "choices": [{"index": 0, "delta": {}, "finish_reason": "length"}],
+        });
+        writer.event(&done.to_string()).and_then(|()| writer.event("[DONE]")).is_ok()
+            && writer.finish().is_ok()
+    }
+
+    fn cancel(&self, request: Request, body: &[u8]) {
+        if let Ok(body) = serde_json::from_slice::<AttemptBody>(body) {
+            let mut state = self.lock();
+            if let Some(id) = state.by_attempt.get(&body.attempt()).copied() {
+                state.drop_job(Instant::now(), id);
+            }
+        }
+        respond_json(request, 200, &json!({"ok": true}));
+    }
+
+    fn order(&self, request: Request, body: &[u8]) {
+        let result = serde_json::from_slice::<OrderBody>(body)
+            .map_err(|error| error.to_string())
+            .and_then(|body| self.lock().order(&body));
+        match result {
+            Ok(()) => respond_json(request, 200, &json!({"ok": true})),
+            Err(error) => respond_json(request, 409, &json!({"error": error})),
+        }
+    }
+
+    fn cache_events(&self, request: Request) {
+        let after = request.url().split("after=").nth(1).and_then(|n| n.parse::<u64>().ok());
+        let after = after.unwrap_or(0);
+        let state = self.lock();
+        let events = state
+            .events
+            .iter()
+            .filter(|event| event.sequence > after)
+            .map(|e| json!({"sequence": e.sequence, "stored": e.stored, "key": e.key}))
+            .collect::<Vec<_>>();
+        let body = json!({
+            "engine": state.name,
+            "incarnation": state.model.incarnation(),
+            "events": events,
+        });
+        drop(state);
+        respond_json(request, 200, &body);
+    }
+
+    fn export(&self, request: Request, body: &[u8]) {
+        let Ok(body) = serde_json::from_slice::<PromptBody>(body) else {
+            return respond_json(request, 400, &json!({"error": "no prompt"}));
+        };
+        let pieces = pieces_of(&body.cache_salt, &body.messages);
+        let cached_tokens = self.lock().model.cached_tokens(&pieces);
+        respond_json(request, 200, &json!({"cached_tokens": cached_tokens}));
+    }
+
+    fn import(&self, request: Request, body: &[u8]) {
+        let Ok(body) = serde_json::from_slice::<PromptBody>(body) else {
+            return respond_json(request, 400, &json!({"error": "no prompt"}));
+        };
+        let pieces = pieces_of(&body.cache_salt, &body.messages);
+        self.lock().model.import(&pieces);
+        respond_json(request, 200, &json!({"ok": true}));
+    }
+}
+
+impl State {
+    fn plan(&mut self, request_id: String, attempt_id: u64, next_index: u32) -> StreamPlan {
+        let faults = &mut self.faults;
+        let breaks = use_up(&mut faults.break_streams).then_some(faults.break_after_tokens);
+        let skip = use_up(&mut faults.skip_token);
+        let stalls = use_up(&mut faults.stall);
+        let wrong = use_up(&mut faults.wrong_id);
+        StreamPlan {
+            request_id: if wrong { "another-request".to_owned() } else { request_id },
+            attempt_id,
+            next_index,
+            break_after: breaks,
+            skip,
+            stall: if stalls { Duration::from_millis(faults.stall_ms) } else { Duration::ZERO },
+        }
+    }
+}
+
+fn use_up(count: &mut u32) -> bool {
+    let used = *count > 0;
+    *count = count.saturating_sub(1);
+    used
+}
+
+fn send_garbage(request: Request) {
+    if let Ok(mut writer) = EventWriter::start(request, &[]) {
+        // The reader is to see nonsense; whether it still listens does not matter.
+        let _ = writer.event("{\"nonsense\": tru").and_then(|()| writer.raw(b"zz\r\n\xff\xfe\r\n"));
+    }
+}
--- /dev/null
+++ b/crates/hickoryhall-standins/src/engine/text.rs
@@ -0,0 +1,60 @@
+//! Prompt pieces and the answers of the stand-in.
+//!
+//! Answers are a function of the prompt, so a test can tell a whole answer from a wrong one.
+
+use super::{Message, Piece, PieceKey, PromptBody};
+
+/// Bytes of a piece of about 2,000 tokens.
+const PIECE_BYTES: usize = 8_000;
+/// Bytes taken as one token.
+const BYTES_PER_TOKEN: usize = 4;
+
+/// Cuts a prompt into pieces, each key depending on the salt and on all text before.
+#[must_use]
+pub fn pieces_of(salt: &str, messages: &[Message]) -> Vec<Piece> {
+    let mut hasher = blake3::Hasher::new();
+    hasher.update(salt.as_bytes());
+    let mut pieces = Vec::new();
+    for message in messages {
+        hasher.update(b"\0message\0");
+        for part in message.content.as_bytes().chunks(PIECE_BYTES) {
+            hasher.update(part);
+            let tokens = part.len().div_ceil(BYTES_PER_TOKEN) as u32;
+            pieces.push(Piece { key: first_u64(&hasher), tokens });
+        }
+    }
+    pieces
+}
+
+/// Returns the text of token number `index` of the answer to a prompt.
+#[must_use]
+pub fn token_text(answer_key: u64, index: u32) -> String {
+    let mixed = (answer_key ^ u64::from(index)).wrapping_mul(0x9e37_79b9_7f4a_7c15) >> 48;
+    format!("{mixed:04x}.{index} ")
+}
+
+/// Returns how many tokens of the answer a prompt brings along already.
+#[must_use]
+pub fn continuation_start(body: &PromptBody) -> u32 {
+    let partial = body.messages.last().filter(|_| body.continue_final_message);
+    partial.map_or(0, |message| message.content.split_whitespace().count() as u32)
+}
+
+/// Returns the key that the tokens of an answer depend on.
+pub(super) fn answer_key(body: &PromptBody) -> u64 {
+    let mut hasher = blake3::Hasher::new();
+    hasher.update(&body.weights_version.to_le_bytes());
+    let partial = usize::from(body.continue_final_message);
+    let asked = body.messages.len().saturating_sub(partial);
+    for message in &body.messages[..asked] {
+        hasher.update(&(message.content.len() as u64).to_le_bytes());
+        hasher.update(message.content.as_bytes());
+    }
+    first_u64(&hasher)
+}
+
+fn first_u64(hasher: &blake3::Hasher) -> PieceKey {
+    let mut first = [0; 8];
+    first.copy_from_slice(&hasher.finalize().as_bytes()[..8]);
+    u64::from_le_bytes(first)
+}
--- /dev/null
+++ b/crates/hickoryhall-standins/src/lib.rs
@@ -0,0 +1,27 @@
+//! Small stand-ins for what the platform gives: model engines, plain services, the key-value store
+//! and the host list.
+//!
+//! Each is a plain struct under a given clock and a thin HTTP server over it. Faults are switched
+//! on through `POST /control` of each server.
+//!
+//! ```
+//! use std::time::{Duration, Instant};
+//! use hickoryhall_standins::engine::{EngineConfig, EngineModel, Job, Piece};
+//!
+//! let start = Instant::now();
+//! let mut engine = EngineModel::new(EngineConfig::default());
+//! let pieces = vec![Piece { key: 1, tokens: 2_000 }];
+//! engine.submit(start, Job { id: 7, pieces, output_tokens: 1, priority: 0 });
+//! let mut events = Vec::new();
+//! engine.advance(start + Duration::from_secs(10), &mut events);
+//! assert!(!events.is_empty());
+//! ```
+
+pub mod engine;
+pub mod hosts;
+pub mod service;
+pub mod store;
+
+mod running;
+
+pub use running::{Running, start};
--- /dev/null
+++ b/crates/hickoryhall-standins/src/service.rs
@@ -0,0 +1,125 @@
+//! Stand-in for a plain service that counts how often each call ran.
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::thread;
+use std::time::Duration;
+
+use hickoryhall_http::{BindError, Caller, Method, Request, header, read_body, respond_json};
+use serde::{Deserialize, Serialize};
+use serde_json::json;
+
+use crate::{Running, start};
+
+const BODY_LIMIT_BYTES: usize = 1 << 20;
+
+/// Faults of the service, body of `POST /control`.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(default)]
+pub struct ServiceFaults {
+    /// Time that each call takes.
+    pub slow_ms: u64,
+    /// Calls to run and then leave without an answer.
+    pub lose_answers: u32,
+    /// Calls to refuse before they run.
+    pub refuse: u32,
+    /// Whether the server is leaving.
+    pub leaving: bool,
+}
+
+#[derive(Default)]
+struct State {
+    faults: ServiceFaults,
+    runs: HashMap<String, u32>,
+}
+
+/// A running service.
+pub struct ServiceServer {
+    running: Running,
+    state: Arc<Mutex<State>>,
+}
+
+impl ServiceServer {
+    /// Starts a service.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error where the address cannot be listened on.
+    pub fn start(address: SocketAddr, name: &str) -> Result<Self, BindError> {
+        let state = Arc::new(Mutex::new(State::default()));
+        let shared = Arc::clone(&state);
+        let name = name.to_owned();
+        let running = start(address, move |request, caller| {
+            handle(&shared, &name, request, &caller);
+        })?;
+        Ok(Self { running, state })
+    }
+
+    /// Returns the address that the service listens on.
+    #[must_use]
+    pub fn address(&self) -> SocketAddr {
+        self.running.address()
+    }
+
+    /// Sets the faults.
+    pub fn set_faults(&self, faults: ServiceFaults) {
+        lock(&self.state).faults = faults;
+    }
+
+    /// Returns how often the call with each key ran.
+    #[must_use]
+    pub fn runs(&self) -> HashMap<String, u32> {
+        lock(&self.state).runs.clone()
+    }
+}
+
+fn lock(state: &Mutex<State>) -> MutexGuard<'_, State> {
+    state.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
+fn handle(state: &Mutex<State>, name: &str, mut request: Request, caller: &Caller) {
+    let body = read_body(&mut request, caller, BODY_LIMIT_BYTES).unwrap_or_default();
+    match (request.method().clone(), request.url()) {
+        (Method::Post, "/control") => match serde_json::from_slice(&body) {
+            Ok(faults) => {
+                lock(state).faults = faults;
+                respond_json(request, 200, &json!({"ok": true}));
+            }
+            Err(error) => respond_json(request, 400, &json!({"error": error.to_string()})),
+        },
+        (Method::Get, "/load") => {
+            let leaving = lock(state).faults.leaving;
+            respond_json(request, 200, &json!({"incarnation": 1, "leaving": leaving}));
+        }
+        (Method::Get, "/runs") => {
+            let runs = lock(state).runs.clone();
+            respond_json(request, 200, &runs);
+        }
+        _ => run(state, name, request),
+    }
+}
+
+fn run(state: &Mutex<State>, name: &str, request: Request) {
+    let key = header(&request, "Idempotency-Key").unwrap_or_default().to_owned();
+    let (runs, slow_ms, lost) = {
+        let mut state = lock(state);
+        if state.faults.leaving || state.faults.refuse > 0 {
+            state.faults.refuse = state.faults.refuse.saturating_sub(1);
+            drop(state);
+            let refusal = json!({"error": "not taken", "ran": "no"});
+            return respond_json(request, 503, &refusal);
+        }
+        let lost = state.faults.lose_answers > 0;
+        state.faults.lose_answers = state.faults.lose_answers.saturating_sub(1);
+        let runs = state.runs.entry(key.clone()).or_default();
+        *runs += 1;
+        (*runs, state.faults.slow_ms, lost)
+    };
+    thread::sleep(Duration::from_millis(slow_ms));
+    if lost {
+        drop(request.into_writer());
+    } else {
+        respond_json(request, 200, &json!({"server": name, "key": key, "run": runs}));
+    }
+}
--- /dev/null
+++ b/crates/hickoryhall-standins/src/store/mod.rs
@@ -0,0 +1,7 @@
+//! Stand-in for the platform's key-value service.
+
+mod model;
+mod server;
+
+pub use model::{LeaseId, PutCondition, StoreError, StoreModel, StoreRevision, Value};
+pub use server::{StoreFaults, StoreServer};
--- /dev/null
+++ b/crates/hickoryhall-standins/src/store/server.rs
@@ -0,0 +1,293 @@
+//! HTTP server over the store's model, with outages, slowness and lost answers.
+
+use std::net::SocketAddr;
+use std::sync::{Arc, Condvar, Mutex, MutexGuard, PoisonError};
+use std::thread;
+use std::time::{Duration, Instant};
+
+use hickoryhall_http::{BindError, Caller, Method, Request, read_body, respond_json};
+use serde::{Deserialize, Serialize};
+use serde_json::{Value as Json, json};
+
+use super::{LeaseId, PutCondition, StoreError, StoreModel, StoreRevision};
+use crate::{Running, start};
+
+const BODY_LIMIT_BYTES: usize = 2 << 20;
+/// Longest time that a watch waits.
+const LONGEST_WATCH: Duration = Duration::from_secs(30);
+
+/// Faults of the store, body of `POST /control`.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(default)]
+pub struct StoreFaults {
+    /// Whether every call fails.
+    pub down: bool,
+    /// Time that each call takes longer.
+    pub slow_ms: u64,
+    /// Writes that take effect and whose answer is lost.
+    pub lose_answers: u32,
+    /// Whether reads return old values.
+    pub stale: bool,
+    /// Writes a second at most; 0 for no limit.
+    pub writes_per_s: u32,
+    /// Reads a second at most; 0 for no limit.
+    pub reads_per_s: u32,
+}
+
+/// Calls that the store has taken.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct StoreCalls {
+    /// Writes.
+    pub writes: u64,
+    /// Reads.
+    pub reads: u64,
+    /// Watches.
+    pub watches: u64,
+}
+
+#[derive(Default)]
+struct State {
+    model: StoreModel,
+    faults: StoreFaults,
+    calls: StoreCalls,
+    second: Option<Instant>,
+    writes_this_second: u32,
+    reads_this_second: u32,
+}
+
+struct Shared {
+    state: Mutex<State>,
+    changed: Condvar,
+}
+
+/// A running store.
+pub struct StoreServer {
+    running: Running,
+    shared: Arc<Shared>,
+}
+
+impl StoreServer {
+    /// Starts a store.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error where the address cannot be listened on.
+    pub fn start(address: SocketAddr) -> Result<Self, BindError> {
+        let shared = Arc::new(Shared { state: Mutex::default(), changed: Condvar::new() });
+        let handler = Arc::clone(&shared);
+        let running = start(address, move |request, caller| handler.handle(request, &caller))?;
+        Ok(Self { running, shared })
+    }
+
+    /// Returns the address that the store listens on.
+    #[must_use]
+    pub fn address(&self) -> SocketAddr {
+        self.running.address()
+    }
+
+    /// Sets the faults.
+    pub fn set_faults(&self, faults: StoreFaults) {
+        self.shared.lock().faults = faults;
+    }
+
+    /// Returns the calls taken so far.
+    #[must_use]
+    pub fn calls(&self) -> StoreCalls {
+        self.shared.lock().calls
+    }
+
+    /// Returns a value as it is, whatever the faults.
+    #[must_use]
+    pub fn value(&self, key: &str) -> Option<String> {
+        self.shared.lock().model.get(Instant::now(), key).map(|value| value.value)
+    }
+}
+
+enum Call {
+    Get { key: String },
+    Put { key: String, condition: PutCondition, lease: Option<LeaseId> },
+    Delete { key: String },
+    Grant,
+    Renew { lease: LeaseId },
+    Watch { prefix: String, after: StoreRevision, wait: Duration },
+}
+
+#[derive(Deserialize)]
+struct GrantBody {
+    ttl_ms: u64,
+}
+
+impl Shared {
+    fn lock(&self) -> MutexGuard<'_, State> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    fn handle(&self, mut request: Request, caller: &Caller) {
+        let body = read_body(&mut request, caller, BODY_LIMIT_BYTES).unwrap_or_default();
+        let body = String::from_utf8_lossy(&body).into_owned();
+        if request.url() == "/control" {
+            return self.control(request, &body);
+        }
+        let Some(call) = parse(request.method(), request.url()) else {
+            return respond_json(request, 404, &json!({"error": "no such call"}));
+        };
+        let faults = self.lock().faults;
+        thread::sleep(Duration::from_millis(faults.slow_ms));
+        if faults.down {
+            return respond_json(request, 503, &json!({"error": "outage"}));
+        }
+        if !self.lock().admit(&call) {
+            return respond_json(request, 429, &json!({"error": "rate limit"}));
+        }
+        if let Call::Watch { prefix, after, wait } = call {
+            return self.watch(request, &prefix, after, wait);
+        }
+        let is_write = !matches!(call, Call::Get { .. });
+        let (status, answer) = self.lock().apply(call, body);
+        self.changed.notify_all();
+        if is_write && self.lock().loses_answer() {
+            // The write has taken effect; its answer never arrives.
+            drop(request.into_writer());
+            return;
+        }
+        respond_json(request, status, &answer);
+    }
+
+    fn control(&self, request: Request, body: &str) {
+        match serde_json::from_str(body) {
+            Ok(faults) => {
+                self.lock().faults = faults;
+                respond_json(request, 200, &json!({"ok": true}));
+            }
+            Err(error) => respond_json(request, 400, &json!({"error": error.to_string()})),
+        }
+    }
+
+    fn watch(&self, request: Request, prefix: &str, after: StoreRevision, wait: Duration) {
+        let until = Instant::now() + wait.min(LONGEST_WATCH);
+        let mut state = self.lock();
+        let changed = loop {
+            let now = Instant::now();
+            let changed = state.model.changed(now, prefix, after);
+            if !changed.is_empty() || now >= until || state.faults.down {
+                break changed;
+            }
+            let sleep = (until - now).min(Duration::from_millis(200));
+            let waited = self.changed.wait_timeout(state, sleep);
+            state = waited.map_or_else(|error| error.into_inner().0, |(state, _)| state);
+        };
+        let revision = state.model.revision();
+        drop(state);
+        let changed = changed
+            .into_iter()
+            .map(|(key, v)| json!({"key": key, "value": v.value, "revision": v.revision}))
+            .collect::<Vec<_>>();
+        respond_json(request, 200, &json!({"revision": revision, "changed": changed}));
+    }
+}
+
+impl State {
+    fn admit(&mut self, call: &Call) -> bool {
+        let now = Instant::now();
+        if self.second.is_none_or(|at| now.duration_since(at) >= Duration::from_secs(1)) {
+            self.second = Some(now);
+            self.writes_this_second = 0;
+            self.reads_this_second = 0;
+        }
+        let (count, limit) = match call {
+            Call::Get { .. } => {
+                self.calls.reads += 1;
+                (&mut self.reads_this_second, self.faults.reads_per_s)
+            }
+            Call::Watch { .. } => {
+                self.calls.watches += 1;
+                (&mut self.reads_this_second, self.faults.reads_per_s)
+            }
+            _ => {
+                self.calls.writes += 1;
+                (&mut self.writes_this_second, self.faults.writes_per_s)
+            }
+        };
+        *count += 1;
+        limit == 0 || *count <= limit
+    }
+
+    fn loses_answer(&mut self) -> bool {
+        let loses = self.faults.lose_answers > 0;
+        self.faults.lose_answers = self.faults.lose_answers.saturating_sub(1);
+        loses
+    }
+
+    fn apply(&mut self, call: Call, body: String) -> (u16, Json) {
+        let now = Instant::now();
+        let result = match call {
+            Call::Get { key } => return self.get(now, &key),
+            Call::Put { key, condition, lease } => {
+                let put = self.model.put(now, &key, body, condition, lease);
+                put.map(|revision| json!({"revision": revision}))
+            }
+            Call::Delete { key } => {
+                self.model.delete(now, &key);
+                Ok(json!({"ok": true}))
+            }
+            Call::Grant => match serde_json::from_str::<GrantBody>(&body) {
+                Ok(grant) => {
+                    let ttl = Duration::from_millis(grant.ttl_ms);
+                    Ok(json!({"lease": self.model.grant(now, ttl)}))
+                }
+                Err(error) => return (400, json!({"error": error.to_string()})),
+            },
+            Call::Renew { lease } => self.model.renew(now, lease).map(|()| json!({"ok": true})),
+            Call::Watch { .. } => unreachable!("a watch is answered on its own"),
+        };
+        match result {
+            Ok(answer) => (200, answer),
+            Err(StoreError::Conflict(revision)) => (409, json!({"revision": revision})),
+            Err(StoreError::NoLease) => (410, json!({"error": "no such lease"})),
+            Err(StoreError::TooLarge) => (413, json!({"error": "value too large"})),
+        }
+    }
+
+    fn get(&mut self, now: Instant, key: &str) -> (u16, Json) {
+        let stale = self.faults.stale;
+        let value = if stale { self.model.get_stale(key) } else { self.model.get(now, key) };
+        match value {
+            Some(value) => (200, json!(value)),
+            None => (404, json!({"error": "no such key"})),
+        }
+    }
+}
+
+fn parse(method: &Method, url: &str) -> Option<Call> {
+    let (path, query) = url.split_once('?').unwrap_or((url, ""));
+    let param = |name: &str| {
+        query.split('&').filter_map(|pair| pair.split_once('=')).find(|(key, _)| *key == name)
+    };
+    let number = |name: &str| param(name).and_then(|(_, value)| value.parse::<u64>().ok());
+    if let Some(key) = path.strip_prefix("/v1/kv/") {
+        let key = key.to_owned();
+        return match method {
+            Method::Get => Some(Call::Get { key }),
+            Method::Put => {
+                let condition = match number("if_revision") {
+                    None => PutCondition::Always,
+                    Some(0) => PutCondition::Absent,
+                    Some(revision) => PutCondition::Revision(revision),
+                };
+                Some(Call::Put { key, condition, lease: number("lease") })
+            }
+            Method::Delete => Some(Call::Delete { key }),
+            _ => None,
+        };
+    }
+    match (method, path) {
+        (Method::Post, "/v1/lease") => Some(Call::Grant),
+        (Method::Post, "/v1/lease/renew") => Some(Call::Renew { lease: number("lease")? }),
+        (Method::Get, "/v1/watch") => Some(Call::Watch {
+            prefix: param("prefix")?.1.to_owned(),
+            after: number("after").unwrap_or(0),
+            wait: Duration::from_millis(number("wait_ms").unwrap_or(0)),
+        }),
+        _ => None,
+    }
+}
--- /dev/null
+++ b/crates/hickoryhall-table/src/merge.rs
@@ -0,0 +1,162 @@
+//! Row-wise three-way merge of two operators' changes.
+
+use std::collections::BTreeSet;
+
+use crate::{Row, RowKey, Table};
+
+/// A cell that both sides changed to different values.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Clash {
+    /// Row of the clash.
+    pub key: RowKey,
+    /// Column, or `(row)` where one side removed the row that the other changed.
+    pub column: &'static str,
+    /// Value in the table now.
+    pub theirs: String,
+    /// Value asked for.
+    pub ours: String,
+}
+
+/// One cell that differs between two tables.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Difference {
+    /// Row of the difference.
+    pub key: RowKey,
+    /// Column, or `(row)` for a row added or removed.
+    pub column: &'static str,
+    /// Value before.
+    pub before: String,
+    /// Value after.
+    pub after: String,
+}
+
+const WHOLE_ROW: &str = "(row)";
+
+impl Table {
+    /// Lists the cells that differ from this table to `after`.
+    #[must_use]
+    pub fn difference(&self, after: &Self) -> Vec<Difference> {
+        let mut differences = Vec::new();
+        for key in all_keys([self, after]) {
+            match (self.rows.get(&key), after.rows.get(&key)) {
+                (Some(old), Some(new)) => differences.extend(cell_differences(&key, old, new)),
+                (old, new) => differences.push(Difference {
+                    key,
+                    column: WHOLE_ROW,
+                    before: describe(old),
+                    after: describe(new),
+                }),
+            }
+        }
+        differences
+    }
+}
+
+/// Merges `ours` into `theirs`, both made from `base`.
+///
+/// # Errors
+///
+/// Returns every cell that both sides changed to different values; nothing is merged then.
+pub fn merge(base: &Table, theirs: &Table, ours: &Table) -> Result<Table, Vec<Clash>> {
+    let mut merged = Table::default();
+    let mut clashes = Vec::new();
+    for key in all_keys([base, theirs, ours]) {
+        let rows = [base, theirs, ours].map(|table| table.rows.get(&key));
+        match merge_row(&key, rows) {
+            Ok(Some(row)) => merged.insert(row),
+            Ok(None) => {}
+            Err(found) => clashes.extend(found),
+        }
+    }
+    if clashes.is_empty() { Ok(merged) } else { Err(clashes) }
+}
+
+fn merge_row(key: &RowKey, rows: [Option<&Row>; 3]) -> Result<Option<Row>, Vec<Clash>> {
+    let [base, theirs, ours] = rows;
+    if ours == base || ours == theirs {
+        return Ok(theirs.cloned());
+    }
+    if theirs == base {
+        return Ok(ours.cloned());
+    }
+    let (Some(their_row), Some(our_row)) = (theirs, ours) else {
+        let clash = Clash {
+            key: key.clone(),
+            column: WHOLE_ROW,
+            theirs: describe(theirs),
+            ours: describe(ours),
+        };
+        return Err(vec![clash]);
+    };
+    let empty = Row::new(&key.workspace, &key.target);
+    merge_cells(key, base.unwrap_or(&empty), their_row, our_row).map(Some)
+}
+
+fn merge_cells(key: &RowKey, base: &Row, theirs: &Row, ours: &Row) -> Result<Row, Vec<Clash>> {
+    let mut clashes = Vec::new();
+    let their_changes = cell_differences(key, base, theirs);
+    for ours in cell_differences(key, base, ours) {
+        let other = their_changes.iter().find(|theirs| theirs.column == ours.column);
+        if let Some(other) = other.filter(|other| other.after != ours.after) {
+            clashes.push(Clash {
+                key: key.clone(),
+                column: ours.column,
+                theirs: other.after.clone(),
+                ours: ours.after,
+            });
+        }
+    }
+    if !clashes.is_empty() {
+        return Err(clashes);
+    }
+    Ok(Row {
+        workspace: key.workspace.clone(),
+        target: key.target.clone(),
+        weight: pick(&base.weight, &theirs.weight, &ours.weight),
+        requests_per_s: pick(&base.requests_per_s, &theirs.requests_per_s, &ours.requests_per_s),
+        tokens_per_s: pick(&base.tokens_per_s, &theirs.tokens_per_s, &ours.tokens_per_s),
+        concurrent: pick(&base.concurrent, &theirs.concurrent, &ours.concurrent),
+        priority: pick(&base.priority, &theirs.priority, &ours.priority),
+        repeatable: pick(&base.repeatable, &theirs.repeatable, &ours.repeatable),
+        weights_version: pick(&base.weights_version, &theirs.weights_version, &ours.weights_version),
+        adapter: pick(&base.adapter, &theirs.adapter, &ours.adapter),
+        wait_cost_percent: pick(
+            &base.wait_cost_percent,
+            &theirs.wait_cost_percent,
+            &ours.wait_cost_percent,
+        ),
+        recompute_cost_percent: pick(
+            &base.recompute_cost_percent,
+            &theirs.recompute_cost_percent,
+            &ours.recompute_cost_percent,
+        ),
+        eviction_cost_percent: pick(
+            &base.eviction_cost_percent,
+            &theirs.eviction_cost_percent,
+            &ours.eviction_cost_percent,
+        ),
+        key_hashes: pick(&base.key_hashes, &theirs.key_hashes, &ours.key_hashes),
+    })
+}
+
+fn pick<T: Clone + PartialEq>(base: &T, theirs: &T, ours: &T) -> T {
+    if ours == base { theirs.clone() } else { ours.clone() }
+}
+
+fn cell_differences(key: &RowKey, before: &Row, after: &Row) -> Vec<Difference> {
+    let cells = before.cells().into_iter().zip(after.cells());
+    Row::COLUMNS
+        .iter()
+        .zip(cells)
+        .filter(|(_, (before, after))| before != after)
+        .map(|(column, (before, after))| Difference { key: key.clone(), column, before, after })
+        .collect()
+}
+
+fn all_keys<const N: usize>(tables: [&Table; N]) -> BTreeSet<RowKey> {
+    tables.into_iter().flat_map(|table| table.rows.keys().cloned()).collect()
+}
+
+fn describe(row: Option<&Row>) -> String {
+    row.map_or_else(|| "removed".to_owned(), |row| row.cells()[2..].join(","))
+}
--- /dev/null
+++ b/crates/hickoryhall-telemetry/src/trace.rs
@@ -0,0 +1,165 @@
+//! Traces: W3C context and a bounded log of spans, one for each hop.
+
+use std::collections::VecDeque;
+use std::fmt;
+use std::sync::{Arc, Mutex, PoisonError};
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
+
+use serde::{Deserialize, Serialize};
+
+/// Spans kept.
+const SPAN_LIMIT: usize = 4_096;
+
+/// Trace that a request belongs to, and the span that caused the current hop.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct TraceContext {
+    trace: u128,
+    span: u64,
+    sampled: bool,
+}
+
+impl TraceContext {
+    /// Creates the context of a request that brought none.
+    #[must_use]
+    pub fn new(trace: u128, span: u64) -> Self {
+        Self { trace, span, sampled: true }
+    }
+
+    /// Reads a `traceparent` header; `None` where it is malformed.
+    #[must_use]
+    pub fn parse(header: &str) -> Option<Self> {
+        let mut parts = header.trim().split('-');
+        let (version, trace, span, flags) =
+            (parts.next()?, parts.next()?, parts.next()?, parts.next()?);
+        let is_well_formed = version.len() == 2
+            && version != "ff"
+            && trace.len() == 32
+            && span.len() == 16
+            && flags.len() == 2
+            && (version != "00" || parts.next().is_none())
+            && header.is_ascii();
+        if !is_well_formed {
+            return None;
+        }
+        let trace = u128::from_str_radix(trace, 16).ok().filter(|&id| id != 0)?;
+        let span = u64::from_str_radix(span, 16).ok().filter(|&id| id != 0)?;
+        let flags = u8::from_str_radix(flags, 16).ok()?;
+        Some(Self { trace, span, sampled: flags & 1 == 1 })
+    }
+
+    /// Returns the context for the next hop, caused by `span`.
+    #[must_use]
+    pub fn child(&self, span: u64) -> Self {
+        Self { span, ..*self }
+    }
+
+    /// Returns the trace id in hex.
+    #[must_use]
+    pub fn trace_id(&self) -> String {
+        format!("{:032x}", self.trace)
+    }
+}
+
+impl fmt::Display for TraceContext {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "00-{:032x}-{:016x}-{:02x}", self.trace, self.span, u8::from(self.sampled))
+    }
+}
+
+/// One finished span.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct SpanRecord {
+    /// Trace id in hex.
+    pub trace_id: String,
+    /// Id of the span in hex.
+    pub span_id: String,
+    /// Id of the span that caused it, in hex.
+    pub parent_id: String,
+    /// What was done.
+    pub name: String,
+    /// Peer that it was done with, empty for this host.
+    pub peer: String,
+    /// Start, in microseconds since 1970.
+    pub start_us: u64,
+    /// Length in microseconds.
+    pub duration_us: u64,
+    /// How it ended.
+    pub outcome: String,
+}
+
+/// Bounded log of spans.
+#[derive(Clone, Debug, Default)]
+pub struct SpanLog {
+    spans: Arc<Mutex<VecDeque<SpanRecord>>>,
+}
+
+/// A span in progress.
+#[derive(Debug)]
+pub struct Span {
+    log: SpanLog,
+    context: TraceContext,
+    id: u64,
+    name: &'static str,
+    peer: String,
+    start: Instant,
+    start_wall: SystemTime,
+}
+
+impl SpanLog {
+    /// Starts a span; `id` must be new in its trace.
+    #[must_use]
+    pub fn start(&self, context: TraceContext, id: u64, name: &'static str, peer: &str) -> Span {
+        Span {
+            log: self.clone(),
+            context,
+            id,
+            name,
+            peer: peer.to_owned(),
+            start: Instant::now(),
+            start_wall: SystemTime::now(),
+        }
+    }
+
+    /// Returns the spans of a trace, or the newest ones of all traces, oldest first.
+    #[must_use]
+    pub fn spans(&self, trace_id: Option<&str>) -> Vec<SpanRecord> {
+        let spans = self.spans.lock().unwrap_or_else(PoisonError::into_inner);
+        let wanted = |span: &&SpanRecord| trace_id.is_none_or(|id| span.trace_id == id);
+        spans.iter().filter(wanted).cloned().collect()
+    }
+
+    fn push(&self, record: SpanRecord) {
+        let mut spans = self.spans.lock().unwrap_or_else(PoisonError::into_inner);
+        spans.push_back(record);
+        if spans.len() > SPAN_LIMIT {
+            spans.pop_front();
+        }
+    }
+}
+
+impl Span {
+    /// Returns the context to pass on to the next hop.
+    #[must_use]
+    pub fn context(&self) -> TraceContext {
+        self.context.child(self.id)
+    }
+
+    /// Ends the span.
+    pub fn end(self, outcome: &str) {
+        let start = self.start_wall.duration_since(UNIX_EPOCH).unwrap_or_default();
+        self.log.push(SpanRecord {
+            trace_id: self.context.trace_id(),
+            span_id: format!("{:016x}", self.id),
+            parent_id: format!("{:016x}", self.context.span),
+            name: self.name.to_owned(),
+            peer: self.peer,
+            start_us: micros(start),
+            duration_us: micros(self.start.elapsed()),
+            outcome: outcome.to_owned(),
+        });
+    }
+}
+
+fn micros(duration: Duration) -> u64 {
+    u64::try_from(duration.as_micros()).unwrap_or(u64::MAX)
+}
--- /dev/null
+++ b/crates/hickoryhall-wire/src/lib.rs
@@ -0,0 +1,28 @@
+//! The protocol between entry hosts: `prost` messages in authenticated frames.
+//!
+//! Small messages travel as UDP datagrams, tables as length-delimited frames over TCP. Every frame
+//! carries a keyed hash; a frame of a stranger, a replayed or an oversize one is dropped and
+//! counted by the reader.
+//!
+//! ```
+//! use hickoryhall_wire::{Body, Frame, Keyring, Peer};
+//!
+//! let keyring = Keyring::new(&["secret"]);
+//! let sender = Peer { host: 1, incarnation: 5 };
+//! let frame = Frame { sender, receiver: 2, sequence: 1, body: Body::PushRevision { revision: 9 } };
+//! let bytes = keyring.seal(&frame);
+//! assert_eq!(keyring.open(&bytes), Ok(frame));
+//! ```
+
+mod codec;
+mod frame;
+mod proto;
+mod replay;
+
+pub use codec::{FrameCodec, MAX_DATAGRAM_BYTES, MAX_FRAME_BYTES};
+pub use frame::{
+    Body, Frame, GrantAnswer, GrantAsk, Gossip, Heartbeat, HostHash, Peer, QuoteAnswer, QuoteAsk,
+    RunnerQuote, Rumor, TableDelta, TableFetch, WireLevel,
+};
+pub use proto::{Keyring, OpenError};
+pub use replay::ReplayWindow;
--- /dev/null
+++ b/crates/hickoryhall-wire/src/proto.rs
@@ -0,0 +1,471 @@
+//! Wire types and authentication.
+
+use prost::Message;
+
+use crate::frame::{
+    Body, Frame, GrantAnswer, GrantAsk, Gossip, Heartbeat, Peer, QuoteAnswer, QuoteAsk,
+    RunnerQuote, Rumor, TableDelta, TableFetch, WireLevel,
+};
+
+/// Version of the protocol; a frame of another one is dropped.
+const VERSION: u32 = 1;
+/// Bytes of the keyed hash in front of each frame.
+const TAG_BYTES: usize = 16;
+/// Context of the key derivation.
+const KEY_CONTEXT: &str = "hickoryhall peer frames v1";
+
+/// Bytes that are no frame for this host.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
+pub enum OpenError {
+    /// No key of this host fits the hash.
+    #[error("the frame is not authentic")]
+    NotAuthentic,
+    /// The content cannot be read.
+    #[error("the frame cannot be read")]
+    Malformed,
+    /// The sender speaks another version.
+    #[error("the frame has version {0}")]
+    Version(u32),
+}
+
+/// Keys that hosts share; the first one seals, every one opens.
+///
+/// To rotate, add the new key as second on all hosts, then make it first, then remove the old one.
+#[derive(Clone)]
+pub struct Keyring {
+    keys: Vec<[u8; 32]>,
+}
+
+impl std::fmt::Debug for Keyring {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        f.debug_struct("Keyring").field("keys", &self.keys.len()).finish()
+    }
+}
+
+impl Keyring {
+    /// Creates a keyring from shared secrets.
+    ///
+    /// # Panics
+    ///
+    /// Panics where there is no secret.
+    #[must_use]
+    pub fn new<S: AsRef<str>>(secrets: &[S]) -> Self {
+        assert!(!secrets.is_empty(), "a keyring needs a key");
+        let derive = |secret: &S| blake3::derive_key(KEY_CONTEXT, secret.as_ref().as_bytes());
+        Self { keys: secrets.iter().map(derive).collect() }
+    }
+
+    /// Encodes and authenticates a frame.
+    #[must_use]
+    pub fn seal(&self, frame: &Frame) -> Vec<u8> {
+        let payload = FrameProto::from(frame.clone()).encode_to_vec();
+        let mut sealed = Vec::with_capacity(TAG_BYTES + payload.len());
+        sealed.extend_from_slice(&tag(&self.keys[0], &payload));
+        sealed.extend_from_slice(&payload);
+        sealed
+    }
+
+    /// Checks and decodes a frame.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error where the bytes are not authentic or not readable.
+    pub fn open(&self, bytes: &[u8]) -> Result<Frame, OpenError> {
+        let (stated, payload) =
+            bytes.split_at_checked(TAG_BYTES).ok_or(OpenError::NotAuthentic)?;
+        if !self.keys.iter().any(|key| matches(key, payload, stated)) {
+            return Err(OpenError::NotAuthentic);
+        }
+        let proto = FrameProto::decode(payload).map_err(|_| OpenError::Malformed)?;
+        if proto.version != VERSION {
+            return Err(OpenError::Version(proto.version));
+        }
+        Frame::try_from(proto)
+    }
+}
+
+fn tag(key: &[u8; 32], payload: &[u8]) -> [u8; TAG_BYTES] {
+    let mut tag = [0; TAG_BYTES];
+    tag.copy_from_slice(&blake3::keyed_hash(key, payload).as_bytes()[..TAG_BYTES]);
+    tag
+}
+
+fn matches(key: &[u8; 32], payload: &[u8], stated: &[u8]) -> bool {
+    // Every byte is compared, so the time does not tell how many fit.
+    let differing = tag(key, payload).iter().zip(stated).fold(0, |sum, (a, b)| sum | (a ^ b));
+    differing == 0
+}
+
+#[derive(Clone, PartialEq, Message)]
+struct FrameProto {
+    #[prost(uint32, tag = "1")]
+    version: u32,
+    #[prost(fixed64, tag = "2")]
+    sender: u64,
+    #[prost(uint64, tag = "3")]
+    incarnation: u64,
+    #[prost(fixed64, tag = "4")]
+    receiver: u64,
+    #[prost(uint64, tag = "5")]
+    sequence: u64,
+    #[prost(oneof = "BodyProto", tags = "6, 7, 8, 9, 10, 11, 12, 13, 14, 15")]
+    body: Option<BodyProto>,
+}
+
+#[derive(Clone, PartialEq, prost::Oneof)]
+enum BodyProto {
+    #[prost(message, tag = "6")]
+    Gossip(GossipProto),
+    #[prost(uint64, tag = "7")]
+    PushRevision(u64),
+    #[prost(message, tag = "8")]
+    QuoteAsk(QuoteAskProto),
+    #[prost(message, tag = "9")]
+    QuoteAnswer(QuoteAnswerProto),
+    #[prost(message, tag = "10")]
+    Reserve(ReserveProto),
+    #[prost(message, tag = "11")]
+    Release(ReleaseProto),
+    #[prost(message, tag = "12")]
+    GrantAsk(GrantProto),
+    #[prost(message, tag = "13")]
+    GrantAnswer(GrantProto),
+    #[prost(uint64, tag = "14")]
+    TableFetch(u64),
+    #[prost(message, tag = "15")]
+    TableDelta(TableDeltaProto),
+}
+
+#[derive(Clone, PartialEq, Message)]
+struct GossipProto {
+    #[prost(uint64, tag = "1")]
+    revision: u64,
+    #[prost(bool, tag = "2")]
+    leaving: bool,
+    #[prost(message, repeated, tag = "3")]
+    heartbeats: Vec<HeartbeatProto>,
+    #[prost(message, repeated, tag = "4")]
+    rumors: Vec<RumorProto>,
+}
+
+#[derive(Clone, Copy, PartialEq, Message)]
+struct HeartbeatProto {
+    #[prost(fixed64, tag = "1")]
+    host: u64,
+    #[prost(uint64, tag = "2")]
+    incarnation: u64,
+    #[prost(uint32, tag = "3")]
+    count: u32,
+}
+
+#[derive(Clone, Copy, PartialEq, Message)]
+struct RumorProto {
+    #[prost(uint32, tag = "1")]
+    kind: u32,
+    #[prost(fixed64, tag = "2")]
+    subject: u64,
+    #[prost(uint64, tag = "3")]
+    number: u64,
+}
+
+#[derive(Clone, Copy, PartialEq, Message)]
+struct LevelProto {
+    #[prost(fixed64, tag = "1")]
+    key: u64,
+    #[prost(uint32, tag = "2")]
+    tokens: u32,
+}
+
+#[derive(Clone, PartialEq, Message)]
+struct QuoteAskProto {
+    #[prost(uint64, tag = "1")]
+    id: u64,
+    #[prost(fixed64, repeated, tag = "2")]
+    runners: Vec<u64>,
+    #[prost(message, repeated, tag = "3")]
+    levels: Vec<LevelProto>,
+}
+
+#[derive(Clone, PartialEq, Message)]
+struct QuoteAnswerProto {
+    #[prost(uint64, tag = "1")]
+    id: u64,
+    #[prost(message, repeated, tag = "2")]
+    quotes: Vec<QuoteProto>,
+}
+
+#[derive(Clone, Copy, PartialEq, Message)]
+struct QuoteProto {
+    #[prost(fixed64, tag = "1")]
+    runner: u64,
+    #[prost(uint64, tag = "2")]
+    incarnation: u64,
+    #[prost(uint32, tag = "3")]
+    wait_ms: u32,
+    #[prost(uint32, tag = "4")]
+    cached_tokens: u32,
+    #[prost(uint32, tag = "5")]
+    eviction_tokens: u32,
+}
+
+#[derive(Clone, PartialEq, Message)]
+struct ReserveProto {
+    #[prost(fixed64, tag = "1")]
+    runner: u64,
+    #[prost(uint64, tag = "2")]
+    id: u64,
+    #[prost(message, repeated, tag = "3")]
+    levels: Vec<LevelProto>,
+}
+
+#[derive(Clone, Copy, PartialEq, Message)]
+struct ReleaseProto {
+    #[prost(fixed64, tag = "1")]
+    runner: u64,
+    #[prost(uint64, tag = "2")]
+    id: u64,
+    #[prost(uint32, optional, tag = "3")]
+    cached_tokens: Option<u32>,
+}
+
+#[derive(Clone, Copy, PartialEq, Message)]
+struct GrantProto {
+    #[prost(fixed64, tag = "1")]
+    bucket: u64,
+    #[prost(uint32, tag = "2")]
+    units: u32,
+    #[prost(uint32, tag = "3")]
+    ttl_ms: u32,
+}
+
+#[derive(Clone, PartialEq, Message)]
+struct TableDeltaProto {
+    #[prost(uint64, tag = "1")]
+    from: u64,
+    #[prost(bytes = "vec", tag = "2")]
+    head_json: Vec<u8>,
+    #[prost(bytes = "vec", tag = "3")]
+    rows_json: Vec<u8>,
+    #[prost(bytes = "vec", tag = "4")]
+    removed_json: Vec<u8>,
+}
+
+impl From<Frame> for FrameProto {
+    fn from(frame: Frame) -> Self {
+        Self {
+            version: VERSION,
+            sender: frame.sender.host,
+            incarnation: frame.sender.incarnation,
+            receiver: frame.receiver,
+            sequence: frame.sequence,
+            body: Some(frame.body.into()),
+        }
+    }
+}
+
+impl TryFrom<FrameProto> for Frame {
+    type Error = OpenError;
+
+    fn try_from(proto: FrameProto) -> Result<Self, OpenError> {
+        let body = proto.body.ok_or(OpenError::Malformed)?;
+        Ok(Self {
+            sender: Peer { host: proto.sender, incarnation: proto.incarnation },
+            receiver: proto.receiver,
+            sequence: proto.sequence,
+            body: body.try_into()?,
+        })
+    }
+}
+
+impl From<Body> for BodyProto {
+    fn from(body: Body) -> Self {
+        match body {
+            Body::Gossip(gossip) => Self::Gossip(gossip.into()),
+            Body::PushRevision { revision } => Self::PushRevision(revision),
+            Body::QuoteAsk(ask) => Self::QuoteAsk(ask.into()),
+            Body::QuoteAnswer(answer) => Self::QuoteAnswer(answer.into()),
+            Body::Reserve { runner, id, levels } => {
+                Self::Reserve(ReserveProto { runner, id, levels: into_all(levels) })
+            }
+            Body::Release { runner, id, cached_tokens } => {
+                Self::Release(ReleaseProto { runner, id, cached_tokens })
+            }
+            Body::GrantAsk(ask) => {
+                Self::GrantAsk(GrantProto { bucket: ask.bucket, units: ask.units, ttl_ms: 0 })
+            }
+            Body::GrantAnswer(GrantAnswer { bucket, units, ttl_ms }) => {
+                Self::GrantAnswer(GrantProto { bucket, units, ttl_ms })
+            }
+            Body::TableFetch(fetch) => Self::TableFetch(fetch.have),
+            Body::TableDelta(delta) => Self::TableDelta(delta.into()),
+        }
+    }
+}
+
+impl TryFrom<BodyProto> for Body {
+    type Error = OpenError;
+
+    fn try_from(proto: BodyProto) -> Result<Self, OpenError> {
+        Ok(match proto {
+            BodyProto::Gossip(gossip) => Self::Gossip(gossip.try_into()?),
+            BodyProto::PushRevision(revision) => Self::PushRevision { revision },
+            BodyProto::QuoteAsk(ask) => Self::QuoteAsk(ask.into()),
+            BodyProto::QuoteAnswer(answer) => Self::QuoteAnswer(answer.into()),
+            BodyProto::Reserve(ReserveProto { runner, id, levels }) => {
+                Self::Reserve { runner, id, levels: into_all(levels) }
+            }
+            BodyProto::Release(ReleaseProto { runner, id, cached_tokens }) => {
+                Self::Release { runner, id, cached_tokens }
+            }
+            BodyProto::GrantAsk(GrantProto { bucket, units, .. }) => {
+                Self::GrantAsk(GrantAsk { bucket, units })
+            }
+            BodyProto::GrantAnswer(GrantProto { bucket, units, ttl_ms }) => {
+                Self::GrantAnswer(GrantAnswer { bucket, units, ttl_ms })
+            }
+            BodyProto::TableFetch(have) => Self::TableFetch(TableFetch { have }),
+            BodyProto::TableDelta(delta) => Self::TableDelta(delta.into()),
+        })
+    }
+}
+
+impl From<Gossip> for GossipProto {
+    fn from(gossip: Gossip) -> Self {
+        Self {
+            revision: gossip.revision,
+            leaving: gossip.leaving,
+            heartbeats: into_all(gossip.heartbeats),
+            rumors: into_all(gossip.rumors),
+        }
+    }
+}
+
+impl TryFrom<GossipProto> for Gossip {
+    type Error = OpenError;
+
+    fn try_from(proto: GossipProto) -> Result<Self, OpenError> {
+        let rumors = proto.rumors.into_iter().map(Rumor::try_from).collect::<Result<_, _>>()?;
+        Ok(Self {
+            revision: proto.revision,
+            leaving: proto.leaving,
+            heartbeats: into_all(proto.heartbeats),
+            rumors,
+        })
+    }
+}
+
+impl From<Heartbeat> for HeartbeatProto {
+    fn from(heartbeat: Heartbeat) -> Self {
+        let Heartbeat { peer, count } = heartbeat;
+        Self { host: peer.host, incarnation: peer.incarnation, count }
+    }
+}
+
+impl From<HeartbeatProto> for Heartbeat {
+    fn from(proto: HeartbeatProto) -> Self {
+        let peer = Peer { host: proto.host, incarnation: proto.incarnation };
+        Self { peer, count: proto.count }
+    }
+}
+
+const RUNNER_LEAVING: u32 = 1;
+const HOST_LEAVING: u32 = 2;
+const SUSPECT: u32 = 3;
+
+impl From<Rumor> for RumorProto {
+    fn from(rumor: Rumor) -> Self {
+        let (kind, subject, number) = match rumor {
+            Rumor::RunnerLeaving { runner, incarnation } => (RUNNER_LEAVING, runner, incarnation),
+            Rumor::HostLeaving { peer } => (HOST_LEAVING, peer.host, peer.incarnation),
+            Rumor::Suspect { fingerprint, deaths } => (SUSPECT, fingerprint, u64::from(deaths)),
+        };
+        Self { kind, subject, number }
+    }
+}
+
+impl TryFrom<RumorProto> for Rumor {
+    type Error = OpenError;
+
+    fn try_from(proto: RumorProto) -> Result<Self, OpenError> {
+        let RumorProto { kind, subject, number } = proto;
+        match kind {
+            RUNNER_LEAVING => Ok(Self::RunnerLeaving { runner: subject, incarnation: number }),
+            HOST_LEAVING => {
+                Ok(Self::HostLeaving { peer: Peer { host: subject, incarnation: number } })
+            }
+            SUSPECT => {
+                let deaths = u32::try_from(number).map_err(|_| OpenError::Malformed)?;
+                Ok(Self::Suspect { fingerprint: subject, deaths })
+            }
+            _ => Err(OpenError::Malformed),
+        }
+    }
+}
+
+impl From<WireLevel> for LevelProto {
+    fn from(level: WireLevel) -> Self {
+        Self { key: level.key, tokens: level.tokens }
+    }
+}
+
+impl From<LevelProto> for WireLevel {
+    fn from(proto: LevelProto) -> Self {
+        Self { key: proto.key, tokens: proto.tokens }
+    }
+}
+
+impl From<QuoteAsk> for QuoteAskProto {
+    fn from(ask: QuoteAsk) -> Self {
+        Self { id: ask.id, runners: ask.runners, levels: into_all(ask.levels) }
+    }
+}
+
+impl From<QuoteAskProto> for QuoteAsk {
+    fn from(proto: QuoteAskProto) -> Self {
+        Self { id: proto.id, runners: proto.runners, levels: into_all(proto.levels) }
+    }
+}
+
+impl From<QuoteAnswer> for QuoteAnswerProto {
+    fn from(answer: QuoteAnswer) -> Self {
+        Self { id: answer.id, quotes: into_all(answer.quotes) }
+    }
+}
+
+impl From<QuoteAnswerProto> for QuoteAnswer {
+    fn from(proto: QuoteAnswerProto) -> Self {
+        Self { id: proto.id, quotes: into_all(proto.quotes) }
+    }
+}
+
+impl From<RunnerQuote> for QuoteProto {
+    fn from(quote: RunnerQuote) -> Self {
+        let RunnerQuote { runner, incarnation, wait_ms, cached_tokens, eviction_tokens } = quote;
+        Self { runner, incarnation, wait_ms, cached_tokens, eviction_tokens }
+    }
+}
+
+impl From<QuoteProto> for RunnerQuote {
+    fn from(proto: QuoteProto) -> Self {
+        let QuoteProto { runner, incarnation, wait_ms, cached_tokens, eviction_tokens } = proto;
+        Self { runner, incarnation, wait_ms, cached_tokens, eviction_tokens }
+    }
+}
+
+impl From<TableDelta> for TableDeltaProto {
+    fn from(delta: TableDelta) -> Self {
+        let TableDelta { from, head_json, rows_json, removed_json } = delta;
+        Self { from, head_json, rows_json, removed_json }
+    }
+}
+
+impl From<TableDeltaProto> for TableDelta {
+    fn from(proto: TableDeltaProto) -> Self {
+        let TableDeltaProto { from, head_json, rows_json, removed_json } = proto;
+        Self { from, head_json, rows_json, removed_json }
+    }
+}
+
+fn into_all<A: Into<B>, B>(items: Vec<A>) -> Vec<B> {
+    items.into_iter().map(Into::into).collect()
+}
