--- a/crates/hickoryhall-clients/src/agent.rs
+++ b/crates/hickoryhall-clients/src/agent.rs
@@ -25,7 +25,11 @@
 }
 
 pub(crate) fn agent(connections: Connections, call_timeout: Option<Duration>) -> Agent {
-    let kept = if connections == Connections::Fresh { 0 } else { 8 };
+    let kept = if connections == Connections::Fresh {
+        0
+    } else {
+        8
+    };
     Agent::config_builder()
         .http_status_as_error(false)
         // A redirect would send the call a second time.
@@ -52,13 +56,20 @@
         return Ok(response);
     }
     let mut body = response.into_body();
-    let text = body.with_config().limit(ERROR_BODY_LIMIT_BYTES).read_to_string();
+    let text = body
+        .with_config()
+        .limit(ERROR_BODY_LIMIT_BYTES)
+        .read_to_string();
     let text = text.unwrap_or_default();
     let json = serde_json::from_str::<serde_json::Value>(&text).unwrap_or_default();
     let not_run = json["ran"] == "no";
     let kind = match (status, json["revision"].as_u64()) {
         (409, Some(revision)) => ClientErrorKind::Conflict(revision),
-        _ => ClientErrorKind::Status { status, body: text, not_run },
+        _ => ClientErrorKind::Status {
+            status,
+            body: text,
+            not_run,
+        },
     };
     Err(ClientError::new(step, peer, kind))
 }
--- a/crates/hickoryhall-clients/src/hosts.rs
+++ b/crates/hickoryhall-clients/src/hosts.rs
@@ -55,7 +55,10 @@
     /// Creates a client.
     #[must_use]
     pub fn new(address: SocketAddr) -> Self {
-        Self { address, agent: agent(Connections::Kept, Some(CALL_TIMEOUT)) }
+        Self {
+            address,
+            agent: agent(Connections::Kept, Some(CALL_TIMEOUT)),
+        }
     }
 
     /// Reads the list.
@@ -64,7 +67,10 @@
     ///
     /// Returns an error where the platform cannot be reached or refuses.
     pub fn list(&self) -> Result<Vec<Listed>, ClientError> {
-        let result = self.agent.get(format!("http://{}/hosts", self.address)).call();
+        let result = self
+            .agent
+            .get(format!("http://{}/hosts", self.address))
+            .call();
         let response = accept(Step::Placement, self.address, result)?;
         read_json(Step::Placement, self.address, response, ANSWER_LIMIT_BYTES)
     }
--- a/crates/hickoryhall-clients/src/runner.rs
+++ b/crates/hickoryhall-clients/src/runner.rs
@@ -70,9 +70,14 @@
 impl<'a> From<&PromptRequest<'a>> for PromptBody<'a> {
     fn from(request: &PromptRequest<'a>) -> Self {
         let asked = request.messages.iter();
-        let asked = asked.map(|m| MessageRef { role: &m.role, content: &m.content });
-        let partial =
-            request.partial.iter().map(|(text, _)| MessageRef { role: "assistant", content: text });
+        let asked = asked.map(|m| MessageRef {
+            role: &m.role,
+            content: &m.content,
+        });
+        let partial = request.partial.iter().map(|(text, _)| MessageRef {
+            role: "assistant",
+            content: text,
+        });
         Self {
             model: request.model,
             messages: asked.chain(partial).collect(),
@@ -221,7 +226,10 @@
         attempt_id: AttemptId,
     ) -> Result<(), ClientError> {
         let body = json!({"request_id": request_id, "attempt_id": attempt_id}).to_string();
-        let result = self.calls.post(format!("http://{runner}/v1/cancel")).send(body);
+        let result = self
+            .calls
+            .post(format!("http://{runner}/v1/cancel"))
+            .send(body);
         accept(Step::Send, runner, result).map(drop)
     }
 
@@ -243,7 +251,10 @@
     /// Returns an error where the runner cannot be reached or refuses the fencing number.
     pub fn order(&self, runner: SocketAddr, order: &OrderBody) -> Result<(), ClientError> {
         let body = serde_json::to_string(order).expect("a body of plain values");
-        let result = self.calls.post(format!("http://{runner}/orders")).send(body);
+        let result = self
+            .calls
+            .post(format!("http://{runner}/orders"))
+            .send(body);
         accept(Step::Send, runner, result).map(drop)
     }
 }
--- a/crates/hickoryhall-clients/src/service.rs
+++ b/crates/hickoryhall-clients/src/service.rs
@@ -51,7 +51,9 @@
 
 impl Default for ServiceClient {
     fn default() -> Self {
-        Self { agent: agent(Connections::Fresh, None) }
+        Self {
+            agent: agent(Connections::Fresh, None),
+        }
     }
 }
 
@@ -90,13 +92,19 @@
         let status = response.status().as_u16();
         let content_type = response.headers().get("content-type");
         let content_type = content_type.and_then(|value| value.to_str().ok());
-        let content_type = content_type.unwrap_or("application/octet-stream").to_owned();
+        let content_type = content_type
+            .unwrap_or("application/octet-stream")
+            .to_owned();
         let body = response
             .into_body()
             .with_config()
             .limit(ANSWER_LIMIT_BYTES)
             .read_to_vec()
             .map_err(|error| ClientError::new(Step::Answer, server, call_error(&error)))?;
-        Ok(ServiceAnswer { status, content_type, body: body.into() })
+        Ok(ServiceAnswer {
+            status,
+            content_type,
+            body: body.into(),
+        })
     }
 }
--- a/crates/hickoryhall-clients/src/store.rs
+++ b/crates/hickoryhall-clients/src/store.rs
@@ -83,7 +83,10 @@
     /// Creates a client.
     #[must_use]
     pub fn new(address: SocketAddr) -> Self {
-        Self { address, agent: agent(Connections::Kept, Some(CALL_TIMEOUT)) }
+        Self {
+            address,
+            agent: agent(Connections::Kept, Some(CALL_TIMEOUT)),
+        }
     }
 
     /// Returns the address of the store.
@@ -103,7 +106,10 @@
             Ok(response) => {
                 read_json(Step::Table, self.address, response, ANSWER_LIMIT_BYTES).map(Some)
             }
-            Err(ClientError { kind: ClientErrorKind::Status { status: 404, .. }, .. }) => Ok(None),
+            Err(ClientError {
+                kind: ClientErrorKind::Status { status: 404, .. },
+                ..
+            }) => Ok(None),
             Err(error) => Err(error),
         }
     }
@@ -179,8 +185,15 @@
         wait: Duration,
     ) -> Result<WatchAnswer, ClientError> {
         let wait_ms = wait.as_millis();
-        let url = self.url(&format!("/v1/watch?prefix={prefix}&after={after}&wait_ms={wait_ms}"));
-        let call = self.agent.get(url).config().timeout_global(Some(wait + WATCH_MARGIN)).build();
+        let url = self.url(&format!(
+            "/v1/watch?prefix={prefix}&after={after}&wait_ms={wait_ms}"
+        ));
+        let call = self
+            .agent
+            .get(url)
+            .config()
+            .timeout_global(Some(wait + WATCH_MARGIN))
+            .build();
         let response = accept(Step::Table, self.address, call.call())?;
         read_json(Step::Table, self.address, response, ANSWER_LIMIT_BYTES)
     }
--- a/crates/hickoryhall-clients/src/stream.rs
+++ b/crates/hickoryhall-clients/src/stream.rs
@@ -116,7 +116,12 @@
     /// Creates a check of a stream that starts at a token.
     #[must_use]
     pub fn new(request_id: &str, attempt_id: AttemptId, next_index: TokenIndex) -> Self {
-        Self { request_id: request_id.to_owned(), attempt_id, next_index, incarnation: None }
+        Self {
+            request_id: request_id.to_owned(),
+            attempt_id,
+            next_index,
+            incarnation: None,
+        }
     }
 
     /// Returns the index of the token that is due.
@@ -134,11 +139,17 @@
         let event = serde_json::from_slice::<RawEvent>(data)
             .map_err(|error| StreamFault::Garbage(error.to_string()))?;
         if event.id != self.request_id || event.attempt_id != self.attempt_id {
-            return Err(StreamFault::Crossed { id: event.id, attempt_id: event.attempt_id });
+            return Err(StreamFault::Crossed {
+                id: event.id,
+                attempt_id: event.attempt_id,
+            });
         }
         let before = *self.incarnation.get_or_insert(event.incarnation);
         if before != event.incarnation {
-            return Err(StreamFault::Restarted { before, after: event.incarnation });
+            return Err(StreamFault::Restarted {
+                before,
+                after: event.incarnation,
+            });
         }
         let Some(choice) = event.choices.into_iter().next() else {
             return Err(StreamFault::Garbage("no choice".to_owned()));
@@ -160,7 +171,10 @@
 
     fn take_index(&mut self, got: TokenIndex) -> Result<(), StreamFault> {
         if got != self.next_index {
-            return Err(StreamFault::WrongIndex { expected: self.next_index, got });
+            return Err(StreamFault::WrongIndex {
+                expected: self.next_index,
+                got,
+            });
         }
         self.next_index += 1;
         Ok(())
@@ -168,7 +182,10 @@
 
     fn take_end(&self, stated: TokenIndex) -> Result<StreamEvent, StreamFault> {
         if stated != self.next_index {
-            return Err(StreamFault::WrongCount { stated, got: self.next_index });
+            return Err(StreamFault::WrongCount {
+                stated,
+                got: self.next_index,
+            });
         }
         Ok(StreamEvent::Done)
     }
@@ -183,7 +200,11 @@
 
 impl RunnerStream {
     pub(crate) fn new(peer: SocketAddr, check: StreamCheck, body: ureq::Body) -> Self {
-        Self { peer, check, lines: BufReader::new(body.into_reader()) }
+        Self {
+            peer,
+            check,
+            lines: BufReader::new(body.into_reader()),
+        }
     }
 
     /// Waits for the next event.
--- a/crates/hickoryhall-control/src/claim.rs
+++ b/crates/hickoryhall-control/src/claim.rs
@@ -37,7 +37,11 @@
     pub fn new(status: u16, content_type: &str, body: &[u8]) -> Self {
         let small = (body.len() <= ANSWER_LIMIT_BYTES).then(|| body.to_vec());
         let body = small.and_then(|bytes| String::from_utf8(bytes).ok());
-        Self { status, content_type: content_type.to_owned(), body }
+        Self {
+            status,
+            content_type: content_type.to_owned(),
+            body,
+        }
     }
 }
 
@@ -136,10 +140,19 @@
 #[derive(Clone, Debug, PartialEq, Eq)]
 enum Phase {
     Creating,
-    ReadingBack { reads: u32 },
+    ReadingBack {
+        reads: u32,
+    },
     TakingOver,
-    Sending { revision: u64 },
-    Recording { claim: Claim, revision: u64, end: ClaimEnd, tries: u32 },
+    Sending {
+        revision: u64,
+    },
+    Recording {
+        claim: Claim,
+        revision: u64,
+        end: ClaimEnd,
+        tries: u32,
+    },
     Ended,
 }
 
@@ -183,7 +196,15 @@
                 self.phase = Phase::ReadingBack { reads: 1 };
                 ClaimStep::Read
             }
-            (Phase::Recording { claim, revision, end, tries }, result) => {
+            (
+                Phase::Recording {
+                    claim,
+                    revision,
+                    end,
+                    tries,
+                },
+                result,
+            ) => {
                 let retry = matches!(result, WriteResult::Failed | WriteResult::InDoubt);
                 if retry && tries < RECORD_TRIES {
                     return self.record(claim, revision, end, tries + 1);
@@ -249,12 +270,20 @@
     }
 
     fn record(&mut self, claim: Claim, revision: u64, end: ClaimEnd, tries: u32) -> ClaimStep {
-        self.phase = Phase::Recording { claim: claim.clone(), revision, end, tries };
+        self.phase = Phase::Recording {
+            claim: claim.clone(),
+            revision,
+            end,
+            tries,
+        };
         ClaimStep::Replace(claim, revision)
     }
 
     fn claim(&self, state: ClaimState) -> Claim {
-        Claim { attempt: self.attempt.clone(), state }
+        Claim {
+            attempt: self.attempt.clone(),
+            state,
+        }
     }
 
     fn end(&mut self, end: ClaimEnd) -> ClaimStep {
--- a/crates/hickoryhall-control/src/orders.rs
+++ b/crates/hickoryhall-control/src/orders.rs
@@ -91,13 +91,21 @@
     /// Creates a giver without a lease.
     #[must_use]
     pub fn new(config: OrderConfig) -> Self {
-        Self { config, lease: None, given: BTreeMap::new() }
+        Self {
+            config,
+            lease: None,
+            given: BTreeMap::new(),
+        }
     }
 
     /// Records that the lease was taken; `asked_at` is the moment before the call.
     pub fn on_taken(&mut self, asked_at: Instant, fencing: FencingNumber) {
         let valid_until = asked_at + self.config.lease_ttl;
-        self.lease = Some(HeldLease { fencing, taken_at: asked_at, valid_until });
+        self.lease = Some(HeldLease {
+            fencing,
+            taken_at: asked_at,
+            valid_until,
+        });
         self.given.clear();
     }
 
@@ -129,12 +137,16 @@
         wanted: &WantedWeights,
         runners: &[RunnerStatus],
     ) -> Vec<PlannedOrder> {
-        let Some(lease) = self.lease(now) else { return Vec::new() };
+        let Some(lease) = self.lease(now) else {
+            return Vec::new();
+        };
         self.forget_settled(now, runners);
         let mut loading = self.given.len();
         let mut orders = Vec::new();
         for runner in runners {
-            let Some(&weights) = wanted.get(&runner.model) else { continue };
+            let Some(&weights) = wanted.get(&runner.model) else {
+                continue;
+            };
             let is_settled = !runner.up || runner.weights == weights;
             if is_settled || loading >= self.config.loads_at_once {
                 continue;
@@ -144,7 +156,8 @@
                 continue;
             }
             loading += 1;
-            self.given.insert(runner.id.clone(), Given { weights, at: now });
+            self.given
+                .insert(runner.id.clone(), Given { weights, at: now });
             orders.push(PlannedOrder {
                 runner: runner.id.clone(),
                 weights,
--- a/crates/hickoryhall-control/src/revisions.rs
+++ b/crates/hickoryhall-control/src/revisions.rs
@@ -97,7 +97,10 @@
             return Adoption::Older;
         }
         let delta = delta_between(self.head.revision, &self.table, &table);
-        self.steps.push_back(Step { to: head.revision, delta });
+        self.steps.push_back(Step {
+            to: head.revision,
+            delta,
+        });
         if self.steps.len() > KEPT_DELTAS {
             self.steps.pop_front();
         }
@@ -122,7 +125,12 @@
         let mut table = match delta.from {
             0 => Table::default(),
             from if from == self.head.revision => (*self.table).clone(),
-            from => return Err(DeltaError::WrongBase { from, have: self.head.revision }),
+            from => {
+                return Err(DeltaError::WrongBase {
+                    from,
+                    have: self.head.revision,
+                });
+            }
         };
         delta.removed.iter().for_each(|key| drop(table.remove(key)));
         delta.rows.iter().for_each(|row| table.insert(row.clone()));
@@ -139,7 +147,11 @@
     pub fn delta_since(&self, have: Revision) -> RowDelta {
         let is_known = self.steps.iter().any(|step| step.delta.from == have);
         if have == 0 || !is_known {
-            return RowDelta { from: 0, rows: self.table.rows().cloned().collect(), removed: vec![] };
+            return RowDelta {
+                from: 0,
+                rows: self.table.rows().cloned().collect(),
+                removed: vec![],
+            };
         }
         let steps = self.steps.iter().skip_while(|step| step.delta.from != have);
         let mut changed = std::collections::BTreeSet::new();
@@ -150,18 +162,33 @@
         }
         let row = |key: &RowKey| self.table.row(&key.workspace, &key.target).cloned();
         let rows = changed.iter().filter_map(row).collect();
-        let removed = changed.iter().filter(|key| row(key).is_none()).cloned().collect();
-        RowDelta { from: have, rows, removed }
+        let removed = changed
+            .iter()
+            .filter(|key| row(key).is_none())
+            .cloned()
+            .collect();
+        RowDelta {
+            from: have,
+            rows,
+            removed,
+        }
     }
 }
 
 fn delta_between(from: Revision, before: &Table, after: &Table) -> RowDelta {
-    let changed = before.difference(after).into_iter().map(|difference| difference.key);
+    let changed = before
+        .difference(after)
+        .into_iter()
+        .map(|difference| difference.key);
     let changed = changed.collect::<std::collections::BTreeSet<_>>();
     let row = |key: &RowKey| after.row(&key.workspace, &key.target).cloned();
     RowDelta {
         from,
         rows: changed.iter().filter_map(row).collect(),
-        removed: changed.iter().filter(|key| row(key).is_none()).cloned().collect(),
+        removed: changed
+            .iter()
+            .filter(|key| row(key).is_none())
+            .cloned()
+            .collect(),
     }
 }
--- /dev/null
+++ b/crates/hickoryhall-entry/src/actors/cluster.rs
@@ -0,0 +1,288 @@
+//! Actor that owns the view of the hosts and the table in force.
+
+use std::cell::RefCell;
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::time::{Duration, Instant};
+
+use crossbeam_channel::Sender;
+use hickoryhall_control::{Adoption, RowDelta, TableState};
+use hickoryhall_membership::{Duty, Gossiper, HostInfo, Hosts, News, Outgoing};
+use hickoryhall_table::{Table, TableHead};
+use hickoryhall_types::Revision;
+use hickoryhall_wire::{Body, HostHash, Peer, Rumor};
+use metrics::{counter, gauge};
+use rand::{RngExt, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+use slog::{Logger, info, warn};
+use stakker::{Actor, CX, Fwd, call};
+
+use super::Outbox;
+use super::router::Router;
+use crate::dispatch::{Server, ServerKind};
+use crate::table_view::{TableInForce, TableView};
+
+/// Time between two rounds of gossip, on average.
+const ROUND: Duration = Duration::from_secs(1);
+/// Part of a round by which each one is moved, so that hosts do not fall into step.
+const ROUND_JITTER: f64 = 0.2;
+/// Hosts of a failure domain that watch the table in the store.
+const WATCHERS: usize = 2;
+
+/// Duties that this host has now, as the threads that carry them out read them.
+#[derive(Debug, Default)]
+pub(crate) struct Duties {
+    watcher: AtomicBool,
+    order_giver: AtomicBool,
+}
+
+impl Duties {
+    pub fn is_watcher(&self) -> bool {
+        self.watcher.load(Ordering::Relaxed)
+    }
+
+    pub fn is_order_giver(&self) -> bool {
+        self.order_giver.load(Ordering::Relaxed)
+    }
+}
+
+/// A table that a peer has and this host does not.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct FetchJob {
+    pub address: SocketAddr,
+    pub host: HostHash,
+    pub have: Revision,
+}
+
+/// What the host knows of the fleet.
+#[derive(Clone, Debug)]
+pub(crate) struct ClusterStatus {
+    pub revision: Revision,
+    pub older_offers: u64,
+    pub live: Vec<HostInfo>,
+    pub others: Vec<HostInfo>,
+}
+
+/// Parts of a cluster actor.
+pub(crate) struct ClusterParts {
+    pub hosts: Hosts,
+    pub seed: u64,
+    pub table: TableView,
+    pub duties: Arc<Duties>,
+    pub outbox: Rc<RefCell<Outbox>>,
+    pub router: Actor<Router>,
+    pub fetches: Fwd<FetchJob>,
+    pub logger: Logger,
+}
+
+/// Owner of membership and table revisions.
+pub(crate) struct Cluster {
+    hosts: Hosts,
+    gossiper: Gossiper,
+    rng: ChaCha8Rng,
+    state: TableState,
+    table: TableView,
+    duties: Arc<Duties>,
+    servers: Arc<Vec<Server>>,
+    outbox: Rc<RefCell<Outbox>>,
+    router: Actor<Router>,
+    fetches: Fwd<FetchJob>,
+    logger: Logger,
+}
+
+impl Cluster {
+    pub fn init(cx: CX![], parts: ClusterParts) -> Option<Self> {
+        call!([cx], round());
+        let mut rng = ChaCha8Rng::seed_from_u64(parts.seed);
+        Some(Self {
+            gossiper: Gossiper::new(ChaCha8Rng::from_rng(&mut rng)),
+            rng,
+            hosts: parts.hosts,
+            state: TableState::default(),
+            table: parts.table,
+            duties: parts.duties,
+            servers: Arc::default(),
+            outbox: parts.outbox,
+            router: parts.router,
+            fetches: parts.fetches,
+            logger: parts.logger,
+        })
+    }
+
+    pub fn round(&mut self, cx: CX![]) {
+        let now = cx.now();
+        let messages = self.gossiper.round(now, &self.hosts);
+        self.send_all(now, messages);
+        self.assign_duties(now);
+        let jitter = 1.0 + self.rng.random_range(-ROUND_JITTER..ROUND_JITTER);
+        stakker::after!(ROUND.mul_f64(jitter), [cx], round());
+    }
+
+    pub fn set_hosts(&mut self, cx: CX![], list: Vec<HostInfo>) {
+        let now = cx.now();
+        self.hosts.merge_list(now, &list);
+        let addresses = self
+            .hosts
+            .others()
+            .map(|info| (info.hash, info.address))
+            .collect();
+        self.outbox.borrow_mut().set_addresses(addresses);
+        self.assign_duties(now);
+    }
+
+    pub fn set_servers(&mut self, cx: CX![], servers: Arc<Vec<Server>>) {
+        self.servers = servers;
+        self.assign_duties(cx.now());
+    }
+
+    /// Takes a message of another host.
+    pub fn receive(&mut self, cx: CX![], sender: Peer, body: Body) {
+        let now = cx.now();
+        let news = match body {
+            Body::Gossip(gossip) => {
+                self.gossiper
+                    .receive(now, &mut self.hosts, sender.host, &gossip)
+            }
+            Body::PushRevision { revision } => News {
+                newer_revision: (revision > self.state.revision()).then_some(revision),
+                rumors: Vec::new(),
+            },
+            _ => News::default(),
+        };
+        if news.newer_revision.is_some() {
+            self.fetch_from(sender.host);
+        }
+        for rumor in news.rumors {
+            self.tell(cx, rumor);
+        }
+    }
+
+    /// Tells other hosts and this one's router.
+    pub fn tell(&mut self, cx: CX![], rumor: Rumor) {
+        let now = cx.now();
+        let messages = self.gossiper.tell(now, &self.hosts, rumor);
+        if messages.is_empty() && self.hosts.others().next().is_some() {
+            return;
+        }
+        if let Rumor::HostLeaving { peer } = rumor {
+            self.hosts.mark_leaving(peer);
+            self.assign_duties(now);
+        }
+        call!([self.router], heard(rumor));
+        self.send_all(now, messages);
+    }
+
+    /// Tells other hosts that this one is shutting down.
+    pub fn leave(&mut self, cx: CX![]) {
+        let now = cx.now();
+        let messages = self.gossiper.leave(now, &self.hosts);
+        self.send_all(now, messages);
+    }
+
+    /// Takes a whole table in, from the store.
+    pub fn adopt(&mut self, cx: CX![], head: TableHead, table: Table) {
+        let offered = head.revision;
+        match self.state.adopt(head, table) {
+            Adoption::Adopted => self.adopted(cx.now()),
+            Adoption::Known => {}
+            Adoption::Older => self.reject_older(offered),
+        }
+    }
+
+    /// Takes changes in, from a peer.
+    pub fn adopt_delta(&mut self, cx: CX![], head: TableHead, delta: RowDelta) {
+        match self.state.adopt_delta(head, &delta) {
+            Ok(Adoption::Adopted) => self.adopted(cx.now()),
+            Ok(_) => {}
+            Err(error) => {
+                warn!(self.logger, "Table from peer refused."; "error" => %error);
+                counter!("table_deltas_refused_total").increment(1);
+            }
+        }
+    }
+
+    /// Gives a peer what it lacks.
+    pub fn delta(&mut self, _cx: CX![], have: Revision, reply: Sender<(TableHead, RowDelta)>) {
+        let answer = (self.state.head().clone(), self.state.delta_since(have));
+        // A peer that is gone asks again.
+        let _ = reply.send(answer);
+    }
+
+    pub fn status(&mut self, cx: CX![], reply: Sender<ClusterStatus>) {
+        let status = ClusterStatus {
+            revision: self.state.revision(),
+            older_offers: self.state.older_offers(),
+            live: self.hosts.live(cx.now()).cloned().collect(),
+            others: self.hosts.others().cloned().collect(),
+        };
+        // An operator who is gone asks again.
+        let _ = reply.send(status);
+    }
+
+    fn adopted(&mut self, now: Instant) {
+        let revision = self.state.revision();
+        let table = TableInForce::new(self.state.head().clone(), Arc::clone(self.state.table()));
+        self.table.set(table);
+        gauge!("table_revision").set(revision as f64);
+        info!(self.logger, "Table in force."; "revision" => revision);
+        let messages = self.gossiper.adopt_revision(&self.hosts, revision);
+        self.send_all(now, messages);
+    }
+
+    fn reject_older(&mut self, offered: Revision) {
+        counter!("table_older_offers_total").increment(1);
+        let revision = self.state.revision();
+        warn!(self.logger, "Store offers an older table. The newer one stays in force.";
+            "offered" => offered, "revision" => revision);
+    }
+
+    fn fetch_from(&mut self, host: HostHash) {
+        if let Some(info) = self.hosts.get(host) {
+            let have = self.state.revision();
+            self.fetches.fwd(FetchJob {
+                address: info.address,
+                host,
+                have,
+            });
+        }
+    }
+
+    fn send_all(&mut self, now: Instant, messages: Vec<Outgoing>) {
+        let mut outbox = self.outbox.borrow_mut();
+        for Outgoing { to, body } in messages {
+            outbox.send(now, to.hash, body, false);
+        }
+    }
+
+    fn assign_duties(&mut self, now: Instant) {
+        let hosts = &self.hosts;
+        let watcher = hosts.holds(now, Duty::TableWatcher, WATCHERS);
+        self.duties.watcher.store(watcher, Ordering::Relaxed);
+        self.duties
+            .order_giver
+            .store(hosts.holds(now, Duty::OrderGiver, 1), Ordering::Relaxed);
+        let runners = self
+            .servers
+            .iter()
+            .filter(|server| server.kind == ServerKind::Runner);
+        let tracker_of = runners
+            .filter_map(|server| {
+                let runner = hickoryhall_types::hash_name(&server.id);
+                let holder = hosts.holders(now, &server.domain, Duty::Tracker(runner), 1);
+                Some((runner, *holder.first()?))
+            })
+            .collect::<HashMap<_, _>>();
+        call!([self.router], set_trackers(tracker_of));
+        let domain = hosts.me().domain.clone();
+        let in_domain = hosts.live(now).filter(|info| info.domain == domain);
+        let holders = in_domain
+            .map(|info| info.hash)
+            .chain([hosts.me().hash])
+            .collect();
+        call!([self.router], set_bucket_holders(holders));
+        gauge!("live_hosts").set(hosts.live(now).count() as f64 + 1.0);
+    }
+}
--- /dev/null
+++ b/crates/hickoryhall-entry/src/actors/outbox.rs
@@ -0,0 +1,80 @@
+//! Messages to other hosts, within the budget for control.
+
+use std::collections::HashMap;
+use std::net::{SocketAddr, UdpSocket};
+use std::time::Instant;
+
+use hickoryhall_membership::ByteBudget;
+use hickoryhall_wire::{Body, Frame, HostHash, Keyring, MAX_DATAGRAM_BYTES, Peer};
+use metrics::counter;
+
+/// Sends datagrams to hosts.
+pub(crate) struct Outbox {
+    socket: UdpSocket,
+    keyring: Keyring,
+    me: Peer,
+    sequence: u64,
+    addresses: HashMap<HostHash, SocketAddr>,
+    budget: ByteBudget,
+}
+
+impl Outbox {
+    pub fn new(socket: UdpSocket, keyring: Keyring, me: Peer, budget: ByteBudget) -> Self {
+        Self {
+            socket,
+            keyring,
+            me,
+            sequence: 0,
+            addresses: HashMap::new(),
+            budget,
+        }
+    }
+
+    pub fn set_addresses(&mut self, addresses: HashMap<HostHash, SocketAddr>) {
+        self.addresses = addresses;
+    }
+
+    /// Sends a message; returns whether it is on its way.
+    ///
+    /// An optional message is left out where the budget for control is spent; the others are
+    /// counted against it, so that they take from what optional ones may use.
+    pub fn send(&mut self, now: Instant, to: HostHash, body: Body, is_optional: bool) -> bool {
+        let Some(&address) = self.addresses.get(&to) else {
+            return false;
+        };
+        self.sequence += 1;
+        let frame = Frame {
+            sender: self.me,
+            receiver: to,
+            sequence: self.sequence,
+            body,
+        };
+        let bytes = self.keyring.seal(&frame);
+        if bytes.len() > MAX_DATAGRAM_BYTES {
+            counter!("peer_frames_oversize_total").increment(1);
+            return false;
+        }
+        if !self.budget.spend(now, bytes.len()) && is_optional {
+            counter!("peer_frames_over_budget_total").increment(1);
+            return false;
+        }
+        counter!("peer_bytes_sent_total").increment(bytes.len() as u64);
+        counter!("peer_frames_sent_total", "body" => body_name(&frame.body)).increment(1);
+        self.socket.send_to(&bytes, address).is_ok()
+    }
+}
+
+fn body_name(body: &Body) -> &'static str {
+    match body {
+        Body::Gossip(_) => "gossip",
+        Body::PushRevision { .. } => "push_revision",
+        Body::QuoteAsk(_) => "quote_ask",
+        Body::QuoteAnswer(_) => "quote_answer",
+        Body::Reserve { .. } => "reserve",
+        Body::Release { .. } => "release",
+        Body::GrantAsk(_) => "grant_ask",
+        Body::GrantAnswer(_) => "grant_answer",
+        Body::TableFetch(_) => "table_fetch",
+        Body::TableDelta(_) => "table_delta",
+    }
+}
--- /dev/null
+++ b/crates/hickoryhall-entry/src/attempts/answer.rs
@@ -0,0 +1,153 @@
+//! The answer on its way to the caller, streamed or gathered.
+
+use std::io;
+
+use hickoryhall_http::{Caller, EventWriter, Request, respond_json};
+use hickoryhall_types::{Refusal, TokenIndex};
+use serde_json::{Value, json};
+
+use super::{AnswerForm, ModelRequest};
+use crate::edge::respond_refusal;
+
+enum Way {
+    /// Nothing has been sent.
+    Waiting(Request),
+    /// Events are on their way.
+    Streaming(EventWriter),
+    /// The caller has its answer, or is gone.
+    Closed,
+}
+
+/// The answer to one request.
+pub(crate) struct Answer {
+    way: Way,
+    caller: Caller,
+    form: AnswerForm,
+    stream: bool,
+    id: String,
+    model: String,
+    text: String,
+    next_index: TokenIndex,
+}
+
+impl Answer {
+    pub fn new(http: Request, caller: Caller, request: &ModelRequest) -> Self {
+        Self {
+            way: Way::Waiting(http),
+            caller,
+            form: request.form,
+            stream: request.stream,
+            id: request.id.to_string(),
+            model: request.model.to_string(),
+            text: String::new(),
+            next_index: 0,
+        }
+    }
+
+    /// Returns the text so far.
+    pub fn text(&self) -> &str {
+        &self.text
+    }
+
+    /// Returns the index of the token that is due.
+    pub fn next_index(&self) -> TokenIndex {
+        self.next_index
+    }
+
+    /// Tells whether the caller has hung up.
+    pub fn is_abandoned(&self) -> bool {
+        self.caller.is_gone() || matches!(self.way, Way::Closed)
+    }
+
+    /// Passes a token on; an error means that the caller is gone.
+    pub fn token(&mut self, index: TokenIndex, text: &str) -> io::Result<()> {
+        debug_assert_eq!(index, self.next_index, "runner streams are checked");
+        self.next_index += 1;
+        self.text.push_str(text);
+        if !self.stream {
+            return Ok(());
+        }
+        let event = self.chunk(Some(text), None);
+        let result = self.writer().and_then(|writer| writer.event(&event));
+        if result.is_err() {
+            self.way = Way::Closed;
+        }
+        result
+    }
+
+    /// Ends a whole answer.
+    pub fn finish(mut self) -> io::Result<()> {
+        if self.stream {
+            return self.finish_stream();
+        }
+        if let Way::Waiting(http) = std::mem::replace(&mut self.way, Way::Closed) {
+            respond_json(http, 200, &self.whole());
+        }
+        Ok(())
+    }
+
+    /// Ends the answer by a refusal, as an event where tokens are on their way already.
+    pub fn refuse(mut self, refusal: &Refusal) {
+        match std::mem::replace(&mut self.way, Way::Closed) {
+            Way::Waiting(http) => respond_refusal(http, &self.id, refusal),
+            Way::Streaming(mut writer) => {
+                let error = json!({"error": refusal}).to_string();
+                // The caller may be gone; there is nobody left to tell.
+                let _ = writer.event(&error).and_then(|()| writer.finish());
+            }
+            Way::Closed => {}
+        }
+    }
+
+    fn finish_stream(&mut self) -> io::Result<()> {
+        let event = self.chunk(None, Some("stop"));
+        let writer = self.writer()?;
+        writer.event(&event)?;
+        writer.event("[DONE]")?;
+        match std::mem::replace(&mut self.way, Way::Closed) {
+            Way::Streaming(writer) => writer.finish(),
+            _ => Ok(()),
+        }
+    }
+
+    fn writer(&mut self) -> io::Result<&mut EventWriter> {
+        if let Way::Waiting(_) = self.way
+            && let Way::Waiting(http) = std::mem::replace(&mut self.way, Way::Closed)
+        {
+            self.way = Way::Streaming(EventWriter::start(http, &[("X-Request-Id", &self.id)])?);
+        }
+        match &mut self.way {
+            Way::Streaming(writer) => Ok(writer),
+            _ => Err(io::ErrorKind::BrokenPipe.into()),
+        }
+    }
+
+    fn chunk(&self, text: Option<&str>, finish_reason: Option<&str>) -> String {
+        let choice = match (self.form, text) {
+            (AnswerForm::Chat, Some(text)) => json!({"index": 0, "delta": {"content": text}}),
+            (AnswerForm::Chat, None) => json!({"index": 0, "delta": {}}),
+            (AnswerForm::Completion, text) => json!({"index": 0, "text": text.unwrap_or("")}),
+        };
+        self.envelope(choice, finish_reason, true).to_string()
+    }
+
+    fn whole(&self) -> Value {
+        let choice = match self.form {
+            AnswerForm::Chat => {
+                json!({"index": 0, "message": {"role": "assistant", "content": self.text}})
+            }
+            AnswerForm::Completion => json!({"index": 0, "text": self.text}),
+        };
+        self.envelope(choice, Some("stop"), false)
+    }
+
+    fn envelope(&self, mut choice: Value, finish_reason: Option<&str>, is_chunk: bool) -> Value {
+        choice["finish_reason"] = json!(finish_reason);
+        let object = match (self.form, is_chunk) {
+            (AnswerForm::Chat, true) => "chat.completion.chunk",
+            (AnswerForm::Chat, false) => "chat.completion",
+            (AnswerForm::Completion, _) => "text_completion",
+        };
+        json!({"id": self.id, "object": object, "model": self.model, "choices": [choice]})
+    }
+}
--- /dev/null
+++ b/crates/hickoryhall-entry/src/attempts/call.rs
@@ -0,0 +1,165 @@
+//! A call of a plain service.
+
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use bytes::Bytes;
+use hickoryhall_clients::{ClientError, ServiceAnswer, ServiceCall};
+use hickoryhall_routing::{AttemptOutcome, RetryDecision, RetryPolicy};
+use hickoryhall_telemetry::TraceContext;
+use hickoryhall_types::{Ran, Refusal, RefusalCode, Step};
+
+use super::claimed::run_claimed;
+use crate::actors::{CoreMsg, stopped};
+use crate::context::Context;
+
+/// A checked call.
+#[derive(Clone, Debug)]
+pub(crate) struct ServiceRequest {
+    pub id: String,
+    pub workspace: String,
+    pub service: Arc<str>,
+    pub path: String,
+    pub body: Bytes,
+    pub idempotency_key: Option<String>,
+    pub repeatable: bool,
+    pub arrived: Instant,
+    pub deadline: Instant,
+    pub trace: TraceContext,
+}
+
+impl ServiceRequest {
+    /// Records a decision.
+    pub fn note(&self, context: &Context, decision: &str, reason: &str, server: &str) {
+        let record = context.record(&self.id, self.arrived, decision, reason, server);
+        context.decisions.push(record);
+    }
+}
+
+/// Runs a call and returns its answer; one that may not be repeated runs at most once.
+///
+/// # Errors
+///
+/// Returns a refusal that says whether the call ran.
+pub(crate) fn run_service(
+    context: &Context,
+    request: &ServiceRequest,
+) -> Result<ServiceAnswer, Box<Refusal>> {
+    if request.repeatable {
+        return send(context, request, request.deadline);
+    }
+    let key = request.idempotency_key.as_deref().ok_or_else(|| {
+        let message = "Idempotency-Key is needed: the call may not be repeated";
+        Box::new(Refusal::new(RefusalCode::BadRequest, Step::Read, message))
+    })?;
+    run_claimed(context, request, key)
+}
+
+/// Sends a call until it is answered, as far as it may be sent again and before `send_by`.
+///
+/// # Errors
+///
+/// Returns a refusal that says whether the call ran.
+pub(super) fn send(
+    context: &Context,
+    request: &ServiceRequest,
+    send_by: Instant,
+) -> Result<ServiceAnswer, Box<Refusal>> {
+    let mut exclude = Vec::new();
+    let policy = RetryPolicy {
+        repeatable: request.repeatable,
+        deadline: request.deadline,
+    };
+    loop {
+        let (server, address) = pick(context, request, &exclude)?;
+        if Instant::now() >= send_by.min(request.deadline) {
+            context.core.send(CoreMsg::ServiceEnded {
+                id: server,
+                is_ok: true,
+            });
+            let message = "the time to send the call is over";
+            let refusal = Refusal::new(RefusalCode::DeadlineExceeded, Step::Send, message);
+            return Err(Box::new(refusal));
+        }
+        let result = send_once(context, request, &server, address);
+        let is_ok = result.is_ok();
+        context.core.send(CoreMsg::ServiceEnded {
+            id: Arc::clone(&server),
+            is_ok,
+        });
+        let error = match result {
+            Ok(answer) => return Ok(answer),
+            Err(error) => error,
+        };
+        exclude.push(server);
+        let attempts = u32::try_from(exclude.len()).unwrap_or(u32::MAX);
+        let outcome = AttemptOutcome {
+            ran: error.ran(),
+            at: Instant::now(),
+        };
+        let budget = || {
+            context
+                .core
+                .ask(|reply| CoreMsg::Retry { reply })
+                .unwrap_or(false)
+        };
+        match policy.decide(attempts, outcome, budget) {
+            RetryDecision::Retry(wait) => std::thread::sleep(wait),
+            RetryDecision::GiveUp => return Err(refusal(&error)),
+        }
+    }
+}
+
+fn pick(
+    context: &Context,
+    request: &ServiceRequest,
+    exclude: &[Arc<str>],
+) -> Result<(Arc<str>, std::net::SocketAddr), Box<Refusal>> {
+    let service = Arc::clone(&request.service);
+    let exclude = exclude.to_vec();
+    let picked = context.core.ask(|reply| CoreMsg::PickService {
+        service,
+        exclude,
+        reply,
+    });
+    picked.ok_or_else(stopped)?.ok_or_else(|| {
+        let message = format!("no server of {} can be reached", request.service);
+        let refusal = Refusal::new(RefusalCode::NoBackend, Step::Placement, message);
+        Box::new(refusal.retry_after(Duration::from_secs(1)))
+    })
+}
+
+fn send_once(
+    context: &Context,
+    request: &ServiceRequest,
+    server: &Arc<str>,
+    address: std::net::SocketAddr,
+) -> Result<ServiceAnswer, ClientError> {
+    let span = context
+        .spans
+        .start(request.trace, context.next_span_id(), "call", server);
+    let call = ServiceCall {
+        path: request.path.clone(),
+        request_id: request.id.clone(),
+        attempt_id: context.next_id(),
+        idempotency_key: request.idempotency_key.clone(),
+        traceparent: span.context().to_string(),
+        body: request.body.clone(),
+    };
+    request.note(context, "send", "the least calls in flight", server);
+    let timeout = request.deadline.saturating_duration_since(Instant::now());
+    let result = context.services.call(address, &call, timeout);
+    span.end(if result.is_ok() { "answered" } else { "failed" });
+    result
+}
+
+fn refusal(error: &ClientError) -> Box<Refusal> {
+    let refusal = Refusal::new(RefusalCode::BackendFailed, error.step, error.to_string())
+        .peer(error.peer.to_string())
+        .ran(error.ran());
+    // Advice to come back would be wrong for a call that may have run.
+    Box::new(match error.ran() {
+        Ran::No => refusal.retry_after(Duration::from_secs(1)),
+        _ => refusal,
+    })
+}
--- /dev/null
+++ b/crates/hickoryhall-entry/src/attempts/claimed.rs
@@ -0,0 +1,177 @@
+//! A call under a claim: carries the steps of the claim's flow out against the store.
+
+use std::time::{Duration, Instant};
+
+use hickoryhall_clients::{ClientError, ClientErrorKind, LeaseId, PutCondition, ServiceAnswer};
+use hickoryhall_control::{
+    Claim, ClaimEnd, ClaimFlow, ClaimStep, ReadResult, RecordedAnswer, SendResult, WriteResult,
+    claim_key,
+};
+use hickoryhall_types::{Ran, Refusal, RefusalCode, Step};
+use metrics::{counter, histogram};
+
+use super::ServiceRequest;
+use super::call::send;
+use crate::context::Context;
+
+/// Runs a call at most once under its idempotency key.
+///
+/// # Errors
+///
+/// Returns a refusal that says whether the call ran.
+pub(super) fn run_claimed(
+    context: &Context,
+    request: &ServiceRequest,
+    idempotency_key: &str,
+) -> Result<ServiceAnswer, Box<Refusal>> {
+    let started = Instant::now();
+    let attempt = format!(
+        "{}/{}/{}",
+        context.settings.host,
+        context.incarnation,
+        context.next_id()
+    );
+    let claims = ClaimStore {
+        context,
+        key: claim_key(&request.workspace, &request.service, idempotency_key),
+        lease: context.claim_lease(),
+    };
+    let (mut flow, mut step) = ClaimFlow::start(started, &attempt);
+    let mut sent = None;
+    loop {
+        step = match step {
+            ClaimStep::Create(claim) => {
+                let result = claims.write(&claim, PutCondition::Absent);
+                flow.on_write(Instant::now(), result)
+            }
+            ClaimStep::Replace(claim, revision) => {
+                let result = claims.write(&claim, PutCondition::Revision(revision));
+                flow.on_write(Instant::now(), result)
+            }
+            ClaimStep::Read => flow.on_read(Instant::now(), claims.read()),
+            ClaimStep::Send => {
+                histogram!("claim_seconds").record(started.elapsed().as_secs_f64());
+                let result = send(context, request, flow.send_by());
+                let step = flow.on_sent(sent_result(&result));
+                sent = Some(result);
+                step
+            }
+            ClaimStep::End(end) => {
+                counter!("claims_total", "end" => end_name(&end)).increment(1);
+                request.note(context, "claim", end_name(&end), "");
+                return answer(end, sent);
+            }
+        };
+    }
+}
+
+/// One claim in the store.
+struct ClaimStore<'a> {
+    context: &'a Context,
+    key: String,
+    lease: Option<LeaseId>,
+}
+
+impl ClaimStore<'_> {
+    fn write(&self, claim: &Claim, condition: PutCondition) -> WriteResult {
+        let Some(lease) = self.lease else {
+            return WriteResult::Failed;
+        };
+        let value = serde_json::to_string(claim).expect("a claim has string keys");
+        match self
+            .context
+            .store
+            .put(&self.key, &value, condition, Some(lease))
+        {
+            Ok(revision) => WriteResult::Written(revision),
+            Err(ClientError {
+                kind: ClientErrorKind::Conflict(_),
+                ..
+            }) => WriteResult::Conflict,
+            Err(error) if error.is_in_doubt() => WriteResult::InDoubt,
+            Err(_) => WriteResult::Failed,
+        }
+    }
+
+    fn read(&self) -> ReadResult {
+        match self.context.store.get(&self.key) {
+            Ok(Some(stored)) => match serde_json::from_str(&stored.value) {
+                Ok(claim) => ReadResult::Found(claim, stored.revision),
+                Err(_) => ReadResult::Failed,
+            },
+            Ok(None) => ReadResult::Missing,
+            Err(_) => ReadResult::Failed,
+        }
+    }
+}
+
+fn sent_result(sent: &Result<ServiceAnswer, Box<Refusal>>) -> SendResult {
+    match sent {
+        Ok(answer) => {
+            let ServiceAnswer {
+                status,
+                content_type,
+                body,
+            } = answer;
+            SendResult::Answered(RecordedAnswer::new(*status, content_type, body))
+        }
+        Err(refusal) if refusal.ran == Ran::No => SendResult::NotRun,
+        Err(_) => SendResult::Unknown,
+    }
+}
+
+/// Turns the end of a flow into the caller's answer.
+fn answer(
+    end: ClaimEnd,
+    sent: Option<Result<ServiceAnswer, Box<Refusal>>>,
+) -> Result<ServiceAnswer, Box<Refusal>> {
+    match (end, sent) {
+        (ClaimEnd::Answered | ClaimEnd::Refused(_), Some(sent)) => sent,
+        (ClaimEnd::Replayed(recorded), _) => replay(recorded),
+        (ClaimEnd::StoreUnavailable, _) => {
+            let message = "the store cannot be reached; a call that may not be repeated needs it";
+            let refusal = Refusal::new(RefusalCode::StoreUnavailable, Step::Claim, message);
+            Err(Box::new(refusal.retry_after(Duration::from_secs(2))))
+        }
+        (ClaimEnd::ClaimedElsewhere, _) => {
+            let message = "another attempt has this idempotency key, and its end is not known";
+            let refusal = Refusal::new(RefusalCode::AlreadyClaimed, Step::Claim, message);
+            Err(Box::new(refusal.ran(Ran::Unknown)))
+        }
+        (ClaimEnd::Refused(ran), None) => {
+            let message = "the claim came too late to send the call";
+            let refusal = Refusal::new(RefusalCode::DeadlineExceeded, Step::Claim, message);
+            Err(Box::new(refusal.ran(ran)))
+        }
+        (ClaimEnd::Answered, None) => unreachable!("a flow ends as answered after it sent"),
+    }
+}
+
+fn replay(recorded: RecordedAnswer) -> Result<ServiceAnswer, Box<Refusal>> {
+    let RecordedAnswer {
+        status,
+        content_type,
+        body,
+    } = recorded;
+    let body = body.ok_or_else(|| {
+        let message = "the call ran; its answer was too large to keep";
+        let refusal = Refusal::new(RefusalCode::AlreadyClaimed, Step::Claim, message);
+        Box::new(refusal.ran(Ran::Yes))
+    })?;
+    Ok(ServiceAnswer {
+        status,
+        content_type,
+        body: body.into(),
+    })
+}
+
+fn end_name(end: &ClaimEnd) -> &'static str {
+    match end {
+        ClaimEnd::Answered => "answered",
+        ClaimEnd::Replayed(_) => "replayed",
+        ClaimEnd::Refused(Ran::No) => "not_run",
+        ClaimEnd::Refused(_) => "unknown",
+        ClaimEnd::ClaimedElsewhere => "claimed_elsewhere",
+        ClaimEnd::StoreUnavailable => "store_unavailable",
+    }
+}
--- /dev/null
+++ b/crates/hickoryhall-entry/src/attempts/mod.rs
@@ -0,0 +1,14 @@
+//! A request's way through its attempts: placed, sent, relayed, tried again.
+
+mod answer;
+mod call;
+mod claimed;
+mod model;
+mod request;
+mod round;
+mod upstream;
+
+pub(crate) use answer::Answer;
+pub(crate) use call::{ServiceRequest, run_service};
+pub(crate) use model::run_model;
+pub(crate) use request::{AnswerForm, ModelRequest, RequestBody, fingerprint, prompt_tokens};
--- /dev/null
+++ b/crates/hickoryhall-entry/src/attempts/model.rs
@@ -0,0 +1,306 @@
+//! A model request's way through its attempts.
+
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use crossbeam_channel::RecvTimeoutError;
+use hickoryhall_clients::ClientError;
+use hickoryhall_routing::{
+    AttemptOutcome, CostModel, PrefixChain, PrefixSeed, RetryDecision, RetryPolicy, Verdict,
+};
+use hickoryhall_table::CostWeights;
+use hickoryhall_telemetry::{CandidateRecord, DecisionRecord};
+use hickoryhall_types::{Ran, Refusal, RefusalCode, RunnerId, Step, WeightsVersion};
+use metrics::counter;
+
+use super::round::{Round, RoundEnd};
+use super::{Answer, ModelRequest};
+use crate::actors::{CoreMsg, stopped};
+use crate::context::Context;
+use crate::dispatch::{PlaceAsk, Placed, Ticket, TicketEnd};
+
+/// Time between two looks whether the caller is still there.
+pub(super) const CALLER_CHECK: Duration = Duration::from_millis(100);
+
+/// Carries a request through and answers the caller.
+pub(crate) fn run_model(context: &Arc<Context>, request: &Arc<ModelRequest>, mut answer: Answer) {
+    let result = Run::new(context, request).and_then(|mut run| run.carry_through(&mut answer));
+    match result {
+        Ok(true) => {
+            let end = if answer.finish().is_ok() {
+                "answered"
+            } else {
+                "abandoned"
+            };
+            counter!("requests_total", "end" => end).increment(1);
+        }
+        Ok(false) => counter!("requests_total", "end" => "abandoned").increment(1),
+        Err(refusal) => {
+            counter!("requests_total", "end" => "refused").increment(1);
+            note(context, request, "refuse", &refusal.message, &refusal.peer);
+            answer.refuse(&refusal);
+        }
+    }
+}
+
+/// A request on its way.
+pub(super) struct Run<'a> {
+    pub context: &'a Arc<Context>,
+    pub request: &'a Arc<ModelRequest>,
+    pub weights: WeightsVersion,
+    pub seed: PrefixSeed,
+    pub chain: PrefixChain,
+    exclude: Vec<RunnerId>,
+    attempts: u32,
+    is_isolated: bool,
+}
+
+impl<'a> Run<'a> {
+    fn new(
+        context: &'a Arc<Context>,
+        request: &'a Arc<ModelRequest>,
+    ) -> Result<Self, Box<Refusal>> {
+        let fingerprint = request.fingerprint;
+        let verdict = context
+            .core
+            .ask(|reply| CoreMsg::Verdict { fingerprint, reply });
+        let is_isolated = match verdict.ok_or_else(stopped)? {
+            Verdict::Clear => false,
+            Verdict::Isolate => true,
+            Verdict::Refuse(wait) => return Err(suspect_refusal(wait)),
+        };
+        let wanted = u64::from(request.grant.weights_version);
+        let model = Arc::clone(&request.model);
+        let weights = context
+            .core
+            .ask(|reply| CoreMsg::Version {
+                model,
+                wanted,
+                hash: fingerprint,
+                reply,
+            })
+            .ok_or_else(stopped)?;
+        let adapter = request.grant.adapter.as_deref();
+        let seed = PrefixSeed::new(&request.workspace, &request.model, adapter, weights);
+        let messages = request
+            .messages
+            .iter()
+            .map(|message| message.content.as_str());
+        let chain = PrefixChain::from_messages(&seed, messages);
+        let exclude = Vec::new();
+        Ok(Self {
+            context,
+            request,
+            weights,
+            seed,
+            chain,
+            exclude,
+            attempts: 0,
+            is_isolated,
+        })
+    }
+
+    /// Tries until the answer is whole; returns false where the caller is gone.
+    fn carry_through(&mut self, answer: &mut Answer) -> Result<bool, Box<Refusal>> {
+        loop {
+            let ticket = self.context.next_id();
+            let Some(placed) = self.place(ticket, answer)? else {
+                return Ok(false);
+            };
+            self.attempts += 1;
+            match Round::start(self, ticket, &placed, answer).run(answer) {
+                RoundEnd::Done => {
+                    self.acquit();
+                    return Ok(true);
+                }
+                RoundEnd::Abandoned => return Ok(false),
+                RoundEnd::TooLate => return Err(too_late()),
+                RoundEnd::Failed {
+                    error,
+                    runner,
+                    is_death,
+                } => {
+                    self.after_failure(&error, &runner, is_death)?;
+                }
+            }
+        }
+    }
+
+    /// Decides whether to try again after every attempt of a round failed.
+    fn after_failure(
+        &mut self,
+        error: &ClientError,
+        runner: &RunnerId,
+        is_death: bool,
+    ) -> Result<(), Box<Refusal>> {
+        if is_death {
+            self.record_death()?;
+        }
+        self.exclude.push(runner.clone());
+        let policy = RetryPolicy {
+            repeatable: true,
+            deadline: self.request.deadline,
+        };
+        let outcome = AttemptOutcome {
+            ran: error.ran(),
+            at: Instant::now(),
+        };
+        match policy.decide(self.attempts, outcome, || self.may_retry()) {
+            RetryDecision::Retry(wait) => {
+                self.note("retry", &error.to_string(), runner);
+                std::thread::sleep(wait);
+                Ok(())
+            }
+            RetryDecision::GiveUp => Err(Box::new(
+                Refusal::new(RefusalCode::BackendFailed, error.step, error.to_string())
+                    .peer(error.peer.to_string())
+                    .ran(error.ran())
+                    .retry_after(Duration::from_secs(1)),
+            )),
+        }
+    }
+
+    fn record_death(&mut self) -> Result<(), Box<Refusal>> {
+        let fingerprint = self.request.fingerprint;
+        self.context.core.send(CoreMsg::Death { fingerprint });
+        self.is_isolated = true;
+        let verdict = self
+            .context
+            .core
+            .ask(|reply| CoreMsg::Verdict { fingerprint, reply });
+        match verdict {
+            Some(Verdict::Refuse(wait)) => Err(suspect_refusal(wait)),
+            _ => Ok(()),
+        }
+    }
+
+    fn acquit(&self) {
+        if self.is_isolated {
+            let fingerprint = self.request.fingerprint;
+            self.context.core.send(CoreMsg::Acquit { fingerprint });
+        }
+    }
+
+    /// Asks for a runner; `None` where the caller hung up meanwhile.
+    fn place(&self, ticket: Ticket, answer: &Answer) -> Result<Option<Placed>, Box<Refusal>> {
+        let placed = self.context.core.place(self.place_ask(ticket));
+        loop {
+            match placed.recv_timeout(CALLER_CHECK) {
+                Ok(placed) => {
+                    let placed = *placed?;
+                    self.note_placed(&placed);
+                    return Ok(Some(placed));
+                }
+                Err(RecvTimeoutError::Disconnected) => return Err(stopped()),
+                Err(RecvTimeoutError::Timeout) if answer.is_abandoned() => {
+                    self.end(ticket, TicketEnd::Released);
+                    return Ok(None);
+                }
+                Err(RecvTimeoutError::Timeout) => {}
+            }
+        }
+    }
+
+    /// Returns the question for a runner.
+    pub fn place_ask(&self, ticket: Ticket) -> PlaceAsk {
+        let request = self.request;
+        PlaceAsk {
+            ticket,
+            request_id: request.id.clone(),
+            workspace: request.workspace.clone(),
+            weight: request.grant.weight,
+            chain: self.chain.clone(),
+            model: request.model.clone(),
+            weights: self.weights,
+            cost: cost_model(request.grant.cost),
+            deadline: request.deadline,
+            exclude: self.exclude.clone(),
+            isolate: self.is_isolated,
+        }
+    }
+
+    /// Takes a retry or hedge out of the budget.
+    pub fn may_retry(&self) -> bool {
+        self.context
+            .core
+            .ask(|reply| CoreMsg::Retry { reply })
+            .unwrap_or(false)
+    }
+
+    /// Records the end of a placement.
+    pub fn end(&self, ticket: Ticket, end: TicketEnd) {
+        self.context.core.send(CoreMsg::Ended { ticket, end });
+    }
+
+    /// Records a decision.
+    pub fn note(&self, decision: &str, reason: &str, server: &str) {
+        note(self.context, self.request, decision, reason, server);
+    }
+
+    fn note_placed(&self, placed: &Placed) {
+        let choice = &placed.choice;
+        let costs = choice.considered.iter().zip(&placed.considered);
+        let candidates = costs.map(|((_, cost), server)| CandidateRecord {
+            server: server.to_string(),
+            wait_ms: cost.wait_ms,
+            recompute_ms: cost.recompute_ms,
+            eviction_ms: cost.eviction_ms,
+            network_ms: cost.network_ms,
+        });
+        let (expected, held_ms) = (choice.expected_cached_tokens, placed.held.as_millis());
+        self.context.decisions.push(DecisionRecord {
+            candidates: candidates.collect(),
+            ..record(
+                self.context,
+                self.request,
+                "place",
+                &format!(
+                    "{:?}, {expected} tokens expected cached, held {held_ms} ms",
+                    choice.reason
+                ),
+                &placed.server.id,
+            )
+        });
+    }
+}
+
+fn cost_model(weights: CostWeights) -> CostModel {
+    let factor = |percent: u32| f64::from(percent) / 100.0;
+    CostModel {
+        wait: factor(weights.wait_percent),
+        recompute: factor(weights.recompute_percent),
+        eviction: factor(weights.eviction_percent),
+    }
+}
+
+fn suspect_refusal(wait: Duration) -> Box<Refusal> {
+    let message = "runners died while they ran this request";
+    let refusal = Refusal::new(RefusalCode::Suspect, Step::Admission, message);
+    // Earlier attempts did run, whichever host is asked.
+    Box::new(refusal.ran(Ran::Yes).retry_after(wait))
+}
+
+fn too_late() -> Box<Refusal> {
+    let refusal = Refusal::new(
+        RefusalCode::DeadlineExceeded,
+        Step::Answer,
+        "the deadline passed",
+    );
+    Box::new(refusal.ran(Ran::Unknown))
+}
+
+fn note(context: &Context, request: &ModelRequest, decision: &str, reason: &str, server: &str) {
+    context
+        .decisions
+        .push(record(context, request, decision, reason, server));
+}
+
+fn record(
+    context: &Context,
+    request: &ModelRequest,
+    decision: &str,
+    reason: &str,
+    server: &str,
+) -> DecisionRecord {
+    context.record(&request.id, request.arrived, decision, reason, server)
+}
--- /dev/null
+++ b/crates/hickoryhall-entry/src/attempts/request.rs
@@ -0,0 +1,120 @@
+//! A caller's request to a model.
+
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use hickoryhall_clients::Message;
+use hickoryhall_table::Grant;
+use hickoryhall_telemetry::TraceContext;
+use hickoryhall_types::{RequestId, TokenCount, WorkspaceId, estimate_tokens, hash_name};
+use serde::Deserialize;
+
+use crate::settings::HostLimits;
+
+/// Tokens generated where the caller names no limit.
+const DEFAULT_MAX_TOKENS: u32 = 256;
+
+/// Shape of the answer.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum AnswerForm {
+    /// `POST /v1/chat/completions`.
+    Chat,
+    /// `POST /v1/completions`.
+    Completion,
+}
+
+/// A checked request.
+#[derive(Clone, Debug)]
+pub(crate) struct ModelRequest {
+    pub id: RequestId,
+    pub workspace: WorkspaceId,
+    pub model: Arc<str>,
+    pub form: AnswerForm,
+    pub messages: Vec<Message>,
+    pub max_tokens: u32,
+    pub stream: bool,
+    pub grant: Grant,
+    pub arrived: Instant,
+    pub deadline: Instant,
+    pub trace: TraceContext,
+    /// Hash of what makes the request the same when it is sent again.
+    pub fingerprint: u64,
+}
+
+impl ModelRequest {
+    /// Returns the time left.
+    pub fn time_left(&self) -> Duration {
+        self.deadline.saturating_duration_since(Instant::now())
+    }
+}
+
+/// Body of a request, before it is checked.
+#[derive(Debug, Deserialize)]
+pub(crate) struct RequestBody {
+    pub model: String,
+    #[serde(default)]
+    messages: Vec<Message>,
+    #[serde(default)]
+    prompt: Option<String>,
+    #[serde(default)]
+    max_tokens: Option<u32>,
+    #[serde(default)]
+    pub stream: bool,
+}
+
+impl RequestBody {
+    /// Reads a body; the error says where it is wrong.
+    pub fn parse(bytes: &[u8]) -> Result<Self, String> {
+        let text = std::str::from_utf8(bytes).map_err(|error| error.to_string())?;
+        serde_json::from_str(text).map_err(|error| error.to_string())
+    }
+
+    /// Returns the prompt and the limit of the answer, checked.
+    pub fn into_prompt(
+        self,
+        form: AnswerForm,
+        limits: &HostLimits,
+    ) -> Result<(Vec<Message>, u32), String> {
+        let messages = match (form, self.prompt) {
+            (AnswerForm::Chat, None) => self.messages,
+            (AnswerForm::Chat, Some(_)) => return Err("prompt is for /v1/completions".to_owned()),
+            (AnswerForm::Completion, Some(prompt)) => {
+                vec![Message {
+                    role: "user".to_owned(),
+                    content: prompt,
+                }]
+            }
+            (AnswerForm::Completion, None) => return Err("prompt is missing".to_owned()),
+        };
+        if messages.iter().all(|message| message.content.is_empty()) {
+            return Err("the prompt is empty".to_owned());
+        }
+        let max_tokens = self.max_tokens.unwrap_or(DEFAULT_MAX_TOKENS);
+        if max_tokens == 0 || max_tokens > limits.output_tokens {
+            return Err(format!(
+                "max_tokens must be from 1 to {}",
+                limits.output_tokens
+            ));
+        }
+        Ok((messages, max_tokens))
+    }
+}
+
+/// Returns the tokens of a prompt.
+pub(crate) fn prompt_tokens(messages: &[Message]) -> TokenCount {
+    messages
+        .iter()
+        .map(|message| estimate_tokens(message.content.len()))
+        .sum()
+}
+
+/// Returns the hash of what makes a request the same when it is sent again.
+pub(crate) fn fingerprint(workspace: &str, model: &str, messages: &[Message]) -> u64 {
+    let mut hasher = blake3::Hasher::new();
+    let contents = messages.iter().map(|message| message.content.as_str());
+    for part in [workspace, model].into_iter().chain(contents) {
+        hasher.update(&(part.len() as u64).to_le_bytes());
+        hasher.update(part.as_bytes());
+    }
+    hash_name(hasher.finalize().to_hex().as_str())
+}
--- /dev/null
+++ b/crates/hickoryhall-entry/src/attempts/round.rs
@@ -0,0 +1,360 @@
+//! Attempts of a request that run at the same time: the first one, and a hedge.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use crossbeam_channel::{Receiver, Sender, unbounded};
+use hickoryhall_clients::{ClientError, ClientErrorKind, StreamEvent, StreamFault, Token};
+use hickoryhall_telemetry::Span;
+use hickoryhall_types::{Ran, RunnerId, Step};
+use metrics::{counter, histogram};
+
+use super::Answer;
+use super::model::{CALLER_CHECK, Run};
+use super::upstream::{Opening, Upstream, UpstreamEvent};
+use crate::actors::CoreMsg;
+use crate::dispatch::{Placed, Ticket, TicketEnd};
+
+/// Resumptions of one attempt at most.
+const RESUMES: u32 = 2;
+/// Time beyond the expected one after which a second runner is tried.
+const HEDGE_MARGIN: Duration = Duration::from_millis(1_500);
+/// Factor on the expected time after which a second runner is tried.
+const HEDGE_FACTOR: f64 = 3.0;
+
+/// How a round ended.
+pub(super) enum RoundEnd {
+    /// The answer is whole.
+    Done,
+    /// The caller hung up.
+    Abandoned,
+    /// The deadline passed.
+    TooLate,
+    /// Every attempt failed; the last one's error, and whether its runner died.
+    Failed {
+        error: Box<ClientError>,
+        runner: RunnerId,
+        is_death: bool,
+    },
+}
+
+/// An attempt that runs.
+struct Live {
+    ticket: Ticket,
+    runner: RunnerId,
+    address: SocketAddr,
+    resumes: u32,
+    has_token: bool,
+    span: Span,
+}
+
+/// Attempts that run at the same time.
+pub(super) struct Round<'a> {
+    run: &'a Run<'a>,
+    events: Sender<UpstreamEvent>,
+    incoming: Receiver<UpstreamEvent>,
+    live: Vec<Live>,
+    hedge_at: Option<Instant>,
+    last_token_at: Instant,
+}
+
+impl<'a> Round<'a> {
+    /// Starts with one attempt.
+    pub fn start(run: &'a Run<'a>, ticket: Ticket, placed: &Placed, answer: &Answer) -> Self {
+        let (events, incoming) = unbounded();
+        let expected = Duration::from_secs_f64(placed.choice.cost.total_ms() / 1_000.0);
+        let hedge_at = Instant::now() + expected.mul_f64(HEDGE_FACTOR) + HEDGE_MARGIN;
+        let mut round = Self {
+            run,
+            events,
+            incoming,
+            live: Vec::new(),
+            hedge_at: (answer.next_index() == 0).then_some(hedge_at),
+            last_token_at: Instant::now(),
+        };
+        round.open(ticket, placed, answer);
+        round
+    }
+
+    /// Relays events until the round ends.
+    pub fn run(mut self, answer: &mut Answer) -> RoundEnd {
+        let deadline = self.run.request.deadline;
+        loop {
+            let now = Instant::now();
+            if answer.is_abandoned() || now >= deadline {
+                self.cancel_all();
+                return if now >= deadline {
+                    RoundEnd::TooLate
+                } else {
+                    RoundEnd::Abandoned
+                };
+            }
+            self.hedge_if_due(now, answer);
+            let end = match self.incoming.recv_timeout(CALLER_CHECK.min(deadline - now)) {
+                Ok(event) => self.take(event, answer),
+                Err(_) => self.check_idle(answer),
+            };
+            if let Some(end) = end {
+                return end;
+            }
+        }
+    }
+
+    fn open(&mut self, ticket: Ticket, placed: &Placed, answer: &Answer) {
+        let run = self.run;
+        let context = run.context;
+        let id = context.next_span_id();
+        let span = context
+            .spans
+            .start(run.request.trace, id, "attempt", &placed.server.id);
+        let tokens = answer.next_index();
+        let opening = Opening::Start {
+            partial: (tokens > 0).then(|| (answer.text().to_owned(), tokens)),
+            cache_salt: run.seed.cache_salt(),
+            weights: run.weights,
+        };
+        let live = Live {
+            ticket,
+            runner: placed.server.id.clone(),
+            address: placed.server.address,
+            resumes: 0,
+            has_token: false,
+            span,
+        };
+        self.read(&live, opening);
+        self.live.push(live);
+        self.last_token_at = Instant::now();
+    }
+
+    fn read(&self, live: &Live, opening: Opening) {
+        let Live {
+            ticket, address, ..
+        } = *live;
+        let traceparent = live.span.context().to_string();
+        let upstream = Upstream {
+            runner: address,
+            ticket,
+            opening,
+            traceparent,
+        };
+        let started = upstream.start(self.run.context, self.run.request, self.events.clone());
+        if let Err(saturated) = started {
+            let kind = ClientErrorKind::NotConnected(saturated.to_string());
+            let event = Err(ClientError {
+                step: Step::Send,
+                peer: address,
+                kind,
+            });
+            // The receiver is this round itself.
+            let _ = self.events.send(UpstreamEvent { ticket, event });
+        }
+    }
+
+    fn take(&mut self, event: UpstreamEvent, answer: &mut Answer) -> Option<RoundEnd> {
+        let UpstreamEvent { ticket, event } = event;
+        let Some(place) = self.live.iter().position(|live| live.ticket == ticket) else {
+            counter!("late_answers_total").increment(1);
+            return None;
+        };
+        match event {
+            Ok(StreamEvent::Token(token)) => self.take_token(place, &token, answer),
+            Ok(StreamEvent::Done) => {
+                let live = self.live.swap_remove(place);
+                live.span.end("answered");
+                self.run.end(live.ticket, TicketEnd::Finished);
+                self.cancel_all();
+                Some(RoundEnd::Done)
+            }
+            Err(error) => self.take_error(place, error, answer),
+        }
+    }
+
+    fn take_token(&mut self, place: usize, token: &Token, answer: &mut Answer) -> Option<RoundEnd> {
+        // A token that the caller has already comes from a stream read before it was resumed.
+        if token.index != answer.next_index() {
+            counter!("late_answers_total").increment(1);
+            return None;
+        }
+        self.last_token_at = Instant::now();
+        if !std::mem::replace(&mut self.live[place].has_token, true) {
+            self.first_token(place, token, answer);
+        }
+        if answer.token(token.index, &token.text).is_err() {
+            self.cancel_all();
+            return Some(RoundEnd::Abandoned);
+        }
+        None
+    }
+
+    /// Makes the attempt that brought a token first the only one.
+    fn first_token(&mut self, place: usize, token: &Token, answer: &Answer) {
+        let ticket = self.live[place].ticket;
+        let cached_tokens = token.cached_tokens;
+        self.run.context.core.send(CoreMsg::FirstToken {
+            ticket,
+            cached_tokens,
+        });
+        let (winner, others): (Vec<_>, Vec<_>) = std::mem::take(&mut self.live)
+            .into_iter()
+            .partition(|live| live.ticket == ticket);
+        self.live = winner;
+        others.into_iter().for_each(|live| self.cancel(live));
+        if answer.next_index() > 0 {
+            return;
+        }
+        let run = self.run;
+        let tokens = run.chain.tokens();
+        histogram!("ttft_seconds").record(run.request.arrived.elapsed().as_secs_f64());
+        counter!("prompt_tokens_total").increment(tokens.into());
+        counter!("prompt_tokens_cached_total").increment(cached_tokens.into());
+        run.note(
+            "first_token",
+            &format!("{cached_tokens} of {tokens} tokens cached"),
+            "",
+        );
+    }
+
+    /// Resumes a stream that broke off, or gives its attempt up.
+    fn take_error(
+        &mut self,
+        place: usize,
+        error: ClientError,
+        answer: &Answer,
+    ) -> Option<RoundEnd> {
+        count_fault(&error);
+        let broke_off = matches!(
+            error.kind,
+            ClientErrorKind::Stream(StreamFault::BrokeOff { .. })
+        );
+        if broke_off && self.live[place].resumes < RESUMES {
+            self.live[place].resumes += 1;
+            let live = &self.live[place];
+            self.run.note("resume", &error.to_string(), &live.runner);
+            self.read(
+                live,
+                Opening::Resume {
+                    from: answer.next_index(),
+                },
+            );
+            return None;
+        }
+        let Live {
+            ticket,
+            runner,
+            resumes,
+            span,
+            address,
+            ..
+        } = self.live.swap_remove(place);
+        span.end(&error.to_string());
+        let is_refusal = matches!(error.kind, ClientErrorKind::Status { .. }) && resumes == 0;
+        // A runner that refuses an attempt is not at fault.
+        let end = if is_refusal {
+            TicketEnd::Released
+        } else {
+            TicketEnd::Failed
+        };
+        self.run.end(ticket, end);
+        if !is_refusal && error.ran() != Ran::No {
+            self.cancel_at(address, ticket);
+        }
+        if !self.live.is_empty() {
+            return None;
+        }
+        // A stream that broke off and cannot be resumed means that its runner is gone.
+        let is_death = resumes > 0 && !broke_off;
+        Some(RoundEnd::Failed {
+            error: Box::new(error),
+            runner,
+            is_death,
+        })
+    }
+
+    /// Takes a stream that brings nothing for too long as broken.
+    fn check_idle(&mut self, answer: &Answer) -> Option<RoundEnd> {
+        let limit = self.run.context.settings.limits.stream_idle;
+        if answer.next_index() == 0 || self.last_token_at.elapsed() < limit {
+            return None;
+        }
+        self.last_token_at = Instant::now();
+        let peer = self.live.first()?.address;
+        let fault = StreamFault::BrokeOff {
+            after: answer.next_index(),
+        };
+        let error = ClientError {
+            step: Step::Answer,
+            peer,
+            kind: fault.into(),
+        };
+        self.take_error(0, error, answer)
+    }
+
+    /// Tries a second runner where the first token is long overdue.
+    fn hedge_if_due(&mut self, now: Instant, answer: &Answer) {
+        if answer.next_index() > 0 || self.hedge_at.is_none_or(|at| now < at) {
+            return;
+        }
+        self.hedge_at = None;
+        let run = self.run;
+        if !run.may_retry() {
+            return;
+        }
+        let ticket = run.context.next_id();
+        let mut ask = run.place_ask(ticket);
+        ask.exclude
+            .extend(self.live.iter().map(|live| live.runner.clone()));
+        let Ok(Ok(placed)) = run.context.core.place(ask).recv() else {
+            return;
+        };
+        if self.live.iter().any(|live| live.runner == placed.server.id) {
+            // There is no other runner.
+            return run.end(ticket, TicketEnd::Released);
+        }
+        counter!("hedges_total").increment(1);
+        run.note("hedge", "the first token is overdue", &placed.server.id);
+        self.open(ticket, &placed, answer);
+    }
+
+    fn cancel_all(&mut self) {
+        std::mem::take(&mut self.live)
+            .into_iter()
+            .for_each(|live| self.cancel(live));
+    }
+
+    fn cancel(&self, live: Live) {
+        let Live {
+            ticket,
+            address,
+            span,
+            ..
+        } = live;
+        span.end("cancelled");
+        self.run.end(ticket, TicketEnd::Released);
+        self.cancel_at(address, ticket);
+    }
+
+    fn cancel_at(&self, address: SocketAddr, ticket: Ticket) {
+        let context = Arc::clone(self.run.context);
+        let id = self.run.request.id.clone();
+        // Where no worker is free, the runner notices the closed connection instead.
+        let _ = self.run.context.upstreams.run(move || {
+            if context.runners.cancel(address, &id, ticket).is_err() {
+                counter!("cancels_failed_total").increment(1);
+            }
+        });
+    }
+}
+
+fn count_fault(error: &ClientError) {
+    let fault = match &error.kind {
+        ClientErrorKind::Stream(StreamFault::Crossed { .. }) => "crossed",
+        ClientErrorKind::Stream(StreamFault::WrongIndex { .. }) => "wrong_index",
+        ClientErrorKind::Stream(StreamFault::BrokeOff { .. }) => "broke_off",
+        ClientErrorKind::Stream(_) => "bad_stream",
+        ClientErrorKind::NotConnected(_) => "not_connected",
+        ClientErrorKind::Status { .. } => "refused",
+        _ => "no_answer",
+    };
+    counter!("attempt_faults_total", "fault" => fault).increment(1);
+}
--- /dev/null
+++ b/crates/hickoryhall-entry/src/context.rs
@@ -0,0 +1,171 @@
+//! What every worker thread of a host shares.
+
+use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
+use std::sync::{Arc, Mutex, PoisonError};
+use std::time::{Duration, Instant};
+
+use hickoryhall_clients::{LeaseId, RunnerClient, ServiceClient, StoreClient};
+use hickoryhall_http::WorkerPool;
+use hickoryhall_telemetry::{DecisionLog, DecisionRecord, MetricsPage, SpanLog};
+
+use crate::actors::CoreHandle;
+use crate::settings::Settings;
+use crate::table_store::TableStore;
+use crate::table_view::TableView;
+
+/// Time for which claims are kept, so that a resend finds them.
+const CLAIM_TTL: Duration = Duration::from_secs(24 * 3_600);
+/// Time for which claims share one lease.
+const CLAIM_LEASE_SHARED: Duration = Duration::from_secs(3_600);
+
+/// State of the host's start and stop.
+#[derive(Debug, Default)]
+pub(crate) struct Lifecycle {
+    stopping: AtomicBool,
+    over: AtomicBool,
+    in_flight: AtomicUsize,
+}
+
+impl Lifecycle {
+    pub fn stop(&self) {
+        self.stopping.store(true, Ordering::SeqCst);
+    }
+
+    pub fn is_stopping(&self) -> bool {
+        self.stopping.load(Ordering::SeqCst)
+    }
+
+    /// Ends the host's threads.
+    pub fn end(&self) {
+        self.stop();
+        self.over.store(true, Ordering::SeqCst);
+    }
+
+    pub fn is_over(&self) -> bool {
+        self.over.load(Ordering::SeqCst)
+    }
+
+    pub fn in_flight(&self) -> usize {
+        self.in_flight.load(Ordering::SeqCst)
+    }
+
+    /// Counts a request as in flight until the guard is dropped.
+    pub fn enter(self: &Arc<Self>) -> InFlight {
+        self.in_flight.fetch_add(1, Ordering::SeqCst);
+        InFlight(Arc::clone(self))
+    }
+}
+
+/// Guard of a request in flight.
+pub(crate) struct InFlight(Arc<Lifecycle>);
+
+impl Drop for InFlight {
+    fn drop(&mut self) {
+        self.0.in_flight.fetch_sub(1, Ordering::SeqCst);
+    }
+}
+
+/// What worker threads share.
+pub(crate) struct Context {
+    pub settings: Settings,
+    pub incarnation: u64,
+    pub core: CoreHandle,
+    pub table: TableView,
+    pub table_store: TableStore,
+    pub store: StoreClient,
+    pub runners: RunnerClient,
+    pub services: ServiceClient,
+    pub upstreams: WorkerPool,
+    pub spans: SpanLog,
+    pub decisions: DecisionLog,
+    pub metrics: MetricsPage,
+    pub lifecycle: Arc<Lifecycle>,
+    next_id: AtomicU64,
+    claim_lease: Mutex<Option<(LeaseId, Instant)>>,
+}
+
+impl Context {
+    pub fn new(
+        settings: Settings,
+        incarnation: u64,
+        core: CoreHandle,
+        table: TableView,
+        metrics: MetricsPage,
+        lifecycle: Arc<Lifecycle>,
+        spans: SpanLog,
+    ) -> Self {
+        let store = StoreClient::new(settings.store_address);
+        let upstreams = WorkerPool::new("upstream", settings.limits.workers * 2);
+        Self {
+            incarnation,
+            core,
+            table,
+            table_store: TableStore::new(store.clone()),
+            store,
+            runners: RunnerClient::default(),
+            services: ServiceClient::default(),
+            upstreams,
+            spans,
+            decisions: DecisionLog::default(),
+            metrics,
+            lifecycle,
+            next_id: AtomicU64::new(1),
+            claim_lease: Mutex::new(None),
+            settings,
+        }
+    }
+
+    /// Returns an id that this host has not used in this incarnation.
+    pub fn next_id(&self) -> u64 {
+        self.next_id.fetch_add(1, Ordering::Relaxed)
+    }
+
+    /// Returns a span id that hardly any other host uses.
+    pub fn next_span_id(&self) -> u64 {
+        let host = hickoryhall_types::hash_name(&self.settings.host);
+        hickoryhall_types::rendezvous_score(host ^ self.incarnation, self.next_id())
+    }
+
+    /// Returns the record of a decision taken now.
+    pub fn record(
+        &self,
+        request_id: &str,
+        arrived: Instant,
+        decision: &str,
+        reason: &str,
+        server: &str,
+    ) -> DecisionRecord {
+        DecisionRecord {
+            request_id: request_id.to_owned(),
+            host: self.settings.host.clone(),
+            after_us: u64::try_from(arrived.elapsed().as_micros()).unwrap_or(u64::MAX),
+            decision: decision.to_owned(),
+            reason: reason.to_owned(),
+            server: server.to_owned(),
+            candidates: Vec::new(),
+        }
+    }
+
+    /// Returns the lease that keeps the claims made now; `None` where the store gives none.
+    ///
+    /// Claims of one hour share a lease, which is never renewed, so they all lapse by themselves.
+    pub fn claim_lease(&self) -> Option<LeaseId> {
+        let mut lease = self
+            .claim_lease
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner);
+        let fresh = lease.filter(|(_, at)| at.elapsed() < CLAIM_LEASE_SHARED);
+        if let Some((id, _)) = fresh {
+            return Some(id);
+        }
+        let asked_at = Instant::now();
+        let id = self.store.grant(CLAIM_TTL + CLAIM_LEASE_SHARED).ok()?;
+        *lease = Some((id, asked_at));
+        Some(id)
+    }
+
+    /// Tells whether the host takes new requests.
+    pub fn is_ready(&self) -> bool {
+        !self.lifecycle.is_stopping() && self.table.revision() > 0
+    }
+}
--- /dev/null
+++ b/crates/hickoryhall-entry/src/dispatch/admission.rs
@@ -0,0 +1,137 @@
+//! Limits of a request's row, checked before it is placed.
+
+use std::collections::HashMap;
+use std::time::{Duration, Instant};
+
+use hickoryhall_limits::{Concurrency, FleetShape, HostLimit, LimitKey, Take, UnitGrant};
+use hickoryhall_table::Grant;
+use hickoryhall_types::{Refusal, RefusalCode, Step, TokenCount, hash_name};
+use hickoryhall_wire::GrantAsk;
+
+/// Wait before a caller should ask for a place again.
+const PLACE_RETRY: Duration = Duration::from_secs(1);
+/// Limits asked for grants in one round at most.
+const ASKS_PER_ROUND: usize = 16;
+
+/// A request that asks to be admitted.
+#[derive(Clone, Debug, PartialEq)]
+pub struct AdmitAsk {
+    /// Workspace.
+    pub workspace: String,
+    /// Target in the table.
+    pub target: String,
+    /// What the table says.
+    pub grant: Grant,
+    /// Tokens of prompt and answer at most.
+    pub tokens: TokenCount,
+}
+
+/// Place of an admitted request, to be given back.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Permit {
+    concurrency: LimitKey,
+}
+
+/// Limits of all rows at this host.
+#[derive(Clone, Debug)]
+pub struct Admission {
+    shape: FleetShape,
+    concurrency: Concurrency,
+    limits: HashMap<LimitKey, (u32, HostLimit)>,
+}
+
+impl Admission {
+    /// Creates an admission without requests.
+    #[must_use]
+    pub fn new(shape: FleetShape) -> Self {
+        Self {
+            shape,
+            concurrency: Concurrency::default(),
+            limits: HashMap::new(),
+        }
+    }
+
+    /// Admits a request.
+    ///
+    /// # Errors
+    ///
+    /// Returns a refusal that names the limit and when to come back.
+    pub fn admit(&mut self, now: Instant, ask: &AdmitAsk) -> Result<Permit, Refusal> {
+        let key = |column: &str| limit_key(&ask.workspace, &ask.target, column);
+        let requests = (key("requests_per_s"), ask.grant.requests_per_s, 1);
+        let tokens = (key("tokens_per_s"), ask.grant.tokens_per_s, ask.tokens);
+        let concurrency = key("concurrent");
+        if !self
+            .concurrency
+            .take(concurrency, ask.grant.concurrent, self.shape)
+        {
+            return Err(refusal(ask, "concurrent", PLACE_RETRY));
+        }
+        for (column, (key, limit, units)) in
+            [("requests_per_s", requests), ("tokens_per_s", tokens)]
+        {
+            let Some(limit) = limit else { continue };
+            if let Take::Refused { retry_after } = self.limit(now, key, limit).take(now, units) {
+                self.concurrency.release(concurrency);
+                return Err(refusal(ask, column, retry_after));
+            }
+        }
+        Ok(Permit { concurrency })
+    }
+
+    /// Gives a place back.
+    pub fn release(&mut self, permit: Permit) {
+        self.concurrency.release(permit.concurrency);
+    }
+
+    /// Returns the questions for the domain's buckets that are due.
+    pub fn grants_wanted(&mut self, now: Instant) -> Vec<GrantAsk> {
+        let wanted = self
+            .limits
+            .iter_mut()
+            .filter_map(|(&bucket, (limit, state))| {
+                let units = state.wanted(now);
+                (units > 0).then_some(GrantAsk {
+                    bucket,
+                    units,
+                    limit: *limit,
+                })
+            });
+        wanted.take(ASKS_PER_ROUND).collect()
+    }
+
+    /// Takes a grant in.
+    pub fn granted(&mut self, now: Instant, bucket: LimitKey, grant: UnitGrant) {
+        if let Some((_, limit)) = self.limits.get_mut(&bucket) {
+            limit.add(now, grant);
+        }
+    }
+
+    fn limit(&mut self, now: Instant, key: LimitKey, limit: u32) -> &mut HostLimit {
+        let shape = self.shape;
+        let entry = self
+            .limits
+            .entry(key)
+            .or_insert_with(|| (limit, HostLimit::new(now, limit, shape)));
+        if entry.0 != limit {
+            *entry = (limit, entry.1);
+            entry.1.resize(now, limit, shape);
+        }
+        &mut entry.1
+    }
+}
+
+/// Returns the key of a limit, the same on every host.
+#[must_use]
+pub fn limit_key(workspace: &str, target: &str, column: &str) -> LimitKey {
+    hash_name(&format!("{workspace}\n{target}\n{column}"))
+}
+
+fn refusal(ask: &AdmitAsk, column: &str, retry_after: Duration) -> Refusal {
+    let AdmitAsk {
+        workspace, target, ..
+    } = ask;
+    let message = format!("{column} of {workspace} for {target} is reached");
+    Refusal::new(RefusalCode::LimitReached, Step::Admission, message)
+        .retry_after(retry_after.clamp(Duration::from_millis(100), Duration::from_secs(60)))
+}
--- /dev/null
+++ b/crates/hickoryhall-entry/src/dispatch/mod.rs
@@ -0,0 +1,19 @@
+//! Where each request goes, decided without I/O.
+//!
+//! [`Dispatch`] takes requests, quotes, load reports and endings in and returns [`Effect`]s: an
+//! answer for the request's thread, or a message for another host. The router actor gives it time
+//! and carries the effects out.
+
+mod admission;
+mod placing;
+mod servers;
+mod services;
+mod trackers;
+
+pub use admission::{Admission, AdmitAsk, Permit, limit_key};
+pub use placing::{
+    Dispatch, DispatchConfig, Effect, PlaceAsk, Placed, PlacedServer, Ticket, TicketEnd,
+};
+pub use servers::{Server, ServerKind};
+pub use services::ServicePool;
+pub use trackers::{TrackedQuote, Trackers};
--- /dev/null
+++ b/crates/hickoryhall-entry/src/dispatch/placing.rs
@@ -0,0 +1,776 @@
+//! Choice of a runner for each request: quotes, the wait at this host, and what became of it.
+
+use std::collections::{BTreeMap, HashMap, HashSet};
+use std::net::SocketAddr;
+use std::time::{Duration, Instant};
+
+use hickoryhall_clients::LoadAnswer;
+use hickoryhall_control::choose_version;
+use hickoryhall_limits::{FairQueue, Queued, Shed};
+use hickoryhall_routing::{
+    Candidate, Choice, CostModel, LoadReport, Placement, PlacementConfig, PrefixChain, Quote,
+    RunnerInfo, RunnerKey,
+};
+use hickoryhall_types::{
+    AttemptId, Incarnation, Refusal, RefusalCode, RequestId, RunnerId, Step, TargetId, TokenCount,
+    WeightsVersion, WorkspaceId, hash_name,
+};
+use hickoryhall_wire::{Body, HostHash, QuoteAnswer, QuoteAsk};
+
+use super::trackers::{from_wire, to_wire};
+use super::{Server, ServerKind, Trackers};
+
+/// Id of one placement at this host; also the id of the attempt that follows.
+pub type Ticket = AttemptId;
+
+/// Time to wait for quotes of other hosts.
+const QUOTE_WAIT: Duration = Duration::from_millis(10);
+/// Wait at a runner above which a request stays at this host, where its turn is fair and its
+/// runner is chosen late.
+const HOLD_WAIT: Duration = Duration::from_millis(400);
+/// Time between two tries to place the requests that are held.
+const HOLD_RETRY: Duration = Duration::from_millis(20);
+/// Requests held at most.
+const HELD_LIMIT: usize = 512;
+/// Shortest and longest advice on when to come back.
+const RETRY_AFTER: std::ops::RangeInclusive<Duration> =
+    Duration::from_millis(500)..=Duration::from_secs(30);
+
+/// Settings of dispatch.
+#[derive(Clone, Debug)]
+pub struct DispatchConfig {
+    /// Hash of this host's name.
+    pub me: HostHash,
+    /// Settings of placement.
+    pub placement: PlacementConfig,
+}
+
+/// A request that asks for a runner.
+#[derive(Clone, Debug, PartialEq)]
+pub struct PlaceAsk {
+    /// Id of the placement.
+    pub ticket: Ticket,
+    /// Id of the request.
+    pub request_id: RequestId,
+    /// Workspace.
+    pub workspace: WorkspaceId,
+    /// Weight of the workspace.
+    pub weight: u32,
+    /// Levels of the prompt.
+    pub chain: PrefixChain,
+    /// Model.
+    pub model: TargetId,
+    /// Weights version.
+    pub weights: WeightsVersion,
+    /// Weights of the cost.
+    pub cost: CostModel,
+    /// Moment after which no answer is of use.
+    pub deadline: Instant,
+    /// Runners that failed this request already.
+    pub exclude: Vec<RunnerId>,
+    /// Whether no other suspect may run beside it.
+    pub isolate: bool,
+}
+
+/// The runner of a placement.
+#[derive(Clone, Debug, PartialEq)]
+pub struct PlacedServer {
+    /// Name.
+    pub id: RunnerId,
+    /// Address.
+    pub address: SocketAddr,
+    /// Incarnation that the choice relies on.
+    pub incarnation: Incarnation,
+}
+
+/// A placed request.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Placed {
+    /// Its runner.
+    pub server: PlacedServer,
+    /// Why, and at which cost.
+    pub choice: Choice,
+    /// Names of the runners considered, in the order of the choice.
+    pub considered: Vec<RunnerId>,
+    /// Time that the request was held at this host.
+    pub held: Duration,
+}
+
+/// What dispatch wants done.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Effect {
+    /// Give a request its runner.
+    Placed {
+        /// Id of the placement.
+        ticket: Ticket,
+        /// The runner.
+        placed: Box<Placed>,
+    },
+    /// Refuse a request.
+    Refused {
+        /// Id of the placement.
+        ticket: Ticket,
+        /// Why.
+        refusal: Box<Refusal>,
+    },
+    /// Send a message to a host.
+    Send {
+        /// The host.
+        to: HostHash,
+        /// The message.
+        body: Body,
+        /// Whether it may be left out where the budget for control is spent.
+        is_optional: bool,
+    },
+}
+
+/// How an attempt ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum TicketEnd {
+    /// The answer is whole.
+    Finished,
+    /// The caller hung up, or the runner refused the attempt.
+    Released,
+    /// The runner failed.
+    Failed,
+}
+
+struct Pending {
+    ask: PlaceAsk,
+    arrived: Instant,
+    candidates: Vec<Candidate>,
+    quoted: HashSet<RunnerKey>,
+    waiting_for: HashSet<HostHash>,
+    until: Instant,
+    is_held: bool,
+    retry_at: Instant,
+}
+
+struct Active {
+    key: RunnerKey,
+    runner: u64,
+    tracker: Option<HostHash>,
+    is_suspect: bool,
+    has_token: bool,
+}
+
+/// Decides where requests go.
+pub struct Dispatch {
+    config: DispatchConfig,
+    placement: Placement,
+    trackers: Trackers,
+    tracker_of: HashMap<u64, HostHash>,
+    servers: HashMap<RunnerId, Server>,
+    pending: HashMap<Ticket, Pending>,
+    held: FairQueue<Ticket>,
+    active: HashMap<Ticket, Active>,
+}
+
+impl Dispatch {
+    /// Creates a dispatch that knows no runner.
+    #[must_use]
+    pub fn new(config: DispatchConfig) -> Self {
+        Self {
+            placement: Placement::new(config.placement.clone()),
+            trackers: Trackers::new(config.placement.half_life),
+            config,
+            tracker_of: HashMap::new(),
+            servers: HashMap::new(),
+            pending: HashMap::new(),
+            held: FairQueue::new(HELD_LIMIT),
+            active: HashMap::new(),
+        }
+    }
+
+    /// Takes the platform's list in; a runner takes work after its first load report.
+    pub fn set_servers(&mut self, servers: &[Server]) {
+        let runners = servers
+            .iter()
+            .filter(|server| server.kind == ServerKind::Runner);
+        let listed = runners
+            .map(|server| (server.id.clone(), server.clone()))
+            .collect();
+        let before = std::mem::replace(&mut self.servers, listed);
+        for id in before.keys().filter(|id| !self.servers.contains_key(*id)) {
+            self.placement.remove(id);
+        }
+        for server in self.servers.values().filter(|server| server.leaving) {
+            if let Some(key) = self.placement.runners().key(&server.id) {
+                self.placement.mark_leaving(key);
+            }
+        }
+    }
+
+    /// Sets which host tracks each runner, by the hash of its name.
+    pub fn set_trackers(&mut self, tracker_of: HashMap<u64, HostHash>) {
+        let me = self.config.me;
+        self.trackers
+            .retain(|runner| tracker_of.get(&runner) == Some(&me));
+        self.tracker_of = tracker_of;
+    }
+
+    /// Takes a load report in; returns whether it is news that the runner is leaving.
+    pub fn observe_load(&mut self, now: Instant, id: &str, load: &LoadAnswer) -> bool {
+        let Some(server) = self.servers.get(id) else {
+            return false;
+        };
+        let report = LoadReport {
+            incarnation: load.incarnation,
+            weights: load.weights_version,
+            waiting_tokens: load.waiting_tokens,
+            prefill_tokens_per_s: load.prefill_tokens_per_s,
+            cache_tokens: load.cache_tokens,
+            leaving: load.leaving || server.leaving,
+        };
+        let known = self.placement.runners().key(id);
+        let known = known.and_then(|key| self.placement.runners().get(key));
+        let was_leaving = known.is_some_and(|info| info.leaving);
+        let info = RunnerInfo::new(
+            server.id.clone(),
+            server.domain.clone(),
+            server.target.clone(),
+            report,
+        );
+        let runner = info.name_hash;
+        self.placement.upsert(now, info);
+        if self.tracker_of.get(&runner) == Some(&self.config.me) {
+            self.trackers.observe(now, runner, &report);
+        }
+        report.leaving && !was_leaving
+    }
+
+    /// Records that a runner did not answer a question for its load.
+    pub fn observe_unreachable(&mut self, now: Instant, id: &str) {
+        if let Some(key) = self.placement.runners().key(id) {
+            self.placement.failed(now, key, 0);
+        }
+    }
+
+    /// Records that a runner answers again after it was ejected.
+    pub fn observe_reachable(&mut self, id: &str) {
+        if let Some(key) = self.placement.runners().key(id) {
+            self.placement.answered(key);
+        }
+    }
+
+    /// Records that another source says that a runner is leaving.
+    pub fn mark_leaving(&mut self, runner: u64, incarnation: Incarnation) {
+        let runners = self.placement.runners();
+        let is_meant =
+            |info: &RunnerInfo| info.name_hash == runner && info.report.incarnation <= incarnation;
+        let key = runners
+            .iter()
+            .find(|(_, info)| is_meant(info))
+            .map(|(key, _)| key);
+        if let Some(key) = key {
+            self.placement.mark_leaving(key);
+        }
+    }
+
+    /// Chooses the weights version for a new request.
+    #[must_use]
+    pub fn version_for(
+        &self,
+        model: &str,
+        wanted: WeightsVersion,
+        request_hash: u64,
+    ) -> WeightsVersion {
+        let mut serving = BTreeMap::<WeightsVersion, usize>::new();
+        let runners = self.placement.runners().iter().map(|(_, info)| info);
+        for info in runners.filter(|info| info.takes(model, info.report.weights)) {
+            if info.report.weights != 0 {
+                *serving.entry(info.report.weights).or_default() += 1;
+            }
+        }
+        choose_version(&serving, wanted, request_hash)
+    }
+
+    /// Takes a request in.
+    pub fn place(&mut self, now: Instant, ask: PlaceAsk) -> Vec<Effect> {
+        let mut effects = Vec::new();
+        let pending = Pending {
+            ask,
+            arrived: now,
+            candidates: Vec::new(),
+            quoted: HashSet::new(),
+            waiting_for: HashSet::new(),
+            until: now,
+            is_held: false,
+            retry_at: now,
+        };
+        let ticket = pending.ask.ticket;
+        self.pending.insert(ticket, pending);
+        self.ask_for_quotes(now, ticket, &mut effects);
+        effects
+    }
+
+    /// Takes quotes of another host in.
+    pub fn on_quotes(&mut self, now: Instant, from: HostHash, answer: &QuoteAnswer) -> Vec<Effect> {
+        let mut effects = Vec::new();
+        let Some(pending) = self.pending.get_mut(&answer.id) else {
+            return effects;
+        };
+        if !pending.waiting_for.remove(&from) {
+            return effects;
+        }
+        for candidate in &mut pending.candidates {
+            let info = self.placement.runners().get(candidate.key);
+            let quote = info.and_then(|info| {
+                answer
+                    .quotes
+                    .iter()
+                    .find(|quote| quote.runner == info.name_hash)
+            });
+            let Some(quote) = quote else { continue };
+            let tracked = Quote {
+                wait: Duration::from_millis(quote.wait_ms.into()),
+                cached_tokens: quote.cached_tokens,
+                eviction_tokens: f64::from(quote.eviction_tokens),
+                prefill_tokens_per_s: candidate.quote.prefill_tokens_per_s,
+                incarnation: quote.incarnation,
+            };
+            candidate.quote = merge_quote(candidate.quote, tracked, quote.is_warm);
+            pending.quoted.insert(candidate.key);
+        }
+        if pending.waiting_for.is_empty() {
+            self.decide(now, answer.id, &mut effects);
+        }
+        effects
+    }
+
+    /// Answers another host's question for quotes.
+    #[must_use]
+    pub fn quote(&self, now: Instant, ask: &QuoteAsk) -> QuoteAnswer {
+        let chain = from_wire(&ask.levels);
+        let quotes = ask.runners.iter();
+        let quotes = quotes.filter_map(|&runner| self.trackers.wire_quote(now, runner, &chain));
+        QuoteAnswer {
+            id: ask.id,
+            quotes: quotes.collect(),
+        }
+    }
+
+    /// Takes another host's news of a runner that this one tracks.
+    pub fn on_tracked(&mut self, now: Instant, from: HostHash, body: &Body) {
+        match body {
+            Body::Reserve { runner, id, levels } => {
+                self.trackers
+                    .reserve(now, from, *runner, *id, &from_wire(levels));
+            }
+            Body::Release {
+                runner,
+                id,
+                cached_tokens,
+            } => {
+                self.trackers
+                    .release(now, from, *runner, *id, *cached_tokens);
+            }
+            _ => {}
+        }
+    }
+
+    /// Lets time pass: quotes that did not come, held requests, deadlines.
+    pub fn tick(&mut self, now: Instant) -> Vec<Effect> {
+        let mut effects = Vec::new();
+        self.placement.expire(now);
+        self.trackers.expire(now);
+        for shed in self.held.expire(now) {
+            self.refuse_shed(shed, &mut effects);
+        }
+        let late = self
+            .pending
+            .iter()
+            .filter(|(_, pending)| !pending.waiting_for.is_empty() && pending.until <= now);
+        for ticket in late.map(|(&ticket, _)| ticket).collect::<Vec<_>>() {
+            self.decide(now, ticket, &mut effects);
+        }
+        self.drop_abandoned();
+        let fronts = self
+            .held
+            .fronts()
+            .into_iter()
+            .map(|queued| queued.item)
+            .collect::<Vec<_>>();
+        for ticket in fronts {
+            let is_due = self
+                .pending
+                .get(&ticket)
+                .is_some_and(|pending| pending.waiting_for.is_empty() && pending.retry_at <= now);
+            if is_due {
+                self.ask_for_quotes(now, ticket, &mut effects);
+            }
+        }
+        effects
+    }
+
+    /// Tells whether requests wait, so that [`Dispatch::tick`] is needed soon.
+    #[must_use]
+    pub fn is_waiting(&self) -> bool {
+        !self.pending.is_empty()
+    }
+
+    /// Records the first token of an attempt.
+    pub fn first_token(
+        &mut self,
+        now: Instant,
+        ticket: Ticket,
+        cached_tokens: TokenCount,
+    ) -> Vec<Effect> {
+        let Some(active) = self.active.get_mut(&ticket) else {
+            return Vec::new();
+        };
+        active.has_token = true;
+        self.placement
+            .first_token(now, active.key, ticket, cached_tokens);
+        let (runner, tracker) = (active.runner, active.tracker);
+        self.release_at_tracker(now, ticket, runner, tracker, Some(cached_tokens))
+    }
+
+    /// Records the end of an attempt, or that a request no longer waits for a runner.
+    pub fn ended(&mut self, now: Instant, ticket: Ticket, end: TicketEnd) -> Vec<Effect> {
+        self.pending.remove(&ticket);
+        let Some(active) = self.active.remove(&ticket) else {
+            return Vec::new();
+        };
+        match end {
+            TicketEnd::Finished | TicketEnd::Released => {
+                self.placement.released(now, active.key, ticket);
+            }
+            TicketEnd::Failed => self.placement.failed(now, active.key, ticket),
+        }
+        if active.has_token {
+            return Vec::new();
+        }
+        self.release_at_tracker(now, ticket, active.runner, active.tracker, None)
+    }
+
+    /// Returns the number of requests held at this host.
+    #[must_use]
+    pub fn held(&self) -> usize {
+        self.held.len()
+    }
+
+    /// Returns the runners as placement sees them.
+    #[must_use]
+    pub fn placement(&self) -> &Placement {
+        &self.placement
+    }
+
+    fn release_at_tracker(
+        &mut self,
+        now: Instant,
+        ticket: Ticket,
+        runner: u64,
+        tracker: Option<HostHash>,
+        cached_tokens: Option<TokenCount>,
+    ) -> Vec<Effect> {
+        match tracker {
+            Some(host) if host == self.config.me => {
+                self.trackers
+                    .release(now, host, runner, ticket, cached_tokens);
+                Vec::new()
+            }
+            Some(to) => {
+                let body = Body::Release {
+                    runner,
+                    id: ticket,
+                    cached_tokens,
+                };
+                vec![Effect::Send {
+                    to,
+                    body,
+                    is_optional: false,
+                }]
+            }
+            None => Vec::new(),
+        }
+    }
+
+    /// Finds candidates and asks their trackers; decides at once where none is elsewhere.
+    fn ask_for_quotes(&mut self, now: Instant, ticket: Ticket, effects: &mut Vec<Effect>) {
+        let Some(pending) = self.pending.get_mut(&ticket) else {
+            return;
+        };
+        let PlaceAsk {
+            chain,
+            model,
+            weights,
+            ..
+        } = &pending.ask;
+        let mut candidates = self.placement.candidates(now, chain, model, *weights);
+        let runners = self.placement.runners();
+        let is_excluded = |candidate: &Candidate| {
+            let info = runners.get(candidate.key);
+            info.is_none_or(|info| pending.ask.exclude.contains(&info.id))
+        };
+        if !candidates.iter().all(is_excluded) {
+            candidates.retain(|candidate| !is_excluded(candidate));
+        }
+        if pending.ask.isolate {
+            let has_suspect = |candidate: &Candidate| {
+                self.active
+                    .values()
+                    .any(|a| a.is_suspect && a.key == candidate.key)
+            };
+            candidates.retain(|candidate| !has_suspect(candidate));
+        }
+        pending.quoted.clear();
+        pending.waiting_for.clear();
+        let mut asks = BTreeMap::<HostHash, Vec<u64>>::new();
+        for candidate in &mut candidates {
+            let Some(info) = runners.get(candidate.key) else {
+                continue;
+            };
+            let runner = info.name_hash;
+            match self.tracker_of.get(&runner) {
+                Some(&host) if host == self.config.me => {
+                    if let Some(tracked) = self.trackers.quote(now, runner, chain) {
+                        candidate.quote =
+                            merge_quote(candidate.quote, tracked.quote, tracked.is_warm);
+                        pending.quoted.insert(candidate.key);
+                    }
+                }
+                Some(&host) => asks.entry(host).or_default().push(runner),
+                None => {}
+            }
+        }
+        pending.candidates = candidates;
+        pending.until = now + QUOTE_WAIT;
+        let levels = to_wire(chain);
+        for (to, runners) in asks {
+            pending.waiting_for.insert(to);
+            let ask = QuoteAsk {
+                id: ticket,
+                runners,
+                levels: levels.clone(),
+            };
+            effects.push(Effect::Send {
+                to,
+                body: Body::QuoteAsk(ask),
+                is_optional: true,
+            });
+        }
+        if pending.waiting_for.is_empty() {
+            self.decide(now, ticket, effects);
+        }
+    }
+
+    fn decide(&mut self, now: Instant, ticket: Ticket, effects: &mut Vec<Effect>) {
+        let Some(pending) = self.pending.get_mut(&ticket) else {
+            return;
+        };
+        pending.waiting_for.clear();
+        let own = self.placement.config().own_candidates;
+        let quoted = &pending.quoted;
+        let considered = pending
+            .candidates
+            .iter()
+            .enumerate()
+            .filter(|(place, candidate)| *place < own || quoted.contains(&candidate.key))
+            .map(|(_, &candidate)| candidate)
+            .collect::<Vec<_>>();
+        let choice = self
+            .placement
+            .choose(&pending.ask.chain, &pending.ask.cost, &considered);
+        let Some(choice) = choice else {
+            return self.no_runner(now, ticket, effects);
+        };
+        let wait = considered
+            .iter()
+            .find(|candidate| candidate.key == choice.key)
+            .map_or(Duration::ZERO, |candidate| candidate.quote.wait);
+        if wait > HOLD_WAIT {
+            self.hold(now, ticket, wait, effects);
+        } else {
+            self.send(now, ticket, choice, effects);
+        }
+    }
+
+    fn no_runner(&mut self, now: Instant, ticket: Ticket, effects: &mut Vec<Effect>) {
+        let Some(pending) = self.pending.get_mut(&ticket) else {
+            return;
+        };
+        if pending.ask.isolate && now + HOLD_RETRY < pending.ask.deadline {
+            // Other suspects run everywhere; one of them ends soon.
+            pending.retry_at = now + HOLD_RETRY;
+            pending.is_held = true;
+            self.queue(ticket, effects);
+            return;
+        }
+        let message = format!("no runner of {} can be reached", pending.ask.model);
+        let refusal = Refusal::new(RefusalCode::NoBackend, Step::Placement, message);
+        self.refuse(ticket, refusal.retry_after(Duration::from_secs(1)), effects);
+    }
+
+    /// Keeps a request at this host, or refuses it at once where it cannot be in time.
+    fn hold(&mut self, now: Instant, ticket: Ticket, wait: Duration, effects: &mut Vec<Effect>) {
+        let Some(pending) = self.pending.get_mut(&ticket) else {
+            return;
+        };
+        let was_held = std::mem::replace(&mut pending.is_held, true);
+        pending.retry_at = now + HOLD_RETRY;
+        if was_held {
+            return;
+        }
+        let ask = &pending.ask;
+        let runners = self.placement.runners().len().max(1) as f64;
+        let ahead_ms = self.held.cost_ahead(&ask.workspace, ask.weight) / runners;
+        let expected = wait + Duration::from_secs_f64(ahead_ms / 1_000.0);
+        if now + expected >= ask.deadline {
+            let message = format!(
+                "the wait of {} ms ends after the deadline",
+                expected.as_millis()
+            );
+            let refusal = Refusal::new(RefusalCode::Overloaded, Step::Placement, message);
+            let retry_after = expected.clamp(*RETRY_AFTER.start(), *RETRY_AFTER.end());
+            return self.refuse(ticket, refusal.retry_after(retry_after), effects);
+        }
+        self.queue(ticket, effects);
+    }
+
+    fn queue(&mut self, ticket: Ticket, effects: &mut Vec<Effect>) {
+        let Some(pending) = self.pending.get(&ticket) else {
+            return;
+        };
+        let ms_per_token = pending
+            .candidates
+            .first()
+            .map_or(0.1, |c| 1_000.0 / f64::from(c.quote.prefill_tokens_per_s));
+        let queued = Queued {
+            workspace: pending.ask.workspace.clone(),
+            weight: pending.ask.weight,
+            cost: f64::from(pending.ask.chain.tokens()) * ms_per_token,
+            deadline: pending.ask.deadline,
+            item: ticket,
+        };
+        if let Some(shed) = self.held.push(queued) {
+            self.refuse_shed(shed, effects);
+        }
+    }
+
+    fn refuse_shed(&mut self, shed: Shed<Ticket>, effects: &mut Vec<Effect>) {
+        let (ticket, message) = match shed {
+            Shed::Expired(ticket) => (ticket, "the deadline passed before a runner was free"),
+            Shed::OverShare(ticket) => {
+                (ticket, "the fleet is full and the workspace over its share")
+            }
+        };
+        // A request that its caller gave up on is not pending any more.
+        if self.pending.contains_key(&ticket) {
+            let refusal = Refusal::new(RefusalCode::Overloaded, Step::Placement, message);
+            self.refuse(ticket, refusal.retry_after(*RETRY_AFTER.start()), effects);
+        }
+    }
+
+    fn refuse(&mut self, ticket: Ticket, refusal: Refusal, effects: &mut Vec<Effect>) {
+        if let Some(pending) = self.pending.remove(&ticket)
+            && pending.is_held
+        {
+            self.unqueue(&pending.ask.workspace, ticket);
+        }
+        effects.push(Effect::Refused {
+            ticket,
+            refusal: Box::new(refusal),
+        });
+    }
+
+    /// Takes requests out of the queue that their callers gave up on.
+    fn drop_abandoned(&mut self) {
+        loop {
+            let fronts = self.held.fronts();
+            let gone = fronts
+                .iter()
+                .find(|queued| !self.pending.contains_key(&queued.item));
+            let Some(workspace) = gone.map(|queued| queued.workspace.clone()) else {
+                return;
+            };
+            self.held.take_front(&workspace);
+        }
+    }
+
+    fn unqueue(&mut self, workspace: &WorkspaceId, ticket: Ticket) {
+        let is_front = self
+            .held
+            .fronts()
+            .iter()
+            .any(|queued| queued.item == ticket);
+        if is_front {
+            self.held.take_front(workspace);
+        }
+    }
+
+    fn send(&mut self, now: Instant, ticket: Ticket, choice: Choice, effects: &mut Vec<Effect>) {
+        let Some(pending) = self.pending.remove(&ticket) else {
+            return;
+        };
+        if pending.is_held {
+            self.unqueue(&pending.ask.workspace, ticket);
+        }
+        let chain = pending.ask.chain;
+        self.placement.sent(now, choice.key, ticket, &chain);
+        let runners = self.placement.runners();
+        let name = |key: RunnerKey| runners.get(key).map(|info| info.id.clone());
+        let server = name(choice.key).and_then(|id| self.servers.get(&id));
+        let Some(server) = server else { return };
+        let considered = choice
+            .considered
+            .iter()
+            .filter_map(|(key, _)| name(*key))
+            .collect();
+        let placed = Placed {
+            server: PlacedServer {
+                id: server.id.clone(),
+                address: server.address,
+                incarnation: choice.incarnation,
+            },
+            considered,
+            held: now.saturating_duration_since(pending.arrived),
+            choice,
+        };
+        let runner = hash_name(&placed.server.id);
+        let tracker = self.tracker_of.get(&runner).copied();
+        match tracker {
+            Some(host) if host == self.config.me => {
+                self.trackers.reserve(now, host, runner, ticket, &chain);
+            }
+            Some(to) => {
+                let body = Body::Reserve {
+                    runner,
+                    id: ticket,
+                    levels: to_wire(&chain),
+                };
+                effects.push(Effect::Send {
+                    to,
+                    body,
+                    is_optional: false,
+                });
+            }
+            None => {}
+        }
+        let active = Active {
+            key: placed.choice.key,
+            runner,
+            tracker,
+            is_suspect: pending.ask.isolate,
+            has_token: false,
+        };
+        self.active.insert(ticket, active);
+        effects.push(Effect::Placed {
+            ticket,
+            placed: Box::new(placed),
+        });
+    }
+}
+
+/// Puts a tracker's quote in place of the own one; a cold tracker does not know yet what is cached.
+fn merge_quote(own: Quote, tracked: Quote, is_warm: bool) -> Quote {
+    let cached_tokens = if is_warm {
+        tracked.cached_tokens
+    } else {
+        tracked.cached_tokens.max(own.cached_tokens)
+    };
+    Quote {
+        cached_tokens,
+        ..tracked
+    }
+}
--- /dev/null
+++ b/crates/hickoryhall-entry/src/duties/orders.rs
@@ -0,0 +1,185 @@
+//! Orders to the runners of this failure domain, while this host has the duty and the lease.
+
+use std::sync::Arc;
+use std::thread;
+use std::time::{Duration, Instant};
+
+use hickoryhall_clients::{
+    HostListClient, LeaseId, ListedKind, Order, OrderBody, PutCondition, StoreClient,
+};
+use hickoryhall_control::{OrderConfig, OrderGiver, PlannedOrder, RunnerStatus, WantedWeights};
+use hickoryhall_types::TargetId;
+use metrics::counter;
+use slog::{Logger, info, warn};
+
+use crate::actors::Duties;
+use crate::context::Context;
+
+/// Time between two rounds.
+const ROUND: Duration = Duration::from_millis(500);
+
+struct Runner {
+    status: RunnerStatus,
+    address: std::net::SocketAddr,
+}
+
+/// Gives orders until the host has stopped.
+pub(crate) fn run_orders(context: &Arc<Context>, duties: &Duties, logger: &Logger) {
+    let config = OrderConfig::default();
+    let list = HostListClient::new(context.settings.host_list_address);
+    let mut keeper = LeaseKeeper::new(context, config);
+    while !context.lifecycle.is_over() {
+        let started = Instant::now();
+        if duties.is_order_giver() && context.is_ready() {
+            keeper.keep(logger);
+            if keeper.giver.lease(Instant::now()).is_some() {
+                give_orders(context, &list, &mut keeper.giver, logger);
+            }
+        } else {
+            keeper.let_go();
+        }
+        thread::sleep(ROUND.saturating_sub(started.elapsed()));
+    }
+    keeper.let_go();
+}
+
+/// Takes and renews the lease of a failure domain's order-giver.
+struct LeaseKeeper {
+    store: StoreClient,
+    key: String,
+    holder: String,
+    config: OrderConfig,
+    giver: OrderGiver,
+    lease: Option<LeaseId>,
+    renewed_at: Instant,
+}
+
+impl LeaseKeeper {
+    fn new(context: &Context, config: OrderConfig) -> Self {
+        Self {
+            store: context.store.clone(),
+            key: format!("lease/orders/{}", context.settings.failure_domain),
+            holder: format!("{}/{}", context.settings.host, context.incarnation),
+            config,
+            giver: OrderGiver::new(config),
+            lease: None,
+            renewed_at: Instant::now(),
+        }
+    }
+
+    fn keep(&mut self, logger: &Logger) {
+        match self.lease {
+            Some(lease) if self.giver.lease(Instant::now()).is_some() => self.renew(lease, logger),
+            _ => self.take(logger),
+        }
+    }
+
+    fn take(&mut self, logger: &Logger) {
+        self.giver.on_lost();
+        self.lease = None;
+        let asked_at = Instant::now();
+        let Ok(lease) = self.store.grant(self.config.lease_ttl) else {
+            return;
+        };
+        let put = self
+            .store
+            .put(&self.key, &self.holder, PutCondition::Absent, Some(lease));
+        let fencing = match put {
+            Ok(revision) => revision,
+            // After a lost answer the key tells whether the write took effect; the holder's name
+            // is of this incarnation, and only this thread writes it.
+            Err(error) if error.is_in_doubt() => match self.store.get(&self.key) {
+                Ok(Some(found)) if found.value == self.holder => found.revision,
+                _ => return,
+            },
+            Err(_) => return,
+        };
+        info!(logger, "Lease taken."; "fencing" => fencing);
+        self.lease = Some(lease);
+        self.renewed_at = asked_at;
+        self.giver.on_taken(asked_at, fencing);
+    }
+
+    fn renew(&mut self, lease: LeaseId, logger: &Logger) {
+        let asked_at = Instant::now();
+        if asked_at < self.renewed_at + self.config.lease_ttl / 3 {
+            return;
+        }
+        match self.store.renew(lease) {
+            Ok(()) => {
+                self.renewed_at = asked_at;
+                self.giver.on_renewed(asked_at);
+            }
+            Err(error) => warn!(logger, "Lease not renewed."; "error" => %error),
+        }
+    }
+
+    /// Lets the lease lapse; the next holder waits until it has.
+    fn let_go(&mut self) {
+        self.lease = None;
+        self.giver.on_lost();
+    }
+}
+
+fn give_orders(
+    context: &Arc<Context>,
+    list: &HostListClient,
+    giver: &mut OrderGiver,
+    logger: &Logger,
+) {
+    let Ok(listed) = list.list() else { return };
+    let own = &context.settings.failure_domain;
+    let runners = listed
+        .iter()
+        .filter(|l| l.kind == ListedKind::Runner && l.failure_domain == *own && !l.leaving)
+        .map(|l| {
+            let load = context.runners.load(l.address).ok();
+            Runner {
+                address: l.address,
+                status: RunnerStatus {
+                    id: l.id.as_str().into(),
+                    model: l.target.as_str().into(),
+                    weights: load.as_ref().map_or(0, |load| load.weights_version),
+                    checks_fencing: !context.settings.unfenced_models.contains(&l.target),
+                    up: load.is_some_and(|load| !load.leaving),
+                },
+            }
+        })
+        .collect::<Vec<_>>();
+    let table = context.table.get();
+    let wanted_of =
+        |model: &TargetId| u64::from(table.table.wanted_weights(&format!("model:{model}")));
+    let models = runners.iter().map(|runner| runner.status.model.clone());
+    let wanted = models
+        .map(|model| (model.clone(), wanted_of(&model)))
+        .collect::<WantedWeights>();
+    let statuses = runners
+        .iter()
+        .map(|runner| runner.status.clone())
+        .collect::<Vec<_>>();
+    for order in giver.plan(Instant::now(), &wanted, &statuses) {
+        let runner = runners
+            .iter()
+            .find(|runner| runner.status.id == order.runner);
+        if let Some(runner) = runner {
+            give(context, runner, &order, logger);
+        }
+    }
+}
+
+fn give(context: &Context, runner: &Runner, order: &PlannedOrder, logger: &Logger) {
+    let body = OrderBody {
+        fencing: order.fencing,
+        order: Order::LoadWeights {
+            weights_version: order.weights,
+        },
+    };
+    let result = context.runners.order(runner.address, &body);
+    counter!("orders_total", "ok" => result.is_ok().to_string()).increment(1);
+    match result {
+        Ok(()) => {
+            info!(logger, "Order given."; "runner" => %order.runner, "weights" => order.weights)
+        }
+        Err(error) => warn!(logger, "Order failed."; "runner" => %order.runner, "error" => %error),
+    }
+}
--- /dev/null
+++ b/crates/hickoryhall-entry/src/duties/watcher.rs
@@ -0,0 +1,77 @@
+//! The table from the store: once at the start, then by watching where this host has the duty.
+
+use std::thread;
+use std::time::Duration;
+
+use rand::{RngExt, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+use slog::{Logger, warn};
+
+use crate::actors::{CoreMsg, Duties};
+use crate::context::Context;
+use crate::table_store::HEAD_KEY;
+
+/// Time that one watch waits.
+const WATCH_WAIT: Duration = Duration::from_secs(10);
+/// Time between two looks at the duty.
+const IDLE_WAIT: Duration = Duration::from_millis(500);
+/// Shortest and longest wait after the store failed.
+const BACKOFF_MS: std::ops::Range<u64> = 200..1_500;
+/// Longest delay of the first read while a peer may bring the table, for herds of starts.
+const START_JITTER_MS: u64 = 300;
+
+/// Keeps the table up to date from the store until the host has stopped.
+pub(crate) fn run_watcher(context: &Context, duties: &Duties, logger: &Logger) {
+    let mut rng = ChaCha8Rng::seed_from_u64(context.incarnation ^ 0x77);
+    thread::sleep(Duration::from_millis(rng.random_range(0..START_JITTER_MS)));
+    let mut seen = 0;
+    let mut has_read = false;
+    let mut is_failing = false;
+    while !context.lifecycle.is_over() {
+        // A host without a table reads the store itself; one that has it leaves that to watchers.
+        let needs_read = !has_read && context.table.revision() == 0;
+        if !needs_read && !duties.is_watcher() {
+            thread::sleep(IDLE_WAIT);
+            continue;
+        }
+        let wait = if has_read { WATCH_WAIT } else { Duration::ZERO };
+        match read(context, seen, wait) {
+            Ok(revision) => {
+                is_failing = false;
+                has_read = true;
+                seen = revision.unwrap_or(seen);
+            }
+            Err(error) => {
+                if !std::mem::replace(&mut is_failing, true) {
+                    warn!(logger, "Store cannot be read. Peers and the table in force remain.";
+                        "error" => error);
+                }
+                thread::sleep(Duration::from_millis(rng.random_range(BACKOFF_MS)));
+            }
+        }
+    }
+}
+
+/// Waits for a change of the head and takes the table in; returns the store's revision of it.
+fn read(context: &Context, seen: u64, wait: Duration) -> Result<Option<u64>, String> {
+    let answer = context
+        .store
+        .watch(HEAD_KEY, seen, wait)
+        .map_err(|error| error.to_string())?;
+    let Some(changed) = answer
+        .changed
+        .into_iter()
+        .find(|changed| changed.key == HEAD_KEY)
+    else {
+        return Ok(None);
+    };
+    let (head, table) = context
+        .table_store
+        .read()
+        .map_err(|error| error.to_string())?;
+    context.core.send(CoreMsg::Table {
+        head,
+        table: Box::new(table),
+    });
+    Ok(Some(changed.revision))
+}
--- /dev/null
+++ b/crates/hickoryhall-entry/src/edge/admin.rs
@@ -0,0 +1,219 @@
+//! Operators' interface: the table and the state of the fleet.
+
+use std::sync::Arc;
+use std::time::{SystemTime, UNIX_EPOCH};
+
+use hickoryhall_http::{Caller, Method, Request, header, read_body, respond_json};
+use hickoryhall_membership::HostInfo;
+use hickoryhall_table::{Clash, Row, Table};
+use hickoryhall_types::{Refusal, RefusalCode, Revision, Step};
+use hickoryhall_wire::Peer;
+use serde::{Deserialize, Serialize};
+use serde_json::{Value, json};
+
+use super::respond_refusal;
+use crate::actors::{ClusterStatus, CoreMsg};
+use crate::context::Context;
+use crate::peers::fetch_table;
+use crate::table_store::{AcceptError, TableChange};
+
+/// Largest sheet that an operator may send.
+const SHEET_LIMIT_BYTES: usize = 32 << 20;
+
+/// Body of `POST /admin/table`.
+#[derive(Deserialize)]
+#[serde(deny_unknown_fields)]
+struct ChangeBody {
+    id: String,
+    author: String,
+    base: Vec<Row>,
+    rows: Vec<Row>,
+}
+
+/// State of one host, as an operator sees it.
+#[derive(Serialize)]
+struct HostState {
+    host: String,
+    failure_domain: String,
+    revision: Option<Revision>,
+    error: Option<String>,
+}
+
+/// Answers an operator's request.
+pub(super) fn handle(
+    context: &Arc<Context>,
+    request: Request,
+    caller: &Caller,
+    method: &Method,
+    path: &str,
+) {
+    if !is_operator(context, &request) {
+        let message = "Authorization is not the operators' key";
+        let refusal = Refusal::new(RefusalCode::UnknownKey, Step::Authenticate, message);
+        return respond_refusal(request, "", &refusal);
+    }
+    match (method, path) {
+        (Method::Get, "/admin/table") => table(context, request),
+        (Method::Post, "/admin/table") => change(context, request, caller),
+        (Method::Get, "/admin/history") => {
+            respond_json(request, 200, &context.table.get().head.history);
+        }
+        (Method::Get, "/admin/status") => status(context, request),
+        _ => respond_json(request, 404, &json!({"error": "no such path"})),
+    }
+}
+
+fn is_operator(context: &Context, request: &Request) -> bool {
+    let key = header(request, "Authorization").and_then(|value| value.strip_prefix("Bearer "));
+    let expected = blake3::Hash::from_hex(&context.settings.operator_key_hash);
+    match (key, expected) {
+        // Comparing hashes takes the same time whatever the key.
+        (Some(key), Ok(expected)) => blake3::hash(key.trim().as_bytes()) == expected,
+        _ => false,
+    }
+}
+
+fn table(context: &Context, request: Request) {
+    let table = context.table.get();
+    let rows = table.table.rows().collect::<Vec<_>>();
+    respond_json(
+        request,
+        200,
+        &json!({"revision": table.head.revision, "rows": rows}),
+    );
+}
+
+fn change(context: &Context, mut request: Request, caller: &Caller) {
+    let change = read_body(&mut request, caller, SHEET_LIMIT_BYTES)
+        .map_err(|error| error.to_string())
+        .and_then(|body| parse_change(&body));
+    let change = match change {
+        Ok(change) => change,
+        Err(message) => {
+            let refusal = Refusal::new(RefusalCode::BadRequest, Step::Table, message);
+            return respond_refusal(request, "", &refusal);
+        }
+    };
+    match context.table_store.accept(&change) {
+        Ok(accepted) => {
+            let head = accepted.head.clone();
+            let body = json!({"revision": accepted.revision, "rows": accepted.table.len()});
+            context.core.send(CoreMsg::Table {
+                head,
+                table: Box::new(accepted.table),
+            });
+            respond_json(request, 200, &body);
+        }
+        Err(AcceptError::Clash(clashes)) => {
+            let clashes = clashes.iter().map(clash_body).collect::<Vec<_>>();
+            let body = json!({"code": "conflict", "ran": "no", "clashes": clashes});
+            respond_json(request, 409, &body);
+        }
+        Err(error) => {
+            let ran = match error {
+                AcceptError::InDoubt(_) => hickoryhall_types::Ran::Unknown,
+                _ => hickoryhall_types::Ran::No,
+            };
+            let message = error.to_string();
+            let refusal = Refusal::new(RefusalCode::StoreUnavailable, Step::Table, message);
+            respond_refusal(request, "", &refusal.ran(ran));
+        }
+    }
+}
+
+fn parse_change(body: &[u8]) -> Result<TableChange, String> {
+    let body = serde_json::from_slice::<ChangeBody>(body).map_err(|error| error.to_string())?;
+    let rows = serde_json::to_string(&body.rows).map_err(|error| error.to_string())?;
+    // The same checks as for a sheet, with line and column.
+    let wanted = Table::from_json(&rows).map_err(|errors| errors.to_string())?;
+    if body.id.is_empty() {
+        return Err("the change has no id".to_owned());
+    }
+    Ok(TableChange {
+        id: body.id,
+        author: body.author,
+        base: body.base.into_iter().collect(),
+        wanted,
+        at_s: SystemTime::now()
+            .duration_since(UNIX_EPOCH)
+            .unwrap_or_default()
+            .as_secs(),
+    })
+}
+
+fn clash_body(clash: &Clash) -> Value {
+    json!({
+        "workspace": clash.key.workspace,
+        "target": clash.key.target,
+        "column": clash.column,
+        "theirs": clash.theirs,
+        "ours": clash.ours,
+    })
+}
+
+fn status(context: &Arc<Context>, request: Request) {
+    let Some(status) = context.core.ask(|reply| CoreMsg::Status { reply }) else {
+        return respond_json(request, 503, &json!({"error": "shutting down"}));
+    };
+    let own = HostState {
+        host: context.settings.host.clone(),
+        failure_domain: context.settings.failure_domain.clone(),
+        revision: Some(status.revision),
+        error: None,
+    };
+    let mut hosts = vec![own];
+    hosts.extend(ask_hosts(context, &status));
+    let body = json!({
+        "revision": status.revision,
+        "older_offers": status.older_offers,
+        "live": status.live.len() + 1,
+        "hosts": hosts,
+    });
+    respond_json(request, 200, &body);
+}
+
+/// Asks every known host for its revision, all at the same time.
+fn ask_hosts(context: &Arc<Context>, status: &ClusterStatus) -> Vec<HostState> {
+    let (sender, receiver) = crossbeam_channel::unbounded();
+    for info in &status.others {
+        let context = Arc::clone(context);
+        let sender = sender.clone();
+        let info = info.clone();
+        let asker = Arc::clone(&context);
+        // A host that no worker is left for is missing from the answer.
+        let _ = context
+            .upstreams
+            .run(move || drop(sender.send(ask_host(&asker, &info))));
+    }
+    drop(sender);
+    let mut hosts = receiver.iter().collect::<Vec<_>>();
+    hosts.sort_by(|a, b| (&a.failure_domain, &a.host).cmp(&(&b.failure_domain, &b.host)));
+    hosts
+}
+
+fn ask_host(context: &Context, info: &HostInfo) -> HostState {
+    let me = Peer {
+        host: context.settings.host_info().hash,
+        incarnation: context.incarnation,
+    };
+    let keyring = hickoryhall_wire::Keyring::new(&context.settings.peer_secrets);
+    let have = context.table.revision();
+    let answer = fetch_table(
+        info.address,
+        info.hash,
+        me,
+        &keyring,
+        context.next_id(),
+        have,
+    );
+    let (revision, error) = match answer {
+        Ok((head, _)) => (Some(head.revision), None),
+        Err(error) => (None, Some(error.to_string())),
+    };
+    HostState {
+        host: info.id.to_string(),
+        failure_domain: info.domain.to_string(),
+        revision,
+        error,
+    }
+}
--- /dev/null
+++ b/crates/hickoryhall-entry/src/edge/intake.rs
@@ -0,0 +1,350 @@
+//! Callers' requests: read, authenticated, checked and admitted.
+
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use hickoryhall_http::{
+    BodyError, Caller, Request, header, header_count, read_body, respond_bytes,
+};
+use hickoryhall_table::Grant;
+use hickoryhall_telemetry::TraceContext;
+use hickoryhall_types::{Refusal, RefusalCode, Step};
+use metrics::counter;
+
+use crate::actors::CoreMsg;
+use crate::attempts::{
+    Answer, AnswerForm, ModelRequest, RequestBody, ServiceRequest, fingerprint, prompt_tokens,
+    run_model, run_service,
+};
+use crate::context::Context;
+use crate::dispatch::{AdmitAsk, Permit};
+use crate::table_view::TableInForce;
+
+/// Longest idempotency key and request id.
+const ID_LIMIT_BYTES: usize = 256;
+/// Longest deadline that a caller may ask for.
+const LONGEST_DEADLINE: Duration = Duration::from_secs(600);
+/// Headers of one request, names and values together.
+const HEADERS_LIMIT_BYTES: usize = 16 << 10;
+/// Headers that may stand once at most.
+const SINGLE_HEADERS: [&str; 6] = [
+    "Authorization",
+    "X-Request-Id",
+    "Idempotency-Key",
+    "X-Deadline-Ms",
+    "X-Not-Repeatable",
+    "Content-Length",
+];
+
+type Checked<T> = Result<T, Box<Refusal>>;
+
+/// What the headers of a request say.
+struct Head {
+    id: String,
+    arrived: Instant,
+    deadline: Instant,
+    trace: TraceContext,
+}
+
+/// Who asks, and what the table allows.
+struct Access {
+    table: Arc<TableInForce>,
+    workspace: String,
+}
+
+/// Serves a request to a model.
+pub(super) fn serve_model(
+    context: &Arc<Context>,
+    mut http: Request,
+    caller: Caller,
+    form: AnswerForm,
+) {
+    let _in_flight = context.lifecycle.enter();
+    let head = read_head(context, &http);
+    let id = head.id.clone();
+    let checked = check_model(context, &mut http, &caller, head, form);
+    let (request, permit) = match checked {
+        Ok(checked) => checked,
+        Err(refusal) => return respond_refusal(http, &id, &refusal),
+    };
+    let span = context
+        .spans
+        .start(request.trace, context.next_span_id(), "request", "");
+    let request = ModelRequest {
+        trace: span.context(),
+        ..request
+    };
+    let answer = Answer::new(http, caller, &request);
+    run_model(context, &Arc::new(request), answer);
+    span.end("ended");
+    context.core.send(CoreMsg::Release(permit));
+}
+
+/// Serves a call of a plain service.
+pub(super) fn serve_service(
+    context: &Arc<Context>,
+    mut http: Request,
+    caller: &Caller,
+    path: &str,
+) {
+    let _in_flight = context.lifecycle.enter();
+    let head = read_head(context, &http);
+    let id = head.id.clone();
+    let checked = check_service(context, &mut http, caller, head, path);
+    let (request, permit) = match checked {
+        Ok(checked) => checked,
+        Err(refusal) => return respond_refusal(http, &id, &refusal),
+    };
+    let span = context
+        .spans
+        .start(request.trace, context.next_span_id(), "request", "");
+    let request = ServiceRequest {
+        trace: span.context(),
+        ..request
+    };
+    let result = run_service(context, &request);
+    span.end("ended");
+    context.core.send(CoreMsg::Release(permit));
+    match result {
+        Ok(answer) => {
+            let headers = [
+                ("Content-Type", answer.content_type.as_str()),
+                ("X-Request-Id", id.as_str()),
+            ];
+            respond_bytes(http, answer.status, &headers, answer.body.to_vec());
+        }
+        Err(refusal) => respond_refusal(http, &id, &refusal),
+    }
+}
+
+/// Answers with a refusal.
+pub(crate) fn respond_refusal(http: Request, request_id: &str, refusal: &Refusal) {
+    counter!("refusals_total", "code" => format!("{:?}", refusal.code)).increment(1);
+    let body = serde_json::to_vec(refusal).expect("a refusal has string keys");
+    let retry_after_s = refusal
+        .retry_after_ms
+        .map(|ms| ms.div_ceil(1_000).to_string());
+    let mut headers = vec![
+        ("Content-Type", "application/json"),
+        ("X-Request-Id", request_id),
+    ];
+    headers.extend(
+        retry_after_s
+            .as_deref()
+            .map(|seconds| ("Retry-After", seconds)),
+    );
+    respond_bytes(http, refusal.code.http_status(), &headers, body);
+}
+
+fn check_model(
+    context: &Context,
+    http: &mut Request,
+    caller: &Caller,
+    head: Head,
+    form: AnswerForm,
+) -> Checked<(ModelRequest, Permit)> {
+    let access = authenticate(context, http)?;
+    let body = read_limited(context, http, caller)?;
+    let body = RequestBody::parse(&body).map_err(|message| bad_request(&message))?;
+    let model = body.model.clone();
+    let stream = body.stream;
+    let target = format!("model:{model}");
+    let grant = access.grant(&target)?;
+    let limits = &context.settings.limits;
+    let (messages, max_tokens) = body
+        .into_prompt(form, limits)
+        .map_err(|message| bad_request(&message))?;
+    let tokens = prompt_tokens(&messages);
+    if tokens > limits.prompt_tokens {
+        let message = format!(
+            "the prompt has {tokens} tokens, {} are allowed",
+            limits.prompt_tokens
+        );
+        return Err(refuse(RefusalCode::TooLarge, Step::Read, &message));
+    }
+    let permit = admit(context, &access, &target, &grant, tokens + max_tokens)?;
+    let request = ModelRequest {
+        fingerprint: fingerprint(&access.workspace, &model, &messages),
+        id: head.id.as_str().into(),
+        workspace: access.workspace.as_str().into(),
+        model: model.as_str().into(),
+        form,
+        messages,
+        max_tokens,
+        stream,
+        grant,
+        arrived: head.arrived,
+        deadline: head.deadline,
+        trace: head.trace,
+    };
+    Ok((request, permit))
+}
+
+fn check_service(
+    context: &Context,
+    http: &mut Request,
+    caller: &Caller,
+    head: Head,
+    path: &str,
+) -> Checked<(ServiceRequest, Permit)> {
+    let access = authenticate(context, http)?;
+    let rest = path.strip_prefix("/svc/").unwrap_or_default();
+    let (service, path) = rest.split_once('/').unwrap_or((rest, ""));
+    let target = format!("service:{service}");
+    let grant = access.grant(&target)?;
+    let idempotency_key = header(http, "Idempotency-Key").map(str::to_owned);
+    let is_bad_key = |key: &String| key.is_empty() || key.len() > ID_LIMIT_BYTES || !key.is_ascii();
+    if idempotency_key.as_ref().is_some_and(is_bad_key) {
+        let message = format!("Idempotency-Key must have 1 to {ID_LIMIT_BYTES} ASCII bytes");
+        return Err(bad_request(&message));
+    }
+    let repeatable = grant.repeatable && !is_marked_not_repeatable(http)?;
+    if !repeatable && idempotency_key.is_none() {
+        return Err(bad_request(
+            "Idempotency-Key is needed: the call may not be repeated",
+        ));
+    }
+    let body = read_limited(context, http, caller)?;
+    let permit = admit(context, &access, &target, &grant, 0)?;
+    let request = ServiceRequest {
+        id: head.id,
+        workspace: access.workspace,
+        service: service.into(),
+        path: format!("/{path}"),
+        body: body.into(),
+        idempotency_key,
+        repeatable,
+        arrived: head.arrived,
+        deadline: head.deadline,
+        trace: head.trace,
+    };
+    Ok((request, permit))
+}
+
+/// Reads what even a refusal needs: the request's id, deadline and trace.
+fn read_head(context: &Context, http: &Request) -> Head {
+    let arrived = Instant::now();
+    let span_id = context.next_span_id();
+    let id = header(http, "X-Request-Id")
+        .filter(|id| is_plain(id))
+        .map_or_else(
+            || format!("{}-{span_id:016x}", context.settings.host),
+            str::to_owned,
+        );
+    let deadline = header(http, "X-Deadline-Ms").and_then(|ms| ms.parse().ok());
+    let deadline = deadline.map_or(
+        context.settings.limits.default_deadline,
+        Duration::from_millis,
+    );
+    let trace = header(http, "traceparent").and_then(TraceContext::parse);
+    let new_trace = || TraceContext::new(u128::from(span_id) << 64 | u128::from(span_id), span_id);
+    Head {
+        id,
+        arrived,
+        deadline: arrived + deadline.min(LONGEST_DEADLINE),
+        trace: trace.unwrap_or_else(new_trace),
+    }
+}
+
+fn authenticate(context: &Context, http: &Request) -> Checked<Access> {
+    if !context.is_ready() {
+        let message = "the host is shutting down or has no table yet";
+        let refusal = Refusal::new(RefusalCode::NotReady, Step::Authenticate, message);
+        return Err(Box::new(refusal.retry_after(Duration::from_secs(1))));
+    }
+    check_headers(http)?;
+    let key = header(http, "Authorization").and_then(|value| value.strip_prefix("Bearer "));
+    let table = context.table.get();
+    let workspace = key
+        .and_then(|key| table.workspace_of(key.trim()))
+        .map(str::to_owned);
+    let workspace = workspace.ok_or_else(|| {
+        let message = "Authorization names no key of a workspace";
+        refuse(RefusalCode::UnknownKey, Step::Authenticate, message)
+    })?;
+    Ok(Access { table, workspace })
+}
+
+fn check_headers(http: &Request) -> Checked<()> {
+    let twice = SINGLE_HEADERS
+        .into_iter()
+        .find(|name| header_count(http, name) > 1);
+    if let Some(name) = twice {
+        return Err(bad_request(&format!("header {name} stands twice")));
+    }
+    let sizes = http.headers().iter();
+    let size = sizes
+        .map(|h| h.field.as_str().as_str().len() + h.value.as_str().len())
+        .sum::<usize>();
+    if size > HEADERS_LIMIT_BYTES {
+        let message = format!("the headers have {size} bytes, {HEADERS_LIMIT_BYTES} are allowed");
+        return Err(refuse(RefusalCode::TooLarge, Step::Read, &message));
+    }
+    let id = header(http, "X-Request-Id");
+    if id.is_some_and(|id| !is_plain(id)) {
+        let message = format!("X-Request-Id must have 1 to {ID_LIMIT_BYTES} printable ASCII bytes");
+        return Err(bad_request(&message));
+    }
+    let deadline = header(http, "X-Deadline-Ms");
+    if deadline.is_some_and(|ms| ms.parse::<u64>().is_err()) {
+        return Err(bad_request("X-Deadline-Ms is not a number"));
+    }
+    Ok(())
+}
+
+fn is_plain(id: &str) -> bool {
+    !id.is_empty() && id.len() <= ID_LIMIT_BYTES && id.bytes().all(|byte| byte.is_ascii_graphic())
+}
+
+fn is_marked_not_repeatable(http: &Request) -> Checked<bool> {
+    match header(http, "X-Not-Repeatable") {
+        None | Some("false") => Ok(false),
+        Some("true") => Ok(true),
+        Some(_) => Err(bad_request("X-Not-Repeatable must be true or false")),
+    }
+}
+
+fn read_limited(context: &Context, http: &mut Request, caller: &Caller) -> Checked<Vec<u8>> {
+    read_body(http, caller, context.settings.limits.body_bytes).map_err(|error| {
+        let code = match error {
+            BodyError::TooLarge { .. } => RefusalCode::TooLarge,
+            BodyError::Truncated { .. } | BodyError::Read(_) => RefusalCode::BadRequest,
+        };
+        refuse(code, Step::Read, &error.to_string())
+    })
+}
+
+fn admit(
+    context: &Context,
+    access: &Access,
+    target: &str,
+    grant: &Grant,
+    tokens: u32,
+) -> Checked<Permit> {
+    context.core.admit(AdmitAsk {
+        workspace: access.workspace.clone(),
+        target: target.to_owned(),
+        grant: grant.clone(),
+        tokens,
+    })
+}
+
+impl Access {
+    fn grant(&self, target: &str) -> Checked<Grant> {
+        self.table
+            .table
+            .grant(&self.workspace, target)
+            .ok_or_else(|| {
+                let message = format!("the table has no row of {} for {target}", self.workspace);
+                refuse(RefusalCode::UnknownTarget, Step::Authenticate, &message)
+            })
+    }
+}
+
+fn bad_request(message: &str) -> Box<Refusal> {
+    refuse(RefusalCode::BadRequest, Step::Read, message)
+}
+
+fn refuse(code: RefusalCode, step: Step, message: &str) -> Box<Refusal> {
+    Box::new(Refusal::new(code, step, message))
+}
--- /dev/null
+++ b/crates/hickoryhall-entry/src/edge/routes.rs
@@ -0,0 +1,74 @@
+//! From path to handler.
+
+use std::sync::Arc;
+
+use hickoryhall_http::{Caller, Method, Request, respond_bytes, respond_json};
+use serde_json::json;
+
+use super::admin;
+use super::intake::{serve_model, serve_service};
+use crate::attempts::AnswerForm;
+use crate::context::Context;
+
+/// Answers one HTTP request.
+pub(crate) fn handle(context: &Arc<Context>, request: Request, caller: Caller) {
+    let url = request.url().to_owned();
+    let (path, query) = url.split_once('?').unwrap_or((&url, ""));
+    let method = request.method().clone();
+    match (method, path) {
+        (Method::Post, "/v1/chat/completions") => {
+            serve_model(context, request, caller, AnswerForm::Chat);
+        }
+        (Method::Post, "/v1/completions") => {
+            serve_model(context, request, caller, AnswerForm::Completion);
+        }
+        (Method::Post, path) if path.starts_with("/svc/") => {
+            serve_service(context, request, &caller, path);
+        }
+        (Method::Get, "/healthz") => respond_json(request, 200, &json!({"ok": true})),
+        (Method::Get, "/readyz") => ready(context, request),
+        (Method::Get, "/metrics") => {
+            let page = context.metrics.render().into_bytes();
+            respond_bytes(
+                request,
+                200,
+                &[("Content-Type", "text/plain; version=0.0.4")],
+                page,
+            );
+        }
+        (Method::Get, "/debug/traces") => {
+            respond_json(
+                request,
+                200,
+                &context.spans.spans(parameter(query, "trace_id")),
+            );
+        }
+        (Method::Get, "/debug/explain") => {
+            let id = parameter(query, "request_id").unwrap_or_default();
+            respond_json(request, 200, &context.decisions.of_request(id));
+        }
+        (method, path) if path.starts_with("/admin/") => {
+            admin::handle(context, request, &caller, &method, path);
+        }
+        _ => respond_json(request, 404, &json!({"error": "no such path"})),
+    }
+}
+
+fn ready(context: &Context, request: Request) {
+    let is_ready = context.is_ready();
+    let body = json!({
+        "ready": is_ready,
+        "stopping": context.lifecycle.is_stopping(),
+        "table_revision": context.table.revision(),
+        "in_flight": context.lifecycle.in_flight(),
+    });
+    respond_json(request, if is_ready { 200 } else { 503 }, &body);
+}
+
+fn parameter<'a>(query: &'a str, name: &str) -> Option<&'a str> {
+    query
+        .split('&')
+        .filter_map(|pair| pair.split_once('='))
+        .find(|(n, _)| *n == name)
+        .map(|p| p.1)
+}
--- /dev/null
+++ b/crates/hickoryhall-entry/src/peers/datagrams.rs
@@ -0,0 +1,52 @@
+//! Datagrams of other hosts.
+
+use std::net::UdpSocket;
+use std::sync::Arc;
+use std::time::Duration;
+
+use hickoryhall_wire::{HostHash, Keyring, MAX_DATAGRAM_BYTES, ReplayWindow};
+use metrics::counter;
+
+use crate::actors::{CoreHandle, CoreMsg};
+use crate::context::Lifecycle;
+
+/// Time after which the thread looks whether the host has stopped.
+const READ_TIMEOUT: Duration = Duration::from_millis(250);
+
+/// Receives datagrams until the host has stopped; what is not authentic, not for this host or not
+/// new is dropped and counted.
+pub(crate) fn receive_datagrams(
+    socket: &UdpSocket,
+    keyring: &Keyring,
+    me: HostHash,
+    core: &CoreHandle,
+    ended: &Arc<Lifecycle>,
+) -> std::io::Result<()> {
+    socket.set_read_timeout(Some(READ_TIMEOUT))?;
+    // One byte more than allowed tells an oversize datagram from a whole one.
+    let mut buffer = [0; MAX_DATAGRAM_BYTES + 1];
+    let mut replays = ReplayWindow::default();
+    while !ended.is_over() {
+        let Ok((length, _)) = socket.recv_from(&mut buffer) else {
+            continue;
+        };
+        if length > MAX_DATAGRAM_BYTES {
+            drop_frame("oversize");
+            continue;
+        }
+        match keyring.open(&buffer[..length]) {
+            Ok(frame) if frame.receiver != me => drop_frame("not_for_us"),
+            Ok(frame) if !replays.accept(frame.sender, frame.sequence) => drop_frame("replay"),
+            Ok(frame) => {
+                counter!("peer_bytes_received_total").increment(length as u64);
+                core.send(CoreMsg::Frame(Box::new(frame)));
+            }
+            Err(_) => drop_frame("not_authentic"),
+        }
+    }
+    Ok(())
+}
+
+fn drop_frame(reason: &'static str) {
+    counter!("peer_frames_dropped_total", "reason" => reason).increment(1);
+}
--- /dev/null
+++ b/crates/hickoryhall-entry/src/peers/mod.rs
@@ -0,0 +1,7 @@
+//! Links to other hosts: datagrams for small messages, connections for tables.
+
+mod datagrams;
+mod tables;
+
+pub(crate) use datagrams::receive_datagrams;
+pub(crate) use tables::{TableServer, fetch_table, run_fetches};
--- /dev/null
+++ b/crates/hickoryhall-entry/src/peers/tables.rs
@@ -0,0 +1,194 @@
+//! Tables over TCP: one question and one answer on each connection.
+
+use std::io::{self, Read, Write};
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::BytesMut;
+use crossbeam_channel::Receiver;
+use hickoryhall_control::RowDelta;
+use hickoryhall_http::WorkerPool;
+use hickoryhall_table::{Row, RowKey, TableHead};
+use hickoryhall_types::Revision;
+use hickoryhall_wire::{Body, Frame, FrameCodec, HostHash, Keyring, Peer, TableDelta, TableFetch};
+use metrics::counter;
+use slog::{Logger, debug};
+use tokio_util::codec::{Decoder, Encoder};
+
+use crate::actors::{CoreHandle, CoreMsg, FetchJob};
+use crate::context::Lifecycle;
+use crate::table_view::TableView;
+
+/// Time for each step of an exchange.
+const IO_TIMEOUT: Duration = Duration::from_secs(2);
+/// Peers served at once.
+const SERVED_AT_ONCE: usize = 32;
+
+/// Answers peers' questions for the table.
+pub(crate) struct TableServer {
+    pub listener: TcpListener,
+    pub keyring: Keyring,
+    pub me: Peer,
+    pub core: CoreHandle,
+    pub lifecycle: Arc<Lifecycle>,
+}
+
+impl TableServer {
+    /// Serves until the host has stopped.
+    pub fn run(self) {
+        let pool = WorkerPool::new("table-server", SERVED_AT_ONCE);
+        let server = Arc::new(self);
+        for stream in server.listener.incoming() {
+            if server.lifecycle.is_over() {
+                return;
+            }
+            let Ok(stream) = stream else { continue };
+            let server = Arc::clone(&server);
+            // A peer that finds no free worker asks again in its next round.
+            let job = pool.run(move || {
+                if server.serve(stream).is_err() {
+                    counter!("table_questions_failed_total").increment(1);
+                }
+            });
+            if job.is_err() {
+                counter!("table_questions_refused_total").increment(1);
+            }
+        }
+    }
+
+    fn serve(&self, mut stream: TcpStream) -> io::Result<()> {
+        set_timeouts(&stream)?;
+        let mut codec = FrameCodec::new(self.keyring.clone());
+        let question = read_frame(&mut stream, &mut codec)?;
+        let Body::TableFetch(TableFetch { have }) = question.body else {
+            return Err(invalid("not a question for the table"));
+        };
+        if question.receiver != self.me.host {
+            return Err(invalid("the question is for another host"));
+        }
+        let answer = self.core.ask(|reply| CoreMsg::Delta { have, reply });
+        let (head, delta) = answer.ok_or_else(|| invalid("the host is shutting down"))?;
+        let answer = Frame {
+            sender: self.me,
+            receiver: question.sender.host,
+            // The number of the question shows that the answer is to this one.
+            sequence: question.sequence,
+            body: Body::TableDelta(to_wire(&head, &delta)),
+        };
+        write_frame(&mut stream, &mut codec, &answer)
+    }
+}
+
+/// Asks a peer for what is newer than `have`.
+///
+/// # Errors
+///
+/// Returns an error where the peer cannot be reached or its answer is not to this question.
+pub(crate) fn fetch_table(
+    address: SocketAddr,
+    host: HostHash,
+    me: Peer,
+    keyring: &Keyring,
+    sequence: u64,
+    have: Revision,
+) -> io::Result<(TableHead, RowDelta)> {
+    let mut stream = TcpStream::connect_timeout(&address, IO_TIMEOUT)?;
+    set_timeouts(&stream)?;
+    let mut codec = FrameCodec::new(keyring.clone());
+    let body = Body::TableFetch(TableFetch { have });
+    let question = Frame {
+        sender: me,
+        receiver: host,
+        sequence,
+        body,
+    };
+    write_frame(&mut stream, &mut codec, &question)?;
+    let answer = read_frame(&mut stream, &mut codec)?;
+    let is_ours =
+        answer.sender.host == host && answer.receiver == me.host && answer.sequence == sequence;
+    match answer.body {
+        Body::TableDelta(delta) if is_ours => from_wire(&delta),
+        _ => Err(invalid("not the answer to this question")),
+    }
+}
+
+/// Carries out fetches until the channel closes.
+pub(crate) fn run_fetches(
+    jobs: &Receiver<FetchJob>,
+    me: Peer,
+    keyring: &Keyring,
+    table: &TableView,
+    core: &CoreHandle,
+    logger: &Logger,
+) {
+    let mut sequence = 0;
+    while let Ok(job) = jobs.recv() {
+        // Several peers may have told of the same revision.
+        if table.revision() > job.have {
+            continue;
+        }
+        sequence += 1;
+        match fetch_table(job.address, job.host, me, keyring, sequence, job.have) {
+            Ok((head, delta)) => core.send(CoreMsg::TableDelta { head, delta }),
+            Err(error) => {
+                debug!(logger, "Peer gave no table."; "peer" => %job.address, "error" => %error);
+            }
+        }
+    }
+}
+
+fn to_wire(head: &TableHead, delta: &RowDelta) -> TableDelta {
+    let keys = |key: &RowKey| Row::new(&key.workspace, &key.target);
+    let removed = delta.removed.iter().map(keys).collect::<Vec<_>>();
+    TableDelta {
+        from: delta.from,
+        head_json: serde_json::to_vec(head).expect("a head has string keys"),
+        rows_json: serde_json::to_vec(&delta.rows).expect("rows have string keys"),
+        removed_json: serde_json::to_vec(&removed).expect("rows have string keys"),
+    }
+}
+
+fn from_wire(delta: &TableDelta) -> io::Result<(TableHead, RowDelta)> {
+    let head = serde_json::from_slice(&delta.head_json)?;
+    let rows = serde_json::from_slice(&delta.rows_json)?;
+    let removed = serde_json::from_slice::<Vec<Row>>(&delta.removed_json)?;
+    let removed = removed.iter().map(Row::key).collect();
+    Ok((
+        head,
+        RowDelta {
+            from: delta.from,
+            rows,
+            removed,
+        },
+    ))
+}
+
+fn set_timeouts(stream: &TcpStream) -> io::Result<()> {
+    stream.set_read_timeout(Some(IO_TIMEOUT))?;
+    stream.set_write_timeout(Some(IO_TIMEOUT))
+}
+
+fn write_frame(stream: &mut TcpStream, codec: &mut FrameCodec, frame: &Frame) -> io::Result<()> {
+    let mut bytes = BytesMut::new();
+    codec.encode(frame, &mut bytes)?;
+    stream.write_all(&bytes)
+}
+
+fn read_frame(stream: &mut TcpStream, codec: &mut FrameCodec) -> io::Result<Frame> {
+    let mut bytes = BytesMut::new();
+    let mut buffer = [0; 16 << 10];
+    loop {
+        if let Some(frame) = codec.decode(&mut bytes)? {
+            return Ok(frame);
+        }
+        match stream.read(&mut buffer)? {
+            0 => return Err(io::ErrorKind::UnexpectedEof.into()),
+            length => bytes.extend_from_slice(&buffer[..length]),
+        }
+    }
+}
+
+fn invalid(message: &'static str) -> io::Error {
+    io::Error::new(io::ErrorKind::InvalidData, message)
+}
--- /dev/null
+++ b/crates/hickoryhall-entry/src/settings.rs
@@ -0,0 +1,393 @@
+//! Settings of an entry host, checked as a whole.
+
+use std::fmt;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use hickoryhall_limits::FleetShape;
+use hickoryhall_membership::HostInfo;
+use hickoryhall_telemetry::LogFormat;
+use serde::de::DeserializeOwned;
+use serde_json::{Map, Value, json};
+
+/// Settings of an entry host.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Settings {
+    /// Name of this host.
+    pub host: String,
+    /// Failure domain of this host.
+    pub failure_domain: String,
+    /// Address for callers and operators.
+    pub http_address: SocketAddr,
+    /// Address of the inner protocol, over UDP and TCP.
+    pub peer_address: SocketAddr,
+    /// Address of the platform's store.
+    pub store_address: SocketAddr,
+    /// Address of the platform's host list.
+    pub host_list_address: SocketAddr,
+    /// Secrets that the hosts share; the first one is used to send.
+    pub peer_secrets: Vec<String>,
+    /// Hash (blake3, hex) of the operators' key.
+    pub operator_key_hash: String,
+    /// Hosts known from the start.
+    pub peers: Vec<HostInfo>,
+    /// Size of the fleet.
+    pub fleet: FleetShape,
+    /// Models whose engines ignore fencing numbers.
+    pub unfenced_models: Vec<String>,
+    /// Form of the log.
+    pub log_format: LogFormat,
+    /// Limits of this host.
+    pub limits: HostLimits,
+}
+
+/// Limits of an entry host.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct HostLimits {
+    /// Largest body of a request.
+    pub body_bytes: usize,
+    /// Largest prompt.
+    pub prompt_tokens: u32,
+    /// Longest answer.
+    pub output_tokens: u32,
+    /// Requests in progress.
+    pub workers: usize,
+    /// Time that a request may take where the caller names none.
+    pub default_deadline: Duration,
+    /// Time without a token after which a stream is taken to be broken.
+    pub stream_idle: Duration,
+    /// Bytes a second for control messages.
+    pub control_bytes_per_s: u32,
+    /// Way to another failure domain and back.
+    pub cross_domain: Duration,
+}
+
+impl Default for HostLimits {
+    fn default() -> Self {
+        Self {
+            body_bytes: 4 << 20,
+            prompt_tokens: 200_000,
+            output_tokens: 8_192,
+            workers: 2_048,
+            default_deadline: Duration::from_secs(60),
+            stream_idle: Duration::from_secs(5),
+            control_bytes_per_s: 6_000,
+            cross_domain: Duration::from_millis(1),
+        }
+    }
+}
+
+/// One problem in a settings file.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct SettingsError {
+    /// Path of the field, such as `limits.workers`.
+    pub path: String,
+    /// What is wrong.
+    pub message: String,
+}
+
+/// All problems of a settings file.
+#[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
+pub struct SettingsErrors(pub Vec<SettingsError>);
+
+impl fmt::Display for SettingsErrors {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let lines = self
+            .0
+            .iter()
+            .map(|error| format!("{}: {}", error.path, error.message));
+        f.write_str(&lines.collect::<Vec<_>>().join("\n"))
+    }
+}
+
+impl Settings {
+    /// Reads settings from JSON.
+    ///
+    /// # Errors
+    ///
+    /// Returns every problem found: unknown and missing fields, bad values, and fields that do not
+    /// fit each other.
+    pub fn from_json(text: &str) -> Result<Self, SettingsErrors> {
+        let value = serde_json::from_str::<Value>(text).map_err(|error| {
+            SettingsErrors(vec![SettingsError {
+                path: ".".to_owned(),
+                message: error.to_string(),
+            }])
+        })?;
+        let mut reader = Reader::new(value, "");
+        let settings = Self::read(&mut reader);
+        let mut errors = reader.finish();
+        if let Some(settings) = &settings {
+            errors.extend(settings.problems());
+        }
+        match settings {
+            Some(settings) if errors.is_empty() => Ok(settings),
+            _ => Err(SettingsErrors(errors)),
+        }
+    }
+
+    /// Returns a file with every field, for a host on this machine.
+    #[must_use]
+    pub fn example_json() -> String {
+        let limits = HostLimits::default();
+        let example = json!({
+            "host": "entry-a1",
+            "failure_domain": "a",
+            "http_address": "127.0.0.1:8080",
+            "peer_address": "127.0.0.1:7070",
+            "store_address": "127.0.0.1:9000",
+            "host_list_address": "127.0.0.1:9001",
+            "peer_secrets": ["replace this by a long random text"],
+            "operator_key_hash": blake3::hash(b"operator").to_hex().as_str(),
+            "peers": [
+                {"host": "entry-b1", "failure_domain": "b", "peer_address": "127.0.0.1:7071"}
+            ],
+            "fleet": {"domains": 3, "hosts_per_domain": 2},
+            "unfenced_models": [],
+            "log_format": "json",
+            "limits": {
+                "body_bytes": limits.body_bytes,
+                "prompt_tokens": limits.prompt_tokens,
+                "output_tokens": limits.output_tokens,
+                "workers": limits.workers,
+                "default_deadline_ms": limits.default_deadline.as_millis() as u64,
+                "stream_idle_ms": limits.stream_idle.as_millis() as u64,
+                "control_bytes_per_s": limits.control_bytes_per_s,
+                "cross_domain_us": limits.cross_domain.as_micros() as u64,
+            },
+        });
+        serde_json::to_string_pretty(&example).expect("an example of plain values")
+    }
+
+    /// Returns the description of this host for its peers.
+    #[must_use]
+    pub fn host_info(&self) -> HostInfo {
+        HostInfo::new(&self.host, &self.failure_domain, self.peer_address)
+    }
+
+    fn read(reader: &mut Reader) -> Option<Self> {
+        let host = reader.required::<String>("host");
+        let failure_domain = reader.required::<String>("failure_domain");
+        let http_address = reader.required("http_address");
+        let peer_address = reader.required("peer_address");
+        let store_address = reader.required("store_address");
+        let host_list_address = reader.required("host_list_address");
+        let peer_secrets = reader.required("peer_secrets");
+        let operator_key_hash = reader.required("operator_key_hash");
+        let peers = reader.list("peers", read_peer);
+        let fleet = reader.section("fleet", |reader| {
+            let domains = reader.required("domains");
+            let hosts_per_domain = reader.required("hosts_per_domain");
+            Some(FleetShape {
+                domains: domains?,
+                hosts_per_domain: hosts_per_domain?,
+            })
+        });
+        let unfenced_models = reader.optional("unfenced_models").unwrap_or_default();
+        let log_format = reader.optional("log_format").unwrap_or_default();
+        let limits = reader.section("limits", |reader| Some(read_limits(reader)));
+        Some(Self {
+            host: host?,
+            failure_domain: failure_domain?,
+            http_address: http_address?,
+            peer_address: peer_address?,
+            store_address: store_address?,
+            host_list_address: host_list_address?,
+            peer_secrets: peer_secrets?,
+            operator_key_hash: operator_key_hash?,
+            peers,
+            fleet: fleet.or_else(|| reader.missing("fleet"))?,
+            unfenced_models,
+            log_format,
+            limits: limits.unwrap_or_default(),
+        })
+    }
+
+    fn problems(&self) -> Vec<SettingsError> {
+        let checks = [
+            (self.host.trim().is_empty(), "host", "is empty"),
+            (
+                self.failure_domain.trim().is_empty(),
+                "failure_domain",
+                "is empty",
+            ),
+            (
+                self.peer_secrets.is_empty(),
+                "peer_secrets",
+                "needs a secret",
+            ),
+            (
+                self.peer_secrets.iter().any(|secret| secret.len() < 8),
+                "peer_secrets",
+                "holds a secret of fewer than 8 characters",
+            ),
+            (
+                self.operator_key_hash.len() != 64
+                    || !self
+                        .operator_key_hash
+                        .bytes()
+                        .all(|b| b.is_ascii_hexdigit()),
+                "operator_key_hash",
+                "is not 64 hex digits",
+            ),
+            (
+                self.fleet.domains == 0,
+                "fleet.domains",
+                "must be greater than 0",
+            ),
+            (
+                self.fleet.hosts_per_domain == 0,
+                "fleet.hosts_per_domain",
+                "must be greater than 0",
+            ),
+            (
+                self.limits.workers == 0,
+                "limits.workers",
+                "must be greater than 0",
+            ),
+            (
+                self.limits.body_bytes == 0,
+                "limits.body_bytes",
+                "must be greater than 0",
+            ),
+            (
+                self.peers.iter().any(|peer| *peer.id == self.host),
+                "peers",
+                "names this host itself",
+            ),
+        ];
+        checks
+            .into_iter()
+            .filter(|(is_wrong, ..)| *is_wrong)
+            .map(|(_, path, message)| SettingsError {
+                path: path.to_owned(),
+                message: message.to_owned(),
+            })
+            .collect()
+    }
+}
+
+fn read_peer(reader: &mut Reader) -> Option<HostInfo> {
+    let host = reader.required::<String>("host");
+    let failure_domain = reader.required::<String>("failure_domain");
+    let peer_address = reader.required("peer_address");
+    Some(HostInfo::new(&host?, &failure_domain?, peer_address?))
+}
+
+fn read_limits(reader: &mut Reader) -> HostLimits {
+    let defaults = HostLimits::default();
+    let millis = |value: Option<u64>, default| value.map_or(default, Duration::from_millis);
+    HostLimits {
+        body_bytes: reader.optional("body_bytes").unwrap_or(defaults.body_bytes),
+        prompt_tokens: reader
+            .optional("prompt_tokens")
+            .unwrap_or(defaults.prompt_tokens),
+        output_tokens: reader
+            .optional("output_tokens")
+            .unwrap_or(defaults.output_tokens),
+        workers: reader.optional("workers").unwrap_or(defaults.workers),
+        default_deadline: millis(
+            reader.optional("default_deadline_ms"),
+            defaults.default_deadline,
+        ),
+        stream_idle: millis(reader.optional("stream_idle_ms"), defaults.stream_idle),
+        control_bytes_per_s: reader
+            .optional("control_bytes_per_s")
+            .unwrap_or(defaults.control_bytes_per_s),
+        cross_domain: reader
+            .optional("cross_domain_us")
+            .map_or(defaults.cross_domain, Duration::from_micros),
+    }
+}
+
+/// Takes fields out of a JSON object and gathers every error on the way.
+struct Reader {
+    path: String,
+    fields: Map<String, Value>,
+    errors: Vec<SettingsError>,
+}
+
+impl Reader {
+    fn new(value: Value, path: &str) -> Self {
+        let mut reader = Self {
+            path: path.to_owned(),
+            fields: Map::new(),
+            errors: Vec::new(),
+        };
+        match value {
+            Value::Object(fields) => reader.fields = fields,
+            _ => reader.error("", "is not an object"),
+        }
+        reader
+    }
+
+    fn required<T: DeserializeOwned>(&mut self, name: &str) -> Option<T> {
+        if self.fields.contains_key(name) {
+            self.optional(name)
+        } else {
+            self.missing(name)
+        }
+    }
+
+    fn missing<T>(&mut self, name: &str) -> Option<T> {
+        self.error(name, "is missing");
+        None
+    }
+
+    fn optional<T: DeserializeOwned>(&mut self, name: &str) -> Option<T> {
+        let value = self.fields.remove(name)?;
+        match serde_json::from_value(value) {
+            Ok(value) => Some(value),
+            Err(error) => {
+                self.error(name, &error.to_string());
+                None
+            }
+        }
+    }
+
+    fn section<T>(&mut self, name: &str, read: impl FnOnce(&mut Self) -> Option<T>) -> Option<T> {
+        let value = self.fields.remove(name)?;
+        let mut section = Self::new(value, &self.join(name));
+        let result = read(&mut section);
+        self.errors.extend(section.finish());
+        result
+    }
+
+    fn list<T>(&mut self, name: &str, read: impl Fn(&mut Self) -> Option<T>) -> Vec<T> {
+        let Some(items) = self.optional::<Vec<Value>>(name) else {
+            return Vec::new();
+        };
+        let mut result = Vec::new();
+        for (index, item) in items.into_iter().enumerate() {
+            let mut section = Self::new(item, &self.join(&format!("{name}[{index}]")));
+            result.extend(read(&mut section));
+            self.errors.extend(section.finish());
+        }
+        result
+    }
+
+    fn finish(mut self) -> Vec<SettingsError> {
+        let unknown = std::mem::take(&mut self.fields);
+        unknown
+            .keys()
+            .for_each(|name| self.error(name, "is not a known field"));
+        self.errors
+    }
+
+    fn join(&self, name: &str) -> String {
+        match (self.path.as_str(), name) {
+            ("", "") => ".".to_owned(),
+            ("", name) => name.to_owned(),
+            (path, "") => path.to_owned(),
+            (path, name) => format!("{path}.{name}"),
+        }
+    }
+
+    fn error(&mut self, name: &str, message: &str) {
+        let path = self.join(name);
+        self.errors.push(SettingsError {
+            path,
+            message: message.to_owned(),
+        });
+    }
+}
--- /dev/null
+++ b/crates/hickoryhall-entry/src/table_view.rs
@@ -0,0 +1,58 @@
+//! The table in force, as worker threads read it.
+
+use std::collections::HashMap;
+use std::sync::{Arc, PoisonError, RwLock};
+
+use hickoryhall_table::{Table, TableHead};
+use hickoryhall_types::Revision;
+
+/// One revision of the table with an index of its keys.
+#[derive(Debug, Default)]
+pub(crate) struct TableInForce {
+    pub head: TableHead,
+    pub table: Arc<Table>,
+    workspaces: HashMap<String, String>,
+}
+
+impl TableInForce {
+    pub fn new(head: TableHead, table: Arc<Table>) -> Self {
+        let index = |row: &hickoryhall_table::Row| {
+            let hashes = row.key_hash_list().map(str::to_ascii_lowercase);
+            hashes
+                .map(|hash| (hash, row.workspace.clone()))
+                .collect::<Vec<_>>()
+        };
+        let workspaces = table.rows().flat_map(index).collect();
+        Self {
+            head,
+            table,
+            workspaces,
+        }
+    }
+
+    /// Returns the workspace of a caller's key.
+    pub fn workspace_of(&self, key: &str) -> Option<&str> {
+        let hash = blake3::hash(key.as_bytes()).to_hex();
+        self.workspaces.get(hash.as_str()).map(String::as_str)
+    }
+}
+
+/// The table in force, shared by all threads.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct TableView {
+    current: Arc<RwLock<Arc<TableInForce>>>,
+}
+
+impl TableView {
+    pub fn get(&self) -> Arc<TableInForce> {
+        Arc::clone(&self.current.read().unwrap_or_else(PoisonError::into_inner))
+    }
+
+    pub fn set(&self, table: TableInForce) {
+        *self.current.write().unwrap_or_else(PoisonError::into_inner) = Arc::new(table);
+    }
+
+    pub fn revision(&self) -> Revision {
+        self.get().head.revision
+    }
+}
--- a/crates/hickoryhall-http/src/body.rs
+++ b/crates/hickoryhall-http/src/body.rs
@@ -54,7 +54,10 @@
         return Err(BodyError::TooLarge { limit_bytes });
     }
     match stated.filter(|&stated_bytes| body.len() < stated_bytes) {
-        Some(stated_bytes) => Err(BodyError::Truncated { read_bytes: body.len(), stated_bytes }),
+        Some(stated_bytes) => Err(BodyError::Truncated {
+            read_bytes: body.len(),
+            stated_bytes,
+        }),
         None => Ok(body),
     }
 }
@@ -62,11 +65,19 @@
 /// Returns the value of a header, the first one where it stands more than once.
 #[must_use]
 pub fn header<'a>(request: &'a Request, name: &'static str) -> Option<&'a str> {
-    request.headers().iter().find(|h| h.field.equiv(name)).map(|h| h.value.as_str())
+    request
+        .headers()
+        .iter()
+        .find(|h| h.field.equiv(name))
+        .map(|h| h.value.as_str())
 }
 
 /// Returns how often a header stands.
 #[must_use]
 pub fn header_count(request: &Request, name: &'static str) -> usize {
-    request.headers().iter().filter(|h| h.field.equiv(name)).count()
+    request
+        .headers()
+        .iter()
+        .filter(|h| h.field.equiv(name))
+        .count()
 }
--- a/crates/hickoryhall-http/src/callers.rs
+++ b/crates/hickoryhall-http/src/callers.rs
@@ -65,7 +65,9 @@
     /// Panics where the system refuses a thread.
     #[must_use]
     pub fn watch(local: SocketAddr, limits: ServerLimits) -> Self {
-        let callers = Self { shared: Arc::new(Shared::default()) };
+        let callers = Self {
+            shared: Arc::new(Shared::default()),
+        };
         let shared = Arc::clone(&callers.shared);
         thread::Builder::new()
             .name("callers".to_owned())
@@ -84,11 +86,18 @@
     pub fn begin(&self, address: Option<SocketAddr>) -> Caller {
         let gone = Arc::new(AtomicBool::new(false));
         if let Some(address) = address {
-            let connection =
-                Connection { phase: Phase::Working, since: Instant::now(), gone: Arc::clone(&gone) };
+            let connection = Connection {
+                phase: Phase::Working,
+                since: Instant::now(),
+                gone: Arc::clone(&gone),
+            };
             self.shared.lock().insert(address, connection);
         }
-        Caller { shared: Arc::clone(&self.shared), address, gone }
+        Caller {
+            shared: Arc::clone(&self.shared),
+            address,
+            gone,
+        }
     }
 
     /// Returns the number of open connections, as last seen.
@@ -135,12 +144,16 @@
 
 impl Shared {
     fn lock(&self) -> std::sync::MutexGuard<'_, HashMap<SocketAddr, Connection>> {
-        self.connections.lock().unwrap_or_else(PoisonError::into_inner)
+        self.connections
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
     }
 
     fn scan(&self, local: SocketAddr, limits: ServerLimits) {
         let now = Instant::now();
-        let Some(states) = connection_states(local) else { return };
+        let Some(states) = connection_states(local) else {
+            return;
+        };
         let overdue = self.update(now, &states, limits);
         if !overdue.is_empty() {
             shut_down(local, &overdue);
@@ -175,7 +188,11 @@
             Phase::Reading => now.saturating_duration_since(connection.since) > limits.body_read,
             Phase::Working => false,
         };
-        connections.iter().filter(|(_, c)| overdue(c)).map(|(&address, _)| address).collect()
+        connections
+            .iter()
+            .filter(|(_, c)| overdue(c))
+            .map(|(&address, _)| address)
+            .collect()
     }
 }
 
@@ -185,18 +202,30 @@
 
 /// Returns the state of each connection to a local address, by the caller's address.
 fn connection_states(local: SocketAddr) -> Option<HashMap<SocketAddr, TcpState>> {
-    let entries = if local.is_ipv4() { procfs::net::tcp() } else { procfs::net::tcp6() };
+    let entries = if local.is_ipv4() {
+        procfs::net::tcp()
+    } else {
+        procfs::net::tcp6()
+    };
     let is_ours = |entry: &TcpNetEntry| {
         entry.local_address.port() == local.port() && entry.state != TcpState::Listen
     };
     let states = entries.ok()?.into_iter().filter(is_ours);
-    Some(states.map(|entry| (entry.remote_address, entry.state)).collect())
+    Some(
+        states
+            .map(|entry| (entry.remote_address, entry.state))
+            .collect(),
+    )
 }
 
 /// Shuts connections of this process down; the thread that reads from one sees its end.
 fn shut_down(local: SocketAddr, callers: &[SocketAddr]) {
-    let Ok(entries) = fs::read_dir("/proc/self/fd") else { return };
-    let fds = entries.flatten().filter_map(|entry| entry.file_name().to_str()?.parse::<i32>().ok());
+    let Ok(entries) = fs::read_dir("/proc/self/fd") else {
+        return;
+    };
+    let fds = entries
+        .flatten()
+        .filter_map(|entry| entry.file_name().to_str()?.parse::<i32>().ok());
     for socket in fds.filter_map(duplicate) {
         let socket = SockRef::from(&socket);
         let ends = |address: std::io::Result<socket2::SockAddr>| address.ok()?.as_socket();
--- a/crates/hickoryhall-http/src/pool.rs
+++ b/crates/hickoryhall-http/src/pool.rs
@@ -41,7 +41,13 @@
     #[must_use]
     pub fn new(name: &'static str, limit: usize) -> Self {
         let (sender, receiver) = bounded(0);
-        Self { name, limit, running: Arc::new(AtomicUsize::new(0)), sender, receiver }
+        Self {
+            name,
+            limit,
+            running: Arc::new(AtomicUsize::new(0)),
+            sender,
+            receiver,
+        }
     }
 
     /// Runs a job on an idle or a new worker.
--- a/crates/hickoryhall-http/src/server.rs
+++ b/crates/hickoryhall-http/src/server.rs
@@ -92,10 +92,13 @@
     pub fn bind(address: SocketAddr, limits: ServerLimits) -> Result<Self, BindError> {
         let listener =
             listen(address, limits).map_err(|source| BindError::Listen { address, source })?;
-        let address =
-            listener.local_addr().map_err(|source| BindError::Listen { address, source })?;
-        let server = Server::from_listener(listener, None)
-            .map_err(|error| BindError::Start { address, message: error.to_string() })?;
+        let address = listener
+            .local_addr()
+            .map_err(|source| BindError::Listen { address, source })?;
+        let server = Server::from_listener(listener, None).map_err(|error| BindError::Start {
+            address,
+            message: error.to_string(),
+        })?;
         Ok(Self {
             server: Arc::new(server),
             address,
@@ -114,7 +117,10 @@
     /// Returns a handle that stops the server.
     #[must_use]
     pub fn stop_handle(&self) -> StopHandle {
-        StopHandle { server: Arc::clone(&self.server), stopped: Arc::clone(&self.stopped) }
+        StopHandle {
+            server: Arc::clone(&self.server),
+            stopped: Arc::clone(&self.stopped),
+        }
     }
 
     /// Returns the watch over callers.
@@ -127,7 +133,9 @@
     pub fn run(&self, handler: impl Fn(Request, Caller) + Send + Sync + 'static) {
         let handler = Arc::new(handler);
         while !self.stopped.load(Ordering::SeqCst) {
-            let Ok(request) = self.server.recv() else { continue };
+            let Ok(request) = self.server.recv() else {
+                continue;
+            };
             self.dispatch(request, &handler);
         }
         self.callers.stop();
@@ -167,7 +175,11 @@
 }
 
 fn listen(address: SocketAddr, limits: ServerLimits) -> io::Result<TcpListener> {
-    let socket = Socket::new(Domain::for_address(address), Type::STREAM, Some(Protocol::TCP))?;
+    let socket = Socket::new(
+        Domain::for_address(address),
+        Type::STREAM,
+        Some(Protocol::TCP),
+    )?;
     socket.set_reuse_address(true)?;
     socket.bind(&address.into())?;
     socket.listen(BACKLOG)?;
--- a/crates/hickoryhall-limits/src/bucket.rs
+++ b/crates/hickoryhall-limits/src/bucket.rs
@@ -15,7 +15,12 @@
     /// Creates a full bucket.
     #[must_use]
     pub fn new(now: Instant, units_per_s: f64, burst: f64) -> Self {
-        Self { units_per_s, burst, left: burst, at: now }
+        Self {
+            units_per_s,
+            burst,
+            left: burst,
+            at: now,
+        }
     }
 
     /// Changes rate and burst; what is left stays, up to the new burst.
--- a/crates/hickoryhall-limits/src/fair_queue.rs
+++ b/crates/hickoryhall-limits/src/fair_queue.rs
@@ -67,15 +67,22 @@
     pub fn push(&mut self, queued: Queued<T>) -> Option<Shed<T>> {
         let start = self.served.get(&queued.workspace).copied().unwrap_or(0.0);
         let start = start.max(self.virtual_time);
-        let line = self.lines.entry(queued.workspace.clone()).or_insert_with(|| Line {
-            waiting: VecDeque::new(),
-            cost: 0.0,
-            next_start: start,
-        });
+        let line = self
+            .lines
+            .entry(queued.workspace.clone())
+            .or_insert_with(|| Line {
+                waiting: VecDeque::new(),
+                cost: 0.0,
+                next_start: start,
+            });
         line.cost += queued.cost;
         line.waiting.push_back(queued);
         self.length += 1;
-        if self.length > self.limit { self.shed_over_share() } else { None }
+        if self.length > self.limit {
+            self.shed_over_share()
+        } else {
+            None
+        }
     }
 
     /// Removes the item that is next.
@@ -96,7 +103,10 @@
     pub fn fronts(&self) -> Vec<&Queued<T>> {
         let mut lines = self.lines.values().collect::<Vec<_>>();
         lines.sort_by(|a, b| a.next_start.total_cmp(&b.next_start));
-        lines.into_iter().filter_map(|line| line.waiting.front()).collect()
+        lines
+            .into_iter()
+            .filter_map(|line| line.waiting.front())
+            .collect()
     }
 
     /// Removes the first item of a workspace.
@@ -137,7 +147,10 @@
         let finish = own / weight;
         let others = self.lines.iter().filter(|(other, _)| *other != workspace);
         let ahead = others.map(|(_, line)| {
-            let other = line.waiting.front().map_or(1.0, |queued| f64::from(queued.weight.max(1)));
+            let other = line
+                .waiting
+                .front()
+                .map_or(1.0, |queued| f64::from(queued.weight.max(1)));
             line.cost.min(finish * other)
         });
         own + ahead.sum::<f64>()
@@ -156,18 +169,25 @@
     }
 
     fn next_workspace(&self) -> Option<WorkspaceId> {
-        let (workspace, _) =
-            self.lines.iter().min_by(|(_, a), (_, b)| a.next_start.total_cmp(&b.next_start))?;
+        let (workspace, _) = self
+            .lines
+            .iter()
+            .min_by(|(_, a), (_, b)| a.next_start.total_cmp(&b.next_start))?;
         Some(workspace.clone())
     }
 
     fn shed_over_share(&mut self) -> Option<Shed<T>> {
         let share = |line: &Line<T>| {
-            let weight = line.waiting.front().map_or(1, |queued| queued.weight.max(1));
+            let weight = line
+                .waiting
+                .front()
+                .map_or(1, |queued| queued.weight.max(1));
             line.cost / f64::from(weight)
         };
-        let (workspace, _) =
-            self.lines.iter().max_by(|(_, a), (_, b)| share(a).total_cmp(&share(b)))?;
+        let (workspace, _) = self
+            .lines
+            .iter()
+            .max_by(|(_, a), (_, b)| share(a).total_cmp(&share(b)))?;
         let workspace = workspace.clone();
         let line = self.lines.get_mut(&workspace)?;
         let shed = line.waiting.pop_back()?;
@@ -178,7 +198,11 @@
     }
 
     fn drop_if_empty(&mut self, workspace: &WorkspaceId) {
-        if self.lines.get(workspace).is_some_and(|line| line.waiting.is_empty()) {
+        if self
+            .lines
+            .get(workspace)
+            .is_some_and(|line| line.waiting.is_empty())
+        {
             self.lines.remove(workspace);
         }
     }
--- a/crates/hickoryhall-limits/src/fleet.rs
+++ b/crates/hickoryhall-limits/src/fleet.rs
@@ -102,16 +102,23 @@
         let held = self.held.entry(key).or_insert_with(|| {
             let mut bucket = TokenBucket::new(now, rate, 0.0);
             bucket.resize(now, rate, burst);
-            Held { bucket, used_at: now }
+            Held {
+                bucket,
+                used_at: now,
+            }
         });
         held.bucket.resize(now, rate, burst);
         held.used_at = now;
-        UnitGrant { units: held.bucket.take_up_to(now, wanted), ttl: GRANT_TTL }
+        UnitGrant {
+            units: held.bucket.take_up_to(now, wanted),
+            ttl: GRANT_TTL,
+        }
     }
 
     /// Drops buckets that nobody used for a while.
     pub fn expire(&mut self, now: Instant) {
-        self.held.retain(|_, held| now.saturating_duration_since(held.used_at) < IDLE_LIMIT);
+        self.held
+            .retain(|_, held| now.saturating_duration_since(held.used_at) < IDLE_LIMIT);
     }
 
     /// Returns the number of buckets held.
@@ -183,7 +190,9 @@
             self.granted = 0.0;
             return Take::Taken;
         }
-        Take::Refused { retry_after: self.own.wait_for(missing) }
+        Take::Refused {
+            retry_after: self.own.wait_for(missing),
+        }
     }
 
     /// Returns the units to ask the bucket for now, 0 where there are enough.
@@ -191,7 +200,11 @@
         self.void_expired(now);
         self.record_demand(now, 0.0);
         let ahead = self.demand_per_s * ASK_AHEAD;
-        if self.granted >= ahead { 0 } else { (ahead - self.granted).ceil() as u32 }
+        if self.granted >= ahead {
+            0
+        } else {
+            (ahead - self.granted).ceil() as u32
+        }
     }
 
     /// Takes a grant in.
--- a/crates/hickoryhall-limits/src/retry_budget.rs
+++ b/crates/hickoryhall-limits/src/retry_budget.rs
@@ -6,8 +6,10 @@
 
 /// Retries earned by each request.
 const PART_OF_TRAFFIC: f64 = 0.1;
-/// Retries that may be saved up.
-const BURST: f64 = 10.0;
+/// Retries that may be saved up, so that the requests of a runner that dies can all move on.
+const BURST: f64 = 100.0;
+/// Retries there from the start.
+const INITIAL: f64 = 20.0;
 /// Retries a second that are earned without any traffic.
 const FLOOR_PER_S: f64 = 0.1;
 
@@ -23,7 +25,11 @@
     /// Creates a budget that allows a few retries at once.
     #[must_use]
     pub fn new(now: Instant) -> Self {
-        Self { floor: TokenBucket::new(now, FLOOR_PER_S, 1.0), earned: BURST, refused: 0 }
+        Self {
+            floor: TokenBucket::new(now, FLOOR_PER_S, 1.0),
+            earned: INITIAL,
+            refused: 0,
+        }
     }
 
     /// Records a first attempt.
--- a/crates/hickoryhall-membership/src/budget.rs
+++ b/crates/hickoryhall-membership/src/budget.rs
@@ -19,7 +19,12 @@
     #[must_use]
     pub fn new(now: Instant, bytes_per_s: u32) -> Self {
         let bytes_per_s = f64::from(bytes_per_s);
-        Self { bytes_per_s, left: bytes_per_s * BURST.as_secs_f64(), at: now, refused: 0 }
+        Self {
+            bytes_per_s,
+            left: bytes_per_s * BURST.as_secs_f64(),
+            at: now,
+            refused: 0,
+        }
     }
 
     /// Takes bytes out of the budget; returns whether they were there.
--- a/crates/hickoryhall-membership/src/gossip.rs
+++ b/crates/hickoryhall-membership/src/gossip.rs
@@ -82,7 +82,13 @@
         self.revision = revision;
         let targets = self.targets(hosts);
         let body = Body::PushRevision { revision };
-        targets.into_iter().map(|to| Outgoing { to, body: body.clone() }).collect()
+        targets
+            .into_iter()
+            .map(|to| Outgoing {
+                to,
+                body: body.clone(),
+            })
+            .collect()
     }
 
     /// Starts to tell a rumor, and returns the messages that tell it at once.
@@ -96,13 +102,20 @@
     /// Tells everyone that this host is shutting down.
     pub fn leave(&mut self, now: Instant, hosts: &Hosts) -> Vec<Outgoing> {
         self.leaving = true;
-        self.tell(now, hosts, Rumor::HostLeaving { peer: hosts.my_peer() })
+        self.tell(
+            now,
+            hosts,
+            Rumor::HostLeaving {
+                peer: hosts.my_peer(),
+            },
+        )
     }
 
     /// Returns the messages of one regular round.
     pub fn round(&mut self, now: Instant, hosts: &Hosts) -> Vec<Outgoing> {
         self.count += 1;
-        self.heard.retain(|_, at| now.saturating_duration_since(*at) < RUMOR_MEMORY);
+        self.heard
+            .retain(|_, at| now.saturating_duration_since(*at) < RUMOR_MEMORY);
         self.spread(now, hosts)
     }
 
@@ -152,7 +165,10 @@
         let targets = self.targets(hosts);
         targets
             .into_iter()
-            .map(|to| Outgoing { to, body: Body::Gossip(self.message(now, hosts)) })
+            .map(|to| Outgoing {
+                to,
+                body: Body::Gossip(self.message(now, hosts)),
+            })
             .collect()
     }
 
@@ -167,7 +183,10 @@
     }
 
     fn message(&mut self, now: Instant, hosts: &Hosts) -> Gossip {
-        let own = Heartbeat { peer: hosts.my_peer(), count: self.count };
+        let own = Heartbeat {
+            peer: hosts.my_peer(),
+            count: self.count,
+        };
         let mut heartbeats = vec![own];
         heartbeats.extend(hosts.heartbeats(now).sample(&mut self.rng, HEARTBEATS - 1));
         Gossip {
--- a/crates/hickoryhall-membership/src/hosts.rs
+++ b/crates/hickoryhall-membership/src/hosts.rs
@@ -29,7 +29,12 @@
     /// Creates a description.
     #[must_use]
     pub fn new(id: &str, domain: &str, address: SocketAddr) -> Self {
-        Self { id: id.into(), hash: hash_name(id), domain: domain.into(), address }
+        Self {
+            id: id.into(),
+            hash: hash_name(id),
+            domain: domain.into(),
+            address,
+        }
     }
 }
 
@@ -85,7 +90,11 @@
     /// Creates a view with this host alone.
     #[must_use]
     pub fn new(me: HostInfo, incarnation: Incarnation) -> Self {
-        Self { me, incarnation, known: HashMap::new() }
+        Self {
+            me,
+            incarnation,
+            known: HashMap::new(),
+        }
     }
 
     /// Returns this host.
@@ -97,13 +106,18 @@
     /// Returns this host as a sender.
     #[must_use]
     pub fn my_peer(&self) -> Peer {
-        Peer { host: self.me.hash, incarnation: self.incarnation }
+        Peer {
+            host: self.me.hash,
+            incarnation: self.incarnation,
+        }
     }
 
     /// Takes the platform's list in: new hosts get the benefit of the doubt, and unlisted ones that
     /// give no life sign are forgotten.
     pub fn merge_list(&mut self, now: Instant, list: &[HostInfo]) {
-        self.known.values_mut().for_each(|known| known.listed = false);
+        self.known
+            .values_mut()
+            .for_each(|known| known.listed = false);
         for info in list.iter().filter(|info| info.hash != self.me.hash) {
             let known = self.known.entry(info.hash).or_insert_with(|| Known {
                 info: info.clone(),
@@ -123,7 +137,9 @@
 
     /// Records a life sign; one that is not newer than the last changes nothing.
     pub fn observe(&mut self, now: Instant, heartbeat: Heartbeat) {
-        let Some(known) = self.known.get_mut(&heartbeat.peer.host) else { return };
+        let Some(known) = self.known.get_mut(&heartbeat.peer.host) else {
+            return;
+        };
         let Heartbeat { peer, count } = heartbeat;
         if (peer.incarnation, count) <= (known.incarnation, known.count) {
             return;
@@ -138,7 +154,9 @@
 
     /// Records that a host is shutting down; returns whether that was news.
     pub fn mark_leaving(&mut self, peer: Peer) -> bool {
-        let Some(known) = self.known.get_mut(&peer.host) else { return false };
+        let Some(known) = self.known.get_mut(&peer.host) else {
+            return false;
+        };
         let is_news = !known.leaving && peer.incarnation >= known.incarnation;
         known.leaving |= is_news;
         is_news
@@ -157,15 +175,24 @@
 
     /// Returns the live hosts but this one.
     pub fn live(&self, now: Instant) -> impl Iterator<Item = &HostInfo> {
-        self.known.values().filter(move |known| known.is_live(now)).map(|known| &known.info)
+        self.known
+            .values()
+            .filter(move |known| known.is_live(now))
+            .map(|known| &known.info)
     }
 
     /// Returns the life signs of live hosts of this failure domain.
     pub fn heartbeats(&self, now: Instant) -> impl Iterator<Item = Heartbeat> {
         let mine = &self.me.domain;
-        let live = self.known.values().filter(move |k| k.is_live(now) && k.info.domain == *mine);
+        let live = self
+            .known
+            .values()
+            .filter(move |k| k.is_live(now) && k.info.domain == *mine);
         live.filter(|known| known.count > 0).map(|known| Heartbeat {
-            peer: Peer { host: known.info.hash, incarnation: known.incarnation },
+            peer: Peer {
+                host: known.info.hash,
+                incarnation: known.incarnation,
+            },
             count: known.count,
         })
     }
@@ -188,12 +215,16 @@
     /// Tells whether this host is among the `count` that have a duty in its failure domain.
     #[must_use]
     pub fn holds(&self, now: Instant, duty: Duty, count: usize) -> bool {
-        self.holders(now, &self.me.domain, duty, count).contains(&self.me.hash)
+        self.holders(now, &self.me.domain, duty, count)
+            .contains(&self.me.hash)
     }
 
     /// Returns the number of live hosts of this failure domain, this one included.
     #[must_use]
     pub fn live_in_domain(&self, now: Instant) -> usize {
-        1 + self.live(now).filter(|info| info.domain == self.me.domain).count()
+        1 + self
+            .live(now)
+            .filter(|info| info.domain == self.me.domain)
+            .count()
     }
 }
--- a/crates/hickoryhall-routing/src/baseline.rs
+++ b/crates/hickoryhall-routing/src/baseline.rs
@@ -61,7 +61,8 @@
             BaselineKind::Rendezvous => rank(chain.shared(), &mut order, |&i| runners[i].name_hash),
             BaselineKind::Exact => order.sort_by_key(|&i| {
                 let missing = u64::from(chain.tokens() - runners[i].cached_tokens);
-                let owner = std::cmp::Reverse(rendezvous_score(chain.shared(), runners[i].name_hash));
+                let owner =
+                    std::cmp::Reverse(rendezvous_score(chain.shared(), runners[i].name_hash));
                 (runners[i].waiting_tokens + missing, owner)
             }),
         }
--- a/crates/hickoryhall-routing/src/cost.rs
+++ b/crates/hickoryhall-routing/src/cost.rs
@@ -19,7 +19,11 @@
 
 impl Default for CostModel {
     fn default() -> Self {
-        Self { wait: 1.0, recompute: 1.0, eviction: 1.0 }
+        Self {
+            wait: 1.0,
+            recompute: 1.0,
+            eviction: 1.0,
+        }
     }
 }
 
--- a/crates/hickoryhall-routing/src/heat.rs
+++ b/crates/hickoryhall-routing/src/heat.rs
@@ -43,8 +43,14 @@
     /// well below the step, so that it does not go to and fro.
     pub fn width(&mut self, now: Instant, key: LevelKey, runners: usize) -> usize {
         let total = self.total.map_or(0.0, |total| decayed(total, now));
-        let Some(used) = self.uses.get_mut(&key) else { return 1 };
-        let share = if total > 0.0 { decayed(*used, now) / total } else { 0.0 };
+        let Some(used) = self.uses.get_mut(&key) else {
+            return 1;
+        };
+        let share = if total > 0.0 {
+            decayed(*used, now) / total
+        } else {
+            0.0
+        };
         let needed = share * runners as f64;
         let wide = (needed.ceil() as usize).clamp(1, runners.max(1));
         let narrow_below = (used.width.saturating_sub(1)) as f64 * NARROW_FACTOR;
@@ -80,7 +86,11 @@
 
 fn add(used: Option<Use>, now: Instant, work: f64) -> Use {
     let before = used.map_or(0.0, |used| decayed(used, now));
-    Use { work: before + work, at: now, width: used.map_or(1, |used| used.width) }
+    Use {
+        work: before + work,
+        at: now,
+        width: used.map_or(1, |used| used.width),
+    }
 }
 
 fn decayed(used: Use, now: Instant) -> f64 {
