--- a/crates/hickoryhall-routing/src/ledger.rs
+++ b/crates/hickoryhall-routing/src/ledger.rs
@@ -47,10 +47,19 @@
     prefill_tokens_per_s: u32,
     reservations: VecDeque<Reservation>,
     head_started_at: Option<Instant>,
+    reported: Option<ReportedWait>,
     shadow: ShadowCache,
     half_life: Duration,
 }
 
+/// Wait that the runner reported, and what was sent to it since.
+#[derive(Clone, Copy, Debug)]
+struct ReportedWait {
+    wait: Duration,
+    sent_since: Duration,
+    at: Instant,
+}
+
 impl Ledger {
     /// Creates an empty ledger for a runner.
     ///
@@ -62,6 +71,7 @@
             prefill_tokens_per_s: report.prefill_tokens_per_s.max(1),
             reservations: VecDeque::new(),
             head_started_at: None,
+            reported: None,
             shadow: ShadowCache::new(report.cache_tokens, entry_limit),
             half_life,
         }
@@ -94,6 +104,9 @@
         if self.reservations.is_empty() {
             self.head_started_at = Some(now);
         }
+        if let Some(reported) = &mut self.reported {
+            reported.sent_since += reservation.cost;
+        }
         self.reservations.push_back(reservation);
         self.shadow.insert(now, chain);
     }
@@ -109,7 +122,9 @@
     /// Where the runner held less than the ledger thought, the ledger forgets what had been idle
     /// for longer than the part that was missing.
     pub fn confirm(&mut self, now: Instant, id: ReservationId, cached_tokens: TokenCount) {
-        let Some(reservation) = self.take(now, id) else { return };
+        let Some(reservation) = self.take(now, id) else {
+            return;
+        };
         if cached_tokens < reservation.expected_tokens
             && let Some(last_use) = reservation.last_use
         {
@@ -118,13 +133,23 @@
     }
 
     /// Takes a load report; a new incarnation empties the ledger.
-    pub fn observe_report(&mut self, report: &LoadReport) {
+    ///
+    /// The tracker of a runner sees every request and knows the wait better than a report that
+    /// lags, so it passes `use_wait: false`.
+    pub fn observe_report(&mut self, now: Instant, report: &LoadReport, use_wait: bool) {
         if report.incarnation > self.incarnation {
             self.incarnation = report.incarnation;
             self.shadow.clear();
             self.reservations.clear();
         }
         self.prefill_tokens_per_s = report.prefill_tokens_per_s.max(1);
+        let waiting = report.waiting_tokens.min(u64::from(TokenCount::MAX)) as TokenCount;
+        let wait = self.prefill_time(waiting);
+        self.reported = use_wait.then_some(ReportedWait {
+            wait,
+            sent_since: Duration::ZERO,
+            at: now,
+        });
     }
 
     /// Drops reservations that nobody released.
@@ -152,17 +177,33 @@
     }
 
     fn take(&mut self, now: Instant, id: ReservationId) -> Option<Reservation> {
-        let place = self.reservations.iter().position(|reservation| reservation.id == id)?;
+        let place = self
+            .reservations
+            .iter()
+            .position(|reservation| reservation.id == id)?;
         self.head_started_at = Some(now);
         self.reservations.remove(place)
     }
 
     fn wait(&self, now: Instant) -> Duration {
-        let total = self.reservations.iter().map(|reservation| reservation.cost).sum::<Duration>();
-        let head_cost = self.reservations.front().map_or(Duration::ZERO, |head| head.cost);
-        let head_age =
-            self.head_started_at.map_or(Duration::ZERO, |at| now.saturating_duration_since(at));
-        total.saturating_sub(head_age.min(head_cost))
+        let total = self
+            .reservations
+            .iter()
+            .map(|reservation| reservation.cost)
+            .sum::<Duration>();
+        let head_cost = self
+            .reservations
+            .front()
+            .map_or(Duration::ZERO, |head| head.cost);
+        let head_age = self
+            .head_started_at
+            .map_or(Duration::ZERO, |at| now.saturating_duration_since(at));
+        let own = total.saturating_sub(head_age.min(head_cost));
+        let reported = self.reported.map_or(Duration::ZERO, |reported| {
+            let age = now.saturating_duration_since(reported.at);
+            (reported.wait + reported.sent_since).saturating_sub(age)
+        });
+        own.max(reported)
     }
 
     fn prefill_time(&self, tokens: TokenCount) -> Duration {
--- a/crates/hickoryhall-routing/src/placement.rs
+++ b/crates/hickoryhall-routing/src/placement.rs
@@ -17,14 +17,17 @@
     pub domain: FailureDomainId,
     /// Way to a runner in another failure domain and back.
     pub cross_domain: Duration,
-    /// Runners considered for one request at most.
+    /// Runners considered for one request at most, with quotes of their trackers.
     pub candidates: usize,
+    /// Runners considered at most where this host's own ledger must do.
+    ///
+    /// More than two would let hosts that cannot see each other spread copies of every prompt,
+    /// until recomputing them takes all the capacity there is.
+    pub own_candidates: usize,
     /// Prefix levels remembered for each runner at most.
     pub ledger_entries: usize,
     /// Time without use after which a cached prompt counts by half.
     pub half_life: Duration,
-    /// Time after the start in which an owner is taken to hold what it owns.
-    pub warm_start: Duration,
 }
 
 impl PlacementConfig {
@@ -34,10 +37,10 @@
         Self {
             domain,
             cross_domain: Duration::from_millis(1),
-            candidates: 9,
+            candidates: 4,
+            own_candidates: 2,
             ledger_entries: 512,
             half_life: Duration::from_secs(20),
-            warm_start: Duration::from_secs(30),
         }
     }
 }
@@ -87,7 +90,6 @@
 #[derive(Clone, Debug)]
 pub struct Placement {
     config: PlacementConfig,
-    started_at: Instant,
     runners: Runners,
     ledgers: SecondaryMap<RunnerKey, Ledger>,
     ejections: SecondaryMap<RunnerKey, Ejection>,
@@ -97,10 +99,9 @@
 impl Placement {
     /// Creates a placement that knows no runner.
     #[must_use]
-    pub fn new(now: Instant, config: PlacementConfig) -> Self {
+    pub fn new(config: PlacementConfig) -> Self {
         Self {
             config,
-            started_at: now,
             runners: Runners::default(),
             ledgers: SecondaryMap::new(),
             ejections: SecondaryMap::new(),
@@ -109,14 +110,17 @@
     }
 
     /// Adds a runner, or takes its new description; what is known of the same incarnation stays.
-    pub fn upsert(&mut self, mut info: RunnerInfo) -> RunnerKey {
-        let known = self.runners.key(&info.id).and_then(|key| self.runners.get(key));
+    pub fn upsert(&mut self, now: Instant, mut info: RunnerInfo) -> RunnerKey {
+        let known = self
+            .runners
+            .key(&info.id)
+            .and_then(|key| self.runners.get(key));
         if let Some(known) = known.filter(|k| k.report.incarnation == info.report.incarnation) {
             info.leaving |= known.leaving;
         }
         let report = info.report;
         let key = self.runners.insert(info);
-        self.observe_report(key, &report);
+        self.observe_report(now, key, &report);
         key
     }
 
@@ -130,8 +134,10 @@
     }
 
     /// Takes a load report of a runner; an older incarnation's report is dropped.
-    pub fn observe_report(&mut self, key: RunnerKey, report: &LoadReport) {
-        let Some(info) = self.runners.get_mut(key) else { return };
+    pub fn observe_report(&mut self, now: Instant, key: RunnerKey, report: &LoadReport) {
+        let Some(info) = self.runners.get_mut(key) else {
+            return;
+        };
         if report.incarnation < info.report.incarnation {
             return;
         }
@@ -143,9 +149,10 @@
         let entries = self.config.ledger_entries;
         let half_life = self.config.half_life;
         match self.ledgers.get_mut(key) {
-            Some(ledger) => ledger.observe_report(report),
+            Some(ledger) => ledger.observe_report(now, report, true),
             None => {
-                self.ledgers.insert(key, Ledger::new(report, entries, half_life));
+                self.ledgers
+                    .insert(key, Ledger::new(report, entries, half_life));
             }
         }
     }
@@ -166,7 +173,8 @@
         weights: WeightsVersion,
     ) -> Vec<Candidate> {
         let mut owners = self.eligible(now, model, weights);
-        self.heat.record(now, chain.top(), f64::from(chain.tokens()));
+        self.heat
+            .record(now, chain.top(), f64::from(chain.tokens()));
         let width = self.heat.width(now, chain.top(), owners.len());
         rank(chain.top(), &mut owners, |&(_, hash)| hash);
         rank(chain.shared(), &mut owners[..width], |&(_, hash)| hash);
@@ -235,6 +243,13 @@
         }
     }
 
+    /// Records that a runner answers; it is not ejected any more.
+    pub fn answered(&mut self, key: RunnerKey) {
+        if let Some(ejection) = self.ejections.get_mut(key) {
+            ejection.succeed();
+        }
+    }
+
     /// Records that a runner failed a request.
     pub fn failed(&mut self, now: Instant, key: RunnerKey, id: ReservationId) {
         self.released(now, key, id);
@@ -247,7 +262,15 @@
 
     /// Drops reservations that nobody released.
     pub fn expire(&mut self, now: Instant) {
-        self.ledgers.values_mut().for_each(|ledger| ledger.expire(now));
+        self.ledgers
+            .values_mut()
+            .for_each(|ledger| ledger.expire(now));
+    }
+
+    /// Returns the settings.
+    #[must_use]
+    pub fn config(&self) -> &PlacementConfig {
+        &self.config
     }
 
     /// Returns the runners.
@@ -277,7 +300,9 @@
     }
 
     fn is_ejected(&self, now: Instant, key: RunnerKey) -> bool {
-        self.ejections.get(key).is_some_and(|ejection| ejection.is_ejected(now))
+        self.ejections
+            .get(key)
+            .is_some_and(|ejection| ejection.is_ejected(now))
     }
 
     fn candidate(
@@ -289,12 +314,22 @@
     ) -> Option<Candidate> {
         let info = self.runners.get(key)?;
         let mut quote = self.ledgers.get(key)?.quote(now, chain);
-        if place == 0 && now.duration_since(self.started_at) < self.config.warm_start {
+        if place == 0 {
+            // Other hosts send the same prompts to the same owner, so it most likely holds them.
             quote.cached_tokens = quote.cached_tokens.max(shared_tokens(chain));
         }
         let same_domain = info.domain == self.config.domain;
-        let network = if same_domain { Duration::ZERO } else { self.config.cross_domain };
-        Some(Candidate { key, place, quote, network })
+        let network = if same_domain {
+            Duration::ZERO
+        } else {
+            self.config.cross_domain
+        };
+        Some(Candidate {
+            key,
+            place,
+            quote,
+            network,
+        })
     }
 }
 
--- a/crates/hickoryhall-routing/src/prefix.rs
+++ b/crates/hickoryhall-routing/src/prefix.rs
@@ -33,7 +33,9 @@
         }
         hasher.update(&[u8::from(adapter.is_some())]);
         hasher.update(&weights.to_le_bytes());
-        Self { key: *hasher.finalize().as_bytes() }
+        Self {
+            key: *hasher.finalize().as_bytes(),
+        }
     }
 
     /// Returns the salt that the engine mixes into its own cache keys.
@@ -69,7 +71,10 @@
             .into_iter()
             .map(|text| {
                 parent = *blake3::keyed_hash(&parent, text.as_bytes()).as_bytes();
-                Level { key: first_u64(&parent), tokens: estimate_tokens(text.len()) }
+                Level {
+                    key: first_u64(&parent),
+                    tokens: estimate_tokens(text.len()),
+                }
             })
             .collect();
         Self { levels }
--- a/crates/hickoryhall-routing/src/runner.rs
+++ b/crates/hickoryhall-routing/src/runner.rs
@@ -51,14 +51,17 @@
 impl RunnerInfo {
     /// Creates a runner that takes work.
     #[must_use]
-    pub fn new(
-        id: RunnerId,
-        domain: FailureDomainId,
-        model: TargetId,
-        report: LoadReport,
-    ) -> Self {
+    pub fn new(id: RunnerId, domain: FailureDomainId, model: TargetId, report: LoadReport) -> Self {
         let name_hash = hash_name(&id);
-        Self { id, name_hash, domain, model, report, ejected: false, leaving: report.leaving }
+        Self {
+            id,
+            name_hash,
+            domain,
+            model,
+            report,
+            ejected: false,
+            leaving: report.leaving,
+        }
     }
 
     /// Tells whether new work may be sent for a weights version.
--- a/crates/hickoryhall-routing/src/shadow.rs
+++ b/crates/hickoryhall-routing/src/shadow.rs
@@ -80,7 +80,10 @@
         self.uses += 1;
         let depth = chain.levels().len() as u32;
         for (index, level) in chain.levels().iter().enumerate() {
-            let rank = Rank { use_number: self.uses, height: depth - index as u32 };
+            let rank = Rank {
+                use_number: self.uses,
+                height: depth - index as u32,
+            };
             self.touch(now, *level, rank);
         }
         self.evict();
@@ -125,12 +128,22 @@
     }
 
     fn cached_levels<'a>(&'a self, chain: &'a PrefixChain) -> impl Iterator<Item = &'a Level> {
-        chain.levels().iter().take_while(|level| self.entries.contains_key(&level.key))
+        chain
+            .levels()
+            .iter()
+            .take_while(|level| self.entries.contains_key(&level.key))
     }
 
     fn touch(&mut self, now: Instant, level: Level, rank: Rank) {
         self.remove(level.key);
-        self.entries.insert(level.key, Entry { tokens: level.tokens, used_at: now, rank });
+        self.entries.insert(
+            level.key,
+            Entry {
+                tokens: level.tokens,
+                used_at: now,
+                rank,
+            },
+        );
         self.order.insert(rank, level.key);
         self.used_tokens += u64::from(level.tokens);
     }
@@ -144,7 +157,9 @@
 
     fn evict(&mut self) {
         while self.used_tokens > self.budget_tokens || self.entries.len() > self.entry_limit {
-            let Some((_, &oldest)) = self.order.first_key_value() else { return };
+            let Some((_, &oldest)) = self.order.first_key_value() else {
+                return;
+            };
             self.remove(oldest);
         }
     }
--- a/crates/hickoryhall-routing/src/suspects.rs
+++ b/crates/hickoryhall-routing/src/suspects.rs
@@ -41,7 +41,11 @@
     /// Records that a runner died while it ran a request; returns the deaths so far.
     pub fn record_death(&mut self, now: Instant, fingerprint: Fingerprint) -> u32 {
         self.expire(now);
-        let deaths = self.entries.get(&fingerprint).map_or(0, |suspect| suspect.deaths) + 1;
+        let deaths = self
+            .entries
+            .get(&fingerprint)
+            .map_or(0, |suspect| suspect.deaths)
+            + 1;
         self.put(now, fingerprint, deaths);
         deaths
     }
@@ -49,7 +53,10 @@
     /// Takes a count from another host; the higher one holds. Tells whether it was news.
     pub fn merge(&mut self, now: Instant, fingerprint: Fingerprint, deaths: u32) -> bool {
         self.expire(now);
-        let known = self.entries.get(&fingerprint).map_or(0, |suspect| suspect.deaths);
+        let known = self
+            .entries
+            .get(&fingerprint)
+            .map_or(0, |suspect| suspect.deaths);
         if deaths <= known {
             return false;
         }
@@ -59,8 +66,10 @@
 
     /// Clears a request that gave a whole answer.
     pub fn acquit(&mut self, fingerprint: Fingerprint) {
-        let refused =
-            self.entries.get(&fingerprint).is_some_and(|suspect| suspect.deaths >= DEATHS_TO_REFUSE);
+        let refused = self
+            .entries
+            .get(&fingerprint)
+            .is_some_and(|suspect| suspect.deaths >= DEATHS_TO_REFUSE);
         if !refused {
             self.entries.remove(&fingerprint);
         }
@@ -91,7 +100,8 @@
     }
 
     fn put(&mut self, now: Instant, fingerprint: Fingerprint, deaths: u32) {
-        self.entries.insert(fingerprint, Suspect { deaths, at: now });
+        self.entries
+            .insert(fingerprint, Suspect { deaths, at: now });
         self.order.push_back((now, fingerprint));
         while self.order.len() > SUSPECT_LIMIT {
             self.drop_oldest();
@@ -99,15 +109,25 @@
     }
 
     fn expire(&mut self, now: Instant) {
-        while self.order.front().is_some_and(|(at, _)| now.duration_since(*at) >= SUSPECT_TTL) {
+        while self
+            .order
+            .front()
+            .is_some_and(|(at, _)| now.duration_since(*at) >= SUSPECT_TTL)
+        {
             self.drop_oldest();
         }
     }
 
     fn drop_oldest(&mut self) {
-        let Some((at, fingerprint)) = self.order.pop_front() else { return };
+        let Some((at, fingerprint)) = self.order.pop_front() else {
+            return;
+        };
         // A later death has its own place in the order; only the latest one ends the entry.
-        if self.entries.get(&fingerprint).is_some_and(|suspect| suspect.at == at) {
+        if self
+            .entries
+            .get(&fingerprint)
+            .is_some_and(|suspect| suspect.at == at)
+        {
             self.entries.remove(&fingerprint);
         }
     }
--- /dev/null
+++ b/crates/hickoryhall-standins/src/bin/hickoryhall-standin.rs
@@ -0,0 +1,102 @@
+//! Runs one stand-in until it is ended.
+
+use std::net::SocketAddr;
+use std::process::ExitCode;
+use std::time::Duration;
+
+use bpaf::Bpaf;
+use hickoryhall_http::BindError;
+use hickoryhall_standins::engine::{EngineConfig, EngineServer};
+use hickoryhall_standins::hosts::HostListServer;
+use hickoryhall_standins::service::ServiceServer;
+use hickoryhall_standins::store::StoreServer;
+
+/// Runs a stand-in for a part of the platform; faults are set through POST /control.
+#[derive(Clone, Debug, Bpaf)]
+#[bpaf(options, version)]
+struct Options {
+    /// Address to listen on
+    #[bpaf(argument("ADDRESS"))]
+    listen: SocketAddr,
+    #[bpaf(external(kind))]
+    kind: Kind,
+}
+
+#[derive(Clone, Debug, Bpaf)]
+enum Kind {
+    /// Model engine
+    #[bpaf(command)]
+    Engine {
+        /// Name
+        #[bpaf(argument("NAME"))]
+        name: String,
+        /// Model that it serves
+        #[bpaf(argument("MODEL"))]
+        model: String,
+        /// Take orders with any fencing number
+        ignore_fencing: bool,
+        /// Memory for cached prompts, in tokens
+        #[bpaf(argument("TOKENS"), fallback(EngineConfig::default().cache_tokens))]
+        cache_tokens: u64,
+    },
+    /// Plain service
+    #[bpaf(command)]
+    Service {
+        /// Name
+        #[bpaf(argument("NAME"))]
+        name: String,
+    },
+    /// Key-value store
+    #[bpaf(command)]
+    Store,
+    /// List of hosts and backend servers
+    #[bpaf(command)]
+    Hosts {
+        /// Age of the list, in milliseconds
+        #[bpaf(argument("MS"), fallback(0))]
+        lag_ms: u64,
+    },
+}
+
+fn main() -> ExitCode {
+    let options = options().run();
+    match run(&options) {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(error) => {
+            eprintln!("{error}");
+            ExitCode::FAILURE
+        }
+    }
+}
+
+fn run(options: &Options) -> Result<(), BindError> {
+    let address = options.listen;
+    match &options.kind {
+        Kind::Engine {
+            name,
+            model,
+            ignore_fencing,
+            cache_tokens,
+        } => {
+            let config = EngineConfig {
+                cache_tokens: *cache_tokens,
+                ..EngineConfig::default()
+            };
+            let engine = EngineServer::start(address, name, model, !ignore_fencing, config)?;
+            serve(engine.address())
+        }
+        Kind::Service { name } => serve(ServiceServer::start(address, name)?.address()),
+        Kind::Store => serve(StoreServer::start(address)?.address()),
+        Kind::Hosts { lag_ms } => {
+            let list = HostListServer::start(address, Duration::from_millis(*lag_ms))?;
+            serve(list.address())
+        }
+    }
+}
+
+fn serve(address: SocketAddr) -> ! {
+    println!("Listening on {address}.");
+    loop {
+        std::thread::park();
+    }
+}
--- a/crates/hickoryhall-standins/src/engine/cache.rs
+++ b/crates/hickoryhall-standins/src/engine/cache.rs
@@ -31,13 +31,18 @@
     /// Creates an empty cache.
     #[must_use]
     pub fn new(limit_tokens: u64) -> Self {
-        Self { limit_tokens, ..Self::default() }
+        Self {
+            limit_tokens,
+            ..Self::default()
+        }
     }
 
     /// Returns the tokens of the longest cached prefix.
     #[must_use]
     pub fn cached_tokens(&self, pieces: &[Piece]) -> u32 {
-        let cached = pieces.iter().take_while(|piece| self.entries.contains_key(&piece.key));
+        let cached = pieces
+            .iter()
+            .take_while(|piece| self.entries.contains_key(&piece.key));
         cached.map(|piece| piece.tokens).sum()
     }
 
@@ -46,9 +51,19 @@
         self.uses += 1;
         let depth = pieces.len() as u32;
         for (index, piece) in pieces.iter().enumerate() {
-            let rank = Rank { use_number: self.uses, height: depth - index as u32 };
+            let rank = Rank {
+                use_number: self.uses,
+                height: depth - index as u32,
+            };
             let pins = self.remove(piece.key).map_or(0, |entry| entry.pins);
-            self.entries.insert(piece.key, Entry { tokens: piece.tokens, rank, pins });
+            self.entries.insert(
+                piece.key,
+                Entry {
+                    tokens: piece.tokens,
+                    rank,
+                    pins,
+                },
+            );
             self.order.insert(rank, piece.key);
             self.used_tokens += u64::from(piece.tokens);
         }
--- a/crates/hickoryhall-standins/src/engine/model.rs
+++ b/crates/hickoryhall-standins/src/engine/model.rs
@@ -129,7 +129,9 @@
 
     /// Takes a job in; the engine must have been advanced to `now` before.
     pub fn submit(&mut self, now: Instant, job: Job) {
-        let place = self.waiting.partition_point(|other| other.priority <= job.priority);
+        let place = self
+            .waiting
+            .partition_point(|other| other.priority <= job.priority);
         self.waiting.insert(place, job);
         self.start_prefill(now);
     }
@@ -165,7 +167,10 @@
     #[must_use]
     pub fn next_event_at(&self) -> Option<Instant> {
         let prefill = self.prefill.iter().map(|prefill| prefill.done_at);
-        let decode = self.batch.iter().map(|decoding| self.token_at(decoding, decoding.reported));
+        let decode = self
+            .batch
+            .iter()
+            .map(|decoding| self.token_at(decoding, decoding.reported));
         prefill.chain(decode).min()
     }
 
@@ -173,8 +178,10 @@
     #[must_use]
     pub fn next_change_at(&self) -> Option<Instant> {
         let prefill = self.prefill.iter().map(|prefill| prefill.done_at);
-        let ends =
-            self.batch.iter().map(|decoding| self.token_at(decoding, decoding.job.output_tokens - 1));
+        let ends = self
+            .batch
+            .iter()
+            .map(|decoding| self.token_at(decoding, decoding.job.output_tokens - 1));
         prefill.chain(ends).min()
     }
 
@@ -195,7 +202,10 @@
             let left = prefill.done_at.saturating_duration_since(now).as_secs_f64();
             left * f64::from(self.config.prefill_tokens_per_s)
         });
-        let queued = self.waiting.iter().map(|job| self.missing_tokens(&job.pieces));
+        let queued = self
+            .waiting
+            .iter()
+            .map(|job| self.missing_tokens(&job.pieces));
         rest as u64 + queued.map(u64::from).sum::<u64>()
     }
 
@@ -237,25 +247,47 @@
         if self.prefill.is_some() || self.batch.len() >= self.config.max_batch {
             return;
         }
-        let Some(job) = self.waiting.pop_front() else { return };
+        let Some(job) = self.waiting.pop_front() else {
+            return;
+        };
         let missing = self.missing_tokens(&job.pieces);
         let cached_tokens = self.cache.cached_tokens(&job.pieces);
         let rate = f64::from(self.config.prefill_tokens_per_s);
         let done_at = now + Duration::from_secs_f64(f64::from(missing) / rate);
         self.cache.pin(&job.pieces);
-        self.prefill = Some(Prefill { job, cached_tokens, done_at });
+        self.prefill = Some(Prefill {
+            job,
+            cached_tokens,
+            done_at,
+        });
     }
 
     fn finish_prefill(&mut self, at: Instant, events: &mut Vec<EngineEvent>) {
-        let Some(prefill) = self.prefill.take_if(|prefill| prefill.done_at <= at) else { return };
-        let Prefill { job, cached_tokens, .. } = prefill;
+        let Some(prefill) = self.prefill.take_if(|prefill| prefill.done_at <= at) else {
+            return;
+        };
+        let Prefill {
+            job, cached_tokens, ..
+        } = prefill;
         self.cache.unpin(&job.pieces);
         let evicted = self.cache.store(&job.pieces);
         self.cache.pin(&job.pieces);
-        events.extend(job.pieces.iter().map(|piece| EngineEvent::Stored(piece.key)));
+        events.extend(
+            job.pieces
+                .iter()
+                .map(|piece| EngineEvent::Stored(piece.key)),
+        );
         events.extend(evicted.into_iter().map(EngineEvent::Evicted));
-        events.push(EngineEvent::FirstToken { id: job.id, cached_tokens, at });
-        self.batch.push(Decoding { job, first_at: at, reported: 1 });
+        events.push(EngineEvent::FirstToken {
+            id: job.id,
+            cached_tokens,
+            at,
+        });
+        self.batch.push(Decoding {
+            job,
+            first_at: at,
+            reported: 1,
+        });
     }
 
     fn finish_answers(&mut self, at: Instant, events: &mut Vec<EngineEvent>) {
@@ -269,9 +301,15 @@
             let ended = self.batch.remove(index);
             if ended.reported < ended.job.output_tokens {
                 let count = ended.job.output_tokens;
-                events.push(EngineEvent::Tokens { id: ended.job.id, count });
+                events.push(EngineEvent::Tokens {
+                    id: ended.job.id,
+                    count,
+                });
             }
-            events.push(EngineEvent::Done { id: ended.job.id, at });
+            events.push(EngineEvent::Done {
+                id: ended.job.id,
+                at,
+            });
             self.cache.unpin(&ended.job.pieces);
         }
     }
@@ -284,7 +322,10 @@
             let count = (steps as u32 + 1).min(decoding.job.output_tokens);
             if count > decoding.reported {
                 decoding.reported = count;
-                events.push(EngineEvent::Tokens { id: decoding.job.id, count });
+                events.push(EngineEvent::Tokens {
+                    id: decoding.job.id,
+                    count,
+                });
             }
         }
     }
--- a/crates/hickoryhall-standins/src/engine/server.rs
+++ b/crates/hickoryhall-standins/src/engine/server.rs
@@ -106,7 +106,10 @@
         config: EngineConfig,
     ) -> Result<Self, BindError> {
         let state = State::new(name, served_model, check_fencing, config);
-        let shared = Arc::new(Shared { state: Mutex::new(state), wake: Condvar::new() });
+        let shared = Arc::new(Shared {
+            state: Mutex::new(state),
+            wake: Condvar::new(),
+        });
         let weak = Arc::downgrade(&shared);
         thread::Builder::new()
             .name("engine-clock".to_owned())
@@ -117,7 +120,9 @@
             })
             .expect("a thread at the start of a server");
         let handler = Arc::clone(&shared);
-        let running = start(address, move |request, caller| handler.handle(request, &caller))?;
+        let running = start(address, move |request, caller| {
+            handler.handle(request, &caller)
+        })?;
         Ok(Self { running, shared })
     }
 
@@ -182,7 +187,10 @@
         match fault.clone() {
             Fault::Crash { down_ms } => self.crash(Duration::from_millis(down_ms)),
             Fault::Leaving { on } => self.leaving = on,
-            Fault::BreakStreams { count, after_tokens } => {
+            Fault::BreakStreams {
+                count,
+                after_tokens,
+            } => {
                 self.faults.break_streams = count;
                 self.faults.break_after_tokens = after_tokens;
             }
@@ -226,7 +234,9 @@
 
     fn take(&mut self, event: EngineEvent) {
         match event {
-            EngineEvent::FirstToken { id, cached_tokens, .. } => {
+            EngineEvent::FirstToken {
+                id, cached_tokens, ..
+            } => {
                 if self.jobs.get(&id).is_some_and(|log| log.poisoned) {
                     self.crash(Duration::from_millis(500));
                     return;
@@ -241,7 +251,9 @@
     }
 
     fn progress(&mut self, id: JobId, progress: Progress) {
-        let Some(log) = self.jobs.get_mut(&id) else { return };
+        let Some(log) = self.jobs.get_mut(&id) else {
+            return;
+        };
         match progress {
             Progress::First { cached_tokens } => {
                 log.cached_tokens = cached_tokens;
@@ -266,7 +278,11 @@
         if every > 0 && sequence.is_multiple_of(every) {
             return;
         }
-        self.events.push_back(CacheEvent { sequence, stored, key });
+        self.events.push_back(CacheEvent {
+            sequence,
+            stored,
+            key,
+        });
         if self.events.len() > EVENT_LIMIT {
             self.events.pop_front();
         }
@@ -274,9 +290,14 @@
 
     fn drop_unread(&mut self, now: Instant) {
         let overdue = |log: &Log| {
-            log.unread_since.is_some_and(|at| now.duration_since(at) > RESUME_WINDOW)
+            log.unread_since
+                .is_some_and(|at| now.duration_since(at) > RESUME_WINDOW)
         };
-        let ended = self.jobs.iter().filter(|(_, log)| overdue(log)).map(|(&id, _)| id);
+        let ended = self
+            .jobs
+            .iter()
+            .filter(|(_, log)| overdue(log))
+            .map(|(&id, _)| id);
         for id in ended.collect::<Vec<_>>() {
             self.drop_job(now, id);
         }
@@ -321,9 +342,15 @@
 
     fn load(&mut self) -> LoadBody {
         let now = Instant::now();
-        let fresh = self.load.as_ref().filter(|(at, _)| now.duration_since(*at) < LOAD_LAG);
+        let fresh = self
+            .load
+            .as_ref()
+            .filter(|(at, _)| now.duration_since(*at) < LOAD_LAG);
         if let Some((_, body)) = fresh {
-            return LoadBody { leaving: self.leaving, ..body.clone() };
+            return LoadBody {
+                leaving: self.leaving,
+                ..body.clone()
+            };
         }
         let body = LoadBody {
             incarnation: self.model.incarnation(),
@@ -342,7 +369,10 @@
     fn order(&mut self, body: &OrderBody) -> Result<(), String> {
         if self.check_fencing && body.fencing < self.fencing {
             self.refused_orders += 1;
-            return Err(format!("fencing number {} is older than {}", body.fencing, self.fencing));
+            return Err(format!(
+                "fencing number {} is older than {}",
+                body.fencing, self.fencing
+            ));
         }
         self.fencing = self.fencing.max(body.fencing);
         match &body.order {
@@ -392,14 +422,22 @@
         let mut state = self.lock();
         let now = Instant::now();
         state.advance(now);
-        let next = state.model.next_event_at().map(|at| at.saturating_duration_since(now));
+        let next = state
+            .model
+            .next_event_at()
+            .map(|at| at.saturating_duration_since(now));
         let sleep = next.unwrap_or(LONGEST_SLEEP).min(LONGEST_SLEEP);
         let sleep = sleep.max(Duration::from_millis(1));
         drop(self.wake.wait_timeout(state, sleep));
     }
 
     fn handle(&self, mut request: Request, caller: &Caller) {
-        let path = request.url().split('?').next().unwrap_or_default().to_owned();
+        let path = request
+            .url()
+            .split('?')
+            .next()
+            .unwrap_or_default()
+            .to_owned();
         let body = match read_body(&mut request, caller, BODY_LIMIT_BYTES) {
             Ok(body) => body,
             Err(error) => return respond_json(request, 400, &json!({"error": error.to_string()})),
@@ -457,7 +495,9 @@
             drop(state);
             return respond_json(request, 503, &answer);
         }
-        let request_id = header(&request, "X-Request-Id").unwrap_or_default().to_owned();
+        let request_id = header(&request, "X-Request-Id")
+            .unwrap_or_default()
+            .to_owned();
         let attempt_id = header(&request, "X-Attempt-Id").and_then(|id| id.parse().ok());
         let attempt_id = attempt_id.unwrap_or(0);
         if state.faults.garbage > 0 {
@@ -489,7 +529,9 @@
         log.unread_since = None;
         if log.count > 0 {
             // A fresh channel takes any number of messages.
-            let _ = reader.send(Progress::First { cached_tokens: log.cached_tokens });
+            let _ = reader.send(Progress::First {
+                cached_tokens: log.cached_tokens,
+            });
             let _ = reader.send(Progress::Tokens { count: log.count });
         }
         if log.done {
@@ -537,11 +579,17 @@
             }
         };
         let headers = [("X-Incarnation", incarnation.to_string())];
-        let headers = headers.each_ref().map(|(name, value)| (*name, value.as_str()));
-        let Ok(mut writer) = EventWriter::start(request, &headers) else { return false };
+        let headers = headers
+            .each_ref()
+            .map(|(name, value)| (*name, value.as_str()));
+        let Ok(mut writer) = EventWriter::start(request, &headers) else {
+            return false;
+        };
         let mut cached = None;
         loop {
-            let Ok(progress) = progress.recv() else { return false };
+            let Ok(progress) = progress.recv() else {
+                return false;
+            };
             let count = match progress {
                 Progress::First { cached_tokens } => {
                     cached = Some(cached_tokens);
@@ -552,7 +600,10 @@
             };
             thread::sleep(std::mem::take(&mut plan.stall));
             while plan.next_index < first_index + count {
-                if plan.break_after.is_some_and(|after| plan.next_index >= first_index + after) {
+                if plan
+                    .break_after
+                    .is_some_and(|after| plan.next_index >= first_index + after)
+                {
                     return false;
                 }
                 let index = plan.next_index;
@@ -580,7 +631,10 @@
             "tokens": plan.next_index,
             "choices": [{"index": 0, "delta": {}, "finish_reason": "length"}],
         });
-        writer.event(&done.to_string()).and_then(|()| writer.event("[DONE]")).is_ok()
+        writer
+            .event(&done.to_string())
+            .and_then(|()| writer.event("[DONE]"))
+            .is_ok()
             && writer.finish().is_ok()
     }
 
@@ -605,7 +659,11 @@
     }
 
     fn cache_events(&self, request: Request) {
-        let after = request.url().split("after=").nth(1).and_then(|n| n.parse::<u64>().ok());
+        let after = request
+            .url()
+            .split("after=")
+            .nth(1)
+            .and_then(|n| n.parse::<u64>().ok());
         let after = after.unwrap_or(0);
         let state = self.lock();
         let events = state
@@ -650,12 +708,20 @@
         let stalls = use_up(&mut faults.stall);
         let wrong = use_up(&mut faults.wrong_id);
         StreamPlan {
-            request_id: if wrong { "another-request".to_owned() } else { request_id },
+            request_id: if wrong {
+                "another-request".to_owned()
+            } else {
+                request_id
+            },
             attempt_id,
             next_index,
             break_after: breaks,
             skip,
-            stall: if stalls { Duration::from_millis(faults.stall_ms) } else { Duration::ZERO },
+            stall: if stalls {
+                Duration::from_millis(faults.stall_ms)
+            } else {
+                Duration::ZERO
+            },
         }
     }
 }
@@ -669,6 +735,8 @@
 fn send_garbage(request: Request) {
     if let Ok(mut writer) = EventWriter::start(request, &[]) {
         // The reader is to see nonsense; whether it still listens does not matter.
-        let _ = writer.event("{\"nonsense\": tru").and_then(|()| writer.raw(b"zz\r\n\xff\xfe\r\n"));
+        let _ = writer
+            .event("{\"nonsense\": tru")
+            .and_then(|()| writer.raw(b"zz\r\n\xff\xfe\r\n"));
     }
 }
--- a/crates/hickoryhall-standins/src/engine/text.rs
+++ b/crates/hickoryhall-standins/src/engine/text.rs
@@ -20,7 +20,10 @@
         for part in message.content.as_bytes().chunks(PIECE_BYTES) {
             hasher.update(part);
             let tokens = part.len().div_ceil(BYTES_PER_TOKEN) as u32;
-            pieces.push(Piece { key: first_u64(&hasher), tokens });
+            pieces.push(Piece {
+                key: first_u64(&hasher),
+                tokens,
+            });
         }
     }
     pieces
@@ -37,7 +40,9 @@
 #[must_use]
 pub fn continuation_start(body: &PromptBody) -> u32 {
     let partial = body.messages.last().filter(|_| body.continue_final_message);
-    partial.map_or(0, |message| message.content.split_whitespace().count() as u32)
+    partial.map_or(0, |message| {
+        message.content.split_whitespace().count() as u32
+    })
 }
 
 /// Returns the key that the tokens of an answer depend on.
--- a/crates/hickoryhall-standins/src/hosts.rs
+++ b/crates/hickoryhall-standins/src/hosts.rs
@@ -62,7 +62,11 @@
     ///
     /// Returns an error where the address cannot be listened on.
     pub fn start(address: SocketAddr, lag: Duration) -> Result<Self, BindError> {
-        let state = Arc::new(Mutex::new(State { lag, versions: Vec::new(), down: false }));
+        let state = Arc::new(Mutex::new(State {
+            lag,
+            versions: Vec::new(),
+            down: false,
+        }));
         let shared = Arc::clone(&state);
         let running = start(address, move |mut request, caller| {
             let body = read_body(&mut request, &caller, BODY_LIMIT_BYTES).unwrap_or_default();
@@ -116,9 +120,17 @@
         }
         let now = Instant::now();
         let lag = self.lag;
-        let shown = self.versions.iter().rposition(|(at, _)| now.duration_since(*at) >= lag);
+        let shown = self
+            .versions
+            .iter()
+            .rposition(|(at, _)| now.duration_since(*at) >= lag);
         let shown = shown.unwrap_or(0);
         self.versions.drain(..shown);
-        Some(self.versions.first().map(|(_, list)| list.clone()).unwrap_or_default())
+        Some(
+            self.versions
+                .first()
+                .map(|(_, list)| list.clone())
+                .unwrap_or_default(),
+        )
     }
 }
--- a/crates/hickoryhall-standins/src/running.rs
+++ b/crates/hickoryhall-standins/src/running.rs
@@ -50,5 +50,9 @@
         .name("standin".to_owned())
         .spawn(move || server.run(handler))
         .expect("a thread at the start of a server");
-    Ok(Running { address, stop, thread: Some(thread) })
+    Ok(Running {
+        address,
+        stop,
+        thread: Some(thread),
+    })
 }
--- a/crates/hickoryhall-standins/src/service.rs
+++ b/crates/hickoryhall-standins/src/service.rs
@@ -101,7 +101,9 @@
 }
 
 fn run(state: &Mutex<State>, name: &str, request: Request) {
-    let key = header(&request, "Idempotency-Key").unwrap_or_default().to_owned();
+    let key = header(&request, "Idempotency-Key")
+        .unwrap_or_default()
+        .to_owned();
     let (runs, slow_ms, lost) = {
         let mut state = lock(state);
         if state.faults.leaving || state.faults.refuse > 0 {
@@ -120,6 +122,10 @@
     if lost {
         drop(request.into_writer());
     } else {
-        respond_json(request, 200, &json!({"server": name, "key": key, "run": runs}));
+        respond_json(
+            request,
+            200,
+            &json!({"server": name, "key": key, "run": runs}),
+        );
     }
 }
--- a/crates/hickoryhall-standins/src/store/model.rs
+++ b/crates/hickoryhall-standins/src/store/model.rs
@@ -79,7 +79,11 @@
     /// Returns the oldest value of a key that is still known, as a lagging replica would.
     #[must_use]
     pub fn get_stale(&self, key: &str) -> Option<Value> {
-        self.old.get(key).and_then(|old| old.first()).or_else(|| self.keys.get(key)).cloned()
+        self.old
+            .get(key)
+            .and_then(|old| old.first())
+            .or_else(|| self.keys.get(key))
+            .cloned()
     }
 
     /// Sets a value.
@@ -113,7 +117,11 @@
             return Err(StoreError::Conflict(current));
         }
         self.revision += 1;
-        let new = Value { value, revision: self.revision, lease };
+        let new = Value {
+            value,
+            revision: self.revision,
+            lease,
+        };
         if let Some(old) = self.keys.insert(key.to_owned(), new) {
             let kept = self.old.entry(key.to_owned()).or_default();
             kept.push(old);
@@ -134,7 +142,13 @@
     /// Grants a lease.
     pub fn grant(&mut self, now: Instant, ttl: Duration) -> LeaseId {
         self.next_lease += 1;
-        self.leases.insert(self.next_lease, Lease { ttl, until: now + ttl });
+        self.leases.insert(
+            self.next_lease,
+            Lease {
+                ttl,
+                until: now + ttl,
+            },
+        );
         self.next_lease
     }
 
@@ -178,7 +192,8 @@
         self.leases.retain(|_, lease| now < lease.until);
         if self.leases.len() < before {
             let leases = &self.leases;
-            self.keys.retain(|_, value| value.lease.is_none_or(|id| leases.contains_key(&id)));
+            self.keys
+                .retain(|_, value| value.lease.is_none_or(|id| leases.contains_key(&id)));
             self.revision += 1;
         }
     }
--- a/crates/hickoryhall-standins/src/store/server.rs
+++ b/crates/hickoryhall-standins/src/store/server.rs
@@ -73,9 +73,14 @@
     ///
     /// Returns an error where the address cannot be listened on.
     pub fn start(address: SocketAddr) -> Result<Self, BindError> {
-        let shared = Arc::new(Shared { state: Mutex::default(), changed: Condvar::new() });
+        let shared = Arc::new(Shared {
+            state: Mutex::default(),
+            changed: Condvar::new(),
+        });
         let handler = Arc::clone(&shared);
-        let running = start(address, move |request, caller| handler.handle(request, &caller))?;
+        let running = start(address, move |request, caller| {
+            handler.handle(request, &caller)
+        })?;
         Ok(Self { running, shared })
     }
 
@@ -99,17 +104,35 @@
     /// Returns a value as it is, whatever the faults.
     #[must_use]
     pub fn value(&self, key: &str) -> Option<String> {
-        self.shared.lock().model.get(Instant::now(), key).map(|value| value.value)
+        self.shared
+            .lock()
+            .model
+            .get(Instant::now(), key)
+            .map(|value| value.value)
     }
 }
 
 enum Call {
-    Get { key: String },
-    Put { key: String, condition: PutCondition, lease: Option<LeaseId> },
-    Delete { key: String },
+    Get {
+        key: String,
+    },
+    Put {
+        key: String,
+        condition: PutCondition,
+        lease: Option<LeaseId>,
+    },
+    Delete {
+        key: String,
+    },
     Grant,
-    Renew { lease: LeaseId },
-    Watch { prefix: String, after: StoreRevision, wait: Duration },
+    Renew {
+        lease: LeaseId,
+    },
+    Watch {
+        prefix: String,
+        after: StoreRevision,
+        wait: Duration,
+    },
 }
 
 #[derive(Deserialize)]
@@ -139,7 +162,12 @@
         if !self.lock().admit(&call) {
             return respond_json(request, 429, &json!({"error": "rate limit"}));
         }
-        if let Call::Watch { prefix, after, wait } = call {
+        if let Call::Watch {
+            prefix,
+            after,
+            wait,
+        } = call
+        {
             return self.watch(request, &prefix, after, wait);
         }
         let is_write = !matches!(call, Call::Get { .. });
@@ -182,14 +210,21 @@
             .into_iter()
             .map(|(key, v)| json!({"key": key, "value": v.value, "revision": v.revision}))
             .collect::<Vec<_>>();
-        respond_json(request, 200, &json!({"revision": revision, "changed": changed}));
+        respond_json(
+            request,
+            200,
+            &json!({"revision": revision, "changed": changed}),
+        );
     }
 }
 
 impl State {
     fn admit(&mut self, call: &Call) -> bool {
         let now = Instant::now();
-        if self.second.is_none_or(|at| now.duration_since(at) >= Duration::from_secs(1)) {
+        if self
+            .second
+            .is_none_or(|at| now.duration_since(at) >= Duration::from_secs(1))
+        {
             self.second = Some(now);
             self.writes_this_second = 0;
             self.reads_this_second = 0;
@@ -222,7 +257,11 @@
         let now = Instant::now();
         let result = match call {
             Call::Get { key } => return self.get(now, &key),
-            Call::Put { key, condition, lease } => {
+            Call::Put {
+                key,
+                condition,
+                lease,
+            } => {
                 let put = self.model.put(now, &key, body, condition, lease);
                 put.map(|revision| json!({"revision": revision}))
             }
@@ -250,7 +289,11 @@
 
     fn get(&mut self, now: Instant, key: &str) -> (u16, Json) {
         let stale = self.faults.stale;
-        let value = if stale { self.model.get_stale(key) } else { self.model.get(now, key) };
+        let value = if stale {
+            self.model.get_stale(key)
+        } else {
+            self.model.get(now, key)
+        };
         match value {
             Some(value) => (200, json!(value)),
             None => (404, json!({"error": "no such key"})),
@@ -261,7 +304,10 @@
 fn parse(method: &Method, url: &str) -> Option<Call> {
     let (path, query) = url.split_once('?').unwrap_or((url, ""));
     let param = |name: &str| {
-        query.split('&').filter_map(|pair| pair.split_once('=')).find(|(key, _)| *key == name)
+        query
+            .split('&')
+            .filter_map(|pair| pair.split_once('='))
+            .find(|(key, _)| *key == name)
     };
     let number = |name: &str| param(name).and_then(|(_, value)| value.parse::<u64>().ok());
     if let Some(key) = path.strip_prefix("/v1/kv/") {
@@ -274,7 +320,11 @@
                     Some(0) => PutCondition::Absent,
                     Some(revision) => PutCondition::Revision(revision),
                 };
-                Some(Call::Put { key, condition, lease: number("lease") })
+                Some(Call::Put {
+                    key,
+                    condition,
+                    lease: number("lease"),
+                })
             }
             Method::Delete => Some(Call::Delete { key }),
             _ => None,
@@ -282,7 +332,9 @@
     }
     match (method, path) {
         (Method::Post, "/v1/lease") => Some(Call::Grant),
-        (Method::Post, "/v1/lease/renew") => Some(Call::Renew { lease: number("lease")? }),
+        (Method::Post, "/v1/lease/renew") => Some(Call::Renew {
+            lease: number("lease")?,
+        }),
         (Method::Get, "/v1/watch") => Some(Call::Watch {
             prefix: param("prefix")?.1.to_owned(),
             after: number("after").unwrap_or(0),
--- a/crates/hickoryhall-table/src/access.rs
+++ b/crates/hickoryhall-table/src/access.rs
@@ -60,7 +60,10 @@
     #[must_use]
     pub fn workspace_of_key(&self, key_hash: &str) -> Option<&str> {
         self.rows()
-            .find(|row| row.key_hash_list().any(|hash| hash.eq_ignore_ascii_case(key_hash)))
+            .find(|row| {
+                row.key_hash_list()
+                    .any(|hash| hash.eq_ignore_ascii_case(key_hash))
+            })
             .map(|row| row.workspace.as_str())
     }
 
@@ -73,7 +76,12 @@
         let exact = self.row(workspace, target);
         let everyone = self.row(ANY, target);
         exact.or(everyone)?;
-        let rows = [exact, self.row(workspace, ANY), everyone, self.row(ANY, ANY)];
+        let rows = [
+            exact,
+            self.row(workspace, ANY),
+            everyone,
+            self.row(ANY, ANY),
+        ];
         Some(Grant {
             weight: first(&rows, |row| row.weight).unwrap_or(DEFAULT_WEIGHT),
             requests_per_s: first(&rows, |row| row.requests_per_s),
--- a/crates/hickoryhall-table/src/lib.rs
+++ b/crates/hickoryhall-table/src/lib.rs
@@ -65,6 +65,8 @@
 
 impl FromIterator<Row> for Table {
     fn from_iter<I: IntoIterator<Item = Row>>(rows: I) -> Self {
-        Self { rows: rows.into_iter().map(|row| (row.key(), row)).collect() }
+        Self {
+            rows: rows.into_iter().map(|row| (row.key(), row)).collect(),
+        }
     }
 }
--- a/crates/hickoryhall-table/src/merge.rs
+++ b/crates/hickoryhall-table/src/merge.rs
@@ -68,7 +68,11 @@
             Err(found) => clashes.extend(found),
         }
     }
-    if clashes.is_empty() { Ok(merged) } else { Err(clashes) }
+    if clashes.is_empty() {
+        Ok(merged)
+    } else {
+        Err(clashes)
+    }
 }
 
 fn merge_row(key: &RowKey, rows: [Option<&Row>; 3]) -> Result<Option<Row>, Vec<Clash>> {
@@ -96,7 +100,9 @@
     let mut clashes = Vec::new();
     let their_changes = cell_differences(key, base, theirs);
     for ours in cell_differences(key, base, ours) {
-        let other = their_changes.iter().find(|theirs| theirs.column == ours.column);
+        let other = their_changes
+            .iter()
+            .find(|theirs| theirs.column == ours.column);
         if let Some(other) = other.filter(|other| other.after != ours.after) {
             clashes.push(Clash {
                 key: key.clone(),
@@ -113,12 +119,20 @@
         workspace: key.workspace.clone(),
         target: key.target.clone(),
         weight: pick(&base.weight, &theirs.weight, &ours.weight),
-        requests_per_s: pick(&base.requests_per_s, &theirs.requests_per_s, &ours.requests_per_s),
+        requests_per_s: pick(
+            &base.requests_per_s,
+            &theirs.requests_per_s,
+            &ours.requests_per_s,
+        ),
         tokens_per_s: pick(&base.tokens_per_s, &theirs.tokens_per_s, &ours.tokens_per_s),
         concurrent: pick(&base.concurrent, &theirs.concurrent, &ours.concurrent),
         priority: pick(&base.priority, &theirs.priority, &ours.priority),
         repeatable: pick(&base.repeatable, &theirs.repeatable, &ours.repeatable),
-        weights_version: pick(&base.weights_version, &theirs.weights_version, &ours.weights_version),
+        weights_version: pick(
+            &base.weights_version,
+            &theirs.weights_version,
+            &ours.weights_version,
+        ),
         adapter: pick(&base.adapter, &theirs.adapter, &ours.adapter),
         wait_cost_percent: pick(
             &base.wait_cost_percent,
@@ -140,7 +154,11 @@
 }
 
 fn pick<T: Clone + PartialEq>(base: &T, theirs: &T, ours: &T) -> T {
-    if ours == base { theirs.clone() } else { ours.clone() }
+    if ours == base {
+        theirs.clone()
+    } else {
+        ours.clone()
+    }
 }
 
 fn cell_differences(key: &RowKey, before: &Row, after: &Row) -> Vec<Difference> {
@@ -149,12 +167,20 @@
         .iter()
         .zip(cells)
         .filter(|(_, (before, after))| before != after)
-        .map(|(column, (before, after))| Difference { key: key.clone(), column, before, after })
+        .map(|(column, (before, after))| Difference {
+            key: key.clone(),
+            column,
+            before,
+            after,
+        })
         .collect()
 }
 
 fn all_keys<const N: usize>(tables: [&Table; N]) -> BTreeSet<RowKey> {
-    tables.into_iter().flat_map(|table| table.rows.keys().cloned()).collect()
+    tables
+        .into_iter()
+        .flat_map(|table| table.rows.keys().cloned())
+        .collect()
 }
 
 fn describe(row: Option<&Row>) -> String {
--- a/crates/hickoryhall-table/src/row.rs
+++ b/crates/hickoryhall-table/src/row.rs
@@ -18,7 +18,10 @@
     /// Creates a key.
     #[must_use]
     pub fn new(workspace: &str, target: &str) -> Self {
-        Self { workspace: workspace.to_owned(), target: target.to_owned() }
+        Self {
+            workspace: workspace.to_owned(),
+            target: target.to_owned(),
+        }
     }
 }
 
@@ -75,7 +78,11 @@
     /// Creates a row with empty cells.
     #[must_use]
     pub fn new(workspace: &str, target: &str) -> Self {
-        Self { workspace: workspace.to_owned(), target: target.to_owned(), ..Self::default() }
+        Self {
+            workspace: workspace.to_owned(),
+            target: target.to_owned(),
+            ..Self::default()
+        }
     }
 
     /// Returns the key of this row.
@@ -92,7 +99,10 @@
             problems.push(("workspace", "is empty".to_owned()));
         }
         if !is_target(&self.target) {
-            let message = format!("'{}' is not 'model:NAME', 'service:NAME' or '*'", self.target);
+            let message = format!(
+                "'{}' is not 'model:NAME', 'service:NAME' or '*'",
+                self.target
+            );
             problems.push(("target", message));
         }
         for (column, value) in self.positive_cells() {
--- a/crates/hickoryhall-table/src/sheet.rs
+++ b/crates/hickoryhall-table/src/sheet.rs
@@ -37,7 +37,9 @@
     ///
     /// Returns every problem found, each with its line and column.
     pub fn from_csv(text: &str) -> Result<Self, SheetErrors> {
-        let mut reader = csv::ReaderBuilder::new().trim(csv::Trim::All).from_reader(text.as_bytes());
+        let mut reader = csv::ReaderBuilder::new()
+            .trim(csv::Trim::All)
+            .from_reader(text.as_bytes());
         let mut errors = Vec::new();
         let mut rows = Vec::new();
         for record in reader.deserialize::<Row>() {
@@ -69,7 +71,9 @@
     #[must_use]
     pub fn to_csv(&self) -> String {
         let mut writer = csv::Writer::from_writer(Vec::new());
-        writer.write_record(Row::COLUMNS).expect("writing to memory");
+        writer
+            .write_record(Row::COLUMNS)
+            .expect("writing to memory");
         for row in self.rows() {
             writer.write_record(row.cells()).expect("writing to memory");
         }
@@ -89,14 +93,26 @@
         for (index, row) in rows.iter().enumerate() {
             let line = index as u64 + 2;
             for (column, message) in row.problems() {
-                errors.push(SheetError { line, column: column.to_owned(), message });
+                errors.push(SheetError {
+                    line,
+                    column: column.to_owned(),
+                    message,
+                });
             }
             if !seen.insert(row.key()) {
                 let message = format!("{} {} stands twice", row.workspace, row.target);
-                errors.push(SheetError { line, column: String::new(), message });
+                errors.push(SheetError {
+                    line,
+                    column: String::new(),
+                    message,
+                });
             }
         }
-        if errors.is_empty() { Ok(rows.into_iter().collect()) } else { Err(SheetErrors(errors)) }
+        if errors.is_empty() {
+            Ok(rows.into_iter().collect())
+        } else {
+            Err(SheetErrors(errors))
+        }
     }
 }
 
@@ -150,10 +166,17 @@
     let (column, message) = match error.kind() {
         csv::ErrorKind::Deserialize { err, .. } => {
             let field = err.field().and_then(|field| usize::try_from(field).ok());
-            let column = field.and_then(|field| Row::COLUMNS.get(field)).copied().unwrap_or("");
+            let column = field
+                .and_then(|field| Row::COLUMNS.get(field))
+                .copied()
+                .unwrap_or("");
             (column, err.kind().to_string())
         }
         _ => ("", error.to_string()),
     };
-    SheetError { line, column: column.to_owned(), message }
+    SheetError {
+        line,
+        column: column.to_owned(),
+        message,
+    }
 }
--- a/crates/hickoryhall-table/src/snapshot.rs
+++ b/crates/hickoryhall-table/src/snapshot.rs
@@ -80,14 +80,25 @@
         history.push(change);
         let surplus = history.len().saturating_sub(HISTORY_LEN);
         history.drain(..surplus);
-        let chunks = table.to_chunks().into_iter().map(|chunk| chunk.id).collect();
-        Self { revision, chunks, history }
+        let chunks = table
+            .to_chunks()
+            .into_iter()
+            .map(|chunk| chunk.id)
+            .collect();
+        Self {
+            revision,
+            chunks,
+            history,
+        }
     }
 
     /// Tells whether a change is among the latest ones, and with which revision.
     #[must_use]
     pub fn accepted(&self, change_id: &str) -> Option<Revision> {
-        self.history.iter().find(|change| change.id == change_id).map(|change| change.revision)
+        self.history
+            .iter()
+            .find(|change| change.id == change_id)
+            .map(|change| change.revision)
     }
 }
 
@@ -103,7 +114,10 @@
             .into_values()
             .map(|rows| {
                 let bytes = serde_json::to_vec(&rows).expect("rows have string keys");
-                Chunk { id: chunk_id(&bytes), bytes }
+                Chunk {
+                    id: chunk_id(&bytes),
+                    bytes,
+                }
             })
             .collect()
     }
@@ -119,13 +133,18 @@
     ) -> Result<Self, SnapshotError> {
         let mut table = Self::default();
         for id in &head.chunks {
-            let bytes =
-                chunks.get(id).ok_or_else(|| SnapshotError::MissingChunk(id.clone()))?;
+            let bytes = chunks
+                .get(id)
+                .ok_or_else(|| SnapshotError::MissingChunk(id.clone()))?;
             if chunk_id(bytes) != *id {
                 return Err(SnapshotError::WrongHash(id.clone()));
             }
-            let rows = serde_json::from_slice::<Vec<Row>>(bytes)
-                .map_err(|source| SnapshotError::BadRows { id: id.clone(), source })?;
+            let rows = serde_json::from_slice::<Vec<Row>>(bytes).map_err(|source| {
+                SnapshotError::BadRows {
+                    id: id.clone(),
+                    source,
+                }
+            })?;
             rows.into_iter().for_each(|row| table.insert(row));
         }
         Ok(table)
--- a/crates/hickoryhall-telemetry/src/decisions.rs
+++ b/crates/hickoryhall-telemetry/src/decisions.rs
@@ -63,6 +63,10 @@
     #[must_use]
     pub fn of_request(&self, request_id: &str) -> Vec<DecisionRecord> {
         let records = self.records.lock().unwrap_or_else(PoisonError::into_inner);
-        records.iter().filter(|record| record.request_id == request_id).cloned().collect()
+        records
+            .iter()
+            .filter(|record| record.request_id == request_id)
+            .cloned()
+            .collect()
     }
 }
--- a/crates/hickoryhall-telemetry/src/logs.rs
+++ b/crates/hickoryhall-telemetry/src/logs.rs
@@ -24,7 +24,6 @@
 /// Creates the logger of a process; lines go to standard error.
 ///
 /// Each part of the program makes a child with its own `part` value, which every line of it shows.
-#[must_use]
 pub fn root_logger(format: LogFormat, host: &str) -> Logger {
     let host = host.to_owned();
     match format {
@@ -44,6 +43,9 @@
 where
     D: Drain<Ok = (), Err = slog::Never> + Send + 'static,
 {
-    let drain = slog_async::Async::new(drain).chan_size(QUEUE_LINES).build().fuse();
+    let drain = slog_async::Async::new(drain)
+        .chan_size(QUEUE_LINES)
+        .build()
+        .fuse();
     Logger::root(drain, o!("host" => host))
 }
--- a/crates/hickoryhall-telemetry/src/metrics_page.rs
+++ b/crates/hickoryhall-telemetry/src/metrics_page.rs
@@ -1,16 +1,22 @@
 //! Metrics in the Prometheus text form.
 
+use std::sync::OnceLock;
+
 use metrics_exporter_prometheus::{Matcher, PrometheusBuilder, PrometheusHandle};
 
 /// Bounds of histogram buckets for times, in seconds.
-const TIME_BUCKETS_S: [f64; 12] =
-    [0.001, 0.0025, 0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1.0, 2.5, 10.0];
+const TIME_BUCKETS_S: [f64; 12] = [
+    0.001, 0.0025, 0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1.0, 2.5, 10.0,
+];
 
 /// Metrics could not be set up.
 #[derive(Debug, thiserror::Error)]
 #[error("setting up metrics: {0}")]
 pub struct MetricsError(String);
 
+/// Page of the recorder that this process's metrics go to.
+static INSTALLED: OnceLock<MetricsPage> = OnceLock::new();
+
 /// The page of this process's metrics.
 #[derive(Clone, Debug)]
 pub struct MetricsPage {
@@ -18,7 +24,7 @@
 }
 
 impl MetricsPage {
-    /// Makes this process's metrics go to a page; where they already do, the page is empty.
+    /// Makes this process's metrics go to a page; several hosts in one process share it.
     ///
     /// # Errors
     ///
@@ -28,15 +34,19 @@
             .set_buckets_for_metric(Matcher::Suffix("_seconds".to_owned()), &TIME_BUCKETS_S)
             .map_err(|error| MetricsError(error.to_string()))?
             .build_recorder();
-        let handle = recorder.handle();
-        // Several hosts in one process, as in the demo, share the recorder of the first.
-        let _ = metrics::set_global_recorder(recorder);
-        Ok(Self { handle })
+        let page = INSTALLED.get_or_init(|| {
+            let handle = recorder.handle();
+            // Metrics of a process that has a recorder already go there, and this page stays empty.
+            let _ = metrics::set_global_recorder(recorder);
+            Self { handle }
+        });
+        Ok(page.clone())
     }
 
     /// Returns the page.
     #[must_use]
     pub fn render(&self) -> String {
+        self.handle.run_upkeep();
         self.handle.render()
     }
 }
--- a/crates/hickoryhall-telemetry/src/trace.rs
+++ b/crates/hickoryhall-telemetry/src/trace.rs
@@ -22,7 +22,11 @@
     /// Creates the context of a request that brought none.
     #[must_use]
     pub fn new(trace: u128, span: u64) -> Self {
-        Self { trace, span, sampled: true }
+        Self {
+            trace,
+            span,
+            sampled: true,
+        }
     }
 
     /// Reads a `traceparent` header; `None` where it is malformed.
@@ -44,7 +48,11 @@
         let trace = u128::from_str_radix(trace, 16).ok().filter(|&id| id != 0)?;
         let span = u64::from_str_radix(span, 16).ok().filter(|&id| id != 0)?;
         let flags = u8::from_str_radix(flags, 16).ok()?;
-        Some(Self { trace, span, sampled: flags & 1 == 1 })
+        Some(Self {
+            trace,
+            span,
+            sampled: flags & 1 == 1,
+        })
     }
 
     /// Returns the context for the next hop, caused by `span`.
@@ -62,7 +70,13 @@
 
 impl fmt::Display for TraceContext {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        write!(f, "00-{:032x}-{:016x}-{:02x}", self.trace, self.span, u8::from(self.sampled))
+        write!(
+            f,
+            "00-{:032x}-{:016x}-{:02x}",
+            self.trace,
+            self.span,
+            u8::from(self.sampled)
+        )
     }
 }
 
@@ -146,7 +160,10 @@
 
     /// Ends the span.
     pub fn end(self, outcome: &str) {
-        let start = self.start_wall.duration_since(UNIX_EPOCH).unwrap_or_default();
+        let start = self
+            .start_wall
+            .duration_since(UNIX_EPOCH)
+            .unwrap_or_default();
         self.log.push(SpanRecord {
             trace_id: self.context.trace_id(),
             span_id: format!("{:016x}", self.id),
--- /dev/null
+++ b/crates/hickoryhall-tools/src/bin/hickoryhall-load.rs
@@ -0,0 +1,119 @@
+//! Sends open-loop load to running entry hosts and reports what came of it.
+
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::process::ExitCode;
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+
+use bpaf::Bpaf;
+use hickoryhall_tools::load::{LoadPlan, LoadReport, run};
+use hickoryhall_tools::report;
+use hickoryhall_tools::workload::Profile;
+
+/// Longest run, so that a load always ends.
+const LONGEST_S: u64 = 3_600;
+
+/// Sends load, or compares two reports.
+#[derive(Clone, Debug, Bpaf)]
+#[bpaf(options, version)]
+enum Options {
+    /// Send load to running entry hosts
+    #[bpaf(command)]
+    Run {
+        /// Entry host; may be given more than once
+        #[bpaf(argument("ADDRESS"), some("at least one --against is needed"))]
+        against: Vec<SocketAddr>,
+        /// karoo or valenza
+        #[bpaf(argument("NAME"), fallback("karoo".to_owned()))]
+        profile: String,
+        /// Requests a second
+        #[bpaf(argument("RATE"), fallback(8.0))]
+        rate: f64,
+        /// Length of the run in seconds
+        #[bpaf(argument("SECONDS"), fallback(30))]
+        seconds: u64,
+        /// Seed of the traffic
+        #[bpaf(argument("SEED"), fallback(1))]
+        seed: u64,
+        /// File for the report in JSON
+        #[bpaf(argument("FILE"))]
+        output: Option<PathBuf>,
+    },
+    /// Compare two reports
+    #[bpaf(command)]
+    Compare {
+        /// First report
+        #[bpaf(positional("BEFORE"))]
+        before: PathBuf,
+        /// Second report
+        #[bpaf(positional("AFTER"))]
+        after: PathBuf,
+    },
+}
+
+fn main() -> ExitCode {
+    let result = match options().run() {
+        Options::Run {
+            against,
+            profile,
+            rate,
+            seconds,
+            seed,
+            output,
+        } => send(against, &profile, rate, seconds, seed, output),
+        Options::Compare { before, after } => compare(&before, &after),
+    };
+    match result {
+        Ok(text) => {
+            print!("{text}");
+            ExitCode::SUCCESS
+        }
+        Err(message) => {
+            eprintln!("{message}");
+            ExitCode::from(2)
+        }
+    }
+}
+
+fn send(
+    hosts: Vec<SocketAddr>,
+    profile: &str,
+    rate: f64,
+    seconds: u64,
+    seed: u64,
+    output: Option<PathBuf>,
+) -> Result<String, String> {
+    let profile = Profile::by_name(profile).ok_or("the profile is karoo or valenza")?;
+    if rate <= 0.0 || seconds == 0 || seconds > LONGEST_S {
+        return Err(format!(
+            "the rate must be above 0 and the length from 1 to {LONGEST_S} s"
+        ));
+    }
+    let plan = LoadPlan {
+        profile,
+        requests_per_s: rate,
+        length: Duration::from_secs(seconds),
+        deadline: Duration::from_secs(30),
+        seed,
+    };
+    let result = run(&plan, &Arc::new(Mutex::new(hosts)), |at, sent| {
+        eprintln!("{} s, {sent} requests sent", at.as_secs());
+    });
+    if let Some(path) = output {
+        let json = serde_json::to_string_pretty(&result).expect("a report has string keys");
+        std::fs::write(&path, json).map_err(|error| format!("{}: {error}", path.display()))?;
+    }
+    Ok(report::render(&result))
+}
+
+fn compare(before: &PathBuf, after: &PathBuf) -> Result<String, String> {
+    let read = |path: &PathBuf| {
+        let text = std::fs::read_to_string(path).map_err(|error| error.to_string());
+        let report = text.and_then(|text| {
+            serde_json::from_str::<LoadReport>(&text).map_err(|error| error.to_string())
+        });
+        report.map_err(|error| format!("{}: {error}", path.display()))
+    };
+    Ok(report::compare(&read(before)?, &read(after)?))
+}
--- /dev/null
+++ b/crates/hickoryhall-tools/src/caller.rs
@@ -0,0 +1,290 @@
+//! A caller of the entry hosts.
+
+use std::io::{BufRead, BufReader};
+use std::net::SocketAddr;
+use std::time::{Duration, Instant};
+
+use hickoryhall_clients::Message;
+use serde_json::{Value, json};
+use ureq::Agent;
+
+/// How a request ended.
+#[derive(Clone, Debug, PartialEq)]
+pub enum CallEnd {
+    /// A whole answer.
+    Whole {
+        /// Text of the answer, or body of a service's answer.
+        text: String,
+        /// Time to the first token.
+        first_token: Duration,
+        /// Time to the end.
+        total: Duration,
+    },
+    /// A refusal.
+    Refused {
+        /// HTTP status, 200 where the stream had begun.
+        status: u16,
+        /// Refusal, as the host wrote it.
+        refusal: Value,
+        /// Text before the refusal.
+        text: String,
+        /// `Retry-After` in seconds.
+        retry_after_s: Option<u64>,
+    },
+    /// The connection failed or the stream ended without an end.
+    Broken {
+        /// What was seen.
+        message: String,
+    },
+}
+
+impl CallEnd {
+    /// Returns the text of a whole answer.
+    #[must_use]
+    pub fn text(&self) -> Option<&str> {
+        match self {
+            Self::Whole { text, .. } => Some(text),
+            _ => None,
+        }
+    }
+
+    /// Returns a field of a refusal, such as `code` or `ran`.
+    #[must_use]
+    pub fn refusal(&self, field: &str) -> Option<&str> {
+        match self {
+            Self::Refused { refusal, .. } => refusal[field].as_str(),
+            _ => None,
+        }
+    }
+}
+
+/// One request to a model.
+#[derive(Clone, Debug)]
+pub struct ModelCall<'a> {
+    /// Key of the workspace.
+    pub key: &'a str,
+    /// Id of the request.
+    pub request_id: &'a str,
+    /// Model.
+    pub model: &'a str,
+    /// Prompt.
+    pub messages: &'a [Message],
+    /// Tokens of the answer.
+    pub max_tokens: u32,
+    /// Whether the answer is streamed.
+    pub stream: bool,
+    /// Deadline.
+    pub deadline: Duration,
+}
+
+/// One call of a plain service.
+#[derive(Clone, Debug)]
+pub struct ServiceCall<'a> {
+    /// Key of the workspace.
+    pub key: &'a str,
+    /// Service and path, such as `booking/coaches`.
+    pub path: &'a str,
+    /// Idempotency key.
+    pub idempotency_key: Option<&'a str>,
+    /// Deadline.
+    pub deadline: Duration,
+}
+
+/// A caller.
+#[derive(Clone, Debug)]
+pub struct CallerClient {
+    agent: Agent,
+}
+
+impl Default for CallerClient {
+    fn default() -> Self {
+        let agent = Agent::config_builder()
+            .http_status_as_error(false)
+            .proxy(None)
+            .max_idle_connections(0)
+            .max_idle_connections_per_host(0)
+            .build()
+            .new_agent();
+        Self { agent }
+    }
+}
+
+impl CallerClient {
+    /// Sends a request to a model and reads the answer.
+    #[must_use]
+    pub fn model(&self, host: SocketAddr, call: &ModelCall<'_>) -> CallEnd {
+        let body = json!({
+            "model": call.model,
+            "messages": call.messages,
+            "max_tokens": call.max_tokens,
+            "stream": call.stream,
+        });
+        let started = Instant::now();
+        let response = self
+            .agent
+            .post(format!("http://{host}/v1/chat/completions"))
+            .config()
+            .timeout_global(Some(call.deadline + Duration::from_secs(5)))
+            .build()
+            .header("Connection", "close")
+            .header("Authorization", format!("Bearer {}", call.key))
+            .header("X-Request-Id", call.request_id)
+            .header("X-Deadline-Ms", call.deadline.as_millis().to_string())
+            .send(body.to_string());
+        match response {
+            Err(error) => CallEnd::Broken {
+                message: error.to_string(),
+            },
+            Ok(response) if response.status() != 200 => refused(response),
+            Ok(response) if call.stream => read_stream(response, started),
+            Ok(response) => read_whole(response, started, |body| {
+                body["choices"][0]["message"]["content"]
+                    .as_str()
+                    .map(str::to_owned)
+            }),
+        }
+    }
+
+    /// Calls a plain service.
+    #[must_use]
+    pub fn service(&self, host: SocketAddr, call: &ServiceCall<'_>) -> CallEnd {
+        let started = Instant::now();
+        let mut request = self
+            .agent
+            .post(format!("http://{host}/svc/{}", call.path))
+            .config()
+            .timeout_global(Some(call.deadline + Duration::from_secs(5)))
+            .build()
+            .header("Connection", "close")
+            .header("Authorization", format!("Bearer {}", call.key))
+            .header("X-Deadline-Ms", call.deadline.as_millis().to_string());
+        if let Some(key) = call.idempotency_key {
+            request = request.header("Idempotency-Key", key);
+        }
+        match request.send("{}") {
+            Err(error) => CallEnd::Broken {
+                message: error.to_string(),
+            },
+            Ok(response) if response.status() != 200 => refused(response),
+            Ok(response) => read_whole(response, started, |body| Some(body.to_string())),
+        }
+    }
+
+    /// Reads a JSON page of a host.
+    ///
+    /// # Errors
+    ///
+    /// Returns a message where the host cannot be reached or answers no JSON.
+    pub fn get_json(&self, host: SocketAddr, path: &str) -> Result<Value, String> {
+        let text = self.get_text(host, path)?;
+        serde_json::from_str(&text).map_err(|error| error.to_string())
+    }
+
+    /// Reads a page of a host.
+    ///
+    /// # Errors
+    ///
+    /// Returns a message where the host cannot be reached.
+    pub fn get_text(&self, host: SocketAddr, path: &str) -> Result<String, String> {
+        let response = self.agent.get(format!("http://{host}{path}")).call();
+        let response = response.map_err(|error| error.to_string())?;
+        response
+            .into_body()
+            .read_to_string()
+            .map_err(|error| error.to_string())
+    }
+}
+
+type Response = ureq::http::Response<ureq::Body>;
+
+fn refused(response: Response) -> CallEnd {
+    let status = response.status().as_u16();
+    let retry_after = response.headers().get("retry-after");
+    let retry_after_s = retry_after
+        .and_then(|value| value.to_str().ok())
+        .and_then(|value| value.parse().ok());
+    let text = response.into_body().read_to_string().unwrap_or_default();
+    let refusal = serde_json::from_str(&text).unwrap_or(Value::String(text));
+    CallEnd::Refused {
+        status,
+        refusal,
+        text: String::new(),
+        retry_after_s,
+    }
+}
+
+fn read_whole(
+    response: Response,
+    started: Instant,
+    text: impl FnOnce(&Value) -> Option<String>,
+) -> CallEnd {
+    let body = response
+        .into_body()
+        .read_to_string()
+        .map_err(|error| error.to_string());
+    let body = body
+        .and_then(|body| serde_json::from_str::<Value>(&body).map_err(|error| error.to_string()));
+    let total = started.elapsed();
+    match body.map(|body| text(&body)) {
+        Ok(Some(text)) => CallEnd::Whole {
+            text,
+            first_token: total,
+            total,
+        },
+        Ok(None) => CallEnd::Broken {
+            message: "no text in the answer".to_owned(),
+        },
+        Err(message) => CallEnd::Broken { message },
+    }
+}
+
+fn read_stream(response: Response, started: Instant) -> CallEnd {
+    let mut lines = BufReader::new(response.into_body().into_reader());
+    let mut text = String::new();
+    let mut first_token = None;
+    loop {
+        let mut line = String::new();
+        match lines.read_line(&mut line) {
+            Ok(0) => {
+                return CallEnd::Broken {
+                    message: "the stream has no end marker".to_owned(),
+                };
+            }
+            Err(error) => {
+                return CallEnd::Broken {
+                    message: error.to_string(),
+                };
+            }
+            Ok(_) => {}
+        }
+        let Some(data) = line.trim_end().strip_prefix("data: ") else {
+            continue;
+        };
+        if data == "[DONE]" {
+            let total = started.elapsed();
+            return CallEnd::Whole {
+                text,
+                first_token: first_token.unwrap_or(total),
+                total,
+            };
+        }
+        let Ok(event) = serde_json::from_str::<Value>(data) else {
+            return CallEnd::Broken {
+                message: format!("not an event: {data}"),
+            };
+        };
+        if !event["error"].is_null() {
+            let refusal = event["error"].clone();
+            return CallEnd::Refused {
+                status: 200,
+                refusal,
+                text,
+                retry_after_s: None,
+            };
+        }
+        if let Some(token) = event["choices"][0]["delta"]["content"].as_str() {
+            first_token.get_or_insert_with(|| started.elapsed());
+            text.push_str(token);
+        }
+    }
+}
--- /dev/null
+++ b/crates/hickoryhall-tools/src/cmd.rs
@@ -0,0 +1,198 @@
+//! Subcommands of the operators' program, one file each.
+
+mod apply;
+mod diff;
+mod get;
+mod history;
+mod set;
+mod status;
+
+use std::net::SocketAddr;
+use std::path::{Path, PathBuf};
+use std::time::{SystemTime, UNIX_EPOCH};
+
+use bpaf::Bpaf;
+use hickoryhall_table::Table;
+
+use crate::operator::{OperatorClient, OperatorError};
+
+/// Exit code for a call that cannot be used.
+pub const EXIT_USAGE: u8 = 2;
+/// Exit code for a clash with another operator's change.
+pub const EXIT_CLASH: u8 = 3;
+/// Exit code where it is not known whether a change took effect.
+pub const EXIT_IN_DOUBT: u8 = 4;
+/// Exit code where hosts have different revisions or do not answer.
+pub const EXIT_BEHIND: u8 = 5;
+
+/// Options of the operators' program.
+#[derive(Clone, Debug, Bpaf)]
+#[bpaf(options, version)]
+pub struct TableOptions {
+    /// Entry host to go through
+    #[bpaf(argument("ADDRESS"), env("HICKORYHALL_HOST"))]
+    host: SocketAddr,
+    /// Operators' key
+    #[bpaf(argument("KEY"), env("HICKORYHALL_OPERATOR_KEY"))]
+    key: String,
+    #[bpaf(external(table_command))]
+    command: TableCommand,
+}
+
+/// What to do with the table.
+#[derive(Clone, Debug, Bpaf)]
+pub enum TableCommand {
+    /// Print the table in force
+    #[bpaf(command)]
+    Get {
+        /// Print JSON instead of CSV
+        json: bool,
+    },
+    /// Change cells of one row
+    #[bpaf(command)]
+    Set {
+        /// Who makes the change
+        #[bpaf(argument("NAME"), fallback(default_author()))]
+        author: String,
+        /// Workspace, or '*'
+        #[bpaf(positional("WORKSPACE"))]
+        workspace: String,
+        /// 'model:NAME', 'service:NAME' or '*'
+        #[bpaf(positional("TARGET"))]
+        target: String,
+        /// Cells as COLUMN=VALUE; an empty value empties the cell
+        #[bpaf(
+            positional("COLUMN=VALUE"),
+            some("at least one COLUMN=VALUE is needed")
+        )]
+        cells: Vec<String>,
+    },
+    /// Replace the table by a sheet, merging changes made meanwhile
+    #[bpaf(command)]
+    Apply {
+        /// Who makes the change
+        #[bpaf(argument("NAME"), fallback(default_author()))]
+        author: String,
+        /// Sheet that the edited one was made from; the table in force if left out
+        #[bpaf(argument("FILE"))]
+        base: Option<PathBuf>,
+        /// Show the difference and change nothing
+        dry_run: bool,
+        /// Edited sheet, CSV or JSON by its ending
+        #[bpaf(positional("FILE"))]
+        sheet: PathBuf,
+    },
+    /// Show how a sheet differs from the table in force
+    #[bpaf(command)]
+    Diff {
+        /// Sheet, CSV or JSON by its ending
+        #[bpaf(positional("FILE"))]
+        sheet: PathBuf,
+    },
+    /// Show which revision each host has in force
+    #[bpaf(command)]
+    Status,
+    /// Show the latest changes
+    #[bpaf(command)]
+    History,
+}
+
+/// A command that failed, with its exit code.
+#[derive(Debug, thiserror::Error)]
+#[error("{message}")]
+pub struct CommandError {
+    /// Exit code.
+    pub exit_code: u8,
+    /// What to tell the operator.
+    pub message: String,
+}
+
+impl CommandError {
+    pub(crate) fn usage(message: impl Into<String>) -> Self {
+        Self {
+            exit_code: EXIT_USAGE,
+            message: message.into(),
+        }
+    }
+}
+
+impl From<OperatorError> for CommandError {
+    fn from(error: OperatorError) -> Self {
+        let exit_code = match &error {
+            OperatorError::Clash(_) => EXIT_CLASH,
+            OperatorError::Refused { .. } => EXIT_USAGE,
+            OperatorError::NoAnswer { .. } => EXIT_IN_DOUBT,
+        };
+        let mut message = error.to_string();
+        if let OperatorError::Clash(cells) = &error {
+            for cell in cells {
+                message.push_str(&format!(
+                    "\n{} {} {}: now '{}', yours '{}'",
+                    cell.workspace, cell.target, cell.column, cell.theirs, cell.ours
+                ));
+            }
+        }
+        Self { exit_code, message }
+    }
+}
+
+/// Runs a command and returns what it prints.
+///
+/// # Errors
+///
+/// Returns an error with the exit code.
+pub fn run(options: TableOptions) -> Result<String, CommandError> {
+    let client = OperatorClient::new(options.host, &options.key);
+    match options.command {
+        TableCommand::Get { json } => get::run(&client, json),
+        TableCommand::Set {
+            author,
+            workspace,
+            target,
+            cells,
+        } => set::run(&client, &author, &workspace, &target, &cells),
+        TableCommand::Apply {
+            author,
+            base,
+            dry_run,
+            sheet,
+        } => apply::run(&client, &author, base.as_deref(), &sheet, dry_run),
+        TableCommand::Diff { sheet } => diff::run(&client, &sheet),
+        TableCommand::Status => status::run(&client),
+        TableCommand::History => history::run(&client),
+    }
+}
+
+/// Returns the parser of the program's options.
+#[must_use]
+pub fn options() -> bpaf::OptionParser<TableOptions> {
+    table_options().descr("Reads and changes the operators' table through any entry host.")
+}
+
+fn default_author() -> String {
+    std::env::var("USER").unwrap_or_else(|_| "operator".to_owned())
+}
+
+/// Reads a sheet, in JSON where the file's name ends so, in CSV otherwise.
+fn read_sheet(path: &Path) -> Result<Table, CommandError> {
+    let name = path.display();
+    let text = std::fs::read_to_string(path)
+        .map_err(|error| CommandError::usage(format!("reading {name}: {error}")))?;
+    let is_json = path
+        .extension()
+        .is_some_and(|extension| extension == "json");
+    let table = if is_json {
+        Table::from_json(&text)
+    } else {
+        Table::from_csv(&text)
+    };
+    table.map_err(|errors| CommandError::usage(format!("{name}:\n{errors}")))
+}
+
+/// Returns an id that no other change has.
+fn change_id(author: &str) -> String {
+    let since = SystemTime::now()
+        .duration_since(UNIX_EPOCH)
+        .unwrap_or_default();
+    format!("{author}-{}-{}", since.as_nanos(), std::process::id())
+}
--- /dev/null
+++ b/crates/hickoryhall-tools/src/cmd/diff.rs
@@ -0,0 +1,35 @@
+//! `diff`: shows how a sheet differs from the table in force.
+
+use std::path::Path;
+
+use hickoryhall_table::{Difference, Table};
+
+use super::{CommandError, read_sheet};
+use crate::operator::OperatorClient;
+
+pub(super) fn run(client: &OperatorClient, sheet: &Path) -> Result<String, CommandError> {
+    let wanted = read_sheet(sheet)?;
+    Ok(render(&client.table()?.table, &wanted))
+}
+
+/// Renders the difference, one line for each cell.
+pub(super) fn render(before: &Table, after: &Table) -> String {
+    let differences = before.difference(after);
+    if differences.is_empty() {
+        return "No difference.\n".to_owned();
+    }
+    differences.iter().map(line).collect()
+}
+
+fn line(difference: &Difference) -> String {
+    let Difference {
+        key,
+        column,
+        before,
+        after,
+    } = difference;
+    format!(
+        "{} {} {column}: '{before}' -> '{after}'\n",
+        key.workspace, key.target
+    )
+}
--- /dev/null
+++ b/crates/hickoryhall-tools/src/experiment/report.rs
@@ -0,0 +1,88 @@
+//! What a run measured.
+
+use std::time::Duration;
+
+use hdrhistogram::Histogram;
+
+/// Counts of one run.
+#[derive(Clone, Debug)]
+pub struct Outcome {
+    ttft_us: Histogram<u64>,
+    prompt_tokens: u64,
+    cached_tokens: u64,
+    wasted_tokens: u64,
+    requests: u64,
+    lost: u64,
+}
+
+/// Figures of one run.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Summary {
+    /// Part of prompt tokens found cached.
+    pub hit_rate: f64,
+    /// Median time to the first token.
+    pub ttft_p50: Duration,
+    /// 95th percentile.
+    pub ttft_p95: Duration,
+    /// 99th percentile.
+    pub ttft_p99: Duration,
+    /// Tokens computed though another runner had them, as part of all prompt tokens.
+    pub wasted: f64,
+    /// Requests measured.
+    pub requests: u64,
+    /// Requests that got no first token by the end.
+    pub lost: u64,
+}
+
+impl Default for Outcome {
+    fn default() -> Self {
+        let ttft_us = Histogram::new_with_bounds(1, 3_600_000_000, 3).expect("valid bounds");
+        Self {
+            ttft_us,
+            prompt_tokens: 0,
+            cached_tokens: 0,
+            wasted_tokens: 0,
+            requests: 0,
+            lost: 0,
+        }
+    }
+}
+
+impl Outcome {
+    /// Adds a first token.
+    pub fn first_token(&mut self, ttft: Duration, prompt: u32, cached: u32, elsewhere: u32) {
+        let us = u64::try_from(ttft.as_micros()).unwrap_or(u64::MAX);
+        self.ttft_us.saturating_record(us.max(1));
+        self.prompt_tokens += u64::from(prompt);
+        self.cached_tokens += u64::from(cached);
+        self.wasted_tokens += u64::from(elsewhere.saturating_sub(cached));
+        self.requests += 1;
+    }
+
+    /// Adds a request without a first token.
+    pub fn lost(&mut self) {
+        self.lost += 1;
+    }
+
+    /// Returns the mean tokens computed for a request.
+    #[must_use]
+    pub fn mean_missing_tokens(&self) -> f64 {
+        (self.prompt_tokens - self.cached_tokens) as f64 / self.requests.max(1) as f64
+    }
+
+    /// Returns the figures.
+    #[must_use]
+    pub fn summary(&self) -> Summary {
+        let quantile = |q| Duration::from_micros(self.ttft_us.value_at_quantile(q));
+        let part = |tokens: u64| tokens as f64 / self.prompt_tokens.max(1) as f64;
+        Summary {
+            hit_rate: part(self.cached_tokens),
+            ttft_p50: quantile(0.5),
+            ttft_p95: quantile(0.95),
+            ttft_p99: quantile(0.99),
+            wasted: part(self.wasted_tokens),
+            requests: self.requests,
+            lost: self.lost,
+        }
+    }
+}
--- /dev/null
+++ b/crates/hickoryhall-tools/src/fleet.rs
@@ -0,0 +1,361 @@
+//! A small fleet in one process: stand-ins for the platform and backends, and entry hosts.
+
+use std::net::SocketAddr;
+use std::time::{Duration, Instant};
+
+use hickoryhall_entry::{EntryHost, HostLimits, Settings, StartError};
+use hickoryhall_http::BindError;
+use hickoryhall_limits::FleetShape;
+use hickoryhall_standins::engine::{EngineConfig, EngineServer};
+use hickoryhall_standins::hosts::{HostListServer, Kind, Listed};
+use hickoryhall_standins::service::ServiceServer;
+use hickoryhall_standins::store::StoreServer;
+use hickoryhall_table::{Row, Table};
+use hickoryhall_telemetry::LogFormat;
+
+use crate::operator::{OperatorClient, OperatorError};
+
+/// Model that the runners serve.
+pub const MODEL: &str = "planner";
+/// Service whose calls may not be repeated.
+pub const SERVICE: &str = "booking";
+/// Key of the operators.
+pub const OPERATOR_KEY: &str = "operator-key";
+/// Secret that the hosts share.
+const PEER_SECRET: &str = "a secret of this process";
+/// Time between two looks whether hosts are ready.
+const POLL: Duration = Duration::from_millis(10);
+
+/// Size and behaviour of a fleet.
+#[derive(Clone, Debug)]
+pub struct FleetConfig {
+    /// Failure domains.
+    pub domains: u32,
+    /// Entry hosts of each failure domain.
+    pub hosts_per_domain: u32,
+    /// Runners of each failure domain.
+    pub runners_per_domain: u32,
+    /// Service servers of each failure domain.
+    pub services_per_domain: u32,
+    /// Workspaces.
+    pub workspaces: u32,
+    /// Engines.
+    pub engine: EngineConfig,
+    /// Lag of the host list.
+    pub list_lag: Duration,
+    /// Whether engines refuse old fencing numbers.
+    pub check_fencing: bool,
+    /// Limits of the hosts.
+    pub limits: HostLimits,
+    /// Form of the hosts' logs.
+    pub log_format: LogFormat,
+}
+
+impl Default for FleetConfig {
+    fn default() -> Self {
+        Self {
+            domains: 3,
+            hosts_per_domain: 2,
+            runners_per_domain: 3,
+            services_per_domain: 1,
+            workspaces: 8,
+            engine: EngineConfig::default(),
+            list_lag: Duration::ZERO,
+            check_fencing: true,
+            limits: HostLimits {
+                control_bytes_per_s: 60_000,
+                ..HostLimits::default()
+            },
+            log_format: LogFormat::Off,
+        }
+    }
+}
+
+/// A fleet that could not start.
+#[derive(Debug, thiserror::Error)]
+pub enum FleetError {
+    /// A stand-in cannot listen.
+    #[error(transparent)]
+    Bind(#[from] BindError),
+    /// A host cannot start.
+    #[error(transparent)]
+    Start(#[from] StartError),
+    /// The first table was refused.
+    #[error(transparent)]
+    Table(#[from] OperatorError),
+    /// Something did not happen in time.
+    #[error("timed out: {0}")]
+    TimedOut(&'static str),
+}
+
+/// A running fleet; fields are dropped in order, hosts first.
+pub struct Fleet {
+    /// Entry hosts; `None` where one is stopped.
+    pub hosts: Vec<Option<EntryHost>>,
+    /// Runners.
+    pub runners: Vec<EngineServer>,
+    /// Servers of the plain service.
+    pub services: Vec<ServiceServer>,
+    /// The platform's store.
+    pub store: StoreServer,
+    /// The platform's host list.
+    pub list: HostListServer,
+    config: FleetConfig,
+}
+
+impl Fleet {
+    /// Starts a fleet and waits until every host is ready.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error where a part cannot start or is not ready in time.
+    pub fn start(config: FleetConfig) -> Result<Self, FleetError> {
+        let store = StoreServer::start(any_port())?;
+        let list = HostListServer::start(any_port(), config.list_lag)?;
+        let mut runners = Vec::new();
+        let mut services = Vec::new();
+        for index in 0..config.domains * config.runners_per_domain {
+            let name = runner_name(index);
+            let fenced = config.check_fencing;
+            runners.push(EngineServer::start(
+                any_port(),
+                &name,
+                MODEL,
+                fenced,
+                config.engine,
+            )?);
+        }
+        for index in 0..config.domains * config.services_per_domain {
+            services.push(ServiceServer::start(any_port(), &service_name(index))?);
+        }
+        let mut fleet = Self {
+            hosts: Vec::new(),
+            runners,
+            services,
+            store,
+            list,
+            config,
+        };
+        for index in 0..fleet.config.domains * fleet.config.hosts_per_domain {
+            let host = EntryHost::start(fleet.settings(index))?;
+            fleet.hosts.push(Some(host));
+        }
+        fleet.publish_list(&[]);
+        let operator = fleet.operator(0);
+        let table = first_table(fleet.config.workspaces);
+        operator.apply("first-table", "setup", &Table::default(), &table)?;
+        fleet.wait_until(
+            "hosts ready",
+            Duration::from_secs(10),
+            Self::are_hosts_ready,
+        )?;
+        fleet.wait_until(
+            "runners known",
+            Duration::from_secs(10),
+            Self::are_runners_known,
+        )?;
+        Ok(fleet)
+    }
+
+    /// Returns the address for callers of a host.
+    ///
+    /// # Panics
+    ///
+    /// Panics where the host is stopped.
+    #[must_use]
+    pub fn address(&self, host: usize) -> SocketAddr {
+        self.hosts[host]
+            .as_ref()
+            .expect("a running host")
+            .http_address()
+    }
+
+    /// Returns the addresses of the running hosts.
+    #[must_use]
+    pub fn addresses(&self) -> Vec<SocketAddr> {
+        self.hosts
+            .iter()
+            .flatten()
+            .map(EntryHost::http_address)
+            .collect()
+    }
+
+    /// Returns a client of a host's operators' interface.
+    #[must_use]
+    pub fn operator(&self, host: usize) -> OperatorClient {
+        OperatorClient::new(self.address(host), OPERATOR_KEY)
+    }
+
+    /// Takes a host out, for the caller to shut down.
+    pub fn take_host(&mut self, host: usize) -> Option<EntryHost> {
+        self.hosts[host].take()
+    }
+
+    /// Starts a host again, on new ports.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error where it cannot start.
+    pub fn start_host(&mut self, host: usize) -> Result<(), FleetError> {
+        let started = EntryHost::start(self.settings(host as u32))?;
+        self.hosts[host] = Some(started);
+        self.publish_list(&[]);
+        Ok(())
+    }
+
+    /// Publishes the host list, with these runners as leaving.
+    pub fn publish_list(&self, leaving_runners: &[usize]) {
+        let mut list = Vec::new();
+        for (index, host) in self.hosts.iter().enumerate() {
+            let Some(host) = host else { continue };
+            list.push(self.listed(
+                Kind::Entry,
+                &host_name(index as u32),
+                index,
+                host.peer_address(),
+            ));
+        }
+        for (index, runner) in self.runners.iter().enumerate() {
+            let name = runner_name(index as u32);
+            let mut listed = self.listed(Kind::Runner, &name, index, runner.address());
+            listed.leaving = leaving_runners.contains(&index);
+            list.push(listed);
+        }
+        for (index, service) in self.services.iter().enumerate() {
+            let name = service_name(index as u32);
+            list.push(self.listed(Kind::Service, &name, index, service.address()));
+        }
+        self.list.set(list);
+    }
+
+    /// Waits until something holds.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error where it does not hold in time.
+    pub fn wait_until(
+        &self,
+        what: &'static str,
+        limit: Duration,
+        holds: impl Fn(&Self) -> bool,
+    ) -> Result<(), FleetError> {
+        let started = Instant::now();
+        while !holds(self) {
+            if started.elapsed() > limit {
+                return Err(FleetError::TimedOut(what));
+            }
+            std::thread::sleep(POLL);
+        }
+        Ok(())
+    }
+
+    fn are_hosts_ready(&self) -> bool {
+        self.hosts.iter().flatten().all(EntryHost::is_ready)
+    }
+
+    fn are_runners_known(&self) -> bool {
+        self.hosts
+            .iter()
+            .flatten()
+            .all(|host| host.known_runners() == self.runners.len())
+    }
+
+    fn settings(&self, index: u32) -> Settings {
+        Settings {
+            host: host_name(index),
+            failure_domain: self.domain(index as usize),
+            http_address: any_port(),
+            peer_address: any_port(),
+            store_address: self.store.address(),
+            host_list_address: self.list.address(),
+            peer_secrets: vec![PEER_SECRET.to_owned()],
+            operator_key_hash: blake3::hash(OPERATOR_KEY.as_bytes()).to_hex().to_string(),
+            peers: Vec::new(),
+            fleet: FleetShape {
+                domains: self.config.domains,
+                hosts_per_domain: self.config.hosts_per_domain,
+            },
+            unfenced_models: if self.config.check_fencing {
+                vec![]
+            } else {
+                vec![MODEL.to_owned()]
+            },
+            log_format: self.config.log_format,
+            limits: self.config.limits,
+        }
+    }
+
+    fn domain(&self, index: usize) -> String {
+        format!("domain-{}", index as u32 % self.config.domains)
+    }
+
+    fn listed(&self, kind: Kind, id: &str, index: usize, address: SocketAddr) -> Listed {
+        let target = match kind {
+            Kind::Entry => "",
+            Kind::Runner => MODEL,
+            Kind::Service => SERVICE,
+        };
+        Listed {
+            id: id.to_owned(),
+            kind,
+            failure_domain: self.domain(index),
+            address,
+            target: target.to_owned(),
+            leaving: false,
+        }
+    }
+}
+
+/// Returns the key of a workspace.
+#[must_use]
+pub fn workspace_key(workspace: u32) -> String {
+    format!("key-of-workspace-{workspace}")
+}
+
+/// Returns the name of a workspace.
+#[must_use]
+pub fn workspace_name(workspace: u32) -> String {
+    format!("workspace-{workspace}")
+}
+
+/// Returns a table with these workspaces, the model and the service.
+#[must_use]
+pub fn first_table(workspaces: u32) -> Table {
+    let model = Row {
+        weights_version: Some(1),
+        ..Row::new("*", &format!("model:{MODEL}"))
+    };
+    let service = Row {
+        repeatable: Some(false),
+        ..Row::new("*", &format!("service:{SERVICE}"))
+    };
+    let workspace = |index| Row {
+        weight: Some(1),
+        key_hashes: Some(
+            blake3::hash(workspace_key(index).as_bytes())
+                .to_hex()
+                .to_string(),
+        ),
+        ..Row::new(&workspace_name(index), "*")
+    };
+    (0..workspaces)
+        .map(workspace)
+        .chain([model, service])
+        .collect()
+}
+
+fn any_port() -> SocketAddr {
+    ([127, 0, 0, 1], 0).into()
+}
+
+fn host_name(index: u32) -> String {
+    format!("entry-{index}")
+}
+
+fn runner_name(index: u32) -> String {
+    format!("runner-{index}")
+}
+
+fn service_name(index: u32) -> String {
+    format!("booking-{index}")
+}
--- /dev/null
+++ b/crates/hickoryhall-tools/src/load.rs
@@ -0,0 +1,301 @@
+//! Open-loop load against running entry hosts, and its report.
+
+use std::collections::{BTreeMap, HashMap};
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex, PoisonError};
+use std::thread;
+use std::time::{Duration, Instant};
+
+use hdrhistogram::Histogram;
+use hickoryhall_http::WorkerPool;
+use serde::{Deserialize, Serialize};
+
+use crate::caller::{CallEnd, CallerClient, ModelCall, ServiceCall};
+use crate::fleet::{MODEL, SERVICE, workspace_key};
+use crate::prompt::Texts;
+use crate::workload::{Arrival, Profile, Workload};
+
+/// Requests in flight at most; further ones count as not sent.
+const IN_FLIGHT_LIMIT: usize = 2_048;
+
+/// What to send.
+#[derive(Clone, Debug)]
+pub struct LoadPlan {
+    /// Traffic.
+    pub profile: Profile,
+    /// Requests a second.
+    pub requests_per_s: f64,
+    /// Time of the run.
+    pub length: Duration,
+    /// Deadline of each request.
+    pub deadline: Duration,
+    /// Seed.
+    pub seed: u64,
+}
+
+/// Figures of a run.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct LoadReport {
+    /// Profile.
+    pub profile: String,
+    /// Seed.
+    pub seed: u64,
+    /// Requests sent.
+    pub sent: u64,
+    /// Requests that were due but not sent, for want of threads.
+    pub not_sent: u64,
+    /// Whole answers of models.
+    pub answered: u64,
+    /// Whole answers of the service.
+    pub service_answered: u64,
+    /// Broken streams and connections.
+    pub broken: u64,
+    /// Refusals by code.
+    pub refused: BTreeMap<String, u64>,
+    /// Part of prompt tokens that runners had cached, by the hosts' own count.
+    pub hit_rate: f64,
+    /// Median time to the first token, in milliseconds.
+    pub ttft_p50_ms: f64,
+    /// 95th percentile.
+    pub ttft_p95_ms: f64,
+    /// 99th percentile.
+    pub ttft_p99_ms: f64,
+    /// 99th percentile of the service's calls, in milliseconds.
+    pub service_p99_ms: f64,
+    /// Id of a request that was answered, for a look at its decisions.
+    pub sample_request: Option<String>,
+    /// Host that answered it.
+    pub sample_host: Option<SocketAddr>,
+}
+
+struct Tally {
+    report: LoadReport,
+    ttft_us: Histogram<u64>,
+    service_us: Histogram<u64>,
+}
+
+/// Sends traffic to hosts in turn; `progress` is told once a second how many requests were sent.
+///
+/// Hosts are read anew for each request, so that they may change during the run.
+///
+/// # Panics
+///
+/// Panics where the plan's rate is not greater than 0.
+pub fn run(
+    plan: &LoadPlan,
+    hosts: &Arc<Mutex<Vec<SocketAddr>>>,
+    mut progress: impl FnMut(Duration, u64),
+) -> LoadReport {
+    assert!(plan.requests_per_s > 0.0, "a load needs a rate");
+    let tally = Arc::new(Mutex::new(Tally::new(plan)));
+    let before = cached_counts(&lock(hosts));
+    let pool = WorkerPool::new("load", IN_FLIGHT_LIMIT);
+    let workload = Workload::new(plan.profile.clone(), plan.requests_per_s, plan.seed);
+    let mut texts = Texts::default();
+    let started = Instant::now();
+    let mut next_second = Duration::from_secs(1);
+    for (index, arrival) in workload
+        .take_while(|arrival| arrival.at < plan.length)
+        .enumerate()
+    {
+        thread::sleep((started + arrival.at).saturating_duration_since(Instant::now()));
+        let host = {
+            let hosts = lock(hosts);
+            hosts[index % hosts.len()]
+        };
+        let request = Request::new(plan, host, index, &arrival, &mut texts);
+        let shared = Arc::clone(&tally);
+        lock(&tally).report.sent += 1;
+        if pool.run(move || request.run(&shared)).is_err() {
+            lock(&tally).report.not_sent += 1;
+        }
+        if arrival.at >= next_second {
+            next_second += Duration::from_secs(1);
+            progress(arrival.at, index as u64 + 1);
+        }
+    }
+    wait_for_answers(&tally, plan.deadline + Duration::from_secs(5));
+    let after = cached_counts(&lock(hosts));
+    let mut tally = lock(&tally);
+    tally.close(before, after)
+}
+
+struct Request {
+    host: SocketAddr,
+    id: String,
+    key: String,
+    messages: Vec<hickoryhall_clients::Message>,
+    max_tokens: u32,
+    is_service: bool,
+    deadline: Duration,
+}
+
+impl Request {
+    fn new(
+        plan: &LoadPlan,
+        host: SocketAddr,
+        index: usize,
+        arrival: &Arrival,
+        texts: &mut Texts,
+    ) -> Self {
+        let messages = if arrival.is_service {
+            Vec::new()
+        } else {
+            texts.messages(&arrival.levels)
+        };
+        Self {
+            host,
+            id: format!("load-{}-{index}", plan.seed),
+            key: workspace_key(arrival.workspace),
+            messages,
+            max_tokens: arrival.output_tokens,
+            is_service: arrival.is_service,
+            deadline: plan.deadline,
+        }
+    }
+
+    fn run(&self, tally: &Mutex<Tally>) {
+        let client = CallerClient::default();
+        let end = if self.is_service {
+            client.service(
+                self.host,
+                &ServiceCall {
+                    key: &self.key,
+                    path: &format!("{SERVICE}/coaches"),
+                    idempotency_key: Some(&self.id),
+                    deadline: self.deadline,
+                },
+            )
+        } else {
+            client.model(
+                self.host,
+                &ModelCall {
+                    key: &self.key,
+                    request_id: &self.id,
+                    model: MODEL,
+                    messages: &self.messages,
+                    max_tokens: self.max_tokens,
+                    stream: true,
+                    deadline: self.deadline,
+                },
+            )
+        };
+        lock(tally).record(self, &end);
+    }
+}
+
+impl Tally {
+    fn new(plan: &LoadPlan) -> Self {
+        let histogram = || Histogram::new_with_bounds(1, 3_600_000_000, 3).expect("valid bounds");
+        Self {
+            report: LoadReport {
+                profile: plan.profile.name.to_owned(),
+                seed: plan.seed,
+                ..LoadReport::default()
+            },
+            ttft_us: histogram(),
+            service_us: histogram(),
+        }
+    }
+
+    fn record(&mut self, request: &Request, end: &CallEnd) {
+        match end {
+            CallEnd::Whole { total, .. } if request.is_service => {
+                self.report.service_answered += 1;
+                self.service_us.saturating_record(micros(*total));
+            }
+            CallEnd::Whole { first_token, .. } => {
+                self.report.answered += 1;
+                self.ttft_us.saturating_record(micros(*first_token));
+                self.report.sample_request = Some(request.id.clone());
+                self.report.sample_host = Some(request.host);
+            }
+            CallEnd::Refused { refusal, .. } => {
+                let code = refusal["code"].as_str().unwrap_or("unreadable").to_owned();
+                *self.report.refused.entry(code).or_default() += 1;
+            }
+            CallEnd::Broken { .. } => self.report.broken += 1,
+        }
+    }
+
+    fn ended(&self) -> u64 {
+        let report = &self.report;
+        let refused = report.refused.values().sum::<u64>();
+        report.answered + report.service_answered + report.broken + report.not_sent + refused
+    }
+
+    fn close(&mut self, before: CachedCounts, after: CachedCounts) -> LoadReport {
+        let ms = |histogram: &Histogram<u64>, q| histogram.value_at_quantile(q) as f64 / 1_000.0;
+        let prompt = after.prompt_tokens - before.prompt_tokens;
+        let cached = after.cached_tokens - before.cached_tokens;
+        self.report.hit_rate = if prompt > 0.0 { cached / prompt } else { 0.0 };
+        self.report.ttft_p50_ms = ms(&self.ttft_us, 0.5);
+        self.report.ttft_p95_ms = ms(&self.ttft_us, 0.95);
+        self.report.ttft_p99_ms = ms(&self.ttft_us, 0.99);
+        self.report.service_p99_ms = ms(&self.service_us, 0.99);
+        self.report.clone()
+    }
+}
+
+#[derive(Clone, Copy, Debug, Default)]
+struct CachedCounts {
+    prompt_tokens: f64,
+    cached_tokens: f64,
+}
+
+/// Reads the hosts' own counts; hosts in one process share a page, which counts once.
+fn cached_counts(hosts: &[SocketAddr]) -> CachedCounts {
+    let client = CallerClient::default();
+    let mut pages = HashMap::new();
+    for &host in hosts {
+        let Ok(page) = client.get_text(host, "/metrics") else {
+            continue;
+        };
+        let value = |name: &str| {
+            let line = page
+                .lines()
+                .find_map(|line| line.strip_prefix(name)?.strip_prefix(' '));
+            line.and_then(|value| value.parse::<f64>().ok())
+                .unwrap_or(0.0)
+        };
+        let counts = CachedCounts {
+            prompt_tokens: value("prompt_tokens_total"),
+            cached_tokens: value("prompt_tokens_cached_total"),
+        };
+        pages.insert(
+            (
+                counts.prompt_tokens.to_bits(),
+                counts.cached_tokens.to_bits(),
+            ),
+            counts,
+        );
+    }
+    pages
+        .values()
+        .fold(CachedCounts::default(), |sum, counts| CachedCounts {
+            prompt_tokens: sum.prompt_tokens + counts.prompt_tokens,
+            cached_tokens: sum.cached_tokens + counts.cached_tokens,
+        })
+}
+
+fn wait_for_answers(tally: &Mutex<Tally>, limit: Duration) {
+    let started = Instant::now();
+    while started.elapsed() < limit {
+        let tally = lock(tally);
+        if tally.ended() >= tally.report.sent {
+            return;
+        }
+        drop(tally);
+        thread::sleep(Duration::from_millis(20));
+    }
+}
+
+fn lock<T>(mutex: &Mutex<T>) -> std::sync::MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
+fn micros(duration: Duration) -> u64 {
+    u64::try_from(duration.as_micros())
+        .unwrap_or(u64::MAX)
+        .max(1)
+}
--- /dev/null
+++ b/crates/hickoryhall-tools/src/prompt.rs
@@ -0,0 +1,61 @@
+//! Texts of prompts, made from their keys.
+
+use std::collections::HashMap;
+use std::sync::Arc;
+
+use hickoryhall_clients::Message;
+use hickoryhall_routing::Level;
+use hickoryhall_types::{BYTES_PER_TOKEN, rendezvous_score};
+
+/// Texts kept; questions are unique and are not worth keeping.
+const KEPT_TEXTS: usize = 2_048;
+
+/// Makes the text of a level; equal levels have equal texts.
+#[derive(Clone, Debug, Default)]
+pub struct Texts {
+    kept: HashMap<u64, Arc<str>>,
+}
+
+impl Texts {
+    /// Returns the messages of a prompt, one for each level.
+    pub fn messages(&mut self, levels: &[Level]) -> Vec<Message> {
+        let last = levels.len().saturating_sub(1);
+        let mut messages = Vec::with_capacity(levels.len());
+        for (index, level) in levels.iter().enumerate() {
+            let role = if index == last { "user" } else { "system" };
+            let text = if index == last {
+                text(level).into()
+            } else {
+                self.kept(level)
+            };
+            messages.push(Message {
+                role: role.to_owned(),
+                content: text.to_string(),
+            });
+        }
+        messages
+    }
+
+    fn kept(&mut self, level: &Level) -> Arc<str> {
+        if self.kept.len() >= KEPT_TEXTS {
+            self.kept.clear();
+        }
+        Arc::clone(
+            self.kept
+                .entry(level.key)
+                .or_insert_with(|| text(level).into()),
+        )
+    }
+}
+
+fn text(level: &Level) -> String {
+    let bytes = level.tokens as usize * BYTES_PER_TOKEN;
+    let mut text = String::with_capacity(bytes + 16);
+    let mut word = level.key;
+    while text.len() < bytes {
+        word = rendezvous_score(level.key, word);
+        text.push_str(&format!("{word:015x} "));
+    }
+    text.truncate(bytes);
+    text
+}
--- a/crates/hickoryhall-types/src/rendezvous.rs
+++ b/crates/hickoryhall-types/src/rendezvous.rs
@@ -13,7 +13,10 @@
 #[must_use]
 pub fn rendezvous_score(key: u64, name_hash: u64) -> u64 {
     // The finalizer of splitmix64: every input bit reaches every output bit.
-    let mut mixed = key ^ name_hash.rotate_left(32).wrapping_mul(0x9e37_79b9_7f4a_7c15);
+    let mut mixed = key
+        ^ name_hash
+            .rotate_left(32)
+            .wrapping_mul(0x9e37_79b9_7f4a_7c15);
     mixed = (mixed ^ (mixed >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
     mixed = (mixed ^ (mixed >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
     mixed ^ (mixed >> 31)
--- a/crates/hickoryhall-wire/src/codec.rs
+++ b/crates/hickoryhall-wire/src/codec.rs
@@ -23,8 +23,9 @@
     /// Creates a codec.
     #[must_use]
     pub fn new(keyring: Keyring) -> Self {
-        let lengths =
-            LengthDelimitedCodec::builder().max_frame_length(MAX_FRAME_BYTES).new_codec();
+        let lengths = LengthDelimitedCodec::builder()
+            .max_frame_length(MAX_FRAME_BYTES)
+            .new_codec();
         Self { lengths, keyring }
     }
 }
@@ -33,7 +34,8 @@
     type Error = io::Error;
 
     fn encode(&mut self, frame: &Frame, to: &mut BytesMut) -> io::Result<()> {
-        self.lengths.encode(Bytes::from(self.keyring.seal(frame)), to)
+        self.lengths
+            .encode(Bytes::from(self.keyring.seal(frame)), to)
     }
 }
 
@@ -42,7 +44,9 @@
     type Error = io::Error;
 
     fn decode(&mut self, from: &mut BytesMut) -> io::Result<Option<Frame>> {
-        let Some(bytes) = self.lengths.decode(from)? else { return Ok(None) };
+        let Some(bytes) = self.lengths.decode(from)? else {
+            return Ok(None);
+        };
         let invalid = |error: OpenError| io::Error::new(io::ErrorKind::InvalidData, error);
         self.keyring.open(&bytes).map(Some).map_err(invalid)
     }
--- a/crates/hickoryhall-wire/src/frame.rs
+++ b/crates/hickoryhall-wire/src/frame.rs
@@ -157,6 +157,8 @@
     pub cached_tokens: TokenCount,
     /// Tokens of recent use that would be evicted.
     pub eviction_tokens: TokenCount,
+    /// Whether the tracker has seen the runner's requests for a while.
+    pub is_warm: bool,
 }
 
 /// Question for a part of a limit.
@@ -166,6 +168,8 @@
     pub bucket: u64,
     /// Units wanted.
     pub units: u32,
+    /// The whole fleet's limit, by the asker's table.
+    pub limit: u32,
 }
 
 /// Part of a limit.
--- a/crates/hickoryhall-wire/src/proto.rs
+++ b/crates/hickoryhall-wire/src/proto.rs
@@ -3,8 +3,8 @@
 use prost::Message;
 
 use crate::frame::{
-    Body, Frame, GrantAnswer, GrantAsk, Gossip, Heartbeat, Peer, QuoteAnswer, QuoteAsk,
-    RunnerQuote, Rumor, TableDelta, TableFetch, WireLevel,
+    Body, Frame, Gossip, GrantAnswer, GrantAsk, Heartbeat, Peer, QuoteAnswer, QuoteAsk, Rumor,
+    RunnerQuote, TableDelta, TableFetch, WireLevel,
 };
 
 /// Version of the protocol; a frame of another one is dropped.
@@ -38,7 +38,9 @@
 
 impl std::fmt::Debug for Keyring {
     fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
-        f.debug_struct("Keyring").field("keys", &self.keys.len()).finish()
+        f.debug_struct("Keyring")
+            .field("keys", &self.keys.len())
+            .finish()
     }
 }
 
@@ -52,7 +54,9 @@
     pub fn new<S: AsRef<str>>(secrets: &[S]) -> Self {
         assert!(!secrets.is_empty(), "a keyring needs a key");
         let derive = |secret: &S| blake3::derive_key(KEY_CONTEXT, secret.as_ref().as_bytes());
-        Self { keys: secrets.iter().map(derive).collect() }
+        Self {
+            keys: secrets.iter().map(derive).collect(),
+        }
     }
 
     /// Encodes and authenticates a frame.
@@ -71,8 +75,9 @@
     ///
     /// Returns an error where the bytes are not authentic or not readable.
     pub fn open(&self, bytes: &[u8]) -> Result<Frame, OpenError> {
-        let (stated, payload) =
-            bytes.split_at_checked(TAG_BYTES).ok_or(OpenError::NotAuthentic)?;
+        let (stated, payload) = bytes
+            .split_at_checked(TAG_BYTES)
+            .ok_or(OpenError::NotAuthentic)?;
         if !self.keys.iter().any(|key| matches(key, payload, stated)) {
             return Err(OpenError::NotAuthentic);
         }
@@ -92,7 +97,10 @@
 
 fn matches(key: &[u8; 32], payload: &[u8], stated: &[u8]) -> bool {
     // Every byte is compared, so the time does not tell how many fit.
-    let differing = tag(key, payload).iter().zip(stated).fold(0, |sum, (a, b)| sum | (a ^ b));
+    let differing = tag(key, payload)
+        .iter()
+        .zip(stated)
+        .fold(0, |sum, (a, b)| sum | (a ^ b));
     differing == 0
 }
 
@@ -206,6 +214,8 @@
     cached_tokens: u32,
     #[prost(uint32, tag = "5")]
     eviction_tokens: u32,
+    #[prost(bool, tag = "6")]
+    is_warm: bool,
 }
 
 #[derive(Clone, PartialEq, Message)]
@@ -236,6 +246,8 @@
     units: u32,
     #[prost(uint32, tag = "3")]
     ttl_ms: u32,
+    #[prost(uint32, tag = "4")]
+    limit: u32,
 }
 
 #[derive(Clone, PartialEq, Message)]
@@ -269,7 +281,10 @@
     fn try_from(proto: FrameProto) -> Result<Self, OpenError> {
         let body = proto.body.ok_or(OpenError::Malformed)?;
         Ok(Self {
-            sender: Peer { host: proto.sender, incarnation: proto.incarnation },
+            sender: Peer {
+                host: proto.sender,
+                incarnation: proto.incarnation,
+            },
             receiver: proto.receiver,
             sequence: proto.sequence,
             body: body.try_into()?,
@@ -284,18 +299,40 @@
             Body::PushRevision { revision } => Self::PushRevision(revision),
             Body::QuoteAsk(ask) => Self::QuoteAsk(ask.into()),
             Body::QuoteAnswer(answer) => Self::QuoteAnswer(answer.into()),
-            Body::Reserve { runner, id, levels } => {
-                Self::Reserve(ReserveProto { runner, id, levels: into_all(levels) })
-            }
-            Body::Release { runner, id, cached_tokens } => {
-                Self::Release(ReleaseProto { runner, id, cached_tokens })
-            }
-            Body::GrantAsk(ask) => {
-                Self::GrantAsk(GrantProto { bucket: ask.bucket, units: ask.units, ttl_ms: 0 })
-            }
-            Body::GrantAnswer(GrantAnswer { bucket, units, ttl_ms }) => {
-                Self::GrantAnswer(GrantProto { bucket, units, ttl_ms })
-            }
+            Body::Reserve { runner, id, levels } => Self::Reserve(ReserveProto {
+                runner,
+                id,
+                levels: into_all(levels),
+            }),
+            Body::Release {
+                runner,
+                id,
+                cached_tokens,
+            } => Self::Release(ReleaseProto {
+                runner,
+                id,
+                cached_tokens,
+            }),
+            Body::GrantAsk(GrantAsk {
+                bucket,
+                units,
+                limit,
+            }) => Self::GrantAsk(GrantProto {
+                bucket,
+                units,
+                ttl_ms: 0,
+                limit,
+            }),
+            Body::GrantAnswer(GrantAnswer {
+                bucket,
+                units,
+                ttl_ms,
+            }) => Self::GrantAnswer(GrantProto {
+                bucket,
+                units,
+                ttl_ms,
+                limit: 0,
+            }),
             Body::TableFetch(fetch) => Self::TableFetch(fetch.have),
             Body::TableDelta(delta) => Self::TableDelta(delta.into()),
         }
@@ -311,18 +348,40 @@
             BodyProto::PushRevision(revision) => Self::PushRevision { revision },
             BodyProto::QuoteAsk(ask) => Self::QuoteAsk(ask.into()),
             BodyProto::QuoteAnswer(answer) => Self::QuoteAnswer(answer.into()),
-            BodyProto::Reserve(ReserveProto { runner, id, levels }) => {
-                Self::Reserve { runner, id, levels: into_all(levels) }
-            }
-            BodyProto::Release(ReleaseProto { runner, id, cached_tokens }) => {
-                Self::Release { runner, id, cached_tokens }
-            }
-            BodyProto::GrantAsk(GrantProto { bucket, units, .. }) => {
-                Self::GrantAsk(GrantAsk { bucket, units })
-            }
-            BodyProto::GrantAnswer(GrantProto { bucket, units, ttl_ms }) => {
-                Self::GrantAnswer(GrantAnswer { bucket, units, ttl_ms })
-            }
+            BodyProto::Reserve(ReserveProto { runner, id, levels }) => Self::Reserve {
+                runner,
+                id,
+                levels: into_all(levels),
+            },
+            BodyProto::Release(ReleaseProto {
+                runner,
+                id,
+                cached_tokens,
+            }) => Self::Release {
+                runner,
+                id,
+                cached_tokens,
+            },
+            BodyProto::GrantAsk(GrantProto {
+                bucket,
+                units,
+                limit,
+                ..
+            }) => Self::GrantAsk(GrantAsk {
+                bucket,
+                units,
+                limit,
+            }),
+            BodyProto::GrantAnswer(GrantProto {
+                bucket,
+                units,
+                ttl_ms,
+                ..
+            }) => Self::GrantAnswer(GrantAnswer {
+                bucket,
+                units,
+                ttl_ms,
+            }),
             BodyProto::TableFetch(have) => Self::TableFetch(TableFetch { have }),
             BodyProto::TableDelta(delta) => Self::TableDelta(delta.into()),
         })
@@ -344,7 +403,11 @@
     type Error = OpenError;
 
     fn try_from(proto: GossipProto) -> Result<Self, OpenError> {
-        let rumors = proto.rumors.into_iter().map(Rumor::try_from).collect::<Result<_, _>>()?;
+        let rumors = proto
+            .rumors
+            .into_iter()
+            .map(Rumor::try_from)
+            .collect::<Result<_, _>>()?;
         Ok(Self {
             revision: proto.revision,
             leaving: proto.leaving,
@@ -357,14 +420,24 @@
 impl From<Heartbeat> for HeartbeatProto {
     fn from(heartbeat: Heartbeat) -> Self {
         let Heartbeat { peer, count } = heartbeat;
-        Self { host: peer.host, incarnation: peer.incarnation, count }
+        Self {
+            host: peer.host,
+            incarnation: peer.incarnation,
+            count,
+        }
     }
 }
 
 impl From<HeartbeatProto> for Heartbeat {
     fn from(proto: HeartbeatProto) -> Self {
-        let peer = Peer { host: proto.host, incarnation: proto.incarnation };
-        Self { peer, count: proto.count }
+        let peer = Peer {
+            host: proto.host,
+            incarnation: proto.incarnation,
+        };
+        Self {
+            peer,
+            count: proto.count,
+        }
     }
 }
 
@@ -375,11 +448,21 @@
 impl From<Rumor> for RumorProto {
     fn from(rumor: Rumor) -> Self {
         let (kind, subject, number) = match rumor {
-            Rumor::RunnerLeaving { runner, incarnation } => (RUNNER_LEAVING, runner, incarnation),
+            Rumor::RunnerLeaving {
+                runner,
+                incarnation,
+            } => (RUNNER_LEAVING, runner, incarnation),
             Rumor::HostLeaving { peer } => (HOST_LEAVING, peer.host, peer.incarnation),
-            Rumor::Suspect { fingerprint, deaths } => (SUSPECT, fingerprint, u64::from(deaths)),
+            Rumor::Suspect {
+                fingerprint,
+                deaths,
+            } => (SUSPECT, fingerprint, u64::from(deaths)),
         };
-        Self { kind, subject, number }
+        Self {
+            kind,
+            subject,
+            number,
+        }
     }
 }
 
@@ -387,15 +470,28 @@
     type Error = OpenError;
 
     fn try_from(proto: RumorProto) -> Result<Self, OpenError> {
-        let RumorProto { kind, subject, number } = proto;
+        let RumorProto {
+            kind,
+            subject,
+            number,
+        } = proto;
         match kind {
-            RUNNER_LEAVING => Ok(Self::RunnerLeaving { runner: subject, incarnation: number }),
-            HOST_LEAVING => {
-                Ok(Self::HostLeaving { peer: Peer { host: subject, incarnation: number } })
-            }
+            RUNNER_LEAVING => Ok(Self::RunnerLeaving {
+                runner: subject,
+                incarnation: number,
+            }),
+            HOST_LEAVING => Ok(Self::HostLeaving {
+                peer: Peer {
+                    host: subject,
+                    incarnation: number,
+                },
+            }),
             SUSPECT => {
                 let deaths = u32::try_from(number).map_err(|_| OpenError::Malformed)?;
-                Ok(Self::Suspect { fingerprint: subject, deaths })
+                Ok(Self::Suspect {
+                    fingerprint: subject,
+                    deaths,
+                })
             }
             _ => Err(OpenError::Malformed),
         }
@@ -404,65 +500,117 @@
 
 impl From<WireLevel> for LevelProto {
     fn from(level: WireLevel) -> Self {
-        Self { key: level.key, tokens: level.tokens }
+        Self {
+            key: level.key,
+            tokens: level.tokens,
+        }
     }
 }
 
 impl From<LevelProto> for WireLevel {
     fn from(proto: LevelProto) -> Self {
-        Self { key: proto.key, tokens: proto.tokens }
+        Self {
+            key: proto.key,
+            tokens: proto.tokens,
+        }
     }
 }
 
 impl From<QuoteAsk> for QuoteAskProto {
     fn from(ask: QuoteAsk) -> Self {
-        Self { id: ask.id, runners: ask.runners, levels: into_all(ask.levels) }
+        Self {
+            id: ask.id,
+            runners: ask.runners,
+            levels: into_all(ask.levels),
+        }
     }
 }
 
 impl From<QuoteAskProto> for QuoteAsk {
     fn from(proto: QuoteAskProto) -> Self {
-        Self { id: proto.id, runners: proto.runners, levels: into_all(proto.levels) }
+        Self {
+            id: proto.id,
+            runners: proto.runners,
+            levels: into_all(proto.levels),
+        }
     }
 }
 
 impl From<QuoteAnswer> for QuoteAnswerProto {
     fn from(answer: QuoteAnswer) -> Self {
-        Self { id: answer.id, quotes: into_all(answer.quotes) }
+        Self {
+            id: answer.id,
+            quotes: into_all(answer.quotes),
+        }
     }
 }
 
 impl From<QuoteAnswerProto> for QuoteAnswer {
     fn from(proto: QuoteAnswerProto) -> Self {
-        Self { id: proto.id, quotes: into_all(proto.quotes) }
+        Self {
+            id: proto.id,
+            quotes: into_all(proto.quotes),
+        }
     }
 }
 
 impl From<RunnerQuote> for QuoteProto {
     fn from(quote: RunnerQuote) -> Self {
-        let RunnerQuote { runner, incarnation, wait_ms, cached_tokens, eviction_tokens } = quote;
-        Self { runner, incarnation, wait_ms, cached_tokens, eviction_tokens }
+        Self {
+            runner: quote.runner,
+            incarnation: quote.incarnation,
+            wait_ms: quote.wait_ms,
+            cached_tokens: quote.cached_tokens,
+            eviction_tokens: quote.eviction_tokens,
+            is_warm: quote.is_warm,
+        }
     }
 }
 
 impl From<QuoteProto> for RunnerQuote {
     fn from(proto: QuoteProto) -> Self {
-        let QuoteProto { runner, incarnation, wait_ms, cached_tokens, eviction_tokens } = proto;
-        Self { runner, incarnation, wait_ms, cached_tokens, eviction_tokens }
+        Self {
+            runner: proto.runner,
+            incarnation: proto.incarnation,
+            wait_ms: proto.wait_ms,
+            cached_tokens: proto.cached_tokens,
+            eviction_tokens: proto.eviction_tokens,
+            is_warm: proto.is_warm,
+        }
     }
 }
 
 impl From<TableDelta> for TableDeltaProto {
     fn from(delta: TableDelta) -> Self {
-        let TableDelta { from, head_json, rows_json, removed_json } = delta;
-        Self { from, head_json, rows_json, removed_json }
+        let TableDelta {
+            from,
+            head_json,
+            rows_json,
+            removed_json,
+        } = delta;
+        Self {
+            from,
+            head_json,
+            rows_json,
+            removed_json,
+        }
     }
 }
 
 impl From<TableDeltaProto> for TableDelta {
     fn from(proto: TableDeltaProto) -> Self {
-        let TableDeltaProto { from, head_json, rows_json, removed_json } = proto;
-        Self { from, head_json, rows_json, removed_json }
+        let TableDeltaProto {
+            from,
+            head_json,
+            rows_json,
+            removed_json,
+        } = proto;
+        Self {
+            from,
+            head_json,
+            rows_json,
+            removed_json,
+        }
     }
 }
 
--- a/crates/hickoryhall-wire/src/replay.rs
+++ b/crates/hickoryhall-wire/src/replay.rs
@@ -26,7 +26,11 @@
     /// Frames of an older incarnation, frames seen before and frames far behind the newest one are
     /// not new.
     pub fn accept(&mut self, sender: Peer, sequence: u64) -> bool {
-        let first = Seen { incarnation: sender.incarnation, highest: sequence, bits: 1 };
+        let first = Seen {
+            incarnation: sender.incarnation,
+            highest: sequence,
+            bits: 1,
+        };
         let Some(seen) = self.senders.get_mut(&sender.host) else {
             self.senders.insert(sender.host, first);
             return true;
@@ -48,7 +52,11 @@
     fn accept(&mut self, sequence: u64) -> bool {
         if sequence > self.highest {
             let step = sequence - self.highest;
-            self.bits = if step >= WINDOW { 1 } else { (self.bits << step) | 1 };
+            self.bits = if step >= WINDOW {
+                1
+            } else {
+                (self.bits << step) | 1
+            };
             self.highest = sequence;
             return true;
         }
