Test the running system under failure; mend what the tests found

Found and mended: no runner left for a version made the actors' thread panic, and a host without it waited for ever (now it fails its probes); order-givers of two failure domains loaded all runners at once (a load now needs one of two places in the store and leaves half of a domain's runners serving); a runner's refusal did not correct the view of its weights; a claim whose answer was lost came too late to send within 2 s (now 5 s, above the store's call timeout).

--- a/crates/hickoryhall-clients/src/agent.rs
+++ b/crates/hickoryhall-clients/src/agent.rs
@@ -8,7 +8,7 @@
 use ureq::http::Response;
 
 use crate::error::call_error;
-use crate::{ClientError, ClientErrorKind};
+use crate::{ClientError, ClientErrorKind, NotRun};
 
 /// Time to make a connection.
 const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
@@ -62,7 +62,10 @@
         .read_to_string();
     let text = text.unwrap_or_default();
     let json = serde_json::from_str::<serde_json::Value>(&text).unwrap_or_default();
-    let not_run = json["ran"] == "no";
+    let not_run = (json["ran"] == "no").then(|| NotRun {
+        leaving: json["leaving"] == true,
+        weights_version: json["weights_version"].as_u64(),
+    });
     let kind = match (status, json["revision"].as_u64()) {
         (409, Some(revision)) => ClientErrorKind::Conflict(revision),
         _ => ClientErrorKind::Status {
--- a/crates/hickoryhall-clients/src/error.rs
+++ b/crates/hickoryhall-clients/src/error.rs
@@ -3,7 +3,7 @@
 use std::io;
 use std::net::SocketAddr;
 
-use hickoryhall_types::{Ran, Step};
+use hickoryhall_types::{Ran, Step, WeightsVersion};
 
 use crate::StreamFault;
 
@@ -23,8 +23,8 @@
         status: u16,
         /// Start of the answer.
         body: String,
-        /// Whether the peer says that the call did not run.
-        not_run: bool,
+        /// What the peer says of itself, where it says that the call did not run.
+        not_run: Option<NotRun>,
     },
     /// A conditional write found another revision, 0 for no value.
     #[error("the revision is {0}")]
@@ -37,6 +37,15 @@
     Stream(#[from] StreamFault),
 }
 
+/// State of a backend server that took a call and did not run it.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct NotRun {
+    /// Whether the server is leaving.
+    pub leaving: bool,
+    /// Weights version that it serves, 0 while it loads one, if it is a runner.
+    pub weights_version: Option<WeightsVersion>,
+}
+
 /// A failed call.
 #[derive(Debug, thiserror::Error)]
 #[error("{step:?} at {peer}: {kind}")]
@@ -59,7 +68,9 @@
     pub fn ran(&self) -> Ran {
         match &self.kind {
             ClientErrorKind::NotConnected(_) | ClientErrorKind::Conflict(_) => Ran::No,
-            ClientErrorKind::Status { not_run: true, .. } => Ran::No,
+            ClientErrorKind::Status {
+                not_run: Some(_), ..
+            } => Ran::No,
             ClientErrorKind::Stream(_) => Ran::Yes,
             _ => Ran::Unknown,
         }
--- a/crates/hickoryhall-clients/src/lib.rs
+++ b/crates/hickoryhall-clients/src/lib.rs
@@ -18,7 +18,7 @@
 mod store;
 mod stream;
 
-pub use error::{ClientError, ClientErrorKind};
+pub use error::{ClientError, ClientErrorKind, NotRun};
 pub use hosts::{HostListClient, Listed, ListedKind};
 pub use runner::{LoadAnswer, Message, Order, OrderBody, PromptRequest, RunnerClient};
 pub use service::{ServiceAnswer, ServiceCall, ServiceClient};
--- a/crates/hickoryhall-control/src/claim.rs
+++ b/crates/hickoryhall-control/src/claim.rs
@@ -12,7 +12,7 @@
 use serde::{Deserialize, Serialize};
 
 /// Time from asking for a claim in which its attempt may send.
-const SEND_WINDOW: Duration = Duration::from_secs(2);
+const SEND_WINDOW: Duration = Duration::from_secs(5);
 /// Reads after a write whose answer was lost.
 const READ_BACKS: u32 = 3;
 /// Attempts to record how a call ended.
--- a/crates/hickoryhall-control/src/orders.rs
+++ b/crates/hickoryhall-control/src/orders.rs
@@ -16,7 +16,7 @@
     pub lease_ttl: Duration,
     /// Time that an order may be on its way.
     pub order_flight: Duration,
-    /// Runners that load weights at the same time at most.
+    /// Runners of the whole fleet that load weights at the same time at most.
     pub loads_at_once: usize,
     /// Time after which an order that shows no effect is given again.
     pub repeat_after: Duration,
@@ -128,34 +128,49 @@
         self.lease.filter(|lease| now < lease.valid_until)
     }
 
+    /// Forgets orders that have taken effect or are due again, and returns the number of those
+    /// that remain.
+    ///
+    /// An order is due again where it shows no effect, as when an engine came back empty.
+    pub fn settle(&mut self, now: Instant, runners: &[RunnerStatus]) -> usize {
+        let repeat_after = self.config.repeat_after;
+        self.given.retain(|id, given| {
+            let runner = runners.iter().find(|runner| runner.id == *id);
+            let has_effect = runner.is_none_or(|runner| runner.weights == given.weights);
+            !has_effect && now.saturating_duration_since(given.at) < repeat_after
+        });
+        self.given.len()
+    }
+
     /// Plans the orders to give now; those returned are taken as given.
     ///
-    /// An order is repeated where it shows no effect, as when an engine came back empty.
+    /// `take_slot` is asked before each one for a place among the loads of the whole fleet.
     pub fn plan(
         &mut self,
         now: Instant,
         wanted: &WantedWeights,
         runners: &[RunnerStatus],
+        mut take_slot: impl FnMut() -> bool,
     ) -> Vec<PlannedOrder> {
         let Some(lease) = self.lease(now) else {
             return Vec::new();
         };
-        self.forget_settled(now, runners);
-        let mut loading = self.given.len();
+        self.settle(now, runners);
         let mut orders = Vec::new();
         for runner in runners {
             let Some(&weights) = wanted.get(&runner.model) else {
                 continue;
             };
             let is_settled = !runner.up || runner.weights == weights;
-            if is_settled || loading >= self.config.loads_at_once {
+            if is_settled || self.given.contains_key(&runner.id) {
                 continue;
             }
-            let is_given = self.given.contains_key(&runner.id);
-            if is_given || !self.may_order(now, &lease, runner) {
+            if !self.keeps_capacity(runner, runners) || !self.may_order(now, &lease, runner) {
                 continue;
             }
-            loading += 1;
+            if !take_slot() {
+                break;
+            }
             self.given
                 .insert(runner.id.clone(), Given { weights, at: now });
             orders.push(PlannedOrder {
@@ -167,21 +182,24 @@
         orders
     }
 
+    /// Tells whether half of a model's runners in the domain still serve while this one loads.
+    fn keeps_capacity(&self, runner: &RunnerStatus, runners: &[RunnerStatus]) -> bool {
+        let same_model = runners.iter().filter(|other| other.model == runner.model);
+        let up = same_model.filter(|other| other.up).collect::<Vec<_>>();
+        let loading = up
+            .iter()
+            .filter(|other| self.given.contains_key(&other.id))
+            .count();
+        let limit = (up.len() / 2).clamp(1, self.config.loads_at_once);
+        loading < limit
+    }
+
     /// Tells whether an order given now cannot meet one of another lease holder unfenced.
     fn may_order(&self, now: Instant, lease: &HeldLease, runner: &RunnerStatus) -> bool {
         let flight = self.config.order_flight;
         runner.checks_fencing
             || (now >= lease.taken_at + flight && now + flight < lease.valid_until)
     }
-
-    fn forget_settled(&mut self, now: Instant, runners: &[RunnerStatus]) {
-        let repeat_after = self.config.repeat_after;
-        self.given.retain(|id, given| {
-            let runner = runners.iter().find(|runner| runner.id == *id);
-            let has_effect = runner.is_none_or(|runner| runner.weights == given.weights);
-            !has_effect && now.saturating_duration_since(given.at) < repeat_after
-        });
-    }
 }
 
 /// Chooses the weights version of a new request while runners change over.
--- a/crates/hickoryhall-entry/src/actors/router.rs
+++ b/crates/hickoryhall-entry/src/actors/router.rs
@@ -7,7 +7,7 @@
 use std::time::{Duration, Instant};
 
 use crossbeam_channel::Sender;
-use hickoryhall_clients::LoadAnswer;
+use hickoryhall_clients::{LoadAnswer, NotRun};
 use hickoryhall_limits::{BucketServer, RetryBudget, UnitGrant};
 use hickoryhall_routing::{Fingerprint, Suspects, Verdict};
 use hickoryhall_types::{FailureDomainId, Refusal, TokenCount, WeightsVersion};
@@ -31,6 +31,15 @@
 pub(crate) type PlaceReply = Sender<Result<Box<Placed>, Box<Refusal>>>;
 pub(crate) type ServiceReply = Sender<Option<(Arc<str>, std::net::SocketAddr)>>;
 
+/// Runners at a host.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub(crate) struct RunnerCounts {
+    /// Runners whose load has been seen.
+    pub known: usize,
+    /// Runners that are given new work.
+    pub serving: usize,
+}
+
 /// Owner of placement, limits, retries and suspects.
 pub(crate) struct Router {
     me: HostHash,
@@ -194,8 +203,16 @@
         self.bucket_holders = hosts;
     }
 
-    pub fn known_runners(&mut self, _cx: CX![], reply: Sender<usize>) {
-        answer(&reply, self.dispatch.placement().runners().len());
+    pub fn runner_counts(&mut self, _cx: CX![], reply: Sender<RunnerCounts>) {
+        let runners = self.dispatch.placement().runners();
+        let serving = runners.iter().filter(|(_, info)| !info.leaving).count();
+        answer(
+            &reply,
+            RunnerCounts {
+                known: runners.len(),
+                serving,
+            },
+        );
     }
 
     pub fn load(&mut self, cx: CX![], server: Server, load: Option<LoadAnswer>) {
@@ -220,6 +237,10 @@
         }
     }
 
+    pub fn runner_refused(&mut self, _cx: CX![], id: Arc<str>, refusal: NotRun) {
+        self.dispatch.observe_refusal(&id, refusal);
+    }
+
     /// Takes news from other hosts.
     pub fn heard(&mut self, cx: CX![], rumor: Rumor) {
         match rumor {
--- a/crates/hickoryhall-entry/src/actors/runtime.rs
+++ b/crates/hickoryhall-entry/src/actors/runtime.rs
@@ -8,19 +8,22 @@
 use std::time::{Duration, Instant};
 
 use crossbeam_channel::{Receiver, RecvTimeoutError, Sender, bounded, unbounded};
-use hickoryhall_clients::LoadAnswer;
+use hickoryhall_clients::{LoadAnswer, NotRun};
 use hickoryhall_control::RowDelta;
 use hickoryhall_membership::{ByteBudget, HostInfo, Hosts};
 use hickoryhall_routing::{Fingerprint, PlacementConfig, Verdict};
 use hickoryhall_table::{Table, TableHead};
-use hickoryhall_types::{Refusal, RefusalCode, Revision, Step, TokenCount, WeightsVersion};
+use hickoryhall_types::{
+    Refusal, RefusalCode, Revision, RunnerId, Step, TokenCount, WeightsVersion,
+};
 use hickoryhall_wire::{Body, Frame, Keyring, Rumor};
 use slog::{Logger, o};
 use stakker::{Actor, ActorOwn, Stakker, call, fwd_to, ret_nop};
 
 use super::cluster::{Cluster, ClusterParts, ClusterStatus, Duties, FetchJob};
 use super::outbox::Outbox;
-use super::router::{PlaceReply, Router, RouterParts, ServiceReply};
+use super::router::{PlaceReply, Router, RouterParts, RunnerCounts, ServiceReply};
+use crate::context::Lifecycle;
 use crate::dispatch::{
     AdmitAsk, Dispatch, DispatchConfig, Permit, PlaceAsk, Placed, Server, Ticket, TicketEnd,
 };
@@ -85,6 +88,10 @@
         server: Server,
         load: Option<LoadAnswer>,
     },
+    RunnerRefused {
+        id: RunnerId,
+        refusal: NotRun,
+    },
     Frame(Box<Frame>),
     Table {
         head: TableHead,
@@ -101,8 +108,8 @@
     Status {
         reply: Sender<ClusterStatus>,
     },
-    KnownRunners {
-        reply: Sender<usize>,
+    RunnerCounts {
+        reply: Sender<RunnerCounts>,
     },
     Leave,
     Stop,
@@ -165,6 +172,7 @@
     pub table: TableView,
     pub duties: Arc<Duties>,
     pub fetches: Sender<FetchJob>,
+    pub lifecycle: Arc<Lifecycle>,
     pub logger: Logger,
 }
 
@@ -197,12 +205,24 @@
     }
 }
 
+/// Marks the host as failed where the thread of the actors panics.
+struct FailureMark(Arc<Lifecycle>);
+
+impl Drop for FailureMark {
+    fn drop(&mut self) {
+        if thread::panicking() {
+            self.0.fail();
+        }
+    }
+}
+
 struct Actors {
     router: Actor<Router>,
     cluster: Actor<Cluster>,
 }
 
 fn run(settings: &Settings, parts: CoreParts, receiver: &Receiver<CoreMsg>) {
+    let _mark = FailureMark(Arc::clone(&parts.lifecycle));
     let mut stakker = Stakker::new(Instant::now());
     let (owners, actors) = start_actors(&mut stakker, settings, parts);
     stakker.run(Instant::now(), false);
@@ -327,6 +347,9 @@
             }
             CoreMsg::Hosts(hosts) => call!([self.cluster], set_hosts(hosts)),
             CoreMsg::Load { server, load } => call!([self.router], load(server, load)),
+            CoreMsg::RunnerRefused { id, refusal } => {
+                call!([self.router], runner_refused(id, refusal));
+            }
             CoreMsg::Frame(frame) => self.receive(*frame),
             CoreMsg::Table { head, table } => call!([self.cluster], adopt(head, *table)),
             CoreMsg::TableDelta { head, delta } => {
@@ -334,7 +357,7 @@
             }
             CoreMsg::Delta { have, reply } => call!([self.cluster], delta(have, reply)),
             CoreMsg::Status { reply } => call!([self.cluster], status(reply)),
-            CoreMsg::KnownRunners { reply } => call!([self.router], known_runners(reply)),
+            CoreMsg::RunnerCounts { reply } => call!([self.router], runner_counts(reply)),
             CoreMsg::Leave => call!([self.cluster], leave()),
             CoreMsg::Stop => {}
         }
--- a/crates/hickoryhall-entry/src/attempts/model.rs
+++ b/crates/hickoryhall-entry/src/attempts/model.rs
@@ -69,32 +69,14 @@
             Verdict::Isolate => true,
             Verdict::Refuse(wait) => return Err(suspect_refusal(wait)),
         };
-        let wanted = u64::from(request.grant.weights_version);
-        let model = Arc::clone(&request.model);
-        let weights = context
-            .core
-            .ask(|reply| CoreMsg::Version {
-                model,
-                wanted,
-                hash: fingerprint,
-                reply,
-            })
-            .ok_or_else(stopped)?;
-        let adapter = request.grant.adapter.as_deref();
-        let seed = PrefixSeed::new(&request.workspace, &request.model, adapter, weights);
-        let messages = request
-            .messages
-            .iter()
-            .map(|message| message.content.as_str());
-        let chain = PrefixChain::from_messages(&seed, messages);
-        let exclude = Vec::new();
+        let (weights, seed, chain) = choose_weights(context, request)?;
         Ok(Self {
             context,
             request,
             weights,
             seed,
             chain,
-            exclude,
+            exclude: Vec::new(),
             attempts: 0,
             is_isolated,
         })
@@ -121,6 +103,10 @@
                     is_death,
                 } => {
                     self.after_failure(&error, &runner, is_death)?;
+                    if answer.next_index() == 0 {
+                        let chosen = choose_weights(self.context, self.request)?;
+                        (self.weights, self.seed, self.chain) = chosen;
+                    }
                 }
             }
         }
@@ -196,6 +182,19 @@
                     self.end(ticket, TicketEnd::Released);
                     return Ok(None);
                 }
+                Err(RecvTimeoutError::Timeout) if self.request.time_left().is_zero() => {
+                    self.end(ticket, TicketEnd::Released);
+                    let message = "the deadline passed before a runner was found";
+                    let code = RefusalCode::DeadlineExceeded;
+                    let ran = if self.attempts == 0 {
+                        Ran::No
+                    } else {
+                        Ran::Unknown
+                    };
+                    return Err(Box::new(
+                        Refusal::new(code, Step::Placement, message).ran(ran),
+                    ));
+                }
                 Err(RecvTimeoutError::Timeout) => {}
             }
         }
@@ -264,6 +263,32 @@
     }
 }
 
+/// Chooses the weights version of an answer that has not begun, and the keys that depend on it.
+fn choose_weights(
+    context: &Context,
+    request: &ModelRequest,
+) -> Result<(WeightsVersion, PrefixSeed, PrefixChain), Box<Refusal>> {
+    let wanted = u64::from(request.grant.weights_version);
+    let (model, hash) = (Arc::clone(&request.model), request.fingerprint);
+    let weights = context
+        .core
+        .ask(|reply| CoreMsg::Version {
+            model,
+            wanted,
+            hash,
+            reply,
+        })
+        .ok_or_else(stopped)?;
+    let adapter = request.grant.adapter.as_deref();
+    let seed = PrefixSeed::new(&request.workspace, &request.model, adapter, weights);
+    let messages = request
+        .messages
+        .iter()
+        .map(|message| message.content.as_str());
+    let chain = PrefixChain::from_messages(&seed, messages);
+    Ok((weights, seed, chain))
+}
+
 fn cost_model(weights: CostWeights) -> CostModel {
     let factor = |percent: u32| f64::from(percent) / 100.0;
     CostModel {
--- a/crates/hickoryhall-entry/src/attempts/round.rs
+++ b/crates/hickoryhall-entry/src/attempts/round.rs
@@ -248,7 +248,16 @@
             ..
         } = self.live.swap_remove(place);
         span.end(&error.to_string());
-        let is_refusal = matches!(error.kind, ClientErrorKind::Status { .. }) && resumes == 0;
+        let refusal = match &error.kind {
+            ClientErrorKind::Status { not_run, .. } if resumes == 0 => *not_run,
+            _ => None,
+        };
+        let is_refusal = refusal.is_some();
+        if let Some(refusal) = refusal {
+            let id = runner.clone();
+            let message = CoreMsg::RunnerRefused { id, refusal };
+            self.run.context.core.send(message);
+        }
         // A runner that refuses an attempt is not at fault.
         let end = if is_refusal {
             TicketEnd::Released
--- a/crates/hickoryhall-entry/src/context.rs
+++ b/crates/hickoryhall-entry/src/context.rs
@@ -23,6 +23,7 @@
 pub(crate) struct Lifecycle {
     stopping: AtomicBool,
     over: AtomicBool,
+    failed: AtomicBool,
     in_flight: AtomicUsize,
 }
 
@@ -41,6 +42,15 @@
         self.over.store(true, Ordering::SeqCst);
     }
 
+    /// Records that the thread of the actors is gone, so that the host must be replaced.
+    pub fn fail(&self) {
+        self.failed.store(true, Ordering::SeqCst);
+    }
+
+    pub fn has_failed(&self) -> bool {
+        self.failed.load(Ordering::SeqCst)
+    }
+
     pub fn is_over(&self) -> bool {
         self.over.load(Ordering::SeqCst)
     }
@@ -166,6 +176,7 @@
 
     /// Tells whether the host takes new requests.
     pub fn is_ready(&self) -> bool {
-        !self.lifecycle.is_stopping() && self.table.revision() > 0
+        let is_up = !self.lifecycle.is_stopping() && !self.lifecycle.has_failed();
+        is_up && self.table.revision() > 0
     }
 }
--- a/crates/hickoryhall-entry/src/dispatch/placing.rs
+++ b/crates/hickoryhall-entry/src/dispatch/placing.rs
@@ -4,7 +4,7 @@
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
-use hickoryhall_clients::LoadAnswer;
+use hickoryhall_clients::{LoadAnswer, NotRun};
 use hickoryhall_control::choose_version;
 use hickoryhall_limits::{FairQueue, Queued, Shed};
 use hickoryhall_routing::{
@@ -239,6 +239,19 @@
         report.leaving && !was_leaving
     }
 
+    /// Takes in what a runner said of itself when it refused an attempt.
+    pub fn observe_refusal(&mut self, id: &str, refusal: NotRun) {
+        let Some(key) = self.placement.runners().key(id) else {
+            return;
+        };
+        if refusal.leaving {
+            self.placement.mark_leaving(key);
+        }
+        if let Some(weights) = refusal.weights_version {
+            self.placement.set_weights(key, weights);
+        }
+    }
+
     /// Records that a runner did not answer a question for its load.
     pub fn observe_unreachable(&mut self, now: Instant, id: &str) {
         if let Some(key) = self.placement.runners().key(id) {
--- a/crates/hickoryhall-entry/src/dispatch/services.rs
+++ b/crates/hickoryhall-entry/src/dispatch/services.rs
@@ -75,9 +75,9 @@
         };
         member.in_flight = member.in_flight.saturating_sub(1);
         if is_ok {
-            member.ejection.succeed()
+            member.ejection.succeed();
         } else {
-            member.ejection.fail(now)
+            member.ejection.fail(now);
         }
     }
 
--- a/crates/hickoryhall-entry/src/duties/orders.rs
+++ b/crates/hickoryhall-entry/src/duties/orders.rs
@@ -33,7 +33,7 @@
         if duties.is_order_giver() && context.is_ready() {
             keeper.keep(logger);
             if keeper.giver.lease(Instant::now()).is_some() {
-                give_orders(context, &list, &mut keeper.giver, logger);
+                give_orders(context, &list, &mut keeper, logger);
             }
         } else {
             keeper.let_go();
@@ -52,6 +52,7 @@
     giver: OrderGiver,
     lease: Option<LeaseId>,
     renewed_at: Instant,
+    slots: Vec<String>,
 }
 
 impl LeaseKeeper {
@@ -64,6 +65,7 @@
             giver: OrderGiver::new(config),
             lease: None,
             renewed_at: Instant::now(),
+            slots: Vec::new(),
         }
     }
 
@@ -75,8 +77,7 @@
     }
 
     fn take(&mut self, logger: &Logger) {
-        self.giver.on_lost();
-        self.lease = None;
+        self.let_go();
         let asked_at = Instant::now();
         let Ok(lease) = self.store.grant(self.config.lease_ttl) else {
             return;
@@ -114,9 +115,53 @@
         }
     }
 
+    fn plan(&mut self, wanted: &WantedWeights, runners: &[RunnerStatus]) -> Vec<PlannedOrder> {
+        // The giver asks for places while it plans, so it is taken out for the time.
+        let mut giver = std::mem::replace(&mut self.giver, OrderGiver::new(self.config));
+        let orders = giver.plan(Instant::now(), wanted, runners, || self.take_slot());
+        self.giver = giver;
+        orders
+    }
+
+    /// Takes a place among the loads of the whole fleet; it is tied to the lease, so that it comes
+    /// free by itself where this host dies.
+    fn take_slot(&mut self) -> bool {
+        let Some(lease) = self.lease else {
+            return false;
+        };
+        let slots = (0..self.config.loads_at_once).map(|slot| format!("lease/loads/{slot}"));
+        for key in slots
+            .filter(|key| !self.slots.contains(key))
+            .collect::<Vec<_>>()
+        {
+            if self
+                .store
+                .put(&key, &self.holder, PutCondition::Absent, Some(lease))
+                .is_ok()
+            {
+                self.slots.push(key);
+                return true;
+            }
+        }
+        false
+    }
+
+    /// Gives places back until only `needed` are held.
+    fn release_slots(&mut self, needed: usize) {
+        while self.slots.len() > needed {
+            let Some(key) = self.slots.last() else { return };
+            // A place that cannot be given back now is given back in the next round.
+            if self.store.delete(key).is_err() {
+                return;
+            }
+            self.slots.pop();
+        }
+    }
+
     /// Lets the lease lapse; the next holder waits until it has.
     fn let_go(&mut self) {
         self.lease = None;
+        self.slots.clear();
         self.giver.on_lost();
     }
 }
@@ -124,7 +169,7 @@
 fn give_orders(
     context: &Arc<Context>,
     list: &HostListClient,
-    giver: &mut OrderGiver,
+    keeper: &mut LeaseKeeper,
     logger: &Logger,
 ) {
     let Ok(listed) = list.list() else { return };
@@ -157,7 +202,9 @@
         .iter()
         .map(|runner| runner.status.clone())
         .collect::<Vec<_>>();
-    for order in giver.plan(Instant::now(), &wanted, &statuses) {
+    let remaining = keeper.giver.settle(Instant::now(), &statuses);
+    keeper.release_slots(remaining);
+    for order in keeper.plan(&wanted, &statuses) {
         let runner = runners
             .iter()
             .find(|runner| runner.status.id == order.runner);
@@ -178,7 +225,7 @@
     counter!("orders_total", "ok" => result.is_ok().to_string()).increment(1);
     match result {
         Ok(()) => {
-            info!(logger, "Order given."; "runner" => %order.runner, "weights" => order.weights)
+            info!(logger, "Order given."; "runner" => %order.runner, "weights" => order.weights);
         }
         Err(error) => warn!(logger, "Order failed."; "runner" => %order.runner, "error" => %error),
     }
--- a/crates/hickoryhall-entry/src/edge/routes.rs
+++ b/crates/hickoryhall-entry/src/edge/routes.rs
@@ -25,7 +25,14 @@
         (Method::Post, path) if path.starts_with("/svc/") => {
             serve_service(context, request, &caller, path);
         }
-        (Method::Get, "/healthz") => respond_json(request, 200, &json!({"ok": true})),
+        (Method::Get, "/healthz") => {
+            let is_ok = !context.lifecycle.has_failed();
+            respond_json(
+                request,
+                if is_ok { 200 } else { 500 },
+                &json!({"ok": is_ok}),
+            );
+        }
         (Method::Get, "/readyz") => ready(context, request),
         (Method::Get, "/metrics") => {
             let page = context.metrics.render().into_bytes();
--- a/crates/hickoryhall-entry/src/host.rs
+++ b/crates/hickoryhall-entry/src/host.rs
@@ -12,7 +12,7 @@
 use hickoryhall_wire::{Keyring, Peer};
 use slog::{Logger, info, o, warn};
 
-use crate::actors::{Core, CoreMsg, CoreParts, Duties, FetchJob};
+use crate::actors::{Core, CoreMsg, CoreParts, Duties, FetchJob, RunnerCounts};
 use crate::context::{Context, Lifecycle};
 use crate::duties::{run_orders, run_poller, run_watcher};
 use crate::edge;
@@ -87,6 +87,7 @@
         let keyring = Keyring::new(&settings.peer_secrets);
         let table = TableView::default();
         let duties = Arc::new(Duties::default());
+        let lifecycle = Arc::new(Lifecycle::default());
         let (fetches, jobs) = bounded(FETCH_QUEUE);
         let parts = CoreParts {
             incarnation,
@@ -95,6 +96,7 @@
             table: table.clone(),
             duties: Arc::clone(&duties),
             fetches,
+            lifecycle: Arc::clone(&lifecycle),
             logger: logger.clone(),
         };
         let core = Core::start(&settings, parts).map_err(StartError::Thread)?;
@@ -104,7 +106,7 @@
             core.handle(),
             table,
             metrics,
-            Arc::new(Lifecycle::default()),
+            lifecycle,
             SpanLog::default(),
         ));
         let mut host = Self {
@@ -150,10 +152,21 @@
     /// Returns the number of runners whose load this host has seen.
     #[must_use]
     pub fn known_runners(&self) -> usize {
-        self.context
+        self.runner_counts().known
+    }
+
+    /// Returns the number of runners that this host gives new work to.
+    #[must_use]
+    pub fn serving_runners(&self) -> usize {
+        self.runner_counts().serving
+    }
+
+    fn runner_counts(&self) -> RunnerCounts {
+        let counts = self
+            .context
             .core
-            .ask(|reply| CoreMsg::KnownRunners { reply })
-            .unwrap_or(0)
+            .ask(|reply| CoreMsg::RunnerCounts { reply });
+        counts.unwrap_or_default()
     }
 
     /// Returns the number of requests in flight.
--- a/crates/hickoryhall-routing/src/backoff.rs
+++ b/crates/hickoryhall-routing/src/backoff.rs
@@ -4,8 +4,10 @@
 
 use hickoryhall_types::Ran;
 
-/// Attempts of one request at most, the first one included.
+/// Attempts of one request at most, the first one included, where the last one may have run.
 const MAX_ATTEMPTS: u32 = 3;
+/// Attempts of one request at most where the last one certainly did not run.
+const MAX_ATTEMPTS_NOT_RUN: u32 = 6;
 /// Wait before the first retry; it doubles with each further one.
 const BASE_WAIT: Duration = Duration::from_millis(20);
 
@@ -48,8 +50,13 @@
     ) -> RetryDecision {
         let may_run_again = self.repeatable || outcome.ran == Ran::No;
         let wait = BASE_WAIT * 2_u32.saturating_pow(attempts.saturating_sub(1).min(16));
+        let limit = if outcome.ran == Ran::No {
+            MAX_ATTEMPTS_NOT_RUN
+        } else {
+            MAX_ATTEMPTS
+        };
         let in_time = outcome.at + wait < self.deadline;
-        if may_run_again && attempts < MAX_ATTEMPTS && in_time && within_budget() {
+        if may_run_again && attempts < limit && in_time && within_budget() {
             RetryDecision::Retry(wait)
         } else {
             RetryDecision::GiveUp
--- a/crates/hickoryhall-routing/src/placement.rs
+++ b/crates/hickoryhall-routing/src/placement.rs
@@ -164,6 +164,13 @@
         }
     }
 
+    /// Records which weights version a runner serves, 0 while it loads one.
+    pub fn set_weights(&mut self, key: RunnerKey, weights: WeightsVersion) {
+        if let Some(info) = self.runners.get_mut(key) {
+            info.report.weights = weights;
+        }
+    }
+
     /// Returns the runners that may take the request, owners first, with this host's own quotes.
     pub fn candidates(
         &mut self,
@@ -177,6 +184,7 @@
             .record(now, chain.top(), f64::from(chain.tokens()));
         let width = self.heat.width(now, chain.top(), owners.len());
         rank(chain.top(), &mut owners, |&(_, hash)| hash);
+        let width = width.min(owners.len());
         rank(chain.shared(), &mut owners[..width], |&(_, hash)| hash);
         owners.truncate(self.config.candidates);
         owners
--- a/crates/hickoryhall-standins/src/engine/mod.rs
+++ b/crates/hickoryhall-standins/src/engine/mod.rs
@@ -10,4 +10,4 @@
 pub use model::{EngineConfig, EngineEvent, EngineModel, Job, JobId, Piece, PieceKey};
 pub use protocol::{EngineFaults, Fault, LoadBody, Message, Order, OrderBody, PromptBody};
 pub use server::EngineServer;
-pub use text::{continuation_start, pieces_of, token_text};
+pub use text::{continuation_start, expected_answer, pieces_of, token_text};
--- a/crates/hickoryhall-standins/src/engine/server.rs
+++ b/crates/hickoryhall-standins/src/engine/server.rs
@@ -121,7 +121,7 @@
             .expect("a thread at the start of a server");
         let handler = Arc::clone(&shared);
         let running = start(address, move |request, caller| {
-            handler.handle(request, &caller)
+            handler.handle(request, &caller);
         })?;
         Ok(Self { running, shared })
     }
@@ -151,6 +151,12 @@
         (state.loads, state.refused_orders)
     }
 
+    /// Returns the start number of the engine.
+    #[must_use]
+    pub fn incarnation(&self) -> u64 {
+        self.shared.lock().model.incarnation()
+    }
+
     /// Returns the weights version that the engine serves.
     #[must_use]
     pub fn weights_version(&self) -> u64 {
@@ -355,7 +361,11 @@
         let body = LoadBody {
             incarnation: self.model.incarnation(),
             model: self.served_model.clone(),
-            weights_version: self.weights_version,
+            weights_version: if self.wanted_version == self.weights_version {
+                self.weights_version
+            } else {
+                0
+            },
             waiting_tokens: self.model.waiting_tokens(now),
             jobs: self.model.jobs(),
             prefill_tokens_per_s: self.model.config().prefill_tokens_per_s,
@@ -489,7 +499,7 @@
             let answer = json!({
                 "error": "not served here",
                 "leaving": state.leaving,
-                "weights_version": state.weights_version,
+                "weights_version": if loading { 0 } else { state.weights_version },
                 "ran": "no",
             });
             drop(state);
--- a/crates/hickoryhall-standins/src/engine/text.rs
+++ b/crates/hickoryhall-standins/src/engine/text.rs
@@ -36,6 +36,13 @@
     format!("{mixed:04x}.{index} ")
 }
 
+/// Returns the whole answer to a prompt, as a correct stream of the stand-in brings it.
+#[must_use]
+pub fn expected_answer(messages: &[Message], weights_version: u64, tokens: u32) -> String {
+    let key = key_of_answer(weights_version, messages);
+    (0..tokens).map(|index| token_text(key, index)).collect()
+}
+
 /// Returns how many tokens of the answer a prompt brings along already.
 #[must_use]
 pub fn continuation_start(body: &PromptBody) -> u32 {
@@ -47,11 +54,15 @@
 
 /// Returns the key that the tokens of an answer depend on.
 pub(super) fn answer_key(body: &PromptBody) -> u64 {
-    let mut hasher = blake3::Hasher::new();
-    hasher.update(&body.weights_version.to_le_bytes());
     let partial = usize::from(body.continue_final_message);
     let asked = body.messages.len().saturating_sub(partial);
-    for message in &body.messages[..asked] {
+    key_of_answer(body.weights_version, &body.messages[..asked])
+}
+
+fn key_of_answer(weights_version: u64, messages: &[Message]) -> u64 {
+    let mut hasher = blake3::Hasher::new();
+    hasher.update(&weights_version.to_le_bytes());
+    for message in messages {
         hasher.update(&(message.content.len() as u64).to_le_bytes());
         hasher.update(message.content.as_bytes());
     }
--- a/crates/hickoryhall-standins/src/store/server.rs
+++ b/crates/hickoryhall-standins/src/store/server.rs
@@ -79,7 +79,7 @@
         });
         let handler = Arc::clone(&shared);
         let running = start(address, move |request, caller| {
-            handler.handle(request, &caller)
+            handler.handle(request, &caller);
         })?;
         Ok(Self { running, shared })
     }
--- /dev/null
+++ b/crates/hickoryhall-testsuite/tests/once.rs
@@ -0,0 +1,127 @@
+//! A call that may not be repeated runs at most once, and "not run" is true.
+
+use hickoryhall_standins::service::ServiceFaults;
+use hickoryhall_standins::store::StoreFaults;
+use hickoryhall_testsuite::{book, runs_of, small_fleet};
+use hickoryhall_tools::fleet::Fleet;
+
+fn service_faults(fleet: &Fleet, faults: ServiceFaults) {
+    fleet
+        .services
+        .iter()
+        .for_each(|service| service.set_faults(faults));
+}
+
+#[test]
+fn a_booking_runs_once_and_its_answer_is_replayed() {
+    let fleet = small_fleet();
+    let first = book(fleet.address(0), "booking-a");
+    let again = book(fleet.address(1), "booking-a");
+    assert!(first.text().is_some(), "{first:?}");
+    assert_eq!(again.text(), first.text());
+    assert_eq!(runs_of(&fleet, "booking-a"), 1);
+}
+
+#[test]
+fn a_booking_whose_answer_is_lost_is_not_sent_again() {
+    let fleet = small_fleet();
+    service_faults(
+        &fleet,
+        ServiceFaults {
+            lose_answers: 1,
+            ..ServiceFaults::default()
+        },
+    );
+    let first = book(fleet.address(0), "booking-b");
+    assert_eq!(first.refusal("ran"), Some("unknown"), "{first:?}");
+    let again = book(fleet.address(1), "booking-b");
+    assert_eq!(again.refusal("ran"), Some("unknown"), "{again:?}");
+    assert_eq!(runs_of(&fleet, "booking-b"), 1);
+}
+
+#[test]
+fn a_booking_refused_by_every_server_did_not_run_and_may_be_sent_again() {
+    let fleet = small_fleet();
+    service_faults(
+        &fleet,
+        ServiceFaults {
+            refuse: 1,
+            ..ServiceFaults::default()
+        },
+    );
+    let first = book(fleet.address(0), "booking-c");
+    assert_eq!(first.refusal("ran"), Some("no"), "{first:?}");
+    assert_eq!(runs_of(&fleet, "booking-c"), 0);
+    service_faults(&fleet, ServiceFaults::default());
+    let again = book(fleet.address(1), "booking-c");
+    assert!(again.text().is_some(), "{again:?}");
+    assert_eq!(runs_of(&fleet, "booking-c"), 1);
+}
+
+#[test]
+fn a_booking_moves_on_from_a_server_that_certainly_did_not_run_it() {
+    let fleet = small_fleet();
+    fleet.services[0].set_faults(ServiceFaults {
+        refuse: 9,
+        ..ServiceFaults::default()
+    });
+    let end = book(fleet.address(0), "booking-d");
+    assert!(end.text().is_some(), "{end:?}");
+    assert_eq!(runs_of(&fleet, "booking-d"), 1);
+}
+
+#[test]
+fn without_the_store_a_booking_is_refused_as_not_run() {
+    let fleet = small_fleet();
+    fleet.store.set_faults(StoreFaults {
+        down: true,
+        ..StoreFaults::default()
+    });
+    let end = book(fleet.address(0), "booking-e");
+    assert_eq!(end.refusal("code"), Some("store_unavailable"), "{end:?}");
+    assert_eq!(end.refusal("ran"), Some("no"));
+    assert_eq!(runs_of(&fleet, "booking-e"), 0);
+}
+
+#[test]
+fn a_claim_whose_answer_is_lost_is_found_by_reading_it_back() {
+    let fleet = small_fleet();
+    // The first booking takes the lease that claims share, so the next lost answer is a claim's.
+    assert!(book(fleet.address(0), "booking-f").text().is_some());
+    fleet.store.set_faults(StoreFaults {
+        lose_answers: 1,
+        ..StoreFaults::default()
+    });
+    let end = book(fleet.address(0), "booking-g");
+    assert!(end.text().is_some(), "{end:?}");
+    assert_eq!(runs_of(&fleet, "booking-g"), 1);
+}
+
+#[test]
+fn resends_at_all_hosts_at_once_run_one_booking() {
+    let fleet = small_fleet();
+    service_faults(
+        &fleet,
+        ServiceFaults {
+            slow_ms: 100,
+            ..ServiceFaults::default()
+        },
+    );
+    let addresses = fleet.addresses();
+    let senders = (0..8)
+        .map(|index| {
+            let address = addresses[index % addresses.len()];
+            std::thread::spawn(move || book(address, "booking-h"))
+        })
+        .collect::<Vec<_>>();
+    let ends = senders
+        .into_iter()
+        .map(|sender| sender.join().expect("a caller"));
+    let ends = ends.collect::<Vec<_>>();
+    assert_eq!(runs_of(&fleet, "booking-h"), 1, "{ends:?}");
+    assert!(ends.iter().any(|end| end.text().is_some()), "{ends:?}");
+    assert!(
+        ends.iter().all(|end| end.refusal("ran") != Some("no")),
+        "{ends:?}"
+    );
+}
--- /dev/null
+++ b/crates/hickoryhall-testsuite/tests/streams.rs
@@ -0,0 +1,138 @@
+//! Streams are complete and in order, whatever happens to connections and runners.
+
+use hickoryhall_standins::engine::Fault;
+use hickoryhall_testsuite::{Ask, PATIENCE, fleet_of, small_config, small_fleet};
+use hickoryhall_tools::fleet::{Fleet, FleetConfig};
+use rstest::rstest;
+
+fn fault_everywhere(fleet: &Fleet, fault: &Fault) {
+    fleet.runners.iter().for_each(|runner| runner.fault(fault));
+}
+
+#[rstest]
+#[case::streamed(true)]
+#[case::gathered(false)]
+fn a_whole_answer_arrives(#[case] stream: bool) {
+    let fleet = small_fleet();
+    let ask = Ask {
+        stream,
+        ..Ask::new("whole")
+    };
+    assert_eq!(ask.send(&fleet, 0).text(), Some(ask.expected().as_str()));
+}
+
+#[test]
+fn the_first_token_arrives_before_the_last_is_made() {
+    let fleet = small_fleet();
+    let ask = Ask {
+        tokens: 200,
+        ..Ask::new("first token")
+    };
+    let end = ask.send(&fleet, 0);
+    let hickoryhall_tools::caller::CallEnd::Whole {
+        first_token, total, ..
+    } = end
+    else {
+        panic!("{end:?}");
+    };
+    // The runner makes 200 tokens one after the other; a stream that was held back would bring
+    // the first one with the last.
+    assert!(first_token < total / 2, "{first_token:?} of {total:?}");
+}
+
+#[rstest]
+#[case::broken_connection(Fault::BreakStreams { count: 1, after_tokens: 7 })]
+#[case::broken_before_the_first_token(Fault::BreakStreams { count: 1, after_tokens: 0 })]
+#[case::missing_token(Fault::SkipToken { count: 1 })]
+#[case::answer_of_another_request(Fault::WrongId { count: 1 })]
+#[case::garbage(Fault::Garbage { count: 1 })]
+fn a_spoiled_stream_is_mended(#[case] fault: Fault) {
+    // As many faults as runners, one less than a request has attempts.
+    let fleet = fleet_of(FleetConfig {
+        runners_per_domain: 1,
+        ..small_config()
+    });
+    fault_everywhere(&fleet, &fault);
+    let ask = Ask::new("spoiled");
+    assert_eq!(ask.send(&fleet, 0).text(), Some(ask.expected().as_str()));
+}
+
+#[test]
+fn an_answer_continues_on_another_runner_after_a_crash() {
+    let fleet = small_fleet();
+    let ask = Ask {
+        tokens: 150,
+        ..Ask::new("crash")
+    };
+    let address = fleet.address(0);
+    let sender = {
+        let ask = ask.clone();
+        std::thread::spawn(move || ask.send_to(address))
+    };
+    fleet
+        .wait_until("the request runs", PATIENCE, busy_runner)
+        .expect("a busy runner");
+    for runner in fleet.runners.iter().filter(|runner| runner.jobs() > 0) {
+        runner.fault(&Fault::Crash { down_ms: 60_000 });
+    }
+    let end = sender.join().expect("a caller");
+    assert_eq!(end.text(), Some(ask.expected().as_str()), "{end:?}");
+}
+
+#[test]
+fn a_stream_that_cannot_be_completed_ends_in_an_error_event() {
+    let fleet = small_fleet();
+    let ask = Ask {
+        tokens: 150,
+        ..Ask::new("no runner left")
+    };
+    let address = fleet.address(0);
+    let sender = {
+        let ask = ask.clone();
+        std::thread::spawn(move || ask.send_to(address))
+    };
+    fleet
+        .wait_until("the request runs", PATIENCE, busy_runner)
+        .expect("a busy runner");
+    fault_everywhere(&fleet, &Fault::Crash { down_ms: 60_000 });
+    let end = sender.join().expect("a caller");
+    assert!(end.refusal("code").is_some(), "{end:?}");
+    assert_ne!(end.refusal("ran"), Some("no"), "{end:?}");
+}
+
+#[test]
+fn a_caller_that_hangs_up_frees_the_runner() {
+    use std::io::{Read, Write};
+    let fleet = small_fleet();
+    let ask = Ask {
+        tokens: 5_000,
+        ..Ask::new("hang up")
+    };
+    let body = serde_json::json!({
+        "model": hickoryhall_tools::fleet::MODEL,
+        "messages": ask.messages,
+        "max_tokens": ask.tokens,
+        "stream": true,
+    })
+    .to_string();
+    let key = hickoryhall_tools::fleet::workspace_key(0);
+    let mut caller = std::net::TcpStream::connect(fleet.address(0)).expect("a connection");
+    let head = format!(
+        "POST /v1/chat/completions HTTP/1.1\r\nHost: x\r\nAuthorization: Bearer {key}\r\n\
+         Content-Length: {}\r\n\r\n{body}",
+        body.len()
+    );
+    caller.write_all(head.as_bytes()).expect("a request");
+    let mut first = [0; 16];
+    caller
+        .read_exact(&mut first)
+        .expect("the beginning of the answer");
+    drop(caller);
+    fleet
+        .wait_until("the runner is free", PATIENCE, |fleet| !busy_runner(fleet))
+        .expect("the runner's work ends");
+}
+
+fn busy_runner(fleet: &Fleet) -> bool {
+    fleet.runners.iter().any(|runner| runner.jobs() > 0)
+}
--- /dev/null
+++ b/crates/hickoryhall-testsuite/tests/table.rs
@@ -0,0 +1,158 @@
+//! Changes of the table: in force everywhere, never reverted, no update lost.
+
+use hickoryhall_standins::store::StoreFaults;
+use hickoryhall_table::{Row, Table};
+use hickoryhall_testsuite::{PATIENCE, small_fleet};
+use hickoryhall_tools::fleet::{Fleet, workspace_name};
+use hickoryhall_tools::operator::OperatorError;
+
+fn with_weight(base: &Table, workspace: u32, weight: u32) -> Table {
+    let mut table = base.clone();
+    let name = workspace_name(workspace);
+    let row = table
+        .row(&name, "*")
+        .cloned()
+        .unwrap_or_else(|| Row::new(&name, "*"));
+    table.insert(Row {
+        weight: Some(weight),
+        ..row
+    });
+    table
+}
+
+fn revisions(fleet: &Fleet) -> Vec<u64> {
+    fleet
+        .hosts
+        .iter()
+        .flatten()
+        .map(hickoryhall_entry::EntryHost::table_revision)
+        .collect()
+}
+
+#[test]
+fn an_accepted_change_is_in_force_at_every_host() {
+    let fleet = small_fleet();
+    let base = fleet.operator(0).table().expect("a table").table;
+    let wanted = with_weight(&base, 0, 7);
+    let revision = fleet
+        .operator(0)
+        .apply("change", "one", &base, &wanted)
+        .expect("a revision");
+    let everywhere = |fleet: &Fleet| revisions(fleet).iter().all(|&other| other == revision);
+    fleet
+        .wait_until("the change everywhere", PATIENCE, everywhere)
+        .expect("the change");
+    assert_eq!(fleet.operator(1).table().expect("a table").table, wanted);
+}
+
+#[test]
+fn two_operators_changes_of_different_cells_are_both_kept() {
+    let fleet = small_fleet();
+    let base = fleet.operator(0).table().expect("a table").table;
+    fleet
+        .operator(0)
+        .apply("a", "one", &base, &with_weight(&base, 0, 2))
+        .expect("a revision");
+    fleet
+        .operator(1)
+        .apply("b", "two", &base, &with_weight(&base, 1, 3))
+        .expect("a revision");
+    let merged = with_weight(&with_weight(&base, 0, 2), 1, 3);
+    assert_eq!(fleet.operator(1).table().expect("a table").table, merged);
+}
+
+#[test]
+fn a_clash_is_told_to_the_second_operator_cell_by_cell() {
+    let fleet = small_fleet();
+    let base = fleet.operator(0).table().expect("a table").table;
+    fleet
+        .operator(0)
+        .apply("a", "one", &base, &with_weight(&base, 0, 2))
+        .expect("a revision");
+    let second = fleet
+        .operator(1)
+        .apply("b", "two", &base, &with_weight(&base, 0, 3));
+    let Err(OperatorError::Clash(cells)) = second else {
+        panic!("{second:?}")
+    };
+    insta::assert_debug_snapshot!(cells);
+}
+
+#[test]
+fn a_change_whose_answer_is_lost_takes_effect_once() {
+    let fleet = small_fleet();
+    let base = fleet.operator(0).table().expect("a table").table;
+    // One write is a chunk, the other the head.
+    fleet.store.set_faults(StoreFaults {
+        lose_answers: 2,
+        ..StoreFaults::default()
+    });
+    let wanted = with_weight(&base, 0, 9);
+    let revision = fleet
+        .operator(0)
+        .apply("lost", "one", &base, &wanted)
+        .expect("a revision");
+    assert_eq!(revision, 2);
+    let history = fleet.operator(0).history().expect("a history");
+    assert_eq!(
+        history.iter().filter(|change| change.id == "lost").count(),
+        1
+    );
+}
+
+#[test]
+fn an_older_table_from_the_store_is_not_taken() {
+    let mut fleet = small_fleet();
+    let base = fleet.operator(0).table().expect("a table").table;
+    let wanted = with_weight(&base, 0, 5);
+    let revision = fleet
+        .operator(0)
+        .apply("new", "one", &base, &wanted)
+        .expect("a revision");
+    let everywhere = |fleet: &Fleet| revisions(fleet).iter().all(|&other| other == revision);
+    fleet
+        .wait_until("the change everywhere", PATIENCE, everywhere)
+        .expect("the change");
+    fleet.store.set_faults(StoreFaults {
+        stale: true,
+        ..StoreFaults::default()
+    });
+    drop(fleet.take_host(0));
+    fleet.start_host(0).expect("a free port");
+    // Whatever the store offers, the restarted host ends at the peers' revision, and they stay.
+    fleet
+        .wait_until("the newest revision", PATIENCE, everywhere)
+        .expect("the newest revision");
+}
+
+#[test]
+fn a_change_is_refused_while_the_store_is_down_and_serving_goes_on() {
+    let fleet = small_fleet();
+    let base = fleet.operator(0).table().expect("a table").table;
+    fleet.store.set_faults(StoreFaults {
+        down: true,
+        ..StoreFaults::default()
+    });
+    let wanted = with_weight(&base, 0, 5);
+    let result = fleet.operator(0).apply("down", "one", &base, &wanted);
+    assert!(
+        matches!(result, Err(OperatorError::Refused { .. })),
+        "{result:?}"
+    );
+    assert_eq!(revisions(&fleet), [1, 1]);
+    let ask = hickoryhall_testsuite::Ask::new("store down");
+    assert_eq!(ask.send(&fleet, 0).text(), Some(ask.expected().as_str()));
+}
+
+#[test]
+fn an_invalid_table_is_refused_with_row_and_column() {
+    let fleet = small_fleet();
+    let base = fleet.operator(0).table().expect("a table").table;
+    let result = fleet
+        .operator(0)
+        .apply("bad", "one", &base, &with_weight(&base, 0, 0));
+    let Err(OperatorError::Refused { message, .. }) = result else {
+        panic!("{result:?}")
+    };
+    insta::assert_snapshot!(message);
+}
--- a/crates/hickoryhall-tools/src/fleet.rs
+++ b/crates/hickoryhall-tools/src/fleet.rs
@@ -3,7 +3,10 @@
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
-use hickoryhall_entry::{EntryHost, HostLimits, Settings, StartError};
+use hickoryhall_clients::StoreClient;
+use hickoryhall_entry::{
+    AcceptError, EntryHost, HostLimits, Settings, StartError, TableChange, TableStore,
+};
 use hickoryhall_http::BindError;
 use hickoryhall_limits::FleetShape;
 use hickoryhall_standins::engine::{EngineConfig, EngineServer};
@@ -13,7 +16,7 @@
 use hickoryhall_table::{Row, Table};
 use hickoryhall_telemetry::LogFormat;
 
-use crate::operator::{OperatorClient, OperatorError};
+use crate::operator::OperatorClient;
 
 /// Model that the runners serve.
 pub const MODEL: &str = "planner";
@@ -82,7 +85,7 @@
     Start(#[from] StartError),
     /// The first table was refused.
     #[error(transparent)]
-    Table(#[from] OperatorError),
+    Table(#[from] AcceptError),
     /// Something did not happen in time.
     #[error("timed out: {0}")]
     TimedOut(&'static str),
@@ -128,6 +131,7 @@
         for index in 0..config.domains * config.services_per_domain {
             services.push(ServiceServer::start(any_port(), &service_name(index))?);
         }
+        put_first_table(store.address(), config.workspaces)?;
         let mut fleet = Self {
             hosts: Vec::new(),
             runners,
@@ -141,9 +145,6 @@
             fleet.hosts.push(Some(host));
         }
         fleet.publish_list(&[]);
-        let operator = fleet.operator(0);
-        let table = first_table(fleet.config.workspaces);
-        operator.apply("first-table", "setup", &Table::default(), &table)?;
         fleet.wait_until(
             "hosts ready",
             Duration::from_secs(10),
@@ -186,6 +187,12 @@
         OperatorClient::new(self.address(host), OPERATOR_KEY)
     }
 
+    /// Returns the start numbers of the runners.
+    #[must_use]
+    pub fn incarnations(&self) -> Vec<u64> {
+        self.runners.iter().map(EngineServer::incarnation).collect()
+    }
+
     /// Takes a host out, for the caller to shut down.
     pub fn take_host(&mut self, host: usize) -> Option<EntryHost> {
         self.hosts[host].take()
@@ -306,6 +313,18 @@
     }
 }
 
+fn put_first_table(store: SocketAddr, workspaces: u32) -> Result<(), FleetError> {
+    let change = TableChange {
+        id: "first-table".to_owned(),
+        author: "setup".to_owned(),
+        base: Table::default(),
+        wanted: first_table(workspaces),
+        at_s: 0,
+    };
+    TableStore::new(StoreClient::new(store)).accept(&change)?;
+    Ok(())
+}
+
 /// Returns the key of a workspace.
 #[must_use]
 pub fn workspace_key(workspace: u32) -> String {
