--- /dev/null
+++ b/crates/hickoryhall-control/tests/claims.rs
@@ -0,0 +1,237 @@
+//! Claims over all interleavings: never two runs, and "not run" is always true.
+
+use std::collections::HashMap;
+use std::time::{Duration, Instant};
+
+use hickoryhall_control::{
+    Claim, ClaimEnd, ClaimFlow, ClaimStep, ReadResult, RecordedAnswer, SendResult, WriteResult,
+};
+use hickoryhall_types::Ran;
+use proptest::prelude::*;
+
+/// What happens to an attempt in one step.
+#[derive(Clone, Copy, Debug)]
+enum Luck {
+    /// The call and its answer arrive.
+    Fine,
+    /// The call takes effect and its answer is lost.
+    AnswerLost,
+    /// The call is lost on the way.
+    CallLost,
+    /// A write is held up and takes effect later, after other attempts' steps.
+    Delayed,
+    /// The store or server refuses the call.
+    Refused,
+    /// The attempt is paused first, past every time limit.
+    Paused,
+    /// The host dies.
+    Dead,
+}
+
+fn luck() -> impl Strategy<Value = Luck> {
+    prop_oneof![
+        6 => Just(Luck::Fine),
+        2 => Just(Luck::AnswerLost),
+        1 => Just(Luck::CallLost),
+        2 => Just(Luck::Delayed),
+        1 => Just(Luck::Refused),
+        1 => Just(Luck::Paused),
+        1 => Just(Luck::Dead),
+    ]
+}
+
+/// Write that waits on the network: claim, expected revision (0 for none).
+type HeldWrite = (Claim, u64);
+
+/// One key of the store, and the service behind it.
+#[derive(Default)]
+struct World {
+    claim: Option<(Claim, u64)>,
+    revision: u64,
+    held: Vec<HeldWrite>,
+    runs: Vec<usize>,
+}
+
+impl World {
+    fn write(&mut self, claim: Claim, expected: u64) -> WriteResult {
+        let current = self.claim.as_ref().map_or(0, |(_, revision)| *revision);
+        if current != expected {
+            return WriteResult::Conflict;
+        }
+        self.revision += 1;
+        self.claim = Some((claim, self.revision));
+        WriteResult::Written(self.revision)
+    }
+
+    fn call_write(&mut self, luck: Luck, claim: Claim, expected: u64) -> WriteResult {
+        match luck {
+            Luck::AnswerLost => {
+                self.write(claim, expected);
+                WriteResult::InDoubt
+            }
+            Luck::Delayed => {
+                self.held.push((claim, expected));
+                WriteResult::InDoubt
+            }
+            Luck::CallLost => WriteResult::InDoubt,
+            Luck::Refused => WriteResult::Failed,
+            _ => self.write(claim, expected),
+        }
+    }
+
+    fn call_read(&self, luck: Luck) -> ReadResult {
+        match (luck, &self.claim) {
+            (Luck::AnswerLost | Luck::CallLost | Luck::Refused, _) => ReadResult::Failed,
+            (_, Some((claim, revision))) => ReadResult::Found(claim.clone(), *revision),
+            (_, None) => ReadResult::Missing,
+        }
+    }
+
+    fn call_service(&mut self, luck: Luck, attempt: usize) -> SendResult {
+        match luck {
+            Luck::Refused => SendResult::NotRun,
+            Luck::CallLost => SendResult::Unknown,
+            Luck::AnswerLost | Luck::Delayed => {
+                self.runs.push(attempt);
+                SendResult::Unknown
+            }
+            _ => {
+                self.runs.push(attempt);
+                SendResult::Answered(RecordedAnswer::new(200, "text/plain", b"booked"))
+            }
+        }
+    }
+
+    fn deliver_held(&mut self) {
+        for (claim, expected) in std::mem::take(&mut self.held) {
+            self.write(claim, expected);
+        }
+    }
+}
+
+struct Attempt {
+    flow: ClaimFlow,
+    step: ClaimStep,
+    skew: Duration,
+    is_dead: bool,
+}
+
+impl Attempt {
+    fn start(now: Instant, index: usize) -> Self {
+        let (flow, step) = ClaimFlow::start(now, &format!("attempt-{index}"));
+        Self {
+            flow,
+            step,
+            skew: Duration::ZERO,
+            is_dead: false,
+        }
+    }
+
+    fn end(&self) -> Option<&ClaimEnd> {
+        match &self.step {
+            ClaimStep::End(end) => Some(end),
+            _ => None,
+        }
+    }
+
+    fn advance(&mut self, start: Instant, index: usize, luck: Luck, world: &mut World) {
+        if self.is_dead || self.end().is_some() {
+            return;
+        }
+        match luck {
+            Luck::Dead => {
+                self.is_dead = true;
+                return;
+            }
+            Luck::Paused => self.skew += Duration::from_secs(3_600),
+            _ => {}
+        }
+        let now = start + self.skew;
+        self.step = match std::mem::replace(&mut self.step, ClaimStep::Read) {
+            ClaimStep::Create(claim) => {
+                let result = world.call_write(luck, claim, 0);
+                self.flow.on_write(now, result)
+            }
+            ClaimStep::Replace(claim, revision) => {
+                let result = world.call_write(luck, claim, revision);
+                self.flow.on_write(now, result)
+            }
+            ClaimStep::Read => self.flow.on_read(now, world.call_read(luck)),
+            // A paused sender checks its window again just before it sends.
+            ClaimStep::Send if now >= self.flow.send_by() => self.flow.on_sent(SendResult::NotRun),
+            ClaimStep::Send => self.flow.on_sent(world.call_service(luck, index)),
+            end @ ClaimStep::End(_) => end,
+        };
+    }
+}
+
+fn check(world: &World, attempts: &[Attempt]) -> Result<(), TestCaseError> {
+    prop_assert!(world.runs.len() <= 1, "ran {:?}", world.runs);
+    for (index, attempt) in attempts.iter().enumerate() {
+        let ran = world.runs.contains(&index);
+        match attempt.end() {
+            Some(ClaimEnd::Refused(Ran::No) | ClaimEnd::StoreUnavailable) => {
+                prop_assert!(!ran, "attempt {index} said it did not run");
+            }
+            Some(ClaimEnd::Answered) => prop_assert!(ran),
+            Some(ClaimEnd::Replayed(_)) => prop_assert!(!world.runs.is_empty()),
+            _ => {}
+        }
+    }
+    Ok(())
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig::with_cases(20_000))]
+
+    #[test]
+    fn a_call_never_runs_twice_and_not_run_is_true(
+        steps in prop::collection::vec((0_usize..4, luck(), prop::bool::weighted(0.2)), 1..60),
+    ) {
+        let start = Instant::now();
+        let mut world = World::default();
+        let mut attempts = (0..4).map(|index| Attempt::start(start, index)).collect::<Vec<_>>();
+        for (index, luck, delivers) in steps {
+            attempts[index].advance(start, index, luck, &mut world);
+            if delivers {
+                world.deliver_held();
+            }
+            check(&world, &attempts)?;
+        }
+        world.deliver_held();
+        check(&world, &attempts)?;
+    }
+}
+
+fn run_alone(luck: HashMap<usize, Luck>) -> (World, ClaimEnd) {
+    let start = Instant::now();
+    let mut world = World::default();
+    let mut attempt = Attempt::start(start, 0);
+    for step in 0..20 {
+        let luck = luck.get(&step).copied().unwrap_or(Luck::Fine);
+        attempt.advance(start, 0, luck, &mut world);
+    }
+    let end = attempt.end().cloned().expect("an end");
+    (world, end)
+}
+
+#[test]
+fn a_lost_answer_of_the_claim_is_read_back_and_the_call_runs() {
+    let (world, end) = run_alone([(0, Luck::AnswerLost)].into());
+    assert_eq!(end, ClaimEnd::Answered);
+    assert_eq!(world.runs, [0]);
+}
+
+#[test]
+fn a_holder_paused_past_its_window_does_not_send() {
+    let (world, end) = run_alone([(0, Luck::Paused)].into());
+    assert_eq!(end, ClaimEnd::Refused(Ran::No));
+    assert!(world.runs.is_empty());
+}
+
+#[test]
+fn without_the_store_nothing_is_sent() {
+    let (world, end) = run_alone([(0, Luck::Refused)].into());
+    assert_eq!(end, ClaimEnd::StoreUnavailable);
+    assert!(world.runs.is_empty());
+}
--- /dev/null
+++ b/crates/hickoryhall-control/tests/orders.rs
@@ -0,0 +1,192 @@
+//! Orders: under a lease, fenced or waited for, few at a time.
+
+use std::collections::BTreeMap;
+use std::time::{Duration, Instant};
+
+use hickoryhall_control::{OrderConfig, OrderGiver, RunnerStatus, WantedWeights, choose_version};
+use proptest::prelude::*;
+
+fn runner(index: usize, weights: u64, checks_fencing: bool) -> RunnerStatus {
+    RunnerStatus {
+        id: format!("r{index}").as_str().into(),
+        model: "m".into(),
+        weights,
+        checks_fencing,
+        up: true,
+    }
+}
+
+fn wanted(version: u64) -> WantedWeights {
+    [("m".into(), version)].into()
+}
+
+#[test]
+fn without_a_lease_there_are_no_orders() {
+    let now = Instant::now();
+    let mut giver = OrderGiver::new(OrderConfig::default());
+    assert!(
+        giver
+            .plan(now, &wanted(2), &[runner(0, 1, true)], || true)
+            .is_empty()
+    );
+    giver.on_taken(now, 5);
+    let lapsed = now + OrderConfig::default().lease_ttl;
+    assert!(
+        giver
+            .plan(lapsed, &wanted(2), &[runner(0, 1, true)], || true)
+            .is_empty()
+    );
+}
+
+#[test]
+fn at_most_two_and_never_more_than_half_of_the_runners_load_at_once() {
+    let now = Instant::now();
+    for count in 1..8_usize {
+        let mut giver = OrderGiver::new(OrderConfig::default());
+        giver.on_taken(now, 5);
+        let runners = (0..count).map(|i| runner(i, 1, true)).collect::<Vec<_>>();
+        let planned = giver.plan(now, &wanted(2), &runners, || true).len();
+        assert_eq!(planned, (count / 2).clamp(1, 2), "{count} runners");
+        assert!(
+            giver.plan(now, &wanted(2), &runners, || true).is_empty(),
+            "nothing twice"
+        );
+    }
+}
+
+#[test]
+fn an_order_without_a_place_among_the_fleets_loads_is_not_given() {
+    let now = Instant::now();
+    let mut giver = OrderGiver::new(OrderConfig::default());
+    giver.on_taken(now, 5);
+    assert!(
+        giver
+            .plan(now, &wanted(2), &[runner(0, 1, true)], || false)
+            .is_empty()
+    );
+    assert_eq!(
+        giver
+            .plan(now, &wanted(2), &[runner(0, 1, true)], || true)
+            .len(),
+        1
+    );
+}
+
+#[test]
+fn an_engine_that_comes_back_empty_is_ordered_again() {
+    let now = Instant::now();
+    let mut giver = OrderGiver::new(OrderConfig::default());
+    giver.on_taken(now, 5);
+    assert_eq!(
+        giver
+            .plan(now, &wanted(2), &[runner(0, 1, true)], || true)
+            .len(),
+        1
+    );
+    assert!(
+        giver
+            .plan(now, &wanted(2), &[runner(0, 2, true)], || true)
+            .is_empty()
+    );
+    assert_eq!(
+        giver
+            .plan(now, &wanted(2), &[runner(0, 1, true)], || true)
+            .len(),
+        1
+    );
+}
+
+/// One host that takes, renews and loses the lease, and gives orders to an unfenced engine.
+#[derive(Clone, Copy, Debug)]
+enum Act {
+    /// Try to take the lease.
+    Take(usize),
+    /// Renew it.
+    Renew(usize),
+    /// Give orders.
+    Order(usize),
+    /// Pause the host.
+    Pause(usize),
+    /// Let time pass.
+    Pass(u64),
+}
+
+fn act() -> impl Strategy<Value = Act> {
+    prop_oneof![
+        (0_usize..2).prop_map(Act::Take),
+        (0_usize..2).prop_map(Act::Renew),
+        (0_usize..2).prop_map(Act::Order),
+        (0_usize..2).prop_map(Act::Pause),
+        (100_u64..4_000).prop_map(Act::Pass),
+    ]
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig::with_cases(4_000))]
+
+    /// An order may be on its way for `order_flight`; those of two holders must not overlap.
+    #[test]
+    fn orders_to_an_engine_that_ignores_numbers_never_overlap_between_holders(
+        acts in prop::collection::vec(act(), 1..80),
+    ) {
+        let config = OrderConfig::default();
+        let mut now = Instant::now();
+        let mut givers = [OrderGiver::new(config), OrderGiver::new(config)];
+        // The store's view: holder, end of the lease, next fencing number.
+        let mut holder = None::<(usize, Instant)>;
+        let mut fencing = 0;
+        let mut flights = Vec::<(usize, Instant)>::new();
+        let mut asked_at = [now; 2];
+        for act in acts {
+            match act {
+                Act::Pass(ms) => now += Duration::from_millis(ms),
+                // A paused host asks, and hears the answer long after.
+                Act::Pause(host) => asked_at[host] = now,
+                Act::Take(host) => {
+                    let is_free = holder.is_none_or(|(_, until)| now >= until);
+                    if is_free {
+                        fencing += 1;
+                        holder = Some((host, now + config.lease_ttl));
+                        givers[host].on_taken(now, fencing);
+                        asked_at[host] = now;
+                    }
+                }
+                Act::Renew(host) => match holder {
+                    Some((owner, until)) if owner == host && now < until => {
+                        holder = Some((host, now + config.lease_ttl));
+                        givers[host].on_renewed(asked_at[host].min(now));
+                        asked_at[host] = now;
+                    }
+                    _ => givers[host].on_lost(),
+                },
+                Act::Order(host) => {
+                    let runners = [runner(0, 1, false)];
+                    for _ in givers[host].plan(now, &wanted(2), &runners, || true) {
+                        let overlaps = flights.iter().any(|&(other, at)| {
+                            other != host && now < at + config.order_flight
+                        });
+                        prop_assert!(!overlaps, "orders of two holders are on their way");
+                        flights.push((host, now));
+                    }
+                }
+            }
+        }
+    }
+
+    #[test]
+    fn requests_split_between_versions_in_proportion_to_runners(old in 1_usize..9, new in 1_usize..9) {
+        let serving = BTreeMap::from([(1, old), (2, new)]);
+        let requests = 9_000_u64;
+        let to_new = (0..requests)
+            .map(|request| hickoryhall_types::rendezvous_score(request, 7))
+            .filter(|&hash| choose_version(&serving, 2, hash) == 2)
+            .count();
+        let expected = requests as f64 * new as f64 / (old + new) as f64;
+        prop_assert!((to_new as f64 - expected).abs() < 400.0, "{to_new} of {expected}");
+    }
+}
+
+#[test]
+fn without_any_runner_the_wanted_version_is_chosen() {
+    assert_eq!(choose_version(&BTreeMap::new(), 4, 9), 4);
+}
--- a/crates/hickoryhall-entry/src/actors/cluster.rs
+++ b/crates/hickoryhall-entry/src/actors/cluster.rs
@@ -27,6 +27,8 @@
 
 /// Time between two rounds of gossip, on average.
 const ROUND: Duration = Duration::from_secs(1);
+/// Time between two quick rounds, while rumors are fresh.
+const QUICK_ROUND: Duration = Duration::from_millis(250);
 /// Part of a round by which each one is moved, so that hosts do not fall into step.
 const ROUND_JITTER: f64 = 0.2;
 /// Hosts of a failure domain that watch the table in the store.
@@ -96,6 +98,7 @@
 impl Cluster {
     pub fn init(cx: CX![], parts: ClusterParts) -> Option<Self> {
         call!([cx], round());
+        call!([cx], quick_round());
         let mut rng = ChaCha8Rng::seed_from_u64(parts.seed);
         Some(Self {
             gossiper: Gossiper::new(ChaCha8Rng::from_rng(&mut rng)),
@@ -121,6 +124,13 @@
         stakker::after!(ROUND.mul_f64(jitter), [cx], round());
     }
 
+    pub fn quick_round(&mut self, cx: CX![]) {
+        let now = cx.now();
+        let messages = self.gossiper.quick_round(now, &self.hosts);
+        self.send_all(now, messages);
+        stakker::after!(QUICK_ROUND, [cx], quick_round());
+    }
+
     pub fn set_hosts(&mut self, cx: CX![], list: Vec<HostInfo>) {
         let now = cx.now();
         self.hosts.merge_list(now, &list);
@@ -148,13 +158,18 @@
             }
             Body::PushRevision { revision } => News {
                 newer_revision: (revision > self.state.revision()).then_some(revision),
-                rumors: Vec::new(),
+                ..News::default()
             },
             _ => News::default(),
         };
         if news.newer_revision.is_some() {
             self.fetch_from(sender.host);
         }
+        if news.sender_is_behind {
+            let revision = self.state.revision();
+            let push = Body::PushRevision { revision };
+            self.outbox.borrow_mut().send(now, sender.host, push, false);
+        }
         for rumor in news.rumors {
             self.tell(cx, rumor);
         }
--- a/crates/hickoryhall-entry/src/actors/router.rs
+++ b/crates/hickoryhall-entry/src/actors/router.rs
@@ -8,7 +8,7 @@
 
 use crossbeam_channel::Sender;
 use hickoryhall_clients::{LoadAnswer, NotRun};
-use hickoryhall_limits::{BucketServer, RetryBudget, UnitGrant};
+use hickoryhall_limits::{BucketServer, RetryBudget, UnitAsk, UnitGrant};
 use hickoryhall_routing::{Fingerprint, Suspects, Verdict};
 use hickoryhall_types::{FailureDomainId, Refusal, TokenCount, WeightsVersion};
 use hickoryhall_wire::{Body, GrantAnswer, GrantAsk, HostHash, QuoteAnswer, Rumor};
@@ -275,7 +275,7 @@
                 self.carry_out(now, effects);
             }
             Body::GrantAsk(ask) => {
-                let answer = self.grant(now, ask);
+                let answer = self.grant(now, from, ask);
                 self.outbox
                     .borrow_mut()
                     .send(now, from, Body::GrantAnswer(answer), false);
@@ -315,17 +315,21 @@
                         .send(now, host, Body::GrantAsk(ask), true);
                 }
                 _ => {
-                    let answer = self.grant(now, ask);
+                    let answer = self.grant(now, self.me, ask);
                     self.granted(now, answer);
                 }
             }
         }
     }
 
-    fn grant(&mut self, now: Instant, ask: GrantAsk) -> GrantAnswer {
-        let grant = self
-            .buckets
-            .grant(now, ask.bucket, ask.limit, self.shape, ask.units);
+    fn grant(&mut self, now: Instant, from: HostHash, ask: GrantAsk) -> GrantAnswer {
+        let units = UnitAsk {
+            key: ask.bucket,
+            limit: ask.limit,
+            asker: from,
+            wanted: ask.units,
+        };
+        let grant = self.buckets.grant(now, &units, self.shape);
         let ttl_ms = u32::try_from(grant.ttl.as_millis()).unwrap_or(u32::MAX);
         GrantAnswer {
             bucket: ask.bucket,
--- a/crates/hickoryhall-limits/src/fleet.rs
+++ b/crates/hickoryhall-limits/src/fleet.rs
@@ -26,6 +26,8 @@
 const STATIC_FRACTION: f64 = 0.25;
 /// Time after which an unused bucket is dropped.
 const IDLE_LIMIT: Duration = Duration::from_secs(60);
+/// Time after its last question in which a host's share is kept for it.
+const ASKER_LIMIT: Duration = Duration::from_secs(2);
 /// Time of demand that one question asks for.
 const ASK_AHEAD: f64 = 0.25;
 
@@ -65,6 +67,22 @@
     }
 }
 
+/// Id of a host that asks for units.
+pub type AskerId = u64;
+
+/// A host's question for units of a limit.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct UnitAsk {
+    /// Limit.
+    pub key: LimitKey,
+    /// The whole fleet's limit, in units a second.
+    pub limit: u32,
+    /// Host that asks.
+    pub asker: AskerId,
+    /// Units wanted.
+    pub wanted: u32,
+}
+
 /// Units granted to a host.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct UnitGrant {
@@ -74,12 +92,60 @@
     pub ttl: Duration,
 }
 
+/// Units of a bucket that one host may count on while others ask too.
 #[derive(Clone, Copy, Debug)]
+struct Share {
+    bucket: TokenBucket,
+    asked_at: Instant,
+}
+
+#[derive(Clone, Debug)]
 struct Held {
     bucket: TokenBucket,
+    shares: HashMap<AskerId, Share>,
     used_at: Instant,
 }
 
+impl Held {
+    fn new(now: Instant) -> Self {
+        // It starts empty, so that a bucket that moves to another host brings no second burst.
+        let bucket = TokenBucket::new(now, 0.0, 0.0);
+        Self {
+            bucket,
+            shares: HashMap::new(),
+            used_at: now,
+        }
+    }
+
+    /// Takes units for a host: its own share, and what the others' shares leave over.
+    fn take(&mut self, now: Instant, asker: AskerId, rate: f64, wanted: u32) -> u32 {
+        let burst = rate * BURST.as_secs_f64();
+        self.used_at = now;
+        self.bucket.resize(now, rate, burst);
+        self.shares
+            .retain(|_, s| now.saturating_duration_since(s.asked_at) < ASKER_LIMIT);
+        self.shares.entry(asker).or_insert_with(|| Share {
+            bucket: TokenBucket::new(now, 0.0, 0.0),
+            asked_at: now,
+        });
+        let count = self.shares.len() as f64;
+        for share in self.shares.values_mut() {
+            share.bucket.resize(now, rate / count, burst / count);
+        }
+        let others = self.shares.iter_mut().filter(|(other, _)| **other != asker);
+        let reserved = others.map(|(_, share)| share.bucket.left(now)).sum::<f64>();
+        let Some(share) = self.shares.get_mut(&asker) else {
+            return 0;
+        };
+        share.asked_at = now;
+        let spare = self.bucket.left(now) - reserved;
+        let allowed = share.bucket.left(now).max(spare).max(0.0);
+        let units = self.bucket.take_up_to(now, wanted.min(allowed as u32));
+        share.bucket.take_up_to(now, units);
+        units
+    }
+}
+
 /// Buckets that this host holds for its failure domain.
 #[derive(Clone, Debug, Default)]
 pub struct BucketServer {
@@ -87,30 +153,12 @@
 }
 
 impl BucketServer {
-    /// Grants units of a limit; a bucket that is new starts empty, so that one that moves from
-    /// host to host brings no second burst.
-    pub fn grant(
-        &mut self,
-        now: Instant,
-        key: LimitKey,
-        limit: u32,
-        shape: FleetShape,
-        wanted: u32,
-    ) -> UnitGrant {
-        let rate = shape.bucket_units_per_s(limit);
-        let burst = rate * BURST.as_secs_f64();
-        let held = self.held.entry(key).or_insert_with(|| {
-            let mut bucket = TokenBucket::new(now, rate, 0.0);
-            bucket.resize(now, rate, burst);
-            Held {
-                bucket,
-                used_at: now,
-            }
-        });
-        held.bucket.resize(now, rate, burst);
-        held.used_at = now;
+    /// Grants units of a limit to a host, fairly among the hosts that ask.
+    pub fn grant(&mut self, now: Instant, ask: &UnitAsk, shape: FleetShape) -> UnitGrant {
+        let rate = shape.bucket_units_per_s(ask.limit);
+        let held = self.held.entry(ask.key).or_insert_with(|| Held::new(now));
         UnitGrant {
-            units: held.bucket.take_up_to(now, wanted),
+            units: held.take(now, ask.asker, rate, ask.wanted),
             ttl: GRANT_TTL,
         }
     }
--- a/crates/hickoryhall-limits/src/lib.rs
+++ b/crates/hickoryhall-limits/src/lib.rs
@@ -19,5 +19,5 @@
 pub use bucket::TokenBucket;
 pub use concurrency::Concurrency;
 pub use fair_queue::{FairQueue, Queued, Shed};
-pub use fleet::{BucketServer, FleetShape, HostLimit, LimitKey, Take, UnitGrant};
+pub use fleet::{AskerId, BucketServer, FleetShape, HostLimit, LimitKey, Take, UnitAsk, UnitGrant};
 pub use retry_budget::RetryBudget;
--- a/crates/hickoryhall-membership/src/gossip.rs
+++ b/crates/hickoryhall-membership/src/gossip.rs
@@ -10,16 +10,18 @@
 
 use crate::{HostInfo, Hosts};
 
-/// Receivers of one round in the own failure domain.
+/// Receivers of one round in the own failure domain, where it has as many.
 const FANOUT_DOMAIN: usize = 2;
-/// Receivers of one round in other failure domains.
-const FANOUT_OTHER: usize = 1;
+/// Receivers of one round in all.
+const FANOUT: usize = 3;
+/// Messages that carry a rumor in quick rounds before only regular ones do.
+const QUICK_SENDS: u32 = 10;
 /// Heartbeats in one message at most, the sender's own included.
 const HEARTBEATS: usize = 12;
 /// Rumors in one message at most.
 const RUMORS: usize = 8;
 /// Messages that carry a rumor before a host stops telling it.
-const RUMOR_SENDS: u32 = 12;
+const RUMOR_SENDS: u32 = 16;
 /// Rumors being told at most; the oldest one makes room.
 const RUMOR_LIMIT: usize = 256;
 /// Time for which a rumor that was heard is not taken for news.
@@ -39,6 +41,8 @@
 pub struct News {
     /// Table revision of the sender where it is higher than ours.
     pub newer_revision: Option<Revision>,
+    /// Whether the sender's table is older than ours, so that it is to be told.
+    pub sender_is_behind: bool,
     /// Rumors not heard before.
     pub rumors: Vec<Rumor>,
 }
@@ -119,6 +123,22 @@
         self.spread(now, hosts)
     }
 
+    /// Tells whether rumors are new enough for quick rounds.
+    #[must_use]
+    pub fn has_fresh_rumors(&self) -> bool {
+        self.telling.iter().any(|told| told.sends < QUICK_SENDS)
+    }
+
+    /// Returns the messages of a quick round, which are due a few times a second while rumors are
+    /// fresh.
+    pub fn quick_round(&mut self, now: Instant, hosts: &Hosts) -> Vec<Outgoing> {
+        if self.has_fresh_rumors() {
+            self.spread(now, hosts)
+        } else {
+            Vec::new()
+        }
+    }
+
     /// Takes a message in; `News` is to be acted on, rumors among it to be passed on by [`tell`].
     ///
     /// [`tell`]: Gossiper::tell
@@ -140,6 +160,7 @@
         let is_new = |rumor: &&Rumor| !self.heard.contains_key(rumor);
         News {
             newer_revision: (gossip.revision > self.revision).then_some(gossip.revision),
+            sender_is_behind: gossip.revision < self.revision,
             rumors: gossip.rumors.iter().filter(is_new).copied().collect(),
         }
     }
@@ -178,7 +199,8 @@
         let near = hosts.others().filter(|info| info.domain == *domain);
         let far = hosts.others().filter(|info| info.domain != *domain);
         let mut targets = near.cloned().sample(&mut self.rng, FANOUT_DOMAIN);
-        targets.extend(far.cloned().sample(&mut self.rng, FANOUT_OTHER));
+        let left = FANOUT - targets.len();
+        targets.extend(far.cloned().sample(&mut self.rng, left));
         targets
     }
 
--- /dev/null
+++ b/crates/hickoryhall-routing/tests/faults.rs
@@ -0,0 +1,144 @@
+//! Suspects, retries and hot levels.
+
+use std::time::{Duration, Instant};
+
+use hickoryhall_routing::{AttemptOutcome, Heat, RetryDecision, RetryPolicy, Suspects, Verdict};
+use hickoryhall_types::Ran;
+use proptest::prelude::*;
+use rstest::rstest;
+
+#[test]
+fn a_request_is_isolated_after_one_death_and_refused_after_two() {
+    let now = Instant::now();
+    let mut suspects = Suspects::default();
+    assert_eq!(suspects.verdict(now, 7), Verdict::Clear);
+    suspects.record_death(now, 7);
+    assert_eq!(suspects.verdict(now, 7), Verdict::Isolate);
+    suspects.record_death(now, 7);
+    assert!(matches!(suspects.verdict(now, 7), Verdict::Refuse(_)));
+    suspects.acquit(7);
+    assert!(
+        matches!(suspects.verdict(now, 7), Verdict::Refuse(_)),
+        "two deaths stay"
+    );
+    assert_eq!(
+        suspects.verdict(now + Duration::from_secs(600), 7),
+        Verdict::Clear
+    );
+}
+
+#[test]
+fn an_innocent_that_gave_its_answer_is_clear_again() {
+    let now = Instant::now();
+    let mut suspects = Suspects::default();
+    suspects.record_death(now, 7);
+    suspects.acquit(7);
+    assert_eq!(suspects.verdict(now, 7), Verdict::Clear);
+}
+
+#[test]
+fn memory_stays_bounded_under_many_suspects() {
+    let now = Instant::now();
+    let mut suspects = Suspects::default();
+    for fingerprint in 0..20_000 {
+        suspects.record_death(now, fingerprint);
+        suspects.record_death(now, fingerprint);
+    }
+    assert!(suspects.len() <= 4_096, "{}", suspects.len());
+    assert!(
+        matches!(suspects.verdict(now, 19_999), Verdict::Refuse(_)),
+        "the newest are kept"
+    );
+}
+
+proptest! {
+    #[test]
+    fn merging_counts_of_other_hosts_never_lowers_them(
+        deaths in prop::collection::vec((0_u64..3, 1_u32..4), 1..30),
+    ) {
+        let now = Instant::now();
+        let mut suspects = Suspects::default();
+        let mut highest = [0; 3];
+        for (fingerprint, count) in deaths {
+            let place = fingerprint as usize;
+            let is_news = suspects.merge(now, fingerprint, count);
+            prop_assert_eq!(is_news, count > highest[place]);
+            highest[place] = highest[place].max(count);
+            let refused = matches!(suspects.verdict(now, fingerprint), Verdict::Refuse(_));
+            prop_assert_eq!(refused, highest[place] >= 2);
+        }
+    }
+}
+
+#[rstest]
+#[case::certainly_not_run(false, Ran::No, true)]
+#[case::unknown(false, Ran::Unknown, false)]
+#[case::ran(false, Ran::Yes, false)]
+#[case::repeatable_unknown(true, Ran::Unknown, true)]
+#[case::repeatable_ran(true, Ran::Yes, true)]
+fn a_retry_needs_to_be_harmless(
+    #[case] repeatable: bool,
+    #[case] ran: Ran,
+    #[case] is_retried: bool,
+) {
+    let now = Instant::now();
+    let policy = RetryPolicy {
+        repeatable,
+        deadline: now + Duration::from_secs(5),
+    };
+    let outcome = AttemptOutcome { ran, at: now };
+    let decision = policy.decide(1, outcome, || true);
+    assert_eq!(matches!(decision, RetryDecision::Retry(_)), is_retried);
+}
+
+#[test]
+fn a_retry_needs_time_and_budget_and_asks_the_budget_last() {
+    let now = Instant::now();
+    let outcome = AttemptOutcome {
+        ran: Ran::No,
+        at: now,
+    };
+    let late = RetryPolicy {
+        repeatable: true,
+        deadline: now + Duration::from_millis(10),
+    };
+    let asked = std::cell::Cell::new(false);
+    let budget = || {
+        asked.set(true);
+        true
+    };
+    assert_eq!(late.decide(1, outcome, budget), RetryDecision::GiveUp);
+    assert!(
+        !asked.get(),
+        "a retry that cannot be in time costs no budget"
+    );
+    let policy = RetryPolicy {
+        repeatable: true,
+        deadline: now + Duration::from_secs(5),
+    };
+    assert_eq!(policy.decide(1, outcome, || false), RetryDecision::GiveUp);
+}
+
+#[test]
+fn a_hot_level_widens_at_once_and_narrows_with_hysteresis() {
+    let now = Instant::now();
+    let mut heat = Heat::default();
+    (0..8).for_each(|_| heat.record(now, 1, 1.0));
+    (0..2).for_each(|_| heat.record(now, 2, 1.0));
+    assert_eq!(heat.width(now, 1, 10), 8);
+    assert_eq!(heat.width(now, 2, 10), 2);
+    // A share a little below the step changes nothing; one well below it does.
+    heat.record(now, 2, 1.0);
+    assert_eq!(heat.width(now, 1, 10), 8);
+    (0..20).for_each(|_| heat.record(now, 2, 1.0));
+    assert_eq!(heat.width(now, 1, 10), 3);
+    assert_eq!(heat.width(now, 3, 10), 1, "an unknown level");
+}
+
+#[test]
+fn the_levels_tracked_stay_bounded() {
+    let now = Instant::now();
+    let mut heat = Heat::default();
+    (0..5_000).for_each(|key| heat.record(now, key, 1.0));
+    assert!(heat.len() <= 4_096);
+}
