--- /dev/null
+++ b/crates/hickoryhall-entry/tests/scenarios.rs
@@ -0,0 +1,316 @@
+//! Scripted scenarios of dispatch: one file each under `tests/scenarios/`.
+//!
+//! Commands (times in milliseconds, virtual):
+//!
+//! - `runner NAME [domain=D] [weights=V] [incarnation=N]`: a load report of a runner
+//! - `tracker NAME HOST`: which host tracks a runner, `me` for this one
+//! - `list NAME..`: the platform's list, `NAME!` for a leaving runner
+//! - `place ID prompt=OUTER/INNER [workspace=W] [weight=N] [deadline=MS] [isolate=true]`
+//! - `quote ID from=HOST NAME:WAIT_MS:CACHED..`: quotes of another host arrive
+//! - `first ID [cached=TOKENS]`, `end ID HOW`: what becomes of an attempt
+//! - `unreachable NAME`, `leaving NAME`, `pass MS`, `held`
+
+use std::collections::HashMap;
+use std::error::Error;
+use std::fmt::Write;
+use std::time::{Duration, Instant};
+
+use goldenscript::{ArgumentConsumer, Command, Context, Runner};
+use hickoryhall_clients::LoadAnswer;
+use hickoryhall_entry::dispatch::{
+    Dispatch, DispatchConfig, Effect, PlaceAsk, Server, ServerKind, TicketEnd,
+};
+use hickoryhall_routing::{CostModel, Level, PlacementConfig, PrefixChain};
+use hickoryhall_types::{hash_name, rendezvous_score};
+use hickoryhall_wire::{Body, QuoteAnswer, RunnerQuote};
+use rstest::rstest;
+
+const MODEL: &str = "planner";
+const ME: &str = "me";
+const PREFILL_TOKENS_PER_S: u32 = 10_000;
+const CACHE_TOKENS: u64 = 60_000;
+
+struct Scenario {
+    now: Instant,
+    dispatch: Dispatch,
+    servers: Vec<Server>,
+    trackers: HashMap<u64, u64>,
+    hosts: HashMap<u64, String>,
+}
+
+impl Scenario {
+    fn new() -> Self {
+        let placement = PlacementConfig::new("a".into());
+        Self {
+            now: Instant::now(),
+            dispatch: Dispatch::new(DispatchConfig {
+                me: hash_name(ME),
+                placement,
+            }),
+            servers: Vec::new(),
+            trackers: HashMap::new(),
+            hosts: HashMap::from([(hash_name(ME), ME.to_owned())]),
+        }
+    }
+
+    fn runner(&mut self, command: &Command) -> Result<(), Box<dyn Error>> {
+        let mut args = command.consume_args();
+        let name = args.next_pos().ok_or("a name is needed")?.to_owned();
+        let domain = key(&mut args, "domain")?.unwrap_or_else(|| "a".to_owned());
+        let weights = key(&mut args, "weights")?.unwrap_or(1);
+        let incarnation = key(&mut args, "incarnation")?.unwrap_or(1);
+        args.reject_next()?;
+        if self.servers.iter().all(|server| *server.id != *name) {
+            self.servers.push(server(&name, &domain));
+            self.dispatch.set_servers(&self.servers);
+        }
+        let load = LoadAnswer {
+            incarnation,
+            weights_version: weights,
+            waiting_tokens: 0,
+            prefill_tokens_per_s: PREFILL_TOKENS_PER_S,
+            cache_tokens: CACHE_TOKENS,
+            leaving: false,
+        };
+        self.dispatch.observe_load(self.now, &name, &load);
+        Ok(())
+    }
+
+    fn tracker(&mut self, command: &Command) -> Result<(), Box<dyn Error>> {
+        let mut args = command.consume_args();
+        let runner = args.next_pos().ok_or("a runner is needed")?.to_owned();
+        let host = args.next_pos().ok_or("a host is needed")?.to_owned();
+        args.reject_next()?;
+        self.hosts.insert(hash_name(&host), host.clone());
+        self.trackers.insert(hash_name(&runner), hash_name(&host));
+        self.dispatch.set_trackers(self.trackers.clone());
+        Ok(())
+    }
+
+    fn list(&mut self, command: &Command) -> Result<(), Box<dyn Error>> {
+        let mut args = command.consume_args();
+        let names = std::iter::from_fn(|| args.next_pos()).collect::<Vec<_>>();
+        self.servers.retain(|server| {
+            names
+                .iter()
+                .any(|name| name.trim_end_matches('!') == &*server.id)
+        });
+        for server in &mut self.servers {
+            server.leaving = names
+                .iter()
+                .any(|name| name.strip_suffix('!') == Some(&*server.id));
+        }
+        self.dispatch.set_servers(&self.servers);
+        Ok(())
+    }
+
+    fn place(&mut self, command: &Command) -> Result<Vec<Effect>, Box<dyn Error>> {
+        let mut args = command.consume_args();
+        let ticket = args.next_pos().ok_or("an id is needed")?.parse()?;
+        let prompt = key::<String>(&mut args, "prompt")?.ok_or("a prompt is needed")?;
+        let workspace = key(&mut args, "workspace")?.unwrap_or_else(|| "w".to_owned());
+        let weight = key(&mut args, "weight")?.unwrap_or(1);
+        let deadline = key(&mut args, "deadline")?.unwrap_or(60_000);
+        let isolate = key(&mut args, "isolate")?.unwrap_or(false);
+        args.reject_next()?;
+        let ask = PlaceAsk {
+            ticket,
+            request_id: ticket.to_string().as_str().into(),
+            workspace: workspace.as_str().into(),
+            weight,
+            chain: chain(&prompt, ticket),
+            model: MODEL.into(),
+            weights: 1,
+            cost: CostModel::default(),
+            deadline: self.now + Duration::from_millis(deadline),
+            exclude: Vec::new(),
+            isolate,
+        };
+        Ok(self.dispatch.place(self.now, ask))
+    }
+
+    fn quote(&mut self, command: &Command) -> Result<Vec<Effect>, Box<dyn Error>> {
+        let mut args = command.consume_args();
+        let id = args.next_pos().ok_or("an id is needed")?.parse()?;
+        let from = key::<String>(&mut args, "from")?.ok_or("a host is needed")?;
+        let quotes = std::iter::from_fn(|| args.next_pos()).map(quote);
+        let quotes = quotes.collect::<Result<_, _>>()?;
+        let answer = QuoteAnswer { id, quotes };
+        Ok(self.dispatch.on_quotes(self.now, hash_name(&from), &answer))
+    }
+
+    fn first(&mut self, command: &Command) -> Result<Vec<Effect>, Box<dyn Error>> {
+        let mut args = command.consume_args();
+        let ticket = args.next_pos().ok_or("an id is needed")?.parse()?;
+        let cached = key(&mut args, "cached")?.unwrap_or(0);
+        args.reject_next()?;
+        Ok(self.dispatch.first_token(self.now, ticket, cached))
+    }
+
+    fn end(&mut self, command: &Command) -> Result<Vec<Effect>, Box<dyn Error>> {
+        let mut args = command.consume_args();
+        let ticket = args.next_pos().ok_or("an id is needed")?.parse()?;
+        let end = match args.next_pos() {
+            Some("finished") => TicketEnd::Finished,
+            Some("released") => TicketEnd::Released,
+            Some("failed") => TicketEnd::Failed,
+            other => return Err(format!("no such end: {other:?}").into()),
+        };
+        Ok(self.dispatch.ended(self.now, ticket, end))
+    }
+
+    /// Lets time pass in the steps of the router's timer.
+    fn pass(&mut self, command: &Command) -> Result<Vec<Effect>, Box<dyn Error>> {
+        let mut args = command.consume_args();
+        let ms = args.next_pos().ok_or("a time is needed")?.parse::<u64>()?;
+        let mut effects = Vec::new();
+        for _ in 0..ms.div_ceil(5) {
+            self.now += Duration::from_millis(5);
+            effects.extend(self.dispatch.tick(self.now));
+        }
+        Ok(effects)
+    }
+
+    fn name(&self, hash: u64) -> String {
+        let server = self
+            .servers
+            .iter()
+            .find(|server| hash_name(&server.id) == hash);
+        let host = || {
+            self.hosts
+                .get(&hash)
+                .cloned()
+                .unwrap_or_else(|| "?".to_owned())
+        };
+        server.map_or_else(host, |server| server.id.to_string())
+    }
+
+    fn show(&self, effect: &Effect) -> String {
+        match effect {
+            Effect::Placed { ticket, placed } => format!(
+                "{ticket} to {} ({:?}), {} tokens cached, held {} ms",
+                placed.server.id,
+                placed.choice.reason,
+                placed.choice.expected_cached_tokens,
+                placed.held.as_millis(),
+            ),
+            Effect::Refused { ticket, refusal } => format!(
+                "{ticket} refused: {:?}, ran {:?}, again after {:?} ms: {}",
+                refusal.code, refusal.ran, refusal.retry_after_ms, refusal.message
+            ),
+            Effect::Send { to, body, .. } => {
+                format!("{} <- {}", self.name(*to), self.show_body(body))
+            }
+        }
+    }
+
+    fn show_body(&self, body: &Body) -> String {
+        match body {
+            Body::QuoteAsk(ask) => {
+                let runners = ask.runners.iter().map(|&runner| self.name(runner));
+                format!(
+                    "quotes for {} of {}",
+                    ask.id,
+                    runners.collect::<Vec<_>>().join(" ")
+                )
+            }
+            Body::Reserve { runner, id, .. } => format!("reserve {id} at {}", self.name(*runner)),
+            Body::Release {
+                runner,
+                id,
+                cached_tokens,
+            } => {
+                format!(
+                    "release {id} at {}, cached {cached_tokens:?}",
+                    self.name(*runner)
+                )
+            }
+            other => format!("{other:?}"),
+        }
+    }
+}
+
+impl Runner for Scenario {
+    type Command = Command;
+
+    fn run(&mut self, command: &Command, _: &Context) -> Result<String, Box<dyn Error>> {
+        let now = self.now;
+        let name = || command.consume_args().next_pos().ok_or("a name is needed");
+        let effects = match command.name.as_str() {
+            "runner" => self.runner(command).map(|()| Vec::new())?,
+            "tracker" => self.tracker(command).map(|()| Vec::new())?,
+            "list" => self.list(command).map(|()| Vec::new())?,
+            "place" => self.place(command)?,
+            "quote" => self.quote(command)?,
+            "first" => self.first(command)?,
+            "end" => self.end(command)?,
+            "pass" => self.pass(command)?,
+            "unreachable" => {
+                self.dispatch.observe_unreachable(now, name()?);
+                Vec::new()
+            }
+            "leaving" => {
+                self.dispatch.mark_leaving(hash_name(name()?), u64::MAX);
+                Vec::new()
+            }
+            "held" => return Ok(format!("{}\n", self.dispatch.held())),
+            other => return Err(format!("no such command: {other}").into()),
+        };
+        let mut output = String::new();
+        for effect in &effects {
+            writeln!(output, "{}", self.show(effect))?;
+        }
+        Ok(output)
+    }
+}
+
+/// Takes the argument `name=VALUE`.
+fn key<T>(args: &mut ArgumentConsumer<'_>, name: &str) -> Result<Option<T>, Box<dyn Error>>
+where
+    T: std::str::FromStr<Err: Error + 'static>,
+{
+    Ok(args.take_key(name).map(str::parse).transpose()?)
+}
+
+fn server(name: &str, domain: &str) -> Server {
+    Server {
+        id: name.into(),
+        kind: ServerKind::Runner,
+        domain: domain.into(),
+        address: ([127, 0, 0, 1], 1).into(),
+        target: MODEL.into(),
+        leaving: false,
+    }
+}
+
+fn chain(prompt: &str, question: u64) -> PrefixChain {
+    let (outer, inner) = prompt.split_once('/').unwrap_or((prompt, ""));
+    let outer = hash_name(outer);
+    let inner = rendezvous_score(outer, hash_name(inner));
+    let level = |key, tokens| Level { key, tokens };
+    let levels = [
+        level(outer, 8_000),
+        level(inner, 2_000),
+        level(rendezvous_score(inner, question), 100),
+    ];
+    PrefixChain::from_levels(levels.to_vec())
+}
+
+fn quote(text: &str) -> Result<RunnerQuote, Box<dyn Error>> {
+    let mut parts = text.split(':');
+    let mut next = || parts.next().ok_or("a quote is NAME:WAIT_MS:CACHED");
+    let runner = hash_name(next()?);
+    Ok(RunnerQuote {
+        runner,
+        incarnation: 1,
+        wait_ms: next()?.parse()?,
+        cached_tokens: next()?.parse()?,
+        eviction_tokens: 0,
+        is_warm: true,
+    })
+}
+
+#[rstest]
+fn scenario(#[files("tests/scenarios/*")] path: std::path::PathBuf) {
+    goldenscript::run(&mut Scenario::new(), path).expect("the scenario's output");
+}
