Compare policies on the real dispatch, with faults and a plot

The experiment now drives dispatch itself: quotes pass between hosts, requests are held and ticked. Capacity is what a greedy router with exact knowledge sustains.

--- a/crates/hickoryhall-entry/src/dispatch/placing.rs
+++ b/crates/hickoryhall-entry/src/dispatch/placing.rs
@@ -27,7 +27,7 @@
 const QUOTE_WAIT: Duration = Duration::from_millis(10);
 /// Wait at a runner above which a request stays at this host, where its turn is fair and its
 /// runner is chosen late.
-const HOLD_WAIT: Duration = Duration::from_millis(400);
+const HOLD_WAIT: Duration = Duration::from_millis(1_500);
 /// Time between two tries to place the requests that are held.
 const HOLD_RETRY: Duration = Duration::from_millis(20);
 /// Requests held at most.
--- a/crates/hickoryhall-tools/src/bin/hickoryhall-experiment.rs
+++ b/crates/hickoryhall-tools/src/bin/hickoryhall-experiment.rs
@@ -1,58 +1,63 @@
-//! Compares placement policies under virtual time.
+//! Compares placement policies under virtual time and prints the tables of the measurements page.
 
-use std::time::Duration;
+use std::path::PathBuf;
+use std::process::ExitCode;
 
-use hickoryhall_routing::{BaselineKind, CostModel};
-use hickoryhall_standins::engine::EngineConfig;
-use hickoryhall_tools::experiment::{Fault, Policy, Scenario, run};
+use bpaf::Bpaf;
+use hickoryhall_tools::experiment::{render, suite};
 use hickoryhall_tools::workload::Profile;
 
-fn main() {
-    let n: usize = 9;
-    for profile in [Profile::karoo(), Profile::valenza()] {
-        for (cache, part) in [("ample", 1.5), ("short", 0.4)] {
-            let cache_tokens = (profile.distinct_tokens() as f64 * part / n as f64) as u64;
-            let engine = EngineConfig {
-                cache_tokens,
-                ..EngineConfig::default()
-            };
-            let mut scenario = Scenario {
-                profile: profile.clone(),
-                requests_per_s: 2.0 * n as f64 / 9.0,
-                engine,
-                runners: n,
-                hosts: n * 2 / 3,
-                length: Duration::from_secs(240),
-                warm_up: Duration::from_secs(120),
-                cost: CostModel::default(),
-                fault: Fault::None,
-                seed: 1,
-            };
-            let exact = Policy::Baseline(BaselineKind::Exact);
-            let (low, _) = run(&scenario, exact);
-            let capacity = n as f64 * 16_000.0 / low.mean_missing_tokens() / 0.9;
-            for load in [0.2, 0.7, 0.95] {
-                scenario.requests_per_s = capacity * load;
-                println!(
-                    "{} {cache} load {load} rate {:.1}",
-                    profile.name, scenario.requests_per_s
-                );
-                for policy in Policy::ALL {
-                    let (outcome, _) = run(&scenario, policy);
-                    let s = outcome.summary();
-                    println!(
-                        "  {:28} hit {:.3} p50 {:7.3} p95 {:7.3} p99 {:7.3} wasted {:.3} n {} lost {}",
-                        policy.name(),
-                        s.hit_rate,
-                        s.ttft_p50.as_secs_f64(),
-                        s.ttft_p95.as_secs_f64(),
-                        s.ttft_p99.as_secs_f64(),
-                        s.wasted,
-                        s.requests,
-                        s.lost
-                    );
-                }
+/// Compares placement policies on the engine model under virtual time.
+#[derive(Clone, Debug, Bpaf)]
+#[bpaf(options, version)]
+struct Options {
+    /// Seeds of each figure
+    #[bpaf(argument("COUNT"), fallback(3))]
+    seeds: u64,
+    /// karoo or valenza; both if left out
+    #[bpaf(argument("NAME"))]
+    profile: Option<String>,
+    /// compare, faults or flood; all if left out
+    #[bpaf(argument("PART"))]
+    only: Option<String>,
+    /// File for a plot of hit rate against the 99th percentile
+    #[bpaf(argument("FILE"))]
+    svg: Option<PathBuf>,
+}
+
+fn main() -> ExitCode {
+    let options = options().run();
+    let profiles = match &options.profile {
+        None => vec![Profile::karoo(), Profile::valenza()],
+        Some(name) => match Profile::by_name(name) {
+            Some(profile) => vec![profile],
+            None => {
+                eprintln!("the profile is karoo or valenza");
+                return ExitCode::from(2);
             }
+        },
+    };
+    let settings = suite::settings(&profiles);
+    let is_wanted = |part: &str| options.only.as_deref().is_none_or(|only| only == part);
+    if is_wanted("faults") {
+        println!(
+            "{}",
+            render::faults(&suite::faults(&settings, options.seeds))
+        );
+    }
+    if is_wanted("flood") {
+        println!("{}", render::flood(&suite::flood(&settings, options.seeds)));
+    }
+    if is_wanted("compare") {
+        let rows = suite::compare(&settings, options.seeds);
+        println!("{}", render::table(&rows));
+        println!("{}", render::aims(&rows));
+        if let Some(path) = options.svg
+            && let Err(error) = std::fs::write(&path, render::plot(&rows))
+        {
+            eprintln!("{}: {error}", path.display());
+            return ExitCode::FAILURE;
         }
     }
+    ExitCode::SUCCESS
 }
--- a/crates/hickoryhall-tools/src/experiment/driver.rs
+++ b/crates/hickoryhall-tools/src/experiment/driver.rs
@@ -1,15 +1,19 @@
 //! Event loop of a run.
 
 use std::cmp::Reverse;
-use std::collections::{BinaryHeap, HashMap};
+use std::collections::{BinaryHeap, HashMap, VecDeque};
 use std::time::{Duration, Instant};
 
+use hickoryhall_clients::LoadAnswer;
+use hickoryhall_entry::dispatch::{
+    Dispatch, DispatchConfig, Effect, PlaceAsk, Placed, Server, ServerKind, Ticket, TicketEnd,
+};
 use hickoryhall_routing::{
-    Baseline, BaselineKind, CostModel, Ledger, LoadReport, Placement, PlacementConfig, PrefixChain,
-    RunnerInfo, RunnerKey, RunnerTruth,
+    Baseline, BaselineKind, CostModel, PlacementConfig, PrefixChain, RunnerTruth,
 };
 use hickoryhall_standins::engine::{EngineConfig, EngineEvent, EngineModel, Job, Piece};
-use hickoryhall_types::rendezvous_score;
+use hickoryhall_types::{hash_name, rendezvous_score};
+use hickoryhall_wire::{Body, HostHash, QuoteAnswer};
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 
@@ -20,10 +24,12 @@
 const PIECE_TOKENS: u32 = 2_000;
 /// Age of load reports.
 const LOAD_LAG: Duration = Duration::from_millis(500);
-/// Prefix levels that a tracker remembers for a runner.
-const TRACKER_ENTRIES: usize = 4_096;
-/// Time after its start in which a tracker does not know what a runner holds.
-const WARM_START: Duration = Duration::from_secs(30);
+/// Time between two looks of a host at what waits there.
+const TICK: Duration = Duration::from_millis(5);
+/// Deadline of a request; longer than any run.
+const DEADLINE: Duration = Duration::from_secs(3_600);
+/// Workspace of a flood.
+const FLOOD_WORKSPACE: u32 = 1_000;
 const MODEL: &str = "model";
 
 /// A fault at a moment of the run.
@@ -35,6 +41,8 @@
     HerdRestart(Duration),
     /// One runner crashes and comes back empty.
     CrashRunner(Duration),
+    /// From here on no host reaches another one.
+    Cut(Duration),
 }
 
 /// One run.
@@ -44,6 +52,9 @@
     pub profile: Profile,
     /// Requests a second.
     pub requests_per_s: f64,
+    /// Requests a second of one more workspace, none of which shares a prompt with another; they
+    /// are not measured.
+    pub flood_per_s: f64,
     /// Engines.
     pub engine: EngineConfig,
     /// Runners.
@@ -65,17 +76,25 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 enum Event {
     Arrive,
+    Flood,
     Engine { runner: usize },
     Report,
+    Tick,
     Fault,
 }
 
 #[derive(Clone, Debug)]
-struct InFlight {
+struct Request {
     arrived: Instant,
     host: usize,
-    runner: usize,
+    workspace: u32,
     chain: PrefixChain,
+}
+
+#[derive(Clone, Debug)]
+struct InFlight {
+    request: Request,
+    runner: usize,
     elsewhere_tokens: u32,
 }
 
@@ -83,19 +102,19 @@
     scenario: &'a Scenario,
     policy: Policy,
     start: Instant,
-    hosts_started: Instant,
     engines: Vec<EngineModel>,
-    hashes: Vec<u64>,
-    hosts: Vec<Placement>,
-    keys: Vec<RunnerKey>,
+    servers: Vec<Server>,
+    hosts: Vec<Dispatch>,
+    host_hashes: Vec<HostHash>,
     baselines: Vec<Baseline>,
-    trackers: Vec<Ledger>,
     seen_load: Vec<u64>,
     sent_since_report: Vec<Vec<u64>>,
-    in_flight: HashMap<u64, InFlight>,
+    is_cut: bool,
+    waiting: HashMap<Ticket, Request>,
+    in_flight: HashMap<Ticket, InFlight>,
     queue: BinaryHeap<Reverse<(Instant, Event)>>,
     scheduled: Vec<Option<Instant>>,
-    next_id: u64,
+    next_ticket: Ticket,
     rng: ChaCha8Rng,
     outcome: Outcome,
     windows: Vec<(Duration, Outcome)>,
@@ -111,109 +130,104 @@
 
 impl<'a> Driver<'a> {
     fn new(scenario: &'a Scenario, policy: Policy) -> Self {
-        let start = Instant::now();
-        let names = (0..scenario.runners)
-            .map(|i| format!("runner-{i}"))
-            .collect::<Vec<_>>();
-        let hashes = names
-            .iter()
-            .map(|name| hickoryhall_types::hash_name(name))
-            .collect();
         let kind = match policy {
             Policy::Baseline(kind) => kind,
             _ => BaselineKind::Exact,
         };
+        let names = (0..scenario.hosts).map(|host| hash_name(&format!("entry-{host}")));
         let mut driver = Self {
             scenario,
             policy,
-            start,
-            hosts_started: start,
+            start: Instant::now(),
             engines: vec![EngineModel::new(scenario.engine); scenario.runners],
-            hashes,
+            servers: (0..scenario.runners).map(server).collect(),
             hosts: Vec::new(),
-            keys: Vec::new(),
+            host_hashes: names.collect(),
             baselines: (0..scenario.hosts)
                 .map(|host| Baseline::new(kind, host))
                 .collect(),
-            trackers: Vec::new(),
             seen_load: vec![0; scenario.runners],
             sent_since_report: vec![vec![0; scenario.runners]; scenario.hosts],
+            is_cut: false,
+            waiting: HashMap::new(),
             in_flight: HashMap::new(),
             queue: BinaryHeap::new(),
             scheduled: vec![None; scenario.runners],
-            next_id: 1,
+            next_ticket: 1,
             rng: ChaCha8Rng::seed_from_u64(scenario.seed ^ 0xdead),
             outcome: Outcome::default(),
             windows: Vec::new(),
         };
-        driver.start_hosts(start);
+        driver.start_hosts(driver.start);
         driver
     }
 
     fn start_hosts(&mut self, now: Instant) {
-        let config = PlacementConfig::new("a".into());
-        self.hosts = (0..self.scenario.hosts)
-            .map(|_| {
-                let mut placement = Placement::new(config.clone());
-                self.keys = (0..self.engines.len())
-                    .map(|runner| placement.upsert(now, self.info(runner)))
-                    .collect();
-                placement
+        let trackers = match self.policy {
+            Policy::Tracked { .. } => self
+                .servers
+                .iter()
+                .map(|server| hash_name(&server.id))
+                .map(|runner| (runner, self.tracker(runner)))
+                .collect::<HashMap<_, _>>(),
+            _ => HashMap::new(),
+        };
+        self.hosts = self
+            .host_hashes
+            .iter()
+            .map(|&me| {
+                let placement = PlacementConfig::new("a".into());
+                let mut dispatch = Dispatch::new(DispatchConfig { me, placement });
+                dispatch.set_servers(&self.servers);
+                dispatch.set_trackers(trackers.clone());
+                dispatch
             })
             .collect();
-        self.hosts_started = now;
-        self.trackers = (0..self.engines.len())
-            .map(|runner| Ledger::new(&self.report(runner), TRACKER_ENTRIES, config.half_life))
-            .collect();
-    }
-
-    fn info(&self, runner: usize) -> RunnerInfo {
-        let id = format!("runner-{runner}");
-        RunnerInfo::new(
-            id.as_str().into(),
-            "a".into(),
-            MODEL.into(),
-            self.report(runner),
-        )
+        self.take_reports(now);
     }
 
-    fn report(&self, runner: usize) -> LoadReport {
-        let engine = &self.engines[runner];
-        LoadReport {
-            incarnation: engine.incarnation(),
-            weights: 1,
-            waiting_tokens: self.seen_load[runner],
-            prefill_tokens_per_s: engine.config().prefill_tokens_per_s,
-            cache_tokens: engine.config().cache_tokens,
-            leaving: false,
-        }
+    fn tracker(&self, runner: u64) -> HostHash {
+        let best = self
+            .host_hashes
+            .iter()
+            .max_by_key(|&&host| rendezvous_score(runner, host));
+        *best.expect("a scenario has hosts")
     }
 
     fn run(&mut self) {
-        let profile = self.scenario.profile.clone();
-        let rate = self.scenario.requests_per_s;
+        let scenario = self.scenario;
+        let traffic = |rate, seed| Workload::new(scenario.profile.clone(), rate, seed);
         let mut workload =
-            Workload::new(profile, rate, self.scenario.seed).filter(|a| !a.is_service);
+            traffic(scenario.requests_per_s, scenario.seed).filter(|a| !a.is_service);
+        let mut flood = traffic(scenario.flood_per_s.max(1e-9), scenario.seed ^ 0xf100d);
         let mut next = workload.next().expect("a workload has no end");
+        let mut next_flood = flood.next().expect("a workload has no end");
         self.push(self.start + next.at, Event::Arrive);
+        self.push(
+            self.start + next_flood.at.min(scenario.length * 2),
+            Event::Flood,
+        );
         self.push(self.start, Event::Report);
-        match self.scenario.fault {
+        self.push(self.start, Event::Tick);
+        match scenario.fault {
             Fault::None => {}
-            Fault::HerdRestart(at) | Fault::CrashRunner(at) => {
+            Fault::HerdRestart(at) | Fault::CrashRunner(at) | Fault::Cut(at) => {
                 self.push(self.start + at, Event::Fault);
             }
         }
-        let end = self.start + self.scenario.length;
-        while let Some(Reverse((now, event))) = self.queue.pop() {
-            if now > end {
-                break;
-            }
+        let end = self.start + scenario.length;
+        while let Some(Reverse((now, event))) = self.queue.pop().filter(|e| e.0.0 <= end) {
             match event {
                 Event::Arrive => {
                     self.arrive(now, &next);
                     next = workload.next().expect("a workload has no end");
                     self.push(self.start + next.at, Event::Arrive);
                 }
+                Event::Flood => {
+                    self.arrive_flood(now, &next_flood);
+                    next_flood = flood.next().expect("a workload has no end");
+                    self.push(self.start + next_flood.at, Event::Flood);
+                }
                 // An event that another one has replaced is stale.
                 Event::Engine { runner } if self.scheduled[runner] != Some(now) => {}
                 Event::Engine { runner } => self.advance(now, runner),
@@ -221,15 +235,22 @@
                     self.take_reports(now);
                     self.push(now + LOAD_LAG, Event::Report);
                 }
+                Event::Tick => {
+                    self.tick(now);
+                    self.push(now + TICK, Event::Tick);
+                }
                 Event::Fault => self.fault(now),
             }
         }
+        self.count_lost();
+    }
+
+    fn count_lost(&mut self) {
         let warm = self.start + self.scenario.warm_up;
-        let lost = self
-            .in_flight
-            .values()
-            .filter(|flight| flight.arrived >= warm)
-            .count();
+        let flights = self.in_flight.values().map(|flight| &flight.request);
+        let is_lost =
+            |request: &&Request| request.arrived >= warm && request.workspace != FLOOD_WORKSPACE;
+        let lost = flights.chain(self.waiting.values()).filter(is_lost).count();
         (0..lost).for_each(|_| self.outcome.lost());
     }
 
@@ -240,136 +261,215 @@
     fn fault(&mut self, now: Instant) {
         match self.scenario.fault {
             Fault::None => {}
-            Fault::HerdRestart(_) => self.start_hosts(now),
+            Fault::Cut(_) => self.is_cut = true,
+            Fault::HerdRestart(_) => {
+                // Requests that no runner has yet are sent again by their callers.
+                let waiting = std::mem::take(&mut self.waiting);
+                self.start_hosts(now);
+                waiting
+                    .into_values()
+                    .for_each(|request| self.place(now, request));
+            }
             Fault::CrashRunner(_) => {
                 self.engines[0].crash();
                 let died = self
                     .in_flight
                     .iter()
                     .filter(|(_, flight)| flight.runner == 0);
-                let died = died.map(|(&id, _)| id).collect::<Vec<_>>();
-                for id in died {
-                    self.retry(now, id);
+                for ticket in died.map(|(&ticket, _)| ticket).collect::<Vec<_>>() {
+                    self.retry(now, ticket);
                 }
+                self.take_reports(now);
             }
         }
     }
 
-    fn retry(&mut self, now: Instant, id: u64) {
-        let Some(flight) = self.in_flight.remove(&id) else {
+    fn retry(&mut self, now: Instant, ticket: Ticket) {
+        let Some(InFlight { request, .. }) = self.in_flight.remove(&ticket) else {
             return;
         };
-        self.hosts[flight.host].failed(now, self.keys[flight.runner], id);
-        self.trackers[flight.runner].release(now, id);
-        self.place(now, flight.arrived, flight.host, flight.chain);
+        let effects = self.hosts[request.host].ended(now, ticket, TicketEnd::Failed);
+        self.carry_out(now, request.host, effects);
+        self.place(now, request);
     }
 
     fn arrive(&mut self, now: Instant, arrival: &Arrival) {
         let host = self.rng.random_range(0..self.scenario.hosts);
         let chain = PrefixChain::from_levels(arrival.levels.clone());
-        self.place(now, now, host, chain);
+        self.place(
+            now,
+            Request {
+                arrived: now,
+                host,
+                workspace: arrival.workspace,
+                chain,
+            },
+        );
+    }
+
+    /// A request of the flood has the lengths of any other, and no prompt that was seen before.
+    fn arrive_flood(&mut self, now: Instant, arrival: &Arrival) {
+        let host = self.rng.random_range(0..self.scenario.hosts);
+        let mut levels = arrival.levels.clone();
+        let question = levels.last().map_or(0, |level| level.key);
+        levels
+            .iter_mut()
+            .for_each(|level| level.key = rendezvous_score(question, level.key));
+        let chain = PrefixChain::from_levels(levels);
+        self.place(
+            now,
+            Request {
+                arrived: now,
+                host,
+                workspace: FLOOD_WORKSPACE,
+                chain,
+            },
+        );
     }
 
-    fn place(&mut self, now: Instant, arrived: Instant, host: usize, chain: PrefixChain) {
-        let pieces = pieces(&chain);
-        let id = self.next_id;
-        self.next_id += 1;
-        let runner = match self.policy {
-            Policy::Baseline(kind) => self.baseline(now, kind, host, &chain, &pieces),
-            Policy::Own => self.choose(now, host, id, &chain, false),
-            Policy::Tracked { part } => {
-                let tracked = self.rng.random::<f64>() < part;
-                self.choose(now, host, id, &chain, tracked)
+    fn place(&mut self, now: Instant, request: Request) {
+        let ticket = self.next_ticket;
+        self.next_ticket += 1;
+        if let Policy::Baseline(kind) = self.policy {
+            let runner = self.baseline(now, kind, &request);
+            return self.submit(now, ticket, request, runner);
+        }
+        let host = request.host;
+        let ask = PlaceAsk {
+            ticket,
+            request_id: "simulated".into(),
+            workspace: request.workspace.to_string().as_str().into(),
+            weight: 1,
+            chain: request.chain.clone(),
+            model: MODEL.into(),
+            weights: 1,
+            cost: self.scenario.cost,
+            deadline: now + DEADLINE,
+            exclude: Vec::new(),
+            isolate: false,
+        };
+        self.waiting.insert(ticket, request);
+        let effects = self.hosts[host].place(now, ask);
+        self.carry_out(now, host, effects);
+    }
+
+    fn carry_out(&mut self, now: Instant, host: usize, effects: Vec<Effect>) {
+        let mut effects = VecDeque::from(effects);
+        while let Some(effect) = effects.pop_front() {
+            match effect {
+                Effect::Placed { ticket, placed } => self.placed(now, ticket, &placed),
+                Effect::Refused { ticket, .. } => {
+                    self.waiting.remove(&ticket);
+                    self.outcome.lost();
+                }
+                Effect::Send {
+                    to,
+                    body,
+                    is_optional,
+                } => {
+                    effects.extend(self.deliver(now, host, to, body, is_optional));
+                }
+            }
+        }
+    }
+
+    /// Passes a message on at once; returns what the sender does with the answer.
+    fn deliver(
+        &mut self,
+        now: Instant,
+        from: usize,
+        to: HostHash,
+        body: Body,
+        is_optional: bool,
+    ) -> Vec<Effect> {
+        let part = match self.policy {
+            Policy::Tracked { part } => part,
+            _ => 0.0,
+        };
+        let is_lost = self.is_cut || (is_optional && self.rng.random::<f64>() >= part);
+        let receiver = self.host_hashes.iter().position(|&host| host == to);
+        let receiver = receiver.expect("a host of the scenario");
+        match body {
+            Body::QuoteAsk(ask) => {
+                let answer = if is_lost {
+                    QuoteAnswer {
+                        id: ask.id,
+                        quotes: Vec::new(),
+                    }
+                } else {
+                    self.hosts[receiver].quote(now, &ask)
+                };
+                self.hosts[from].on_quotes(now, to, &answer)
             }
+            body if !is_lost => {
+                self.hosts[receiver].on_tracked(now, self.host_hashes[from], &body);
+                Vec::new()
+            }
+            _ => Vec::new(),
+        }
+    }
+
+    fn placed(&mut self, now: Instant, ticket: Ticket, placed: &Placed) {
+        let Some(request) = self.waiting.remove(&ticket) else {
+            return;
         };
+        let runner = self
+            .servers
+            .iter()
+            .position(|server| server.id == placed.server.id);
+        self.submit(
+            now,
+            ticket,
+            request,
+            runner.expect("a runner of the scenario"),
+        );
+    }
+
+    fn submit(&mut self, now: Instant, ticket: Ticket, request: Request, runner: usize) {
+        let pieces = pieces(&request.chain);
         let cached = self
             .engines
             .iter()
             .map(|engine| engine.cached_tokens(&pieces));
         let elsewhere_tokens = cached.max().unwrap_or(0);
-        self.sent_since_report[host][runner] += u64::from(chain.tokens());
+        self.sent_since_report[request.host][runner] += u64::from(request.chain.tokens());
         self.advance(now, runner);
         let output_tokens = self.scenario.profile.output_tokens;
         self.engines[runner].submit(
             now,
             Job {
-                id,
+                id: ticket,
                 pieces,
                 output_tokens,
                 priority: 0,
             },
         );
         self.in_flight.insert(
-            id,
+            ticket,
             InFlight {
-                arrived,
-                host,
+                request,
                 runner,
-                chain,
                 elsewhere_tokens,
             },
         );
         self.schedule(runner);
     }
 
-    fn baseline(
-        &mut self,
-        now: Instant,
-        kind: BaselineKind,
-        host: usize,
-        chain: &PrefixChain,
-        pieces: &[Piece],
-    ) -> usize {
+    fn baseline(&mut self, now: Instant, kind: BaselineKind, request: &Request) -> usize {
         let is_exact = kind == BaselineKind::Exact;
+        let pieces = pieces(&request.chain);
         let truths = (0..self.engines.len())
             .map(|runner| RunnerTruth {
-                name_hash: self.hashes[runner],
+                name_hash: hash_name(&self.servers[runner].id),
                 waiting_tokens: if is_exact {
                     self.engines[runner].waiting_tokens(now)
                 } else {
-                    self.seen_load[runner] + self.sent_since_report[host][runner]
+                    self.seen_load[runner] + self.sent_since_report[request.host][runner]
                 },
-                cached_tokens: self.engines[runner].cached_tokens(pieces),
+                cached_tokens: self.engines[runner].cached_tokens(&pieces),
             })
             .collect::<Vec<_>>();
-        self.baselines[host].pick(chain, &truths)
-    }
-
-    fn choose(
-        &mut self,
-        now: Instant,
-        host: usize,
-        id: u64,
-        chain: &PrefixChain,
-        tracked: bool,
-    ) -> usize {
-        let mut candidates = self.hosts[host].candidates(now, chain, MODEL, 1);
-        if tracked {
-            for candidate in &mut candidates {
-                let runner = self.runner_of(candidate.key);
-                let own = candidate.quote;
-                candidate.quote = self.trackers[runner].quote(now, chain);
-                if now.duration_since(self.hosts_started) < WARM_START {
-                    let expected = candidate.quote.cached_tokens.max(own.cached_tokens);
-                    candidate.quote.cached_tokens = expected;
-                }
-            }
-        } else {
-            candidates.truncate(self.hosts[host].config().own_candidates);
-        }
-        let choice = self.hosts[host].choose(chain, &self.scenario.cost, &candidates);
-        let key = choice.expect("every runner takes work").key;
-        let runner = self.runner_of(key);
-        self.hosts[host].sent(now, key, id, chain);
-        self.trackers[runner].reserve(now, id, chain);
-        runner
-    }
-
-    fn runner_of(&self, key: RunnerKey) -> usize {
-        self.keys
-            .iter()
-            .position(|&other| other == key)
-            .expect("a known runner")
+        self.baselines[request.host].pick(&request.chain, &truths)
     }
 
     fn advance(&mut self, now: Instant, runner: usize) {
@@ -397,39 +497,63 @@
         }
     }
 
-    fn first_token(&mut self, at: Instant, id: u64, cached_tokens: u32) {
-        let Some(flight) = self.in_flight.remove(&id) else {
+    fn first_token(&mut self, at: Instant, ticket: Ticket, cached_tokens: u32) {
+        let Some(InFlight {
+            request,
+            elsewhere_tokens,
+            ..
+        }) = self.in_flight.remove(&ticket)
+        else {
             return;
         };
-        self.hosts[flight.host].first_token(at, self.keys[flight.runner], id, cached_tokens);
-        self.trackers[flight.runner].confirm(at, id, cached_tokens);
-        let since = flight.arrived - self.start;
-        if since < self.scenario.warm_up {
+        let effects = self.hosts[request.host].first_token(at, ticket, cached_tokens);
+        self.carry_out(at, request.host, effects);
+        let effects = self.hosts[request.host].ended(at, ticket, TicketEnd::Finished);
+        self.carry_out(at, request.host, effects);
+        let since = request.arrived - self.start;
+        if since < self.scenario.warm_up || request.workspace == FLOOD_WORKSPACE {
             return;
         }
-        let ttft = at - flight.arrived;
-        let prompt = flight.chain.tokens();
+        let ttft = at - request.arrived;
+        let prompt = request.chain.tokens();
         self.outcome
-            .first_token(ttft, prompt, cached_tokens, flight.elsewhere_tokens);
+            .first_token(ttft, prompt, cached_tokens, elsewhere_tokens);
         let window = Duration::from_secs(since.as_secs() / 10 * 10);
-        if self.windows.last().is_none_or(|(at, _)| *at < window) {
+        let place = self.windows.iter().position(|(at, _)| *at == window);
+        let place = place.unwrap_or_else(|| {
             self.windows.push((window, Outcome::default()));
-        }
-        if let Some((_, outcome)) = self.windows.iter_mut().find(|(at, _)| *at == window) {
-            outcome.first_token(ttft, prompt, cached_tokens, flight.elsewhere_tokens);
+            self.windows.len() - 1
+        });
+        self.windows[place]
+            .1
+            .first_token(ttft, prompt, cached_tokens, elsewhere_tokens);
+    }
+
+    fn tick(&mut self, now: Instant) {
+        for host in 0..self.hosts.len() {
+            if self.hosts[host].is_waiting() {
+                let effects = self.hosts[host].tick(now);
+                self.carry_out(now, host, effects);
+            }
         }
     }
 
     fn take_reports(&mut self, now: Instant) {
         for runner in 0..self.engines.len() {
-            self.seen_load[runner] = self.engines[runner].waiting_tokens(now);
-            let report = self.report(runner);
-            self.trackers[runner].observe_report(now, &report, false);
-            let key = self.keys[runner];
-            for host in &mut self.hosts {
-                host.observe_report(now, key, &report);
-                host.expire(now);
-            }
+            let engine = &self.engines[runner];
+            self.seen_load[runner] = engine.waiting_tokens(now);
+            let load = LoadAnswer {
+                incarnation: engine.incarnation(),
+                weights_version: 1,
+                waiting_tokens: self.seen_load[runner],
+                prefill_tokens_per_s: engine.config().prefill_tokens_per_s,
+                cache_tokens: engine.config().cache_tokens,
+                leaving: false,
+            };
+            let name = self.servers[runner].id.clone();
+            self.hosts.iter_mut().for_each(|host| {
+                host.observe_load(now, &name, &load);
+            });
         }
         self.sent_since_report
             .iter_mut()
@@ -437,6 +561,17 @@
     }
 }
 
+fn server(index: usize) -> Server {
+    Server {
+        id: format!("runner-{index}").as_str().into(),
+        kind: ServerKind::Runner,
+        domain: "a".into(),
+        address: ([127, 0, 0, 1], 1).into(),
+        target: MODEL.into(),
+        leaving: false,
+    }
+}
+
 fn pieces(chain: &PrefixChain) -> Vec<Piece> {
     let mut pieces = Vec::new();
     for level in chain.levels() {
--- a/crates/hickoryhall-tools/src/experiment/mod.rs
+++ b/crates/hickoryhall-tools/src/experiment/mod.rs
@@ -2,7 +2,9 @@
 
 mod driver;
 mod policy;
+pub mod render;
 mod report;
+pub mod suite;
 
 pub use driver::{Fault, Scenario, run};
 pub use policy::Policy;
--- a/crates/hickoryhall-tools/src/experiment/report.rs
+++ b/crates/hickoryhall-tools/src/experiment/report.rs
@@ -34,6 +34,14 @@
     pub lost: u64,
 }
 
+impl Summary {
+    /// Tells whether more than 2 in 100 requests had no first token by the end.
+    #[must_use]
+    pub fn is_overloaded(&self) -> bool {
+        self.lost * 50 > self.requests + self.lost
+    }
+}
+
 impl Default for Outcome {
     fn default() -> Self {
         let ttft_us = Histogram::new_with_bounds(1, 3_600_000_000, 3).expect("valid bounds");
@@ -59,17 +67,22 @@
         self.requests += 1;
     }
 
+    /// Adds another run's counts.
+    pub fn add(&mut self, other: &Self) {
+        // Both histograms have the same bounds.
+        let _ = self.ttft_us.add(&other.ttft_us);
+        self.prompt_tokens += other.prompt_tokens;
+        self.cached_tokens += other.cached_tokens;
+        self.wasted_tokens += other.wasted_tokens;
+        self.requests += other.requests;
+        self.lost += other.lost;
+    }
+
     /// Adds a request without a first token.
     pub fn lost(&mut self) {
         self.lost += 1;
     }
 
-    /// Returns the mean tokens computed for a request.
-    #[must_use]
-    pub fn mean_missing_tokens(&self) -> f64 {
-        (self.prompt_tokens - self.cached_tokens) as f64 / self.requests.max(1) as f64
-    }
-
     /// Returns the figures.
     #[must_use]
     pub fn summary(&self) -> Summary {
--- /dev/null
+++ b/crates/hickoryhall-tools/src/experiment/suite.rs
@@ -0,0 +1,308 @@
+//! The whole comparison: deployments, caches, loads, faults, seeds.
+
+use std::sync::Mutex;
+use std::thread;
+use std::time::Duration;
+
+use hickoryhall_routing::{BaselineKind, CostModel};
+use hickoryhall_standins::engine::EngineConfig;
+
+use super::{Fault, Outcome, Policy, Scenario, Summary, run};
+use crate::workload::Profile;
+
+/// Runners of a deployment.
+const RUNNERS: usize = 9;
+/// Entry hosts of a deployment.
+const HOSTS: usize = 6;
+/// Loads, as parts of what the exact router sustains.
+const LOADS: [f64; 3] = [0.2, 0.7, 0.95];
+/// Time of a run that is not measured.
+const WARM_UP: Duration = Duration::from_secs(120);
+/// Time of a run.
+const LENGTH: Duration = Duration::from_secs(240);
+/// Moment of a fault.
+const FAULT_AT: Duration = Duration::from_secs(180);
+/// Steps by which the capacity is found.
+const CAPACITY_STEPS: u32 = 8;
+/// Longest 99th percentile of a load that is sustained.
+const SUSTAINED_P99: Duration = Duration::from_secs(4);
+
+/// Reference that knows everything.
+pub const EXACT: Policy = Policy::Baseline(BaselineKind::Exact);
+/// Baseline that looks at load alone.
+pub const LEAST_LOAD: Policy = Policy::Baseline(BaselineKind::LeastLoad);
+/// Baseline that looks at prompts alone.
+pub const RENDEZVOUS: Policy = Policy::Baseline(BaselineKind::Rendezvous);
+/// The product, with trackers reached.
+pub const TRACKED: Policy = Policy::Tracked { part: 1.0 };
+
+/// Memory for cached prompts in all, as a part of the distinct prompts.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct CacheSize {
+    /// Name.
+    pub name: &'static str,
+    /// Part.
+    pub part: f64,
+}
+
+/// Cache sizes compared.
+pub const CACHES: [CacheSize; 2] = [
+    CacheSize {
+        name: "ample",
+        part: 1.5,
+    },
+    CacheSize {
+        name: "short",
+        part: 0.4,
+    },
+];
+
+/// Deployment, cache and load of one comparison.
+#[derive(Clone, Debug)]
+pub struct Setting {
+    /// Traffic.
+    pub profile: Profile,
+    /// Cache.
+    pub cache: CacheSize,
+    /// Part of the exact router's capacity.
+    pub load: f64,
+    /// Requests a second.
+    pub requests_per_s: f64,
+}
+
+/// Figures of one policy in one setting, one for each seed.
+#[derive(Clone, Debug)]
+pub struct Row {
+    /// Setting.
+    pub setting: Setting,
+    /// Policy.
+    pub policy: Policy,
+    /// Figures.
+    pub summaries: Vec<Summary>,
+}
+
+impl Row {
+    /// Returns the mean of a figure over the seeds.
+    #[must_use]
+    pub fn mean(&self, figure: impl Fn(&Summary) -> f64) -> f64 {
+        self.summaries.iter().map(figure).sum::<f64>() / self.summaries.len().max(1) as f64
+    }
+
+    /// Returns the mean 99th percentile in seconds; infinite where requests are left over in
+    /// numbers, since the percentile of the others says nothing then.
+    #[must_use]
+    pub fn p99_s(&self) -> f64 {
+        self.mean(|s| {
+            if s.is_overloaded() {
+                f64::INFINITY
+            } else {
+                s.ttft_p99.as_secs_f64()
+            }
+        })
+    }
+}
+
+/// Figures before and after a fault.
+#[derive(Clone, Debug)]
+pub struct FaultRow {
+    /// Deployment.
+    pub profile: &'static str,
+    /// What happened.
+    pub name: &'static str,
+    /// The 10 seconds before.
+    pub before: Summary,
+    /// The 10 seconds after.
+    pub after: Summary,
+    /// The rest of the run, from 10 seconds after on.
+    pub later: Summary,
+}
+
+/// Compares all policies in all settings.
+#[must_use]
+pub fn compare(settings: &[Setting], seeds: u64) -> Vec<Row> {
+    let jobs = settings.iter().flat_map(|setting| {
+        Policy::ALL
+            .into_iter()
+            .map(move |policy| (setting.clone(), policy))
+    });
+    in_parallel(jobs.collect(), |(setting, policy)| {
+        let one = |seed| run(&scenario(&setting, seed), policy).0.summary();
+        Row {
+            policy,
+            summaries: (1..=seeds).map(one).collect(),
+            setting: setting.clone(),
+        }
+    })
+}
+
+/// Runs the product through each fault, at 70 % load with the short cache.
+#[must_use]
+pub fn faults(settings: &[Setting], seeds: u64) -> Vec<FaultRow> {
+    let faults = [
+        ("all hosts restart", Fault::HerdRestart(FAULT_AT)),
+        ("one runner crashes", Fault::CrashRunner(FAULT_AT)),
+        ("no host reaches another", Fault::Cut(FAULT_AT)),
+        ("hot prompts shift", Fault::None),
+    ];
+    let settings = settings
+        .iter()
+        .cloned()
+        .filter(|s| s.cache.name == "short" && s.load == LOADS[1]);
+    let jobs = settings.flat_map(|setting| faults.map(|fault| (setting.clone(), fault)));
+    in_parallel(jobs.collect(), |(setting, (name, fault))| {
+        let mut sums = [Outcome::default(), Outcome::default(), Outcome::default()];
+        for seed in 1..=seeds {
+            let mut scenario = Scenario {
+                fault,
+                ..scenario(&setting, seed)
+            };
+            if fault == Fault::None {
+                scenario.profile.shift_after = Some(FAULT_AT);
+            }
+            let (_, windows) = run(&scenario, TRACKED);
+            for (at, outcome) in &windows {
+                let place = match at {
+                    at if *at + Duration::from_secs(10) == FAULT_AT => 0,
+                    at if *at == FAULT_AT => 1,
+                    at if *at > FAULT_AT => 2,
+                    _ => continue,
+                };
+                sums[place].add(outcome);
+            }
+        }
+        let [before, after, later] = sums.map(|outcome| outcome.summary());
+        FaultRow {
+            profile: setting.profile.name,
+            name,
+            before,
+            after,
+            later,
+        }
+    })
+}
+
+/// Returns the 99th percentile of ordinary requests without and with a flood of as many requests
+/// of another workspace.
+#[must_use]
+pub fn flood(settings: &[Setting], seeds: u64) -> Vec<(Setting, Summary, Summary)> {
+    let half = settings
+        .iter()
+        .cloned()
+        .filter(|s| s.cache.name == "ample" && s.load == LOADS[0]);
+    in_parallel(half.collect(), |setting| {
+        let mut sums = [Outcome::default(), Outcome::default()];
+        for seed in 1..=seeds {
+            let calm = scenario(&setting, seed);
+            // Every prompt of the flood is computed whole: twice what the runners can do.
+            let prompt_s = f64::from(setting.profile.prompt_tokens())
+                / f64::from(calm.engine.prefill_tokens_per_s);
+            let flood_per_s = 2.0 * RUNNERS as f64 / prompt_s;
+            sums[0].add(&run(&calm, TRACKED).0);
+            sums[1].add(
+                &run(
+                    &Scenario {
+                        flood_per_s,
+                        ..calm
+                    },
+                    TRACKED,
+                )
+                .0,
+            );
+        }
+        let [calm, flooded] = sums.map(|outcome| outcome.summary());
+        (setting, calm, flooded)
+    })
+}
+
+/// Returns every deployment, cache and load, with the rates that the exact router's capacity makes.
+#[must_use]
+pub fn settings(profiles: &[Profile]) -> Vec<Setting> {
+    let pairs = profiles
+        .iter()
+        .flat_map(|p| CACHES.map(|cache| (p.clone(), cache)));
+    let capacities = in_parallel(pairs.collect(), |(profile, cache)| {
+        let setting = Setting {
+            profile,
+            cache,
+            load: 1.0,
+            requests_per_s: 1.0,
+        };
+        let capacity = capacity(&setting);
+        (setting, capacity)
+    });
+    let at_load = |setting: &Setting, capacity: f64, load: f64| Setting {
+        load,
+        requests_per_s: capacity * load,
+        ..setting.clone()
+    };
+    capacities
+        .iter()
+        .flat_map(|(setting, capacity)| LOADS.map(|load| at_load(setting, *capacity, load)))
+        .collect()
+}
+
+/// Finds the highest rate that the exact router sustains, by halving.
+fn capacity(setting: &Setting) -> f64 {
+    let prompt = f64::from(setting.profile.prompt_tokens());
+    let rate = f64::from(EngineConfig::default().prefill_tokens_per_s);
+    let (mut low, mut high) = (0.0, RUNNERS as f64 * rate / prompt * 50.0);
+    for _ in 0..CAPACITY_STEPS {
+        let middle = (low + high) / 2.0;
+        let tried = Setting {
+            requests_per_s: middle,
+            ..setting.clone()
+        };
+        let summary = run(&scenario(&tried, 1), EXACT).0.summary();
+        if !summary.is_overloaded() && summary.ttft_p99 < SUSTAINED_P99 {
+            low = middle;
+        } else {
+            high = middle;
+        }
+    }
+    low
+}
+
+fn scenario(setting: &Setting, seed: u64) -> Scenario {
+    let distinct = setting.profile.distinct_tokens() as f64;
+    let cache_tokens = (distinct * setting.cache.part / RUNNERS as f64) as u64;
+    Scenario {
+        profile: setting.profile.clone(),
+        requests_per_s: setting.requests_per_s,
+        flood_per_s: 0.0,
+        engine: EngineConfig {
+            cache_tokens,
+            ..EngineConfig::default()
+        },
+        runners: RUNNERS,
+        hosts: HOSTS,
+        length: LENGTH,
+        warm_up: WARM_UP,
+        cost: CostModel::default(),
+        fault: Fault::None,
+        seed,
+    }
+}
+
+/// Runs jobs on all processors and returns their results in order.
+fn in_parallel<J: Send, R: Send>(jobs: Vec<J>, work: impl Fn(J) -> R + Sync) -> Vec<R> {
+    let count = jobs.len();
+    let jobs = Mutex::new(jobs.into_iter().enumerate().collect::<Vec<_>>());
+    let results = Mutex::new((0..count).map(|_| None).collect::<Vec<Option<R>>>());
+    let next = || jobs.lock().expect("no job panics with the lock").pop();
+    thread::scope(|scope| {
+        let processors = thread::available_parallelism().map_or(1, usize::from);
+        for _ in 0..processors.min(count) {
+            scope.spawn(|| {
+                while let Some((index, job)) = next() {
+                    let result = work(job);
+                    results.lock().expect("no job panics with the lock")[index] = Some(result);
+                }
+            });
+        }
+    });
+    let results = results.into_inner().expect("no job panics with the lock");
+    results
+        .into_iter()
+        .map(|result| result.expect("every job has run"))
+        .collect()
+}
