Drop the rate of hot prompts from placement; widen by wait instead

Cause: the owners of a prompt depended on how hot each host thought its outermost level was. After a restart of all hosts those rates were gone, and prompts moved.

Owners now depend on the outermost level alone, and where the best of four waits above 0.5 s, eight and then sixteen runners are considered.

Besides: load questions fell from 32 to 8 a second a host, tracked runners first; grants are asked for 1.5 s of demand; own ledgers share 32,768 levels; the capacity program measures slopes and the time in force over 520 hosts.

--- a/crates/hickoryhall-entry/src/actors/cluster.rs
+++ b/crates/hickoryhall-entry/src/actors/cluster.rs
@@ -1,11 +1,11 @@
 //! Actor that owns the view of the hosts and the table in force.
 
 use std::cell::RefCell;
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 use std::net::SocketAddr;
 use std::rc::Rc;
-use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::{Arc, Mutex, PoisonError};
 use std::time::{Duration, Instant};
 
 use crossbeam_channel::Sender;
@@ -39,6 +39,7 @@
 pub(crate) struct Duties {
     watcher: AtomicBool,
     order_giver: AtomicBool,
+    tracked: Mutex<Arc<HashSet<u64>>>,
 }
 
 impl Duties {
@@ -46,6 +47,15 @@
         self.watcher.load(Ordering::Relaxed)
     }
 
+    /// Returns the hashes of the names of the runners that this host tracks.
+    pub fn tracked(&self) -> Arc<HashSet<u64>> {
+        Arc::clone(&self.tracked.lock().unwrap_or_else(PoisonError::into_inner))
+    }
+
+    fn set_tracked(&self, tracked: HashSet<u64>) {
+        *self.tracked.lock().unwrap_or_else(PoisonError::into_inner) = Arc::new(tracked);
+    }
+
     pub fn is_order_giver(&self) -> bool {
         self.order_giver.load(Ordering::Relaxed)
     }
@@ -290,6 +300,10 @@
                 Some((runner, *holder.first()?))
             })
             .collect::<HashMap<_, _>>();
+        let me = hosts.me().hash;
+        let tracked = tracker_of.iter().filter(|&(_, &host)| host == me);
+        self.duties
+            .set_tracked(tracked.map(|(&runner, _)| runner).collect());
         call!([self.router], set_trackers(tracker_of));
         let domain = hosts.me().domain.clone();
         let in_domain = hosts.live(now).filter(|info| info.domain == domain);
--- a/crates/hickoryhall-entry/src/dispatch/placing.rs
+++ b/crates/hickoryhall-entry/src/dispatch/placing.rs
@@ -28,6 +28,8 @@
 /// Wait at a runner above which a request stays at this host, where its turn is fair and its
 /// runner is chosen late.
 const HOLD_WAIT: Duration = Duration::from_millis(1_500);
+/// Wait at the best runner above which more runners are considered.
+const WIDEN_WAIT: Duration = Duration::from_millis(500);
 /// Time between two tries to place the requests that are held.
 const HOLD_RETRY: Duration = Duration::from_millis(20);
 /// Requests held at most.
@@ -142,6 +144,7 @@
     quoted: HashSet<RunnerKey>,
     waiting_for: HashSet<HostHash>,
     until: Instant,
+    width: usize,
     is_held: bool,
     retry_at: Instant,
 }
@@ -308,6 +311,7 @@
             quoted: HashSet::new(),
             waiting_for: HashSet::new(),
             until: now,
+            width: self.placement.config().candidates,
             is_held: false,
             retry_at: now,
         };
@@ -510,7 +514,9 @@
             weights,
             ..
         } = &pending.ask;
-        let mut candidates = self.placement.candidates(now, chain, model, *weights);
+        let mut candidates = self
+            .placement
+            .candidates(now, chain, model, *weights, pending.width);
         let runners = self.placement.runners();
         let is_excluded = |candidate: &Candidate| {
             let info = runners.get(candidate.key);
@@ -592,7 +598,11 @@
             .iter()
             .find(|candidate| candidate.key == choice.key)
             .map_or(Duration::ZERO, |candidate| candidate.quote.wait);
-        if wait > HOLD_WAIT {
+        let is_cut_short = pending.candidates.len() == pending.width;
+        if wait > WIDEN_WAIT && is_cut_short && pending.width < self.placement.config().widest {
+            pending.width = (pending.width * 2).min(self.placement.config().widest);
+            self.ask_for_quotes(now, ticket, effects);
+        } else if wait > HOLD_WAIT {
             self.hold(now, ticket, wait, effects);
         } else {
             self.send(now, ticket, choice, effects);
--- a/crates/hickoryhall-entry/src/duties/poller.rs
+++ b/crates/hickoryhall-entry/src/duties/poller.rs
@@ -1,6 +1,6 @@
 //! The platform's host list, and the load of backend servers.
 
-use std::collections::VecDeque;
+use std::collections::HashMap;
 use std::sync::Arc;
 use std::thread;
 use std::time::{Duration, Instant};
@@ -8,9 +8,10 @@
 use hickoryhall_clients::{HostListClient, ListedKind};
 use hickoryhall_http::WorkerPool;
 use hickoryhall_membership::HostInfo;
+use hickoryhall_types::hash_name;
 use slog::{Logger, warn};
 
-use crate::actors::CoreMsg;
+use crate::actors::{CoreMsg, Duties};
 use crate::context::Context;
 use crate::dispatch::Server;
 
@@ -20,14 +21,57 @@
 const FIRST_LIST_INTERVAL: Duration = Duration::from_millis(200);
 /// Time between two rounds of load questions.
 const LOAD_INTERVAL: Duration = Duration::from_millis(500);
-/// Servers asked in one round at most; where there are more, they take turns.
-const ASKED_PER_ROUND: usize = 16;
+/// Servers asked in one round while some have never been asked.
+const ASKED_AT_START: usize = 16;
+/// Servers asked in one round after that; runners that this host tracks go first, the others take
+/// turns.
+const ASKED_PER_ROUND: usize = 4;
+/// Time after which a tracked runner is asked again.
+const TRACKED_INTERVAL: Duration = Duration::from_secs(1);
+
+/// Backend servers and when they were asked last.
+#[derive(Default)]
+struct Turns {
+    servers: Vec<Server>,
+    asked_at: HashMap<Arc<str>, Instant>,
+}
+
+impl Turns {
+    fn set_servers(&mut self, servers: Vec<Server>) {
+        self.servers = servers;
+        let servers = &self.servers;
+        self.asked_at
+            .retain(|id, _| servers.iter().any(|server| server.id == *id));
+    }
+
+    /// Chooses the servers to ask now.
+    fn next(&mut self, now: Instant, is_tracked: impl Fn(&Server) -> bool) -> Vec<Server> {
+        let asked_at = |server: &Server| self.asked_at.get(&server.id).copied();
+        let is_new = self.servers.iter().any(|server| asked_at(server).is_none());
+        let mut order = self.servers.iter().collect::<Vec<_>>();
+        order.sort_by_key(|server| {
+            let at = asked_at(server);
+            let is_due = at.is_none_or(|at| now.duration_since(at) >= TRACKED_INTERVAL);
+            (!(is_tracked(server) && is_due), at)
+        });
+        let count = if is_new {
+            ASKED_AT_START
+        } else {
+            ASKED_PER_ROUND
+        };
+        let chosen = order.into_iter().take(count).cloned().collect::<Vec<_>>();
+        for server in &chosen {
+            self.asked_at.insert(server.id.clone(), now);
+        }
+        chosen
+    }
+}
 
 /// Polls until the host has stopped.
-pub(crate) fn run_poller(context: &Arc<Context>, logger: &Logger) {
+pub(crate) fn run_poller(context: &Arc<Context>, duties: &Duties, logger: &Logger) {
     let list = HostListClient::new(context.settings.host_list_address);
-    let pool = WorkerPool::new("load-poll", ASKED_PER_ROUND);
-    let mut turns = VecDeque::<Server>::new();
+    let pool = WorkerPool::new("load-poll", ASKED_AT_START);
+    let mut turns = Turns::default();
     let mut list_at = Instant::now();
     let mut is_failing = false;
     while !context.lifecycle.is_over() {
@@ -37,7 +81,7 @@
             match read_list(context, &list) {
                 Ok((servers, is_listed)) => {
                     is_failing = false;
-                    turns = servers.into();
+                    turns.set_servers(servers);
                     if is_listed {
                         list_at = started + LIST_INTERVAL;
                     }
@@ -50,11 +94,10 @@
                 }
             }
         }
-        for _ in 0..turns.len().min(ASKED_PER_ROUND) {
-            turns.rotate_left(1);
-            if let Some(server) = turns.back() {
-                ask(context, &pool, server.clone());
-            }
+        let tracked = duties.tracked();
+        let is_tracked = |server: &Server| tracked.contains(&hash_name(&server.id));
+        for server in turns.next(started, is_tracked) {
+            ask(context, &pool, server);
         }
         let next = LOAD_INTERVAL.min(list_at.saturating_duration_since(started));
         thread::sleep(next.saturating_sub(started.elapsed()));
--- a/crates/hickoryhall-entry/src/host.rs
+++ b/crates/hickoryhall-entry/src/host.rs
@@ -259,7 +259,8 @@
 
     fn start_duties(&self, duties: Arc<Duties>) -> Result<(), StartError> {
         let (context, logger) = (Arc::clone(&self.context), self.part("platform"));
-        spawn_detached("poller", move || run_poller(&context, &logger))?;
+        let held = Arc::clone(&duties);
+        spawn_detached("poller", move || run_poller(&context, &held, &logger))?;
         let (context, logger) = (Arc::clone(&self.context), self.part("watcher"));
         let held = Arc::clone(&duties);
         spawn_detached("watcher", move || run_watcher(&context, &held, &logger))?;
--- a/crates/hickoryhall-limits/src/fleet.rs
+++ b/crates/hickoryhall-limits/src/fleet.rs
@@ -7,7 +7,8 @@
 //!
 //! `units in T seconds <= limit x (T + B) + (bucket hosts - domains) x limit / domains x (T + B)`
 //!
-//! with `B` the burst of [`BURST`]. Two bucket hosts of one domain exist only while its hosts
+//! with `B` the burst of [`BURST`], counted from the start; in any later window, units granted up to
+//! 3 s before it may be spent too. Two bucket hosts of one domain exist only while its hosts
 //! disagree about who is live.
 
 use std::collections::HashMap;
@@ -21,15 +22,17 @@
 /// Time whose units may be saved up, at each bucket and each host.
 pub const BURST: Duration = Duration::from_secs(1);
 /// Time after which granted units are void.
-const GRANT_TTL: Duration = Duration::from_secs(2);
+const GRANT_TTL: Duration = Duration::from_secs(3);
 /// Fraction of a domain's part that its hosts own for good.
 const STATIC_FRACTION: f64 = 0.25;
 /// Time after which an unused bucket is dropped.
 const IDLE_LIMIT: Duration = Duration::from_secs(60);
 /// Time after its last question in which a host's share is kept for it.
 const ASKER_LIMIT: Duration = Duration::from_secs(2);
-/// Time of demand that one question asks for.
-const ASK_AHEAD: f64 = 0.25;
+/// Time of demand below which a host asks for more, in seconds.
+const ASK_BELOW_S: f64 = 0.5;
+/// Time of demand that a host asks up to, in seconds.
+const ASK_UP_TO_S: f64 = 1.5;
 
 /// Size of the fleet, from the settings that all hosts share.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -247,11 +250,15 @@
     pub fn wanted(&mut self, now: Instant) -> u32 {
         self.void_expired(now);
         self.record_demand(now, 0.0);
-        let ahead = self.demand_per_s * ASK_AHEAD;
-        if self.granted >= ahead {
+        if self.granted >= self.demand_per_s * ASK_BELOW_S {
+            return 0;
+        }
+        let wanted = self.demand_per_s * ASK_UP_TO_S - self.granted;
+        // A demand of less than a unit in ten minutes is over.
+        if wanted < 0.002 {
             0
         } else {
-            (ahead - self.granted).ceil() as u32
+            wanted.ceil() as u32
         }
     }
 
--- a/crates/hickoryhall-routing/src/placement.rs
+++ b/crates/hickoryhall-routing/src/placement.rs
@@ -1,4 +1,5 @@
-//! Choice of a runner for a request: nested owners, corrected by wait, recomputation and eviction.
+//! Choice of a runner for a request: owners of its outermost level, weighed by wait, recomputation
+//! and eviction.
 
 use std::time::{Duration, Instant};
 
@@ -6,10 +7,15 @@
 use slotmap::SecondaryMap;
 
 use crate::{
-    Cost, CostModel, Ejection, Heat, Ledger, LoadReport, PrefixChain, Quote, ReservationId,
-    RunnerInfo, RunnerKey, Runners,
+    Cost, CostModel, Ejection, Ledger, LoadReport, PrefixChain, Quote, ReservationId, RunnerInfo,
+    RunnerKey, Runners,
 };
 
+/// Prefix levels remembered of one runner at least.
+const LEDGER_ENTRIES_LEAST: usize = 16;
+/// Prefix levels remembered of one runner at most.
+const LEDGER_ENTRIES_MOST: usize = 512;
+
 /// Settings of placement.
 #[derive(Clone, Debug)]
 pub struct PlacementConfig {
@@ -17,14 +23,16 @@
     pub domain: FailureDomainId,
     /// Way to a runner in another failure domain and back.
     pub cross_domain: Duration,
-    /// Runners considered for one request at most, with quotes of their trackers.
+    /// Runners considered for one request, with quotes of their trackers.
     pub candidates: usize,
+    /// Runners considered at most where the first ones are busy.
+    pub widest: usize,
     /// Runners considered at most where this host's own ledger must do.
     ///
     /// More than two would let hosts that cannot see each other spread copies of every prompt,
     /// until recomputing them takes all the capacity there is.
     pub own_candidates: usize,
-    /// Prefix levels remembered for each runner at most.
+    /// Prefix levels remembered of all runners together, about; each has an equal part.
     pub ledger_entries: usize,
     /// Time without use after which a cached prompt counts by half.
     pub half_life: Duration,
@@ -38,8 +46,9 @@
             domain,
             cross_domain: Duration::from_millis(1),
             candidates: 4,
+            widest: 16,
             own_candidates: 2,
-            ledger_entries: 512,
+            ledger_entries: 32_768,
             half_life: Duration::from_secs(20),
         }
     }
@@ -93,7 +102,6 @@
     runners: Runners,
     ledgers: SecondaryMap<RunnerKey, Ledger>,
     ejections: SecondaryMap<RunnerKey, Ejection>,
-    heat: Heat,
 }
 
 impl Placement {
@@ -105,7 +113,6 @@
             runners: Runners::default(),
             ledgers: SecondaryMap::new(),
             ejections: SecondaryMap::new(),
-            heat: Heat::default(),
         }
     }
 
@@ -146,7 +153,8 @@
         }
         info.report = *report;
         info.leaving |= report.leaving;
-        let entries = self.config.ledger_entries;
+        let part = self.config.ledger_entries / self.runners.len().max(1);
+        let entries = part.clamp(LEDGER_ENTRIES_LEAST, LEDGER_ENTRIES_MOST);
         let half_life = self.config.half_life;
         match self.ledgers.get_mut(key) {
             Some(ledger) => ledger.observe_report(now, report, true),
@@ -171,22 +179,19 @@
         }
     }
 
-    /// Returns the runners that may take the request, owners first, with this host's own quotes.
+    /// Returns up to `count` runners that may take the request, owners of its outermost level first,
+    /// with this host's own quotes.
     pub fn candidates(
-        &mut self,
+        &self,
         now: Instant,
         chain: &PrefixChain,
         model: &str,
         weights: WeightsVersion,
+        count: usize,
     ) -> Vec<Candidate> {
         let mut owners = self.eligible(now, model, weights);
-        self.heat
-            .record(now, chain.top(), f64::from(chain.tokens()));
-        let width = self.heat.width(now, chain.top(), owners.len());
         rank(chain.top(), &mut owners, |&(_, hash)| hash);
-        let width = width.min(owners.len());
-        rank(chain.shared(), &mut owners[..width], |&(_, hash)| hash);
-        owners.truncate(self.config.candidates);
+        owners.truncate(count);
         owners
             .into_iter()
             .enumerate()
--- /dev/null
+++ b/crates/hickoryhall-tools/src/capacity/budget.rs
@@ -0,0 +1,203 @@
+//! Roles of a host at the planned size: state, messages, processor time.
+
+use super::{PlannedSize, Slopes};
+
+/// Runners asked for quotes of one request.
+const CANDIDATES: f64 = 4.0;
+/// Rounds of gossip a second.
+const ROUNDS_PER_S: f64 = 1.0;
+/// Messages of one round.
+const FANOUT: f64 = 3.0;
+/// Load questions a second of one host, 4 each half second.
+const POLLS_PER_S: f64 = 8.0;
+/// Bytes of a load question and its answer over HTTP.
+const POLL_BYTES: f64 = 420.0;
+/// Processor time of one load question over HTTP, in nanoseconds, threads included.
+const POLL_NS: f64 = 120_000.0;
+/// Limits in use at one host.
+const LIMITS_IN_USE: f64 = 200.0;
+/// Grants asked a second for each limit in use, at most.
+const GRANTS_PER_S: f64 = 1.0;
+const SECONDS_PER_DAY: f64 = 86_400.0;
+const BYTES_PER_MB: f64 = 1_000_000.0;
+
+/// What one role costs one host.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Role {
+    /// Name.
+    pub name: &'static str,
+    /// Mechanism that carries it.
+    pub mechanism: &'static str,
+    /// Slopes that the figures come from.
+    pub slopes: &'static str,
+    /// Memory in MB.
+    pub memory_mb: f64,
+    /// Bytes sent a second.
+    pub sent_per_s: f64,
+    /// Bytes received a second.
+    pub received_per_s: f64,
+    /// Part of a core, in percent.
+    pub core_percent: f64,
+    /// Whether it counts as control in the first reading; requests' own messages do not.
+    pub is_control: bool,
+}
+
+/// Returns the roles of one host at the planned size.
+#[must_use]
+pub fn roles(size: &PlannedSize, slopes: &Slopes) -> Vec<Role> {
+    vec![
+        placement(size, slopes),
+        quotes(size, slopes),
+        trackers(size, slopes),
+        load_view(size, slopes),
+        membership(size, slopes),
+        revisions(size, slopes),
+        limits(slopes),
+        suspects(slopes),
+    ]
+}
+
+fn placement(size: &PlannedSize, slopes: &Slopes) -> Role {
+    let runners = size.region_runners();
+    let levels = 32_768.0;
+    let requests = size.host_requests_per_s();
+    Role {
+        name: "placement",
+        mechanism: "nested rendezvous over the region's runners; own ledgers with 32,768 levels",
+        slopes: "runner bytes, prefix level bytes, decision ns",
+        memory_mb: (slopes.runner_bytes.at(runners) + slopes.level_bytes.each * levels)
+            / BYTES_PER_MB,
+        sent_per_s: 0.0,
+        received_per_s: 0.0,
+        core_percent: percent(requests * slopes.decision_ns.at(runners)),
+        is_control: true,
+    }
+}
+
+fn quotes(size: &PlannedSize, slopes: &Slopes) -> Role {
+    let requests = size.host_requests_per_s();
+    let (ask, answer) = (
+        slopes.message("quotes asked"),
+        slopes.message("quotes answered"),
+    );
+    let (reserve, release) = (slopes.message("reservation"), slopes.message("release"));
+    // What a host asks of others, others ask of it.
+    let sent = requests * (CANDIDATES * (ask + answer) + reserve + release);
+    let frames = requests * (2.0 * CANDIDATES + 2.0);
+    let frame = slopes.frame_ns.at((ask + answer) / 2.0);
+    Role {
+        name: "quotes and reservations",
+        mechanism: "4 trackers asked for each request, within the sender's byte budget",
+        slopes: "message bytes, quotes ns, frame ns",
+        memory_mb: 0.0,
+        sent_per_s: sent,
+        received_per_s: sent,
+        core_percent: percent(frames * frame + requests * CANDIDATES * slopes.quote_ns.at(1.0)),
+        is_control: false,
+    }
+}
+
+fn trackers(size: &PlannedSize, slopes: &Slopes) -> Role {
+    let levels = size.tracked_runners() * 4_096.0;
+    Role {
+        name: "evidence of cached prefixes",
+        mechanism: "ledgers of the runners that this host tracks, 4,096 levels each, fed by \
+                    reservations and answers; cache events are not taken in",
+        slopes: "prefix level bytes",
+        memory_mb: slopes.level_bytes.each * levels / BYTES_PER_MB,
+        sent_per_s: 0.0,
+        received_per_s: 0.0,
+        core_percent: 0.0,
+        is_control: true,
+    }
+}
+
+fn load_view(size: &PlannedSize, _slopes: &Slopes) -> Role {
+    let servers = size.runners / size.domains;
+    let polls = POLLS_PER_S.min(servers * 2.0);
+    Role {
+        name: "load view",
+        mechanism: "8 questions a second: runners that this host tracks first, the others in turn",
+        slopes: "bytes and ns of one question over HTTP",
+        memory_mb: 1.0,
+        sent_per_s: polls * POLL_BYTES / 2.0,
+        received_per_s: polls * POLL_BYTES / 2.0,
+        core_percent: percent(polls * POLL_NS),
+        is_control: true,
+    }
+}
+
+fn membership(size: &PlannedSize, slopes: &Slopes) -> Role {
+    let messages = ROUNDS_PER_S * FANOUT;
+    let bytes = slopes.message("gossip");
+    let rumors = (size.restarts_per_day + size.failures_per_day) / SECONDS_PER_DAY;
+    let rumor_bytes = rumors * 16.0 * FANOUT * slopes.message("gossip with 8 rumors");
+    let frame = slopes.frame_ns.at(bytes);
+    Role {
+        name: "membership and gossip",
+        mechanism: "digests with heartbeats to 3 hosts a second; rumors in quick rounds",
+        slopes: "host bytes, gossip round ns, gossip received ns, frame ns",
+        memory_mb: slopes.host_bytes.at(size.hosts) / BYTES_PER_MB,
+        sent_per_s: messages * bytes + rumor_bytes,
+        received_per_s: messages * bytes + rumor_bytes,
+        core_percent: percent(
+            ROUNDS_PER_S * slopes.round_ns.at(size.hosts)
+                + messages * (slopes.receive_ns.at(12.0) + 2.0 * frame),
+        ),
+        is_control: true,
+    }
+}
+
+fn revisions(size: &PlannedSize, slopes: &Slopes) -> Role {
+    let changes = size.changes_per_day / SECONDS_PER_DAY;
+    let pushes = FANOUT * slopes.message("push of a revision");
+    let bytes = changes * (slopes.message("change of one row") + pushes);
+    // The table twice while it changes, its index of keys, and 64 kept changes.
+    let memory = slopes.row_bytes.at(size.rows()) * 3.0;
+    Role {
+        name: "table revisions",
+        mechanism: "two watchers a domain, pushes to 3, digests; changes of rows travel, checked \
+                    by content hash",
+        slopes: "table row bytes, change in force ns, message bytes",
+        memory_mb: memory / BYTES_PER_MB,
+        sent_per_s: bytes,
+        received_per_s: bytes,
+        core_percent: percent(changes * slopes.adopt_ns.at(size.rows())),
+        is_control: true,
+    }
+}
+
+fn limits(slopes: &Slopes) -> Role {
+    let asks = LIMITS_IN_USE * GRANTS_PER_S;
+    let sent = asks * (slopes.message("grant asked") + slopes.message("grant answered"));
+    // A bucket holds a share for each host of the domain that asks.
+    let memory = slopes.limit_bytes.each * LIMITS_IN_USE * (1.0 + 37.0);
+    let frame = slopes.frame_ns.at(slopes.message("grant asked"));
+    Role {
+        name: "limit buckets",
+        mechanism: "one bucket host a domain and limit; hosts own a quarter for good",
+        slopes: "limit bytes, grant ns, message bytes",
+        memory_mb: memory / BYTES_PER_MB,
+        sent_per_s: sent,
+        received_per_s: sent,
+        core_percent: percent(asks * (slopes.grant_ns.at(37.0) + 2.0 * frame)),
+        is_control: true,
+    }
+}
+
+fn suspects(slopes: &Slopes) -> Role {
+    Role {
+        name: "suspects",
+        mechanism: "at most 4,096 fingerprints, told as rumors",
+        slopes: "suspect bytes",
+        memory_mb: slopes.suspect_bytes.at(4_096.0) / BYTES_PER_MB,
+        sent_per_s: 0.0,
+        received_per_s: 0.0,
+        core_percent: 0.0,
+        is_control: true,
+    }
+}
+
+fn percent(ns_per_s: f64) -> f64 {
+    ns_per_s / 1e9 * 100.0
+}
--- /dev/null
+++ b/crates/hickoryhall-tools/src/capacity/measure.rs
@@ -0,0 +1,592 @@
+//! Measurements of the real structs at several counts.
+
+use std::collections::HashMap;
+use std::hint::black_box;
+use std::time::{Duration, Instant};
+
+use hickoryhall_clients::LoadAnswer;
+use hickoryhall_control::TableState;
+use hickoryhall_entry::dispatch::{
+    Dispatch, DispatchConfig, PlaceAsk, Server, ServerKind, TicketEnd,
+};
+use hickoryhall_limits::{BucketServer, FleetShape, HostLimit, UnitAsk};
+use hickoryhall_membership::{Gossiper, HostInfo, Hosts};
+use hickoryhall_routing::{CostModel, Level, PlacementConfig, PrefixChain, ShadowCache, Suspects};
+use hickoryhall_table::{Change, Row, Table, TableHead};
+use hickoryhall_types::{hash_name, rendezvous_score};
+use hickoryhall_wire::{
+    Body, Frame, Gossip, GrantAnswer, GrantAsk, Heartbeat, Keyring, Peer, QuoteAnswer, QuoteAsk,
+    Rumor, RunnerQuote, WireLevel,
+};
+use rand::SeedableRng;
+use rand_chacha::ChaCha8Rng;
+
+use super::{Slope, fit};
+
+/// Structures built for one reading of memory, so that it is well above the page size.
+const COPIES: usize = 8;
+/// Time of one timing.
+const TIMING: Duration = Duration::from_millis(60);
+const MODEL: &str = "model-0";
+
+/// All slopes, and sizes of messages.
+#[derive(Clone, Debug)]
+pub struct Slopes {
+    /// Bytes of a runner in dispatch, by runners.
+    pub runner_bytes: Slope,
+    /// Bytes of a remembered prefix level, by levels.
+    pub level_bytes: Slope,
+    /// Bytes of a known host, by hosts.
+    pub host_bytes: Slope,
+    /// Bytes of a table row in force, by rows.
+    pub row_bytes: Slope,
+    /// Bytes of a limit at a host, by limits.
+    pub limit_bytes: Slope,
+    /// Bytes of a suspect, by suspects.
+    pub suspect_bytes: Slope,
+    /// Nanoseconds of one decision, by runners of all models.
+    pub decision_ns: Slope,
+    /// Nanoseconds of one answer with quotes, by runners asked for.
+    pub quote_ns: Slope,
+    /// Nanoseconds of one round of gossip, by hosts.
+    pub round_ns: Slope,
+    /// Nanoseconds to take one message of gossip in, by heartbeats.
+    pub receive_ns: Slope,
+    /// Nanoseconds of one grant, by hosts that ask.
+    pub grant_ns: Slope,
+    /// Nanoseconds to seal and open a frame, by its bytes.
+    pub frame_ns: Slope,
+    /// Nanoseconds to put a change of one row in force, by rows.
+    pub adopt_ns: Slope,
+    /// Bytes of each kind of message.
+    pub messages: Vec<(&'static str, f64)>,
+}
+
+impl Slopes {
+    /// Returns all slopes.
+    #[must_use]
+    pub fn all(&self) -> [&Slope; 13] {
+        [
+            &self.runner_bytes,
+            &self.level_bytes,
+            &self.host_bytes,
+            &self.row_bytes,
+            &self.limit_bytes,
+            &self.suspect_bytes,
+            &self.decision_ns,
+            &self.quote_ns,
+            &self.round_ns,
+            &self.receive_ns,
+            &self.grant_ns,
+            &self.frame_ns,
+            &self.adopt_ns,
+        ]
+    }
+
+    /// Returns the bytes of a kind of message.
+    ///
+    /// # Panics
+    ///
+    /// Panics where there is no such kind.
+    #[must_use]
+    pub fn message(&self, name: &str) -> f64 {
+        let found = self.messages.iter().find(|(other, _)| *other == name);
+        found.expect("a kind of message").1
+    }
+}
+
+/// Measures everything; takes some seconds.
+#[must_use]
+pub fn measure() -> Slopes {
+    let now = Instant::now();
+    Slopes {
+        runner_bytes: memory("runner", &[210, 420, 840], |count| dispatch(now, count)),
+        level_bytes: memory("prefix level", &[2_048, 4_096, 8_192], |count| {
+            shadow(now, count)
+        }),
+        host_bytes: memory("host", &[130, 260, 520], |count| hosts(now, count)),
+        row_bytes: memory("table row", &[1_460, 2_920, 5_840], |count| {
+            state(&table(count))
+        }),
+        limit_bytes: memory("limit", &[1_460, 2_920, 5_840], |count| limits(now, count)),
+        suspect_bytes: memory("suspect", &[1_024, 2_048, 4_096], |count| {
+            suspects(now, count)
+        }),
+        decision_ns: timed("decision", "ns", &[210, 420, 840], |count| {
+            decide(now, count)
+        }),
+        quote_ns: timed("quotes", "ns", &[2, 4, 8], |count| quotes(now, count)),
+        round_ns: timed("gossip round", "ns", &[130, 260, 520], |count| {
+            round(now, count)
+        }),
+        receive_ns: timed("gossip received", "ns", &[3, 6, 12], |count| {
+            receive(now, count)
+        }),
+        grant_ns: timed("grant", "ns", &[9, 18, 37], |count| grant(now, count)),
+        frame_ns: timed("frame sealed and opened", "ns", &[100, 400, 1_000], frame),
+        adopt_ns: timed("change in force", "ns", &[1_460, 2_920, 5_840], adopt),
+        messages: message_sizes(),
+    }
+}
+
+/// Fits resident memory by count; what is built stays, so that no page is used twice.
+fn memory<T>(name: &'static str, counts: &[usize], build: impl Fn(usize) -> T) -> Slope {
+    let mut points = Vec::new();
+    for &count in counts {
+        let before = resident_bytes();
+        let built = (0..COPIES).map(|_| build(count)).collect::<Vec<_>>();
+        let grown = resident_bytes() - before;
+        std::mem::forget(built);
+        points.push((count as f64, grown / COPIES as f64));
+    }
+    fit(name, "bytes", &points)
+}
+
+/// Fits the least of several timings by count.
+fn timed<F: FnMut()>(
+    name: &'static str,
+    unit: &'static str,
+    counts: &[usize],
+    build: impl Fn(usize) -> F,
+) -> Slope {
+    let points = counts.iter().map(|&count| {
+        let mut work = build(count);
+        let least = (0..3)
+            .map(|_| nanoseconds(&mut work))
+            .fold(f64::INFINITY, f64::min);
+        (count as f64, least)
+    });
+    fit(name, unit, &points.collect::<Vec<_>>())
+}
+
+fn nanoseconds(work: &mut impl FnMut()) -> f64 {
+    let started = Instant::now();
+    let mut runs = 0_u32;
+    while started.elapsed() < TIMING {
+        (0..16).for_each(|_| work());
+        runs += 16;
+    }
+    started.elapsed().as_nanos() as f64 / f64::from(runs)
+}
+
+fn resident_bytes() -> f64 {
+    let pages = procfs::process::Process::myself().and_then(|process| process.statm());
+    pages.map_or(0.0, |statm| (statm.resident * procfs::page_size()) as f64)
+}
+
+fn chain(outer: u64, inner: u64, question: u64) -> PrefixChain {
+    let keys = [
+        outer,
+        rendezvous_score(outer, inner),
+        rendezvous_score(question, inner),
+    ];
+    let levels = keys.iter().zip([12_000, 4_000, 200]);
+    PrefixChain::from_levels(levels.map(|(&key, tokens)| Level { key, tokens }).collect())
+}
+
+fn dispatch(now: Instant, runners: usize) -> Dispatch {
+    let placement = PlacementConfig::new("a".into());
+    let mut dispatch = Dispatch::new(DispatchConfig { me: 1, placement });
+    let servers = (0..runners).map(server).collect::<Vec<_>>();
+    dispatch.set_servers(&servers);
+    for server in &servers {
+        let load = LoadAnswer {
+            incarnation: 1,
+            weights_version: 1,
+            waiting_tokens: 0,
+            prefill_tokens_per_s: 16_000,
+            cache_tokens: 10_000_000,
+            leaving: false,
+        };
+        dispatch.observe_load(now, &server.id, &load);
+    }
+    dispatch
+}
+
+fn server(index: usize) -> Server {
+    Server {
+        id: format!("runner-{index}").as_str().into(),
+        kind: ServerKind::Runner,
+        domain: "a".into(),
+        address: ([127, 0, 0, 1], 1).into(),
+        target: format!("model-{}", index % 8).as_str().into(),
+        leaving: false,
+    }
+}
+
+fn shadow(now: Instant, levels: usize) -> ShadowCache {
+    let mut shadow = ShadowCache::new(u64::MAX / 2, levels);
+    (0..levels as u64).for_each(|i| shadow.insert(now, &chain(i, i, i)));
+    shadow
+}
+
+fn host_info(index: usize) -> HostInfo {
+    let address = ([127, 0, 0, 1], 1_000 + index as u16).into();
+    HostInfo::new(
+        &format!("host-{index}"),
+        &format!("domain-{}", index % 14),
+        address,
+    )
+}
+
+fn hosts(now: Instant, count: usize) -> Hosts {
+    let list = (0..count).map(host_info).collect::<Vec<_>>();
+    let mut hosts = Hosts::new(list[0].clone(), 1);
+    hosts.merge_list(now, &list);
+    for info in &list {
+        let peer = Peer {
+            host: info.hash,
+            incarnation: 1,
+        };
+        hosts.observe(now, Heartbeat { peer, count: 1 });
+    }
+    hosts
+}
+
+fn table(rows: usize) -> Table {
+    let row = |i: usize| Row {
+        weight: Some(3),
+        requests_per_s: Some(100),
+        tokens_per_s: Some(50_000),
+        ..Row::new(
+            &format!("workspace-{}", i / 8),
+            &format!("model:model-{}", i % 8),
+        )
+    };
+    (0..rows).map(row).collect()
+}
+
+fn head(head: &TableHead, table: &Table) -> TableHead {
+    let change = Change {
+        id: "c".to_owned(),
+        revision: 0,
+        author: "a".to_owned(),
+        at_s: 0,
+    };
+    head.next(table, change)
+}
+
+fn state(table: &Table) -> TableState {
+    let mut state = TableState::default();
+    state.adopt(head(&TableHead::default(), table), table.clone());
+    state
+}
+
+fn limits(now: Instant, count: usize) -> HashMap<u64, (u32, HostLimit)> {
+    let shape = FleetShape {
+        domains: 14,
+        hosts_per_domain: 37,
+    };
+    (0..count as u64)
+        .map(|key| (key, (100, HostLimit::new(now, 100, shape))))
+        .collect()
+}
+
+fn suspects(now: Instant, count: usize) -> Suspects {
+    let mut suspects = Suspects::default();
+    (0..count as u64).for_each(|i| {
+        suspects.record_death(now, i);
+    });
+    suspects
+}
+
+/// One request's decisions: place, first token, end; with the host's own ledgers.
+fn decide(now: Instant, runners: usize) -> impl FnMut() {
+    let mut dispatch = dispatch(now, runners);
+    let mut ticket = 0;
+    move || {
+        ticket += 1;
+        let ask = PlaceAsk {
+            ticket,
+            request_id: "measured".into(),
+            workspace: "workspace".into(),
+            weight: 1,
+            chain: chain(ticket % 50, ticket % 1_000, ticket),
+            model: MODEL.into(),
+            weights: 1,
+            cost: CostModel::default(),
+            deadline: now + Duration::from_secs(60),
+            exclude: Vec::new(),
+            isolate: false,
+        };
+        black_box(dispatch.place(now, ask));
+        black_box(dispatch.first_token(now, ticket, 12_000));
+        black_box(dispatch.ended(now, ticket, TicketEnd::Finished));
+    }
+}
+
+fn quotes(now: Instant, runners: usize) -> impl FnMut() {
+    let mut dispatch = dispatch(now, 8);
+    let hashes = (0..8)
+        .map(|i| hash_name(&format!("runner-{i}")))
+        .collect::<Vec<_>>();
+    dispatch.set_trackers(hashes.iter().map(|&hash| (hash, 1)).collect());
+    for (index, &runner) in hashes.iter().enumerate() {
+        let load = LoadAnswer {
+            incarnation: 1,
+            weights_version: 1,
+            waiting_tokens: 0,
+            prefill_tokens_per_s: 16_000,
+            cache_tokens: 1_000_000,
+            leaving: false,
+        };
+        dispatch.observe_load(now, &format!("runner-{index}"), &load);
+        for id in 0..400 {
+            let levels = wire_levels(id);
+            dispatch.on_tracked(now, 7, &Body::Reserve { runner, id, levels });
+            let body = Body::Release {
+                runner,
+                id,
+                cached_tokens: Some(0),
+            };
+            dispatch.on_tracked(now, 7, &body);
+        }
+    }
+    let ask = QuoteAsk {
+        id: 1,
+        runners: hashes[..runners].to_vec(),
+        levels: wire_levels(3),
+    };
+    move || {
+        black_box(dispatch.quote(now, &ask));
+    }
+}
+
+fn wire_levels(id: u64) -> Vec<WireLevel> {
+    let chain = chain(id % 50, id, id);
+    let levels = chain.levels().iter();
+    levels
+        .map(|level| WireLevel {
+            key: level.key,
+            tokens: level.tokens,
+        })
+        .collect()
+}
+
+fn round(now: Instant, count: usize) -> impl FnMut() {
+    let hosts = hosts(now, count);
+    let mut gossiper = Gossiper::new(ChaCha8Rng::seed_from_u64(1));
+    move || {
+        black_box(gossiper.round(now, &hosts));
+    }
+}
+
+fn receive(now: Instant, heartbeats: usize) -> impl FnMut() {
+    let mut hosts = hosts(now, 520);
+    let mut gossiper = Gossiper::new(ChaCha8Rng::seed_from_u64(1));
+    let mut count = 1;
+    move || {
+        count += 1;
+        let heartbeats = (1..=heartbeats).map(|i| Heartbeat {
+            peer: Peer {
+                host: host_info(i).hash,
+                incarnation: 1,
+            },
+            count,
+        });
+        let gossip = Gossip {
+            heartbeats: heartbeats.collect(),
+            ..Gossip::default()
+        };
+        black_box(gossiper.receive(now, &mut hosts, host_info(1).hash, &gossip));
+    }
+}
+
+fn grant(now: Instant, askers: usize) -> impl FnMut() {
+    let shape = FleetShape {
+        domains: 14,
+        hosts_per_domain: 37,
+    };
+    let mut buckets = BucketServer::default();
+    let mut asker = 0;
+    move || {
+        asker = (asker + 1) % askers as u64;
+        let ask = UnitAsk {
+            key: 1,
+            limit: 1_000,
+            asker,
+            wanted: 3,
+        };
+        black_box(buckets.grant(now, &ask, shape));
+    }
+}
+
+fn frame(bytes: usize) -> impl FnMut() {
+    let keyring = Keyring::new(&["a secret to measure with"]);
+    let levels = vec![
+        WireLevel {
+            key: u64::MAX,
+            tokens: 12_000
+        };
+        bytes / 14
+    ];
+    let body = Body::Reserve {
+        runner: 1,
+        id: 1,
+        levels,
+    };
+    let frame = frame_of(body);
+    move || {
+        let sealed = keyring.seal(&frame);
+        black_box(keyring.open(&sealed).expect("an own frame"));
+    }
+}
+
+fn adopt(rows: usize) -> impl FnMut() {
+    let tables = [1, 2].map(|weight| {
+        let mut table = table(rows);
+        table.insert(Row {
+            weight: Some(weight),
+            ..Row::new("workspace-0", "model:model-0")
+        });
+        table
+    });
+    let mut source = state(&tables[0]);
+    let mut peer = source.clone();
+    let mut turn = 0;
+    move || {
+        turn += 1;
+        let table = &tables[turn % 2];
+        source.adopt(head(source.head(), table), table.clone());
+        let delta = source.delta_since(peer.revision());
+        peer.adopt_delta(source.head().clone(), &delta)
+            .expect("a delta that fits");
+    }
+}
+
+fn frame_of(body: Body) -> Frame {
+    let sender = Peer {
+        host: u64::MAX,
+        incarnation: 1_790_000_000_000,
+    };
+    Frame {
+        sender,
+        receiver: u64::MAX,
+        sequence: 1_000_000,
+        body,
+    }
+}
+
+fn message_sizes() -> Vec<(&'static str, f64)> {
+    let peer = Peer {
+        host: u64::MAX,
+        incarnation: 1_790_000_000_000,
+    };
+    let heartbeats = vec![
+        Heartbeat {
+            peer,
+            count: 100_000
+        };
+        12
+    ];
+    let gossip = |rumors| {
+        Body::Gossip(Gossip {
+            revision: 1_000_000,
+            leaving: false,
+            heartbeats: heartbeats.clone(),
+            rumors,
+        })
+    };
+    let quote = RunnerQuote {
+        runner: u64::MAX,
+        incarnation: 1_000,
+        wait_ms: 300,
+        cached_tokens: 16_000,
+        eviction_tokens: 4_000,
+        is_warm: true,
+    };
+    let id = 10_000_000;
+    let runner = u64::MAX;
+    let rumor = Rumor::RunnerLeaving {
+        runner,
+        incarnation: 1_000,
+    };
+    let bodies = [
+        ("gossip", gossip(Vec::new())),
+        ("gossip with 8 rumors", gossip(vec![rumor; 8])),
+        (
+            "push of a revision",
+            Body::PushRevision {
+                revision: 1_000_000,
+            },
+        ),
+        (
+            "quotes asked",
+            Body::QuoteAsk(QuoteAsk {
+                id,
+                runners: vec![runner],
+                levels: wire_levels(1),
+            }),
+        ),
+        (
+            "quotes answered",
+            Body::QuoteAnswer(QuoteAnswer {
+                id,
+                quotes: vec![quote],
+            }),
+        ),
+        (
+            "reservation",
+            Body::Reserve {
+                runner,
+                id,
+                levels: wire_levels(1),
+            },
+        ),
+        (
+            "release",
+            Body::Release {
+                runner,
+                id,
+                cached_tokens: Some(16_000),
+            },
+        ),
+        (
+            "grant asked",
+            Body::GrantAsk(GrantAsk {
+                bucket: runner,
+                units: 20,
+                limit: 1_000,
+            }),
+        ),
+        (
+            "grant answered",
+            Body::GrantAnswer(GrantAnswer {
+                bucket: runner,
+                units: 20,
+                ttl_ms: 2_000,
+            }),
+        ),
+    ];
+    let keyring = Keyring::new(&["a secret to measure with"]);
+    let sizes = bodies.map(|(name, body)| (name, keyring.seal(&frame_of(body)).len() as f64));
+    let mut sizes = sizes.to_vec();
+    sizes.push(("change of one row", delta_bytes()));
+    sizes
+}
+
+/// Question and answer for a change of one row in the planned table.
+fn delta_bytes() -> f64 {
+    let first = table(5_840);
+    let mut second = first.clone();
+    second.insert(Row {
+        weight: Some(9),
+        ..Row::new("workspace-0", "model:model-0")
+    });
+    let mut state = state(&first);
+    let mut next = state.head().clone();
+    // The head of a table with a long history.
+    (0..64).for_each(|_| next = head(&next, &second));
+    let from = state.revision();
+    state.adopt(next, second);
+    let delta = state.delta_since(from);
+    let body = Body::TableDelta(hickoryhall_wire::TableDelta {
+        from,
+        head_json: serde_json::to_vec(state.head()).expect("a head has string keys"),
+        rows_json: serde_json::to_vec(&delta.rows).expect("rows have string keys"),
+        removed_json: b"[]".to_vec(),
+    });
+    Keyring::new(&["a secret to measure with"])
+        .seal(&frame_of(body))
+        .len() as f64
+}
--- a/crates/hickoryhall-tools/src/experiment/suite.rs
+++ b/crates/hickoryhall-tools/src/experiment/suite.rs
@@ -146,8 +146,8 @@
     ];
     let settings = settings
         .iter()
-        .cloned()
-        .filter(|s| s.cache.name == "short" && s.load == LOADS[1]);
+        .filter(|s| s.cache.name == "short" && s.load == LOADS[1])
+        .cloned();
     let jobs = settings.flat_map(|setting| faults.map(|fault| (setting.clone(), fault)));
     in_parallel(jobs.collect(), |(setting, (name, fault))| {
         let mut sums = [Outcome::default(), Outcome::default(), Outcome::default()];
@@ -187,8 +187,8 @@
 pub fn flood(settings: &[Setting], seeds: u64) -> Vec<(Setting, Summary, Summary)> {
     let half = settings
         .iter()
-        .cloned()
-        .filter(|s| s.cache.name == "ample" && s.load == LOADS[0]);
+        .filter(|s| s.cache.name == "ample" && s.load == LOADS[0])
+        .cloned();
     in_parallel(half.collect(), |setting| {
         let mut sums = [Outcome::default(), Outcome::default()];
         for seed in 1..=seeds {
--- a/crates/hickoryhall-tools/src/lib.rs
+++ b/crates/hickoryhall-tools/src/lib.rs
@@ -9,10 +9,12 @@
 //! ```
 
 pub mod caller;
+pub mod capacity;
 pub mod cmd;
 pub mod experiment;
 pub mod explain;
 pub mod fleet;
+pub mod gossip_net;
 pub mod load;
 pub mod operator;
 pub mod prompt;
