Wait for runners that change their weights instead of refusing

Such a request now chooses its version again every 100 ms for up to 3 s.

The stand-in's crossed streams now carry another request's tokens, not only its id.

--- a/crates/hickoryhall-entry/src/attempts/model.rs
+++ b/crates/hickoryhall-entry/src/attempts/model.rs
@@ -22,6 +22,11 @@
 /// Time between two looks whether the caller is still there.
 pub(super) const CALLER_CHECK: Duration = Duration::from_millis(100);
 
+/// Time between two looks for a runner while runners change their weights.
+const WEIGHTS_CHECK: Duration = Duration::from_millis(100);
+/// Time that a request waits for runners that change their weights.
+const WEIGHTS_PATIENCE: Duration = Duration::from_secs(3);
+
 /// Carries a request through and answers the caller.
 pub(crate) fn run_model(context: &Arc<Context>, request: &Arc<ModelRequest>, mut answer: Answer) {
     let result = Run::new(context, request).and_then(|mut run| run.carry_through(&mut answer));
@@ -86,8 +91,15 @@
     fn carry_through(&mut self, answer: &mut Answer) -> Result<bool, Box<Refusal>> {
         loop {
             let ticket = self.context.next_id();
-            let Some(placed) = self.place(ticket, answer)? else {
-                return Ok(false);
+            let placed = match self.place(ticket, answer) {
+                Ok(Some(placed)) => placed,
+                Ok(None) => return Ok(false),
+                Err(refusal) if self.may_wait_for_weights(&refusal, answer) => {
+                    std::thread::sleep(WEIGHTS_CHECK);
+                    self.choose_weights()?;
+                    continue;
+                }
+                Err(refusal) => return Err(refusal),
             };
             self.attempts += 1;
             match Round::start(self, ticket, &placed, answer).run(answer) {
@@ -104,14 +116,28 @@
                 } => {
                     self.after_failure(&error, &runner, is_death)?;
                     if answer.next_index() == 0 {
-                        let chosen = choose_weights(self.context, self.request)?;
-                        (self.weights, self.seed, self.chain) = chosen;
+                        self.choose_weights()?;
                     }
                 }
             }
         }
     }
 
+    /// Tells whether the runners are about to serve the request, which has no token yet.
+    fn may_wait_for_weights(&self, refusal: &Refusal, answer: &Answer) -> bool {
+        refusal.code == RefusalCode::NotReady
+            && refusal.step == Step::Placement
+            && answer.next_index() == 0
+            && !answer.is_abandoned()
+            && self.request.arrived.elapsed() < WEIGHTS_PATIENCE
+            && !self.request.time_left().is_zero()
+    }
+
+    fn choose_weights(&mut self) -> Result<(), Box<Refusal>> {
+        (self.weights, self.seed, self.chain) = choose_weights(self.context, self.request)?;
+        Ok(())
+    }
+
     /// Decides whether to try again after every attempt of a round failed.
     fn after_failure(
         &mut self,
--- a/crates/hickoryhall-entry/src/dispatch/placing.rs
+++ b/crates/hickoryhall-entry/src/dispatch/placing.rs
@@ -620,8 +620,24 @@
             self.queue(ticket, effects);
             return;
         }
-        let message = format!("no runner of {} can be reached", pending.ask.model);
-        let refusal = Refusal::new(RefusalCode::NoBackend, Step::Placement, message);
+        let model = &pending.ask.model;
+        let runners = self.placement.runners().iter();
+        let is_loading = runners
+            .map(|(_, info)| info)
+            .any(|info| info.model == *model && info.takes(model, info.report.weights));
+        let (code, message) = if is_loading {
+            // Another version, or weights that are on their way: ask again soon.
+            (
+                RefusalCode::NotReady,
+                format!("the runners of {model} change their weights"),
+            )
+        } else {
+            (
+                RefusalCode::NoBackend,
+                format!("no runner of {model} can be reached"),
+            )
+        };
+        let refusal = Refusal::new(code, Step::Placement, message);
         self.refuse(ticket, refusal.retry_after(Duration::from_secs(1)), effects);
     }
 
--- a/crates/hickoryhall-standins/src/engine/server.rs
+++ b/crates/hickoryhall-standins/src/engine/server.rs
@@ -418,6 +418,7 @@
     attempt_id: u64,
     next_index: u32,
     break_after: Option<u32>,
+    is_crossed: bool,
     skip: bool,
     stall: Duration,
 }
@@ -582,7 +583,8 @@
         incarnation: u64,
     ) -> bool {
         let (answer_key, first_index) = match self.lock().jobs.get(&id) {
-            Some(log) => (log.answer_key, log.first_index),
+            // Another request's answer has other tokens.
+            Some(log) => (log.answer_key ^ u64::from(plan.is_crossed), log.first_index),
             None => {
                 drop(request.into_writer());
                 return false;
@@ -726,6 +728,7 @@
             attempt_id,
             next_index,
             break_after: breaks,
+            is_crossed: wrong,
             skip,
             stall: if stalls {
                 Duration::from_millis(faults.stall_ms)
