--- a/crates/hickoryhall-clients/src/agent.rs
+++ b/crates/hickoryhall-clients/src/agent.rs
@@ -72,6 +72,7 @@
             status,
             body: text,
             not_run,
+            incarnation: json["incarnation"].as_u64(),
         },
     };
     Err(ClientError::new(step, peer, kind))
--- a/crates/hickoryhall-clients/src/error.rs
+++ b/crates/hickoryhall-clients/src/error.rs
@@ -3,7 +3,7 @@
 use std::io;
 use std::net::SocketAddr;
 
-use hickoryhall_types::{Ran, Step, WeightsVersion};
+use hickoryhall_types::{Incarnation, Ran, Step, WeightsVersion};
 
 use crate::StreamFault;
 
@@ -25,6 +25,8 @@
         body: String,
         /// What the peer says of itself, where it says that the call did not run.
         not_run: Option<NotRun>,
+        /// Start number of the peer, where it says so.
+        incarnation: Option<Incarnation>,
     },
     /// A conditional write found another revision, 0 for no value.
     #[error("the revision is {0}")]
--- a/crates/hickoryhall-entry/src/attempts/round.rs
+++ b/crates/hickoryhall-entry/src/attempts/round.rs
@@ -7,7 +7,7 @@
 use crossbeam_channel::{Receiver, Sender, unbounded};
 use hickoryhall_clients::{ClientError, ClientErrorKind, StreamEvent, StreamFault, Token};
 use hickoryhall_telemetry::Span;
-use hickoryhall_types::{Ran, RunnerId, Step};
+use hickoryhall_types::{Incarnation, Ran, RunnerId, Step};
 use metrics::{counter, histogram};
 
 use super::Answer;
@@ -44,6 +44,7 @@
     ticket: Ticket,
     runner: RunnerId,
     address: SocketAddr,
+    incarnation: Incarnation,
     resumes: u32,
     has_token: bool,
     span: Span,
@@ -118,6 +119,7 @@
             ticket,
             runner: placed.server.id.clone(),
             address: placed.server.address,
+            incarnation: placed.server.incarnation,
             resumes: 0,
             has_token: false,
             span,
@@ -177,6 +179,7 @@
             return None;
         }
         self.last_token_at = Instant::now();
+        self.live[place].incarnation = token.incarnation;
         if !std::mem::replace(&mut self.live[place].has_token, true) {
             self.first_token(place, token, answer);
         }
@@ -243,6 +246,7 @@
             ticket,
             runner,
             resumes,
+            incarnation,
             span,
             address,
             ..
@@ -271,8 +275,7 @@
         if !self.live.is_empty() {
             return None;
         }
-        // A stream that broke off and cannot be resumed means that its runner is gone.
-        let is_death = resumes > 0 && !broke_off;
+        let is_death = resumes > 0 && is_death(&error, incarnation);
         Some(RoundEnd::Failed {
             error: Box::new(error),
             runner,
@@ -355,6 +358,17 @@
     }
 }
 
+/// Tells whether a stream that broke off could not be resumed because its runner died.
+///
+/// A runner that still has its incarnation merely lost the attempt.
+fn is_death(error: &ClientError, before: Incarnation) -> bool {
+    match &error.kind {
+        ClientErrorKind::NotConnected(_) | ClientErrorKind::NoAnswer(_) => true,
+        ClientErrorKind::Status { incarnation, .. } => incarnation.is_none_or(|now| now != before),
+        _ => false,
+    }
+}
+
 fn count_fault(error: &ClientError) {
     let fault = match &error.kind {
         ClientErrorKind::Stream(StreamFault::Crossed { .. }) => "crossed",
--- a/crates/hickoryhall-standins/src/engine/server.rs
+++ b/crates/hickoryhall-standins/src/engine/server.rs
@@ -531,8 +531,10 @@
         };
         let mut state = self.lock();
         let Some(&id) = state.by_attempt.get(&body.attempt()) else {
+            let incarnation = state.model.incarnation();
             drop(state);
-            return respond_json(request, 404, &json!({"error": "no such attempt"}));
+            let answer = json!({"error": "no such attempt", "incarnation": incarnation});
+            return respond_json(request, 404, &answer);
         };
         let incarnation = state.model.incarnation();
         let (reader, progress) = unbounded();
--- a/crates/hickoryhall-testsuite/tests/streams.rs
+++ b/crates/hickoryhall-testsuite/tests/streams.rs
@@ -54,7 +54,8 @@
     });
     fault_everywhere(&fleet, &fault);
     let ask = Ask::new("spoiled");
-    assert_eq!(ask.send(&fleet, 0).text(), Some(ask.expected().as_str()));
+    let end = ask.send(&fleet, 0);
+    assert_eq!(end.text(), Some(ask.expected().as_str()), "{end:?}");
 }
 
 #[test]
