--- a/crates/hickoryhall-standins/src/bin/hickoryhall-standin.rs
+++ b/crates/hickoryhall-standins/src/bin/hickoryhall-standin.rs
@@ -38,6 +38,15 @@
         /// Memory for cached prompts, in tokens
         #[bpaf(argument("TOKENS"), fallback(EngineConfig::default().cache_tokens))]
         cache_tokens: u64,
+        /// Prompt tokens computed a second
+        #[bpaf(argument("TOKENS"), fallback(EngineConfig::default().prefill_tokens_per_s))]
+        prefill_tokens_per_s: u32,
+        /// Time between two tokens of an answer, in milliseconds
+        #[bpaf(argument("MS"), fallback(20))]
+        decode_ms: u64,
+        /// Answers decoded together at most
+        #[bpaf(argument("COUNT"), fallback(EngineConfig::default().max_batch))]
+        max_batch: usize,
     },
     /// Plain service
     #[bpaf(command)]
@@ -77,10 +86,15 @@
             model,
             ignore_fencing,
             cache_tokens,
+            prefill_tokens_per_s,
+            decode_ms,
+            max_batch,
         } => {
             let config = EngineConfig {
                 cache_tokens: *cache_tokens,
-                ..EngineConfig::default()
+                prefill_tokens_per_s: *prefill_tokens_per_s,
+                decode_interval: Duration::from_millis(*decode_ms),
+                max_batch: *max_batch,
             };
             let engine = EngineServer::start(address, name, model, !ignore_fencing, config)?;
             serve(engine.address())
--- a/crates/hickoryhall-tools/src/bin/hickoryhall-load.rs
+++ b/crates/hickoryhall-tools/src/bin/hickoryhall-load.rs
@@ -36,6 +36,12 @@
         /// Seed of the traffic
         #[bpaf(argument("SEED"), fallback(1))]
         seed: u64,
+        /// Tokens of an answer; the profile's if left out
+        #[bpaf(argument("TOKENS"))]
+        tokens: Option<u32>,
+        /// Deadline of a request in seconds
+        #[bpaf(argument("SECONDS"), fallback(30))]
+        deadline: u64,
         /// File for the report in JSON
         #[bpaf(argument("FILE"))]
         output: Option<PathBuf>,
@@ -60,8 +66,11 @@
             rate,
             seconds,
             seed,
+            tokens,
+            deadline,
             output,
-        } => send(against, &profile, rate, seconds, seed, output),
+        } => plan(&profile, rate, seconds, seed, tokens, deadline)
+            .and_then(|plan| send(&plan, against, output)),
         Options::Compare { before, after } => compare(&before, &after),
     };
     match result {
@@ -76,28 +85,36 @@
     }
 }
 
-fn send(
-    hosts: Vec<SocketAddr>,
+fn plan(
     profile: &str,
     rate: f64,
     seconds: u64,
     seed: u64,
-    output: Option<PathBuf>,
-) -> Result<String, String> {
-    let profile = Profile::by_name(profile).ok_or("the profile is karoo or valenza")?;
+    tokens: Option<u32>,
+    deadline: u64,
+) -> Result<LoadPlan, String> {
+    let mut profile = Profile::by_name(profile).ok_or("the profile is karoo or valenza")?;
     if rate <= 0.0 || seconds == 0 || seconds > LONGEST_S {
         return Err(format!(
             "the rate must be above 0 and the length from 1 to {LONGEST_S} s"
         ));
     }
-    let plan = LoadPlan {
+    profile.output_tokens = tokens.unwrap_or(profile.output_tokens);
+    Ok(LoadPlan {
         profile,
         requests_per_s: rate,
         length: Duration::from_secs(seconds),
-        deadline: Duration::from_secs(30),
+        deadline: Duration::from_secs(deadline),
         seed,
-    };
-    let result = run(&plan, &Arc::new(Mutex::new(hosts)), |at, sent| {
+    })
+}
+
+fn send(
+    plan: &LoadPlan,
+    hosts: Vec<SocketAddr>,
+    output: Option<PathBuf>,
+) -> Result<String, String> {
+    let result = run(plan, &Arc::new(Mutex::new(hosts)), |at, sent| {
         eprintln!("{} s, {sent} requests sent", at.as_secs());
     });
     if let Some(path) = output {
