Test the watch over callers

Slow heads, bodies that do not arrive, bodies above the limit, callers that hang up while nothing is written, and a full pool of workers.

--- /dev/null
+++ b/crates/hickoryhall-http/tests/callers.rs
@@ -0,0 +1,125 @@
+//! Bad callers are noticed and cost no other caller anything.
+
+use std::io::{Read, Write};
+use std::net::{SocketAddr, TcpStream};
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::time::Duration;
+
+use hickoryhall_http::{
+    BodyError, HttpServer, Saturated, ServerLimits, StopHandle, WorkerPool, read_body, respond_json,
+};
+
+struct Running {
+    address: SocketAddr,
+    stop: StopHandle,
+    thread: Option<std::thread::JoinHandle<()>>,
+}
+
+impl Drop for Running {
+    fn drop(&mut self) {
+        self.stop.stop();
+        drop(self.thread.take().map(std::thread::JoinHandle::join));
+    }
+}
+
+/// Starts a server with short limits that answers with the length of each body.
+fn start(before: impl Fn(&hickoryhall_http::Caller) + Send + Sync + 'static) -> Running {
+    let limits = ServerLimits {
+        workers: 4,
+        idle_connection: Duration::from_millis(500),
+        body_read: Duration::from_millis(500),
+        ..ServerLimits::default()
+    };
+    let server = HttpServer::bind(([127, 0, 0, 1], 0).into(), limits).expect("a free port");
+    let (address, stop) = (server.address(), server.stop_handle());
+    let thread = std::thread::spawn(move || {
+        server.run(move |mut request, caller| {
+            before(&caller);
+            match read_body(&mut request, &caller, 1_000) {
+                Ok(body) => respond_json(request, 200, &body.len()),
+                Err(error) => respond_json(request, 400, &error.to_string()),
+            }
+        });
+    });
+    Running {
+        address,
+        stop,
+        thread: Some(thread),
+    }
+}
+
+/// Sends bytes and reads until the server closes the connection.
+fn send(address: SocketAddr, bytes: &[u8]) -> String {
+    let mut stream = TcpStream::connect(address).expect("a connection");
+    stream.write_all(bytes).expect("a request");
+    let mut answer = String::new();
+    // A reset is an end as well.
+    let _ = stream.read_to_string(&mut answer);
+    answer
+}
+
+#[test]
+fn a_connection_that_sends_no_whole_head_is_ended() {
+    let server = start(|_| {});
+    // The answer ends only when the server shuts the connection down.
+    let answer = send(server.address, b"POST / HTTP/1.1\r\nHost: x\r\n");
+    assert!(!answer.contains("200"), "{answer}");
+    let after = send(
+        server.address,
+        b"POST / HTTP/1.1\r\nConnection: close\r\nContent-Length: 2\r\n\r\nok",
+    );
+    assert!(after.ends_with('2'), "{after}");
+}
+
+#[test]
+fn a_body_that_does_not_arrive_is_ended() {
+    let server = start(|_| {});
+    let answer = send(
+        server.address,
+        b"POST / HTTP/1.1\r\nContent-Length: 100\r\n\r\npart",
+    );
+    assert!(!answer.contains("200 OK"), "{answer}");
+}
+
+#[test]
+fn a_body_above_the_limit_is_refused() {
+    let server = start(|_| {});
+    let head = "POST / HTTP/1.1\r\nConnection: close\r\nContent-Length: 1001\r\n\r\n";
+    let answer = send(server.address, &[head.as_bytes(), &[b' '; 1_001]].concat());
+    let expected = BodyError::TooLarge { limit_bytes: 1_000 }.to_string();
+    assert!(answer.contains(&expected), "{answer}");
+}
+
+#[test]
+fn a_caller_that_hangs_up_is_noticed_while_nothing_is_written() {
+    let seen = Arc::new(AtomicBool::new(false));
+    let noticed = Arc::clone(&seen);
+    let server = start(move |caller| {
+        // Waits as a request does for its first token; the test ends when it is noticed.
+        while !caller.is_gone() {
+            std::thread::yield_now();
+        }
+        noticed.store(true, Ordering::SeqCst);
+    });
+    let mut stream = TcpStream::connect(server.address).expect("a connection");
+    stream
+        .write_all(b"POST / HTTP/1.1\r\nContent-Length: 0\r\n\r\n")
+        .expect("a request");
+    drop(stream);
+    while !seen.load(Ordering::SeqCst) {
+        std::thread::yield_now();
+    }
+}
+
+#[test]
+fn a_full_pool_refuses_and_frees_its_places() {
+    let pool = WorkerPool::new("test", 1);
+    let (release, wait) = crossbeam_channel::bounded::<()>(0);
+    pool.run(move || drop(wait.recv())).expect("a first worker");
+    assert!(matches!(pool.run(|| {}), Err(Saturated::Limit(1))));
+    drop(release);
+    while pool.run(|| {}).is_err() {
+        std::thread::yield_now();
+    }
+}
