--- a/crates/hickoryhall-entry/src/dispatch/mod.rs
+++ b/crates/hickoryhall-entry/src/dispatch/mod.rs
@@ -5,15 +5,15 @@
 //! and carries the effects out.
 
 mod admission;
+mod messages;
 mod placing;
 mod servers;
 mod services;
 mod trackers;
 
 pub use admission::{Admission, AdmitAsk, Permit, limit_key};
-pub use placing::{
-    Dispatch, DispatchConfig, Effect, PlaceAsk, Placed, PlacedServer, Ticket, TicketEnd,
-};
+pub use messages::{DispatchConfig, Effect, PlaceAsk, Placed, PlacedServer, Ticket, TicketEnd};
+pub use placing::Dispatch;
 pub use servers::{Server, ServerKind};
 pub use services::ServicePool;
 pub use trackers::{TrackedQuote, Trackers};
--- a/crates/hickoryhall-entry/src/dispatch/placing.rs
+++ b/crates/hickoryhall-entry/src/dispatch/placing.rs
@@ -1,27 +1,20 @@
 //! Choice of a runner for each request: quotes, the wait at this host, and what became of it.
 
+mod holding;
+mod runners;
+
 use std::collections::{BTreeMap, HashMap, HashSet};
-use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
-use hickoryhall_clients::{LoadAnswer, NotRun};
-use hickoryhall_control::choose_version;
-use hickoryhall_limits::{FairQueue, Queued, Shed};
-use hickoryhall_routing::{
-    Candidate, Choice, CostModel, LoadReport, Placement, PlacementConfig, PrefixChain, Quote,
-    RunnerInfo, RunnerKey,
-};
-use hickoryhall_types::{
-    AttemptId, Incarnation, Refusal, RefusalCode, RequestId, RunnerId, Step, TargetId, TokenCount,
-    WeightsVersion, WorkspaceId, hash_name,
-};
+use hickoryhall_limits::FairQueue;
+use hickoryhall_routing::{Candidate, Choice, Placement, Quote, RunnerKey};
+use hickoryhall_types::{RunnerId, TokenCount, hash_name};
 use hickoryhall_wire::{Body, HostHash, QuoteAnswer, QuoteAsk};
 
 use super::trackers::{from_wire, to_wire};
-use super::{Server, ServerKind, Trackers};
-
-/// Id of one placement at this host; also the id of the attempt that follows.
-pub type Ticket = AttemptId;
+use super::{
+    DispatchConfig, Effect, PlaceAsk, Placed, PlacedServer, Server, Ticket, TicketEnd, Trackers,
+};
 
 /// Time to wait for quotes of other hosts.
 const QUOTE_WAIT: Duration = Duration::from_millis(10);
@@ -38,105 +31,6 @@
 const RETRY_AFTER: std::ops::RangeInclusive<Duration> =
     Duration::from_millis(500)..=Duration::from_secs(30);
 
-/// Settings of dispatch.
-#[derive(Clone, Debug)]
-pub struct DispatchConfig {
-    /// Hash of this host's name.
-    pub me: HostHash,
-    /// Settings of placement.
-    pub placement: PlacementConfig,
-}
-
-/// A request that asks for a runner.
-#[derive(Clone, Debug, PartialEq)]
-pub struct PlaceAsk {
-    /// Id of the placement.
-    pub ticket: Ticket,
-    /// Id of the request.
-    pub request_id: RequestId,
-    /// Workspace.
-    pub workspace: WorkspaceId,
-    /// Weight of the workspace.
-    pub weight: u32,
-    /// Levels of the prompt.
-    pub chain: PrefixChain,
-    /// Model.
-    pub model: TargetId,
-    /// Weights version.
-    pub weights: WeightsVersion,
-    /// Weights of the cost.
-    pub cost: CostModel,
-    /// Moment after which no answer is of use.
-    pub deadline: Instant,
-    /// Runners that failed this request already.
-    pub exclude: Vec<RunnerId>,
-    /// Whether no other suspect may run beside it.
-    pub isolate: bool,
-}
-
-/// The runner of a placement.
-#[derive(Clone, Debug, PartialEq)]
-pub struct PlacedServer {
-    /// Name.
-    pub id: RunnerId,
-    /// Address.
-    pub address: SocketAddr,
-    /// Incarnation that the choice relies on.
-    pub incarnation: Incarnation,
-}
-
-/// A placed request.
-#[derive(Clone, Debug, PartialEq)]
-pub struct Placed {
-    /// Its runner.
-    pub server: PlacedServer,
-    /// Why, and at which cost.
-    pub choice: Choice,
-    /// Names of the runners considered, in the order of the choice.
-    pub considered: Vec<RunnerId>,
-    /// Time that the request was held at this host.
-    pub held: Duration,
-}
-
-/// What dispatch wants done.
-#[derive(Clone, Debug, PartialEq)]
-pub enum Effect {
-    /// Give a request its runner.
-    Placed {
-        /// Id of the placement.
-        ticket: Ticket,
-        /// The runner.
-        placed: Box<Placed>,
-    },
-    /// Refuse a request.
-    Refused {
-        /// Id of the placement.
-        ticket: Ticket,
-        /// Why.
-        refusal: Box<Refusal>,
-    },
-    /// Send a message to a host.
-    Send {
-        /// The host.
-        to: HostHash,
-        /// The message.
-        body: Body,
-        /// Whether it may be left out where the budget for control is spent.
-        is_optional: bool,
-    },
-}
-
-/// How an attempt ended.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum TicketEnd {
-    /// The answer is whole.
-    Finished,
-    /// The caller hung up, or the runner refused the attempt.
-    Released,
-    /// The runner failed.
-    Failed,
-}
-
 struct Pending {
     ask: PlaceAsk,
     arrived: Instant,
@@ -185,122 +79,6 @@
         }
     }
 
-    /// Takes the platform's list in; a runner takes work after its first load report.
-    pub fn set_servers(&mut self, servers: &[Server]) {
-        let runners = servers
-            .iter()
-            .filter(|server| server.kind == ServerKind::Runner);
-        let listed = runners
-            .map(|server| (server.id.clone(), server.clone()))
-            .collect();
-        let before = std::mem::replace(&mut self.servers, listed);
-        for id in before.keys().filter(|id| !self.servers.contains_key(*id)) {
-            self.placement.remove(id);
-        }
-        for server in self.servers.values().filter(|server| server.leaving) {
-            if let Some(key) = self.placement.runners().key(&server.id) {
-                self.placement.mark_leaving(key);
-            }
-        }
-    }
-
-    /// Sets which host tracks each runner, by the hash of its name.
-    pub fn set_trackers(&mut self, tracker_of: HashMap<u64, HostHash>) {
-        let me = self.config.me;
-        self.trackers
-            .retain(|runner| tracker_of.get(&runner) == Some(&me));
-        self.tracker_of = tracker_of;
-    }
-
-    /// Takes a load report in; returns whether it is news that the runner is leaving.
-    pub fn observe_load(&mut self, now: Instant, id: &str, load: &LoadAnswer) -> bool {
-        let Some(server) = self.servers.get(id) else {
-            return false;
-        };
-        let report = LoadReport {
-            incarnation: load.incarnation,
-            weights: load.weights_version,
-            waiting_tokens: load.waiting_tokens,
-            prefill_tokens_per_s: load.prefill_tokens_per_s,
-            cache_tokens: load.cache_tokens,
-            leaving: load.leaving || server.leaving,
-        };
-        let known = self.placement.runners().key(id);
-        let known = known.and_then(|key| self.placement.runners().get(key));
-        let was_leaving = known.is_some_and(|info| info.leaving);
-        let info = RunnerInfo::new(
-            server.id.clone(),
-            server.domain.clone(),
-            server.target.clone(),
-            report,
-        );
-        let runner = info.name_hash;
-        self.placement.upsert(now, info);
-        if self.tracker_of.get(&runner) == Some(&self.config.me) {
-            self.trackers.observe(now, runner, &report);
-        }
-        report.leaving && !was_leaving
-    }
-
-    /// Takes in what a runner said of itself when it refused an attempt.
-    pub fn observe_refusal(&mut self, id: &str, refusal: NotRun) {
-        let Some(key) = self.placement.runners().key(id) else {
-            return;
-        };
-        if refusal.leaving {
-            self.placement.mark_leaving(key);
-        }
-        if let Some(weights) = refusal.weights_version {
-            self.placement.set_weights(key, weights);
-        }
-    }
-
-    /// Records that a runner did not answer a question for its load.
-    pub fn observe_unreachable(&mut self, now: Instant, id: &str) {
-        if let Some(key) = self.placement.runners().key(id) {
-            self.placement.failed(now, key, 0);
-        }
-    }
-
-    /// Records that a runner answers again after it was ejected.
-    pub fn observe_reachable(&mut self, id: &str) {
-        if let Some(key) = self.placement.runners().key(id) {
-            self.placement.answered(key);
-        }
-    }
-
-    /// Records that another source says that a runner is leaving.
-    pub fn mark_leaving(&mut self, runner: u64, incarnation: Incarnation) {
-        let runners = self.placement.runners();
-        let is_meant =
-            |info: &RunnerInfo| info.name_hash == runner && info.report.incarnation <= incarnation;
-        let key = runners
-            .iter()
-            .find(|(_, info)| is_meant(info))
-            .map(|(key, _)| key);
-        if let Some(key) = key {
-            self.placement.mark_leaving(key);
-        }
-    }
-
-    /// Chooses the weights version for a new request.
-    #[must_use]
-    pub fn version_for(
-        &self,
-        model: &str,
-        wanted: WeightsVersion,
-        request_hash: u64,
-    ) -> WeightsVersion {
-        let mut serving = BTreeMap::<WeightsVersion, usize>::new();
-        let runners = self.placement.runners().iter().map(|(_, info)| info);
-        for info in runners.filter(|info| info.takes(model, info.report.weights)) {
-            if info.report.weights != 0 {
-                *serving.entry(info.report.weights).or_default() += 1;
-            }
-        }
-        choose_version(&serving, wanted, request_hash)
-    }
-
     /// Takes a request in.
     pub fn place(&mut self, now: Instant, ask: PlaceAsk) -> Vec<Effect> {
         let mut effects = Vec::new();
@@ -609,135 +387,6 @@
         }
     }
 
-    fn no_runner(&mut self, now: Instant, ticket: Ticket, effects: &mut Vec<Effect>) {
-        let Some(pending) = self.pending.get_mut(&ticket) else {
-            return;
-        };
-        if pending.ask.isolate && now + HOLD_RETRY < pending.ask.deadline {
-            // Other suspects run everywhere; one of them ends soon.
-            pending.retry_at = now + HOLD_RETRY;
-            pending.is_held = true;
-            self.queue(ticket, effects);
-            return;
-        }
-        let model = &pending.ask.model;
-        let runners = self.placement.runners().iter();
-        let is_loading = runners
-            .map(|(_, info)| info)
-            .any(|info| info.model == *model && info.takes(model, info.report.weights));
-        let (code, message) = if is_loading {
-            // Another version, or weights that are on their way: ask again soon.
-            (
-                RefusalCode::NotReady,
-                format!("the runners of {model} change their weights"),
-            )
-        } else {
-            (
-                RefusalCode::NoBackend,
-                format!("no runner of {model} can be reached"),
-            )
-        };
-        let refusal = Refusal::new(code, Step::Placement, message);
-        self.refuse(ticket, refusal.retry_after(Duration::from_secs(1)), effects);
-    }
-
-    /// Keeps a request at this host, or refuses it at once where it cannot be in time.
-    fn hold(&mut self, now: Instant, ticket: Ticket, wait: Duration, effects: &mut Vec<Effect>) {
-        let Some(pending) = self.pending.get_mut(&ticket) else {
-            return;
-        };
-        let was_held = std::mem::replace(&mut pending.is_held, true);
-        pending.retry_at = now + HOLD_RETRY;
-        if was_held {
-            return;
-        }
-        let ask = &pending.ask;
-        let runners = self.placement.runners().len().max(1) as f64;
-        let ahead_ms = self.held.cost_ahead(&ask.workspace, ask.weight) / runners;
-        let expected = wait + Duration::from_secs_f64(ahead_ms / 1_000.0);
-        if now + expected >= ask.deadline {
-            let message = format!(
-                "the wait of {} ms ends after the deadline",
-                expected.as_millis()
-            );
-            let refusal = Refusal::new(RefusalCode::Overloaded, Step::Placement, message);
-            let retry_after = expected.clamp(*RETRY_AFTER.start(), *RETRY_AFTER.end());
-            return self.refuse(ticket, refusal.retry_after(retry_after), effects);
-        }
-        self.queue(ticket, effects);
-    }
-
-    fn queue(&mut self, ticket: Ticket, effects: &mut Vec<Effect>) {
-        let Some(pending) = self.pending.get(&ticket) else {
-            return;
-        };
-        let ms_per_token = pending
-            .candidates
-            .first()
-            .map_or(0.1, |c| 1_000.0 / f64::from(c.quote.prefill_tokens_per_s));
-        let queued = Queued {
-            workspace: pending.ask.workspace.clone(),
-            weight: pending.ask.weight,
-            cost: f64::from(pending.ask.chain.tokens()) * ms_per_token,
-            deadline: pending.ask.deadline,
-            item: ticket,
-        };
-        if let Some(shed) = self.held.push(queued) {
-            self.refuse_shed(shed, effects);
-        }
-    }
-
-    fn refuse_shed(&mut self, shed: Shed<Ticket>, effects: &mut Vec<Effect>) {
-        let (ticket, message) = match shed {
-            Shed::Expired(ticket) => (ticket, "the deadline passed before a runner was free"),
-            Shed::OverShare(ticket) => {
-                (ticket, "the fleet is full and the workspace over its share")
-            }
-        };
-        // A request that its caller gave up on is not pending any more.
-        if self.pending.contains_key(&ticket) {
-            let refusal = Refusal::new(RefusalCode::Overloaded, Step::Placement, message);
-            self.refuse(ticket, refusal.retry_after(*RETRY_AFTER.start()), effects);
-        }
-    }
-
-    fn refuse(&mut self, ticket: Ticket, refusal: Refusal, effects: &mut Vec<Effect>) {
-        if let Some(pending) = self.pending.remove(&ticket)
-            && pending.is_held
-        {
-            self.unqueue(&pending.ask.workspace, ticket);
-        }
-        effects.push(Effect::Refused {
-            ticket,
-            refusal: Box::new(refusal),
-        });
-    }
-
-    /// Takes requests out of the queue that their callers gave up on.
-    fn drop_abandoned(&mut self) {
-        loop {
-            let fronts = self.held.fronts();
-            let gone = fronts
-                .iter()
-                .find(|queued| !self.pending.contains_key(&queued.item));
-            let Some(workspace) = gone.map(|queued| queued.workspace.clone()) else {
-                return;
-            };
-            self.held.take_front(&workspace);
-        }
-    }
-
-    fn unqueue(&mut self, workspace: &WorkspaceId, ticket: Ticket) {
-        let is_front = self
-            .held
-            .fronts()
-            .iter()
-            .any(|queued| queued.item == ticket);
-        if is_front {
-            self.held.take_front(workspace);
-        }
-    }
-
     fn send(&mut self, now: Instant, ticket: Ticket, choice: Choice, effects: &mut Vec<Effect>) {
         let Some(pending) = self.pending.remove(&ticket) else {
             return;
--- /dev/null
+++ b/crates/hickoryhall-entry/src/dispatch/placing/holding.rs
@@ -0,0 +1,146 @@
+//! Requests that stay at this host until a runner is free, and refusals.
+
+use std::time::{Duration, Instant};
+
+use hickoryhall_limits::{Queued, Shed};
+use hickoryhall_types::{Refusal, RefusalCode, Step, WorkspaceId};
+
+use super::{Dispatch, HOLD_RETRY, RETRY_AFTER};
+use crate::dispatch::{Effect, Ticket};
+
+impl Dispatch {
+    pub(super) fn no_runner(&mut self, now: Instant, ticket: Ticket, effects: &mut Vec<Effect>) {
+        let Some(pending) = self.pending.get_mut(&ticket) else {
+            return;
+        };
+        if pending.ask.isolate && now + HOLD_RETRY < pending.ask.deadline {
+            // Other suspects run everywhere; one of them ends soon.
+            pending.retry_at = now + HOLD_RETRY;
+            pending.is_held = true;
+            self.queue(ticket, effects);
+            return;
+        }
+        let model = &pending.ask.model;
+        let runners = self.placement.runners().iter();
+        let is_loading = runners
+            .map(|(_, info)| info)
+            .any(|info| info.model == *model && info.takes(model, info.report.weights));
+        let (code, message) = if is_loading {
+            // Another version, or weights that are on their way: ask again soon.
+            (
+                RefusalCode::NotReady,
+                format!("the runners of {model} change their weights"),
+            )
+        } else {
+            (
+                RefusalCode::NoBackend,
+                format!("no runner of {model} can be reached"),
+            )
+        };
+        let refusal = Refusal::new(code, Step::Placement, message);
+        self.refuse(ticket, refusal.retry_after(Duration::from_secs(1)), effects);
+    }
+
+    /// Keeps a request at this host, or refuses it at once where it cannot be in time.
+    pub(super) fn hold(
+        &mut self,
+        now: Instant,
+        ticket: Ticket,
+        wait: Duration,
+        effects: &mut Vec<Effect>,
+    ) {
+        let Some(pending) = self.pending.get_mut(&ticket) else {
+            return;
+        };
+        let was_held = std::mem::replace(&mut pending.is_held, true);
+        pending.retry_at = now + HOLD_RETRY;
+        if was_held {
+            return;
+        }
+        let ask = &pending.ask;
+        let runners = self.placement.runners().len().max(1) as f64;
+        let ahead_ms = self.held.cost_ahead(&ask.workspace, ask.weight) / runners;
+        let expected = wait + Duration::from_secs_f64(ahead_ms / 1_000.0);
+        if now + expected >= ask.deadline {
+            let message = format!(
+                "the wait of {} ms ends after the deadline",
+                expected.as_millis()
+            );
+            let refusal = Refusal::new(RefusalCode::Overloaded, Step::Placement, message);
+            let retry_after = expected.clamp(*RETRY_AFTER.start(), *RETRY_AFTER.end());
+            return self.refuse(ticket, refusal.retry_after(retry_after), effects);
+        }
+        self.queue(ticket, effects);
+    }
+
+    pub(super) fn queue(&mut self, ticket: Ticket, effects: &mut Vec<Effect>) {
+        let Some(pending) = self.pending.get(&ticket) else {
+            return;
+        };
+        let ms_per_token = pending
+            .candidates
+            .first()
+            .map_or(0.1, |c| 1_000.0 / f64::from(c.quote.prefill_tokens_per_s));
+        let queued = Queued {
+            workspace: pending.ask.workspace.clone(),
+            weight: pending.ask.weight,
+            cost: f64::from(pending.ask.chain.tokens()) * ms_per_token,
+            deadline: pending.ask.deadline,
+            item: ticket,
+        };
+        if let Some(shed) = self.held.push(queued) {
+            self.refuse_shed(shed, effects);
+        }
+    }
+
+    pub(super) fn refuse_shed(&mut self, shed: Shed<Ticket>, effects: &mut Vec<Effect>) {
+        let (ticket, message) = match shed {
+            Shed::Expired(ticket) => (ticket, "the deadline passed before a runner was free"),
+            Shed::OverShare(ticket) => {
+                (ticket, "the fleet is full and the workspace over its share")
+            }
+        };
+        // A request that its caller gave up on is not pending any more.
+        if self.pending.contains_key(&ticket) {
+            let refusal = Refusal::new(RefusalCode::Overloaded, Step::Placement, message);
+            self.refuse(ticket, refusal.retry_after(*RETRY_AFTER.start()), effects);
+        }
+    }
+
+    pub(super) fn refuse(&mut self, ticket: Ticket, refusal: Refusal, effects: &mut Vec<Effect>) {
+        if let Some(pending) = self.pending.remove(&ticket)
+            && pending.is_held
+        {
+            self.unqueue(&pending.ask.workspace, ticket);
+        }
+        effects.push(Effect::Refused {
+            ticket,
+            refusal: Box::new(refusal),
+        });
+    }
+
+    /// Takes requests out of the queue that their callers gave up on.
+    pub(super) fn drop_abandoned(&mut self) {
+        loop {
+            let fronts = self.held.fronts();
+            let gone = fronts
+                .iter()
+                .find(|queued| !self.pending.contains_key(&queued.item));
+            let Some(workspace) = gone.map(|queued| queued.workspace.clone()) else {
+                return;
+            };
+            self.held.take_front(&workspace);
+        }
+    }
+
+    pub(super) fn unqueue(&mut self, workspace: &WorkspaceId, ticket: Ticket) {
+        let is_front = self
+            .held
+            .fronts()
+            .iter()
+            .any(|queued| queued.item == ticket);
+        if is_front {
+            self.held.take_front(workspace);
+        }
+    }
+}
--- /dev/null
+++ b/crates/hickoryhall-entry/src/dispatch/placing/runners.rs
@@ -0,0 +1,131 @@
+//! What dispatch knows of the runners.
+
+use std::collections::{BTreeMap, HashMap};
+use std::time::Instant;
+
+use hickoryhall_clients::{LoadAnswer, NotRun};
+use hickoryhall_control::choose_version;
+use hickoryhall_routing::{LoadReport, RunnerInfo};
+use hickoryhall_types::{Incarnation, WeightsVersion};
+use hickoryhall_wire::HostHash;
+
+use super::Dispatch;
+use crate::dispatch::{Server, ServerKind};
+
+impl Dispatch {
+    /// Takes the platform's list in; a runner takes work after its first load report.
+    pub fn set_servers(&mut self, servers: &[Server]) {
+        let runners = servers
+            .iter()
+            .filter(|server| server.kind == ServerKind::Runner);
+        let listed = runners
+            .map(|server| (server.id.clone(), server.clone()))
+            .collect();
+        let before = std::mem::replace(&mut self.servers, listed);
+        for id in before.keys().filter(|id| !self.servers.contains_key(*id)) {
+            self.placement.remove(id);
+        }
+        for server in self.servers.values().filter(|server| server.leaving) {
+            if let Some(key) = self.placement.runners().key(&server.id) {
+                self.placement.mark_leaving(key);
+            }
+        }
+    }
+
+    /// Sets which host tracks each runner, by the hash of its name.
+    pub fn set_trackers(&mut self, tracker_of: HashMap<u64, HostHash>) {
+        let me = self.config.me;
+        self.trackers
+            .retain(|runner| tracker_of.get(&runner) == Some(&me));
+        self.tracker_of = tracker_of;
+    }
+
+    /// Takes a load report in; returns whether it is news that the runner is leaving.
+    pub fn observe_load(&mut self, now: Instant, id: &str, load: &LoadAnswer) -> bool {
+        let Some(server) = self.servers.get(id) else {
+            return false;
+        };
+        let report = LoadReport {
+            incarnation: load.incarnation,
+            weights: load.weights_version,
+            waiting_tokens: load.waiting_tokens,
+            prefill_tokens_per_s: load.prefill_tokens_per_s,
+            cache_tokens: load.cache_tokens,
+            leaving: load.leaving || server.leaving,
+        };
+        let known = self.placement.runners().key(id);
+        let known = known.and_then(|key| self.placement.runners().get(key));
+        let was_leaving = known.is_some_and(|info| info.leaving);
+        let info = RunnerInfo::new(
+            server.id.clone(),
+            server.domain.clone(),
+            server.target.clone(),
+            report,
+        );
+        let runner = info.name_hash;
+        self.placement.upsert(now, info);
+        if self.tracker_of.get(&runner) == Some(&self.config.me) {
+            self.trackers.observe(now, runner, &report);
+        }
+        report.leaving && !was_leaving
+    }
+
+    /// Takes in what a runner said of itself when it refused an attempt.
+    pub fn observe_refusal(&mut self, id: &str, refusal: NotRun) {
+        let Some(key) = self.placement.runners().key(id) else {
+            return;
+        };
+        if refusal.leaving {
+            self.placement.mark_leaving(key);
+        }
+        if let Some(weights) = refusal.weights_version {
+            self.placement.set_weights(key, weights);
+        }
+    }
+
+    /// Records that a runner did not answer a question for its load.
+    pub fn observe_unreachable(&mut self, now: Instant, id: &str) {
+        if let Some(key) = self.placement.runners().key(id) {
+            self.placement.failed(now, key, 0);
+        }
+    }
+
+    /// Records that a runner answers again after it was ejected.
+    pub fn observe_reachable(&mut self, id: &str) {
+        if let Some(key) = self.placement.runners().key(id) {
+            self.placement.answered(key);
+        }
+    }
+
+    /// Records that another source says that a runner is leaving.
+    pub fn mark_leaving(&mut self, runner: u64, incarnation: Incarnation) {
+        let runners = self.placement.runners();
+        let is_meant =
+            |info: &RunnerInfo| info.name_hash == runner && info.report.incarnation <= incarnation;
+        let key = runners
+            .iter()
+            .find(|(_, info)| is_meant(info))
+            .map(|(key, _)| key);
+        if let Some(key) = key {
+            self.placement.mark_leaving(key);
+        }
+    }
+
+    /// Chooses the weights version for a new request.
+    #[must_use]
+    pub fn version_for(
+        &self,
+        model: &str,
+        wanted: WeightsVersion,
+        request_hash: u64,
+    ) -> WeightsVersion {
+        let mut serving = BTreeMap::<WeightsVersion, usize>::new();
+        let runners = self.placement.runners().iter().map(|(_, info)| info);
+        for info in runners.filter(|info| info.takes(model, info.report.weights)) {
+            if info.report.weights != 0 {
+                *serving.entry(info.report.weights).or_default() += 1;
+            }
+        }
+        choose_version(&serving, wanted, request_hash)
+    }
+}
--- a/crates/hickoryhall-http/tests/callers.rs
+++ b/crates/hickoryhall-http/tests/callers.rs
@@ -116,7 +116,11 @@
 fn a_full_pool_refuses_and_frees_its_places() {
     let pool = WorkerPool::new("test", 1);
     let (release, wait) = crossbeam_channel::bounded::<()>(0);
-    pool.run(move || drop(wait.recv())).expect("a first worker");
+    let first = move || {
+        // Ends when the other side is dropped.
+        let _ = wait.recv();
+    };
+    pool.run(first).expect("a first worker");
     assert!(matches!(pool.run(|| {}), Err(Saturated::Limit(1))));
     drop(release);
     while pool.run(|| {}).is_err() {
