Leave spilled copies out while trackers are cold

After a restart of all hosts a tracker knows nothing for 30 s, yet its quotes let requests spread over four owners.

--- a/crates/hickoryhall-entry/src/dispatch/placing.rs
+++ b/crates/hickoryhall-entry/src/dispatch/placing.rs
@@ -125,7 +125,9 @@
                 incarnation: quote.incarnation,
             };
             candidate.quote = merge_quote(candidate.quote, tracked, quote.is_warm);
-            pending.quoted.insert(candidate.key);
+            if quote.is_warm {
+                pending.quoted.insert(candidate.key);
+            }
         }
         if pending.waiting_for.is_empty() {
             self.decide(now, answer.id, &mut effects);
@@ -324,7 +326,9 @@
                     if let Some(tracked) = self.trackers.quote(now, runner, chain) {
                         candidate.quote =
                             merge_quote(candidate.quote, tracked.quote, tracked.is_warm);
-                        pending.quoted.insert(candidate.key);
+                        if tracked.is_warm {
+                            pending.quoted.insert(candidate.key);
+                        }
                     }
                 }
                 Some(&host) => asks.entry(host).or_default().push(runner),
