--- a/crates/hickoryhall-entry/src/actors/cluster.rs
+++ b/crates/hickoryhall-entry/src/actors/cluster.rs
@@ -223,7 +223,7 @@
             Ok(Adoption::Adopted) => self.adopted(cx.now()),
             Ok(_) => {}
             Err(error) => {
-                warn!(self.logger, "Table from peer refused."; "error" => %error);
+                warn!(self.logger, "cluster: Table from peer refused."; "error" => %error);
                 counter!("table_deltas_refused_total").increment(1);
             }
         }
@@ -252,7 +252,7 @@
         let table = TableInForce::new(self.state.head().clone(), Arc::clone(self.state.table()));
         self.table.set(table);
         gauge!("table_revision").set(revision as f64);
-        info!(self.logger, "Table in force."; "revision" => revision);
+        info!(self.logger, "cluster: Table in force."; "revision" => revision);
         let messages = self.gossiper.adopt_revision(&self.hosts, revision);
         self.send_all(now, messages);
     }
@@ -260,7 +260,7 @@
     fn reject_older(&mut self, offered: Revision) {
         counter!("table_older_offers_total").increment(1);
         let revision = self.state.revision();
-        warn!(self.logger, "Store offers an older table. The newer one stays in force.";
+        warn!(self.logger, "cluster: Store offers an older table. The newer one stays in force.";
             "offered" => offered, "revision" => revision);
     }
 
--- a/crates/hickoryhall-entry/src/duties/orders.rs
+++ b/crates/hickoryhall-entry/src/duties/orders.rs
@@ -95,7 +95,7 @@
             },
             Err(_) => return,
         };
-        info!(logger, "Lease taken."; "fencing" => fencing);
+        info!(logger, "orders: Lease taken."; "fencing" => fencing);
         self.lease = Some(lease);
         self.renewed_at = asked_at;
         self.giver.on_taken(asked_at, fencing);
@@ -111,7 +111,7 @@
                 self.renewed_at = asked_at;
                 self.giver.on_renewed(asked_at);
             }
-            Err(error) => warn!(logger, "Lease not renewed."; "error" => %error),
+            Err(error) => warn!(logger, "orders: Lease not renewed."; "error" => %error),
         }
     }
 
@@ -225,8 +225,10 @@
     counter!("orders_total", "ok" => result.is_ok().to_string()).increment(1);
     match result {
         Ok(()) => {
-            info!(logger, "Order given."; "runner" => %order.runner, "weights" => order.weights);
+            info!(logger, "orders: Order given."; "runner" => %order.runner, "weights" => order.weights);
+        }
+        Err(error) => {
+            warn!(logger, "orders: Order failed."; "runner" => %order.runner, "error" => %error)
         }
-        Err(error) => warn!(logger, "Order failed."; "runner" => %order.runner, "error" => %error),
     }
 }
--- a/crates/hickoryhall-entry/src/duties/watcher.rs
+++ b/crates/hickoryhall-entry/src/duties/watcher.rs
@@ -43,7 +43,7 @@
             }
             Err(error) => {
                 if !std::mem::replace(&mut is_failing, true) {
-                    warn!(logger, "Store cannot be read. Peers and the table in force remain.";
+                    warn!(logger, "watcher: Store cannot be read. Peers and the table in force remain.";
                         "error" => error);
                 }
                 thread::sleep(Duration::from_millis(rng.random_range(BACKOFF_MS)));
--- a/crates/hickoryhall-entry/src/host.rs
+++ b/crates/hickoryhall-entry/src/host.rs
@@ -121,7 +121,7 @@
         host.start_edge(server)?;
         host.start_links(links, keyring, jobs)?;
         host.start_duties(duties)?;
-        info!(host.logger, "Host started."; "http" => %http_address);
+        info!(host.logger, "host: Host started."; "http" => %http_address, "peer" => %host.peer_address);
         Ok(host)
     }
 
@@ -178,7 +178,7 @@
     /// Stops taking requests, waits until every request in flight has ended or `cut` says to end
     /// at once, and ends the host; returns the number of requests that were cut off.
     pub fn shut_down(mut self, cut: impl Fn() -> bool) -> usize {
-        info!(self.logger, "Host stops."; "in_flight" => self.in_flight());
+        info!(self.logger, "host: Host stops."; "in_flight" => self.in_flight());
         self.context.lifecycle.stop();
         self.context.core.send(CoreMsg::Leave);
         let mut waited = Duration::ZERO;
@@ -188,7 +188,7 @@
         }
         let cut_off = self.in_flight();
         if cut_off > 0 {
-            warn!(self.logger, "Requests cut off."; "count" => cut_off);
+            warn!(self.logger, "host: Requests cut off."; "count" => cut_off);
         }
         self.end();
         cut_off
@@ -239,7 +239,7 @@
         self.spawn("peer-datagrams", move || {
             let (core, lifecycle) = (&context.core, &context.lifecycle);
             if let Err(error) = receive_datagrams(&socket, &keys, me.host, core, lifecycle) {
-                warn!(logger, "Datagrams are not received."; "error" => %error);
+                warn!(logger, "host: Datagrams are not received."; "error" => %error);
             }
         })?;
         let server = TableServer {
--- a/crates/hickoryhall-entry/src/peers/tables.rs
+++ b/crates/hickoryhall-entry/src/peers/tables.rs
@@ -132,7 +132,7 @@
         match fetch_table(job.address, job.host, me, keyring, sequence, job.have) {
             Ok((head, delta)) => core.send(CoreMsg::TableDelta { head, delta }),
             Err(error) => {
-                debug!(logger, "Peer gave no table."; "peer" => %job.address, "error" => %error);
+                debug!(logger, "tables: Peer gave no table."; "peer" => %job.address, "error" => %error);
             }
         }
     }
