--- a/crates/hickoryhall-entry/src/attempts/model.rs
+++ b/crates/hickoryhall-entry/src/attempts/model.rs
@@ -231,7 +231,6 @@
         let request = self.request;
         PlaceAsk {
             ticket,
-            request_id: request.id.clone(),
             workspace: request.workspace.clone(),
             weight: request.grant.weight,
             chain: self.chain.clone(),
--- a/crates/hickoryhall-entry/src/dispatch/messages.rs
+++ b/crates/hickoryhall-entry/src/dispatch/messages.rs
@@ -5,7 +5,7 @@
 
 use hickoryhall_routing::{Choice, CostModel, PlacementConfig, PrefixChain};
 use hickoryhall_types::{
-    AttemptId, Incarnation, Refusal, RequestId, RunnerId, TargetId, WeightsVersion, WorkspaceId,
+    AttemptId, Incarnation, Refusal, RunnerId, TargetId, WeightsVersion, WorkspaceId,
 };
 use hickoryhall_wire::{Body, HostHash};
 
@@ -26,8 +26,6 @@
 pub struct PlaceAsk {
     /// Id of the placement.
     pub ticket: Ticket,
-    /// Id of the request.
-    pub request_id: RequestId,
     /// Workspace.
     pub workspace: WorkspaceId,
     /// Weight of the workspace.
--- a/crates/hickoryhall-entry/src/duties/orders.rs
+++ b/crates/hickoryhall-entry/src/duties/orders.rs
@@ -228,7 +228,7 @@
             info!(logger, "orders: Order given."; "runner" => %order.runner, "weights" => order.weights);
         }
         Err(error) => {
-            warn!(logger, "orders: Order failed."; "runner" => %order.runner, "error" => %error)
+            warn!(logger, "orders: Order failed."; "runner" => %order.runner, "error" => %error);
         }
     }
 }
--- a/crates/hickoryhall-entry/src/host.rs
+++ b/crates/hickoryhall-entry/src/host.rs
@@ -194,13 +194,6 @@
         cut_off
     }
 
-    /// Waits until the host has ended by itself, which it never does before it is dropped.
-    pub fn wait(self) {
-        loop {
-            thread::park();
-        }
-    }
-
     fn end(&mut self) {
         self.context.lifecycle.end();
         self.http_stop.stop();
--- a/crates/hickoryhall-entry/src/lib.rs
+++ b/crates/hickoryhall-entry/src/lib.rs
@@ -8,7 +8,7 @@
 //!
 //! let settings = Settings::from_json(&std::fs::read_to_string("entry.json")?)?;
 //! let host = EntryHost::start(settings)?;
-//! host.wait();
+//! host.shut_down(|| false);
 //! # Ok::<(), Box<dyn std::error::Error>>(())
 //! ```
 
--- a/crates/hickoryhall-entry/tests/scenarios.rs
+++ b/crates/hickoryhall-entry/tests/scenarios.rs
@@ -115,7 +115,6 @@
         args.reject_next()?;
         let ask = PlaceAsk {
             ticket,
-            request_id: ticket.to_string().as_str().into(),
             workspace: workspace.as_str().into(),
             weight,
             chain: chain(&prompt, ticket),
--- a/crates/hickoryhall-limits/src/fair_queue.rs
+++ b/crates/hickoryhall-limits/src/fair_queue.rs
@@ -91,13 +91,6 @@
         self.take_front(&workspace)
     }
 
-    /// Returns the item that is next.
-    #[must_use]
-    pub fn peek(&self) -> Option<&Queued<T>> {
-        let workspace = self.next_workspace()?;
-        self.lines.get(&workspace)?.waiting.front()
-    }
-
     /// Returns the first item of each workspace, the next one first.
     #[must_use]
     pub fn fronts(&self) -> Vec<&Queued<T>> {
--- a/crates/hickoryhall-membership/src/hosts.rs
+++ b/crates/hickoryhall-membership/src/hosts.rs
@@ -45,8 +45,6 @@
     TableWatcher,
     /// Gives orders to the runners of the domain.
     OrderGiver,
-    /// Holds the domain's part of a limit.
-    Bucket(u64),
     /// Keeps the ledger of a runner.
     Tracker(u64),
 }
@@ -56,7 +54,6 @@
         match self {
             Self::TableWatcher => 0x7761_7463_6865_7221,
             Self::OrderGiver => 0x6f72_6465_7267_6976,
-            Self::Bucket(bucket) => bucket.rotate_left(17),
             Self::Tracker(runner) => runner,
         }
     }
--- a/crates/hickoryhall-routing/src/runner.rs
+++ b/crates/hickoryhall-routing/src/runner.rs
@@ -42,8 +42,6 @@
     pub model: TargetId,
     /// Last report.
     pub report: LoadReport,
-    /// Whether the runner is ejected after failures.
-    pub ejected: bool,
     /// Whether any source said that it is leaving.
     pub leaving: bool,
 }
@@ -59,7 +57,6 @@
             domain,
             model,
             report,
-            ejected: false,
             leaving: report.leaving,
         }
     }
@@ -67,10 +64,7 @@
     /// Tells whether new work may be sent for a weights version.
     #[must_use]
     pub fn takes(&self, model: &str, weights: WeightsVersion) -> bool {
-        !self.leaving
-            && !self.ejected
-            && self.model.as_ref() == model
-            && self.report.weights == weights
+        !self.leaving && self.model.as_ref() == model && self.report.weights == weights
     }
 }
 
--- a/crates/hickoryhall-testsuite/src/lib.rs
+++ b/crates/hickoryhall-testsuite/src/lib.rs
@@ -8,6 +8,7 @@
 //! assert_eq!(ask.send(&fleet, 0).text(), Some(ask.expected().as_str()));
 //! ```
 
+use std::thread::JoinHandle;
 use std::time::Duration;
 
 use hickoryhall_clients::Message;
@@ -137,6 +138,29 @@
     }
 }
 
+impl Ask {
+    /// Sends the request to a host on a thread of its own, and waits until a runner has it.
+    ///
+    /// # Panics
+    ///
+    /// Panics where no runner gets the request.
+    #[must_use]
+    pub fn start(&self, fleet: &Fleet, host: usize) -> JoinHandle<CallEnd> {
+        let (ask, address) = (self.clone(), fleet.address(host));
+        let caller = std::thread::spawn(move || ask.send_to(address));
+        fleet
+            .wait_until("the request runs", PATIENCE, is_busy)
+            .expect("a busy runner");
+        caller
+    }
+}
+
+/// Tells whether a runner has work.
+#[must_use]
+pub fn is_busy(fleet: &Fleet) -> bool {
+    fleet.runners.iter().any(|runner| runner.jobs() > 0)
+}
+
 /// Sends a booking under an idempotency key to a host.
 #[must_use]
 pub fn book(host: std::net::SocketAddr, key: &str) -> CallEnd {
--- a/crates/hickoryhall-testsuite/tests/hosts.rs
+++ b/crates/hickoryhall-testsuite/tests/hosts.rs
@@ -20,15 +20,7 @@
         tokens: 100,
         ..Ask::new("graceful")
     };
-    let address = fleet.address(0);
-    let sender = {
-        let ask = ask.clone();
-        std::thread::spawn(move || ask.send_to(address))
-    };
-    let runs = |fleet: &Fleet| fleet.runners.iter().any(|runner| runner.jobs() > 0);
-    fleet
-        .wait_until("the request runs", PATIENCE, runs)
-        .expect("a busy runner");
+    let sender = ask.start(&fleet, 0);
     let host = fleet.take_host(0).expect("a running host");
     assert_eq!(host.shut_down(|| false), 0);
     let end = sender.join().expect("a caller");
@@ -43,19 +35,17 @@
         ..Ask::new("long")
     };
     let address = fleet.address(0);
-    let sender = std::thread::spawn(move || long.send_to(address));
-    let runs = |fleet: &Fleet| fleet.runners.iter().any(|runner| runner.jobs() > 0);
-    fleet
-        .wait_until("the request runs", PATIENCE, runs)
-        .expect("a busy runner");
+    let sender = long.start(&fleet, 0);
     let host = fleet.take_host(0).expect("a running host");
     let cut = Arc::new(AtomicBool::new(false));
     let stopper = {
         let cut = Arc::clone(&cut);
         std::thread::spawn(move || host.shut_down(|| cut.load(Ordering::SeqCst)))
     };
-    let refused =
-        |_: &Fleet| Ask::new("late").send_to(address).refusal("code") == Some("not_ready");
+    let refused = |_: &Fleet| {
+        let end = Ask::new("late").send_to(address);
+        end.refusal("code") == Some("not_ready") && end.refusal("ran") == Some("no")
+    };
     fleet
         .wait_until("a refusal", PATIENCE, refused)
         .expect("a refusal of new work");
--- a/crates/hickoryhall-testsuite/tests/streams.rs
+++ b/crates/hickoryhall-testsuite/tests/streams.rs
@@ -1,7 +1,7 @@
 //! Streams are complete and in order, whatever happens to connections and runners.
 
 use hickoryhall_standins::engine::Fault;
-use hickoryhall_testsuite::{Ask, PATIENCE, fleet_of, small_config, small_fleet};
+use hickoryhall_testsuite::{Ask, PATIENCE, fleet_of, is_busy, small_config, small_fleet};
 use hickoryhall_tools::fleet::{Fleet, FleetConfig};
 use rstest::rstest;
 
@@ -65,14 +65,7 @@
         tokens: 150,
         ..Ask::new("crash")
     };
-    let address = fleet.address(0);
-    let sender = {
-        let ask = ask.clone();
-        std::thread::spawn(move || ask.send_to(address))
-    };
-    fleet
-        .wait_until("the request runs", PATIENCE, busy_runner)
-        .expect("a busy runner");
+    let sender = ask.start(&fleet, 0);
     for runner in fleet.runners.iter().filter(|runner| runner.jobs() > 0) {
         runner.fault(&Fault::Crash { down_ms: 60_000 });
     }
@@ -87,14 +80,7 @@
         tokens: 150,
         ..Ask::new("no runner left")
     };
-    let address = fleet.address(0);
-    let sender = {
-        let ask = ask.clone();
-        std::thread::spawn(move || ask.send_to(address))
-    };
-    fleet
-        .wait_until("the request runs", PATIENCE, busy_runner)
-        .expect("a busy runner");
+    let sender = ask.start(&fleet, 0);
     fault_everywhere(&fleet, &Fault::Crash { down_ms: 60_000 });
     let end = sender.join().expect("a caller");
     assert!(end.refusal("code").is_some(), "{end:?}");
@@ -130,10 +116,6 @@
         .expect("the beginning of the answer");
     drop(caller);
     fleet
-        .wait_until("the runner is free", PATIENCE, |fleet| !busy_runner(fleet))
+        .wait_until("the runner is free", PATIENCE, |fleet| !is_busy(fleet))
         .expect("the runner's work ends");
 }
-
-fn busy_runner(fleet: &Fleet) -> bool {
-    fleet.runners.iter().any(|runner| runner.jobs() > 0)
-}
--- a/crates/hickoryhall-tools/src/capacity/measure.rs
+++ b/crates/hickoryhall-tools/src/capacity/measure.rs
@@ -298,7 +298,6 @@
         ticket += 1;
         let ask = PlaceAsk {
             ticket,
-            request_id: "measured".into(),
             workspace: "workspace".into(),
             weight: 1,
             chain: chain(ticket % 50, ticket % 1_000, ticket),
--- a/crates/hickoryhall-tools/src/experiment/driver.rs
+++ b/crates/hickoryhall-tools/src/experiment/driver.rs
@@ -337,7 +337,6 @@
         let host = request.host;
         let ask = PlaceAsk {
             ticket,
-            request_id: "simulated".into(),
             workspace: request.workspace.to_string().as_str().into(),
             weight: 1,
             chain: request.chain.clone(),
--- a/crates/hickoryhall-wire/src/replay.rs
+++ b/crates/hickoryhall-wire/src/replay.rs
@@ -41,11 +41,6 @@
         }
         sender.incarnation == seen.incarnation && seen.accept(sequence)
     }
-
-    /// Forgets senders that are gone.
-    pub fn retain(&mut self, is_known: impl Fn(HostHash) -> bool) {
-        self.senders.retain(|&host, _| is_known(host));
-    }
 }
 
 impl Seen {
