Let workspaces far over their share wait behind the others at runners

A workspace that uses more than 12 times what the others use for each unit of weight now has a later class: engines take its prompts last, and trackers leave them out of the others' waits.

--- a/crates/hickoryhall-entry/src/attempts/round.rs
+++ b/crates/hickoryhall-entry/src/attempts/round.rs
@@ -23,6 +23,9 @@
 /// Factor on the expected time after which a second runner is tried.
 const HEDGE_FACTOR: f64 = 3.0;
 
+/// Priority numbers between two classes; rows use lower ones.
+const CLASS_STEP: u32 = 1_000_000;
+
 /// How a round ended.
 pub(super) enum RoundEnd {
     /// The answer is whole.
@@ -114,6 +117,8 @@
             partial: (tokens > 0).then(|| (answer.text().to_owned(), tokens)),
             cache_salt: run.seed.cache_salt(),
             weights: run.weights,
+            // Engines serve a lower number first, whatever the row says.
+            priority: run.request.grant.priority + placed.class * CLASS_STEP,
         };
         let live = Live {
             ticket,
--- a/crates/hickoryhall-entry/src/attempts/upstream.rs
+++ b/crates/hickoryhall-entry/src/attempts/upstream.rs
@@ -21,6 +21,7 @@
         partial: Option<(String, TokenIndex)>,
         cache_salt: String,
         weights: WeightsVersion,
+        priority: u32,
     },
     /// A stream that broke, from this token on.
     Resume { from: TokenIndex },
@@ -84,7 +85,7 @@
 
     fn open(&self, context: &Context, request: &ModelRequest) -> Result<RunnerStream, ClientError> {
         let timeout = request.time_left().max(Duration::from_millis(1));
-        let (partial, cache_salt, weights) = match &self.opening {
+        let (partial, cache_salt, weights, priority) = match &self.opening {
             Opening::Resume { from } => {
                 let (id, ticket) = (&request.id, self.ticket);
                 return context
@@ -95,7 +96,8 @@
                 partial,
                 cache_salt,
                 weights,
-            } => (partial, cache_salt, *weights),
+                priority,
+            } => (partial, cache_salt, *weights, *priority),
         };
         let prompt = PromptRequest {
             request_id: &request.id,
@@ -108,7 +110,7 @@
                 .map(|(text, tokens)| (text.as_str(), *tokens)),
             max_tokens: request.max_tokens,
             cache_salt,
-            priority: request.grant.priority,
+            priority,
             weights_version: weights,
         };
         context.runners.open(self.runner, &prompt, timeout)
--- a/crates/hickoryhall-entry/src/dispatch/messages.rs
+++ b/crates/hickoryhall-entry/src/dispatch/messages.rs
@@ -3,7 +3,7 @@
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
-use hickoryhall_routing::{Choice, CostModel, PlacementConfig, PrefixChain};
+use hickoryhall_routing::{Choice, Class, CostModel, PlacementConfig, PrefixChain};
 use hickoryhall_types::{
     AttemptId, Incarnation, Refusal, RunnerId, TargetId, WeightsVersion, WorkspaceId,
 };
@@ -60,6 +60,8 @@
 /// A placed request.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Placed {
+    /// Class of the request; a lower one goes first at the runner.
+    pub class: Class,
     /// Its runner.
     pub server: PlacedServer,
     /// Why, and at which cost.
--- a/crates/hickoryhall-entry/src/dispatch/placing.rs
+++ b/crates/hickoryhall-entry/src/dispatch/placing.rs
@@ -6,8 +6,8 @@
 use std::collections::{BTreeMap, HashMap, HashSet};
 use std::time::{Duration, Instant};
 
-use hickoryhall_limits::FairQueue;
-use hickoryhall_routing::{Candidate, Choice, Placement, Quote, RunnerKey};
+use hickoryhall_limits::{FairQueue, Shares};
+use hickoryhall_routing::{Candidate, Choice, Class, Placement, Quote, RunnerKey};
 use hickoryhall_types::{RunnerId, TokenCount, hash_name};
 use hickoryhall_wire::{Body, HostHash, QuoteAnswer, QuoteAsk};
 
@@ -23,6 +23,8 @@
 const HOLD_WAIT: Duration = Duration::from_millis(1_500);
 /// Wait at the best runner above which more runners are considered.
 const WIDEN_WAIT: Duration = Duration::from_millis(500);
+/// Class of requests of a workspace that uses far more than its share.
+const CLASS_OVER_SHARE: Class = 1;
 /// Time between two tries to place the requests that are held.
 const HOLD_RETRY: Duration = Duration::from_millis(20);
 /// Requests held at most.
@@ -39,6 +41,7 @@
     waiting_for: HashSet<HostHash>,
     until: Instant,
     width: usize,
+    class: Class,
     is_held: bool,
     retry_at: Instant,
 }
@@ -60,6 +63,7 @@
     servers: HashMap<RunnerId, Server>,
     pending: HashMap<Ticket, Pending>,
     held: FairQueue<Ticket>,
+    shares: Shares,
     active: HashMap<Ticket, Active>,
 }
 
@@ -75,6 +79,7 @@
             servers: HashMap::new(),
             pending: HashMap::new(),
             held: FairQueue::new(HELD_LIMIT),
+            shares: Shares::default(),
             active: HashMap::new(),
         }
     }
@@ -90,6 +95,7 @@
             waiting_for: HashSet::new(),
             until: now,
             width: self.placement.config().candidates,
+            class: 0,
             is_held: false,
             retry_at: now,
         };
@@ -140,7 +146,8 @@
     pub fn quote(&self, now: Instant, ask: &QuoteAsk) -> QuoteAnswer {
         let chain = from_wire(&ask.levels);
         let quotes = ask.runners.iter();
-        let quotes = quotes.filter_map(|&runner| self.trackers.wire_quote(now, runner, &chain));
+        let quotes =
+            quotes.filter_map(|&runner| self.trackers.wire_quote(now, runner, &chain, ask.class));
         QuoteAnswer {
             id: ask.id,
             quotes: quotes.collect(),
@@ -150,9 +157,14 @@
     /// Takes another host's news of a runner that this one tracks.
     pub fn on_tracked(&mut self, now: Instant, from: HostHash, body: &Body) {
         match body {
-            Body::Reserve { runner, id, levels } => {
+            Body::Reserve {
+                runner,
+                id,
+                levels,
+                class,
+            } => {
                 self.trackers
-                    .reserve(now, from, *runner, *id, &from_wire(levels));
+                    .reserve(now, from, *runner, *id, &from_wire(levels), *class);
             }
             Body::Release {
                 runner,
@@ -288,15 +300,17 @@
         let Some(pending) = self.pending.get_mut(&ticket) else {
             return;
         };
+        let is_over = self.shares.is_over(now, &pending.ask.workspace);
+        pending.class = if is_over { CLASS_OVER_SHARE } else { 0 };
         let PlaceAsk {
             chain,
             model,
             weights,
             ..
         } = &pending.ask;
-        let mut candidates = self
-            .placement
-            .candidates(now, chain, model, *weights, pending.width);
+        let mut candidates =
+            self.placement
+                .candidates(now, chain, model, *weights, pending.width, pending.class);
         let runners = self.placement.runners();
         let is_excluded = |candidate: &Candidate| {
             let info = runners.get(candidate.key);
@@ -323,7 +337,7 @@
             let runner = info.name_hash;
             match self.tracker_of.get(&runner) {
                 Some(&host) if host == self.config.me => {
-                    if let Some(tracked) = self.trackers.quote(now, runner, chain) {
+                    if let Some(tracked) = self.trackers.quote(now, runner, chain, pending.class) {
                         candidate.quote =
                             merge_quote(candidate.quote, tracked.quote, tracked.is_warm);
                         if tracked.is_warm {
@@ -344,6 +358,7 @@
                 id: ticket,
                 runners,
                 levels: levels.clone(),
+                class: pending.class,
             };
             effects.push(Effect::Send {
                 to,
@@ -398,8 +413,14 @@
         if pending.is_held {
             self.unqueue(&pending.ask.workspace, ticket);
         }
-        let chain = pending.ask.chain;
-        self.placement.sent(now, choice.key, ticket, &chain);
+        let chain = pending.ask.chain.clone();
+        let class = pending.class;
+        self.placement.sent(now, choice.key, ticket, &chain, class);
+        let PlaceAsk {
+            workspace, weight, ..
+        } = &pending.ask;
+        self.shares
+            .record(now, workspace, *weight, choice.cost.recompute_ms);
         let runners = self.placement.runners();
         let name = |key: RunnerKey| runners.get(key).map(|info| info.id.clone());
         let server = name(choice.key).and_then(|id| self.servers.get(&id));
@@ -410,6 +431,7 @@
             .filter_map(|(key, _)| name(*key))
             .collect();
         let placed = Placed {
+            class,
             server: PlacedServer {
                 id: server.id.clone(),
                 address: server.address,
@@ -423,13 +445,15 @@
         let tracker = self.tracker_of.get(&runner).copied();
         match tracker {
             Some(host) if host == self.config.me => {
-                self.trackers.reserve(now, host, runner, ticket, &chain);
+                self.trackers
+                    .reserve(now, host, runner, ticket, &chain, class);
             }
             Some(to) => {
                 let body = Body::Reserve {
                     runner,
                     id: ticket,
                     levels: to_wire(&chain),
+                    class,
                 };
                 effects.push(Effect::Send {
                     to,
--- a/crates/hickoryhall-entry/src/dispatch/trackers.rs
+++ b/crates/hickoryhall-entry/src/dispatch/trackers.rs
@@ -3,7 +3,7 @@
 use std::collections::HashMap;
 use std::time::{Duration, Instant};
 
-use hickoryhall_routing::{Ledger, Level, LoadReport, PrefixChain, Quote, ReservationId};
+use hickoryhall_routing::{Class, Ledger, Level, LoadReport, PrefixChain, Quote, ReservationId};
 use hickoryhall_types::TokenCount;
 use hickoryhall_wire::{HostHash, RunnerQuote, WireLevel};
 
@@ -61,10 +61,16 @@
 
     /// Returns the quote of a runner, if it is tracked here.
     #[must_use]
-    pub fn quote(&self, now: Instant, runner: u64, chain: &PrefixChain) -> Option<TrackedQuote> {
+    pub fn quote(
+        &self,
+        now: Instant,
+        runner: u64,
+        chain: &PrefixChain,
+        class: Class,
+    ) -> Option<TrackedQuote> {
         let tracked = self.tracked.get(&runner)?;
         Some(TrackedQuote {
-            quote: tracked.ledger.quote(now, chain),
+            quote: tracked.ledger.quote(now, chain, class),
             is_warm: now.saturating_duration_since(tracked.since) >= WARM_UP,
         })
     }
@@ -76,8 +82,9 @@
         now: Instant,
         runner: u64,
         chain: &PrefixChain,
+        class: Class,
     ) -> Option<RunnerQuote> {
-        let TrackedQuote { quote, is_warm } = self.quote(now, runner, chain)?;
+        let TrackedQuote { quote, is_warm } = self.quote(now, runner, chain, class)?;
         Some(RunnerQuote {
             runner,
             incarnation: quote.incarnation,
@@ -96,9 +103,10 @@
         runner: u64,
         id: ReservationId,
         chain: &PrefixChain,
+        class: Class,
     ) {
         if let Some(tracked) = self.tracked.get_mut(&runner) {
-            tracked.ledger.reserve(now, from ^ id, chain);
+            tracked.ledger.reserve(now, from ^ id, chain, class);
         }
     }
 
--- a/crates/hickoryhall-limits/src/lib.rs
+++ b/crates/hickoryhall-limits/src/lib.rs
@@ -15,9 +15,11 @@
 mod fair_queue;
 mod fleet;
 mod retry_budget;
+mod shares;
 
 pub use bucket::TokenBucket;
 pub use concurrency::Concurrency;
 pub use fair_queue::{FairQueue, Queued, Shed};
 pub use fleet::{AskerId, BucketServer, FleetShape, HostLimit, LimitKey, Take, UnitAsk, UnitGrant};
 pub use retry_budget::RetryBudget;
+pub use shares::Shares;
--- /dev/null
+++ b/crates/hickoryhall-limits/src/shares.rs
@@ -0,0 +1,65 @@
+//! Which workspaces use far more than their share.
+
+use std::collections::BTreeMap;
+use std::time::{Duration, Instant};
+
+use hickoryhall_types::WorkspaceId;
+
+/// Time in which a use counts by half.
+const HALF_LIFE: Duration = Duration::from_secs(5);
+/// Use for each unit of weight, relative to the other workspaces', above which one is over.
+const OVER_FACTOR: f64 = 12.0;
+/// Uses below this are forgotten.
+const LEAST_COST: f64 = 1e-3;
+
+#[derive(Clone, Copy, Debug)]
+struct Use {
+    cost: f64,
+    weight: u32,
+    at: Instant,
+}
+
+impl Use {
+    fn cost_at(&self, now: Instant) -> f64 {
+        let age = now.saturating_duration_since(self.at).as_secs_f64();
+        self.cost * 0.5_f64.powf(age / HALF_LIFE.as_secs_f64())
+    }
+}
+
+/// Recent use of each workspace at this host.
+#[derive(Clone, Debug, Default)]
+pub struct Shares {
+    uses: BTreeMap<WorkspaceId, Use>,
+}
+
+impl Shares {
+    /// Records a use; `cost` is in any unit, the same for all workspaces.
+    pub fn record(&mut self, now: Instant, workspace: &WorkspaceId, weight: u32, cost: f64) {
+        let before = self
+            .uses
+            .get(workspace)
+            .map_or(0.0, |used| used.cost_at(now));
+        let used = Use {
+            cost: before + cost,
+            weight: weight.max(1),
+            at: now,
+        };
+        self.uses.insert(workspace.clone(), used);
+    }
+
+    /// Tells whether a workspace uses far more than the others, for each unit of weight.
+    ///
+    /// One that is alone is never over.
+    pub fn is_over(&mut self, now: Instant, workspace: &WorkspaceId) -> bool {
+        self.uses.retain(|_, used| used.cost_at(now) >= LEAST_COST);
+        let Some(own) = self.uses.get(workspace) else {
+            return false;
+        };
+        let others = self.uses.iter().filter(|(other, _)| *other != workspace);
+        let (cost, weight) = others.fold((0.0, 0.0), |(cost, weight), (_, used)| {
+            (cost + used.cost_at(now), weight + f64::from(used.weight))
+        });
+        let own_use = own.cost_at(now) / f64::from(own.weight);
+        weight > 0.0 && own_use > OVER_FACTOR * cost / weight
+    }
+}
--- a/crates/hickoryhall-routing/src/ledger.rs
+++ b/crates/hickoryhall-routing/src/ledger.rs
@@ -12,6 +12,8 @@
 
 /// Id of a reservation, unique per host.
 pub type ReservationId = u64;
+/// Order of requests at a runner; a lower class goes first.
+pub type Class = u32;
 
 /// Time after which a reservation that nobody released is dropped.
 const RESERVATION_TTL: Duration = Duration::from_secs(30);
@@ -34,6 +36,7 @@
 #[derive(Clone, Copy, Debug)]
 struct Reservation {
     id: ReservationId,
+    class: Class,
     cost: Duration,
     made_at: Instant,
     expected_tokens: TokenCount,
@@ -77,13 +80,13 @@
         }
     }
 
-    /// Returns what a prompt would cost on this runner.
+    /// Returns what a prompt of a class would cost on this runner.
     #[must_use]
-    pub fn quote(&self, now: Instant, chain: &PrefixChain) -> Quote {
+    pub fn quote(&self, now: Instant, chain: &PrefixChain, class: Class) -> Quote {
         let cached_tokens = self.shadow.cached_tokens(chain);
         let missing = chain.tokens().saturating_sub(cached_tokens);
         Quote {
-            wait: self.wait(now),
+            wait: self.wait(now, class),
             cached_tokens,
             eviction_tokens: self.shadow.eviction_tokens(now, missing, self.half_life),
             prefill_tokens_per_s: self.prefill_tokens_per_s,
@@ -92,10 +95,11 @@
     }
 
     /// Records that a request was sent to the runner.
-    pub fn reserve(&mut self, now: Instant, id: ReservationId, chain: &PrefixChain) {
+    pub fn reserve(&mut self, now: Instant, id: ReservationId, chain: &PrefixChain, class: Class) {
         let expected_tokens = self.shadow.cached_tokens(chain);
         let reservation = Reservation {
             id,
+            class,
             cost: self.prefill_time(chain.tokens().saturating_sub(expected_tokens)),
             made_at: now,
             expected_tokens,
@@ -185,11 +189,15 @@
         self.reservations.remove(place)
     }
 
-    fn wait(&self, now: Instant) -> Duration {
+    /// Sums what goes before a request of a class: the work that runs, and that of its class and
+    /// lower ones.
+    fn wait(&self, now: Instant, class: Class) -> Duration {
         let total = self
             .reservations
             .iter()
-            .map(|reservation| reservation.cost)
+            .enumerate()
+            .filter(|(place, reservation)| *place == 0 || reservation.class <= class)
+            .map(|(_, reservation)| reservation.cost)
             .sum::<Duration>();
         let head_cost = self
             .reservations
--- a/crates/hickoryhall-routing/src/lib.rs
+++ b/crates/hickoryhall-routing/src/lib.rs
@@ -25,7 +25,7 @@
 pub use baseline::{Baseline, BaselineKind, RunnerTruth};
 pub use cost::{Cost, CostModel};
 pub use ejection::Ejection;
-pub use ledger::{Ledger, Quote, ReservationId};
+pub use ledger::{Class, Ledger, Quote, ReservationId};
 pub use placement::{Candidate, Choice, Placement, PlacementConfig, Reason};
 pub use prefix::{Level, LevelKey, PrefixChain, PrefixSeed};
 pub use runner::{LoadReport, RunnerInfo, RunnerKey, Runners};
--- a/crates/hickoryhall-routing/src/placement.rs
+++ b/crates/hickoryhall-routing/src/placement.rs
@@ -7,8 +7,8 @@
 use slotmap::SecondaryMap;
 
 use crate::{
-    Cost, CostModel, Ejection, Ledger, LoadReport, PrefixChain, Quote, ReservationId, RunnerInfo,
-    RunnerKey, Runners,
+    Class, Cost, CostModel, Ejection, Ledger, LoadReport, PrefixChain, Quote, ReservationId,
+    RunnerInfo, RunnerKey, Runners,
 };
 
 /// Prefix levels remembered of one runner at least.
@@ -188,6 +188,7 @@
         model: &str,
         weights: WeightsVersion,
         count: usize,
+        class: Class,
     ) -> Vec<Candidate> {
         let mut owners = self.eligible(now, model, weights);
         rank(chain.top(), &mut owners, |&(_, hash)| hash);
@@ -195,7 +196,7 @@
         owners
             .into_iter()
             .enumerate()
-            .filter_map(|(place, (key, _))| self.candidate(now, chain, place, key))
+            .filter_map(|(place, (key, _))| self.candidate(now, chain, place, key, class))
             .collect()
     }
 
@@ -227,9 +228,16 @@
     }
 
     /// Records that a request was sent to a runner.
-    pub fn sent(&mut self, now: Instant, key: RunnerKey, id: ReservationId, chain: &PrefixChain) {
+    pub fn sent(
+        &mut self,
+        now: Instant,
+        key: RunnerKey,
+        id: ReservationId,
+        chain: &PrefixChain,
+        class: Class,
+    ) {
         if let Some(ledger) = self.ledgers.get_mut(key) {
-            ledger.reserve(now, id, chain);
+            ledger.reserve(now, id, chain, class);
         }
     }
 
@@ -324,9 +332,10 @@
         chain: &PrefixChain,
         place: usize,
         key: RunnerKey,
+        class: Class,
     ) -> Option<Candidate> {
         let info = self.runners.get(key)?;
-        let mut quote = self.ledgers.get(key)?.quote(now, chain);
+        let mut quote = self.ledgers.get(key)?.quote(now, chain, class);
         if place == 0 {
             // Other hosts send the same prompts to the same owner, so it most likely holds them.
             quote.cached_tokens = quote.cached_tokens.max(shared_tokens(chain));
--- a/crates/hickoryhall-routing/tests/placement.rs
+++ b/crates/hickoryhall-routing/tests/placement.rs
@@ -46,12 +46,12 @@
     let (placement, _) = placement(now, 3);
     assert!(
         placement
-            .candidates(now, &chain(1, 1, 1), "m", 2, 4)
+            .candidates(now, &chain(1, 1, 1), "m", 2, 4, 0)
             .is_empty()
     );
     assert!(
         placement
-            .candidates(now, &chain(1, 1, 1), "other", 1, 4)
+            .candidates(now, &chain(1, 1, 1), "other", 1, 4, 0)
             .is_empty()
     );
     assert!(
@@ -67,13 +67,13 @@
     let (mut placement, keys) = placement(now, 3);
     placement.mark_leaving(keys[0]);
     (0..3).for_each(|id| placement.failed(now, keys[1], id));
-    let chosen = placement.candidates(now, &chain(1, 1, 1), "m", 1, 4);
+    let chosen = placement.candidates(now, &chain(1, 1, 1), "m", 1, 4, 0);
     assert_eq!(chosen.iter().map(|c| c.key).collect::<Vec<_>>(), [keys[2]]);
     // The time out of an ejected runner ends; a leaving one stays out.
     let later = now + Duration::from_secs(2);
     assert_eq!(
         placement
-            .candidates(later, &chain(1, 1, 1), "m", 1, 4)
+            .candidates(later, &chain(1, 1, 1), "m", 1, 4, 0)
             .len(),
         2
     );
@@ -107,7 +107,7 @@
 fn hosts_agree_on_owners_whatever_order_they_learned_the_runners_in() {
     let now = Instant::now();
     let names = |placement: &Placement| {
-        let candidates = placement.candidates(now, &chain(7, 3, 1), "m", 1, 4);
+        let candidates = placement.candidates(now, &chain(7, 3, 1), "m", 1, 4, 0);
         let runners = placement.runners();
         let name = |c: &hickoryhall_routing::Candidate| runners.get(c.key).map(|i| i.id.clone());
         candidates.iter().map(name).collect::<Vec<_>>()
@@ -133,7 +133,7 @@
         let (mut placement, _) = placement(now, 5);
         for (index, (outer, inner)) in requests.into_iter().enumerate() {
             let chain = chain(outer, inner, index as u64);
-            let candidates = placement.candidates(now, &chain, "m", 1, 4);
+            let candidates = placement.candidates(now, &chain, "m", 1, 4, 0);
             let model = CostModel::default();
             let choice = placement.choose(&chain, &model, &candidates).expect("a runner");
             // Naive: the first one that no other one beats.
@@ -145,7 +145,7 @@
                 .find(|&place| (0..candidates.len()).all(|other| cost(place) <= cost(other)))
                 .expect("a cheapest one");
             prop_assert_eq!(choice.key, candidates[naive].key);
-            placement.sent(now, choice.key, index as u64, &chain);
+            placement.sent(now, choice.key, index as u64, &chain, 0);
         }
     }
 }
--- a/crates/hickoryhall-routing/tests/shadow.rs
+++ b/crates/hickoryhall-routing/tests/shadow.rs
@@ -84,11 +84,11 @@
 fn nothing_of_an_older_incarnation_is_expected_cached() {
     let now = Instant::now();
     let mut ledger = Ledger::new(&report(1), 100, Duration::from_secs(20));
-    ledger.reserve(now, 1, &chain(1, 1, 1));
+    ledger.reserve(now, 1, &chain(1, 1, 1), 0);
     ledger.confirm(now, 1, 0);
-    assert_eq!(ledger.quote(now, &chain(1, 1, 2)).cached_tokens, 140);
+    assert_eq!(ledger.quote(now, &chain(1, 1, 2), 0).cached_tokens, 140);
     ledger.observe_report(now, &report(2), false);
-    let quote = ledger.quote(now, &chain(1, 1, 2));
+    let quote = ledger.quote(now, &chain(1, 1, 2), 0);
     assert_eq!((quote.cached_tokens, quote.incarnation), (0, 2));
     assert_eq!(
         quote.wait,
@@ -102,23 +102,23 @@
     let now = Instant::now();
     let mut ledger = Ledger::new(&report(1), 100, Duration::from_secs(20));
     for (id, outer) in [(1, 1), (2, 2)] {
-        ledger.reserve(now, id, &chain(outer, 1, id));
+        ledger.reserve(now, id, &chain(outer, 1, id), 0);
         ledger.confirm(now, id, 0);
     }
     // Prompt 1 is the older one. The runner reports that prompt 2 was gone already.
-    ledger.reserve(now, 3, &chain(2, 1, 3));
+    ledger.reserve(now, 3, &chain(2, 1, 3), 0);
     ledger.confirm(now, 3, 0);
-    assert_eq!(ledger.quote(now, &chain(1, 1, 4)).cached_tokens, 0);
-    assert_eq!(ledger.quote(now, &chain(2, 1, 5)).cached_tokens, 140);
+    assert_eq!(ledger.quote(now, &chain(1, 1, 4), 0).cached_tokens, 0);
+    assert_eq!(ledger.quote(now, &chain(2, 1, 5), 0).cached_tokens, 140);
 }
 
 #[test]
 fn the_wait_falls_as_the_head_of_the_queue_is_computed() {
     let now = Instant::now();
     let mut ledger = Ledger::new(&report(1), 100, Duration::from_secs(20));
-    ledger.reserve(now, 1, &chain(1, 1, 1));
-    ledger.reserve(now, 2, &chain(2, 1, 2));
-    let wait = |at| ledger.quote(at, &chain(3, 1, 3)).wait;
+    ledger.reserve(now, 1, &chain(1, 1, 1), 0);
+    ledger.reserve(now, 2, &chain(2, 1, 2), 0);
+    let wait = |at| ledger.quote(at, &chain(3, 1, 3), 0).wait;
     assert_eq!(wait(now), Duration::from_millis(290));
     assert_eq!(
         wait(now + Duration::from_millis(45)),
@@ -135,9 +135,25 @@
 fn a_reservation_that_nobody_releases_is_dropped() {
     let now = Instant::now();
     let mut ledger = Ledger::new(&report(1), 100, Duration::from_secs(20));
-    ledger.reserve(now, 1, &chain(1, 1, 1));
+    ledger.reserve(now, 1, &chain(1, 1, 1), 0);
     ledger.expire(now + Duration::from_secs(29));
     assert_eq!(ledger.reserved(), 1);
     ledger.expire(now + Duration::from_secs(30));
     assert_eq!(ledger.reserved(), 0);
 }
+
+#[test]
+fn work_of_a_later_class_does_not_count_unless_it_runs() {
+    let now = Instant::now();
+    let mut ledger = Ledger::new(&report(1), 100, Duration::from_secs(20));
+    ledger.reserve(now, 1, &chain(1, 1, 1), 1);
+    ledger.reserve(now, 2, &chain(2, 1, 2), 1);
+    ledger.reserve(now, 3, &chain(3, 1, 3), 0);
+    let wait = |class| ledger.quote(now, &chain(4, 1, 4), class).wait;
+    assert_eq!(wait(1), Duration::from_millis(435));
+    assert_eq!(
+        wait(0),
+        Duration::from_millis(290),
+        "the one that runs, and the one of its class"
+    );
+}
--- a/crates/hickoryhall-tools/src/capacity/measure.rs
+++ b/crates/hickoryhall-tools/src/capacity/measure.rs
@@ -332,7 +332,16 @@
         dispatch.observe_load(now, &format!("runner-{index}"), &load);
         for id in 0..400 {
             let levels = wire_levels(id);
-            dispatch.on_tracked(now, 7, &Body::Reserve { runner, id, levels });
+            dispatch.on_tracked(
+                now,
+                7,
+                &Body::Reserve {
+                    runner,
+                    id,
+                    levels,
+                    class: 0,
+                },
+            );
             let body = Body::Release {
                 runner,
                 id,
@@ -345,6 +354,7 @@
         id: 1,
         runners: hashes[..runners].to_vec(),
         levels: wire_levels(3),
+        class: 0,
     };
     move || {
         black_box(dispatch.quote(now, &ask));
@@ -423,6 +433,7 @@
         runner: 1,
         id: 1,
         levels,
+        class: 0,
     };
     let frame = frame_of(body);
     move || {
@@ -515,6 +526,7 @@
                 id,
                 runners: vec![runner],
                 levels: wire_levels(1),
+                class: 0,
             }),
         ),
         (
@@ -530,6 +542,7 @@
                 runner,
                 id,
                 levels: wire_levels(1),
+                class: 0,
             },
         ),
         (
--- a/crates/hickoryhall-tools/src/experiment/driver.rs
+++ b/crates/hickoryhall-tools/src/experiment/driver.rs
@@ -332,7 +332,7 @@
         self.next_ticket += 1;
         if let Policy::Baseline(kind) = self.policy {
             let runner = self.baseline(now, kind, &request);
-            return self.submit(now, ticket, request, runner);
+            return self.submit(now, ticket, request, runner, 0);
         }
         let host = request.host;
         let ask = PlaceAsk {
@@ -416,15 +416,18 @@
             .servers
             .iter()
             .position(|server| server.id == placed.server.id);
-        self.submit(
-            now,
-            ticket,
-            request,
-            runner.expect("a runner of the scenario"),
-        );
+        let runner = runner.expect("a runner of the scenario");
+        self.submit(now, ticket, request, runner, placed.class);
     }
 
-    fn submit(&mut self, now: Instant, ticket: Ticket, request: Request, runner: usize) {
+    fn submit(
+        &mut self,
+        now: Instant,
+        ticket: Ticket,
+        request: Request,
+        runner: usize,
+        priority: u32,
+    ) {
         let pieces = pieces(&request.chain);
         let cached = self
             .engines
@@ -440,7 +443,7 @@
                 id: ticket,
                 pieces,
                 output_tokens,
-                priority: 0,
+                priority,
             },
         );
         self.in_flight.insert(
--- a/crates/hickoryhall-wire/src/frame.rs
+++ b/crates/hickoryhall-wire/src/frame.rs
@@ -49,6 +49,8 @@
         id: u64,
         /// Levels of the prompt.
         levels: Vec<WireLevel>,
+        /// Class of the request; a lower one goes first.
+        class: u32,
     },
     /// A reservation ended.
     Release {
@@ -133,6 +135,8 @@
     pub runners: Vec<u64>,
     /// Levels of the prompt.
     pub levels: Vec<WireLevel>,
+    /// Class of the request; a lower one goes first.
+    pub class: u32,
 }
 
 /// Answer with the quotes of the runners that the sender tracks.
--- a/crates/hickoryhall-wire/src/proto.rs
+++ b/crates/hickoryhall-wire/src/proto.rs
@@ -192,6 +192,8 @@
     runners: Vec<u64>,
     #[prost(message, repeated, tag = "3")]
     levels: Vec<LevelProto>,
+    #[prost(uint32, tag = "4")]
+    class: u32,
 }
 
 #[derive(Clone, PartialEq, Message)]
@@ -226,6 +228,8 @@
     id: u64,
     #[prost(message, repeated, tag = "3")]
     levels: Vec<LevelProto>,
+    #[prost(uint32, tag = "4")]
+    class: u32,
 }
 
 #[derive(Clone, Copy, PartialEq, Message)]
@@ -299,10 +303,16 @@
             Body::PushRevision { revision } => Self::PushRevision(revision),
             Body::QuoteAsk(ask) => Self::QuoteAsk(ask.into()),
             Body::QuoteAnswer(answer) => Self::QuoteAnswer(answer.into()),
-            Body::Reserve { runner, id, levels } => Self::Reserve(ReserveProto {
+            Body::Reserve {
+                runner,
+                id,
+                levels,
+                class,
+            } => Self::Reserve(ReserveProto {
                 runner,
                 id,
                 levels: into_all(levels),
+                class,
             }),
             Body::Release {
                 runner,
@@ -348,10 +358,16 @@
             BodyProto::PushRevision(revision) => Self::PushRevision { revision },
             BodyProto::QuoteAsk(ask) => Self::QuoteAsk(ask.into()),
             BodyProto::QuoteAnswer(answer) => Self::QuoteAnswer(answer.into()),
-            BodyProto::Reserve(ReserveProto { runner, id, levels }) => Self::Reserve {
+            BodyProto::Reserve(ReserveProto {
+                runner,
+                id,
+                levels,
+                class,
+            }) => Self::Reserve {
                 runner,
                 id,
                 levels: into_all(levels),
+                class,
             },
             BodyProto::Release(ReleaseProto {
                 runner,
@@ -522,6 +538,7 @@
             id: ask.id,
             runners: ask.runners,
             levels: into_all(ask.levels),
+            class: ask.class,
         }
     }
 }
@@ -532,6 +549,7 @@
             id: proto.id,
             runners: proto.runners,
             levels: into_all(proto.levels),
+            class: proto.class,
         }
     }
 }
--- a/crates/hickoryhall-wire/tests/frames.rs
+++ b/crates/hickoryhall-wire/tests/frames.rs
@@ -78,9 +78,9 @@
 #[case::gossip(gossip())]
 #[case::empty_gossip(Body::Gossip(Gossip::default()))]
 #[case::push(Body::PushRevision { revision: u64::MAX })]
-#[case::quote_ask(Body::QuoteAsk(QuoteAsk { id: 1, runners: vec![2, 3], levels: levels() }))]
+#[case::quote_ask(Body::QuoteAsk(QuoteAsk { id: 1, runners: vec![2, 3], levels: levels(), class: 1 }))]
 #[case::quote_answer(Body::QuoteAnswer(QuoteAnswer { id: 1, quotes: vec![quote()] }))]
-#[case::reserve(Body::Reserve { runner: 1, id: 2, levels: levels() })]
+#[case::reserve(Body::Reserve { runner: 1, id: 2, levels: levels(), class: 1 })]
 #[case::release(Body::Release { runner: 1, id: 2, cached_tokens: Some(0) })]
 #[case::release_without_token(Body::Release { runner: 1, id: 2, cached_tokens: None })]
 #[case::grant_ask(Body::GrantAsk(GrantAsk { bucket: 1, units: 2, limit: 3 }))]
@@ -183,6 +183,7 @@
             id: 1,
             runners: vec![2, 3],
             levels: levels(),
+            class: 1,
         }),
         Body::QuoteAnswer(QuoteAnswer {
             id: 1,
