--- /dev/null
+++ b/crates/hickoryhall-tools/src/bin/hickoryhall-key.rs
@@ -0,0 +1,26 @@
+//! Prints the hash of a key, for the table and the settings.
+
+use std::io::BufRead;
+use std::process::ExitCode;
+
+use bpaf::Bpaf;
+
+/// Reads keys from standard input, one a line, and prints their hashes.
+#[derive(Clone, Debug, Bpaf)]
+#[bpaf(options, version)]
+struct Options {}
+
+fn main() -> ExitCode {
+    let Options {} = options().run();
+    for line in std::io::stdin().lock().lines() {
+        match line.as_deref().map(str::trim) {
+            Ok("") => {}
+            Ok(key) => println!("{}", blake3::hash(key.as_bytes()).to_hex()),
+            Err(error) => {
+                eprintln!("reading standard input: {error}");
+                return ExitCode::FAILURE;
+            }
+        }
+    }
+    ExitCode::SUCCESS
+}
