Ask only runners with an order on its way; make seeded choices the same in every run

The others are known from the regular questions for load.

Found by running the tests five times on two processors: an operator who read the table back at once could see the one before (1 of 5 runs), so a change is answered after it is in force at the host; and the choice of gossip partners followed the order of a hash map, which differs from run to run (1 of 5 runs of one test).

The load tool has a shift of popular prompts and a morning peak.

--- a/crates/hickoryhall-control/src/orders.rs
+++ b/crates/hickoryhall-control/src/orders.rs
@@ -142,6 +142,12 @@
         self.given.len()
     }
 
+    /// Tells whether an order to a runner has shown no effect yet.
+    #[must_use]
+    pub fn awaits(&self, runner: &str) -> bool {
+        self.given.contains_key(runner)
+    }
+
     /// Plans the orders to give now; those returned are taken as given.
     ///
     /// `take_slot` is asked before each one for a place among the loads of the whole fleet.
--- a/crates/hickoryhall-entry/src/actors/router.rs
+++ b/crates/hickoryhall-entry/src/actors/router.rs
@@ -17,8 +17,8 @@
 
 use super::Outbox;
 use crate::dispatch::{
-    Admission, AdmitAsk, Dispatch, Effect, Permit, PlaceAsk, Placed, Server, ServerKind,
-    ServicePool, Ticket, TicketEnd,
+    Admission, AdmitAsk, Dispatch, Effect, Permit, PlaceAsk, Placed, RunnerState, Server,
+    ServerKind, ServicePool, Ticket, TicketEnd,
 };
 
 /// Time between two looks at what waits, while something waits.
@@ -215,6 +215,10 @@
         );
     }
 
+    pub fn domain_runners(&mut self, _cx: CX![], reply: Sender<Vec<RunnerState>>) {
+        answer(&reply, self.dispatch.runners_of(&self.domain));
+    }
+
     pub fn load(&mut self, cx: CX![], server: Server, load: Option<LoadAnswer>) {
         let now = cx.now();
         match (server.kind, load) {
--- a/crates/hickoryhall-entry/src/actors/runtime.rs
+++ b/crates/hickoryhall-entry/src/actors/runtime.rs
@@ -25,7 +25,8 @@
 use super::router::{PlaceReply, Router, RouterParts, RunnerCounts, ServiceReply};
 use crate::context::Lifecycle;
 use crate::dispatch::{
-    AdmitAsk, Dispatch, DispatchConfig, Permit, PlaceAsk, Placed, Server, Ticket, TicketEnd,
+    AdmitAsk, Dispatch, DispatchConfig, Permit, PlaceAsk, Placed, RunnerState, Server, Ticket,
+    TicketEnd,
 };
 use crate::settings::Settings;
 use crate::table_view::TableView;
@@ -111,6 +112,9 @@
     RunnerCounts {
         reply: Sender<RunnerCounts>,
     },
+    DomainRunners {
+        reply: Sender<Vec<RunnerState>>,
+    },
     Leave,
     Stop,
 }
@@ -358,6 +362,9 @@
             CoreMsg::Delta { have, reply } => call!([self.cluster], delta(have, reply)),
             CoreMsg::Status { reply } => call!([self.cluster], status(reply)),
             CoreMsg::RunnerCounts { reply } => call!([self.router], runner_counts(reply)),
+            CoreMsg::DomainRunners { reply } => {
+                call!([self.router], domain_runners(reply));
+            }
             CoreMsg::Leave => call!([self.cluster], leave()),
             CoreMsg::Stop => {}
         }
--- a/crates/hickoryhall-entry/src/dispatch/mod.rs
+++ b/crates/hickoryhall-entry/src/dispatch/mod.rs
@@ -14,6 +14,6 @@
 pub use admission::{Admission, AdmitAsk, Permit, limit_key};
 pub use messages::{DispatchConfig, Effect, PlaceAsk, Placed, PlacedServer, Ticket, TicketEnd};
 pub use placing::Dispatch;
-pub use servers::{Server, ServerKind};
+pub use servers::{RunnerState, Server, ServerKind};
 pub use services::ServicePool;
 pub use trackers::{TrackedQuote, Trackers};
--- a/crates/hickoryhall-entry/src/dispatch/placing/runners.rs
+++ b/crates/hickoryhall-entry/src/dispatch/placing/runners.rs
@@ -10,7 +10,7 @@
 use hickoryhall_wire::HostHash;
 
 use super::Dispatch;
-use crate::dispatch::{Server, ServerKind};
+use crate::dispatch::{RunnerState, Server, ServerKind};
 
 impl Dispatch {
     /// Takes the platform's list in; a runner takes work after its first load report.
@@ -40,6 +40,23 @@
         self.tracker_of = tracker_of;
     }
 
+    /// Returns the runners of a failure domain as they last described themselves.
+    #[must_use]
+    pub fn runners_of(&self, domain: &str) -> Vec<RunnerState> {
+        let runners = self.placement.runners().iter().map(|(_, info)| info);
+        runners
+            .filter(|info| info.domain.as_ref() == domain)
+            .filter_map(|info| {
+                let server = self.servers.get(&info.id)?.clone();
+                Some(RunnerState {
+                    server,
+                    weights: info.report.weights,
+                    takes_work: !info.leaving,
+                })
+            })
+            .collect()
+    }
+
     /// Takes a load report in; returns whether it is news that the runner is leaving.
     pub fn observe_load(&mut self, now: Instant, id: &str, load: &LoadAnswer) -> bool {
         let Some(server) = self.servers.get(id) else {
--- a/crates/hickoryhall-entry/src/dispatch/servers.rs
+++ b/crates/hickoryhall-entry/src/dispatch/servers.rs
@@ -3,7 +3,7 @@
 use std::net::SocketAddr;
 
 use hickoryhall_clients::{Listed, ListedKind};
-use hickoryhall_types::{FailureDomainId, TargetId};
+use hickoryhall_types::{FailureDomainId, TargetId, WeightsVersion};
 
 /// What a backend server does.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -50,3 +50,14 @@
         })
     }
 }
+
+/// A runner as it last described itself.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct RunnerState {
+    /// The runner.
+    pub server: Server,
+    /// Weights version that it serves, 0 while it loads one.
+    pub weights: WeightsVersion,
+    /// Whether it takes new work.
+    pub takes_work: bool,
+}
--- a/crates/hickoryhall-entry/src/duties/orders.rs
+++ b/crates/hickoryhall-entry/src/duties/orders.rs
@@ -4,16 +4,15 @@
 use std::thread;
 use std::time::{Duration, Instant};
 
-use hickoryhall_clients::{
-    HostListClient, LeaseId, ListedKind, Order, OrderBody, PutCondition, StoreClient,
-};
+use hickoryhall_clients::{LeaseId, Order, OrderBody, PutCondition, StoreClient};
 use hickoryhall_control::{OrderConfig, OrderGiver, PlannedOrder, RunnerStatus, WantedWeights};
 use hickoryhall_types::TargetId;
 use metrics::counter;
 use slog::{Logger, info, warn};
 
-use crate::actors::Duties;
+use crate::actors::{CoreMsg, Duties};
 use crate::context::Context;
+use crate::dispatch::RunnerState;
 
 /// Time between two rounds.
 const ROUND: Duration = Duration::from_millis(500);
@@ -26,14 +25,13 @@
 /// Gives orders until the host has stopped.
 pub(crate) fn run_orders(context: &Arc<Context>, duties: &Duties, logger: &Logger) {
     let config = OrderConfig::default();
-    let list = HostListClient::new(context.settings.host_list_address);
     let mut keeper = LeaseKeeper::new(context, config);
     while !context.lifecycle.is_over() {
         let started = Instant::now();
         if duties.is_order_giver() && context.is_ready() {
             keeper.keep(logger);
             if keeper.giver.lease(Instant::now()).is_some() {
-                give_orders(context, &list, &mut keeper, logger);
+                give_orders(context, &mut keeper, logger);
             }
         } else {
             keeper.let_go();
@@ -166,30 +164,12 @@
     }
 }
 
-fn give_orders(
-    context: &Arc<Context>,
-    list: &HostListClient,
-    keeper: &mut LeaseKeeper,
-    logger: &Logger,
-) {
-    let Ok(listed) = list.list() else { return };
-    let own = &context.settings.failure_domain;
-    let runners = listed
-        .iter()
-        .filter(|l| l.kind == ListedKind::Runner && l.failure_domain == *own && !l.leaving)
-        .map(|l| {
-            let load = context.runners.load(l.address).ok();
-            Runner {
-                address: l.address,
-                status: RunnerStatus {
-                    id: l.id.as_str().into(),
-                    model: l.target.as_str().into(),
-                    weights: load.as_ref().map_or(0, |load| load.weights_version),
-                    checks_fencing: !context.settings.unfenced_models.contains(&l.target),
-                    up: load.is_some_and(|load| !load.leaving),
-                },
-            }
-        })
+fn give_orders(context: &Arc<Context>, keeper: &mut LeaseKeeper, logger: &Logger) {
+    let states = context.core.ask(|reply| CoreMsg::DomainRunners { reply });
+    let runners = states
+        .unwrap_or_default()
+        .into_iter()
+        .map(|state| look_at(context, state, keeper))
         .collect::<Vec<_>>();
     let table = context.table.get();
     let wanted_of =
@@ -214,6 +194,36 @@
     }
 }
 
+/// Describes a runner; one that an order is on its way to is asked for its state at once, the
+/// others are known from the regular questions for their load.
+fn look_at(context: &Context, state: RunnerState, keeper: &LeaseKeeper) -> Runner {
+    let RunnerState {
+        server,
+        mut weights,
+        mut takes_work,
+    } = state;
+    if keeper.giver.awaits(&server.id) {
+        let load = context.runners.load(server.address).ok();
+        weights = load.as_ref().map_or(0, |load| load.weights_version);
+        takes_work = load.as_ref().is_some_and(|load| !load.leaving);
+        context.core.send(CoreMsg::Load {
+            server: server.clone(),
+            load,
+        });
+    }
+    let model = server.target.to_string();
+    Runner {
+        address: server.address,
+        status: RunnerStatus {
+            id: server.id,
+            model: server.target,
+            weights,
+            checks_fencing: !context.settings.unfenced_models.contains(&model),
+            up: takes_work,
+        },
+    }
+}
+
 fn give(context: &Context, runner: &Runner, order: &PlannedOrder, logger: &Logger) {
     let body = OrderBody {
         fencing: order.fencing,
--- a/crates/hickoryhall-entry/src/edge/admin.rs
+++ b/crates/hickoryhall-entry/src/edge/admin.rs
@@ -102,6 +102,9 @@
                 head,
                 table: Box::new(accepted.table),
             });
+            // The answer to a later question comes after the table is in force, so the operator
+            // who reads it back here sees the change.
+            let _ = context.core.ask(|reply| CoreMsg::Status { reply });
             respond_json(request, 200, &body);
         }
         Err(AcceptError::Clash(clashes)) => {
--- a/crates/hickoryhall-membership/src/hosts.rs
+++ b/crates/hickoryhall-membership/src/hosts.rs
@@ -1,6 +1,6 @@
 //! The hosts that this one knows, and which of them are live.
 
-use std::collections::HashMap;
+use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
@@ -80,7 +80,8 @@
 pub struct Hosts {
     me: HostInfo,
     incarnation: Incarnation,
-    known: HashMap<HostHash, Known>,
+    // Ordered, so that a seeded choice among hosts is the same in every run.
+    known: BTreeMap<HostHash, Known>,
 }
 
 impl Hosts {
@@ -90,7 +91,7 @@
         Self {
             me,
             incarnation,
-            known: HashMap::new(),
+            known: BTreeMap::new(),
         }
     }
 
--- a/crates/hickoryhall-tools/src/bin/hickoryhall-capacity.rs
+++ b/crates/hickoryhall-tools/src/bin/hickoryhall-capacity.rs
@@ -71,8 +71,18 @@
             total(|role| role.core_percent),
         );
     };
-    sum("control", &|role| role.is_control);
-    sum("control and request path, quotes not limited", &|_| true);
+    let is_duty = |role: &Role| role.name.starts_with("order-giving");
+    let is_edge = |role: &Role| role.name == "caller edge";
+    sum("control, ordinary host", &|role| {
+        role.is_control && !is_duty(role)
+    });
+    sum("control, order-giver of its domain", &|role| {
+        role.is_control
+    });
+    sum(
+        "worst reading: all but the caller edge, quotes not limited",
+        &|role| !is_edge(role),
+    );
     println!("| **budget** | 64 | 6000 | 6000 | 4.4 | | | |");
 }
 
--- a/crates/hickoryhall-tools/src/bin/hickoryhall-load.rs
+++ b/crates/hickoryhall-tools/src/bin/hickoryhall-load.rs
@@ -14,6 +14,9 @@
 /// Longest run, so that a load always ends.
 const LONGEST_S: u64 = 3_600;
 
+/// Deadline of a request where none is named.
+const DEFAULT_DEADLINE: Duration = Duration::from_secs(30);
+
 /// Sends load, or compares two reports.
 #[derive(Clone, Debug, Bpaf)]
 #[bpaf(options, version)]
@@ -39,6 +42,12 @@
         /// Tokens of an answer; the profile's if left out
         #[bpaf(argument("TOKENS"))]
         tokens: Option<u32>,
+        /// Second at which other prompts become the popular ones
+        #[bpaf(argument("SECOND"))]
+        shift_at: Option<u64>,
+        /// Second at which the morning's peak comes, three times the rate
+        #[bpaf(argument("SECOND"))]
+        peak_at: Option<u64>,
         /// Deadline of a request in seconds
         #[bpaf(argument("SECONDS"), fallback(30))]
         deadline: u64,
@@ -67,10 +76,18 @@
             seconds,
             seed,
             tokens,
+            shift_at,
+            peak_at,
             deadline,
             output,
-        } => plan(&profile, rate, seconds, seed, tokens, deadline)
-            .and_then(|plan| send(&plan, against, output)),
+        } => plan(&profile, rate, seconds, seed).and_then(|mut plan| {
+            let profile = &mut plan.profile;
+            profile.output_tokens = tokens.unwrap_or(profile.output_tokens);
+            profile.shift_after = shift_at.map(Duration::from_secs);
+            profile.peak_after = peak_at.map(Duration::from_secs);
+            plan.deadline = Duration::from_secs(deadline);
+            send(&plan, against, output)
+        }),
         Options::Compare { before, after } => compare(&before, &after),
     };
     match result {
@@ -85,26 +102,18 @@
     }
 }
 
-fn plan(
-    profile: &str,
-    rate: f64,
-    seconds: u64,
-    seed: u64,
-    tokens: Option<u32>,
-    deadline: u64,
-) -> Result<LoadPlan, String> {
-    let mut profile = Profile::by_name(profile).ok_or("the profile is karoo or valenza")?;
+fn plan(profile: &str, rate: f64, seconds: u64, seed: u64) -> Result<LoadPlan, String> {
+    let profile = Profile::by_name(profile).ok_or("the profile is karoo or valenza")?;
     if rate <= 0.0 || seconds == 0 || seconds > LONGEST_S {
         return Err(format!(
             "the rate must be above 0 and the length from 1 to {LONGEST_S} s"
         ));
     }
-    profile.output_tokens = tokens.unwrap_or(profile.output_tokens);
     Ok(LoadPlan {
         profile,
         requests_per_s: rate,
         length: Duration::from_secs(seconds),
-        deadline: Duration::from_secs(deadline),
+        deadline: DEFAULT_DEADLINE,
         seed,
     })
 }
--- a/crates/hickoryhall-tools/src/capacity/budget.rs
+++ b/crates/hickoryhall-tools/src/capacity/budget.rs
@@ -18,6 +18,28 @@
 const LIMITS_IN_USE: f64 = 200.0;
 /// Grants asked a second for each limit in use, at most.
 const GRANTS_PER_S: f64 = 1.0;
+/// Bytes of one call of the store and its answer over HTTP.
+const STORE_CALL_BYTES: f64 = 700.0;
+/// Runners of the fleet that load weights at the same time.
+const LOADS_AT_ONCE: f64 = 2.0;
+/// Rounds of an order-giver a second.
+const ORDER_ROUNDS_PER_S: f64 = 2.0;
+/// Spans and decisions of one request.
+const RECORDS_PER_REQUEST: f64 = 5.0;
+/// Bytes of a record with its texts and four candidates.
+const RECORD_BYTES: f64 = 700.0;
+/// Processor time of one record, in nanoseconds.
+const RECORD_NS: f64 = 2_000.0;
+/// Streams at a time on one host.
+const EDGE_STREAMS: f64 = 1_300.0;
+/// Memory of one stream with a prompt of 64 KB.
+const EDGE_MB_PER_STREAM: f64 = 0.44;
+/// Bytes of one token's event to the caller.
+const EDGE_BYTES_PER_TOKEN: f64 = 190.0;
+/// Bytes of one prompt.
+const EDGE_PROMPT_BYTES: f64 = 65_000.0;
+/// Processor time of one request with its 294 tokens, in percent of a core.
+const EDGE_CORE_PERCENT_PER_REQUEST: f64 = 154.0 / 71.0;
 const SECONDS_PER_DAY: f64 = 86_400.0;
 const BYTES_PER_MB: f64 = 1_000_000.0;
 
@@ -54,6 +76,10 @@
         revisions(size, slopes),
         limits(slopes),
         suspects(slopes),
+        claims(size),
+        orders(),
+        telemetry(size),
+        caller_edge(size),
     ]
 }
 
@@ -198,6 +224,64 @@
     }
 }
 
+fn claims(size: &PlannedSize) -> Role {
+    let calls = size.host_requests_per_s() * size.claimed_part;
+    Role {
+        name: "claims, 1 request in 100",
+        mechanism: "no state at the host; two writes to the store for each call",
+        slopes: "bytes and ns of one call over HTTP",
+        memory_mb: 0.0,
+        sent_per_s: calls * 2.0 * STORE_CALL_BYTES / 2.0,
+        received_per_s: calls * 2.0 * STORE_CALL_BYTES / 2.0,
+        core_percent: percent(calls * 2.0 * POLL_NS),
+        is_control: false,
+    }
+}
+
+/// The one host of a failure domain that has the duty, while a roll-out runs.
+fn orders() -> Role {
+    let polls = LOADS_AT_ONCE * ORDER_ROUNDS_PER_S;
+    Role {
+        name: "order-giving (one host a domain)",
+        mechanism: "asks runners with an order on its way twice a second, at most two of the fleet",
+        slopes: "bytes and ns of one question over HTTP",
+        memory_mb: 0.1,
+        sent_per_s: polls * POLL_BYTES / 2.0,
+        received_per_s: polls * POLL_BYTES / 2.0,
+        core_percent: percent(polls * POLL_NS),
+        is_control: true,
+    }
+}
+
+fn telemetry(size: &PlannedSize) -> Role {
+    let records = size.host_requests_per_s() * RECORDS_PER_REQUEST;
+    Role {
+        name: "telemetry",
+        mechanism: "rings of 4,096 spans and 4,096 decisions; pages are read by others",
+        slopes: "bytes of one record, times the rings",
+        memory_mb: 2.0 * 4_096.0 * RECORD_BYTES / BYTES_PER_MB,
+        sent_per_s: 0.0,
+        received_per_s: 0.0,
+        core_percent: percent(records * RECORD_NS),
+        is_control: true,
+    }
+}
+
+/// What was measured on one host at its planned share, see the measurements page.
+fn caller_edge(size: &PlannedSize) -> Role {
+    let requests = size.host_requests_per_s();
+    Role {
+        name: "caller edge",
+        mechanism: "a worker and a reader thread for each stream",
+        slopes: "memory and processor time of one request, measured over processes",
+        memory_mb: EDGE_STREAMS * EDGE_MB_PER_STREAM,
+        sent_per_s: size.tokens_per_s / size.hosts * EDGE_BYTES_PER_TOKEN,
+        received_per_s: requests * EDGE_PROMPT_BYTES,
+        core_percent: requests * EDGE_CORE_PERCENT_PER_REQUEST,
+        is_control: false,
+    }
+}
+
 fn percent(ns_per_s: f64) -> f64 {
     ns_per_s / 1e9 * 100.0
 }
--- a/crates/hickoryhall-tools/src/experiment/driver.rs
+++ b/crates/hickoryhall-tools/src/experiment/driver.rs
@@ -1,7 +1,7 @@
 //! Event loop of a run.
 
 use std::cmp::Reverse;
-use std::collections::{BinaryHeap, HashMap, VecDeque};
+use std::collections::{BTreeMap, BinaryHeap, HashMap, VecDeque};
 use std::time::{Duration, Instant};
 
 use hickoryhall_clients::LoadAnswer;
@@ -110,8 +110,8 @@
     seen_load: Vec<u64>,
     sent_since_report: Vec<Vec<u64>>,
     is_cut: bool,
-    waiting: HashMap<Ticket, Request>,
-    in_flight: HashMap<Ticket, InFlight>,
+    waiting: BTreeMap<Ticket, Request>,
+    in_flight: BTreeMap<Ticket, InFlight>,
     queue: BinaryHeap<Reverse<(Instant, Event)>>,
     scheduled: Vec<Option<Instant>>,
     next_ticket: Ticket,
@@ -149,8 +149,8 @@
             seen_load: vec![0; scenario.runners],
             sent_since_report: vec![vec![0; scenario.runners]; scenario.hosts],
             is_cut: false,
-            waiting: HashMap::new(),
-            in_flight: HashMap::new(),
+            waiting: BTreeMap::new(),
+            in_flight: BTreeMap::new(),
             queue: BinaryHeap::new(),
             scheduled: vec![None; scenario.runners],
             next_ticket: 1,
--- a/crates/hickoryhall-tools/src/workload.rs
+++ b/crates/hickoryhall-tools/src/workload.rs
@@ -29,6 +29,10 @@
     pub zipf: f64,
     /// Time after which other prompts become the popular ones, if they do.
     pub shift_after: Option<Duration>,
+    /// Time from which the morning's peak comes in, if it does.
+    pub peak_after: Option<Duration>,
+    /// Rate of the peak, as a multiple of the ordinary one.
+    pub peak_factor: f64,
     /// Part of requests that go to the plain service and may not be repeated.
     pub service_part: f64,
 }
@@ -48,6 +52,8 @@
             output_tokens: 80,
             zipf: 1.0,
             shift_after: None,
+            peak_after: None,
+            peak_factor: 3.0,
             service_part: 0.1,
         }
     }
@@ -129,6 +135,19 @@
         }
     }
 
+    /// Returns the rate now, in requests a second.
+    fn rate(&self) -> f64 {
+        let is_peak = self
+            .profile
+            .peak_after
+            .is_some_and(|after| self.at >= after);
+        if is_peak {
+            self.requests_per_s * self.profile.peak_factor
+        } else {
+            self.requests_per_s
+        }
+    }
+
     fn popular(&mut self, count: u32) -> u32 {
         let weight = |place: u32| f64::from(place + 1).powf(-self.profile.zipf);
         let total = (0..count).map(weight).sum::<f64>();
@@ -155,7 +174,7 @@
     type Item = Arrival;
 
     fn next(&mut self) -> Option<Arrival> {
-        let gap = -(1.0 - self.rng.random::<f64>()).ln() / self.requests_per_s;
+        let gap = -(1.0 - self.rng.random::<f64>()).ln() / self.rate();
         self.at += Duration::from_secs_f64(gap);
         self.count += 1;
         let workspace = self.popular(self.profile.workspaces);
