Give permits back by a guard; write three things once

A permit was given back by hand at the end of two handlers, so a worker that panicked would have kept its place for ever; a guard now does it for both. The wire form of a prompt, the cost of questions over HTTP and the change of a weight in tests stood twice.

--- a/crates/hickoryhall-entry/src/dispatch/trackers.rs
+++ b/crates/hickoryhall-entry/src/dispatch/trackers.rs
@@ -150,7 +150,7 @@
 
 /// Returns the levels of a prompt in their wire form.
 #[must_use]
-pub(super) fn to_wire(chain: &PrefixChain) -> Vec<WireLevel> {
+pub fn to_wire(chain: &PrefixChain) -> Vec<WireLevel> {
     let levels = chain.levels().iter();
     levels
         .map(|level| WireLevel {
--- a/crates/hickoryhall-entry/src/edge/intake.rs
+++ b/crates/hickoryhall-entry/src/edge/intake.rs
@@ -11,7 +11,7 @@
 use hickoryhall_types::{Refusal, RefusalCode, Step};
 use metrics::counter;
 
-use crate::actors::CoreMsg;
+use crate::actors::{CoreHandle, CoreMsg};
 use crate::attempts::{
     Answer, AnswerForm, ModelRequest, RequestBody, ServiceRequest, fingerprint, prompt_tokens,
     run_model, run_service,
@@ -52,6 +52,18 @@
     workspace: String,
 }
 
+/// Place of an admitted request, given back however the request ends.
+struct HeldPermit {
+    core: CoreHandle,
+    permit: Permit,
+}
+
+impl Drop for HeldPermit {
+    fn drop(&mut self) {
+        self.core.send(CoreMsg::Release(self.permit));
+    }
+}
+
 /// Serves a request to a model.
 pub(super) fn serve_model(
     context: &Arc<Context>,
@@ -63,7 +75,7 @@
     let head = read_head(context, &http);
     let id = head.id.clone();
     let checked = check_model(context, &mut http, &caller, head, form);
-    let (request, permit) = match checked {
+    let (request, _permit) = match checked {
         Ok(checked) => checked,
         Err(refusal) => return respond_refusal(http, &id, &refusal),
     };
@@ -77,7 +89,6 @@
     let answer = Answer::new(http, caller, &request);
     run_model(context, &Arc::new(request), answer);
     span.end("ended");
-    context.core.send(CoreMsg::Release(permit));
 }
 
 /// Serves a call of a plain service.
@@ -91,7 +102,7 @@
     let head = read_head(context, &http);
     let id = head.id.clone();
     let checked = check_service(context, &mut http, caller, head, path);
-    let (request, permit) = match checked {
+    let (request, _permit) = match checked {
         Ok(checked) => checked,
         Err(refusal) => return respond_refusal(http, &id, &refusal),
     };
@@ -104,7 +115,6 @@
     };
     let result = run_service(context, &request);
     span.end("ended");
-    context.core.send(CoreMsg::Release(permit));
     match result {
         Ok(answer) => {
             let headers = [
@@ -142,7 +152,7 @@
     caller: &Caller,
     head: Head,
     form: AnswerForm,
-) -> Checked<(ModelRequest, Permit)> {
+) -> Checked<(ModelRequest, HeldPermit)> {
     let access = authenticate(context, http)?;
     let body = read_limited(context, http, caller)?;
     let body = RequestBody::parse(&body).map_err(|message| bad_request(&message))?;
@@ -186,7 +196,7 @@
     caller: &Caller,
     head: Head,
     path: &str,
-) -> Checked<(ServiceRequest, Permit)> {
+) -> Checked<(ServiceRequest, HeldPermit)> {
     let access = authenticate(context, http)?;
     let rest = path.strip_prefix("/svc/").unwrap_or_default();
     let (service, path) = rest.split_once('/').unwrap_or((rest, ""));
@@ -320,12 +330,16 @@
     target: &str,
     grant: &Grant,
     tokens: u32,
-) -> Checked<Permit> {
-    context.core.admit(AdmitAsk {
+) -> Checked<HeldPermit> {
+    let permit = context.core.admit(AdmitAsk {
         workspace: access.workspace.clone(),
         target: target.to_owned(),
         grant: grant.clone(),
         tokens,
+    })?;
+    Ok(HeldPermit {
+        core: context.core.clone(),
+        permit,
     })
 }
 
--- a/crates/hickoryhall-testsuite/tests/table.rs
+++ b/crates/hickoryhall-testsuite/tests/table.rs
@@ -20,6 +20,19 @@
     table
 }
 
+/// Changes the weight of a workspace through a host, from a table read before.
+fn set_weight(
+    fleet: &Fleet,
+    host: usize,
+    id: &str,
+    base: &Table,
+    workspace: u32,
+    weight: u32,
+) -> Result<u64, OperatorError> {
+    let wanted = with_weight(base, workspace, weight);
+    fleet.operator(host).apply(id, "operator", base, &wanted)
+}
+
 fn revisions(fleet: &Fleet) -> Vec<u64> {
     fleet
         .hosts
@@ -49,14 +62,8 @@
 fn two_operators_changes_of_different_cells_are_both_kept() {
     let fleet = small_fleet();
     let base = fleet.operator(0).table().expect("a table").table;
-    fleet
-        .operator(0)
-        .apply("a", "one", &base, &with_weight(&base, 0, 2))
-        .expect("a revision");
-    fleet
-        .operator(1)
-        .apply("b", "two", &base, &with_weight(&base, 1, 3))
-        .expect("a revision");
+    set_weight(&fleet, 0, "a", &base, 0, 2).expect("a revision");
+    set_weight(&fleet, 1, "b", &base, 1, 3).expect("a revision");
     let merged = with_weight(&with_weight(&base, 0, 2), 1, 3);
     assert_eq!(fleet.operator(1).table().expect("a table").table, merged);
 }
@@ -65,13 +72,8 @@
 fn a_clash_is_told_to_the_second_operator_cell_by_cell() {
     let fleet = small_fleet();
     let base = fleet.operator(0).table().expect("a table").table;
-    fleet
-        .operator(0)
-        .apply("a", "one", &base, &with_weight(&base, 0, 2))
-        .expect("a revision");
-    let second = fleet
-        .operator(1)
-        .apply("b", "two", &base, &with_weight(&base, 0, 3));
+    set_weight(&fleet, 0, "a", &base, 0, 2).expect("a revision");
+    let second = set_weight(&fleet, 1, "b", &base, 0, 3);
     let Err(OperatorError::Clash(cells)) = second else {
         panic!("{second:?}")
     };
--- a/crates/hickoryhall-tools/src/capacity/budget.rs
+++ b/crates/hickoryhall-tools/src/capacity/budget.rs
@@ -146,10 +146,7 @@
         mechanism: "8 questions a second: runners that this host tracks first, the others in turn",
         slopes: "bytes and ns of one question over HTTP",
         memory_mb: 1.0,
-        sent_per_s: polls * POLL_BYTES / 2.0,
-        received_per_s: polls * POLL_BYTES / 2.0,
-        core_percent: percent(polls * POLL_NS),
-        is_control: true,
+        ..asking(polls)
     }
 }
 
@@ -238,6 +235,20 @@
     }
 }
 
+/// Cost of questions for the load of backend servers over HTTP, in questions a second.
+fn asking(polls_per_s: f64) -> Role {
+    Role {
+        name: "",
+        mechanism: "",
+        slopes: "",
+        memory_mb: 0.0,
+        sent_per_s: polls_per_s * POLL_BYTES / 2.0,
+        received_per_s: polls_per_s * POLL_BYTES / 2.0,
+        core_percent: percent(polls_per_s * POLL_NS),
+        is_control: true,
+    }
+}
+
 /// The one host of a failure domain that has the duty, while a roll-out runs.
 fn orders() -> Role {
     let polls = LOADS_AT_ONCE * ORDER_ROUNDS_PER_S;
@@ -246,10 +257,7 @@
         mechanism: "asks runners with an order on its way twice a second, at most two of the fleet",
         slopes: "bytes and ns of one question over HTTP",
         memory_mb: 0.1,
-        sent_per_s: polls * POLL_BYTES / 2.0,
-        received_per_s: polls * POLL_BYTES / 2.0,
-        core_percent: percent(polls * POLL_NS),
-        is_control: true,
+        ..asking(polls)
     }
 }
 
--- a/crates/hickoryhall-tools/src/capacity/measure.rs
+++ b/crates/hickoryhall-tools/src/capacity/measure.rs
@@ -7,7 +7,7 @@
 use hickoryhall_clients::LoadAnswer;
 use hickoryhall_control::TableState;
 use hickoryhall_entry::dispatch::{
-    Dispatch, DispatchConfig, PlaceAsk, Server, ServerKind, TicketEnd,
+    Dispatch, DispatchConfig, PlaceAsk, Server, ServerKind, TicketEnd, to_wire,
 };
 use hickoryhall_limits::{BucketServer, FleetShape, HostLimit, UnitAsk};
 use hickoryhall_membership::{Gossiper, HostInfo, Hosts};
@@ -362,14 +362,7 @@
 }
 
 fn wire_levels(id: u64) -> Vec<WireLevel> {
-    let chain = chain(id % 50, id, id);
-    let levels = chain.levels().iter();
-    levels
-        .map(|level| WireLevel {
-            key: level.key,
-            tokens: level.tokens,
-        })
-        .collect()
+    to_wire(&chain(id % 50, id, id))
 }
 
 fn round(now: Instant, count: usize) -> impl FnMut() {
