--- a/crates/hickoryhall-control/src/orders.rs
+++ b/crates/hickoryhall-control/src/orders.rs
@@ -14,8 +14,10 @@
 pub struct OrderConfig {
     /// Time that a lease is granted for.
     pub lease_ttl: Duration,
-    /// Time that an order may be on its way.
+    /// Time that an order may be on its way: none is given when the lease ends sooner.
     pub order_flight: Duration,
+    /// Time that a new holder waits, so that orders of the one before it have arrived.
+    pub handover: Duration,
     /// Runners of the whole fleet that load weights at the same time at most.
     pub loads_at_once: usize,
     /// Time after which an order that shows no effect is given again.
@@ -27,6 +29,7 @@
         Self {
             lease_ttl: Duration::from_secs(10),
             order_flight: Duration::from_secs(3),
+            handover: Duration::from_secs(3),
             loads_at_once: 2,
             repeat_after: Duration::from_secs(5),
         }
@@ -204,7 +207,7 @@
     fn may_order(&self, now: Instant, lease: &HeldLease, runner: &RunnerStatus) -> bool {
         let flight = self.config.order_flight;
         runner.checks_fencing
-            || (now >= lease.taken_at + flight && now + flight < lease.valid_until)
+            || (now >= lease.taken_at + self.config.handover && now + flight < lease.valid_until)
     }
 }
 
--- /dev/null
+++ b/crates/hickoryhall-gateway/src/exchange.rs
@@ -0,0 +1,395 @@
+//! A caller's request, from its head to the last byte of its answer.
+//!
+//! Whether a request may have run decides how it ends: before its first byte is sent, and where a
+//! server says so itself, it is refused as not run; after that only what may be repeated is sent
+//! again, within the retry budget, and everything else ends as a failure that promises nothing.
+
+mod attempt;
+mod intake;
+mod record;
+mod relay;
+
+use std::cell::Cell;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+use bytes::Bytes;
+use hickoryhall_edge::{AnswerBody, Handler, Pool};
+use hickoryhall_routing::Verdict;
+use hickoryhall_types::Ran;
+use hyper::body::Incoming;
+use hyper::{Request, Response, StatusCode};
+use slog::{Logger, debug};
+use tokio::sync::oneshot;
+
+use crate::core::CoreHandle;
+use crate::interface::{OwnFailure, Platform};
+use crate::registry::ServerId;
+use crate::scheduler::{Assignment, AttemptEnd, Denied, Need, Ticket};
+
+use attempt::{Attempted, SavedAnswer, TicketGuard};
+use intake::{Job, Rejected};
+use record::Record;
+
+/// Tries to reach a server that fail before anything is sent, for one request.
+const UNSENT_TRIES: u32 = 3;
+/// Time that must be left for another attempt to be of use.
+const USEFUL_TIME: Duration = Duration::from_millis(30);
+/// Advice where a server refused the request: about the time in which it takes new work again.
+const RETRY_AFTER_REFUSED: Duration = Duration::from_millis(200);
+/// Advice to a request that ended servers, longer than its caller waits.
+const RETRY_AFTER_SUSPECT: Duration = Duration::from_secs(30);
+
+/// Takes callers' requests.
+pub struct Gateway<P> {
+    platform: Rc<P>,
+    core: CoreHandle,
+    pool: Pool,
+    next_ticket: Cell<Ticket>,
+    in_flight: Rc<Cell<usize>>,
+    logger: Logger,
+}
+
+/// Counts a request as in flight until it is dropped.
+struct InFlight(Rc<Cell<usize>>);
+
+impl Drop for InFlight {
+    fn drop(&mut self) {
+        self.0.set(self.0.get() - 1);
+    }
+}
+
+impl<P: Platform> Gateway<P> {
+    /// Creates a gateway.
+    #[must_use]
+    pub fn new(platform: Rc<P>, core: CoreHandle, pool: Pool, logger: Logger) -> Self {
+        Self {
+            platform,
+            core,
+            pool,
+            next_ticket: Cell::new(1),
+            in_flight: Rc::default(),
+            logger,
+        }
+    }
+
+    /// Returns the decisions that requests go by.
+    #[must_use]
+    pub fn core(&self) -> &CoreHandle {
+        &self.core
+    }
+
+    /// Returns the number of requests in flight.
+    #[must_use]
+    pub fn in_flight(&self) -> usize {
+        self.in_flight.get()
+    }
+
+    fn enter(&self) -> InFlight {
+        self.in_flight.set(self.in_flight.get() + 1);
+        InFlight(Rc::clone(&self.in_flight))
+    }
+
+    fn ticket(&self) -> Ticket {
+        let ticket = self.next_ticket.get();
+        self.next_ticket.set(ticket + 1);
+        ticket
+    }
+
+    fn own_failure(&self, request_id: Option<&str>, failure: &OwnFailure) -> Response<AnswerBody> {
+        self.platform
+            .own_failure(request_id, failure)
+            .map(AnswerBody::full)
+    }
+}
+
+impl<P: Platform> Handler for Gateway<P> {
+    async fn handle(
+        self: Rc<Self>,
+        request: Request<Incoming>,
+        _caller: SocketAddr,
+    ) -> Response<AnswerBody> {
+        let in_flight = self.enter();
+        let arrived = Instant::now();
+        match self.intake(request, arrived).await {
+            Ok(job) => Exchange::new(self, job, in_flight).run().await,
+            Err(Rejected {
+                request_id,
+                failure,
+                detail,
+            }) => {
+                record::rejected(
+                    &self.logger,
+                    request_id.as_deref(),
+                    &failure,
+                    &detail,
+                    arrived,
+                );
+                self.own_failure(request_id.as_deref(), &failure)
+            }
+        }
+    }
+}
+
+/// One request on its way.
+struct Exchange<P> {
+    gateway: Rc<Gateway<P>>,
+    job: Job,
+    excluded: Vec<ServerId>,
+    /// Servers that may have run the request.
+    runs: u32,
+    unsent: u32,
+    /// Failure of a server that goes to the caller where no other attempt does better.
+    failed: Option<SavedAnswer>,
+    record: Record,
+    _in_flight: InFlight,
+}
+
+/// What follows an attempt that gave no answer.
+enum Next {
+    Again,
+    End(OwnFailure),
+    Pass(SavedAnswer),
+}
+
+impl<P: Platform> Exchange<P> {
+    fn new(gateway: Rc<Gateway<P>>, job: Job, in_flight: InFlight) -> Self {
+        let record = Record::new(&job, gateway.logger.clone());
+        gateway
+            .core
+            .with(|core, now| core.record_request(now, &job.service));
+        Self {
+            gateway,
+            job,
+            excluded: Vec::new(),
+            runs: 0,
+            unsent: 0,
+            failed: None,
+            record,
+            _in_flight: in_flight,
+        }
+    }
+
+    async fn run(mut self) -> Response<AnswerBody> {
+        if let Some(failure) = self.suspect() {
+            return self.fail(failure);
+        }
+        loop {
+            let (assignment, ticket) = match self.place().await {
+                Ok(placed) => placed,
+                Err(denied) => return self.denied(denied),
+            };
+            let attempted = self.attempt(&assignment, ticket, None).await;
+            match attempted {
+                Attempted::Answer(answer) => return self.answer(answer),
+                Attempted::Stream(stream) => match self.start_stream(stream).await {
+                    Ok(response) => return response,
+                    Err((exchange, attempted)) => {
+                        self = *exchange;
+                        match self.after(&assignment, attempted) {
+                            Next::Again => {}
+                            Next::End(failure) => return self.fail(failure),
+                            Next::Pass(answer) => return self.answer(answer),
+                        }
+                    }
+                },
+                other => match self.after(&assignment, other) {
+                    Next::Again => {}
+                    Next::End(failure) => return self.fail(failure),
+                    Next::Pass(answer) => return self.answer(answer),
+                },
+            }
+        }
+    }
+
+    /// Refuses a request that has ended several servers.
+    fn suspect(&mut self) -> Option<OwnFailure> {
+        let fingerprint = self.job.fingerprint;
+        let verdict = self
+            .gateway
+            .core
+            .with(|core, now| core.verdict(now, fingerprint));
+        matches!(verdict, Verdict::Refuse(_)).then(|| OwnFailure {
+            status: StatusCode::SERVICE_UNAVAILABLE,
+            ran: Ran::No,
+            retry_after: Some(RETRY_AFTER_SUSPECT),
+            reason: "suspect",
+        })
+    }
+
+    async fn place(&mut self) -> Result<(Box<Assignment>, TicketGuard), Denied> {
+        let ticket = self.gateway.ticket();
+        let guard = TicketGuard::new(self.gateway.core.clone(), ticket);
+        let need = Need {
+            ticket,
+            service: self.job.service.clone(),
+            rank: self.job.rank(),
+            prompt: self.job.prompt.clone(),
+            arrived: self.job.arrived,
+            target: self.job.route.target_latency,
+            deadline: self.job.deadline,
+            exclude: self.excluded.clone(),
+        };
+        let (reply, placement) = oneshot::channel();
+        self.gateway
+            .core
+            .with(|core, now| core.place(now, need, reply));
+        let placement = placement.await;
+        let assignment = placement.expect("the actor answers every request that it holds")?;
+        self.record.placed(&assignment);
+        Ok((assignment, guard))
+    }
+
+    /// Decides what follows an attempt that gave no answer.
+    fn after(&mut self, assignment: &Assignment, attempted: Attempted) -> Next {
+        let server = assignment.server.id.clone();
+        debug!(
+            self.gateway.logger, "exchange: Attempt without an answer.";
+            "request" => &*self.job.ask.request_id, "server" => &*server, "outcome" => attempted.name()
+        );
+        self.record.attempted(&server, attempted.name());
+        self.excluded.push(server);
+        match attempted {
+            Attempted::Unsent => {
+                self.unsent += 1;
+                if self.unsent < UNSENT_TRIES && self.has_time() {
+                    return Next::Again;
+                }
+                self.end_unanswered("unreachable")
+            }
+            Attempted::NotRun => {
+                if self.has_time() && self.take_retry() {
+                    return Next::Again;
+                }
+                self.end_unanswered("refused_by_server")
+            }
+            Attempted::Failed(answer) => {
+                self.runs += 1;
+                if self.may_run_again() {
+                    self.failed = Some(answer);
+                    return Next::Again;
+                }
+                Next::Pass(answer)
+            }
+            Attempted::Broken => {
+                self.runs += 1;
+                if self.may_run_again() {
+                    return Next::Again;
+                }
+                self.end_unanswered("broken_off")
+            }
+            Attempted::TimedOut => {
+                self.runs += 1;
+                if self.may_run_again() {
+                    return Next::Again;
+                }
+                self.end_unanswered("timed_out")
+            }
+            Attempted::Answer(answer) => Next::Pass(answer),
+            Attempted::Stream(_) => self.end_unanswered("stream_not_started"),
+        }
+    }
+
+    fn has_time(&self) -> bool {
+        self.job.deadline.saturating_duration_since(Instant::now()) > USEFUL_TIME
+    }
+
+    fn may_run_again(&mut self) -> bool {
+        let route = &self.job.route;
+        let is_allowed = route.kind.may_repeat() && self.runs < route.attempts;
+        is_allowed && self.has_time() && self.take_retry()
+    }
+
+    fn take_retry(&mut self) -> bool {
+        let service = &self.job.service;
+        self.gateway
+            .core
+            .with(|core, now| core.take_retry(now, service))
+    }
+
+    /// Ends a request without a server's answer, as truthfully as is known.
+    fn end_unanswered(&mut self, reason: &'static str) -> Next {
+        if let Some(failed) = self.failed.take() {
+            return Next::Pass(failed);
+        }
+        if self.runs == 0 {
+            return Next::End(OwnFailure {
+                status: StatusCode::SERVICE_UNAVAILABLE,
+                ran: Ran::No,
+                retry_after: Some(RETRY_AFTER_REFUSED),
+                reason,
+            });
+        }
+        let is_late = Instant::now() >= self.job.deadline;
+        Next::End(OwnFailure {
+            status: if is_late {
+                StatusCode::GATEWAY_TIMEOUT
+            } else {
+                StatusCode::BAD_GATEWAY
+            },
+            ran: Ran::Unknown,
+            retry_after: None,
+            reason,
+        })
+    }
+
+    fn denied(mut self, denied: Denied) -> Response<AnswerBody> {
+        if let Some(failed) = self.failed.take() {
+            return self.answer(failed);
+        }
+        let failure = if self.runs == 0 {
+            OwnFailure {
+                status: StatusCode::SERVICE_UNAVAILABLE,
+                ran: Ran::No,
+                retry_after: Some(denied.retry_after),
+                reason: denied.reason.as_str(),
+            }
+        } else {
+            OwnFailure {
+                status: StatusCode::BAD_GATEWAY,
+                ran: Ran::Unknown,
+                retry_after: None,
+                reason: denied.reason.as_str(),
+            }
+        };
+        self.fail(failure)
+    }
+
+    fn fail(mut self, failure: OwnFailure) -> Response<AnswerBody> {
+        self.record.failed(&failure);
+        self.gateway
+            .own_failure(Some(&self.job.ask.request_id), &failure)
+    }
+
+    fn answer(mut self, answer: SavedAnswer) -> Response<AnswerBody> {
+        if answer.is_success {
+            let fingerprint = self.job.fingerprint;
+            self.gateway.core.with(|core, _| core.acquit(fingerprint));
+        }
+        self.record.answered(answer.status);
+        answer.into_response()
+    }
+}
+
+impl SavedAnswer {
+    fn into_response(self) -> Response<AnswerBody> {
+        let mut response = Response::new(AnswerBody::full(self.body));
+        *response.status_mut() = self.status;
+        *response.headers_mut() = self.headers;
+        response
+    }
+}
+
+/// Ends an attempt whose server broke off.
+fn end_of(attempted: &Attempted) -> AttemptEnd {
+    match attempted {
+        Attempted::Answer(_) | Attempted::Stream(_) | Attempted::Failed(_) => AttemptEnd::Answered,
+        Attempted::NotRun => AttemptEnd::Released,
+        Attempted::Unsent => AttemptEnd::Unreachable,
+        Attempted::Broken | Attempted::TimedOut => AttemptEnd::Failed,
+    }
+}
+
+/// Body of an attempt; cheap to send again.
+type RequestBody = Bytes;
--- /dev/null
+++ b/crates/hickoryhall-gateway/src/exchange/attempt.rs
@@ -0,0 +1,327 @@
+//! One attempt at one backend server.
+
+use std::net::SocketAddr;
+use std::time::{Duration, Instant};
+
+use bytes::Bytes;
+use hickoryhall_edge::Connection;
+use http::response;
+use http_body_util::{BodyExt, Full};
+use hyper::body::Incoming;
+use hyper::header::HeaderMap;
+use hyper::{Request, Response, StatusCode};
+use slog::debug;
+use tokio::time::{Instant as TokioInstant, timeout_at};
+
+use super::{Exchange, RequestBody, end_of};
+use crate::core::CoreHandle;
+use crate::interface::{AttemptPlan, Judged, Meaning, Platform};
+use crate::registry::BackendServer;
+use crate::scheduler::{Assignment, AttemptEnd, Ticket};
+
+/// Part of the time left that an attempt gets where another server may take over.
+const FIRST_ATTEMPT_PART: f64 = 0.5;
+/// Time beyond its estimate that a stream's first event gets where another runner may take over:
+/// several times what a busy runner is late by.
+const FIRST_EVENT_SLACK: Duration = Duration::from_millis(1_200);
+/// Time for the body of a refusal, so that its connection can be kept.
+const REFUSAL_BODY: Duration = Duration::from_millis(50);
+
+/// Tells the scheduler of the end of an attempt, at the latest when it is dropped.
+pub(super) struct TicketGuard {
+    core: CoreHandle,
+    ticket: Ticket,
+    is_open: bool,
+}
+
+impl TicketGuard {
+    pub fn new(core: CoreHandle, ticket: Ticket) -> Self {
+        Self {
+            core,
+            ticket,
+            is_open: true,
+        }
+    }
+
+    pub fn first_event(&self) {
+        let ticket = self.ticket;
+        self.core.with(|core, now| core.first_event(now, ticket));
+    }
+
+    pub fn end(mut self, end: AttemptEnd) {
+        self.close(end);
+    }
+
+    fn close(&mut self, end: AttemptEnd) {
+        if std::mem::take(&mut self.is_open) {
+            let ticket = self.ticket;
+            self.core.with(|core, now| core.ended(now, ticket, end));
+        }
+    }
+}
+
+impl Drop for TicketGuard {
+    fn drop(&mut self) {
+        self.close(AttemptEnd::Released);
+    }
+}
+
+/// An answer held in full.
+pub(super) struct SavedAnswer {
+    pub status: StatusCode,
+    pub headers: HeaderMap,
+    pub body: Bytes,
+    pub is_success: bool,
+}
+
+/// A stream whose head has come.
+pub(super) struct OpenStream {
+    pub head: response::Parts,
+    pub body: Incoming,
+    pub connection: Connection,
+    pub judged: Judged,
+    pub server: BackendServer,
+    pub ticket: TicketGuard,
+    /// Moment by which the first event must come.
+    pub first_event_by: Instant,
+}
+
+/// Outcome of an attempt.
+pub(super) enum Attempted {
+    /// A whole success.
+    Answer(SavedAnswer),
+    /// The head of a stream.
+    Stream(Box<OpenStream>),
+    /// The server ran the request and failed.
+    Failed(SavedAnswer),
+    /// The server says that it did not run the request.
+    NotRun,
+    /// Nothing was sent.
+    Unsent,
+    /// The server broke off, or its answer was not one; the request may have run.
+    Broken,
+    /// No answer came in time; the request may have run.
+    TimedOut,
+}
+
+impl Attempted {
+    pub fn name(&self) -> &'static str {
+        match self {
+            Self::Answer(_) => "answer",
+            Self::Stream(_) => "stream",
+            Self::Failed(_) => "failed",
+            Self::NotRun => "not_run",
+            Self::Unsent => "unsent",
+            Self::Broken => "broken",
+            Self::TimedOut => "timed_out",
+        }
+    }
+}
+
+/// The head of an answer with its connection.
+struct Answered {
+    response: Response<Incoming>,
+    connection: Connection,
+}
+
+impl<P: Platform> Exchange<P> {
+    /// Sends the request to a server and reads the answer, or the head of a stream.
+    pub(super) async fn attempt(
+        &mut self,
+        assignment: &Assignment,
+        ticket: TicketGuard,
+        resume_after: Option<&str>,
+    ) -> Attempted {
+        let until = self.attempt_until(assignment);
+        let address = assignment.server.address;
+        let answered = match self.send(assignment, resume_after, until).await {
+            Ok(answered) => answered,
+            Err(attempted) => {
+                self.note_failure(&attempted, address);
+                ticket.end(end_of(&attempted));
+                return attempted;
+            }
+        };
+        let (head, body) = answered.response.into_parts();
+        let judged = self.gateway.platform.judge(&head, &self.job.ask);
+        let server = &assignment.server.id;
+        self.gateway
+            .core
+            .with(|core, now| core.observe(now, server, &judged));
+        if judged.meaning == Meaning::Success && self.job.route.kind.is_stream() {
+            return Attempted::Stream(Box::new(OpenStream {
+                head,
+                body,
+                connection: answered.connection,
+                judged,
+                server: assignment.server.clone(),
+                ticket,
+                first_event_by: until,
+            }));
+        }
+        let attempted = match judged.meaning {
+            Meaning::Success | Meaning::Failure => {
+                self.whole(head, body, answered.connection, &judged, until)
+                    .await
+            }
+            Meaning::NotRun | Meaning::WrongServer => {
+                self.keep_after_refusal(body, answered.connection, &judged)
+                    .await;
+                Attempted::NotRun
+            }
+            Meaning::Foreign => Attempted::Broken,
+        };
+        self.note_failure(&attempted, address);
+        ticket.end(end_of(&attempted));
+        attempted
+    }
+
+    fn attempt_until(&self, assignment: &Assignment) -> Instant {
+        let route = &self.job.route;
+        let is_last = !route.kind.may_repeat() || self.runs + 1 >= route.attempts;
+        if is_last {
+            return self.job.deadline;
+        }
+        let now = Instant::now();
+        let left = self.job.deadline.saturating_duration_since(now);
+        let limit = if route.kind.is_stream() {
+            assignment.estimate.mul_f64(1.5) + FIRST_EVENT_SLACK
+        } else {
+            left.mul_f64(FIRST_ATTEMPT_PART)
+        };
+        (now + limit).min(self.job.deadline)
+    }
+
+    async fn send(
+        &self,
+        assignment: &Assignment,
+        resume_after: Option<&str>,
+        until: Instant,
+    ) -> Result<Answered, Attempted> {
+        let server = &assignment.server;
+        let pool = &self.gateway.pool;
+        let mut connection = pool.connection(server.address).await.map_err(|error| {
+            debug!(self.gateway.logger, "exchange: Server not reached."; "server" => &*server.id, "error" => %error);
+            Attempted::Unsent
+        })?;
+        let request = self.request(assignment, resume_after);
+        let deadline = TokioInstant::from_std(until);
+        let sent = timeout_at(deadline, connection.send(request)).await;
+        let response = match sent {
+            Ok(Ok(response)) => response,
+            Ok(Err(error)) if error.is_unsent && connection.is_reused() => {
+                // The server had closed the kept connection; a new one tells whether it is there.
+                connection = pool
+                    .connect(server.address)
+                    .await
+                    .map_err(|_| Attempted::Unsent)?;
+                let request = self.request(assignment, resume_after);
+                match timeout_at(deadline, connection.send(request)).await {
+                    Ok(Ok(response)) => response,
+                    Ok(Err(error)) if error.is_unsent => return Err(Attempted::Unsent),
+                    Ok(Err(_)) => return Err(Attempted::Broken),
+                    Err(_) => return Err(Attempted::TimedOut),
+                }
+            }
+            Ok(Err(error)) => {
+                debug!(self.gateway.logger, "exchange: Attempt broke off."; "server" => &*server.id, "error" => %error);
+                return Err(if error.is_unsent {
+                    Attempted::Unsent
+                } else {
+                    Attempted::Broken
+                });
+            }
+            Err(_) => return Err(Attempted::TimedOut),
+        };
+        Ok(Answered {
+            response,
+            connection,
+        })
+    }
+
+    fn request(
+        &self,
+        assignment: &Assignment,
+        resume_after: Option<&str>,
+    ) -> Request<Full<RequestBody>> {
+        let job = &self.job;
+        let plan = AttemptPlan {
+            server: &assignment.server,
+            time_left: job.deadline.saturating_duration_since(Instant::now()),
+            workspace: job.workspace.as_ref().map(|workspace| &workspace.id),
+            cache_salt: job.cache_salt.as_deref(),
+            resume_after: resume_after.or(job.ask.last_event_id.as_deref()),
+            expected_weights: None,
+            fetch_from: None,
+            save_to: None,
+        };
+        let head = self.gateway.platform.attempt(&job.head, &plan);
+        head.map(|()| Full::new(job.body.clone()))
+    }
+
+    async fn whole(
+        &self,
+        head: response::Parts,
+        body: Incoming,
+        connection: Connection,
+        judged: &Judged,
+        until: Instant,
+    ) -> Attempted {
+        match timeout_at(TokioInstant::from_std(until), body.collect()).await {
+            Ok(Ok(body)) => {
+                self.keep(connection, judged);
+                let answer = SavedAnswer {
+                    status: head.status,
+                    headers: self.gateway.platform.answer_headers(&head.headers),
+                    body: body.to_bytes(),
+                    is_success: judged.meaning == Meaning::Success,
+                };
+                if answer.is_success {
+                    Attempted::Answer(answer)
+                } else {
+                    Attempted::Failed(answer)
+                }
+            }
+            Ok(Err(error)) => {
+                debug!(self.gateway.logger, "exchange: Answer broke off."; "peer" => %connection.address(), "error" => %error);
+                Attempted::Broken
+            }
+            Err(_) => Attempted::TimedOut,
+        }
+    }
+
+    async fn keep_after_refusal(&self, body: Incoming, connection: Connection, judged: &Judged) {
+        let collected = tokio::time::timeout(REFUSAL_BODY, body.collect()).await;
+        if matches!(collected, Ok(Ok(_))) {
+            self.keep(connection, judged);
+        }
+    }
+
+    /// Keeps a connection for the next request, unless its server ends it.
+    pub(super) fn keep(&self, connection: Connection, judged: &Judged) {
+        if !judged.is_last {
+            self.gateway.pool.keep(connection, judged.keep_alive);
+        }
+    }
+
+    /// Records that a server broke off a request, which may be the cause.
+    pub(super) fn note_failure(&self, attempted: &Attempted, address: SocketAddr) {
+        match attempted {
+            Attempted::Broken => {
+                let fingerprint = self.job.fingerprint;
+                let deaths = self
+                    .gateway
+                    .core
+                    .with(|core, now| core.death(now, fingerprint));
+                slog::info!(
+                    self.gateway.logger, "exchange: A server broke a request off.";
+                    "request" => &*self.job.ask.request_id, "peer" => %address,
+                    "fingerprint" => self.job.fingerprint, "deaths" => deaths
+                );
+                self.gateway.pool.forget(address);
+            }
+            Attempted::Unsent => self.gateway.pool.forget(address),
+            _ => {}
+        }
+    }
+}
--- /dev/null
+++ b/crates/hickoryhall-gateway/src/exchange/intake.rs
@@ -0,0 +1,225 @@
+//! From the head of a request to everything that placing it needs.
+
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use bytes::Bytes;
+use hickoryhall_routing::{Fingerprint, Level, PrefixChain};
+use hickoryhall_types::{Ran, Revision, TargetId};
+use http::request;
+use http_body_util::{BodyExt, Limited};
+use hyper::body::Incoming;
+use hyper::{Request, StatusCode};
+use tokio::time::timeout;
+
+use super::Gateway;
+use crate::interface::{Ask, OwnFailure, Platform, Prompt};
+use crate::scheduler::{PromptNeed, Rank};
+use crate::table::{CallerLimits, Route, RouteTable, Workspace};
+
+/// Time before the caller's own deadline at which the final answer leaves here.
+const DEADLINE_MARGIN: Duration = Duration::from_millis(15);
+/// Advice while the host has no table: about the time in which it fetches one.
+const RETRY_AFTER_NOT_READY: Duration = Duration::from_millis(300);
+/// Rank of callers without a workspace, after those of any workspace.
+const RANK_WITHOUT_WORKSPACE: u8 = u8::MAX;
+
+/// A request that was read in full and may be placed.
+pub(super) struct Job {
+    pub head: request::Parts,
+    pub body: Bytes,
+    pub ask: Ask,
+    pub route: Arc<Route>,
+    pub service: TargetId,
+    pub workspace: Option<Arc<Workspace>>,
+    pub prompt: Option<PromptNeed>,
+    pub cache_salt: Option<String>,
+    pub fingerprint: Fingerprint,
+    pub arrived: Instant,
+    pub deadline: Instant,
+    pub table_revision: Revision,
+}
+
+impl Job {
+    pub fn rank(&self) -> Rank {
+        let workspace = self.workspace.as_ref();
+        let workspace = workspace.and_then(|workspace| workspace.rank);
+        (workspace.unwrap_or(RANK_WITHOUT_WORKSPACE), self.route.rank)
+    }
+}
+
+/// A request that ends before any placement.
+pub(super) struct Rejected {
+    pub request_id: Option<Arc<str>>,
+    pub failure: OwnFailure,
+    pub detail: String,
+}
+
+impl Rejected {
+    fn new(ask: Option<&Ask>, status: StatusCode, reason: &'static str) -> Self {
+        Self {
+            request_id: ask.map(|ask| ask.request_id.clone()),
+            failure: OwnFailure {
+                status,
+                ran: Ran::No,
+                retry_after: None,
+                reason,
+            },
+            detail: String::new(),
+        }
+    }
+
+    fn detail(mut self, detail: impl ToString) -> Self {
+        self.detail = detail.to_string();
+        self
+    }
+}
+
+impl<P: Platform> Gateway<P> {
+    pub(super) async fn intake(
+        &self,
+        request: Request<Incoming>,
+        arrived: Instant,
+    ) -> Result<Job, Rejected> {
+        let (head, body) = request.into_parts();
+        let ask = self.platform.read(&head).map_err(|error| {
+            Rejected::new(None, StatusCode::BAD_REQUEST, "bad_request").detail(error)
+        })?;
+        let Some(table) = self.core.with(|core, _| core.table()) else {
+            let mut rejected =
+                Rejected::new(Some(&ask), StatusCode::SERVICE_UNAVAILABLE, "no_table");
+            rejected.failure.retry_after = Some(RETRY_AFTER_NOT_READY);
+            return Err(rejected);
+        };
+        let (route, workspace) = authorize(&table, &ask, head.uri.path())?;
+        let deadline = deadline(arrived, &ask, &route);
+        let body = read_body(body, table.limits(), deadline, &ask).await?;
+        let fingerprint = fingerprint(&head, &ask, &body);
+        let hash = hickoryhall_types::hash_name(&ask.request_id);
+        let service = route.target(hash).cloned().ok_or_else(|| {
+            Rejected::new(Some(&ask), StatusCode::SERVICE_UNAVAILABLE, "no_service")
+        })?;
+        let cache_salt = ask
+            .prompt
+            .as_ref()
+            .map(|_| cache_salt(workspace.as_deref()));
+        let prompt = ask.prompt.as_ref().zip(cache_salt.as_ref());
+        Ok(Job {
+            prompt: prompt.map(|(prompt, salt)| prompt_need(prompt, salt)),
+            cache_salt,
+            head,
+            body,
+            ask,
+            route,
+            service,
+            workspace,
+            fingerprint,
+            arrived,
+            deadline,
+            table_revision: table.revision(),
+        })
+    }
+}
+
+type Authorized = (Arc<Route>, Option<Arc<Workspace>>);
+
+fn authorize(table: &RouteTable, ask: &Ask, path: &str) -> Result<Authorized, Rejected> {
+    let route = table.route(&ask.host, path).ok_or_else(|| {
+        Rejected::new(Some(ask), StatusCode::NOT_FOUND, "no_route").detail(format_args!(
+            "{}{path} in table {}",
+            ask.host,
+            table.revision()
+        ))
+    })?;
+    let workspace = ask.key.as_deref().and_then(|key| table.workspace(key));
+    if table.needs_keys() && !route.is_public && workspace.is_none() {
+        return Err(
+            Rejected::new(Some(ask), StatusCode::UNAUTHORIZED, "unknown_key")
+                .detail(format_args!("table {}", table.revision())),
+        );
+    }
+    Ok((Arc::clone(route), workspace.cloned()))
+}
+
+fn deadline(arrived: Instant, ask: &Ask, route: &Route) -> Instant {
+    let patience = ask
+        .patience
+        .map(|patience| patience.saturating_sub(DEADLINE_MARGIN));
+    arrived + patience.map_or(route.timeout, |patience| patience.min(route.timeout))
+}
+
+async fn read_body(
+    body: Incoming,
+    limits: CallerLimits,
+    deadline: Instant,
+    ask: &Ask,
+) -> Result<Bytes, Rejected> {
+    let left = deadline.saturating_duration_since(Instant::now());
+    let collected = Limited::new(body, limits.body_bytes).collect();
+    match timeout(limits.read.min(left), collected).await {
+        Ok(Ok(body)) => Ok(body.to_bytes()),
+        Ok(Err(error)) if error.is::<http_body_util::LengthLimitError>() => Err(Rejected::new(
+            Some(ask),
+            StatusCode::PAYLOAD_TOO_LARGE,
+            "body_too_large",
+        )),
+        Ok(Err(error)) => {
+            Err(Rejected::new(Some(ask), StatusCode::BAD_REQUEST, "broken_body").detail(error))
+        }
+        Err(_) => Err(Rejected::new(
+            Some(ask),
+            StatusCode::REQUEST_TIMEOUT,
+            "slow_body",
+        )),
+    }
+}
+
+/// Returns the hash by which a request is known when it comes again.
+fn fingerprint(head: &request::Parts, ask: &Ask, body: &[u8]) -> Fingerprint {
+    let mut hasher = blake3::Hasher::new();
+    let path = head.uri.path_and_query().map_or("/", |path| path.as_str());
+    for part in [
+        path.as_bytes(),
+        ask.key.as_deref().unwrap_or_default().as_bytes(),
+        body,
+    ] {
+        hasher.update(&(part.len() as u64).to_le_bytes());
+        hasher.update(part);
+    }
+    first_u64(hasher.finalize().as_bytes())
+}
+
+/// Returns the name under which a workspace's cached prompts are shared: its own where it is
+/// isolated, one name for all others.
+fn cache_salt(workspace: Option<&Workspace>) -> String {
+    match workspace {
+        Some(workspace) if workspace.is_isolated => {
+            let hash = hickoryhall_types::hash_name(&workspace.id);
+            format!("w{hash:016x}")
+        }
+        _ => "shared".to_owned(),
+    }
+}
+
+fn prompt_need(prompt: &Prompt, salt: &str) -> PromptNeed {
+    let mut parent = *blake3::hash(salt.as_bytes()).as_bytes();
+    let levels = prompt.parts.iter().map(|part| {
+        parent = *blake3::keyed_hash(&parent, part.id.as_bytes()).as_bytes();
+        Level {
+            key: first_u64(&parent),
+            tokens: part.tokens,
+        }
+    });
+    PromptNeed {
+        model: prompt.model.clone(),
+        chain: PrefixChain::from_levels(levels.collect()),
+        input_tokens: prompt.input_tokens,
+        output_tokens: prompt.output_tokens,
+    }
+}
+
+fn first_u64(bytes: &[u8; 32]) -> u64 {
+    let mut first = [0; 8];
+    first.copy_from_slice(&bytes[..8]);
+    u64::from_le_bytes(first)
+}
--- /dev/null
+++ b/crates/hickoryhall-gateway/src/exchange/record.rs
@@ -0,0 +1,156 @@
+//! The log line and the metrics of a request.
+
+use std::sync::Arc;
+use std::time::Instant;
+
+use hickoryhall_types::Ran;
+use hyper::StatusCode;
+use metrics::{counter, histogram};
+use slog::{Logger, info};
+
+use super::intake::Job;
+use crate::interface::OwnFailure;
+use crate::scheduler::Assignment;
+
+/// What is said of a request when it ends.
+pub(super) struct Record {
+    logger: Logger,
+    request_id: Arc<str>,
+    route: Arc<str>,
+    service: Arc<str>,
+    workspace: Arc<str>,
+    table_revision: u64,
+    arrived: Instant,
+    tried: Vec<String>,
+    placed: Option<PlacedRecord>,
+    first_event_ms: Option<u128>,
+    bytes: usize,
+    is_ended: bool,
+}
+
+struct PlacedRecord {
+    server: Arc<str>,
+    estimate_ms: u128,
+    missing_tokens: u32,
+    requests: u32,
+    candidates: u32,
+    weights: u64,
+    waited_ms: u128,
+}
+
+impl Record {
+    pub fn new(job: &Job, logger: Logger) -> Self {
+        let workspace = job.workspace.as_ref();
+        Self {
+            logger,
+            request_id: job.ask.request_id.clone(),
+            route: job.route.name.clone(),
+            service: job.service.clone(),
+            workspace: workspace.map_or_else(|| "".into(), |workspace| workspace.id.clone()),
+            table_revision: job.table_revision,
+            arrived: job.arrived,
+            tried: Vec::new(),
+            placed: None,
+            first_event_ms: None,
+            bytes: 0,
+            is_ended: false,
+        }
+    }
+
+    pub fn placed(&mut self, assignment: &Assignment) {
+        self.placed = Some(PlacedRecord {
+            server: assignment.server.id.clone(),
+            estimate_ms: assignment.estimate.as_millis(),
+            missing_tokens: assignment.missing_tokens,
+            requests: assignment.requests,
+            candidates: assignment.candidates,
+            weights: assignment.weights,
+            waited_ms: assignment.waited.as_millis(),
+        });
+    }
+
+    pub fn attempted(&mut self, server: &str, outcome: &str) {
+        counter!("attempts_without_answer_total", "outcome" => outcome.to_owned()).increment(1);
+        self.tried.push(format!("{server}:{outcome}"));
+    }
+
+    pub fn first_event(&mut self) {
+        let elapsed = self.arrived.elapsed();
+        histogram!("first_event_seconds").record(elapsed.as_secs_f64());
+        self.first_event_ms = Some(elapsed.as_millis());
+    }
+
+    pub fn events(&mut self, bytes: usize) {
+        self.bytes += bytes;
+    }
+
+    pub fn answered(&mut self, status: StatusCode) {
+        self.end("answered", status.as_u16(), "", "yes");
+    }
+
+    pub fn failed(&mut self, failure: &OwnFailure) {
+        let ran = match failure.ran {
+            Ran::No => "no",
+            Ran::Yes => "yes",
+            Ran::Unknown => "unknown",
+        };
+        self.end("failed", failure.status.as_u16(), failure.reason, ran);
+    }
+
+    pub fn broken(&mut self, reason: &str) {
+        self.end("broken_off", 0, reason, "yes");
+    }
+
+    pub fn caller_left(&mut self) {
+        self.end("caller_left", 0, "", "unknown");
+    }
+
+    fn end(&mut self, outcome: &'static str, status: u16, reason: &str, ran: &str) {
+        self.is_ended = true;
+        let elapsed = self.arrived.elapsed();
+        counter!("requests_total", "outcome" => outcome, "reason" => reason.to_owned())
+            .increment(1);
+        histogram!("request_seconds", "outcome" => outcome).record(elapsed.as_secs_f64());
+        let placed = self.placed.as_ref();
+        info!(
+            self.logger, "exchange: Request ended.";
+            "request" => &*self.request_id, "outcome" => outcome, "status" => status,
+            "reason" => reason, "ran" => ran, "route" => &*self.route, "service" => &*self.service,
+            "workspace" => &*self.workspace, "table" => self.table_revision,
+            "elapsed_ms" => elapsed.as_millis(), "first_event_ms" => self.first_event_ms,
+            "server" => placed.map_or("", |placed| &*placed.server),
+            "weights" => placed.map(|placed| placed.weights),
+            "estimate_ms" => placed.map(|placed| placed.estimate_ms),
+            "missing_tokens" => placed.map(|placed| placed.missing_tokens),
+            "requests_there" => placed.map(|placed| placed.requests),
+            "candidates" => placed.map(|placed| placed.candidates),
+            "waited_ms" => placed.map(|placed| placed.waited_ms),
+            "tried" => self.tried.join(" "), "bytes" => self.bytes
+        );
+    }
+}
+
+impl Drop for Record {
+    fn drop(&mut self) {
+        if !self.is_ended {
+            self.caller_left();
+        }
+    }
+}
+
+/// Says why a request ended before any placement.
+pub(super) fn rejected(
+    logger: &Logger,
+    request_id: Option<&str>,
+    failure: &OwnFailure,
+    detail: &str,
+    arrived: Instant,
+) {
+    counter!("requests_total", "outcome" => "rejected", "reason" => failure.reason).increment(1);
+    info!(
+        logger, "exchange: Request rejected.";
+        "request" => request_id.unwrap_or_default(), "status" => failure.status.as_u16(),
+        "reason" => failure.reason, "detail" => detail, "ran" => "no",
+        "elapsed_ms" => arrived.elapsed().as_millis()
+    );
+}
--- /dev/null
+++ b/crates/hickoryhall-gateway/src/feeds.rs
@@ -0,0 +1,280 @@
+//! Reads the operators' records and the registry from the store, and keeps both current.
+
+use std::cell::RefCell;
+use std::collections::BTreeMap;
+use std::rc::Rc;
+use std::time::Duration;
+
+use rand::RngExt;
+use slog::{Logger, info, warn};
+
+use crate::core::CoreHandle;
+use crate::interface::{
+    AsOf, OperatorRecord, Platform, StoreChange, StoreError, StoreItem, StoreRevision,
+};
+use crate::peers::{Records, Snapshot};
+
+/// Time for which one watch waits for changes; keep-alive probes find silent connections sooner.
+const WATCH_WAIT: Duration = Duration::from_secs(8);
+/// Pause after a first failure of the store.
+const FIRST_PAUSE: Duration = Duration::from_millis(100);
+/// Longest pause between two tries: changes must be in force within two seconds of its return.
+const LONGEST_PAUSE: Duration = Duration::from_millis(600);
+
+/// A source of records.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum FeedKind {
+    /// Records of the operators.
+    Operator,
+    /// Registry of backend servers.
+    Registry,
+}
+
+impl FeedKind {
+    fn name(self) -> &'static str {
+        match self {
+            Self::Operator => "operator",
+            Self::Registry => "registry",
+        }
+    }
+}
+
+/// Raw records as of a revision, 0 where none were read.
+#[derive(Debug, Default)]
+struct Held {
+    revision: StoreRevision,
+    items: BTreeMap<String, StoreItem>,
+}
+
+impl From<&Held> for Records {
+    fn from(held: &Held) -> Self {
+        Self {
+            revision: held.revision,
+            items: held.items.values().cloned().collect(),
+        }
+    }
+}
+
+impl From<Records> for Held {
+    fn from(records: Records) -> Self {
+        let items = records.items.into_iter();
+        Self {
+            revision: records.revision,
+            items: items.map(|item| (item.key.clone(), item)).collect(),
+        }
+    }
+}
+
+/// The records that this host has read, and the tasks that keep them current.
+pub struct Feeds<P> {
+    platform: Rc<P>,
+    core: CoreHandle,
+    operator: RefCell<Held>,
+    registry: RefCell<Held>,
+    logger: Logger,
+}
+
+impl<P: Platform> Feeds<P> {
+    /// Creates feeds that have read nothing.
+    #[must_use]
+    pub fn new(platform: Rc<P>, core: CoreHandle, logger: Logger) -> Self {
+        Self {
+            platform,
+            core,
+            operator: RefCell::default(),
+            registry: RefCell::default(),
+            logger,
+        }
+    }
+
+    /// Returns everything that was read, for hosts that cannot read the store.
+    #[must_use]
+    pub fn snapshot(&self) -> Snapshot {
+        Snapshot {
+            operator: Records::from(&*self.operator.borrow()),
+            registry: Records::from(&*self.registry.borrow()),
+        }
+    }
+
+    /// Takes another host's records where they are newer than this host's.
+    pub fn on_snapshot(&self, snapshot: Snapshot) {
+        self.take_newer(FeedKind::Operator, snapshot.operator);
+        self.take_newer(FeedKind::Registry, snapshot.registry);
+    }
+
+    fn take_newer(&self, kind: FeedKind, records: Records) {
+        if records.revision > self.held(kind).borrow().revision {
+            self.apply_list(kind, records);
+        }
+    }
+
+    /// Follows one source until the task is dropped.
+    pub async fn follow(&self, kind: FeedKind) {
+        let mut link = Link::new(kind, self.logger.clone());
+        loop {
+            let listed = self.platform.range(prefix::<P>(kind)).await;
+            let Some(AsOf { content, revision }) = self.checked(&mut link, listed).await else {
+                continue;
+            };
+            let items = content;
+            self.apply_list(kind, Records { revision, items });
+            self.watch(&mut link, revision).await;
+        }
+    }
+
+    /// Follows the changes after a revision until the history is gone.
+    async fn watch(&self, link: &mut Link, mut after: StoreRevision) {
+        let prefix = prefix::<P>(link.kind);
+        loop {
+            let watched = self.platform.watch(prefix, after, WATCH_WAIT).await;
+            if let Err(StoreError::Compacted) = watched {
+                info!(self.logger, "feeds: History is gone; reading everything."; "source" => link.kind.name(), "after" => after);
+                return;
+            }
+            let Some(changes) = self.checked(link, watched).await else {
+                continue;
+            };
+            for change in changes.content {
+                self.apply_change(link.kind, change);
+            }
+            after = after.max(changes.revision);
+            let mut held = self.held(link.kind).borrow_mut();
+            held.revision = held.revision.max(after);
+        }
+    }
+
+    /// Records the state of the link; waits after a failure.
+    async fn checked<T>(&self, link: &mut Link, result: Result<T, StoreError>) -> Option<T> {
+        let is_up = result.is_ok();
+        if link.kind == FeedKind::Registry && is_up != link.is_up() {
+            self.core
+                .with(|core, now| core.on_registry_link(now, is_up));
+        }
+        match result {
+            Ok(value) => {
+                link.on_success();
+                Some(value)
+            }
+            Err(error) => {
+                let pause = link.on_failure(&error);
+                tokio::time::sleep(pause).await;
+                None
+            }
+        }
+    }
+
+    fn apply_list(&self, kind: FeedKind, records: Records) {
+        match kind {
+            FeedKind::Operator => records.items.iter().for_each(|item| self.operator(item)),
+            FeedKind::Registry => {
+                let servers = records.items.iter().filter_map(|item| self.server(item));
+                let servers = servers.collect();
+                self.core
+                    .with(|core, now| core.on_registry_list(now, servers));
+            }
+        }
+        *self.held(kind).borrow_mut() = Held::from(records);
+    }
+
+    fn apply_change(&self, kind: FeedKind, change: StoreChange) {
+        match (kind, &change) {
+            (FeedKind::Operator, StoreChange::Put(item)) => self.operator(item),
+            (FeedKind::Operator, StoreChange::Removed { .. }) => {}
+            (FeedKind::Registry, StoreChange::Put(item)) => {
+                if let Some(server) = self.server(item) {
+                    self.core.with(|core, _| core.on_registry_entry(server));
+                }
+            }
+            (FeedKind::Registry, StoreChange::Removed { key, .. }) => {
+                let id = self.platform.server_id(key);
+                self.core
+                    .with(|core, now| core.on_registry_removed(now, id));
+            }
+        }
+        let mut held = self.held(kind).borrow_mut();
+        match change {
+            StoreChange::Put(item) => drop(held.items.insert(item.key.clone(), item)),
+            StoreChange::Removed { key, .. } => drop(held.items.remove(&key)),
+        }
+    }
+
+    fn operator(&self, item: &StoreItem) {
+        match self.platform.operator_record(item) {
+            Ok(Some(OperatorRecord::Table(table))) => {
+                self.core.with(|core, _| core.set_table(*table));
+            }
+            Ok(Some(OperatorRecord::Weights { model, version })) => {
+                self.core
+                    .with(|core, now| core.set_wanted(now, model, version, Duration::ZERO));
+            }
+            Ok(None) => {}
+            Err(error) => {
+                warn!(self.logger, "feeds: Record skipped."; "error" => %error, "revision" => item.revision);
+            }
+        }
+    }
+
+    fn server(&self, item: &StoreItem) -> Option<crate::registry::BackendServer> {
+        match self.platform.server(item) {
+            Ok(server) => Some(server),
+            Err(error) => {
+                warn!(self.logger, "feeds: Registry entry skipped."; "error" => %error, "revision" => item.revision);
+                None
+            }
+        }
+    }
+
+    fn held(&self, kind: FeedKind) -> &RefCell<Held> {
+        match kind {
+            FeedKind::Operator => &self.operator,
+            FeedKind::Registry => &self.registry,
+        }
+    }
+}
+
+fn prefix<P: Platform>(kind: FeedKind) -> &'static str {
+    match kind {
+        FeedKind::Operator => P::OPERATOR_PREFIX,
+        FeedKind::Registry => P::REGISTRY_PREFIX,
+    }
+}
+
+/// Whether a source can be read, with a log line at each change.
+struct Link {
+    kind: FeedKind,
+    failures: u32,
+    logger: Logger,
+}
+
+impl Link {
+    fn new(kind: FeedKind, logger: Logger) -> Self {
+        Self {
+            kind,
+            failures: 0,
+            logger,
+        }
+    }
+
+    fn is_up(&self) -> bool {
+        self.failures == 0
+    }
+
+    fn on_success(&mut self) {
+        if self.failures > 0 {
+            info!(self.logger, "feeds: Store answers again."; "source" => self.kind.name(), "failures" => self.failures);
+            self.failures = 0;
+        }
+    }
+
+    /// Returns the pause before the next try, spread so that hosts do not come together.
+    fn on_failure(&mut self, error: &StoreError) -> Duration {
+        if self.failures == 0 {
+            warn!(self.logger, "feeds: Store lost."; "source" => self.kind.name(), "error" => %error);
+        }
+        self.failures += 1;
+        let pause = FIRST_PAUSE * 2_u32.saturating_pow(self.failures.min(8) - 1);
+        pause
+            .min(LONGEST_PAUSE)
+            .mul_f64(rand::rng().random_range(0.7..1.3))
+    }
+}
--- /dev/null
+++ b/crates/hickoryhall-gateway/src/host.rs
@@ -0,0 +1,345 @@
+//! A running host: its tasks, its start and its stop.
+
+use std::cell::Cell;
+use std::io;
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+use bytes::Bytes;
+use hickoryhall_edge::{AnswerBody, Handler, Pool, PoolConfig, ServerConfig, serve};
+use hickoryhall_telemetry::{MetricsError, MetricsPage};
+use hickoryhall_types::hash_name;
+use hyper::body::Incoming;
+use hyper::{Request, Response, StatusCode};
+use metrics::gauge;
+use slog::{Logger, error, info, o, warn};
+use tokio::net::TcpListener;
+use tokio::signal::unix::{SignalKind, signal};
+use tokio::sync::watch;
+use tokio::task::spawn_local;
+use tokio::time::sleep;
+
+use crate::core::{CoreConfig, CoreHandle};
+use crate::exchange::Gateway;
+use crate::feeds::{FeedKind, Feeds};
+use crate::interface::{Platform, SwitchMode};
+use crate::orders::{OrderDuty, OrderSettings};
+use crate::peers::{PeerSettings, Peers};
+use crate::scheduler::SchedulerConfig;
+use crate::settings::{Settings, SettingsError};
+
+/// Time for which a stopping host still takes connections: the balancer needs two failed
+/// questions, a second apart, to stop sending them.
+const STOP_ACCEPTS: Duration = Duration::from_millis(2_600);
+/// Time before the end by force at which a stopping host ends by itself.
+const STOP_MARGIN: Duration = Duration::from_millis(600);
+/// Time between two looks at the requests in flight of a stopping host.
+const STOP_CHECK: Duration = Duration::from_millis(25);
+/// Time between two sweeps of idle connections, and two updates of gauges.
+const SWEEP: Duration = Duration::from_millis(500);
+/// Shortest lease of the order-giver: it must outlive a few lost renewals.
+const ORDER_LEASE: Duration = Duration::from_millis(1_800);
+/// Time by which old weights take no more requests, before their bound.
+const OLD_WEIGHTS_MARGIN: Duration = Duration::from_millis(900);
+
+/// A host that could not start.
+#[derive(Debug, thiserror::Error)]
+pub enum StartError {
+    /// An address cannot be used.
+    #[error("{what} at {address}: {source}")]
+    Address {
+        /// What it is for.
+        what: &'static str,
+        /// The address.
+        address: SocketAddr,
+        /// Cause.
+        source: io::Error,
+    },
+    /// Signals cannot be taken.
+    #[error("taking signals: {0}")]
+    Signals(io::Error),
+    /// Metrics cannot be set up.
+    #[error(transparent)]
+    Metrics(#[from] MetricsError),
+    /// The settings cannot be used.
+    #[error(transparent)]
+    Settings(#[from] SettingsError),
+}
+
+/// Runs a host until it is told to stop; call it inside a [`tokio::task::LocalSet`].
+///
+/// # Errors
+///
+/// Returns an error where an address or a signal cannot be used.
+pub async fn run<P: Platform>(
+    settings_path: PathBuf,
+    settings: Settings,
+    platform: P,
+    logger: Logger,
+) -> Result<(), StartError> {
+    let host = Host::start(&settings, platform, &logger).await?;
+    info!(
+        logger, "host: Host started.";
+        "failure_domain" => &settings.failure_domain, "callers" => %settings.callers,
+        "readiness" => %settings.readiness, "peer_port" => settings.peer_port,
+        "version" => env!("CARGO_PKG_VERSION")
+    );
+    host.until_stopped(&settings_path, settings.bounds.grace())
+        .await
+}
+
+struct Host<P> {
+    gateway: Rc<Gateway<P>>,
+    stop: watch::Sender<bool>,
+    logger: Logger,
+}
+
+impl<P: Platform> Host<P> {
+    async fn start(settings: &Settings, platform: P, logger: &Logger) -> Result<Self, StartError> {
+        let metrics = MetricsPage::install()?;
+        let platform = Rc::new(platform);
+        let part = |name: &'static str| logger.new(o!("part" => name));
+        let core = CoreHandle::start(core_config(settings), part("core"));
+        let feeds = Feeds::new(Rc::clone(&platform), core.clone(), part("feeds"));
+        let feeds = Rc::new(feeds);
+        let callers = listen("callers", settings.callers).await?;
+        let readiness = listen("readiness", settings.readiness).await?;
+        let (peers, records) = open_peers(settings, &core, &feeds, part("peers")).await?;
+        let pool = Pool::new(PoolConfig::default());
+        let gateway = Gateway::new(
+            Rc::clone(&platform),
+            core.clone(),
+            pool.clone(),
+            part("exchange"),
+        );
+        let gateway = Rc::new(gateway);
+        let (stop, stopping) = watch::channel(false);
+        let config = Rc::new(Cell::new(ServerConfig::default()));
+        spawn_core(&core, &config, &pool, &gateway);
+        spawn_feeds(&feeds);
+        spawn_peers(&peers, records);
+        let orders = OrderDuty::new(
+            order_settings(settings),
+            platform,
+            core.clone(),
+            peers,
+            part("orders"),
+        );
+        spawn_local(async move { orders.run().await });
+        let edge = part("edge");
+        let ready = Readiness {
+            core,
+            stopping: stopping.clone(),
+        };
+        spawn_local(serve(
+            readiness,
+            Rc::new(ready),
+            Rc::default(),
+            stopping.clone(),
+            edge.clone(),
+        ));
+        if let Some(port) = settings.metrics_port {
+            let listener = listen("metrics", SocketAddr::from((settings.ip, port))).await?;
+            let page = Rc::new(MetricsHandler(metrics));
+            spawn_local(serve(
+                listener,
+                page,
+                Rc::default(),
+                stopping.clone(),
+                edge.clone(),
+            ));
+        }
+        spawn_local(serve(callers, Rc::clone(&gateway), config, stopping, edge));
+        Ok(Self {
+            gateway,
+            stop,
+            logger: part("host"),
+        })
+    }
+
+    async fn until_stopped(
+        self,
+        settings_path: &PathBuf,
+        grace: Duration,
+    ) -> Result<(), StartError> {
+        let take = |kind| signal(kind).map_err(StartError::Signals);
+        let mut term = take(SignalKind::terminate())?;
+        let mut interrupt = take(SignalKind::interrupt())?;
+        let mut hangup = take(SignalKind::hangup())?;
+        loop {
+            tokio::select! {
+                _ = term.recv() => break,
+                _ = interrupt.recv() => break,
+                _ = hangup.recv() => self.reload(settings_path),
+            }
+        }
+        self.drain(grace).await;
+        Ok(())
+    }
+
+    /// Reads the settings again; addresses and names need a restart, so they are only checked.
+    fn reload(&self, path: &PathBuf) {
+        match Settings::read(path) {
+            Ok(settings) => {
+                self.gateway.core().with(|core, _| {
+                    core.set_retries(settings.bounds.retries());
+                });
+                info!(self.logger, "host: Settings read again."; "path" => %path.display());
+            }
+            Err(error) => {
+                error!(self.logger, "host: Settings kept, as the file cannot be used."; "error" => %error);
+            }
+        }
+    }
+
+    /// Answers what is in flight, and new requests until the balancer has seen the stop.
+    async fn drain(&self, grace: Duration) {
+        let started = Instant::now();
+        info!(self.logger, "host: Host stops."; "in_flight" => self.gateway.in_flight());
+        // The tasks that read it live as long as this function.
+        let _ = self.stop.send(true);
+        let latest = grace.saturating_sub(STOP_MARGIN);
+        while started.elapsed() < latest {
+            sleep(STOP_CHECK).await;
+            if self.gateway.in_flight() == 0 && started.elapsed() >= STOP_ACCEPTS {
+                break;
+            }
+        }
+        let cut_off = self.gateway.in_flight();
+        if cut_off > 0 {
+            warn!(self.logger, "host: Requests cut off."; "count" => cut_off);
+        }
+        info!(self.logger, "host: Host stopped."; "after_ms" => started.elapsed().as_millis());
+    }
+}
+
+fn core_config(settings: &Settings) -> CoreConfig {
+    let mut scheduler = SchedulerConfig::new(settings.failure_domain.as_str().into());
+    scheduler.old_weights_limit = settings.bounds.weights().saturating_sub(OLD_WEIGHTS_MARGIN);
+    CoreConfig {
+        me: hash_name(&settings.host),
+        scheduler,
+        retries: settings.bounds.retries(),
+    }
+}
+
+fn order_settings(settings: &Settings) -> OrderSettings {
+    OrderSettings {
+        host: format!("{}@{}", settings.host, settings.ip),
+        handover: settings.bounds.lease(),
+        lease_ttl: ORDER_LEASE.max(settings.bounds.lease_min()),
+        mode: SwitchMode::Wait,
+    }
+}
+
+async fn listen(what: &'static str, address: SocketAddr) -> Result<TcpListener, StartError> {
+    let bound = TcpListener::bind(address).await;
+    bound.map_err(|source| StartError::Address {
+        what,
+        address,
+        source,
+    })
+}
+
+async fn open_peers<P: Platform>(
+    settings: &Settings,
+    core: &CoreHandle,
+    feeds: &Rc<Feeds<P>>,
+    logger: Logger,
+) -> Result<(Rc<Peers<P>>, TcpListener), StartError> {
+    let peers = PeerSettings {
+        ip: settings.ip,
+        port: settings.peer_port,
+        seeds: settings.seed_ips(),
+    };
+    let bound = Peers::bind(peers, core.clone(), Rc::clone(feeds), logger).await;
+    bound.map_err(|source| StartError::Address {
+        what: "peers",
+        address: SocketAddr::from((settings.ip, settings.peer_port)),
+        source,
+    })
+}
+
+fn spawn_core<P: Platform>(
+    core: &CoreHandle,
+    config: &Rc<Cell<ServerConfig>>,
+    pool: &Pool,
+    gateway: &Rc<Gateway<P>>,
+) {
+    let actor = core.clone();
+    spawn_local(async move { actor.run().await });
+    let (core, config) = (core.clone(), Rc::clone(config));
+    let (pool, gateway) = (pool.clone(), Rc::clone(gateway));
+    spawn_local(async move {
+        loop {
+            sleep(SWEEP).await;
+            pool.expire();
+            if let Some(table) = core.with(|core, _| core.table()) {
+                let limits = table.limits();
+                config.set(ServerConfig {
+                    head_bytes: limits.head_bytes,
+                    idle: limits.idle,
+                });
+                gauge!("table_revision").set(table.revision() as f64);
+            }
+            gauge!("requests_in_flight").set(gateway.in_flight() as f64);
+        }
+    });
+}
+
+fn spawn_feeds<P: Platform>(feeds: &Rc<Feeds<P>>) {
+    for kind in [FeedKind::Operator, FeedKind::Registry] {
+        let feeds = Rc::clone(feeds);
+        spawn_local(async move { feeds.follow(kind).await });
+    }
+}
+
+fn spawn_peers<P: Platform>(peers: &Rc<Peers<P>>, records: TcpListener) {
+    let sender = Rc::clone(peers);
+    spawn_local(async move { sender.send_digests().await });
+    let receiver = Rc::clone(peers);
+    spawn_local(async move { receiver.receive_digests().await });
+    let fetcher = Rc::clone(peers);
+    spawn_local(async move { fetcher.fetch_records().await });
+    let server = Rc::clone(peers);
+    spawn_local(async move { server.serve_records(records).await });
+}
+
+/// Tells the balancer whether this host takes connections.
+struct Readiness {
+    core: CoreHandle,
+    stopping: watch::Receiver<bool>,
+}
+
+impl Handler for Readiness {
+    async fn handle(
+        self: Rc<Self>,
+        _request: Request<Incoming>,
+        _caller: SocketAddr,
+    ) -> Response<AnswerBody> {
+        let has_table = self.core.with(|core, _| core.table().is_some());
+        let (status, text) = match (has_table, *self.stopping.borrow()) {
+            (_, true) => (StatusCode::SERVICE_UNAVAILABLE, "stopping"),
+            (false, false) => (StatusCode::SERVICE_UNAVAILABLE, "no table"),
+            (true, false) => (StatusCode::OK, "ready"),
+        };
+        let mut response = Response::new(AnswerBody::full(Bytes::from_static(text.as_bytes())));
+        *response.status_mut() = status;
+        response
+    }
+}
+
+/// Serves the page of metrics.
+struct MetricsHandler(MetricsPage);
+
+impl Handler for MetricsHandler {
+    async fn handle(
+        self: Rc<Self>,
+        _request: Request<Incoming>,
+        _caller: SocketAddr,
+    ) -> Response<AnswerBody> {
+        Response::new(AnswerBody::full(Bytes::from(self.0.render())))
+    }
+}
--- /dev/null
+++ b/crates/hickoryhall-gateway/src/peers/message.rs
@@ -0,0 +1,314 @@
+//! Messages between hosts, and their form on the wire.
+
+use std::net::Ipv4Addr;
+use std::time::Duration;
+
+use bytes::Bytes;
+use hickoryhall_types::{Revision, TargetId, WeightsVersion};
+use prost::Message;
+
+use crate::interface::{StoreItem, StoreRevision};
+use crate::scheduler::{HostHash, HostLoad};
+
+/// What a host tells the others several times a second.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Digest {
+    /// Hash of its name.
+    pub host: HostHash,
+    /// Table in force there, 0 for none.
+    pub table_revision: Revision,
+    /// Its load at backend servers, and runners that it gave orders to.
+    pub servers: Vec<ServerNews>,
+    /// Weights that runners shall have.
+    pub wanted: Vec<WantedNews>,
+    /// Requests that ended backend servers.
+    pub suspects: Vec<SuspectNews>,
+}
+
+/// News of one backend server.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct ServerNews {
+    /// Hash of its id.
+    pub server: u64,
+    /// Load that the sender has there.
+    pub load: HostLoad,
+    /// Version of its weights.
+    pub weights: WeightsVersion,
+    /// Whether it changes its weights now; only its order-giver tells.
+    pub change: Option<bool>,
+}
+
+/// Weights that runners shall have.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct WantedNews {
+    /// Model.
+    pub model: TargetId,
+    /// Version.
+    pub version: WeightsVersion,
+    /// Time for which that is known.
+    pub age: Duration,
+}
+
+/// A request that ended backend servers.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct SuspectNews {
+    /// Fingerprint of the request.
+    pub fingerprint: u64,
+    /// Servers that it ended.
+    pub deaths: u32,
+}
+
+/// Raw records of the store, for a host that cannot read it.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Snapshot {
+    /// Records of the operators.
+    pub operator: Records,
+    /// Registry of backend servers.
+    pub registry: Records,
+}
+
+/// Records under one prefix as of a revision, 0 where none were read.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Records {
+    /// Revision.
+    pub revision: StoreRevision,
+    /// Items.
+    pub items: Vec<StoreItem>,
+}
+
+/// A message that cannot be read.
+#[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
+#[error("message of another host: {0}")]
+pub struct BadMessage(String);
+
+#[derive(Clone, PartialEq, Message)]
+struct WireDigest {
+    #[prost(fixed64, tag = "1")]
+    host: u64,
+    #[prost(uint64, tag = "2")]
+    table_revision: u64,
+    #[prost(message, repeated, tag = "3")]
+    servers: Vec<WireServer>,
+    #[prost(message, repeated, tag = "4")]
+    wanted: Vec<WireWanted>,
+    #[prost(message, repeated, tag = "5")]
+    suspects: Vec<WireSuspect>,
+    #[prost(fixed32, repeated, tag = "6")]
+    known_hosts: Vec<u32>,
+}
+
+#[derive(Clone, PartialEq, Message)]
+struct WireServer {
+    #[prost(fixed64, tag = "1")]
+    server: u64,
+    #[prost(uint32, tag = "2")]
+    requests: u32,
+    #[prost(uint32, tag = "3")]
+    pending_tokens: u32,
+    #[prost(uint32, tag = "4")]
+    own_tokens: u32,
+    #[prost(uint64, tag = "5")]
+    weights: u64,
+    #[prost(bool, optional, tag = "6")]
+    is_changing: Option<bool>,
+}
+
+#[derive(Clone, PartialEq, Message)]
+struct WireWanted {
+    #[prost(string, tag = "1")]
+    model: String,
+    #[prost(uint64, tag = "2")]
+    version: u64,
+    #[prost(uint64, tag = "3")]
+    age_ms: u64,
+}
+
+#[derive(Clone, PartialEq, Message)]
+struct WireSuspect {
+    #[prost(fixed64, tag = "1")]
+    fingerprint: u64,
+    #[prost(uint32, tag = "2")]
+    deaths: u32,
+}
+
+#[derive(Clone, PartialEq, Message)]
+struct WireItem {
+    #[prost(string, tag = "1")]
+    key: String,
+    #[prost(bytes = "bytes", tag = "2")]
+    value: Bytes,
+    #[prost(uint64, tag = "3")]
+    revision: u64,
+}
+
+#[derive(Clone, PartialEq, Message)]
+struct WireSnapshot {
+    #[prost(uint64, tag = "1")]
+    operator_revision: u64,
+    #[prost(message, repeated, tag = "2")]
+    operator: Vec<WireItem>,
+    #[prost(uint64, tag = "3")]
+    registry_revision: u64,
+    #[prost(message, repeated, tag = "4")]
+    registry: Vec<WireItem>,
+}
+
+/// Writes a digest, with the addresses of the hosts that its sender knows.
+pub(super) fn encode_digest(digest: &Digest, known_hosts: &[Ipv4Addr]) -> Vec<u8> {
+    let mut wire = WireDigest::from(digest);
+    wire.known_hosts = known_hosts.iter().map(|&ip| ip.into()).collect();
+    wire.encode_to_vec()
+}
+
+/// Reads a digest and the addresses in it.
+pub(super) fn decode_digest(bytes: &[u8]) -> Result<(Digest, Vec<Ipv4Addr>), BadMessage> {
+    let wire = WireDigest::decode(bytes).map_err(|error| BadMessage(error.to_string()))?;
+    let known_hosts = wire.known_hosts.iter().map(|&ip| ip.into()).collect();
+    Ok((Digest::from(wire), known_hosts))
+}
+
+/// Writes a snapshot.
+pub(super) fn encode_snapshot(snapshot: &Snapshot) -> Bytes {
+    WireSnapshot::from(snapshot).encode_to_vec().into()
+}
+
+/// Reads a snapshot.
+pub(super) fn decode_snapshot(bytes: Bytes) -> Result<Snapshot, BadMessage> {
+    let wire = WireSnapshot::decode(bytes).map_err(|error| BadMessage(error.to_string()))?;
+    Ok(Snapshot::from(wire))
+}
+
+impl From<&Digest> for WireDigest {
+    fn from(digest: &Digest) -> Self {
+        Self {
+            host: digest.host,
+            table_revision: digest.table_revision,
+            servers: digest.servers.iter().map(WireServer::from).collect(),
+            wanted: digest.wanted.iter().map(WireWanted::from).collect(),
+            suspects: digest.suspects.iter().map(WireSuspect::from).collect(),
+            known_hosts: Vec::new(),
+        }
+    }
+}
+
+impl From<WireDigest> for Digest {
+    fn from(wire: WireDigest) -> Self {
+        Self {
+            host: wire.host,
+            table_revision: wire.table_revision,
+            servers: wire.servers.iter().map(ServerNews::from).collect(),
+            wanted: wire.wanted.into_iter().map(WantedNews::from).collect(),
+            suspects: wire.suspects.iter().map(SuspectNews::from).collect(),
+        }
+    }
+}
+
+impl From<&ServerNews> for WireServer {
+    fn from(news: &ServerNews) -> Self {
+        Self {
+            server: news.server,
+            requests: news.load.requests,
+            pending_tokens: news.load.pending_tokens,
+            own_tokens: news.load.own_tokens,
+            weights: news.weights,
+            is_changing: news.change,
+        }
+    }
+}
+
+impl From<&WireServer> for ServerNews {
+    fn from(wire: &WireServer) -> Self {
+        Self {
+            server: wire.server,
+            load: HostLoad {
+                requests: wire.requests,
+                pending_tokens: wire.pending_tokens,
+                own_tokens: wire.own_tokens,
+            },
+            weights: wire.weights,
+            change: wire.is_changing,
+        }
+    }
+}
+
+impl From<&WantedNews> for WireWanted {
+    fn from(news: &WantedNews) -> Self {
+        Self {
+            model: news.model.as_ref().to_owned(),
+            version: news.version,
+            age_ms: u64::try_from(news.age.as_millis()).unwrap_or(u64::MAX),
+        }
+    }
+}
+
+impl From<WireWanted> for WantedNews {
+    fn from(wire: WireWanted) -> Self {
+        Self {
+            model: wire.model.into(),
+            version: wire.version,
+            age: Duration::from_millis(wire.age_ms),
+        }
+    }
+}
+
+impl From<&SuspectNews> for WireSuspect {
+    fn from(news: &SuspectNews) -> Self {
+        Self {
+            fingerprint: news.fingerprint,
+            deaths: news.deaths,
+        }
+    }
+}
+
+impl From<&WireSuspect> for SuspectNews {
+    fn from(wire: &WireSuspect) -> Self {
+        Self {
+            fingerprint: wire.fingerprint,
+            deaths: wire.deaths,
+        }
+    }
+}
+
+impl From<&StoreItem> for WireItem {
+    fn from(item: &StoreItem) -> Self {
+        Self {
+            key: item.key.clone(),
+            value: item.value.clone(),
+            revision: item.revision,
+        }
+    }
+}
+
+impl From<WireItem> for StoreItem {
+    fn from(wire: WireItem) -> Self {
+        Self {
+            key: wire.key,
+            value: wire.value,
+            revision: wire.revision,
+        }
+    }
+}
+
+impl From<&Snapshot> for WireSnapshot {
+    fn from(snapshot: &Snapshot) -> Self {
+        Self {
+            operator_revision: snapshot.operator.revision,
+            operator: snapshot.operator.items.iter().map(WireItem::from).collect(),
+            registry_revision: snapshot.registry.revision,
+            registry: snapshot.registry.items.iter().map(WireItem::from).collect(),
+        }
+    }
+}
+
+impl From<WireSnapshot> for Snapshot {
+    fn from(wire: WireSnapshot) -> Self {
+        let records = |revision, items: Vec<WireItem>| Records {
+            revision,
+            items: items.into_iter().map(StoreItem::from).collect(),
+        };
+        Self {
+            operator: records(wire.operator_revision, wire.operator),
+            registry: records(wire.registry_revision, wire.registry),
+        }
+    }
+}
--- /dev/null
+++ b/crates/hickoryhall-gateway/src/scheduler.rs
@@ -0,0 +1,705 @@
+//! Which backend server takes a request, and when; or that it is refused.
+//!
+//! A request goes to the server that will start on it soonest, by the work that all hosts have
+//! promised to it and the part of the prompt that it has to read. Where none can take it, it waits
+//! here for a part of the time in which an answer is of use, more urgent requests first.
+
+mod server;
+
+use std::collections::{BTreeMap, HashMap};
+use std::time::{Duration, Instant};
+
+use hickoryhall_routing::PrefixChain;
+use hickoryhall_types::{FailureDomainId, TargetId, TokenCount, WeightsVersion, rendezvous_score};
+use slotmap::{SlotMap, new_key_type};
+
+pub use server::HostLoad;
+use server::{RequestLoad, ServerState};
+
+use crate::interface::Judged;
+use crate::registry::{BackendServer, RegistryEvent, ServerId};
+use crate::table::{EngineShape, RouteTable};
+
+/// Id of one attempt at this host.
+pub type Ticket = u64;
+/// Stable hash of a host's name.
+pub type HostHash = u64;
+/// Urgency of a request, lowest first: that of its workspace, then that of its route.
+pub type Rank = (u8, u8);
+
+new_key_type! {
+    struct ServerKey;
+}
+
+/// Settings of the scheduler.
+#[derive(Clone, Debug)]
+pub struct SchedulerConfig {
+    /// Failure domain of this host.
+    pub domain: FailureDomainId,
+    /// Rate at which a runner reads prompts, in tokens per millisecond; the engines' sheet says
+    /// 38.4, less what generation takes beside it.
+    pub prefill_tokens_per_ms: f64,
+    /// Time until the first event of a prompt that is cached in full.
+    pub first_event: Duration,
+    /// Cost of a server in another failure domain: its way, and the bytes between the domains.
+    pub cross_domain: Duration,
+    /// Advantage of the runner that all hosts name first for a prompt, so that its parts gather
+    /// there; less than reading one part again takes.
+    pub owner_advantage: Duration,
+    /// Cost of old weights, once an answer on them is of less use.
+    pub old_weights: Duration,
+    /// Age of newer weights from which an answer on old ones is of less use.
+    pub old_weights_free: Duration,
+    /// Age of newer weights from which old ones take no requests.
+    pub old_weights_limit: Duration,
+    /// Time to the first event above which a request that would be late is refused: work that is
+    /// late already must not delay what can still be on time.
+    pub late_limit: Duration,
+    /// Part of the time in which an answer is of full use that a request may wait here.
+    pub wait_part: f64,
+    /// Time for which the load that a server told counts.
+    pub told_ttl: Duration,
+    /// Part of a runner's memory that placed requests may take.
+    pub memory_part: f64,
+    /// Requests sent to a plain server for each of its slots.
+    pub plain_fill: f64,
+}
+
+impl SchedulerConfig {
+    /// Creates settings for a host of a failure domain.
+    #[must_use]
+    pub fn new(domain: FailureDomainId) -> Self {
+        Self {
+            domain,
+            prefill_tokens_per_ms: 32.0,
+            first_event: Duration::from_millis(25),
+            cross_domain: Duration::from_millis(4),
+            owner_advantage: Duration::from_millis(40),
+            old_weights: Duration::from_millis(120),
+            old_weights_free: Duration::from_millis(1_300),
+            old_weights_limit: Duration::from_millis(7_000),
+            late_limit: Duration::from_millis(1_500),
+            wait_part: 0.6,
+            told_ttl: Duration::from_millis(150),
+            memory_part: 0.95,
+            plain_fill: 1.0,
+        }
+    }
+}
+
+/// Prompt of a request, as placement needs it.
+#[derive(Clone, Debug, PartialEq)]
+pub struct PromptNeed {
+    /// Model.
+    pub model: TargetId,
+    /// Levels, their keys depending on who may share them.
+    pub chain: PrefixChain,
+    /// Tokens to read.
+    pub input_tokens: TokenCount,
+    /// Tokens to generate.
+    pub output_tokens: TokenCount,
+}
+
+/// A request that needs a server.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Need {
+    /// Id of the attempt.
+    pub ticket: Ticket,
+    /// Service.
+    pub service: TargetId,
+    /// Urgency.
+    pub rank: Rank,
+    /// Prompt, where it is a model request.
+    pub prompt: Option<PromptNeed>,
+    /// Moment at which the request came.
+    pub arrived: Instant,
+    /// Time from then in which an answer is of full use.
+    pub target: Duration,
+    /// Moment of the final answer at the latest.
+    pub deadline: Instant,
+    /// Servers that failed it.
+    pub exclude: Vec<ServerId>,
+}
+
+/// The server of a request, with what decided it.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Assignment {
+    /// The server.
+    pub server: BackendServer,
+    /// Time until its first event, as estimated.
+    pub estimate: Duration,
+    /// Prompt tokens that it has to read, as estimated.
+    pub missing_tokens: TokenCount,
+    /// Version of its weights, as known.
+    pub weights: WeightsVersion,
+    /// Requests at it, as known.
+    pub requests: u32,
+    /// Servers that could take it.
+    pub candidates: u32,
+    /// Time that the request waited here.
+    pub waited: Duration,
+}
+
+/// Why no server took a request.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum DenyReason {
+    /// No server is known, or none that takes work.
+    NoServer,
+    /// Every server is full.
+    Full,
+    /// An answer would come too late to be of use.
+    TooLate,
+}
+
+impl DenyReason {
+    /// Returns the reason as a word for logs and callers.
+    #[must_use]
+    pub fn as_str(self) -> &'static str {
+        match self {
+            Self::NoServer => "no_server",
+            Self::Full => "full",
+            Self::TooLate => "too_late",
+        }
+    }
+}
+
+/// A request that no server takes.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Denied {
+    /// Why.
+    pub reason: DenyReason,
+    /// When to come back.
+    pub retry_after: Duration,
+}
+
+/// How an attempt ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum AttemptEnd {
+    /// The server answered.
+    Answered,
+    /// The server did not run it, or the caller left.
+    Released,
+    /// The server broke the answer off, or gave none in time.
+    Failed,
+    /// The server cannot be reached.
+    Unreachable,
+}
+
+/// Outcome for a request that asked for a server.
+pub type Placement = Result<Box<Assignment>, Denied>;
+
+struct Waiting {
+    need: Need,
+    until: Instant,
+}
+
+struct Active {
+    key: ServerKey,
+}
+
+struct Wanted {
+    version: WeightsVersion,
+    since: Instant,
+}
+
+enum Tried {
+    Placed(Box<Assignment>),
+    Wait(DenyReason, Duration),
+    Deny(Denied),
+}
+
+struct Offer {
+    key: ServerKey,
+    cost_ms: f64,
+    estimate: Duration,
+    missing_tokens: TokenCount,
+}
+
+/// Places requests on backend servers.
+pub struct Scheduler {
+    config: SchedulerConfig,
+    servers: SlotMap<ServerKey, ServerState>,
+    by_id: HashMap<ServerId, ServerKey>,
+    by_hash: HashMap<u64, ServerKey>,
+    by_service: HashMap<TargetId, Vec<ServerKey>>,
+    engines: HashMap<TargetId, EngineShape>,
+    waiting: BTreeMap<(Rank, Ticket), Waiting>,
+    active: HashMap<Ticket, Active>,
+    wanted: HashMap<TargetId, Wanted>,
+}
+
+/// Shortest and longest advice on when to come back.
+const RETRY_AFTER: std::ops::RangeInclusive<Duration> =
+    Duration::from_millis(100)..=Duration::from_secs(2);
+/// Advice where every server is away: about the time in which new weights are loaded.
+const RETRY_AFTER_AWAY: Duration = Duration::from_millis(500);
+
+impl Scheduler {
+    /// Creates a scheduler that knows no server.
+    #[must_use]
+    pub fn new(config: SchedulerConfig) -> Self {
+        Self {
+            config,
+            servers: SlotMap::with_key(),
+            by_id: HashMap::new(),
+            by_hash: HashMap::new(),
+            by_service: HashMap::new(),
+            engines: HashMap::new(),
+            waiting: BTreeMap::new(),
+            active: HashMap::new(),
+            wanted: HashMap::new(),
+        }
+    }
+
+    /// Takes the shapes of the model services from the table in force.
+    pub fn set_table(&mut self, table: &RouteTable) {
+        let engines = table.services().filter_map(|(name, service)| {
+            let engine = service.engine.clone()?;
+            Some((name.clone(), engine))
+        });
+        self.engines = engines.collect();
+        let stale = self
+            .servers
+            .iter()
+            .filter(|(_, state)| self.engines.get(&state.server.service) != state.engine.as_ref());
+        let stale = stale
+            .map(|(_, state)| state.server.clone())
+            .collect::<Vec<_>>();
+        for server in stale {
+            self.remove(&server.id);
+            self.insert(server);
+        }
+    }
+
+    /// Takes a change of the registry.
+    pub fn on_registry(&mut self, event: RegistryEvent) {
+        match event {
+            RegistryEvent::Gone(id) => self.remove(&id),
+            RegistryEvent::Upsert(server) => match self.by_id.get(&server.id) {
+                Some(&key) if self.servers[key].server.service == server.service => {
+                    self.servers[key].update(server);
+                }
+                _ => {
+                    self.remove(&server.id);
+                    self.insert(server);
+                }
+            },
+        }
+    }
+
+    fn insert(&mut self, server: BackendServer) {
+        let engine = self.engines.get(&server.service).cloned();
+        let (id, service) = (server.id.clone(), server.service.clone());
+        let state = ServerState::new(server, engine);
+        let name_hash = state.name_hash;
+        let key = self.servers.insert(state);
+        self.by_id.insert(id, key);
+        self.by_hash.insert(name_hash, key);
+        self.by_service.entry(service).or_default().push(key);
+    }
+
+    fn remove(&mut self, id: &str) {
+        let Some(key) = self.by_id.remove(id) else {
+            return;
+        };
+        if let Some(state) = self.servers.remove(key) {
+            self.by_hash.remove(&state.name_hash);
+            if let Some(keys) = self.by_service.get_mut(&state.server.service) {
+                keys.retain(|&other| other != key);
+            }
+        }
+    }
+
+    /// Records the version that a model's runners shall have, and for how long that is known.
+    pub fn set_wanted(
+        &mut self,
+        now: Instant,
+        model: TargetId,
+        version: WeightsVersion,
+        age: Duration,
+    ) {
+        let since = now.checked_sub(age).unwrap_or(now);
+        match self.wanted.get_mut(&model) {
+            Some(wanted) if wanted.version > version => {}
+            Some(wanted) if wanted.version == version => wanted.since = wanted.since.min(since),
+            _ => {
+                self.wanted.insert(model, Wanted { version, since });
+            }
+        }
+    }
+
+    /// Returns the wanted version of each model, and for how long it is known.
+    pub fn wanted(
+        &self,
+        now: Instant,
+    ) -> impl Iterator<Item = (&TargetId, WeightsVersion, Duration)> {
+        self.wanted.iter().map(move |(model, wanted)| {
+            let age = now.saturating_duration_since(wanted.since);
+            (model, wanted.version, age)
+        })
+    }
+
+    /// Gives a request a server, or puts it among those that wait.
+    pub fn place(&mut self, now: Instant, need: Need) -> Option<Placement> {
+        match self.try_place(now, &need) {
+            Tried::Placed(assignment) => Some(Ok(assignment)),
+            Tried::Deny(denied) => Some(Err(denied)),
+            Tried::Wait(reason, retry_after) => {
+                let until = self.waits_until(&need);
+                if until <= now {
+                    return Some(Err(Denied {
+                        reason,
+                        retry_after,
+                    }));
+                }
+                self.waiting
+                    .insert((need.rank, need.ticket), Waiting { need, until });
+                None
+            }
+        }
+    }
+
+    /// Tries those that wait, the most urgent first, and gives up on the overdue.
+    pub fn tick(&mut self, now: Instant) -> Vec<(Ticket, Placement)> {
+        let keys = self.waiting.keys().copied().collect::<Vec<_>>();
+        let mut outcomes = Vec::new();
+        for key in keys {
+            let Some(Waiting { need, until }) = self.waiting.remove(&key) else {
+                continue;
+            };
+            match self.try_place(now, &need) {
+                Tried::Placed(assignment) => outcomes.push((need.ticket, Ok(assignment))),
+                Tried::Deny(denied) => outcomes.push((need.ticket, Err(denied))),
+                Tried::Wait(reason, retry_after) if until <= now => {
+                    outcomes.push((
+                        need.ticket,
+                        Err(Denied {
+                            reason,
+                            retry_after,
+                        }),
+                    ));
+                }
+                Tried::Wait(..) => {
+                    self.waiting.insert(key, Waiting { need, until });
+                }
+            }
+        }
+        outcomes
+    }
+
+    /// Returns the number of requests that wait here.
+    #[must_use]
+    pub fn waiting(&self) -> usize {
+        self.waiting.len()
+    }
+
+    /// Records the first event of an attempt.
+    pub fn first_event(&mut self, ticket: Ticket) {
+        let key = self.active.get(&ticket).map(|active| active.key);
+        if let Some(state) = key.and_then(|key| self.servers.get_mut(key)) {
+            state.first_event(ticket);
+            state.ejection.succeed();
+        }
+    }
+
+    /// Records the end of an attempt, or that its caller no longer waits.
+    pub fn ended(&mut self, now: Instant, ticket: Ticket, end: AttemptEnd) {
+        self.waiting.retain(|(_, waiting), _| *waiting != ticket);
+        let Some(active) = self.active.remove(&ticket) else {
+            return;
+        };
+        let Some(state) = self.servers.get_mut(active.key) else {
+            return;
+        };
+        state.release(ticket);
+        match end {
+            AttemptEnd::Answered => state.ejection.succeed(),
+            AttemptEnd::Released => {}
+            AttemptEnd::Failed => state.ejection.fail(now),
+            AttemptEnd::Unreachable => state.ejection.eject(now),
+        }
+    }
+
+    /// Takes what the head of an answer tells of its server.
+    pub fn observe(&mut self, now: Instant, id: &str, judged: &Judged) {
+        let Some(state) = self
+            .by_id
+            .get(id)
+            .and_then(|&key| self.servers.get_mut(key))
+        else {
+            return;
+        };
+        if let Some(load) = judged.load {
+            state.observe(now, load);
+        }
+        if let Some(weights) = judged.weights {
+            state.set_weights(weights);
+        }
+    }
+
+    /// Records that a server refuses work because it is leaving.
+    pub fn mark_leaving(&mut self, id: &str) {
+        if let Some(state) = self
+            .by_id
+            .get(id)
+            .and_then(|&key| self.servers.get_mut(key))
+        {
+            state.server.is_leaving = true;
+        }
+    }
+
+    /// Records the version that a runner reports, and whether it changes its weights now.
+    pub fn set_runner(
+        &mut self,
+        now: Instant,
+        hash: u64,
+        weights: WeightsVersion,
+        is_changing: bool,
+    ) {
+        let Some(state) = self
+            .by_hash
+            .get(&hash)
+            .and_then(|&key| self.servers.get_mut(key))
+        else {
+            return;
+        };
+        state.set_weights(weights);
+        if is_changing {
+            state.set_changing(now);
+        } else {
+            state.end_change();
+        }
+    }
+
+    /// Takes the load that another host has at a server.
+    pub fn set_peer_load(&mut self, now: Instant, host: HostHash, server: u64, load: HostLoad) {
+        if let Some(state) = self
+            .by_hash
+            .get(&server)
+            .and_then(|&key| self.servers.get_mut(key))
+        {
+            state.set_peer(now, host, load);
+        }
+    }
+
+    /// Forgets the load of another host where its news no longer name a server.
+    pub fn keep_peer_loads(&mut self, host: HostHash, named: &[u64]) {
+        for state in self.servers.values_mut() {
+            if !named.contains(&state.name_hash) {
+                state.clear_peer(host);
+            }
+        }
+    }
+
+    /// Returns this host's load at each server that has any, and the weights of each.
+    pub fn own_loads(&self) -> impl Iterator<Item = (u64, HostLoad, WeightsVersion)> {
+        self.servers
+            .values()
+            .map(|state| (state.name_hash, state.own_load(), state.weights()))
+    }
+
+    /// Returns the servers of model services with their weights.
+    pub fn runners(&self) -> impl Iterator<Item = (&BackendServer, WeightsVersion)> {
+        let runners = self.servers.values().filter(|state| state.engine.is_some());
+        runners.map(|state| (&state.server, state.weights()))
+    }
+
+    fn waits_until(&self, need: &Need) -> Instant {
+        let useful = need.arrived + need.target.mul_f64(self.config.wait_part);
+        useful.min(need.deadline)
+    }
+
+    fn try_place(&mut self, now: Instant, need: &Need) -> Tried {
+        let keys = self.by_service.get(&need.service);
+        let keys = keys.map(Vec::as_slice).unwrap_or_default();
+        let mut offers = Vec::with_capacity(keys.len());
+        let mut reason = DenyReason::NoServer;
+        for &key in keys {
+            match self.offer(now, key, need) {
+                Ok(offer) => offers.push(offer),
+                Err(DenyReason::Full) => reason = DenyReason::Full,
+                Err(_) => {}
+            }
+        }
+        let best = offers
+            .iter()
+            .min_by(|one, other| one.cost_ms.total_cmp(&other.cost_ms));
+        let Some(best) = best else {
+            let retry_after = match reason {
+                DenyReason::Full => *RETRY_AFTER.start(),
+                _ => RETRY_AFTER_AWAY,
+            };
+            return Tried::Wait(reason, retry_after);
+        };
+        if let Some(denied) = self.too_late(now, need, best) {
+            return Tried::Deny(denied);
+        }
+        let (key, candidates) = (best.key, u32::try_from(offers.len()).unwrap_or(u32::MAX));
+        let (estimate, missing_tokens) = (best.estimate, best.missing_tokens);
+        Tried::Placed(self.assign(now, need, key, estimate, missing_tokens, candidates))
+    }
+
+    /// Refuses a request whose first event would come late and only after much other work.
+    fn too_late(&self, now: Instant, need: &Need, best: &Offer) -> Option<Denied> {
+        let elapsed = now.saturating_duration_since(need.arrived);
+        let left = need.deadline.saturating_duration_since(now);
+        let is_on_time = elapsed + best.estimate <= need.target;
+        let is_bearable = best.estimate <= self.config.late_limit && best.estimate < left;
+        if need.prompt.is_none() || is_on_time || is_bearable {
+            return None;
+        }
+        let excess = best.estimate.saturating_sub(need.target);
+        Some(Denied {
+            reason: DenyReason::TooLate,
+            retry_after: excess.clamp(*RETRY_AFTER.start(), *RETRY_AFTER.end()),
+        })
+    }
+
+    fn assign(
+        &mut self,
+        now: Instant,
+        need: &Need,
+        key: ServerKey,
+        estimate: Duration,
+        missing_tokens: TokenCount,
+        candidates: u32,
+    ) -> Box<Assignment> {
+        let told_ttl = self.config.told_ttl;
+        let state = &mut self.servers[key];
+        let requests = state.requests(now, told_ttl);
+        let load = need
+            .prompt
+            .as_ref()
+            .map_or(RequestLoad::default(), |prompt| RequestLoad {
+                pending_tokens: missing_tokens,
+                own_tokens: own_tokens(prompt),
+            });
+        state.take(need.ticket, load);
+        if let Some(prompt) = &need.prompt {
+            state.shadow.insert(now, &prompt.chain);
+        }
+        self.active.insert(need.ticket, Active { key });
+        Box::new(Assignment {
+            server: state.server.clone(),
+            estimate,
+            missing_tokens,
+            weights: state.weights(),
+            requests,
+            candidates,
+            waited: now.saturating_duration_since(need.arrived),
+        })
+    }
+
+    fn offer(&self, now: Instant, key: ServerKey, need: &Need) -> Result<Offer, DenyReason> {
+        let state = &self.servers[key];
+        let is_away = state.server.is_leaving
+            || state.ejection.is_ejected(now)
+            || state.is_changing(now)
+            || need.exclude.contains(&state.server.id);
+        if is_away {
+            return Err(DenyReason::NoServer);
+        }
+        match (&need.prompt, &state.engine) {
+            (Some(prompt), Some(engine)) => self.engine_offer(now, key, prompt, engine),
+            _ => self.plain_offer(now, key),
+        }
+    }
+
+    fn plain_offer(&self, now: Instant, key: ServerKey) -> Result<Offer, DenyReason> {
+        let state = &self.servers[key];
+        let requests = f64::from(state.requests(now, self.config.told_ttl));
+        let slots = f64::from(state.server.slots.max(1));
+        if requests >= slots * self.config.plain_fill {
+            return Err(DenyReason::Full);
+        }
+        // A full server takes about as long again for each round of its slots.
+        let cost_ms = requests / slots * 100.0 + self.distance_ms(state);
+        Ok(Offer {
+            key,
+            cost_ms,
+            estimate: Duration::ZERO,
+            missing_tokens: 0,
+        })
+    }
+
+    fn engine_offer(
+        &self,
+        now: Instant,
+        key: ServerKey,
+        prompt: &PromptNeed,
+        engine: &EngineShape,
+    ) -> Result<Offer, DenyReason> {
+        let state = &self.servers[key];
+        let load = state.load(now);
+        let memory = f64::from(engine.memory_tokens) * self.config.memory_part;
+        let is_fitting = f64::from(load.own_tokens + own_tokens(prompt)) <= memory;
+        if load.requests >= engine.slots || (!is_fitting && load.requests > 0) {
+            return Err(DenyReason::Full);
+        }
+        let old_weights_ms = self.old_weights_ms(now, state, &prompt.model)?;
+        let missing_tokens = state.missing_tokens(&prompt.chain, prompt.input_tokens);
+        let to_read = f64::from(load.pending_tokens + missing_tokens);
+        let estimate_ms = to_read / self.config.prefill_tokens_per_ms
+            + self.config.first_event.as_secs_f64() * 1_000.0;
+        let owner_ms = self.owner_part(state, prompt) * millis(self.config.owner_advantage);
+        Ok(Offer {
+            key,
+            cost_ms: estimate_ms + old_weights_ms + owner_ms + self.distance_ms(state),
+            estimate: Duration::from_secs_f64(estimate_ms / 1_000.0),
+            missing_tokens,
+        })
+    }
+
+    /// Returns the cost of a runner's old weights.
+    fn old_weights_ms(
+        &self,
+        now: Instant,
+        state: &ServerState,
+        model: &str,
+    ) -> Result<f64, DenyReason> {
+        let Some(wanted) = self.wanted.get(model) else {
+            return Ok(0.0);
+        };
+        let age = now.saturating_duration_since(wanted.since);
+        if state.weights() >= wanted.version || age < self.config.old_weights_free {
+            return Ok(0.0);
+        }
+        if age >= self.config.old_weights_limit {
+            return Err(DenyReason::NoServer);
+        }
+        Ok(millis(self.config.old_weights))
+    }
+
+    /// Returns the place of a runner among the owners of a prompt, from 0 to 1.
+    fn owner_part(&self, state: &ServerState, prompt: &PromptNeed) -> f64 {
+        let key = prompt.chain.shared();
+        let own = rendezvous_score(key, state.name_hash);
+        let others = self.by_service.get(&state.server.service);
+        let others = others.map(Vec::as_slice).unwrap_or_default();
+        let before = others
+            .iter()
+            .filter(|&&other| rendezvous_score(key, self.servers[other].name_hash) > own)
+            .count();
+        before as f64 / others.len().max(1) as f64
+    }
+
+    fn distance_ms(&self, state: &ServerState) -> f64 {
+        if state.server.domain == self.config.domain {
+            0.0
+        } else {
+            millis(self.config.cross_domain)
+        }
+    }
+}
+
+/// Returns the memory that a request takes beside the parts that others share.
+fn own_tokens(prompt: &PromptNeed) -> TokenCount {
+    let levels = prompt.chain.levels();
+    let shared = levels.iter().take(levels.len().saturating_sub(1));
+    let shared = shared.map(|level| level.tokens).sum();
+    prompt.input_tokens.saturating_sub(shared) + prompt.output_tokens
+}
+
+fn millis(duration: Duration) -> f64 {
+    duration.as_secs_f64() * 1_000.0
+}
--- /dev/null
+++ b/crates/hickoryhall-gateway/src/scheduler/server.rs
@@ -0,0 +1,189 @@
+//! What a host knows of one backend server: its load, cached prompts, weights and health.
+
+use std::collections::HashMap;
+use std::time::{Duration, Instant};
+
+use hickoryhall_routing::{Ejection, PrefixChain, ShadowCache};
+use hickoryhall_types::{TokenCount, WeightsVersion, hash_name};
+
+use super::{HostHash, Ticket};
+use crate::interface::ToldLoad;
+use crate::registry::BackendServer;
+use crate::table::EngineShape;
+
+/// Time after which what another host told of its load is void, as that host may be gone.
+const PEER_LOAD_TTL: Duration = Duration::from_secs(2);
+/// Prompt levels remembered of one runner.
+const SHADOW_LEVELS: usize = 512;
+/// Time for which a runner that was ordered to change its weights gets no work without news.
+const CHANGE_LIMIT: Duration = Duration::from_secs(3);
+
+/// Load of a request at its server.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub(super) struct RequestLoad {
+    /// Prompt tokens to read until the first event.
+    pub pending_tokens: TokenCount,
+    /// Memory beside what it shares with others.
+    pub own_tokens: TokenCount,
+}
+
+/// Load of one host at a server.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct HostLoad {
+    /// Requests in flight.
+    pub requests: u32,
+    /// Prompt tokens to read.
+    pub pending_tokens: u32,
+    /// Memory of the requests beside what they share.
+    pub own_tokens: u32,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct PeerLoad {
+    load: HostLoad,
+    at: Instant,
+}
+
+/// A backend server as the scheduler sees it.
+#[derive(Debug)]
+pub(super) struct ServerState {
+    pub server: BackendServer,
+    pub name_hash: u64,
+    pub ejection: Ejection,
+    pub shadow: ShadowCache,
+    pub engine: Option<EngineShape>,
+    own: HashMap<Ticket, RequestLoad>,
+    own_sum: HostLoad,
+    peers: HashMap<HostHash, PeerLoad>,
+    told: Option<(ToldLoad, Instant)>,
+    weights: WeightsVersion,
+    changing_since: Option<Instant>,
+}
+
+impl ServerState {
+    pub fn new(server: BackendServer, engine: Option<EngineShape>) -> Self {
+        let memory = engine.as_ref().map_or(0, |engine| engine.memory_tokens);
+        Self {
+            name_hash: hash_name(&server.id),
+            ejection: Ejection::default(),
+            shadow: ShadowCache::new(memory.into(), SHADOW_LEVELS),
+            engine,
+            own: HashMap::new(),
+            own_sum: HostLoad::default(),
+            peers: HashMap::new(),
+            told: None,
+            weights: newest_weights(&server),
+            changing_since: None,
+            server,
+        }
+    }
+
+    /// Takes a new description; a new start of the process empties what was known.
+    pub fn update(&mut self, server: BackendServer) {
+        if server.incarnation != self.server.incarnation {
+            self.shadow.clear();
+            self.ejection = Ejection::default();
+            self.told = None;
+            self.changing_since = None;
+        }
+        self.set_weights(newest_weights(&server));
+        self.server = server;
+    }
+
+    /// Records the weights that the runner answers with; they never go back.
+    pub fn set_weights(&mut self, weights: WeightsVersion) {
+        if weights > self.weights {
+            self.weights = weights;
+            self.shadow.clear();
+            self.changing_since = None;
+        }
+    }
+
+    pub fn weights(&self) -> WeightsVersion {
+        self.weights
+    }
+
+    /// Records that the runner is about to change its weights.
+    pub fn set_changing(&mut self, now: Instant) {
+        self.changing_since.get_or_insert(now);
+    }
+
+    pub fn end_change(&mut self) {
+        self.changing_since = None;
+    }
+
+    pub fn is_changing(&self, now: Instant) -> bool {
+        self.changing_since
+            .is_some_and(|since| now.saturating_duration_since(since) < CHANGE_LIMIT)
+    }
+
+    pub fn take(&mut self, ticket: Ticket, load: RequestLoad) {
+        self.own.insert(ticket, load);
+        self.own_sum.requests += 1;
+        self.own_sum.pending_tokens += load.pending_tokens;
+        self.own_sum.own_tokens += load.own_tokens;
+    }
+
+    pub fn first_event(&mut self, ticket: Ticket) {
+        if let Some(load) = self.own.get_mut(&ticket) {
+            self.own_sum.pending_tokens -= load.pending_tokens;
+            load.pending_tokens = 0;
+        }
+    }
+
+    pub fn release(&mut self, ticket: Ticket) {
+        if let Some(load) = self.own.remove(&ticket) {
+            self.own_sum.requests -= 1;
+            self.own_sum.pending_tokens -= load.pending_tokens;
+            self.own_sum.own_tokens -= load.own_tokens;
+        }
+    }
+
+    pub fn own_load(&self) -> HostLoad {
+        self.own_sum
+    }
+
+    pub fn set_peer(&mut self, now: Instant, host: HostHash, load: HostLoad) {
+        self.peers.insert(host, PeerLoad { load, at: now });
+    }
+
+    pub fn clear_peer(&mut self, host: HostHash) {
+        self.peers.remove(&host);
+    }
+
+    pub fn observe(&mut self, now: Instant, load: ToldLoad) {
+        self.told = Some((load, now));
+    }
+
+    /// Returns the load of all hosts together.
+    pub fn load(&self, now: Instant) -> HostLoad {
+        let fresh = self
+            .peers
+            .values()
+            .filter(|peer| now.saturating_duration_since(peer.at) < PEER_LOAD_TTL);
+        fresh.fold(self.own_sum, |sum, peer| HostLoad {
+            requests: sum.requests + peer.load.requests,
+            pending_tokens: sum.pending_tokens + peer.load.pending_tokens,
+            own_tokens: sum.own_tokens + peer.load.own_tokens,
+        })
+    }
+
+    /// Returns the requests at the server: those known of all hosts, or what it told just now.
+    pub fn requests(&self, now: Instant, told_ttl: Duration) -> u32 {
+        let known = self.load(now).requests;
+        let fresh = self
+            .told
+            .filter(|(_, at)| now.saturating_duration_since(*at) < told_ttl);
+        fresh.map_or(known, |(told, _)| known.max(told.running + told.waiting))
+    }
+
+    /// Returns the tokens of a prompt that the runner has to read.
+    pub fn missing_tokens(&self, chain: &PrefixChain, input_tokens: TokenCount) -> TokenCount {
+        input_tokens.saturating_sub(self.shadow.cached_tokens(chain))
+    }
+}
+
+fn newest_weights(server: &BackendServer) -> WeightsVersion {
+    let versions = server.models.iter().map(|(_, version)| *version);
+    versions.max().unwrap_or(0)
+}
--- a/crates/hickoryhall-limits/src/lib.rs
+++ b/crates/hickoryhall-limits/src/lib.rs
@@ -14,6 +14,7 @@
 mod concurrency;
 mod fair_queue;
 mod fleet;
+mod fleet_retries;
 mod retry_budget;
 mod shares;
 
@@ -21,5 +22,6 @@
 pub use concurrency::Concurrency;
 pub use fair_queue::{FairQueue, Queued, Shed};
 pub use fleet::{AskerId, BucketServer, FleetShape, HostLimit, LimitKey, Take, UnitAsk, UnitGrant};
+pub use fleet_retries::{FleetRetryBudget, FleetRetryLimit};
 pub use retry_budget::RetryBudget;
 pub use shares::Shares;
--- a/crates/hickoryhall-routing/src/ejection.rs
+++ b/crates/hickoryhall-routing/src/ejection.rs
@@ -29,6 +29,11 @@
         if self.failures < FAILURES_TO_EJECT {
             return;
         }
+        self.eject(now);
+    }
+
+    /// Ejects the runner at once, as when it cannot be reached at all.
+    pub fn eject(&mut self, now: Instant) {
         let time_out = BASE_EJECTION * 2_u32.saturating_pow(self.ejections.min(16));
         self.until = Some(now + time_out.min(MAX_EJECTION));
         self.ejections += 1;
--- a/crates/hickoryhall-telemetry/src/logs.rs
+++ b/crates/hickoryhall-telemetry/src/logs.rs
@@ -21,7 +21,7 @@
     Off,
 }
 
-/// Creates the logger of a process; lines go to standard error.
+/// Creates the logger of a process; lines go to standard output.
 ///
 /// Each part of the program makes a child with its own `part` value, which every line of it shows.
 pub fn root_logger(format: LogFormat, host: &str) -> Logger {
@@ -29,7 +29,7 @@
     match format {
         LogFormat::Off => Logger::root(slog::Discard, o!()),
         LogFormat::Json => {
-            let drain = slog_json::Json::default(io::stderr()).fuse();
+            let drain = slog_json::Json::default(io::stdout()).fuse();
             logger(drain, host)
         }
         LogFormat::Terminal => {
