Keep short and long prompts apart; bring cached parts from other runners

Cause: shared parts were read again on every runner (556 thousand tokens), and long prompts held up the generation of short ones. Salts and sends now name the version of the weights, so that no transfer crosses versions.

--- a/crates/hickoryhall-gateway/src/core.rs
+++ b/crates/hickoryhall-gateway/src/core.rs
@@ -259,6 +259,18 @@
         self.serve_waiting(now);
     }
 
+    /// Records what a runner reports, as a host that gives it no orders sees it.
+    pub fn set_runner_weights(
+        &mut self,
+        now: Instant,
+        server: u64,
+        weights: WeightsVersion,
+        is_changing: bool,
+    ) {
+        self.scheduler.set_runner(now, server, weights, is_changing);
+        self.serve_waiting(now);
+    }
+
     /// Forgets which runners change, as another host gives the orders now.
     pub fn forget_changes(&mut self) {
         self.changing.clear();
@@ -283,8 +295,7 @@
     }
 
     /// Returns what other hosts should know.
-    #[must_use]
-    pub fn digest(&self, now: Instant) -> Digest {
+    pub fn digest(&mut self, now: Instant) -> Digest {
         let servers = self
             .scheduler
             .own_loads()
@@ -312,6 +323,7 @@
             servers: servers.collect(),
             wanted: wanted.collect(),
             suspects: self.deaths.clone(),
+            prompts: self.scheduler.take_prompts(),
         }
     }
 
@@ -329,6 +341,9 @@
                     .set_runner(now, news.server, news.weights, is_changing);
             }
         }
+        for prompt in &digest.prompts {
+            self.scheduler.on_peer_prompt(now, prompt);
+        }
         for wanted in &digest.wanted {
             self.set_wanted(now, wanted.model.clone(), wanted.version, wanted.age);
         }
--- a/crates/hickoryhall-gateway/src/exchange.rs
+++ b/crates/hickoryhall-gateway/src/exchange.rs
@@ -86,6 +86,22 @@
         self.in_flight.get()
     }
 
+    /// Asks a runner for the version of its weights, as it refused a request for another one.
+    fn refresh(&self, assignment: &Assignment) {
+        let (platform, core) = (Rc::clone(&self.platform), self.core.clone());
+        let server = assignment.server.clone();
+        tokio::task::spawn_local(async move {
+            let Some(report) = platform.report(&server).await else {
+                return;
+            };
+            let hash = hickoryhall_types::hash_name(&server.id);
+            let weights = report.models.iter().map(|(_, version)| *version).max();
+            core.with(|core, now| {
+                core.set_runner_weights(now, hash, weights.unwrap_or(0), report.is_busy);
+            });
+        });
+    }
+
     fn enter(&self) -> InFlight {
         self.in_flight.set(self.in_flight.get() + 1);
         InFlight(Rc::clone(&self.in_flight))
--- a/crates/hickoryhall-gateway/src/exchange/attempt.rs
+++ b/crates/hickoryhall-gateway/src/exchange/attempt.rs
@@ -165,6 +165,9 @@
                     .await
             }
             Meaning::NotRun | Meaning::WrongServer => {
+                if judged.meaning == Meaning::WrongServer {
+                    self.gateway.refresh(assignment);
+                }
                 self.keep_after_refusal(body, answered.connection, &judged)
                     .await;
                 Attempted::NotRun
@@ -245,14 +248,19 @@
         resume_after: Option<&str>,
     ) -> Request<Full<RequestBody>> {
         let job = &self.job;
+        let weights = assignment.weights;
+        let salt = job
+            .cache_wall
+            .as_ref()
+            .map(|wall| format!("{wall}-{weights}"));
         let plan = AttemptPlan {
             server: &assignment.server,
             time_left: job.deadline.saturating_duration_since(Instant::now()),
             workspace: job.workspace.as_ref().map(|workspace| &workspace.id),
-            cache_salt: job.cache_salt.as_deref(),
+            cache_salt: salt.as_deref(),
             resume_after: resume_after.or(job.ask.last_event_id.as_deref()),
-            expected_weights: None,
-            fetch_from: None,
+            expected_weights: salt.as_ref().map(|_| weights),
+            fetch_from: assignment.fetch_from.map(|(address, _)| address),
             save_to: None,
         };
         let head = self.gateway.platform.attempt(&job.head, &plan);
--- a/crates/hickoryhall-gateway/src/exchange/intake.rs
+++ b/crates/hickoryhall-gateway/src/exchange/intake.rs
@@ -33,7 +33,8 @@
     pub service: TargetId,
     pub workspace: Option<Arc<Workspace>>,
     pub prompt: Option<PromptNeed>,
-    pub cache_salt: Option<String>,
+    /// Name under which its cached prompts are shared; the version of the weights is added.
+    pub cache_wall: Option<String>,
     pub fingerprint: Fingerprint,
     pub arrived: Instant,
     pub deadline: Instant,
@@ -99,14 +100,14 @@
         let service = route.target(hash).cloned().ok_or_else(|| {
             Rejected::new(Some(&ask), StatusCode::SERVICE_UNAVAILABLE, "no_service")
         })?;
-        let cache_salt = ask
+        let cache_wall = ask
             .prompt
             .as_ref()
-            .map(|_| cache_salt(workspace.as_deref()));
-        let prompt = ask.prompt.as_ref().zip(cache_salt.as_ref());
+            .map(|_| cache_wall(workspace.as_deref()));
+        let prompt = ask.prompt.as_ref().zip(cache_wall.as_ref());
         Ok(Job {
-            prompt: prompt.map(|(prompt, salt)| prompt_need(prompt, salt)),
-            cache_salt,
+            prompt: prompt.map(|(prompt, wall)| prompt_need(prompt, wall)),
+            cache_wall,
             head,
             body,
             ask,
@@ -191,7 +192,7 @@
 
 /// Returns the name under which a workspace's cached prompts are shared: its own where it is
 /// isolated, one name for all others.
-fn cache_salt(workspace: Option<&Workspace>) -> String {
+fn cache_wall(workspace: Option<&Workspace>) -> String {
     match workspace {
         Some(workspace) if workspace.is_isolated => {
             let hash = hickoryhall_types::hash_name(&workspace.id);
@@ -201,8 +202,8 @@
     }
 }
 
-fn prompt_need(prompt: &Prompt, salt: &str) -> PromptNeed {
-    let mut parent = *blake3::hash(salt.as_bytes()).as_bytes();
+fn prompt_need(prompt: &Prompt, wall: &str) -> PromptNeed {
+    let mut parent = *blake3::hash(wall.as_bytes()).as_bytes();
     let levels = prompt.parts.iter().map(|part| {
         parent = *blake3::keyed_hash(&parent, part.id.as_bytes()).as_bytes();
         Level {
--- a/crates/hickoryhall-gateway/src/orders.rs
+++ b/crates/hickoryhall-gateway/src/orders.rs
@@ -42,6 +42,8 @@
 const CALL_WAIT: Duration = Duration::from_millis(600);
 /// Time after which an order that shows no effect is given again.
 const REPEAT_AFTER: Duration = Duration::from_millis(2_500);
+/// Time in which the other hosts hear that a runner is about to change its weights.
+const NEWS_TRAVEL: Duration = Duration::from_millis(8);
 /// Runners that change their weights at the same time: a little more than load at full speed, as
 /// part of the time goes into requests that finish first.
 const LOADS_AT_ONCE: usize = 3;
@@ -337,6 +339,8 @@
         self.core
             .with(|core, now| core.set_runner(now, hash, weights, true));
         self.peers.push();
+        // Other hosts stop sending before the runner starts to refuse.
+        sleep(NEWS_TRAVEL).await;
         let wire = WeightsOrder {
             model: model.clone(),
             version: order.weights,
--- a/crates/hickoryhall-gateway/src/peers.rs
+++ b/crates/hickoryhall-gateway/src/peers.rs
@@ -22,7 +22,9 @@
 use tokio::task::spawn_local;
 use tokio::time::timeout;
 
-pub use message::{BadMessage, Digest, Records, ServerNews, Snapshot, SuspectNews, WantedNews};
+pub use message::{
+    BadMessage, Digest, PromptNews, Records, ServerNews, Snapshot, SuspectNews, WantedNews,
+};
 use message::{decode_digest, decode_snapshot, encode_digest, encode_snapshot};
 
 use crate::core::CoreHandle;
@@ -122,7 +124,7 @@
         for round in 0.. {
             let targets = self.targets(round);
             if !targets.is_empty() {
-                let digest = self.core.with(|core, now| core.digest(now));
+                let digest = self.core.with(crate::core::Core::digest);
                 let known = self.told_addresses(round);
                 let bytes = encode_digest(&digest, &known);
                 for &ip in &targets {
--- a/crates/hickoryhall-gateway/src/peers/message.rs
+++ b/crates/hickoryhall-gateway/src/peers/message.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use hickoryhall_routing::Level;
 use hickoryhall_types::{Revision, TargetId, WeightsVersion};
 use prost::Message;
 
@@ -23,6 +24,19 @@
     pub wanted: Vec<WantedNews>,
     /// Requests that ended backend servers.
     pub suspects: Vec<SuspectNews>,
+    /// Shared prompt levels sent to runners since the last digest.
+    pub prompts: Vec<PromptNews>,
+}
+
+/// Shared levels of a prompt that was sent to a runner, which now holds them.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct PromptNews {
+    /// Hash of the runner's id.
+    pub server: u64,
+    /// Version of the weights that read it.
+    pub weights: WeightsVersion,
+    /// Levels, outermost first.
+    pub levels: Vec<Level>,
 }
 
 /// News of one backend server.
@@ -95,6 +109,21 @@
     suspects: Vec<WireSuspect>,
     #[prost(fixed32, repeated, tag = "6")]
     known_hosts: Vec<u32>,
+    #[prost(message, repeated, tag = "7")]
+    prompts: Vec<WirePrompt>,
+}
+
+/// The levels' keys and tokens stand in two lists of equal length.
+#[derive(Clone, PartialEq, Message)]
+struct WirePrompt {
+    #[prost(fixed64, tag = "1")]
+    server: u64,
+    #[prost(uint64, tag = "2")]
+    weights: u64,
+    #[prost(fixed64, repeated, tag = "3")]
+    keys: Vec<u64>,
+    #[prost(uint32, repeated, tag = "4")]
+    tokens: Vec<u32>,
 }
 
 #[derive(Clone, PartialEq, Message)]
@@ -187,6 +216,7 @@
             wanted: digest.wanted.iter().map(WireWanted::from).collect(),
             suspects: digest.suspects.iter().map(WireSuspect::from).collect(),
             known_hosts: Vec::new(),
+            prompts: digest.prompts.iter().map(WirePrompt::from).collect(),
         }
     }
 }
@@ -199,6 +229,31 @@
             servers: wire.servers.iter().map(ServerNews::from).collect(),
             wanted: wire.wanted.into_iter().map(WantedNews::from).collect(),
             suspects: wire.suspects.iter().map(SuspectNews::from).collect(),
+            prompts: wire.prompts.iter().map(PromptNews::from).collect(),
+        }
+    }
+}
+
+impl From<&PromptNews> for WirePrompt {
+    fn from(news: &PromptNews) -> Self {
+        Self {
+            server: news.server,
+            weights: news.weights,
+            keys: news.levels.iter().map(|level| level.key).collect(),
+            tokens: news.levels.iter().map(|level| level.tokens).collect(),
+        }
+    }
+}
+
+impl From<&WirePrompt> for PromptNews {
+    fn from(wire: &WirePrompt) -> Self {
+        let levels = wire.keys.iter().zip(&wire.tokens);
+        Self {
+            server: wire.server,
+            weights: wire.weights,
+            levels: levels
+                .map(|(&key, &tokens)| Level { key, tokens })
+                .collect(),
         }
     }
 }
--- a/crates/hickoryhall-gateway/src/scheduler.rs
+++ b/crates/hickoryhall-gateway/src/scheduler.rs
@@ -7,9 +7,10 @@
 mod server;
 
 use std::collections::{BTreeMap, HashMap};
+use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
-use hickoryhall_routing::PrefixChain;
+use hickoryhall_routing::{Level, PrefixChain};
 use hickoryhall_types::{FailureDomainId, TargetId, TokenCount, WeightsVersion, rendezvous_score};
 use slotmap::{SlotMap, new_key_type};
 
@@ -17,6 +18,7 @@
 use server::{RequestLoad, ServerState};
 
 use crate::interface::Judged;
+use crate::peers::PromptNews;
 use crate::registry::{BackendServer, RegistryEvent, ServerId};
 use crate::table::{EngineShape, RouteTable};
 
@@ -46,6 +48,16 @@
     /// Advantage of the runner that all hosts name first for a prompt, so that its parts gather
     /// there; less than reading one part again takes.
     pub owner_advantage: Duration,
+    /// Tokens of a prompt from which it counts as long: it holds up what its runner generates.
+    pub long_prompt_tokens: TokenCount,
+    /// Part of the runners that take the short prompts, where generation then runs fast.
+    pub short_part: f64,
+    /// Cost of a runner of the other part.
+    pub other_part: Duration,
+    /// Tokens that another runner must hold more of for a transfer to be worth its set-up.
+    pub fetch_tokens: TokenCount,
+    /// Time to set a transfer up.
+    pub fetch_setup: Duration,
     /// Cost of old weights, once an answer on them is of less use.
     pub old_weights: Duration,
     /// Age of newer weights from which an answer on old ones is of less use.
@@ -75,6 +87,11 @@
             first_event: Duration::from_millis(25),
             cross_domain: Duration::from_millis(4),
             owner_advantage: Duration::from_millis(40),
+            long_prompt_tokens: 3_000,
+            short_part: 0.34,
+            other_part: Duration::from_millis(60),
+            fetch_tokens: 128,
+            fetch_setup: Duration::from_millis(3),
             old_weights: Duration::from_millis(120),
             old_weights_free: Duration::from_millis(1_300),
             old_weights_limit: Duration::from_millis(7_000),
@@ -132,6 +149,8 @@
     pub missing_tokens: TokenCount,
     /// Version of its weights, as known.
     pub weights: WeightsVersion,
+    /// Runner that has more of the prompt, with the tokens that it holds beyond this one.
+    pub fetch_from: Option<(SocketAddr, TokenCount)>,
     /// Requests at it, as known.
     pub requests: u32,
     /// Servers that could take it.
@@ -208,11 +227,28 @@
     Deny(Denied),
 }
 
+#[derive(Clone, Copy)]
 struct Offer {
     key: ServerKey,
     cost_ms: f64,
     estimate: Duration,
     missing_tokens: TokenCount,
+    fetch_from: Option<(SocketAddr, TokenCount)>,
+}
+
+/// Cached parts of a prompt that come from another runner.
+#[derive(Clone, Copy)]
+struct Transfer {
+    from: SocketAddr,
+    tokens: TokenCount,
+    ms: f64,
+}
+
+/// What a runner holds of a prompt, and its place among the prompt's owners.
+struct Holder {
+    key: ServerKey,
+    cached_tokens: TokenCount,
+    owner_part: f64,
 }
 
 /// Places requests on backend servers.
@@ -226,6 +262,7 @@
     waiting: BTreeMap<(Rank, Ticket), Waiting>,
     active: HashMap<Ticket, Active>,
     wanted: HashMap<TargetId, Wanted>,
+    prompts: Vec<PromptNews>,
 }
 
 /// Shortest and longest advice on when to come back.
@@ -248,6 +285,7 @@
             waiting: BTreeMap::new(),
             active: HashMap::new(),
             wanted: HashMap::new(),
+            prompts: Vec::new(),
         }
     }
 
@@ -512,18 +550,25 @@
     fn try_place(&mut self, now: Instant, need: &Need) -> Tried {
         let keys = self.by_service.get(&need.service);
         let keys = keys.map(Vec::as_slice).unwrap_or_default();
-        let mut offers = Vec::with_capacity(keys.len());
+        let holders = need
+            .prompt
+            .as_ref()
+            .map(|prompt| self.holders(keys, prompt));
+        let mut best: Option<Offer> = None;
+        let mut candidates = 0;
         let mut reason = DenyReason::NoServer;
-        for &key in keys {
-            match self.offer(now, key, need) {
-                Ok(offer) => offers.push(offer),
+        for (index, &key) in keys.iter().enumerate() {
+            match self.offer(now, key, need, holders.as_deref(), index) {
+                Ok(offer) => {
+                    candidates += 1;
+                    if best.is_none_or(|best| offer.cost_ms < best.cost_ms) {
+                        best = Some(offer);
+                    }
+                }
                 Err(DenyReason::Full) => reason = DenyReason::Full,
                 Err(_) => {}
             }
         }
-        let best = offers
-            .iter()
-            .min_by(|one, other| one.cost_ms.total_cmp(&other.cost_ms));
         let Some(best) = best else {
             let retry_after = match reason {
                 DenyReason::Full => *RETRY_AFTER.start(),
@@ -531,12 +576,29 @@
             };
             return Tried::Wait(reason, retry_after);
         };
-        if let Some(denied) = self.too_late(now, need, best) {
-            return Tried::Deny(denied);
+        match self.too_late(now, need, &best) {
+            Some(denied) => Tried::Deny(denied),
+            None => Tried::Placed(self.assign(now, need, &best, candidates)),
         }
-        let (key, candidates) = (best.key, u32::try_from(offers.len()).unwrap_or(u32::MAX));
-        let (estimate, missing_tokens) = (best.estimate, best.missing_tokens);
-        Tried::Placed(self.assign(now, need, key, estimate, missing_tokens, candidates))
+    }
+
+    /// Returns what each runner holds of a prompt, and its place among the prompt's owners.
+    fn holders(&self, keys: &[ServerKey], prompt: &PromptNeed) -> Vec<Holder> {
+        let shared = prompt.chain.shared();
+        let score = |key: ServerKey| rendezvous_score(shared, self.servers[key].name_hash);
+        let mut by_score = keys
+            .iter()
+            .map(|&key| (score(key), key))
+            .collect::<Vec<_>>();
+        by_score.sort_unstable_by(|one, other| other.cmp(one));
+        let count = keys.len().max(1) as f64;
+        let place = |key: ServerKey| by_score.iter().position(|&(_, other)| other == key);
+        let holders = keys.iter().map(|&key| Holder {
+            key,
+            cached_tokens: self.servers[key].shadow.cached_tokens(&prompt.chain),
+            owner_part: place(key).unwrap_or(0) as f64 / count,
+        });
+        holders.collect()
     }
 
     /// Refuses a request whose first event would come late and only after much other work.
@@ -559,38 +621,64 @@
         &mut self,
         now: Instant,
         need: &Need,
-        key: ServerKey,
-        estimate: Duration,
-        missing_tokens: TokenCount,
+        offer: &Offer,
         candidates: u32,
     ) -> Box<Assignment> {
         let told_ttl = self.config.told_ttl;
-        let state = &mut self.servers[key];
+        let state = &mut self.servers[offer.key];
         let requests = state.requests(now, told_ttl);
-        let load = need
-            .prompt
-            .as_ref()
-            .map_or(RequestLoad::default(), |prompt| RequestLoad {
-                pending_tokens: missing_tokens,
-                own_tokens: own_tokens(prompt),
-            });
-        state.take(need.ticket, load);
+        let load = need.prompt.as_ref().map(|prompt| RequestLoad {
+            pending_tokens: offer.missing_tokens,
+            own_tokens: own_tokens(prompt),
+        });
+        state.take(need.ticket, load.unwrap_or_default());
         if let Some(prompt) = &need.prompt {
             state.shadow.insert(now, &prompt.chain);
+            self.prompts.push(PromptNews {
+                server: state.name_hash,
+                weights: state.weights(),
+                levels: shared_levels(&prompt.chain).to_vec(),
+            });
         }
-        self.active.insert(need.ticket, Active { key });
+        self.active.insert(need.ticket, Active { key: offer.key });
+        let state = &self.servers[offer.key];
         Box::new(Assignment {
             server: state.server.clone(),
-            estimate,
-            missing_tokens,
+            estimate: offer.estimate,
+            missing_tokens: offer.missing_tokens,
             weights: state.weights(),
+            fetch_from: offer.fetch_from,
             requests,
             candidates,
             waited: now.saturating_duration_since(need.arrived),
         })
     }
 
-    fn offer(&self, now: Instant, key: ServerKey, need: &Need) -> Result<Offer, DenyReason> {
+    /// Returns the shared prompt levels sent to runners since the last call.
+    pub fn take_prompts(&mut self) -> Vec<PromptNews> {
+        std::mem::take(&mut self.prompts)
+    }
+
+    /// Records the shared prompt levels that another host sent to a runner.
+    pub fn on_peer_prompt(&mut self, now: Instant, news: &PromptNews) {
+        let key = self.by_hash.get(&news.server);
+        let Some(state) = key.and_then(|&key| self.servers.get_mut(key)) else {
+            return;
+        };
+        if state.weights() == news.weights {
+            let chain = PrefixChain::from_levels(news.levels.clone());
+            state.shadow.insert(now, &chain);
+        }
+    }
+
+    fn offer(
+        &self,
+        now: Instant,
+        key: ServerKey,
+        need: &Need,
+        holders: Option<&[Holder]>,
+        index: usize,
+    ) -> Result<Offer, DenyReason> {
         let state = &self.servers[key];
         let is_away = state.server.is_leaving
             || state.ejection.is_ejected(now)
@@ -599,8 +687,10 @@
         if is_away {
             return Err(DenyReason::NoServer);
         }
-        match (&need.prompt, &state.engine) {
-            (Some(prompt), Some(engine)) => self.engine_offer(now, key, prompt, engine),
+        match (&need.prompt, &state.engine, holders) {
+            (Some(prompt), Some(engine), Some(holders)) => {
+                self.engine_offer(now, prompt, engine, holders, index)
+            }
             _ => self.plain_offer(now, key),
         }
     }
@@ -619,17 +709,20 @@
             cost_ms,
             estimate: Duration::ZERO,
             missing_tokens: 0,
+            fetch_from: None,
         })
     }
 
     fn engine_offer(
         &self,
         now: Instant,
-        key: ServerKey,
         prompt: &PromptNeed,
         engine: &EngineShape,
+        holders: &[Holder],
+        index: usize,
     ) -> Result<Offer, DenyReason> {
-        let state = &self.servers[key];
+        let holder = &holders[index];
+        let state = &self.servers[holder.key];
         let load = state.load(now);
         let memory = f64::from(engine.memory_tokens) * self.config.memory_part;
         let is_fitting = f64::from(load.own_tokens + own_tokens(prompt)) <= memory;
@@ -637,16 +730,66 @@
             return Err(DenyReason::Full);
         }
         let old_weights_ms = self.old_weights_ms(now, state, &prompt.model)?;
-        let missing_tokens = state.missing_tokens(&prompt.chain, prompt.input_tokens);
+        let transfer = self.transfer(now, engine, holders, holder);
+        let fetched_tokens = transfer.map_or(0, |transfer| transfer.tokens);
+        let transfer_ms = transfer.map_or(0.0, |transfer| transfer.ms);
+        let held = holder.cached_tokens + fetched_tokens;
+        let missing_tokens = prompt.input_tokens.saturating_sub(held);
         let to_read = f64::from(load.pending_tokens + missing_tokens);
         let estimate_ms = to_read / self.config.prefill_tokens_per_ms
-            + self.config.first_event.as_secs_f64() * 1_000.0;
-        let owner_ms = self.owner_part(state, prompt) * millis(self.config.owner_advantage);
+            + transfer_ms
+            + millis(self.config.first_event);
+        let owner_ms = holder.owner_part * millis(self.config.owner_advantage);
+        let part_ms = self.part_ms(prompt, holders.len(), index);
         Ok(Offer {
-            key,
-            cost_ms: estimate_ms + old_weights_ms + owner_ms + self.distance_ms(state),
+            key: holder.key,
+            cost_ms: estimate_ms + old_weights_ms + owner_ms + part_ms + self.distance_ms(state),
             estimate: Duration::from_secs_f64(estimate_ms / 1_000.0),
             missing_tokens,
+            fetch_from: transfer.map(|transfer| (transfer.from, transfer.tokens)),
+        })
+    }
+
+    /// Returns the cost of a runner that serves prompts of the other length.
+    fn part_ms(&self, prompt: &PromptNeed, runners: usize, index: usize) -> f64 {
+        let short_runners = (runners as f64 * self.config.short_part).round() as usize;
+        let is_short_runner = index < short_runners;
+        let is_short = prompt.input_tokens < self.config.long_prompt_tokens;
+        if is_short == is_short_runner {
+            0.0
+        } else {
+            millis(self.config.other_part)
+        }
+    }
+
+    /// Returns the transfer that spares a runner most of what it has to read.
+    fn transfer(
+        &self,
+        now: Instant,
+        engine: &EngineShape,
+        holders: &[Holder],
+        to: &Holder,
+    ) -> Option<Transfer> {
+        let weights = self.servers[to.key].weights();
+        let sources = holders.iter().filter(|from| {
+            let state = &self.servers[from.key];
+            let is_up = !state.server.is_leaving && !state.ejection.is_ejected(now);
+            is_up && state.weights() == weights && !state.is_changing(now)
+        });
+        let is_near = |from: &Holder| {
+            self.servers[from.key].server.domain == self.servers[to.key].server.domain
+        };
+        let best = sources.max_by_key(|from| (from.cached_tokens, is_near(from)))?;
+        let tokens = best.cached_tokens.saturating_sub(to.cached_tokens);
+        if tokens < self.config.fetch_tokens || engine.link_mbps <= 0.0 {
+            return None;
+        }
+        let bits = f64::from(tokens) * engine.token_bytes * 8.0;
+        let distance = if is_near(best) { 1.0 } else { 2.0 };
+        Some(Transfer {
+            from: self.servers[best.key].server.address,
+            tokens,
+            ms: bits * distance / (engine.link_mbps * 1_000.0) + millis(self.config.fetch_setup),
         })
     }
 
@@ -670,19 +813,6 @@
         Ok(millis(self.config.old_weights))
     }
 
-    /// Returns the place of a runner among the owners of a prompt, from 0 to 1.
-    fn owner_part(&self, state: &ServerState, prompt: &PromptNeed) -> f64 {
-        let key = prompt.chain.shared();
-        let own = rendezvous_score(key, state.name_hash);
-        let others = self.by_service.get(&state.server.service);
-        let others = others.map(Vec::as_slice).unwrap_or_default();
-        let before = others
-            .iter()
-            .filter(|&&other| rendezvous_score(key, self.servers[other].name_hash) > own)
-            .count();
-        before as f64 / others.len().max(1) as f64
-    }
-
     fn distance_ms(&self, state: &ServerState) -> f64 {
         if state.server.domain == self.config.domain {
             0.0
@@ -694,12 +824,17 @@
 
 /// Returns the memory that a request takes beside the parts that others share.
 fn own_tokens(prompt: &PromptNeed) -> TokenCount {
-    let levels = prompt.chain.levels();
-    let shared = levels.iter().take(levels.len().saturating_sub(1));
+    let shared = shared_levels(&prompt.chain).iter();
     let shared = shared.map(|level| level.tokens).sum();
     prompt.input_tokens.saturating_sub(shared) + prompt.output_tokens
 }
 
+/// Returns the levels of a prompt that other requests may share: all but the last.
+fn shared_levels(chain: &PrefixChain) -> &[Level] {
+    let levels = chain.levels();
+    &levels[..levels.len().saturating_sub(1)]
+}
+
 fn millis(duration: Duration) -> f64 {
     duration.as_secs_f64() * 1_000.0
 }
--- a/crates/hickoryhall-gateway/src/scheduler/server.rs
+++ b/crates/hickoryhall-gateway/src/scheduler/server.rs
@@ -3,7 +3,7 @@
 use std::collections::HashMap;
 use std::time::{Duration, Instant};
 
-use hickoryhall_routing::{Ejection, PrefixChain, ShadowCache};
+use hickoryhall_routing::{Ejection, ShadowCache};
 use hickoryhall_types::{TokenCount, WeightsVersion, hash_name};
 
 use super::{HostHash, Ticket};
@@ -176,11 +176,6 @@
             .filter(|(_, at)| now.saturating_duration_since(*at) < told_ttl);
         fresh.map_or(known, |(told, _)| known.max(told.running + told.waiting))
     }
-
-    /// Returns the tokens of a prompt that the runner has to read.
-    pub fn missing_tokens(&self, chain: &PrefixChain, input_tokens: TokenCount) -> TokenCount {
-        input_tokens.saturating_sub(self.shadow.cached_tokens(chain))
-    }
 }
 
 fn newest_weights(server: &BackendServer) -> WeightsVersion {
--- a/crates/hickoryhall-gateway/src/table.rs
+++ b/crates/hickoryhall-gateway/src/table.rs
@@ -75,6 +75,10 @@
     pub slots: u32,
     /// Tokens of its memory.
     pub memory_tokens: TokenCount,
+    /// Bytes that one token of memory takes on its way to another runner.
+    pub token_bytes: f64,
+    /// Rate of the links between runners, in megabits per second.
+    pub link_mbps: f64,
 }
 
 /// A store of cached prompts beside the runners.
