Empty runners before new weights, and move streams instead of waiting

Cause: waiting for runs (up to 6 s) made a roll-out take longer than its bound. Runners now get no new work until what cannot move has ended, then their streams are cut and go on at runners that have changed already.

--- a/crates/hickoryhall-gateway/src/core.rs
+++ b/crates/hickoryhall-gateway/src/core.rs
@@ -17,7 +17,9 @@
 use crate::interface::Judged;
 use crate::peers::{Digest, ServerNews, SuspectNews, WantedNews};
 use crate::registry::{BackendServer, Registry, RegistryEvent};
-use crate::scheduler::{AttemptEnd, HostHash, Need, Placement, Scheduler, SchedulerConfig, Ticket};
+use crate::scheduler::{
+    AttemptEnd, HostHash, Need, Placement, RunnerView, Scheduler, SchedulerConfig, Ticket,
+};
 use crate::table::RouteTable;
 
 /// Time between two looks at requests that wait for a server.
@@ -285,13 +287,17 @@
             .collect()
     }
 
-    /// Returns the runners with their weights, as known.
+    /// Returns the runners as an order-giver sees them.
     #[must_use]
-    pub fn runners(&self) -> Vec<(BackendServer, WeightsVersion)> {
-        let runners = self.scheduler.runners();
-        runners
-            .map(|(server, weights)| (server.clone(), weights))
-            .collect()
+    pub fn runners(&self, now: Instant) -> Vec<RunnerView> {
+        self.scheduler.runners(now)
+    }
+
+    /// Returns the part of this host's retries of a service that is left, from 0 to 1.
+    pub fn retries_left(&mut self, now: Instant, service: &TargetId) -> f64 {
+        let hosts = self.fleet.size(now);
+        let budget = self.retries.get_mut(service);
+        budget.map_or(0.0, |budget| budget.part_left(now, hosts))
     }
 
     /// Returns what other hosts should know.
--- a/crates/hickoryhall-gateway/src/exchange.rs
+++ b/crates/hickoryhall-gateway/src/exchange.rs
@@ -242,6 +242,7 @@
             service: self.job.service.clone(),
             rank: self.job.rank(),
             prompt: self.job.prompt.clone(),
+            is_resumable: self.job.route.kind.may_repeat(),
             arrived: self.job.arrived,
             target: self.job.route.target_latency,
             deadline: self.job.deadline,
--- a/crates/hickoryhall-gateway/src/host.rs
+++ b/crates/hickoryhall-gateway/src/host.rs
@@ -24,7 +24,7 @@
 use crate::core::{CoreConfig, CoreHandle};
 use crate::exchange::Gateway;
 use crate::feeds::{FeedKind, Feeds};
-use crate::interface::{Platform, SwitchMode};
+use crate::interface::Platform;
 use crate::orders::{OrderDuty, OrderSettings};
 use crate::peers::{PeerSettings, Peers};
 use crate::scheduler::SchedulerConfig;
@@ -230,7 +230,6 @@
         host: format!("{}@{}", settings.host, settings.ip),
         handover: settings.bounds.lease(),
         lease_ttl: ORDER_LEASE.max(settings.bounds.lease_min()),
-        mode: SwitchMode::Wait,
     }
 }
 
--- a/crates/hickoryhall-gateway/src/orders.rs
+++ b/crates/hickoryhall-gateway/src/orders.rs
@@ -6,13 +6,14 @@
 //! order names the number of orders that its runner must have accepted before, so that one that
 //! arrives late changes nothing.
 
-use std::collections::{HashMap, HashSet};
+use std::cell::RefCell;
+use std::collections::HashMap;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
 use hickoryhall_control::{OrderConfig, OrderGiver, PlannedOrder, RunnerStatus, WantedWeights};
-use hickoryhall_types::{WeightsVersion, hash_name};
+use hickoryhall_types::{FencingNumber, TargetId, WeightsVersion, hash_name};
 use rand::RngExt;
 use rustix::time::{ClockId, clock_gettime};
 use slog::{Logger, info, warn};
@@ -20,11 +21,12 @@
 
 use crate::core::CoreHandle;
 use crate::interface::{
-    AsOf, ConditionalPut, LeaseId, OrderOutcome, Platform, StoreChange, StoreError, StoreItem,
-    StoreRevision, SwitchMode, WeightsOrder,
+    AsOf, ConditionalPut, LeaseId, OrderOutcome, Platform, RunnerReport, StoreChange, StoreError,
+    StoreItem, StoreRevision, SwitchMode, WeightsOrder,
 };
 use crate::peers::Peers;
-use crate::registry::BackendServer;
+use crate::registry::{BackendServer, ServerId};
+use crate::scheduler::RunnerView;
 
 /// Key of the order-giver.
 const KEY: &str = "hickoryhall/order-giver";
@@ -37,16 +39,24 @@
 /// Time between two looks at what there is to order.
 const ROUND: Duration = Duration::from_millis(60);
 /// Time between two reports of a runner that changes its weights.
-const REPORT_INTERVAL: Duration = Duration::from_millis(150);
+const REPORT_INTERVAL: Duration = Duration::from_millis(100);
 /// Time for a report or an order to be answered.
 const CALL_WAIT: Duration = Duration::from_millis(600);
 /// Time after which an order that shows no effect is given again.
-const REPEAT_AFTER: Duration = Duration::from_millis(2_500);
-/// Time in which the other hosts hear that a runner is about to change its weights.
-const NEWS_TRAVEL: Duration = Duration::from_millis(8);
-/// Runners that change their weights at the same time: a little more than load at full speed, as
-/// part of the time goes into requests that finish first.
-const LOADS_AT_ONCE: usize = 3;
+const REPEAT_AFTER: Duration = Duration::from_millis(4_500);
+/// Time in which the other hosts hear that a runner is about to change its weights, and this one
+/// what they have there.
+const NEWS_TRAVEL: Duration = Duration::from_millis(130);
+/// Longest time for which a runner is emptied before its order: that of the longest answers that
+/// cannot go on elsewhere.
+const EMPTYING_LIMIT: Duration = Duration::from_millis(1_300);
+/// Time from an order to the first report, a little less than loading takes.
+const FIRST_REPORT: Duration = Duration::from_millis(450);
+/// Part of the retries that must be left for streams to be moved rather than waited for.
+const TRUNCATE_BUDGET: f64 = 0.25;
+/// Runners that change their weights at the same time: more than load at full speed, as part of
+/// the time goes into emptying them.
+const LOADS_AT_ONCE: usize = 4;
 
 /// Settings of the order-giver.
 #[derive(Clone, Debug)]
@@ -57,8 +67,6 @@
     pub handover: Duration,
     /// Time of the lease.
     pub lease_ttl: Duration,
-    /// What becomes of requests that run when the weights change.
-    pub mode: SwitchMode,
 }
 
 /// The task that holds the lease and gives the orders.
@@ -215,7 +223,7 @@
             repeat_after: REPEAT_AFTER,
         });
         giver.on_taken(holding.asked_at, holding.fencing);
-        let giver = std::cell::RefCell::new(giver);
+        let giver = RefCell::new(giver);
         tokio::select! {
             () = self.renew(holding.lease, &giver) => {}
             () = self.give_orders(&giver) => {}
@@ -223,7 +231,7 @@
         warn!(self.logger, "orders: Duty lost."; "fencing" => holding.fencing);
     }
 
-    async fn renew(&self, lease: LeaseId, giver: &std::cell::RefCell<OrderGiver>) {
+    async fn renew(&self, lease: LeaseId, giver: &RefCell<OrderGiver>) {
         loop {
             sleep(self.settings.lease_ttl / 3).await;
             let asked_at = self.clock.now();
@@ -240,22 +248,34 @@
         }
     }
 
-    async fn give_orders(&self, giver: &std::cell::RefCell<OrderGiver>) {
-        let mut watched = HashMap::<u64, Watched>::new();
+    async fn give_orders(&self, giver: &RefCell<OrderGiver>) {
+        let mut changes = HashMap::<ServerId, Change>::new();
         loop {
             sleep(ROUND).await;
             let wanted = self.wanted();
-            let runners = self.core.with(|core, _| core.runners());
-            self.follow_changes(&mut watched, &runners, &wanted).await;
-            let runners = self.core.with(|core, _| core.runners());
-            let statuses = statuses(&runners, &wanted);
-            let orders = giver
-                .borrow_mut()
-                .plan(self.clock.now(), &wanted, &statuses, || true);
-            for order in orders {
-                let runner = runners.iter().find(|(server, _)| server.id == order.runner);
-                if let Some((server, _)) = runner {
-                    self.give(server, &order, giver, &mut watched).await;
+            let runners = self.core.with(|core, now| core.runners(now));
+            changes.retain(|id, _| runners.iter().any(|runner| runner.server.id == *id));
+            for runner in &runners {
+                if let Some(change) = changes.get(&runner.server.id).cloned() {
+                    match self.advance(runner, change, giver).await {
+                        Some(change) => drop(changes.insert(runner.server.id.clone(), change)),
+                        None => drop(changes.remove(&runner.server.id)),
+                    }
+                }
+            }
+            let runners = self.core.with(|core, now| core.runners(now));
+            let planned = giver.borrow_mut().plan(
+                self.clock.now(),
+                &wanted,
+                &statuses(&runners, &wanted),
+                || true,
+            );
+            for order in planned {
+                let runner = runners
+                    .iter()
+                    .find(|runner| runner.server.id == order.runner);
+                if let Some(change) = runner.and_then(|runner| self.prepare(runner, &order)) {
+                    changes.insert(order.runner, change);
                 }
             }
         }
@@ -266,107 +286,135 @@
         wanted.into_iter().collect()
     }
 
-    /// Reads the reports of runners that were given an order.
-    async fn follow_changes(
-        &self,
-        watched: &mut HashMap<u64, Watched>,
-        runners: &[(BackendServer, WeightsVersion)],
-        wanted: &WantedWeights,
-    ) {
-        let known = runners.iter().map(|(server, _)| hash_name(&server.id));
-        let known = known.collect::<HashSet<_>>();
-        watched.retain(|hash, _| known.contains(hash));
-        for (server, _) in runners {
-            let hash = hash_name(&server.id);
-            let Some(change) = watched.get_mut(&hash) else {
-                continue;
-            };
-            if Instant::now() < change.next_report {
-                continue;
-            }
-            change.next_report = Instant::now() + REPORT_INTERVAL;
-            let Some(report) = self.report(server).await else {
-                continue;
-            };
-            let weights = report.weights(&change.model);
-            let is_changing = report.is_busy || weights < change.version;
-            let wanted = wanted.get(&change.model).copied().unwrap_or(0);
-            let is_over = !is_changing || Instant::now() >= change.until;
-            self.core.with(|core, now| {
-                core.set_runner(now, hash, weights, is_changing && !is_over);
-            });
-            if is_over {
-                watched.remove(&hash);
-                info!(self.logger, "orders: Runner followed to the end."; "server" => &*server.id, "weights" => weights, "wanted" => wanted, "busy" => report.is_busy);
-                self.peers.push();
-            }
-        }
+    /// Stops new work at a runner that is about to change its weights.
+    fn prepare(&self, runner: &RunnerView, order: &PlannedOrder) -> Option<Change> {
+        let (model, _) = runner.server.models.first()?;
+        self.note(runner, runner.weights, true);
+        Some(Change {
+            model: model.clone(),
+            version: order.weights,
+            fencing: order.fencing,
+            since: Instant::now(),
+            stage: Stage::Emptying,
+        })
     }
 
-    async fn report(&self, server: &BackendServer) -> Option<crate::interface::RunnerReport> {
-        timeout(CALL_WAIT, self.platform.report(server))
-            .await
-            .ok()?
+    /// Takes the next step of a change; `None` where it is over.
+    async fn advance(
+        &self,
+        runner: &RunnerView,
+        change: Change,
+        giver: &RefCell<OrderGiver>,
+    ) -> Option<Change> {
+        match change.stage {
+            Stage::Emptying if !change.is_emptied(runner) => Some(change),
+            Stage::Emptying => self.give(runner, change, giver).await,
+            Stage::Ordered { next_report } if Instant::now() < next_report => Some(change),
+            Stage::Ordered { .. } => self.follow(runner, change).await,
+        }
     }
 
-    /// Gives one order, where the runner does not have the weights already.
+    /// Gives an order, where the runner does not have the weights already.
     async fn give(
         &self,
-        server: &BackendServer,
-        order: &PlannedOrder,
-        giver: &std::cell::RefCell<OrderGiver>,
-        watched: &mut HashMap<u64, Watched>,
-    ) {
-        let hash = hash_name(&server.id);
-        let Some((model, known)) = server.models.first() else {
-            return;
-        };
+        runner: &RunnerView,
+        change: Change,
+        giver: &RefCell<OrderGiver>,
+    ) -> Option<Change> {
+        let server = &runner.server;
         let Some(report) = self.report(server).await else {
             warn!(self.logger, "orders: Runner does not report."; "server" => &*server.id);
-            return;
+            self.note(runner, runner.weights, false);
+            return None;
         };
-        let weights = report.weights(model);
-        if weights >= order.weights {
-            self.core
-                .with(|core, now| core.set_runner(now, hash, weights, false));
-            return;
+        let weights = report.weights(&change.model);
+        if weights >= change.version {
+            self.note(runner, weights, false);
+            return None;
         }
         // The report took time in which the lease may have ended.
         let lease = giver.borrow().lease(self.clock.now() + CALL_WAIT);
+        let lease = lease.filter(|lease| lease.fencing == change.fencing);
         if lease.is_none() {
-            return;
+            self.note(runner, weights, false);
+            return None;
         }
-        self.core
-            .with(|core, now| core.set_runner(now, hash, weights, true));
-        self.peers.push();
-        // Other hosts stop sending before the runner starts to refuse.
-        sleep(NEWS_TRAVEL).await;
-        let wire = WeightsOrder {
-            model: model.clone(),
-            version: order.weights,
-            mode: self.settings.mode,
+        let mode = self.mode(runner);
+        let order = WeightsOrder {
+            model: change.model.clone(),
+            version: change.version,
+            mode,
             holder: self.settings.host.clone(),
-            fencing: order.fencing,
+            fencing: change.fencing,
             expected_orders: report.orders_accepted,
         };
-        let outcome = timeout(CALL_WAIT, self.platform.order(server, &wire)).await;
+        let outcome = timeout(CALL_WAIT, self.platform.order(server, &order)).await;
         let outcome = outcome.unwrap_or(OrderOutcome::Unknown);
         info!(
             self.logger, "orders: Order given.";
-            "server" => &*server.id, "model" => &**model, "weights" => order.weights,
-            "before" => weights.max(*known), "fencing" => order.fencing,
-            "expected" => report.orders_accepted, "outcome" => ?outcome
+            "server" => &*server.id, "model" => &*order.model, "weights" => order.version,
+            "before" => weights, "mode" => ?mode, "fencing" => order.fencing,
+            "expected" => order.expected_orders, "outcome" => ?outcome,
+            "emptied_ms" => change.since.elapsed().as_millis(),
+            "requests" => runner.load.requests, "bound" => runner.load.bound
         );
-        let now = Instant::now();
-        watched.insert(
-            hash,
-            Watched {
-                model: model.clone(),
-                version: order.weights,
-                next_report: now + REPORT_INTERVAL * 3,
-                until: now + REPEAT_AFTER,
+        Some(Change {
+            stage: Stage::Ordered {
+                next_report: Instant::now() + FIRST_REPORT,
             },
+            ..change
+        })
+    }
+
+    /// Chooses what becomes of the requests that run: streams go on at other runners where the
+    /// retry budget allows that, and nothing runs that could not.
+    fn mode(&self, runner: &RunnerView) -> SwitchMode {
+        let service = &runner.server.service;
+        let left = self.core.with(|core, now| core.retries_left(now, service));
+        if runner.load.bound == 0 && left >= TRUNCATE_BUDGET {
+            SwitchMode::Truncate
+        } else {
+            SwitchMode::Wait
+        }
+    }
+
+    /// Reads the report of a runner that was given an order.
+    async fn follow(&self, runner: &RunnerView, change: Change) -> Option<Change> {
+        let report = self.report(&runner.server).await;
+        let weights = report
+            .as_ref()
+            .map_or(runner.weights, |report| report.weights(&change.model));
+        let is_busy = report.is_none_or(|report| report.is_busy);
+        let is_done = weights >= change.version && !is_busy;
+        let is_overdue = change.since.elapsed() >= REPEAT_AFTER;
+        if !is_done && !is_overdue {
+            let next_report = Instant::now() + REPORT_INTERVAL;
+            return Some(Change {
+                stage: Stage::Ordered { next_report },
+                ..change
+            });
+        }
+        info!(
+            self.logger, "orders: Runner followed to the end.";
+            "server" => &*runner.server.id, "weights" => weights, "wanted" => change.version,
+            "busy" => is_busy, "took_ms" => change.since.elapsed().as_millis()
         );
+        self.note(runner, weights, false);
+        None
+    }
+
+    async fn report(&self, server: &BackendServer) -> Option<RunnerReport> {
+        timeout(CALL_WAIT, self.platform.report(server))
+            .await
+            .ok()?
+    }
+
+    /// Tells this host and the others about a runner.
+    fn note(&self, runner: &RunnerView, weights: WeightsVersion, is_changing: bool) {
+        let hash = hash_name(&runner.server.id);
+        self.core
+            .with(|core, now| core.set_runner(now, hash, weights, is_changing));
+        self.peers.push();
     }
 }
 
@@ -379,15 +427,33 @@
     is_own_successor: bool,
 }
 
-/// A runner that was given an order.
-struct Watched {
-    model: hickoryhall_types::TargetId,
+/// A runner on its way to new weights.
+#[derive(Clone)]
+struct Change {
+    model: TargetId,
     version: WeightsVersion,
-    next_report: Instant,
-    until: Instant,
+    fencing: FencingNumber,
+    since: Instant,
+    stage: Stage,
+}
+
+#[derive(Clone, Copy)]
+enum Stage {
+    /// It gets no new work, and what cannot go on elsewhere comes to its end.
+    Emptying,
+    /// It was given the order.
+    Ordered { next_report: Instant },
+}
+
+impl Change {
+    fn is_emptied(&self, runner: &RunnerView) -> bool {
+        let age = self.since.elapsed();
+        let is_empty = runner.load.bound == 0 && age >= NEWS_TRAVEL;
+        is_empty || age >= EMPTYING_LIMIT
+    }
 }
 
-impl crate::interface::RunnerReport {
+impl RunnerReport {
     /// Returns the version of a model's weights, 0 where it has none.
     #[must_use]
     pub fn weights(&self, model: &str) -> WeightsVersion {
@@ -396,20 +462,22 @@
     }
 }
 
-/// Returns the runners as the order-giver sees them; one with newer weights than wanted is settled.
-fn statuses(
-    runners: &[(BackendServer, WeightsVersion)],
-    wanted: &WantedWeights,
-) -> Vec<RunnerStatus> {
-    let statuses = runners.iter().filter_map(|(server, weights)| {
-        let (model, _) = server.models.first()?;
-        let is_newer = wanted.get(model).is_some_and(|wanted| weights > wanted);
+/// Returns the runners in the order of their changes: those with the fewest requests first, so that
+/// streams of the others find runners that have changed already.
+fn statuses(runners: &[RunnerView], wanted: &WantedWeights) -> Vec<RunnerStatus> {
+    let mut runners = runners.iter().collect::<Vec<_>>();
+    runners.sort_by_key(|runner| (runner.load.requests, runner.server.id.clone()));
+    let statuses = runners.into_iter().filter_map(|runner| {
+        let (model, _) = runner.server.models.first()?;
+        let is_newer = wanted
+            .get(model)
+            .is_some_and(|wanted| runner.weights > *wanted);
         Some(RunnerStatus {
-            id: server.id.clone(),
+            id: runner.server.id.clone(),
             model: model.clone(),
-            weights: *weights,
+            weights: runner.weights,
             checks_fencing: false,
-            up: !server.is_leaving && !is_newer,
+            up: !runner.server.is_leaving && !runner.is_away && !is_newer,
         })
     });
     statuses.collect()
--- a/crates/hickoryhall-gateway/src/peers/message.rs
+++ b/crates/hickoryhall-gateway/src/peers/message.rs
@@ -140,6 +140,8 @@
     weights: u64,
     #[prost(bool, optional, tag = "6")]
     is_changing: Option<bool>,
+    #[prost(uint32, tag = "7")]
+    bound: u32,
 }
 
 #[derive(Clone, PartialEq, Message)]
@@ -267,6 +269,7 @@
             own_tokens: news.load.own_tokens,
             weights: news.weights,
             is_changing: news.change,
+            bound: news.load.bound,
         }
     }
 }
@@ -279,6 +282,7 @@
                 requests: wire.requests,
                 pending_tokens: wire.pending_tokens,
                 own_tokens: wire.own_tokens,
+                bound: wire.bound,
             },
             weights: wire.weights,
             change: wire.is_changing,
--- a/crates/hickoryhall-gateway/src/scheduler.rs
+++ b/crates/hickoryhall-gateway/src/scheduler.rs
@@ -128,6 +128,8 @@
     pub rank: Rank,
     /// Prompt, where it is a model request.
     pub prompt: Option<PromptNeed>,
+    /// Whether another server may go on with its answer.
+    pub is_resumable: bool,
     /// Moment at which the request came.
     pub arrived: Instant,
     /// Time from then in which an answer is of full use.
@@ -159,6 +161,19 @@
     pub waited: Duration,
 }
 
+/// A runner as its order-giver sees it.
+#[derive(Clone, Debug, PartialEq)]
+pub struct RunnerView {
+    /// The runner.
+    pub server: BackendServer,
+    /// Version of its weights.
+    pub weights: WeightsVersion,
+    /// What all hosts have there.
+    pub load: HostLoad,
+    /// Whether it takes no work because it failed.
+    pub is_away: bool,
+}
+
 /// Why no server took a request.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum DenyReason {
@@ -536,10 +551,17 @@
             .map(|state| (state.name_hash, state.own_load(), state.weights()))
     }
 
-    /// Returns the servers of model services with their weights.
-    pub fn runners(&self) -> impl Iterator<Item = (&BackendServer, WeightsVersion)> {
+    /// Returns the servers of model services with what all hosts have there.
+    #[must_use]
+    pub fn runners(&self, now: Instant) -> Vec<RunnerView> {
         let runners = self.servers.values().filter(|state| state.engine.is_some());
-        runners.map(|state| (&state.server, state.weights()))
+        let views = runners.map(|state| RunnerView {
+            server: state.server.clone(),
+            weights: state.weights(),
+            load: state.load(now),
+            is_away: state.ejection.is_ejected(now),
+        });
+        views.collect()
     }
 
     fn waits_until(&self, need: &Need) -> Instant {
@@ -627,11 +649,12 @@
         let told_ttl = self.config.told_ttl;
         let state = &mut self.servers[offer.key];
         let requests = state.requests(now, told_ttl);
-        let load = need.prompt.as_ref().map(|prompt| RequestLoad {
+        let load = RequestLoad {
             pending_tokens: offer.missing_tokens,
-            own_tokens: own_tokens(prompt),
-        });
-        state.take(need.ticket, load.unwrap_or_default());
+            own_tokens: need.prompt.as_ref().map_or(0, own_tokens),
+            is_bound: !need.is_resumable,
+        };
+        state.take(need.ticket, load);
         if let Some(prompt) = &need.prompt {
             state.shadow.insert(now, &prompt.chain);
             self.prompts.push(PromptNews {
--- a/crates/hickoryhall-gateway/src/scheduler/server.rs
+++ b/crates/hickoryhall-gateway/src/scheduler/server.rs
@@ -16,7 +16,7 @@
 /// Prompt levels remembered of one runner.
 const SHADOW_LEVELS: usize = 512;
 /// Time for which a runner that was ordered to change its weights gets no work without news.
-const CHANGE_LIMIT: Duration = Duration::from_secs(3);
+const CHANGE_LIMIT: Duration = Duration::from_secs(5);
 
 /// Load of a request at its server.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
@@ -25,6 +25,8 @@
     pub pending_tokens: TokenCount,
     /// Memory beside what it shares with others.
     pub own_tokens: TokenCount,
+    /// Whether it cannot go on at another server.
+    pub is_bound: bool,
 }
 
 /// Load of one host at a server.
@@ -36,6 +38,8 @@
     pub pending_tokens: u32,
     /// Memory of the requests beside what they share.
     pub own_tokens: u32,
+    /// Requests that cannot go on at another server.
+    pub bound: u32,
 }
 
 #[derive(Clone, Copy, Debug)]
@@ -122,6 +126,7 @@
         self.own_sum.requests += 1;
         self.own_sum.pending_tokens += load.pending_tokens;
         self.own_sum.own_tokens += load.own_tokens;
+        self.own_sum.bound += u32::from(load.is_bound);
     }
 
     pub fn first_event(&mut self, ticket: Ticket) {
@@ -136,6 +141,7 @@
             self.own_sum.requests -= 1;
             self.own_sum.pending_tokens -= load.pending_tokens;
             self.own_sum.own_tokens -= load.own_tokens;
+            self.own_sum.bound -= u32::from(load.is_bound);
         }
     }
 
@@ -165,6 +171,7 @@
             requests: sum.requests + peer.load.requests,
             pending_tokens: sum.pending_tokens + peer.load.pending_tokens,
             own_tokens: sum.own_tokens + peer.load.own_tokens,
+            bound: sum.bound + peer.load.bound,
         })
     }
 
--- a/crates/hickoryhall-limits/src/fleet_retries.rs
+++ b/crates/hickoryhall-limits/src/fleet_retries.rs
@@ -9,7 +9,7 @@
 use std::time::{Duration, Instant};
 
 /// Part of the budget that hosts use; the rest covers windows that cut a burst apart.
-const USED_PART: f64 = 0.8;
+const USED_PART: f64 = 0.9;
 
 /// The fleet's budget.
 #[derive(Clone, Copy, Debug, PartialEq)]
@@ -50,16 +50,29 @@
     /// Takes a retry out of the budget of a fleet of `hosts`; returns whether it was there.
     pub fn take(&mut self, now: Instant, hosts: usize) -> bool {
         self.expire(now);
-        let earned = self.limit.ratio * self.requests.len() as f64;
-        let part = self.limit.extra / hosts.max(1) as f64;
-        let allowed = (USED_PART * (earned + part)).floor();
-        if (self.retries.len() as f64) >= allowed {
+        if (self.retries.len() as f64) >= self.allowed(hosts) {
             return false;
         }
         self.retries.push_back(now);
         true
     }
 
+    /// Returns the part of the budget that is left, from 0 to 1.
+    pub fn part_left(&mut self, now: Instant, hosts: usize) -> f64 {
+        self.expire(now);
+        let allowed = self.allowed(hosts);
+        if allowed < 1.0 {
+            return 0.0;
+        }
+        (1.0 - self.retries.len() as f64 / allowed).max(0.0)
+    }
+
+    fn allowed(&self, hosts: usize) -> f64 {
+        let earned = self.limit.ratio * self.requests.len() as f64;
+        let part = self.limit.extra / hosts.max(1) as f64;
+        (USED_PART * (earned + part)).floor()
+    }
+
     fn expire(&mut self, now: Instant) {
         let window = self.limit.window;
         let is_over = |at: &Instant| now.saturating_duration_since(*at) >= window;
