Tell what runners will hold from what they hold; use the store of cached prompts

Cause: transfers named runners whose parts were not read yet or had been displaced by running requests, and kept connections outlived SIGTERM.

--- a/crates/hickoryhall-edge/src/server.rs
+++ b/crates/hickoryhall-edge/src/server.rs
@@ -3,6 +3,7 @@
 use std::cell::Cell;
 use std::convert::Infallible;
 use std::net::SocketAddr;
+use std::pin::pin;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -96,6 +97,7 @@
         }
         let caller = self.caller;
         let config = self.config;
+        let mut stopping = self.stopping.clone();
         let service = service_fn(move |request| {
             let answer = answer(
                 Rc::clone(&self.handler),
@@ -105,12 +107,21 @@
             );
             async move { Ok::<_, Infallible>(answer.await) }
         });
-        let served = http1::Builder::new()
+        let connection = http1::Builder::new()
             .timer(TokioTimer::new())
             .header_read_timeout(config.idle)
             .max_buf_size(config.head_bytes.max(SMALLEST_BUFFER_BYTES))
-            .serve_connection(TokioIo::new(stream), service)
-            .await;
+            .serve_connection(TokioIo::new(stream), service);
+        let mut connection = pin!(connection);
+        let was_stopping = *stopping.borrow();
+        let served = tokio::select! {
+            served = connection.as_mut() => served,
+            // Ends an idle connection at once, and another one after its answer.
+            _ = stopping.changed(), if !was_stopping => {
+                connection.as_mut().graceful_shutdown();
+                connection.await
+            }
+        };
         if let Err(error) = served {
             debug!(logger, "edge: Connection ended early."; "caller" => %caller, "error" => %error);
         }
--- a/crates/hickoryhall-gateway/src/core.rs
+++ b/crates/hickoryhall-gateway/src/core.rs
@@ -180,7 +180,7 @@
 
     /// Records the first event of an attempt.
     pub fn first_event(&mut self, now: Instant, ticket: Ticket) {
-        self.scheduler.first_event(ticket);
+        self.scheduler.first_event(now, ticket);
         self.serve_waiting(now);
     }
 
--- a/crates/hickoryhall-gateway/src/exchange.rs
+++ b/crates/hickoryhall-gateway/src/exchange.rs
@@ -48,6 +48,7 @@
     pool: Pool,
     next_ticket: Cell<Ticket>,
     in_flight: Rc<Cell<usize>>,
+    is_closed: Cell<bool>,
     logger: Logger,
 }
 
@@ -70,6 +71,7 @@
             pool,
             next_ticket: Cell::new(1),
             in_flight: Rc::default(),
+            is_closed: Cell::new(false),
             logger,
         }
     }
@@ -86,6 +88,11 @@
         self.in_flight.get()
     }
 
+    /// Refuses new requests, as the process ends before they could be answered.
+    pub fn close(&self) {
+        self.is_closed.set(true);
+    }
+
     /// Asks a runner for the version of its weights, as it refused a request for another one.
     fn refresh(&self, assignment: &Assignment) {
         let (platform, core) = (Rc::clone(&self.platform), self.core.clone());
--- a/crates/hickoryhall-gateway/src/exchange/attempt.rs
+++ b/crates/hickoryhall-gateway/src/exchange/attempt.rs
@@ -261,7 +261,7 @@
             resume_after: resume_after.or(job.ask.last_event_id.as_deref()),
             expected_weights: salt.as_ref().map(|_| weights),
             fetch_from: assignment.fetch_from.map(|(address, _)| address),
-            save_to: None,
+            save_to: assignment.save_to,
         };
         let head = self.gateway.platform.attempt(&job.head, &plan);
         head.map(|()| Full::new(job.body.clone()))
--- a/crates/hickoryhall-gateway/src/exchange/intake.rs
+++ b/crates/hickoryhall-gateway/src/exchange/intake.rs
@@ -21,6 +21,8 @@
 const DEADLINE_MARGIN: Duration = Duration::from_millis(15);
 /// Advice while the host has no table: about the time in which it fetches one.
 const RETRY_AFTER_NOT_READY: Duration = Duration::from_millis(300);
+/// Advice while the host stops: another host takes the request at once.
+const RETRY_AFTER_STOPPING: Duration = Duration::from_millis(20);
 /// Rank of callers without a workspace, after those of any workspace.
 const RANK_WITHOUT_WORKSPACE: u8 = u8::MAX;
 
@@ -70,6 +72,12 @@
         }
     }
 
+    fn later(ask: &Ask, reason: &'static str, retry_after: Duration) -> Self {
+        let mut rejected = Self::new(Some(ask), StatusCode::SERVICE_UNAVAILABLE, reason);
+        rejected.failure.retry_after = Some(retry_after);
+        rejected
+    }
+
     fn detail(mut self, detail: impl ToString) -> Self {
         self.detail = detail.to_string();
         self
@@ -86,11 +94,11 @@
         let ask = self.platform.read(&head).map_err(|error| {
             Rejected::new(None, StatusCode::BAD_REQUEST, "bad_request").detail(error)
         })?;
+        if self.is_closed.get() {
+            return Err(Rejected::later(&ask, "stopping", RETRY_AFTER_STOPPING));
+        }
         let Some(table) = self.core.with(|core, _| core.table()) else {
-            let mut rejected =
-                Rejected::new(Some(&ask), StatusCode::SERVICE_UNAVAILABLE, "no_table");
-            rejected.failure.retry_after = Some(RETRY_AFTER_NOT_READY);
-            return Err(rejected);
+            return Err(Rejected::later(&ask, "no_table", RETRY_AFTER_NOT_READY));
         };
         let (route, workspace) = authorize(&table, &ask, head.uri.path())?;
         let deadline = deadline(arrived, &ask, &route);
--- a/crates/hickoryhall-gateway/src/host.rs
+++ b/crates/hickoryhall-gateway/src/host.rs
@@ -34,7 +34,7 @@
 /// questions, a second apart, to stop sending them.
 const STOP_ACCEPTS: Duration = Duration::from_millis(2_600);
 /// Time before the end by force at which a stopping host ends by itself.
-const STOP_MARGIN: Duration = Duration::from_millis(600);
+const STOP_MARGIN: Duration = Duration::from_millis(350);
 /// Time between two looks at the requests in flight of a stopping host.
 const STOP_CHECK: Duration = Duration::from_millis(25);
 /// Time between two sweeps of idle connections, and two updates of gauges.
@@ -203,6 +203,9 @@
         let latest = grace.saturating_sub(STOP_MARGIN);
         while started.elapsed() < latest {
             sleep(STOP_CHECK).await;
+            if started.elapsed() >= STOP_ACCEPTS {
+                self.gateway.close();
+            }
             if self.gateway.in_flight() == 0 && started.elapsed() >= STOP_ACCEPTS {
                 break;
             }
--- a/crates/hickoryhall-gateway/src/scheduler.rs
+++ b/crates/hickoryhall-gateway/src/scheduler.rs
@@ -10,8 +10,10 @@
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
-use hickoryhall_routing::{Level, PrefixChain};
-use hickoryhall_types::{FailureDomainId, TargetId, TokenCount, WeightsVersion, rendezvous_score};
+use hickoryhall_routing::{Level, PrefixChain, ShadowCache};
+use hickoryhall_types::{
+    FailureDomainId, TargetId, TokenCount, WeightsVersion, hash_name, rendezvous_score,
+};
 use slotmap::{SlotMap, new_key_type};
 
 pub use server::HostLoad;
@@ -58,6 +60,8 @@
     pub fetch_tokens: TokenCount,
     /// Time to set a transfer up.
     pub fetch_setup: Duration,
+    /// Part of the time to read displaced prompts again that counts, as others may hold them.
+    pub displaced_part: f64,
     /// Cost of old weights, once an answer on them is of less use.
     pub old_weights: Duration,
     /// Age of newer weights from which an answer on old ones is of less use.
@@ -92,6 +96,7 @@
             other_part: Duration::from_millis(60),
             fetch_tokens: 128,
             fetch_setup: Duration::from_millis(3),
+            displaced_part: 0.2,
             old_weights: Duration::from_millis(120),
             old_weights_free: Duration::from_millis(1_300),
             old_weights_limit: Duration::from_millis(7_000),
@@ -153,6 +158,8 @@
     pub weights: WeightsVersion,
     /// Runner that has more of the prompt, with the tokens that it holds beyond this one.
     pub fetch_from: Option<(SocketAddr, TokenCount)>,
+    /// Store that shall keep the shared parts that it reads.
+    pub save_to: Option<SocketAddr>,
     /// Requests at it, as known.
     pub requests: u32,
     /// Servers that could take it.
@@ -229,6 +236,19 @@
 
 struct Active {
     key: ServerKey,
+    /// Shared levels of its prompt, until its first event says that they were read.
+    unread: Option<PrefixChain>,
+    placed_at: Instant,
+    estimate: Duration,
+    fetched_from_keep: bool,
+}
+
+/// A store of cached prompts beside the runners.
+struct Keep {
+    address: SocketAddr,
+    domain: FailureDomainId,
+    held: ShadowCache,
+    avoided_until: Option<Instant>,
 }
 
 struct Wanted {
@@ -262,7 +282,10 @@
 /// What a runner holds of a prompt, and its place among the prompt's owners.
 struct Holder {
     key: ServerKey,
+    /// Tokens that it will hold when it comes to the request.
     cached_tokens: TokenCount,
+    /// Tokens that others can fetch from it now.
+    held_tokens: TokenCount,
     owner_part: f64,
 }
 
@@ -278,8 +301,20 @@
     active: HashMap<Ticket, Active>,
     wanted: HashMap<TargetId, Wanted>,
     prompts: Vec<PromptNews>,
+    keep: Option<Keep>,
 }
 
+/// Time of a transfer from a store against that from a runner, whose link is faster.
+const KEEP_LINK_FACTOR: f64 = 4.0;
+/// Prompt levels remembered of a store of cached prompts.
+const KEEP_LEVELS: usize = 4_096;
+/// Time beyond its estimate from which a request that fetched from a store says that the store is
+/// away: an answer from a dead source takes some hundred milliseconds.
+const KEEP_LATE: Duration = Duration::from_millis(250);
+/// Time for which a store that seems away is left out.
+const KEEP_AVOIDED: Duration = Duration::from_secs(3);
+/// Time without use after which a cached prompt counts by half when it is displaced.
+const HALF_LIFE: Duration = Duration::from_secs(8);
 /// Shortest and longest advice on when to come back.
 const RETRY_AFTER: std::ops::RangeInclusive<Duration> =
     Duration::from_millis(100)..=Duration::from_secs(2);
@@ -301,6 +336,7 @@
             active: HashMap::new(),
             wanted: HashMap::new(),
             prompts: Vec::new(),
+            keep: None,
         }
     }
 
@@ -311,6 +347,7 @@
             Some((name.clone(), engine))
         });
         self.engines = engines.collect();
+        self.set_keep(table);
         let stale = self
             .servers
             .iter()
@@ -324,6 +361,22 @@
         }
     }
 
+    /// Takes the store of cached prompts from the table in force, if there is one.
+    fn set_keep(&mut self, table: &RouteTable) {
+        let info = table
+            .services()
+            .find_map(|(_, service)| service.keep.as_ref());
+        let is_known = self.keep.as_ref().map(|keep| keep.address) == info.map(|info| info.address);
+        if !is_known {
+            self.keep = info.map(|info| Keep {
+                address: info.address,
+                domain: info.domain.clone(),
+                held: ShadowCache::new(info.memory_tokens, KEEP_LEVELS),
+                avoided_until: None,
+            });
+        }
+    }
+
     /// Takes a change of the registry.
     pub fn on_registry(&mut self, event: RegistryEvent) {
         match event {
@@ -447,11 +500,29 @@
     }
 
     /// Records the first event of an attempt.
-    pub fn first_event(&mut self, ticket: Ticket) {
-        let key = self.active.get(&ticket).map(|active| active.key);
-        if let Some(state) = key.and_then(|key| self.servers.get_mut(key)) {
+    pub fn first_event(&mut self, now: Instant, ticket: Ticket) {
+        let Some(active) = self.active.get_mut(&ticket) else {
+            return;
+        };
+        let took = now.saturating_duration_since(active.placed_at);
+        if active.fetched_from_keep
+            && took > active.estimate + KEEP_LATE
+            && let Some(keep) = &mut self.keep
+        {
+            keep.avoided_until = Some(now + KEEP_AVOIDED);
+        }
+        let unread = active.unread.take();
+        if let Some(state) = self.servers.get_mut(active.key) {
             state.first_event(ticket);
             state.ejection.succeed();
+            if let Some(chain) = unread {
+                state.held.insert(now, &chain);
+                self.prompts.push(PromptNews {
+                    server: state.name_hash,
+                    weights: state.weights(),
+                    levels: chain.levels().to_vec(),
+                });
+            }
         }
     }
 
@@ -618,6 +689,7 @@
         let holders = keys.iter().map(|&key| Holder {
             key,
             cached_tokens: self.servers[key].shadow.cached_tokens(&prompt.chain),
+            held_tokens: self.servers[key].held.cached_tokens(&prompt.chain),
             owner_part: place(key).unwrap_or(0) as f64 / count,
         });
         holders.collect()
@@ -655,15 +727,24 @@
             is_bound: !need.is_resumable,
         };
         state.take(need.ticket, load);
+        let mut unread = None;
         if let Some(prompt) = &need.prompt {
+            state.fit_caches(now);
             state.shadow.insert(now, &prompt.chain);
-            self.prompts.push(PromptNews {
-                server: state.name_hash,
-                weights: state.weights(),
-                levels: shared_levels(&prompt.chain).to_vec(),
-            });
+            unread = Some(PrefixChain::from_levels(
+                shared_levels(&prompt.chain).to_vec(),
+            ));
         }
-        self.active.insert(need.ticket, Active { key: offer.key });
+        let keep_address = self.keep.as_ref().map(|keep| keep.address);
+        let active = Active {
+            key: offer.key,
+            unread,
+            placed_at: now,
+            estimate: offer.estimate,
+            fetched_from_keep: offer.fetch_from.map(|(from, _)| from) == keep_address,
+        };
+        self.active.insert(need.ticket, active);
+        let save_to = self.save_to(now, need, offer);
         let state = &self.servers[offer.key];
         Box::new(Assignment {
             server: state.server.clone(),
@@ -671,12 +752,37 @@
             missing_tokens: offer.missing_tokens,
             weights: state.weights(),
             fetch_from: offer.fetch_from,
+            save_to,
             requests,
             candidates,
             waited: now.saturating_duration_since(need.arrived),
         })
     }
 
+    /// Returns the store for shared parts that the runner will read and the store does not hold.
+    fn save_to(&mut self, now: Instant, need: &Need, offer: &Offer) -> Option<SocketAddr> {
+        let prompt = need.prompt.as_ref()?;
+        let keep = self.keep.as_mut()?;
+        if keep.avoided_until.is_some_and(|until| now < until) {
+            return None;
+        }
+        let weights = self.servers[offer.key].weights();
+        let shared = keep_chain(shared_levels(&prompt.chain), weights);
+        let shared_tokens = shared.tokens();
+        let own_tokens = prompt.input_tokens.saturating_sub(shared_tokens);
+        let reads_shared = offer.missing_tokens > own_tokens;
+        if !reads_shared || keep.held.cached_tokens(&shared) == shared_tokens {
+            return None;
+        }
+        keep.held.insert(now, &shared);
+        self.prompts.push(PromptNews {
+            server: keep_hash(keep.address),
+            weights,
+            levels: shared.levels().to_vec(),
+        });
+        Some(keep.address)
+    }
+
     /// Returns the shared prompt levels sent to runners since the last call.
     pub fn take_prompts(&mut self) -> Vec<PromptNews> {
         std::mem::take(&mut self.prompts)
@@ -684,13 +790,21 @@
 
     /// Records the shared prompt levels that another host sent to a runner.
     pub fn on_peer_prompt(&mut self, now: Instant, news: &PromptNews) {
+        let chain = PrefixChain::from_levels(news.levels.clone());
+        if let Some(keep) = &mut self.keep
+            && keep_hash(keep.address) == news.server
+        {
+            keep.held.insert(now, &chain);
+            return;
+        }
         let key = self.by_hash.get(&news.server);
         let Some(state) = key.and_then(|&key| self.servers.get_mut(key)) else {
             return;
         };
         if state.weights() == news.weights {
-            let chain = PrefixChain::from_levels(news.levels.clone());
+            state.fit_caches(now);
             state.shadow.insert(now, &chain);
+            state.held.insert(now, &chain);
         }
     }
 
@@ -753,7 +867,9 @@
             return Err(DenyReason::Full);
         }
         let old_weights_ms = self.old_weights_ms(now, state, &prompt.model)?;
-        let transfer = self.transfer(now, engine, holders, holder);
+        let transfer = self
+            .transfer(now, engine, holders, holder)
+            .or_else(|| self.keep_transfer(now, prompt, engine, holder));
         let fetched_tokens = transfer.map_or(0, |transfer| transfer.tokens);
         let transfer_ms = transfer.map_or(0.0, |transfer| transfer.ms);
         let held = holder.cached_tokens + fetched_tokens;
@@ -763,10 +879,21 @@
             + transfer_ms
             + millis(self.config.first_event);
         let owner_ms = holder.owner_part * millis(self.config.owner_advantage);
+        let displaced =
+            state
+                .shadow
+                .eviction_tokens(now, missing_tokens + fetched_tokens, HALF_LIFE);
+        let displaced_ms =
+            displaced / self.config.prefill_tokens_per_ms * self.config.displaced_part;
         let part_ms = self.part_ms(prompt, holders.len(), index);
         Ok(Offer {
             key: holder.key,
-            cost_ms: estimate_ms + old_weights_ms + owner_ms + part_ms + self.distance_ms(state),
+            cost_ms: estimate_ms
+                + old_weights_ms
+                + owner_ms
+                + displaced_ms
+                + part_ms
+                + self.distance_ms(state),
             estimate: Duration::from_secs_f64(estimate_ms / 1_000.0),
             missing_tokens,
             fetch_from: transfer.map(|transfer| (transfer.from, transfer.tokens)),
@@ -802,17 +929,43 @@
         let is_near = |from: &Holder| {
             self.servers[from.key].server.domain == self.servers[to.key].server.domain
         };
-        let best = sources.max_by_key(|from| (from.cached_tokens, is_near(from)))?;
-        let tokens = best.cached_tokens.saturating_sub(to.cached_tokens);
-        if tokens < self.config.fetch_tokens || engine.link_mbps <= 0.0 {
-            return None;
-        }
-        let bits = f64::from(tokens) * engine.token_bytes * 8.0;
+        let best = sources.max_by_key(|from| (from.held_tokens, is_near(from)));
+        let tokens = best.map_or(0, |best| best.held_tokens);
+        let tokens = tokens.saturating_sub(to.cached_tokens);
+        let best = best.filter(|_| tokens >= self.config.fetch_tokens)?;
         let distance = if is_near(best) { 1.0 } else { 2.0 };
         Some(Transfer {
             from: self.servers[best.key].server.address,
             tokens,
-            ms: bits * distance / (engine.link_mbps * 1_000.0) + millis(self.config.fetch_setup),
+            ms: transfer_ms(engine, tokens) * distance + millis(self.config.fetch_setup),
+        })
+    }
+
+    /// Returns the transfer from the store of cached prompts.
+    fn keep_transfer(
+        &self,
+        now: Instant,
+        prompt: &PromptNeed,
+        engine: &EngineShape,
+        to: &Holder,
+    ) -> Option<Transfer> {
+        let keep = self.keep.as_ref()?;
+        if keep.avoided_until.is_some_and(|until| now < until) {
+            return None;
+        }
+        let state = &self.servers[to.key];
+        let shared = keep_chain(shared_levels(&prompt.chain), state.weights());
+        let tokens = keep.held.cached_tokens(&shared);
+        let tokens = tokens.saturating_sub(to.cached_tokens);
+        if tokens < self.config.fetch_tokens {
+            return None;
+        }
+        let is_near = state.server.domain == keep.domain;
+        let distance = if is_near { 1.0 } else { 2.0 } * KEEP_LINK_FACTOR;
+        Some(Transfer {
+            from: keep.address,
+            tokens,
+            ms: transfer_ms(engine, tokens) * distance + millis(self.config.fetch_setup),
         })
     }
 
@@ -852,6 +1005,28 @@
     prompt.input_tokens.saturating_sub(shared) + prompt.output_tokens
 }
 
+/// Returns the levels as a store holds them, which tells versions of the weights apart.
+fn keep_chain(levels: &[Level], weights: WeightsVersion) -> PrefixChain {
+    let levels = levels.iter().map(|level| Level {
+        key: rendezvous_score(level.key, weights),
+        tokens: level.tokens,
+    });
+    PrefixChain::from_levels(levels.collect())
+}
+
+/// Returns the name of a store of cached prompts among hosts.
+fn keep_hash(address: SocketAddr) -> u64 {
+    hash_name(&address.to_string())
+}
+
+/// Returns the time that the memory of some tokens takes over a link between runners.
+fn transfer_ms(engine: &EngineShape, tokens: TokenCount) -> f64 {
+    if engine.link_mbps <= 0.0 {
+        return f64::INFINITY;
+    }
+    f64::from(tokens) * engine.token_bytes * 8.0 / (engine.link_mbps * 1_000.0)
+}
+
 /// Returns the levels of a prompt that other requests may share: all but the last.
 fn shared_levels(chain: &PrefixChain) -> &[Level] {
     let levels = chain.levels();
--- a/crates/hickoryhall-gateway/src/scheduler/server.rs
+++ b/crates/hickoryhall-gateway/src/scheduler/server.rs
@@ -54,7 +54,10 @@
     pub server: BackendServer,
     pub name_hash: u64,
     pub ejection: Ejection,
+    /// What it holds once all that was sent to it is read.
     pub shadow: ShadowCache,
+    /// What it holds now, for transfers to others.
+    pub held: ShadowCache,
     pub engine: Option<EngineShape>,
     own: HashMap<Ticket, RequestLoad>,
     own_sum: HostLoad,
@@ -71,6 +74,7 @@
             name_hash: hash_name(&server.id),
             ejection: Ejection::default(),
             shadow: ShadowCache::new(memory.into(), SHADOW_LEVELS),
+            held: ShadowCache::new(memory.into(), SHADOW_LEVELS),
             engine,
             own: HashMap::new(),
             own_sum: HostLoad::default(),
@@ -86,6 +90,7 @@
     pub fn update(&mut self, server: BackendServer) {
         if server.incarnation != self.server.incarnation {
             self.shadow.clear();
+            self.held.clear();
             self.ejection = Ejection::default();
             self.told = None;
             self.changing_since = None;
@@ -99,6 +104,7 @@
         if weights > self.weights {
             self.weights = weights;
             self.shadow.clear();
+            self.held.clear();
             self.changing_since = None;
         }
     }
@@ -129,6 +135,17 @@
         self.own_sum.bound += u32::from(load.is_bound);
     }
 
+    /// Fits the caches to the memory that requests leave them.
+    pub fn fit_caches(&mut self, now: Instant) {
+        let memory = self
+            .engine
+            .as_ref()
+            .map_or(0, |engine| engine.memory_tokens);
+        let left = memory.saturating_sub(self.load(now).own_tokens);
+        self.shadow.set_budget(left.into());
+        self.held.set_budget(left.into());
+    }
+
     pub fn first_event(&mut self, ticket: Ticket) {
         if let Some(load) = self.own.get_mut(&ticket) {
             self.own_sum.pending_tokens -= load.pending_tokens;
--- a/crates/hickoryhall-gateway/src/table.rs
+++ b/crates/hickoryhall-gateway/src/table.rs
@@ -88,6 +88,8 @@
     pub address: SocketAddr,
     /// Failure domain.
     pub domain: FailureDomainId,
+    /// Tokens that it holds.
+    pub memory_tokens: u64,
 }
 
 /// A service.
--- a/crates/hickoryhall-routing/src/shadow.rs
+++ b/crates/hickoryhall-routing/src/shadow.rs
@@ -89,6 +89,12 @@
         self.evict();
     }
 
+    /// Sets the tokens that the cache holds, as when requests that run take more of the memory.
+    pub fn set_budget(&mut self, budget_tokens: u64) {
+        self.budget_tokens = budget_tokens;
+        self.evict();
+    }
+
     /// Returns the number of the use that last touched the deepest cached level of a prompt.
     #[must_use]
     pub fn last_use(&self, chain: &PrefixChain) -> Option<u64> {
