Judge old weights from the first version that replaced them

Cause: when a newer version was named, the age of the one before was lost, and runners two versions behind took requests past their bound; the order of changes went by load alone.

--- a/crates/hickoryhall-gateway/src/core.rs
+++ b/crates/hickoryhall-gateway/src/core.rs
@@ -104,14 +104,10 @@
         version: WeightsVersion,
         age: Duration,
     ) {
-        let known = self
-            .scheduler
-            .wanted(now)
-            .find(|(name, ..)| **name == model);
-        if known.is_none_or(|(_, known, _)| known < version) {
+        let is_newest = self.scheduler.set_wanted(now, model.clone(), version, age);
+        if is_newest {
             info!(self.logger, "core: New weights wanted."; "model" => &*model, "version" => version, "age_ms" => age.as_millis());
         }
-        self.scheduler.set_wanted(now, model, version, age);
     }
 
     /// Takes the whole registry.
@@ -278,13 +274,13 @@
         self.changing.clear();
     }
 
-    /// Returns the versions wanted of each model.
+    /// Returns the newest version wanted of each model.
     #[must_use]
-    pub fn wanted(&self, now: Instant) -> Vec<(TargetId, WeightsVersion)> {
-        let wanted = self.scheduler.wanted(now);
-        wanted
-            .map(|(model, version, _)| (model.clone(), version))
-            .collect()
+    pub fn wanted(&self) -> Vec<(TargetId, WeightsVersion)> {
+        let wanted = self.scheduler.wanted();
+        let newest =
+            wanted.filter_map(|(model, versions)| Some((model.clone(), versions.newest()?)));
+        newest.collect()
     }
 
     /// Returns the runners as an order-giver sees them.
@@ -315,14 +311,13 @@
                     change,
                 })
             });
-        let wanted = self
-            .scheduler
-            .wanted(now)
-            .map(|(model, version, age)| WantedNews {
+        let wanted = self.scheduler.wanted().flat_map(|(model, versions)| {
+            versions.iter(now).map(|(version, age)| WantedNews {
                 model: model.clone(),
                 version,
                 age,
-            });
+            })
+        });
         Digest {
             host: self.config.me,
             table_revision: self.table.as_ref().map_or(0, |table| table.revision()),
--- a/crates/hickoryhall-gateway/src/host.rs
+++ b/crates/hickoryhall-gateway/src/host.rs
@@ -42,7 +42,7 @@
 /// Shortest lease of the order-giver: it must outlive a few lost renewals.
 const ORDER_LEASE: Duration = Duration::from_millis(1_800);
 /// Time by which old weights take no more requests, before their bound.
-const OLD_WEIGHTS_MARGIN: Duration = Duration::from_millis(900);
+const OLD_WEIGHTS_MARGIN: Duration = Duration::from_millis(600);
 
 /// A host that could not start.
 #[derive(Debug, thiserror::Error)]
--- a/crates/hickoryhall-gateway/src/orders.rs
+++ b/crates/hickoryhall-gateway/src/orders.rs
@@ -282,7 +282,7 @@
     }
 
     fn wanted(&self) -> WantedWeights {
-        let wanted = self.core.with(|core, now| core.wanted(now));
+        let wanted = self.core.with(|core, _| core.wanted());
         wanted.into_iter().collect()
     }
 
@@ -462,11 +462,15 @@
     }
 }
 
-/// Returns the runners in the order of their changes: those with the fewest requests first, so that
-/// streams of the others find runners that have changed already.
+/// Returns the runners in the order of their changes: those with the oldest weights first, and of
+/// these the ones with the fewest requests, so that streams of the others find runners that have
+/// changed already.
 fn statuses(runners: &[RunnerView], wanted: &WantedWeights) -> Vec<RunnerStatus> {
     let mut runners = runners.iter().collect::<Vec<_>>();
-    runners.sort_by_key(|runner| (runner.load.requests, runner.server.id.clone()));
+    runners.sort_by_key(|runner| {
+        let id = runner.server.id.clone();
+        (runner.weights, runner.load.requests, id)
+    });
     let statuses = runners.into_iter().filter_map(|runner| {
         let (model, _) = runner.server.models.first()?;
         let is_newer = wanted
--- a/crates/hickoryhall-gateway/src/scheduler.rs
+++ b/crates/hickoryhall-gateway/src/scheduler.rs
@@ -5,6 +5,7 @@
 //! here for a part of the time in which an answer is of use, more urgent requests first.
 
 mod server;
+mod wanted;
 
 use std::collections::{BTreeMap, HashMap};
 use std::net::SocketAddr;
@@ -18,6 +19,7 @@
 
 pub use server::HostLoad;
 use server::{RequestLoad, ServerState};
+pub use wanted::WantedVersions;
 
 use crate::interface::Judged;
 use crate::peers::PromptNews;
@@ -251,11 +253,6 @@
     avoided_until: Option<Instant>,
 }
 
-struct Wanted {
-    version: WeightsVersion,
-    since: Instant,
-}
-
 enum Tried {
     Placed(Box<Assignment>),
     Wait(DenyReason, Duration),
@@ -299,7 +296,7 @@
     engines: HashMap<TargetId, EngineShape>,
     waiting: BTreeMap<(Rank, Ticket), Waiting>,
     active: HashMap<Ticket, Active>,
-    wanted: HashMap<TargetId, Wanted>,
+    wanted: HashMap<TargetId, WantedVersions>,
     prompts: Vec<PromptNews>,
     keep: Option<Keep>,
 }
@@ -416,33 +413,24 @@
         }
     }
 
-    /// Records the version that a model's runners shall have, and for how long that is known.
+    /// Records a version that a model's runners shall have, and for how long that is known; tells
+    /// whether it is the newest one.
     pub fn set_wanted(
         &mut self,
         now: Instant,
         model: TargetId,
         version: WeightsVersion,
         age: Duration,
-    ) {
-        let since = now.checked_sub(age).unwrap_or(now);
-        match self.wanted.get_mut(&model) {
-            Some(wanted) if wanted.version > version => {}
-            Some(wanted) if wanted.version == version => wanted.since = wanted.since.min(since),
-            _ => {
-                self.wanted.insert(model, Wanted { version, since });
-            }
-        }
+    ) -> bool {
+        self.wanted
+            .entry(model)
+            .or_default()
+            .name(now, version, age)
     }
 
-    /// Returns the wanted version of each model, and for how long it is known.
-    pub fn wanted(
-        &self,
-        now: Instant,
-    ) -> impl Iterator<Item = (&TargetId, WeightsVersion, Duration)> {
-        self.wanted.iter().map(move |(model, wanted)| {
-            let age = now.saturating_duration_since(wanted.since);
-            (model, wanted.version, age)
-        })
+    /// Returns the versions named of each model.
+    pub fn wanted(&self) -> impl Iterator<Item = (&TargetId, &WantedVersions)> {
+        self.wanted.iter()
     }
 
     /// Gives a request a server, or puts it among those that wait.
@@ -866,7 +854,6 @@
         if load.requests >= engine.slots || (!is_fitting && load.requests > 0) {
             return Err(DenyReason::Full);
         }
-        let old_weights_ms = self.old_weights_ms(now, state, &prompt.model)?;
         let transfer = self
             .transfer(now, engine, holders, holder)
             .or_else(|| self.keep_transfer(now, prompt, engine, holder));
@@ -878,6 +865,7 @@
         let estimate_ms = to_read / self.config.prefill_tokens_per_ms
             + transfer_ms
             + millis(self.config.first_event);
+        let old_weights_ms = self.old_weights_ms(now, state, &prompt.model, estimate_ms)?;
         let owner_ms = holder.owner_part * millis(self.config.owner_advantage);
         let displaced =
             state
@@ -900,18 +888,6 @@
         })
     }
 
-    /// Returns the cost of a runner that serves prompts of the other length.
-    fn part_ms(&self, prompt: &PromptNeed, runners: usize, index: usize) -> f64 {
-        let short_runners = (runners as f64 * self.config.short_part).round() as usize;
-        let is_short_runner = index < short_runners;
-        let is_short = prompt.input_tokens < self.config.long_prompt_tokens;
-        if is_short == is_short_runner {
-            0.0
-        } else {
-            millis(self.config.other_part)
-        }
-    }
-
     /// Returns the transfer that spares a runner most of what it has to read.
     fn transfer(
         &self,
@@ -969,26 +945,42 @@
         })
     }
 
-    /// Returns the cost of a runner's old weights.
+    /// Returns the cost of a runner's old weights; a request that would begin on them too late
+    /// does not go there.
     fn old_weights_ms(
         &self,
         now: Instant,
         state: &ServerState,
         model: &str,
+        estimate_ms: f64,
     ) -> Result<f64, DenyReason> {
-        let Some(wanted) = self.wanted.get(model) else {
+        let wanted = self.wanted.get(model);
+        let replaced_for = wanted.and_then(|wanted| wanted.replaced_for(now, state.weights()));
+        let Some(replaced_for) = replaced_for else {
             return Ok(0.0);
         };
-        let age = now.saturating_duration_since(wanted.since);
-        if state.weights() >= wanted.version || age < self.config.old_weights_free {
-            return Ok(0.0);
-        }
-        if age >= self.config.old_weights_limit {
+        let at_begin = replaced_for + Duration::from_secs_f64(estimate_ms / 1_000.0);
+        if at_begin >= self.config.old_weights_limit {
             return Err(DenyReason::NoServer);
         }
+        if at_begin < self.config.old_weights_free {
+            return Ok(0.0);
+        }
         Ok(millis(self.config.old_weights))
     }
 
+    /// Returns the cost of a runner that serves prompts of the other length.
+    fn part_ms(&self, prompt: &PromptNeed, runners: usize, index: usize) -> f64 {
+        let short_runners = (runners as f64 * self.config.short_part).round() as usize;
+        let is_short_runner = index < short_runners;
+        let is_short = prompt.input_tokens < self.config.long_prompt_tokens;
+        if is_short == is_short_runner {
+            0.0
+        } else {
+            millis(self.config.other_part)
+        }
+    }
+
     fn distance_ms(&self, state: &ServerState) -> f64 {
         if state.server.domain == self.config.domain {
             0.0
