Count the private parts of other hosts' prompts in the estimate of caches

Cause: hosts told each other only the shared levels, so that every estimate held six sevenths too much and transfers named runners that had displaced the parts.

--- a/crates/hickoryhall-gateway/src/peers/message.rs
+++ b/crates/hickoryhall-gateway/src/peers/message.rs
@@ -24,11 +24,11 @@
     pub wanted: Vec<WantedNews>,
     /// Requests that ended backend servers.
     pub suspects: Vec<SuspectNews>,
-    /// Shared prompt levels sent to runners since the last digest.
+    /// Prompts that runners have read since the last digest.
     pub prompts: Vec<PromptNews>,
 }
 
-/// Shared levels of a prompt that was sent to a runner, which now holds them.
+/// Levels of a prompt that a runner has read and now holds.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct PromptNews {
     /// Hash of the runner's id.
@@ -142,6 +142,8 @@
     is_changing: Option<bool>,
     #[prost(uint32, tag = "7")]
     bound: u32,
+    #[prost(uint32, tag = "8")]
+    output_tokens: u32,
 }
 
 #[derive(Clone, PartialEq, Message)]
@@ -270,6 +272,7 @@
             weights: news.weights,
             is_changing: news.change,
             bound: news.load.bound,
+            output_tokens: news.load.output_tokens,
         }
     }
 }
@@ -283,6 +286,7 @@
                 pending_tokens: wire.pending_tokens,
                 own_tokens: wire.own_tokens,
                 bound: wire.bound,
+                output_tokens: wire.output_tokens,
             },
             weights: wire.weights,
             change: wire.is_changing,
--- a/crates/hickoryhall-gateway/src/scheduler.rs
+++ b/crates/hickoryhall-gateway/src/scheduler.rs
@@ -238,7 +238,7 @@
 
 struct Active {
     key: ServerKey,
-    /// Shared levels of its prompt, until its first event says that they were read.
+    /// Its prompt, until its first event says that it was read.
     unread: Option<PrefixChain>,
     placed_at: Instant,
     estimate: Duration,
@@ -712,6 +712,10 @@
         let load = RequestLoad {
             pending_tokens: offer.missing_tokens,
             own_tokens: need.prompt.as_ref().map_or(0, own_tokens),
+            output_tokens: need
+                .prompt
+                .as_ref()
+                .map_or(0, |prompt| prompt.output_tokens),
             is_bound: !need.is_resumable,
         };
         state.take(need.ticket, load);
@@ -719,9 +723,7 @@
         if let Some(prompt) = &need.prompt {
             state.fit_caches(now);
             state.shadow.insert(now, &prompt.chain);
-            unread = Some(PrefixChain::from_levels(
-                shared_levels(&prompt.chain).to_vec(),
-            ));
+            unread = Some(prompt.chain.clone());
         }
         let keep_address = self.keep.as_ref().map(|keep| keep.address);
         let active = Active {
@@ -771,12 +773,12 @@
         Some(keep.address)
     }
 
-    /// Returns the shared prompt levels sent to runners since the last call.
+    /// Returns the prompts that runners have read since the last call.
     pub fn take_prompts(&mut self) -> Vec<PromptNews> {
         std::mem::take(&mut self.prompts)
     }
 
-    /// Records the shared prompt levels that another host sent to a runner.
+    /// Records a prompt of another host that a runner has read.
     pub fn on_peer_prompt(&mut self, now: Instant, news: &PromptNews) {
         let chain = PrefixChain::from_levels(news.levels.clone());
         if let Some(keep) = &mut self.keep
--- a/crates/hickoryhall-gateway/src/scheduler/server.rs
+++ b/crates/hickoryhall-gateway/src/scheduler/server.rs
@@ -25,6 +25,9 @@
     pub pending_tokens: TokenCount,
     /// Memory beside what it shares with others.
     pub own_tokens: TokenCount,
+    /// Memory for what it generates, a part of its own.
+    pub output_tokens: TokenCount,
+
     /// Whether it cannot go on at another server.
     pub is_bound: bool,
 }
@@ -38,6 +41,9 @@
     pub pending_tokens: u32,
     /// Memory of the requests beside what they share.
     pub own_tokens: u32,
+    /// Memory for what they generate, a part of their own.
+    pub output_tokens: u32,
+
     /// Requests that cannot go on at another server.
     pub bound: u32,
 }
@@ -132,6 +138,7 @@
         self.own_sum.requests += 1;
         self.own_sum.pending_tokens += load.pending_tokens;
         self.own_sum.own_tokens += load.own_tokens;
+        self.own_sum.output_tokens += load.output_tokens;
         self.own_sum.bound += u32::from(load.is_bound);
     }
 
@@ -141,7 +148,7 @@
             .engine
             .as_ref()
             .map_or(0, |engine| engine.memory_tokens);
-        let left = memory.saturating_sub(self.load(now).own_tokens);
+        let left = memory.saturating_sub(self.load(now).output_tokens);
         self.shadow.set_budget(left.into());
         self.held.set_budget(left.into());
     }
@@ -158,6 +165,7 @@
             self.own_sum.requests -= 1;
             self.own_sum.pending_tokens -= load.pending_tokens;
             self.own_sum.own_tokens -= load.own_tokens;
+            self.own_sum.output_tokens -= load.output_tokens;
             self.own_sum.bound -= u32::from(load.is_bound);
         }
     }
@@ -188,6 +196,7 @@
             requests: sum.requests + peer.load.requests,
             pending_tokens: sum.pending_tokens + peer.load.pending_tokens,
             own_tokens: sum.own_tokens + peer.load.own_tokens,
+            output_tokens: sum.output_tokens + peer.load.output_tokens,
             bound: sum.bound + peer.load.bound,
         })
     }
