--- a/crates/hickoryhall-control/src/orders.rs
+++ b/crates/hickoryhall-control/src/orders.rs
@@ -125,6 +125,11 @@
         self.given.clear();
     }
 
+    /// Sets how many runners may change their weights at the same time.
+    pub fn set_loads_at_once(&mut self, loads: usize) {
+        self.config.loads_at_once = loads.max(1);
+    }
+
     /// Returns the lease, if it certainly still holds.
     #[must_use]
     pub fn lease(&self, now: Instant) -> Option<HeldLease> {
--- a/crates/hickoryhall-gateway/src/orders.rs
+++ b/crates/hickoryhall-gateway/src/orders.rs
@@ -57,6 +57,10 @@
 /// Runners that change their weights at the same time: more than load at full speed, as part of
 /// the time goes into emptying them.
 const LOADS_AT_ONCE: usize = 4;
+/// The same while the runners are busy.
+const LOADS_AT_ONCE_BUSY: usize = 2;
+/// Mean work ahead at the runners from which they count as busy, in milliseconds.
+const BUSY_MS: f64 = 60.0;
 
 /// Settings of the order-giver.
 #[derive(Clone, Debug)]
@@ -264,6 +268,9 @@
                 }
             }
             let runners = self.core.with(|core, now| core.runners(now));
+            giver
+                .borrow_mut()
+                .set_loads_at_once(loads_at_once(&runners));
             let planned = giver.borrow_mut().plan(
                 self.clock.now(),
                 &wanted,
@@ -462,6 +469,19 @@
     }
 }
 
+/// Returns how many runners may change at the same time, by what the others have to do.
+fn loads_at_once(runners: &[RunnerView]) -> usize {
+    let up = runners.iter().filter(|runner| !runner.is_away);
+    let (count, pending_ms) = up.fold((0.0, 0.0), |(count, pending_ms), runner| {
+        (count + 1.0, pending_ms + f64::from(runner.load.pending_ms))
+    });
+    if pending_ms > BUSY_MS * count {
+        LOADS_AT_ONCE_BUSY
+    } else {
+        LOADS_AT_ONCE
+    }
+}
+
 /// Returns the runners in the order of their changes: those with the oldest weights first, and of
 /// these the ones with the fewest requests, so that streams of the others find runners that have
 /// changed already.
--- a/crates/hickoryhall-gateway/src/scheduler/config.rs
+++ b/crates/hickoryhall-gateway/src/scheduler/config.rs
@@ -83,7 +83,7 @@
             long_late_work: Duration::from_millis(200),
             slack: Duration::from_millis(30),
             wait_part: 0.6,
-            prompt_wait_part: 1.0,
+            prompt_wait_part: 0.25,
             told_ttl: Duration::from_millis(150),
             memory_part: 0.95,
             plain_fill: 1.0,
