--- a/crates/hickoryhall-gateway/src/scheduler.rs
+++ b/crates/hickoryhall-gateway/src/scheduler.rs
@@ -504,13 +504,15 @@
         let shared_tokens = shared.iter().map(|level| level.tokens).sum::<TokenCount>();
         let private_tokens = prompt.input_tokens.saturating_sub(shared_tokens);
         let reads_shared = offer.missing_tokens > private_tokens;
-        if !reads_shared || keep.held_tokens(shared, weights) == shared_tokens {
+        let is_known = keep.held_tokens(shared, weights) == shared_tokens;
+        if !reads_shared || is_known || shared_tokens < self.config.save_tokens {
             return None;
         }
+        // The runner saves the whole prompt, which takes room in the store.
         self.prompts.push(PromptNews {
             server: keep.name_hash(),
             weights,
-            levels: keep.save(now, shared, weights),
+            levels: keep.save(now, prompt.chain.levels(), weights),
         });
         Some(keep.address)
     }
--- a/crates/hickoryhall-gateway/src/scheduler/config.rs
+++ b/crates/hickoryhall-gateway/src/scheduler/config.rs
@@ -31,6 +31,8 @@
     pub fetch_setup: Duration,
     /// Part of the time to read displaced prompts again that counts, as others may hold them.
     pub displaced_part: f64,
+    /// Shared tokens from which a prompt is worth a place in the store of cached prompts.
+    pub save_tokens: TokenCount,
     /// Cost of old weights, once an answer on them is of less use.
     pub old_weights: Duration,
     /// Age of newer weights from which an answer on old ones is of less use.
@@ -71,10 +73,11 @@
             owner_advantage: Duration::from_millis(40),
             long_prompt_tokens: 3_000,
             short_part: 0.34,
-            other_part: Duration::from_millis(60),
+            other_part: Duration::from_millis(20),
             fetch_tokens: 128,
             fetch_setup: Duration::from_millis(3),
-            displaced_part: 0.2,
+            displaced_part: 0.4,
+            save_tokens: 1_000,
             old_weights: Duration::from_millis(120),
             old_weights_free: Duration::from_millis(1_300),
             old_weights_limit: Duration::from_millis(7_000),
--- /dev/null
+++ b/crates/hickoryhall-gateway/src/scheduler/shared_parts.rs
@@ -0,0 +1,34 @@
+//! The parts of prompts that several requests share.
+
+use std::collections::{HashSet, VecDeque};
+
+use hickoryhall_routing::{Level, LevelKey};
+
+/// Parts remembered; the oldest makes room.
+const LIMIT: usize = 16_384;
+
+/// Bounded set of shared parts.
+#[derive(Debug, Default)]
+pub(super) struct SharedParts {
+    keys: HashSet<LevelKey>,
+    order: VecDeque<LevelKey>,
+}
+
+impl SharedParts {
+    pub fn add(&mut self, levels: &[Level]) {
+        for level in levels {
+            if self.keys.insert(level.key) {
+                self.order.push_back(level.key);
+            }
+        }
+        while self.order.len() > LIMIT {
+            if let Some(oldest) = self.order.pop_front() {
+                self.keys.remove(&oldest);
+            }
+        }
+    }
+
+    pub fn contains(&self, key: LevelKey) -> bool {
+        self.keys.contains(&key)
+    }
+}
