--- a/crates/hickoryhall-gateway/src/scheduler/offer.rs
+++ b/crates/hickoryhall-gateway/src/scheduler/offer.rs
@@ -155,7 +155,9 @@
             own_ms,
             estimate: Duration::from_secs_f64(estimate_ms / 1_000.0),
             missing_tokens,
-            fetch_from: transfer.map(|transfer| (transfer.from, transfer.tokens)),
+            fetch_from: transfer
+                .map(|transfer| (transfer.from, transfer.tokens))
+                .or_else(|| self.keep_attempt(now, prompt, missing_tokens)),
         })
     }
 
@@ -225,6 +227,22 @@
         })
     }
 
+    /// Returns the store of cached prompts where it may hold more than is known: asking it in vain
+    /// costs a millisecond.
+    fn keep_attempt(
+        &self,
+        now: Instant,
+        prompt: &PromptNeed,
+        missing_tokens: TokenCount,
+    ) -> Option<(SocketAddr, TokenCount)> {
+        let keep = self.keep.as_ref().filter(|keep| !keep.is_avoided(now))?;
+        let shared = prompt.shared_levels().iter().map(|level| level.tokens);
+        let shared = shared.sum::<TokenCount>();
+        let private = prompt.input_tokens.saturating_sub(shared);
+        let is_promising = missing_tokens >= private + self.config.save_tokens;
+        is_promising.then_some((keep.address, 0))
+    }
+
     /// Returns the cost of a runner's old weights; a request that would begin on them too late
     /// does not go there.
     fn old_weights_ms(
