--- a/crates/hickoryhall-gateway/src/peers.rs
+++ b/crates/hickoryhall-gateway/src/peers.rs
@@ -25,7 +25,6 @@
 pub use message::{
     BadMessage, Digest, PromptNews, Records, ServerNews, Snapshot, SuspectNews, WantedNews,
 };
-use message::{decode_digest, decode_snapshot, encode_digest, encode_snapshot};
 
 use crate::core::CoreHandle;
 use crate::feeds::Feeds;
@@ -126,7 +125,7 @@
             if !targets.is_empty() {
                 let digest = self.core.with(crate::core::Core::digest);
                 let known = self.told_addresses(round);
-                let bytes = encode_digest(&digest, &known);
+                let bytes = digest.encode(&known);
                 for &ip in &targets {
                     self.send(ip, &bytes);
                 }
@@ -186,7 +185,7 @@
 
     fn receive(&self, bytes: &[u8], from: IpAddr) {
         let IpAddr::V4(from) = from else { return };
-        let (digest, addresses) = match decode_digest(bytes) {
+        let (digest, addresses) = match Digest::decode(bytes) {
             Ok(decoded) => decoded,
             Err(error) => {
                 warn!(self.logger, "peers: Unreadable digest."; "host" => %from, "error" => %error);
@@ -263,7 +262,7 @@
             }
             let mut bytes = vec![0; length];
             stream.read_exact(&mut bytes).await?;
-            decode_snapshot(Bytes::from(bytes)).map_err(io::Error::other)
+            Snapshot::decode(Bytes::from(bytes)).map_err(io::Error::other)
         };
         let result = timeout(SNAPSHOT_WAIT, read).await;
         result.map_err(|_| io::Error::from(io::ErrorKind::TimedOut))?
@@ -274,7 +273,7 @@
         loop {
             match listener.accept().await {
                 Ok((stream, _)) => {
-                    let bytes = encode_snapshot(&self.feeds.snapshot());
+                    let bytes = self.feeds.snapshot().encode();
                     spawn_local(send_snapshot(stream, bytes, self.logger.clone()));
                 }
                 Err(error) => {
--- a/crates/hickoryhall-gateway/src/peers/message.rs
+++ b/crates/hickoryhall-gateway/src/peers/message.rs
@@ -186,29 +186,43 @@
     registry: Vec<WireItem>,
 }
 
-/// Writes a digest, with the addresses of the hosts that its sender knows.
-pub(super) fn encode_digest(digest: &Digest, known_hosts: &[Ipv4Addr]) -> Vec<u8> {
-    let mut wire = WireDigest::from(digest);
-    wire.known_hosts = known_hosts.iter().map(|&ip| ip.into()).collect();
-    wire.encode_to_vec()
-}
+impl Digest {
+    /// Writes the digest, with the addresses of hosts that its sender knows.
+    #[must_use]
+    pub fn encode(&self, known_hosts: &[Ipv4Addr]) -> Vec<u8> {
+        let mut wire = WireDigest::from(self);
+        wire.known_hosts = known_hosts.iter().map(|&ip| ip.into()).collect();
+        wire.encode_to_vec()
+    }
 
-/// Reads a digest and the addresses in it.
-pub(super) fn decode_digest(bytes: &[u8]) -> Result<(Digest, Vec<Ipv4Addr>), BadMessage> {
-    let wire = WireDigest::decode(bytes).map_err(|error| BadMessage(error.to_string()))?;
-    let known_hosts = wire.known_hosts.iter().map(|&ip| ip.into()).collect();
-    Ok((Digest::from(wire), known_hosts))
+    /// Reads a digest and the addresses in it.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error where the bytes are no digest.
+    pub fn decode(bytes: &[u8]) -> Result<(Self, Vec<Ipv4Addr>), BadMessage> {
+        let wire = WireDigest::decode(bytes).map_err(|error| BadMessage(error.to_string()))?;
+        let known_hosts = wire.known_hosts.iter().map(|&ip| ip.into()).collect();
+        Ok((Self::from(wire), known_hosts))
+    }
 }
 
-/// Writes a snapshot.
-pub(super) fn encode_snapshot(snapshot: &Snapshot) -> Bytes {
-    WireSnapshot::from(snapshot).encode_to_vec().into()
-}
+impl Snapshot {
+    /// Writes the snapshot.
+    #[must_use]
+    pub fn encode(&self) -> Bytes {
+        WireSnapshot::from(self).encode_to_vec().into()
+    }
 
-/// Reads a snapshot.
-pub(super) fn decode_snapshot(bytes: Bytes) -> Result<Snapshot, BadMessage> {
-    let wire = WireSnapshot::decode(bytes).map_err(|error| BadMessage(error.to_string()))?;
-    Ok(Snapshot::from(wire))
+    /// Reads a snapshot.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error where the bytes are no snapshot.
+    pub fn decode(bytes: Bytes) -> Result<Self, BadMessage> {
+        let wire = WireSnapshot::decode(bytes).map_err(|error| BadMessage(error.to_string()))?;
+        Ok(Self::from(wire))
+    }
 }
 
 impl From<&Digest> for WireDigest {
--- a/crates/hickoryhall-gateway/src/scheduler.rs
+++ b/crates/hickoryhall-gateway/src/scheduler.rs
@@ -127,9 +127,10 @@
 
     /// Takes the store of cached prompts from the table in force, if there is one.
     fn set_keep(&mut self, table: &RouteTable) {
-        let info = table
+        let keeps = table
             .services()
-            .find_map(|(_, service)| service.keep.as_ref());
+            .filter_map(|(_, service)| service.keep.as_ref());
+        let info = keeps.min_by_key(|info| (info.domain != self.config.domain, info.address));
         let is_known = self.keep.as_ref().map(|keep| keep.address) == info.map(|info| info.address);
         if !is_known {
             self.keep = info.map(Keep::new);
--- /dev/null
+++ b/crates/hickoryhall-gateway/tests/messages.rs
@@ -0,0 +1,86 @@
+//! Messages between hosts survive the wire.
+
+use std::net::Ipv4Addr;
+use std::time::Duration;
+
+use bytes::Bytes;
+use hickoryhall_gateway::interface::StoreItem;
+use hickoryhall_gateway::peers::{
+    Digest, PromptNews, Records, ServerNews, Snapshot, SuspectNews, WantedNews,
+};
+use hickoryhall_gateway::scheduler::HostLoad;
+use hickoryhall_routing::Level;
+use proptest::prelude::*;
+
+fn digest(numbers: &[u64]) -> Digest {
+    let number = |index: usize| numbers.get(index).copied().unwrap_or_default();
+    let small = |index: usize| (number(index) % 1_000_000) as u32;
+    Digest {
+        host: number(0),
+        table_revision: number(1),
+        servers: vec![ServerNews {
+            server: number(2),
+            load: HostLoad {
+                requests: small(3),
+                pending_ms: small(4),
+                own_tokens: small(5),
+                output_tokens: small(6),
+                bound: small(7),
+            },
+            weights: number(8),
+            change: [None, Some(false), Some(true)][number(9) as usize % 3],
+        }],
+        wanted: vec![WantedNews {
+            model: "m".into(),
+            version: number(1),
+            age: Duration::from_millis(u64::from(small(2))),
+        }],
+        suspects: vec![SuspectNews {
+            fingerprint: number(3),
+            deaths: small(4),
+        }],
+        prompts: vec![PromptNews {
+            server: number(5),
+            weights: number(6),
+            levels: vec![Level {
+                key: number(7),
+                tokens: small(8),
+            }],
+        }],
+    }
+}
+
+proptest! {
+    #[test]
+    fn a_digest_is_read_as_written(numbers in prop::collection::vec(any::<u64>(), 10)) {
+        let digest = digest(&numbers);
+        let hosts = [Ipv4Addr::new(10, 1, 2, 3)];
+        let (read, known) = Digest::decode(&digest.encode(&hosts)).expect("own bytes");
+        prop_assert_eq!(read, digest);
+        prop_assert_eq!(known, hosts);
+    }
+
+    #[test]
+    fn strange_bytes_are_an_error_or_a_digest(bytes in prop::collection::vec(any::<u8>(), 0..200)) {
+        // Either outcome is right; only a panic is not.
+        let _ = Digest::decode(&bytes);
+    }
+}
+
+#[test]
+fn a_snapshot_is_read_as_written() {
+    let records = |revision, key: &str| Records {
+        revision,
+        items: vec![StoreItem {
+            key: key.to_owned(),
+            value: Bytes::from_static(b"{}"),
+            revision,
+        }],
+    };
+    let snapshot = Snapshot {
+        operator: records(4, "op/config"),
+        registry: records(9, "servers/a"),
+    };
+    let read = Snapshot::decode(snapshot.encode()).expect("own bytes");
+    assert_eq!(read, snapshot);
+}
--- /dev/null
+++ b/crates/hickoryhall-gateway/tests/registry.rs
@@ -0,0 +1,85 @@
+//! Entries of backend servers while the store comes and goes.
+
+use std::time::{Duration, Instant};
+
+use hickoryhall_gateway::registry::{BackendServer, Registry, RegistryEvent};
+
+fn server(id: &str) -> BackendServer {
+    BackendServer {
+        id: id.into(),
+        service: "booking".into(),
+        address: ([127, 0, 0, 1], 1).into(),
+        domain: "a".into(),
+        slots: 6,
+        is_leaving: false,
+        models: Vec::new(),
+        incarnation: 1,
+    }
+}
+
+fn gone(id: &str) -> RegistryEvent {
+    RegistryEvent::Gone(id.into())
+}
+
+#[test]
+fn a_removed_entry_is_gone_at_once() {
+    let now = Instant::now();
+    let mut registry = Registry::default();
+    registry.on_list(now, vec![server("s1"), server("s2")]);
+    assert_eq!(registry.on_removed(now, "s1"), Some(gone("s1")));
+    assert_eq!(registry.servers().count(), 1);
+}
+
+#[test]
+fn an_entry_that_lapsed_with_the_store_away_stays_until_two_seconds_after_its_return() {
+    let start = Instant::now();
+    let mut registry = Registry::default();
+    registry.on_list(start, vec![server("s1"), server("s2")]);
+    registry.on_store_lost();
+    let back = start + Duration::from_secs(5);
+    registry.on_store_back(back);
+    assert_eq!(registry.on_list(back, vec![server("s2")]), vec![]);
+    assert!(registry.get("s1").is_some());
+    assert_eq!(registry.expire(back + Duration::from_millis(1_999)), vec![]);
+    assert_eq!(
+        registry.expire(back + Duration::from_secs(2)),
+        vec![gone("s1")]
+    );
+}
+
+#[test]
+fn a_lapsed_entry_that_comes_back_stays() {
+    let start = Instant::now();
+    let mut registry = Registry::default();
+    registry.on_list(start, vec![server("s1")]);
+    registry.on_store_lost();
+    registry.on_store_back(start);
+    assert_eq!(registry.on_removed(start, "s1"), None);
+    assert!(registry.on_entry(server("s1")).is_some());
+    assert_eq!(registry.expire(start + Duration::from_secs(9)), vec![]);
+}
+
+#[test]
+fn a_server_that_said_it_leaves_is_not_held() {
+    let start = Instant::now();
+    let mut registry = Registry::default();
+    let leaving = BackendServer {
+        is_leaving: true,
+        ..server("s1")
+    };
+    registry.on_list(start, vec![leaving]);
+    registry.on_store_lost();
+    assert_eq!(registry.on_removed(start, "s1"), Some(gone("s1")));
+}
+
+#[test]
+fn an_unchanged_entry_is_no_news() {
+    let mut registry = Registry::default();
+    assert!(registry.on_entry(server("s1")).is_some());
+    assert!(registry.on_entry(server("s1")).is_none());
+    let restarted = BackendServer {
+        incarnation: 2,
+        ..server("s1")
+    };
+    assert!(registry.on_entry(restarted).is_some());
+}
--- /dev/null
+++ b/crates/hickoryhall-gateway/tests/table.rs
@@ -0,0 +1,96 @@
+//! Routes, workspaces and weights of a table.
+
+use std::collections::HashMap;
+use std::time::Duration;
+
+use hickoryhall_gateway::table::{
+    CallerLimits, Route, RouteKind, RouteTable, TableParts, Workspace,
+};
+use rstest::rstest;
+
+fn route(name: &str, host: &str, prefix: &str) -> Route {
+    Route {
+        name: name.into(),
+        host: host.into(),
+        path_prefix: prefix.into(),
+        kind: RouteKind::Idempotent,
+        targets: vec![("a".into(), 90), ("b".into(), 10)],
+        attempts: 1,
+        timeout: Duration::from_secs(1),
+        target_latency: Duration::from_millis(300),
+        target_gap: Duration::from_millis(400),
+        rank: 0,
+        is_public: false,
+    }
+}
+
+fn table() -> RouteTable {
+    RouteTable::from(TableParts {
+        revision: 3,
+        routes: vec![
+            route("short", "One.example", "/a/"),
+            route("long", "one.example", "/a/b/"),
+            route("other", "two.example", "/a/"),
+        ],
+        services: HashMap::new(),
+        workspaces: vec![Workspace {
+            id: "karoo".into(),
+            keys: vec!["k1".into(), "k2".into()],
+            rank: Some(1),
+            is_isolated: false,
+        }],
+        limits: CallerLimits {
+            head_bytes: 1,
+            body_bytes: 1,
+            read: Duration::ZERO,
+            idle: Duration::ZERO,
+        },
+    })
+}
+
+#[rstest]
+#[case("one.example", "/a/x", Some("short"))]
+#[case("one.example", "/a/b/x", Some("long"))]
+#[case("ONE.example:8080", "/a/b/", Some("long"))]
+#[case("one.example", "/a/b", Some("short"))]
+#[case("two.example", "/a/b/x", Some("other"))]
+#[case("one.example", "/a", None)]
+#[case("three.example", "/a/", None)]
+fn the_longest_prefix_of_the_host_wins(
+    #[case] host: &str,
+    #[case] path: &str,
+    #[case] expected: Option<&str>,
+) {
+    let table = table();
+    let found = table.route(host, path).map(|route| &*route.name);
+    assert_eq!(found, expected);
+}
+
+#[test]
+fn every_key_leads_to_its_workspace() {
+    let table = table();
+    for key in ["k1", "k2"] {
+        assert_eq!(
+            table.workspace(key).map(|workspace| &*workspace.id),
+            Some("karoo")
+        );
+    }
+    assert!(table.workspace("k3").is_none());
+    assert!(table.needs_keys());
+}
+
+#[test]
+fn requests_split_by_weight() {
+    let route = route("r", "h", "/");
+    let to_b = (0..1_000).filter(|&hash| route.target(hash).is_some_and(|name| &**name == "b"));
+    assert_eq!(to_b.count(), 100);
+}
+
+#[rstest]
+#[case(RouteKind::Idempotent, true)]
+#[case(RouteKind::Once, false)]
+#[case(RouteKind::Stream { is_resumable: true }, true)]
+#[case(RouteKind::Stream { is_resumable: false }, false)]
+fn what_may_repeat(#[case] kind: RouteKind, #[case] expected: bool) {
+    assert_eq!(kind.may_repeat(), expected);
+}
--- /dev/null
+++ b/crates/hickoryhall-limits/tests/fleet_retries.rs
@@ -0,0 +1,75 @@
+//! The retry budget that hosts share without asking one another.
+
+use std::time::{Duration, Instant};
+
+use hickoryhall_limits::{FleetRetryBudget, FleetRetryLimit};
+use proptest::prelude::*;
+
+const LIMIT: FleetRetryLimit = FleetRetryLimit {
+    ratio: 0.2,
+    extra: 54.0,
+    window: Duration::from_secs(10),
+};
+
+#[test]
+fn a_host_without_requests_has_its_part_of_the_extra_retries() {
+    let now = Instant::now();
+    let mut budget = FleetRetryBudget::new(LIMIT);
+    let taken = (0..100).filter(|_| budget.take(now, 6)).count();
+    assert_eq!(taken, 8, "nine tenths of 54 / 6");
+}
+
+#[test]
+fn retries_come_back_after_the_window() {
+    let now = Instant::now();
+    let mut budget = FleetRetryBudget::new(LIMIT);
+    while budget.take(now, 6) {}
+    assert!(!budget.take(now + Duration::from_millis(9_999), 6));
+    assert!(budget.take(now + Duration::from_secs(10), 6));
+}
+
+#[test]
+fn the_part_left_falls_to_nothing() {
+    let now = Instant::now();
+    let mut budget = FleetRetryBudget::new(LIMIT);
+    assert!((budget.part_left(now, 6) - 1.0).abs() < f64::EPSILON);
+    while budget.take(now, 6) {}
+    assert!(budget.part_left(now, 6) < f64::EPSILON);
+}
+
+proptest! {
+    /// Whatever the requests and tries of each host, the fleet stays within its budget in every
+    /// window, where the requests of the window or of the one before it count.
+    #[test]
+    fn the_fleet_stays_within_its_budget(
+        events in prop::collection::vec((0_usize..7, 0_u64..30_000, any::<bool>()), 0..600),
+    ) {
+        let start = Instant::now();
+        let mut events = events;
+        events.sort_by_key(|&(_, at_ms, _)| at_ms);
+        let mut hosts = vec![FleetRetryBudget::new(LIMIT); 7];
+        let (mut requests, mut retries) = (Vec::new(), Vec::new());
+        for (host, at_ms, is_request) in events {
+            let now = start + Duration::from_millis(at_ms);
+            if is_request {
+                hosts[host].record_request(now);
+                requests.push(at_ms);
+            } else if hosts[host].take(now, 7) {
+                retries.push(at_ms);
+            }
+        }
+        for &end in &retries {
+            let in_window = |times: &[u64], from: u64, to: u64| {
+                times.iter().filter(|&&at| at > from && at <= to).count()
+            };
+            let from = end.saturating_sub(10_000);
+            let used = in_window(&retries, from, end);
+            let earlier = in_window(&requests, from.saturating_sub(10_000), from);
+            let earned = in_window(&requests, from, end).max(earlier);
+            // A request at the start of a window may have earned a retry in it.
+            let spread = in_window(&requests, from.saturating_sub(10_000), end);
+            let allowed = 0.2 * spread.max(earned) as f64 + 54.0;
+            prop_assert!(used as f64 <= allowed, "{used} of {allowed}");
+        }
+    }
+}
