--- a/crates/hickoryhall-gateway/src/host.rs
+++ b/crates/hickoryhall-gateway/src/host.rs
@@ -3,7 +3,7 @@
 use std::cell::Cell;
 use std::io;
 use std::net::SocketAddr;
-use std::path::PathBuf;
+use std::path::{Path, PathBuf};
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
@@ -161,7 +161,7 @@
 
     async fn until_stopped(
         self,
-        settings_path: &PathBuf,
+        settings_path: &Path,
         grace: Duration,
     ) -> Result<(), StartError> {
         let take = |kind| signal(kind).map_err(StartError::Signals);
@@ -180,7 +180,7 @@
     }
 
     /// Reads the settings again; addresses and names need a restart, so they are only checked.
-    fn reload(&self, path: &PathBuf) {
+    fn reload(&self, path: &Path) {
         match Settings::read(path) {
             Ok(settings) => {
                 self.gateway.core().with(|core, _| {
--- /dev/null
+++ b/crates/hickoryhall-gateway/tests/scheduler.rs
@@ -0,0 +1,323 @@
+//! Scripted scenarios of the scheduler: one file each under `tests/scenarios/`.
+//!
+//! Commands (times in milliseconds, virtual):
+//!
+//! - `runner NAME [domain=D] [weights=V] [leaving=true]`: a registry entry of a runner
+//! - `plain NAME [slots=N]`: a registry entry of a plain server
+//! - `gone NAME`: its entry is removed
+//! - `place ID prompt=PART@TOKENS/PART@TOKENS [target=MS] [deadline=MS] [rank=N] [exclude=NAME]`
+//! - `call ID`: a request to the plain service
+//! - `first ID`, `end ID HOW`: what becomes of an attempt
+//! - `peer HOST NAME [requests=N] [pending=MS]`: load that another host has at a server
+//! - `heard NAME prompt=PART@TOKENS/..`: a prompt of another host that a runner has read
+//! - `wanted VERSION [age=MS]`: weights are named
+//! - `changing NAME`, `changed NAME VERSION`: an order-giver's news
+//! - `pass MS`: time passes, in steps of 10 ms
+
+use std::collections::HashMap;
+use std::error::Error;
+use std::fmt::Write;
+use std::net::SocketAddr;
+use std::time::{Duration, Instant};
+
+use goldenscript::{ArgumentConsumer, Command, Context, Runner};
+use hickoryhall_gateway::peers::PromptNews;
+use hickoryhall_gateway::registry::{BackendServer, RegistryEvent};
+use hickoryhall_gateway::scheduler::{
+    AttemptEnd, HostLoad, Need, Placement, PromptNeed, Scheduler, SchedulerConfig,
+};
+use hickoryhall_gateway::table::{
+    CallerLimits, EngineShape, KeepInfo, RouteTable, ServiceInfo, TableParts,
+};
+use hickoryhall_routing::{Level, PrefixChain};
+use hickoryhall_types::hash_name;
+use rstest::rstest;
+
+type Outcome<T> = Result<T, Box<dyn Error>>;
+
+struct Scenario {
+    start: Instant,
+    now: Instant,
+    scheduler: Scheduler,
+    addresses: HashMap<SocketAddr, String>,
+    arrived: HashMap<u64, Instant>,
+}
+
+impl Scenario {
+    fn new() -> Self {
+        let start = Instant::now() + Duration::from_secs(1_000);
+        let mut scheduler = Scheduler::new(SchedulerConfig::new("a".into()));
+        scheduler.set_table(&table());
+        Self {
+            start,
+            now: start,
+            scheduler,
+            addresses: HashMap::from([(keep_address(), "keep".to_owned())]),
+            arrived: HashMap::new(),
+        }
+    }
+
+    fn server(&mut self, command: &Command, service: &str) -> Outcome<()> {
+        let mut args = command.consume_args();
+        let name = args.next_pos().ok_or("a name is needed")?.to_owned();
+        let domain = key(&mut args, "domain")?.unwrap_or_else(|| "a".to_owned());
+        let weights = key(&mut args, "weights")?.unwrap_or(1);
+        let slots = key(&mut args, "slots")?.unwrap_or(2);
+        let is_leaving = key(&mut args, "leaving")?.unwrap_or(false);
+        args.reject_next()?;
+        let address = address(&name);
+        self.addresses.insert(address, name.clone());
+        let server = BackendServer {
+            id: name.as_str().into(),
+            service: service.into(),
+            address,
+            domain: domain.as_str().into(),
+            slots,
+            is_leaving,
+            models: vec![("m".into(), weights)],
+            incarnation: 1,
+        };
+        self.scheduler.on_registry(RegistryEvent::Upsert(server));
+        Ok(())
+    }
+
+    fn place(&mut self, command: &Command, service: &str) -> Outcome<String> {
+        let mut args = command.consume_args();
+        let ticket = args.next_pos().ok_or("an id is needed")?.parse()?;
+        let prompt: Option<String> = key(&mut args, "prompt")?;
+        let target = key(&mut args, "target")?.unwrap_or(600);
+        let deadline = key(&mut args, "deadline")?.unwrap_or(5_000);
+        let rank = key(&mut args, "rank")?.unwrap_or(0);
+        let exclude: Option<String> = key(&mut args, "exclude")?;
+        args.reject_next()?;
+        self.arrived.insert(ticket, self.now);
+        let need = Need {
+            ticket,
+            service: service.into(),
+            rank: (1, rank),
+            prompt: prompt.map(|text| prompt_need(&text)).transpose()?,
+            is_resumable: false,
+            arrived: self.now,
+            target: Duration::from_millis(target),
+            deadline: self.now + Duration::from_millis(deadline),
+            exclude: exclude.iter().map(|name| name.as_str().into()).collect(),
+        };
+        Ok(match self.scheduler.place(self.now, need) {
+            Some(placement) => self.describe(ticket, placement),
+            None => format!("{ticket} waits\n"),
+        })
+    }
+
+    fn describe(&self, ticket: u64, placement: Placement) -> String {
+        let waited = self.now - self.arrived[&ticket];
+        let mut text = String::new();
+        match placement {
+            Ok(placed) => {
+                let name = &placed.server.id;
+                write!(text, "{ticket} to {name}, reads {}", placed.missing_tokens).expect("text");
+                if let Some((from, tokens)) = placed.fetch_from {
+                    let from = &self.addresses[&from];
+                    write!(text, ", fetches {tokens} from {from}").expect("text");
+                }
+                if placed.save_to.is_some() {
+                    text.push_str(", saves");
+                }
+            }
+            Err(denied) => {
+                let (reason, after) = (denied.reason.as_str(), denied.retry_after.as_millis());
+                write!(text, "{ticket} refused: {reason}, come back in {after} ms").expect("text");
+            }
+        }
+        writeln!(text, " (after {} ms)", waited.as_millis()).expect("text");
+        text
+    }
+
+    fn end(&mut self, command: &Command) -> Outcome<()> {
+        let mut args = command.consume_args();
+        let ticket = args.next_pos().ok_or("an id is needed")?.parse()?;
+        let how = args.next_pos().ok_or("an end is needed")?;
+        let end = match how {
+            "answered" => AttemptEnd::Answered,
+            "released" => AttemptEnd::Released,
+            "failed" => AttemptEnd::Failed,
+            "unreachable" => AttemptEnd::Unreachable,
+            other => return Err(format!("unknown end {other}").into()),
+        };
+        args.reject_next()?;
+        self.scheduler.ended(self.now, ticket, end);
+        Ok(())
+    }
+
+    fn peer(&mut self, command: &Command) -> Outcome<()> {
+        let mut args = command.consume_args();
+        let host = hash_name(args.next_pos().ok_or("a host is needed")?);
+        let server = hash_name(args.next_pos().ok_or("a server is needed")?);
+        let load = HostLoad {
+            requests: key(&mut args, "requests")?.unwrap_or(1),
+            pending_ms: key(&mut args, "pending")?.unwrap_or(0),
+            ..HostLoad::default()
+        };
+        args.reject_next()?;
+        self.scheduler.set_peer_load(self.now, host, server, load);
+        Ok(())
+    }
+
+    fn heard(&mut self, command: &Command) -> Outcome<()> {
+        let mut args = command.consume_args();
+        let server = hash_name(args.next_pos().ok_or("a server is needed")?);
+        let prompt: String = key(&mut args, "prompt")?.ok_or("a prompt is needed")?;
+        args.reject_next()?;
+        let news = PromptNews {
+            server,
+            weights: 1,
+            levels: prompt_need(&prompt)?.chain.levels().to_vec(),
+        };
+        self.scheduler.on_peer_prompt(self.now, &news);
+        Ok(())
+    }
+
+    fn wanted(&mut self, command: &Command) -> Outcome<()> {
+        let mut args = command.consume_args();
+        let version = args.next_pos().ok_or("a version is needed")?.parse()?;
+        let age = Duration::from_millis(key(&mut args, "age")?.unwrap_or(0));
+        args.reject_next()?;
+        self.scheduler
+            .set_wanted(self.now, "m".into(), version, age);
+        Ok(())
+    }
+
+    fn change(&mut self, command: &Command) -> Outcome<()> {
+        let mut args = command.consume_args();
+        let server = hash_name(args.next_pos().ok_or("a server is needed")?);
+        let version = args.next_pos().map(|arg| arg.parse()).transpose()?;
+        args.reject_next()?;
+        let is_changing = version.is_none();
+        self.scheduler
+            .set_runner(self.now, server, version.unwrap_or(0), is_changing);
+        Ok(())
+    }
+
+    fn pass(&mut self, command: &Command) -> Outcome<String> {
+        let mut args = command.consume_args();
+        let time: u64 = args.next_pos().ok_or("a time is needed")?.parse()?;
+        args.reject_next()?;
+        let end = self.now + Duration::from_millis(time);
+        let mut text = String::new();
+        while self.now < end {
+            self.now = (self.now + Duration::from_millis(10)).min(end);
+            for (ticket, placement) in self.scheduler.tick(self.now) {
+                text.push_str(&self.describe(ticket, placement));
+            }
+        }
+        Ok(text)
+    }
+}
+
+impl Runner for Scenario {
+    type Command = Command;
+
+    fn run(&mut self, command: &Command, _: &Context) -> Outcome<String> {
+        let mut text = String::new();
+        match command.name.as_str() {
+            "runner" => self.server(command, "models")?,
+            "plain" => self.server(command, "booking")?,
+            "gone" => {
+                let name = command.consume_args().next_pos().ok_or("a name")?;
+                let event = RegistryEvent::Gone(name.into());
+                self.scheduler.on_registry(event);
+            }
+            "place" => text = self.place(command, "models")?,
+            "call" => text = self.place(command, "booking")?,
+            "first" => {
+                let ticket = command.consume_args().next_pos().ok_or("an id")?.parse()?;
+                self.scheduler.first_event(self.now, ticket);
+            }
+            "end" => self.end(command)?,
+            "peer" => self.peer(command)?,
+            "heard" => self.heard(command)?,
+            "wanted" => self.wanted(command)?,
+            "changing" | "changed" => self.change(command)?,
+            "pass" => text = self.pass(command)?,
+            other => return Err(format!("unknown command {other}").into()),
+        }
+        Ok(text)
+    }
+}
+
+/// Takes a keyed argument.
+fn key<T: std::str::FromStr>(args: &mut ArgumentConsumer<'_>, name: &str) -> Outcome<Option<T>>
+where
+    T::Err: Error + 'static,
+{
+    let value = args.take_key(name).map(str::parse);
+    Ok(value.transpose()?)
+}
+
+fn prompt_need(text: &str) -> Outcome<PromptNeed> {
+    let mut levels = Vec::new();
+    for part in text.split('/') {
+        let (name, tokens) = part.split_once('@').ok_or("PART@TOKENS is needed")?;
+        levels.push(Level {
+            key: hash_name(name),
+            tokens: tokens.parse()?,
+        });
+    }
+    Ok(PromptNeed {
+        model: "m".into(),
+        input_tokens: levels.iter().map(|level| level.tokens).sum(),
+        chain: PrefixChain::from_levels(levels),
+        output_tokens: 100,
+    })
+}
+
+fn address(name: &str) -> SocketAddr {
+    let port = (hash_name(name) % 60_000) as u16 + 1_000;
+    ([127, 0, 0, 1], port).into()
+}
+
+fn keep_address() -> SocketAddr {
+    ([127, 0, 0, 1], 1).into()
+}
+
+fn table() -> RouteTable {
+    let models = ServiceInfo {
+        engine: Some(EngineShape {
+            slots: 8,
+            memory_tokens: 40_000,
+            token_bytes: 163_840.0,
+            link_mbps: 550_000.0,
+        }),
+        ..ServiceInfo::default()
+    };
+    let keep = ServiceInfo {
+        keep: Some(KeepInfo {
+            address: keep_address(),
+            domain: "a".into(),
+            memory_tokens: 400_000,
+        }),
+        ..ServiceInfo::default()
+    };
+    RouteTable::from(TableParts {
+        revision: 1,
+        routes: Vec::new(),
+        services: HashMap::from([
+            ("models".into(), models),
+            ("keep".into(), keep),
+            ("booking".into(), ServiceInfo::default()),
+        ]),
+        workspaces: Vec::new(),
+        limits: CallerLimits {
+            head_bytes: 1,
+            body_bytes: 1,
+            read: Duration::ZERO,
+            idle: Duration::ZERO,
+        },
+    })
+}
+
+#[rstest]
+fn scenarios(#[files("tests/scenarios/*")] path: std::path::PathBuf) {
+    let mut scenario = Scenario::new();
+    assert_eq!(scenario.start, scenario.now);
+    goldenscript::run(&mut scenario, path).expect("the scenario holds");
+}
