--- a/crates/hickoryhall-gateway/src/host.rs
+++ b/crates/hickoryhall-gateway/src/host.rs
@@ -159,11 +159,7 @@
         })
     }
 
-    async fn until_stopped(
-        self,
-        settings_path: &Path,
-        grace: Duration,
-    ) -> Result<(), StartError> {
+    async fn until_stopped(self, settings_path: &Path, grace: Duration) -> Result<(), StartError> {
         let take = |kind| signal(kind).map_err(StartError::Signals);
         let mut term = take(SignalKind::terminate())?;
         let mut interrupt = take(SignalKind::interrupt())?;
--- a/crates/hickoryhall-gateway/tests/scheduler.rs
+++ b/crates/hickoryhall-gateway/tests/scheduler.rs
@@ -189,7 +189,7 @@
     fn change(&mut self, command: &Command) -> Outcome<()> {
         let mut args = command.consume_args();
         let server = hash_name(args.next_pos().ok_or("a server is needed")?);
-        let version = args.next_pos().map(|arg| arg.parse()).transpose()?;
+        let version = args.next_pos().map(str::parse).transpose()?;
         args.reject_next()?;
         let is_changing = version.is_none();
         self.scheduler
