Serve many runners: consider some of them, order all at once, call the store less

Cause: 70 hosts whose news of each other are 0.7 s old all sent to the one runner that was free (busiest/mean 2.1, 1,304 of 8,322 refused), steps of a roll-out waited for each other, and each change of the registry woke every host.

--- a/crates/hickoryhall-gateway/src/core.rs
+++ b/crates/hickoryhall-gateway/src/core.rs
@@ -8,7 +8,7 @@
 
 use hickoryhall_limits::{FleetRetryBudget, FleetRetryLimit};
 use hickoryhall_routing::{Fingerprint, Suspects, Verdict};
-use hickoryhall_types::{TargetId, WeightsVersion};
+use hickoryhall_types::{TargetId, WeightsVersion, rendezvous_score};
 use slog::{Logger, info};
 use stakker::{ActorOwn, CX, Stakker, ret_nop};
 use tokio::sync::{Notify, oneshot};
@@ -356,6 +356,21 @@
         self.serve_waiting(now);
     }
 
+    /// Returns the number of hosts, this one included.
+    pub fn hosts(&mut self, now: Instant) -> usize {
+        self.fleet.size(now)
+    }
+
+    /// Returns the place of this host for a duty among the hosts that live, 0 being the first.
+    #[must_use]
+    pub fn place_among_hosts(&self, now: Instant, duty: u64) -> usize {
+        let own = rendezvous_score(duty, self.config.me);
+        let hosts = self.fleet.live(now).into_iter();
+        hosts
+            .filter(|&host| rendezvous_score(duty, host) > own)
+            .count()
+    }
+
     /// Lets time pass; returns the time until the next look.
     pub fn tick(&mut self, now: Instant) -> Duration {
         let events = self.registry.expire(now);
--- a/crates/hickoryhall-gateway/src/feeds.rs
+++ b/crates/hickoryhall-gateway/src/feeds.rs
@@ -7,6 +7,7 @@
 
 use rand::RngExt;
 use slog::{Logger, info, warn};
+use tokio::time::sleep;
 
 use crate::core::CoreHandle;
 use crate::interface::{
@@ -15,7 +16,13 @@
 use crate::peers::{Records, Snapshot};
 
 /// Time for which one watch waits for changes; keep-alive probes find silent connections sooner.
-const WATCH_WAIT: Duration = Duration::from_secs(8);
+const WATCH_WAIT: Duration = Duration::from_secs(20);
+/// Pause after changes of the registry, in which more of them gather, for each host of the fleet:
+/// each call is paid for, and all hosts call at each change.
+const REGISTRY_PAUSE_PER_HOST: Duration = Duration::from_millis(40);
+/// Shortest and longest such pause; a server that leaves may get work for two seconds.
+const REGISTRY_PAUSE: std::ops::RangeInclusive<Duration> =
+    Duration::from_millis(400)..=Duration::from_millis(1_200);
 /// Pause after a first failure of the store.
 const FIRST_PAUSE: Duration = Duration::from_millis(100);
 /// Longest pause between two tries: changes must be in force within two seconds of its return.
@@ -134,15 +141,29 @@
             let Some(changes) = self.checked(link, watched).await else {
                 continue;
             };
+            let is_changed = !changes.content.is_empty();
             for change in changes.content {
                 self.apply_change(link.kind, change);
             }
             after = after.max(changes.revision);
-            let mut held = self.held(link.kind).borrow_mut();
-            held.revision = held.revision.max(after);
+            self.note_revision(link.kind, after);
+            if is_changed && link.kind == FeedKind::Registry {
+                sleep(self.registry_pause()).await;
+            }
         }
     }
 
+    fn registry_pause(&self) -> Duration {
+        let hosts = self.core.with(|core, now| core.hosts(now));
+        let pause = REGISTRY_PAUSE_PER_HOST * u32::try_from(hosts).unwrap_or(u32::MAX);
+        pause.clamp(*REGISTRY_PAUSE.start(), *REGISTRY_PAUSE.end())
+    }
+
+    fn note_revision(&self, kind: FeedKind, revision: StoreRevision) {
+        let mut held = self.held(kind).borrow_mut();
+        held.revision = held.revision.max(revision);
+    }
+
     /// Records the state of the link; waits after a failure.
     async fn checked<T>(&self, link: &mut Link, result: Result<T, StoreError>) -> Option<T> {
         let is_up = result.is_ok();
@@ -157,7 +178,7 @@
             }
             Err(error) => {
                 let pause = link.on_failure(&error);
-                tokio::time::sleep(pause).await;
+                sleep(pause).await;
                 None
             }
         }
--- a/crates/hickoryhall-gateway/src/fleet.rs
+++ b/crates/hickoryhall-gateway/src/fleet.rs
@@ -8,6 +8,8 @@
 /// Time for which a silent host still counts: longer than any cut, so that a host that is cut off
 /// does not take the parts of the others.
 const COUNTED: Duration = Duration::from_secs(60);
+/// Time after which the duties of a silent host go to others: several digests in a large fleet.
+const LIVE: Duration = Duration::from_secs(3);
 /// Hosts counted at least: the smallest deployment has six, and a host that has just started has
 /// not heard of them yet.
 const LEAST_HOSTS: usize = 6;
@@ -24,6 +26,14 @@
         self.seen.insert(host, now);
     }
 
+    /// Returns the other hosts that were heard lately.
+    #[must_use]
+    pub fn live(&self, now: Instant) -> Vec<HostHash> {
+        let is_live = |at: &Instant| now.saturating_duration_since(*at) < LIVE;
+        let live = self.seen.iter().filter(|(_, at)| is_live(at));
+        live.map(|(&host, _)| host).collect()
+    }
+
     /// Returns the number of hosts, this one included.
     #[must_use]
     pub fn size(&mut self, now: Instant) -> usize {
--- a/crates/hickoryhall-gateway/src/host.rs
+++ b/crates/hickoryhall-gateway/src/host.rs
@@ -215,10 +215,12 @@
 }
 
 fn core_config(settings: &Settings) -> CoreConfig {
-    let mut scheduler = SchedulerConfig::new(settings.failure_domain.as_str().into());
+    let me = hash_name(&settings.host);
+    let mut scheduler = SchedulerConfig::new(me, settings.failure_domain.as_str().into());
     scheduler.old_weights_limit = settings.bounds.weights().saturating_sub(OLD_WEIGHTS_MARGIN);
     CoreConfig {
-        me: hash_name(&settings.host),
+        me,
+
         scheduler,
         retries: settings.bounds.retries(),
     }
--- a/crates/hickoryhall-gateway/src/orders.rs
+++ b/crates/hickoryhall-gateway/src/orders.rs
@@ -12,6 +12,7 @@
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
+use futures_util::future::join_all;
 use hickoryhall_control::{OrderConfig, OrderGiver, PlannedOrder, RunnerStatus, WantedWeights};
 use hickoryhall_types::{FencingNumber, TargetId, WeightsVersion, hash_name};
 use rand::RngExt;
@@ -31,7 +32,11 @@
 /// Key of the order-giver.
 const KEY: &str = "hickoryhall/order-giver";
 /// Time for which one watch of the key waits.
-const WATCH_WAIT: Duration = Duration::from_secs(8);
+const WATCH_WAIT: Duration = Duration::from_secs(20);
+/// Hosts that stand ready to take the duty: enough for several to fail at once.
+const STAND_BY: usize = 4;
+/// Time between two looks of another host at whether it has to stand ready.
+const STAND_BY_CHECK: Duration = Duration::from_millis(700);
 /// Pause after a failure of the store, spread over hosts.
 const STORE_PAUSE: Duration = Duration::from_millis(400);
 /// Longest time that a host waits before it asks for a free lease, so that few ask at once.
@@ -54,11 +59,11 @@
 const FIRST_REPORT: Duration = Duration::from_millis(450);
 /// Part of the retries that must be left for streams to be moved rather than waited for.
 const TRUNCATE_BUDGET: f64 = 0.25;
-/// Runners that change their weights at the same time: more than load at full speed, as part of
-/// the time goes into emptying them.
-const LOADS_AT_ONCE: usize = 4;
-/// The same while the runners are busy.
-const LOADS_AT_ONCE_BUSY: usize = 2;
+/// Part of the runners that change their weights at the same time: more than load at full speed, as
+/// part of the time goes into emptying them.
+const PART_AT_ONCE: f64 = 0.45;
+/// The same while the runners are busy: as many as load at full speed.
+const PART_AT_ONCE_BUSY: f64 = 0.22;
 /// Mean work ahead at the runners from which they count as busy, in milliseconds.
 const BUSY_MS: f64 = 60.0;
 
@@ -141,6 +146,10 @@
     /// Takes the duty whenever it is free, until the task is dropped.
     pub async fn run(&self) {
         loop {
+            if !self.stands_by() {
+                sleep(STAND_BY_CHECK).await;
+                continue;
+            }
             match self.claim().await {
                 Ok(Some(lease)) => {
                     self.hold(lease).await;
@@ -155,6 +164,13 @@
         }
     }
 
+    /// Tells whether this host is one of those that stand ready, among the hosts that live.
+    fn stands_by(&self) -> bool {
+        let duty = hash_name(KEY);
+        self.core
+            .with(|core, now| core.place_among_hosts(now, duty) < STAND_BY)
+    }
+
     /// Waits until the duty is free and claims it; `None` where another host was faster.
     async fn claim(&self) -> Result<Option<Holding>, StoreError> {
         let AsOf { content, revision } = self.platform.range(KEY).await?;
@@ -223,7 +239,7 @@
             lease_ttl: self.settings.lease_ttl,
             order_flight: CALL_WAIT,
             handover,
-            loads_at_once: LOADS_AT_ONCE,
+            loads_at_once: 1,
             repeat_after: REPEAT_AFTER,
         });
         giver.on_taken(holding.asked_at, holding.fencing);
@@ -258,15 +274,19 @@
             sleep(ROUND).await;
             let wanted = self.wanted();
             let runners = self.core.with(|core, now| core.runners(now));
-            changes.retain(|id, _| runners.iter().any(|runner| runner.server.id == *id));
-            for runner in &runners {
-                if let Some(change) = changes.get(&runner.server.id).cloned() {
-                    match self.advance(runner, change, giver).await {
-                        Some(change) => drop(changes.insert(runner.server.id.clone(), change)),
-                        None => drop(changes.remove(&runner.server.id)),
-                    }
+            // All at once, since each step may wait for its runner.
+            let steps = runners.iter().filter_map(|runner| {
+                let change = changes.remove(&runner.server.id)?;
+                Some(async move { (runner, self.advance(runner, change, giver).await) })
+            });
+            let steps = steps.collect::<Vec<_>>();
+            changes.clear();
+            for (runner, change) in join_all(steps).await {
+                if let Some(change) = change {
+                    changes.insert(runner.server.id.clone(), change);
                 }
             }
+
             let runners = self.core.with(|core, now| core.runners(now));
             giver
                 .borrow_mut()
@@ -475,11 +495,12 @@
     let (count, pending_ms) = up.fold((0.0, 0.0), |(count, pending_ms), runner| {
         (count + 1.0, pending_ms + f64::from(runner.load.pending_ms))
     });
-    if pending_ms > BUSY_MS * count {
-        LOADS_AT_ONCE_BUSY
+    let part = if pending_ms > BUSY_MS * count {
+        PART_AT_ONCE_BUSY
     } else {
-        LOADS_AT_ONCE
-    }
+        PART_AT_ONCE
+    };
+    (count * part).round() as usize
 }
 
 /// Returns the runners in the order of their changes: those with the oldest weights first, and of
--- a/crates/hickoryhall-gateway/src/scheduler.rs
+++ b/crates/hickoryhall-gateway/src/scheduler.rs
@@ -396,15 +396,14 @@
     fn try_place(&mut self, now: Instant, need: &Need) -> Tried {
         let keys = self.by_service.get(&need.service);
         let keys = keys.map(Vec::as_slice).unwrap_or_default();
-        let holders = need
-            .prompt
-            .as_ref()
-            .map(|prompt| self.holders(keys, prompt));
+        let prompt = need.prompt.as_ref();
+        let holders = prompt.map(|prompt| self.holders(keys, prompt));
+        let considered = self.considered(keys, holders.as_deref(), need.ticket);
         let mut best: Option<Offer> = None;
         let mut candidates = 0;
         let mut reason = DenyReason::NoServer;
-        for (index, &key) in keys.iter().enumerate() {
-            match self.offer(now, key, need, holders.as_deref(), index) {
+        for index in considered {
+            match self.offer(now, keys[index], need, holders.as_deref(), index) {
                 Ok(offer) => {
                     candidates += 1;
                     if best.is_none_or(|best| offer.cost_ms < best.cost_ms) {
--- a/crates/hickoryhall-gateway/src/scheduler/config.rs
+++ b/crates/hickoryhall-gateway/src/scheduler/config.rs
@@ -4,9 +4,15 @@
 
 use hickoryhall_types::{FailureDomainId, TokenCount};
 
+use super::HostHash;
+
 /// Settings of the scheduler.
 #[derive(Clone, Debug)]
 pub struct SchedulerConfig {
+    /// Hash of this host's name.
+    pub host: HostHash,
+    /// Servers up to which all of them are considered for each request.
+    pub all_considered: usize,
     /// Failure domain of this host.
     pub domain: FailureDomainId,
     /// Rate at which a runner reads prompts, in tokens per millisecond; the engines' sheet says
@@ -64,8 +70,10 @@
 impl SchedulerConfig {
     /// Creates settings for a host of a failure domain.
     #[must_use]
-    pub fn new(domain: FailureDomainId) -> Self {
+    pub fn new(host: HostHash, domain: FailureDomainId) -> Self {
         Self {
+            host,
+            all_considered: 16,
             domain,
             prefill_tokens_per_ms: 32.0,
             first_event: Duration::from_millis(25),
--- a/crates/hickoryhall-gateway/src/scheduler/offer.rs
+++ b/crates/hickoryhall-gateway/src/scheduler/offer.rs
@@ -5,11 +5,15 @@
 
 use hickoryhall_types::{TokenCount, rendezvous_score};
 
-use super::{DenyReason, Need, PromptNeed, Scheduler, ServerKey, ServerState};
+use super::{DenyReason, Need, PromptNeed, Scheduler, ServerKey, ServerState, Ticket};
 use crate::table::EngineShape;
 
 /// Time of a transfer from a store against that from a runner, whose link is faster.
 const KEEP_LINK_FACTOR: f64 = 4.0;
+/// Owners of a prompt that are considered of many servers.
+const OWNERS_CONSIDERED: usize = 6;
+/// Other servers that are considered of many.
+const OTHERS_CONSIDERED: usize = 6;
 /// Time without use after which a cached prompt counts by half when it is displaced.
 const HALF_LIFE: Duration = Duration::from_secs(8);
 /// Time that a full plain server takes for one round of its slots, about.
@@ -72,6 +76,36 @@
         holders.collect()
     }
 
+    /// Returns the servers to consider: all of a few; of many, the first owners of the prompt and
+    /// some that differ by host and request, so that hosts whose news of each other are late do
+    /// not all send to the one server that was free.
+    pub(super) fn considered(
+        &self,
+        keys: &[ServerKey],
+        holders: Option<&[Holder]>,
+        ticket: Ticket,
+    ) -> Vec<usize> {
+        if keys.len() <= self.config.all_considered {
+            return (0..keys.len()).collect();
+        }
+        let mut considered = Vec::with_capacity(OWNERS_CONSIDERED + OTHERS_CONSIDERED);
+        if let Some(holders) = holders {
+            let limit = OWNERS_CONSIDERED as f64 / keys.len() as f64;
+            let owners = holders.iter().enumerate();
+            let owners = owners.filter(|(_, holder)| holder.owner_part < limit);
+            considered.extend(owners.map(|(index, _)| index));
+        }
+        let seed = rendezvous_score(ticket, self.config.host);
+        let others = (0..OTHERS_CONSIDERED as u64).map(|n| {
+            let place = rendezvous_score(seed, n) % keys.len() as u64;
+            usize::try_from(place).unwrap_or(0)
+        });
+        considered.extend(others);
+        considered.sort_unstable();
+        considered.dedup();
+        considered
+    }
+
     /// Returns what a server would cost a request, or why it takes none.
     pub(super) fn offer(
         &self,
--- a/crates/hickoryhall-gateway/tests/scheduler.rs
+++ b/crates/hickoryhall-gateway/tests/scheduler.rs
@@ -46,7 +46,7 @@
 impl Scenario {
     fn new() -> Self {
         let start = Instant::now() + Duration::from_secs(1_000);
-        let mut scheduler = Scheduler::new(SchedulerConfig::new("a".into()));
+        let mut scheduler = Scheduler::new(SchedulerConfig::new(hash_name("me"), "a".into()));
         scheduler.set_table(&table());
         Self {
             start,
