--- a/crates/hickoryhall-gateway/src/exchange.rs
+++ b/crates/hickoryhall-gateway/src/exchange.rs
@@ -410,8 +410,8 @@
     match attempted {
         Attempted::Answer(_) | Attempted::Stream(_) | Attempted::Failed(_) => AttemptEnd::Answered,
         Attempted::NotRun => AttemptEnd::Released,
-        Attempted::Unsent => AttemptEnd::Unreachable,
-        Attempted::Broken | Attempted::TimedOut => AttemptEnd::Failed,
+        Attempted::Unsent | Attempted::TimedOut => AttemptEnd::Unreachable,
+        Attempted::Broken => AttemptEnd::Failed,
     }
 }
 
--- a/crates/hickoryhall-gateway/src/exchange/attempt.rs
+++ b/crates/hickoryhall-gateway/src/exchange/attempt.rs
@@ -328,7 +328,7 @@
                 );
                 self.gateway.pool.forget(address);
             }
-            Attempted::Unsent => self.gateway.pool.forget(address),
+            Attempted::Unsent | Attempted::TimedOut => self.gateway.pool.forget(address),
             _ => {}
         }
     }
--- a/crates/hickoryhall-gateway/src/exchange/intake.rs
+++ b/crates/hickoryhall-gateway/src/exchange/intake.rs
@@ -21,6 +21,10 @@
 const DEADLINE_MARGIN: Duration = Duration::from_millis(15);
 /// Advice while the host has no table: about the time in which it fetches one.
 const RETRY_AFTER_NOT_READY: Duration = Duration::from_millis(300);
+/// Longest wait for the table of a host that has just started.
+const TABLE_WAIT: Duration = Duration::from_millis(150);
+/// Time between two looks for it.
+const TABLE_CHECK: Duration = Duration::from_millis(5);
 /// Advice while the host stops: another host takes the request at once.
 const RETRY_AFTER_STOPPING: Duration = Duration::from_millis(20);
 /// Rank of callers without a workspace, after those of any workspace.
@@ -85,6 +89,18 @@
 }
 
 impl<P: Platform> Gateway<P> {
+    /// Returns the table in force; a host that has just started waits for it for a moment, which is
+    /// shorter than the caller's way to another host and back.
+    async fn table(&self, arrived: Instant) -> Option<Arc<RouteTable>> {
+        loop {
+            let table = self.core.with(|core, _| core.table());
+            if table.is_some() || arrived.elapsed() >= TABLE_WAIT {
+                return table;
+            }
+            tokio::time::sleep(TABLE_CHECK).await;
+        }
+    }
+
     pub(super) async fn intake(
         &self,
         request: Request<Incoming>,
@@ -97,7 +113,7 @@
         if self.is_closed.get() {
             return Err(Rejected::later(&ask, "stopping", RETRY_AFTER_STOPPING));
         }
-        let Some(table) = self.core.with(|core, _| core.table()) else {
+        let Some(table) = self.table(arrived).await else {
             return Err(Rejected::later(&ask, "no_table", RETRY_AFTER_NOT_READY));
         };
         let (route, workspace) = authorize(&table, &ask, head.uri.path())?;
--- a/crates/hickoryhall-gateway/src/exchange/relay.rs
+++ b/crates/hickoryhall-gateway/src/exchange/relay.rs
@@ -10,8 +10,8 @@
 use tokio::task::spawn_local;
 use tokio::time::timeout;
 
-use super::Exchange;
 use super::attempt::{Attempted, OpenStream};
+use super::{Exchange, end_of};
 use crate::events::EventFramer;
 use crate::interface::Platform;
 use crate::scheduler::AttemptEnd;
@@ -97,7 +97,7 @@
                     Attempted::Broken
                 };
                 self.note_failure(&attempted, upstream.open.server.address);
-                upstream.open.ticket.end(AttemptEnd::Failed);
+                upstream.open.ticket.end(end_of(&attempted));
                 return Err((Box::new(self), attempted));
             }
             step => step,
--- a/crates/hickoryhall-gateway/src/scheduler.rs
+++ b/crates/hickoryhall-gateway/src/scheduler.rs
@@ -16,7 +16,7 @@
 use std::time::{Duration, Instant};
 
 use hickoryhall_routing::PrefixChain;
-use hickoryhall_types::{TargetId, TokenCount, WeightsVersion};
+use hickoryhall_types::{FailureDomainId, TargetId, TokenCount, WeightsVersion};
 use slotmap::{SlotMap, new_key_type};
 
 pub use config::SchedulerConfig;
@@ -77,8 +77,13 @@
     wanted: HashMap<TargetId, WantedVersions>,
     prompts: Vec<PromptNews>,
     keep: Option<Keep>,
+    /// Failure domains in which a server could not be reached, and until when that counts.
+    doubted: HashMap<FailureDomainId, Instant>,
 }
 
+/// Time for which a failure domain is doubted after one of its servers could not be reached.
+const DOUBTED: Duration = Duration::from_secs(1);
+
 /// Shortest and longest advice on when to come back.
 const RETRY_AFTER: std::ops::RangeInclusive<Duration> =
     Duration::from_millis(100)..=Duration::from_secs(2);
@@ -101,6 +106,7 @@
             wanted: HashMap::new(),
             prompts: Vec::new(),
             keep: None,
+            doubted: HashMap::new(),
         }
     }
 
@@ -288,7 +294,11 @@
             AttemptEnd::Answered => state.ejection.succeed(),
             AttemptEnd::Released => {}
             AttemptEnd::Failed => state.ejection.fail(now),
-            AttemptEnd::Unreachable => state.ejection.eject(now),
+            AttemptEnd::Unreachable => {
+                state.ejection.eject(now);
+                let domain = state.server.domain.clone();
+                self.doubted.insert(domain, now + DOUBTED);
+            }
         }
     }
 
--- a/crates/hickoryhall-gateway/src/scheduler/config.rs
+++ b/crates/hickoryhall-gateway/src/scheduler/config.rs
@@ -22,9 +22,11 @@
     pub first_event: Duration,
     /// Cost of a server in another failure domain: its way, and the bytes between the domains.
     pub cross_domain: Duration,
-    /// Advantage of the runner that all hosts name first for a prompt, so that its parts gather
-    /// there; less than reading one part again takes.
-    pub owner_advantage: Duration,
+    /// Cost of a server in a failure domain that may be cut off.
+    pub doubt: Duration,
+    /// Cost of each place by which a runner stands behind the first owner of a prompt, so that its
+    /// parts gather there; less for all places than reading one part again takes.
+    pub owner_place: Duration,
     /// Tokens of a prompt from which it counts as long: it holds up what its runner generates.
     pub long_prompt_tokens: TokenCount,
     /// Part of the runners that take the short prompts, where generation then runs fast.
@@ -78,7 +80,8 @@
             prefill_tokens_per_ms: 32.0,
             first_event: Duration::from_millis(25),
             cross_domain: Duration::from_millis(4),
-            owner_advantage: Duration::from_millis(40),
+            doubt: Duration::from_millis(100),
+            owner_place: Duration::from_micros(4_500),
             long_prompt_tokens: 3_000,
             short_part: 0.34,
             other_part: Duration::from_millis(20),
--- a/crates/hickoryhall-gateway/src/scheduler/offer.rs
+++ b/crates/hickoryhall-gateway/src/scheduler/offer.rs
@@ -10,6 +10,8 @@
 
 /// Time of a transfer from a store against that from a runner, whose link is faster.
 const KEEP_LINK_FACTOR: f64 = 4.0;
+/// Places among the owners from which on all count the same.
+const PLACES_TOLD_APART: usize = 9;
 /// Owners of a prompt that are considered of many servers.
 const OWNERS_CONSIDERED: usize = 6;
 /// Other servers that are considered of many.
@@ -50,8 +52,8 @@
     cached_tokens: TokenCount,
     /// Tokens that others can fetch from it now.
     held_tokens: TokenCount,
-    /// Place among the owners, from 0 to 1.
-    owner_part: f64,
+    /// Place among the owners of the prompt, 0 being the first.
+    place: usize,
 }
 
 impl Scheduler {
@@ -62,7 +64,6 @@
         let scores = keys.iter().map(|&key| score(key)).collect::<Vec<_>>();
         let mut sorted = scores.clone();
         sorted.sort_unstable_by(|one, other| other.cmp(one));
-        let count = keys.len().max(1) as f64;
         let holders = keys.iter().zip(scores).map(|(&key, score)| {
             let place = sorted.partition_point(|&other| other > score);
             let state = &self.servers[key];
@@ -70,7 +71,7 @@
                 key,
                 cached_tokens: state.shadow.cached_tokens(&prompt.chain),
                 held_tokens: state.held.cached_tokens(&prompt.chain),
-                owner_part: place as f64 / count,
+                place,
             }
         });
         holders.collect()
@@ -90,9 +91,8 @@
         }
         let mut considered = Vec::with_capacity(OWNERS_CONSIDERED + OTHERS_CONSIDERED);
         if let Some(holders) = holders {
-            let limit = OWNERS_CONSIDERED as f64 / keys.len() as f64;
             let owners = holders.iter().enumerate();
-            let owners = owners.filter(|(_, holder)| holder.owner_part < limit);
+            let owners = owners.filter(|(_, holder)| holder.place < OWNERS_CONSIDERED);
             considered.extend(owners.map(|(index, _)| index));
         }
         let seed = rendezvous_score(ticket, self.config.host);
@@ -140,7 +140,7 @@
         }
         Ok(Offer {
             key,
-            cost_ms: requests / slots * PLAIN_ROUND_MS + self.distance_ms(state),
+            cost_ms: requests / slots * PLAIN_ROUND_MS + self.distance_ms(now, state),
             ahead_ms: 0.0,
             own_ms: 0.0,
             estimate: Duration::ZERO,
@@ -178,10 +178,10 @@
         let displaced_ms = self.displaced_ms(now, state, missing_tokens + fetched_tokens);
         let cost_ms = estimate_ms
             + self.old_weights_ms(now, state, &prompt.model, estimate_ms)?
-            + holder.owner_part * millis(self.config.owner_advantage)
+            + holder.place.min(PLACES_TOLD_APART) as f64 * millis(self.config.owner_place)
             + displaced_ms
             + self.part_ms(prompt, holders.len(), index)
-            + self.distance_ms(state);
+            + self.distance_ms(now, state);
         Ok(Offer {
             key: holder.key,
             cost_ms,
@@ -313,12 +313,23 @@
         }
     }
 
-    fn distance_ms(&self, state: &ServerState) -> f64 {
-        if state.server.domain == self.config.domain {
+    /// Returns the cost of the way to a server; that of one in a failure domain that may be cut off
+    /// is higher.
+    fn distance_ms(&self, now: Instant, state: &ServerState) -> f64 {
+        let domain = &state.server.domain;
+        let is_own = *domain == self.config.domain;
+        let is_doubted = self.doubted.get(domain).is_some_and(|&until| now < until);
+        let way = if is_own {
             0.0
         } else {
             millis(self.config.cross_domain)
-        }
+        };
+        let doubt = if is_doubted && !is_own {
+            millis(self.config.doubt)
+        } else {
+            0.0
+        };
+        way + doubt
     }
 }
 
--- /dev/null
+++ b/crates/hickoryhall-gateway/tests/herd.rs
@@ -0,0 +1,122 @@
+//! Many hosts with the same old news do not all send to the one runner that was free.
+
+use std::collections::HashMap;
+use std::time::{Duration, Instant};
+
+use hickoryhall_gateway::registry::{BackendServer, RegistryEvent};
+use hickoryhall_gateway::scheduler::{HostLoad, Need, PromptNeed, Scheduler, SchedulerConfig};
+use hickoryhall_gateway::table::{CallerLimits, EngineShape, RouteTable, ServiceInfo, TableParts};
+use hickoryhall_routing::{Level, PrefixChain};
+use hickoryhall_types::hash_name;
+use rstest::rstest;
+
+const HOSTS: u64 = 70;
+const RUNNERS: usize = 60;
+const FREE: &str = "runner-7";
+
+/// The load of grown deployments: 70 hosts before 60 runners, news 0.7 s old.
+#[rstest]
+#[case::some_are_considered(16, 0.35)]
+fn the_free_runner_is_not_overrun(#[case] all_considered: usize, #[case] most: f64) {
+    assert!(part_to_the_free_runner(all_considered) <= most);
+}
+
+/// The fault that the limit mends, so that the load above is known to bring it about.
+#[test]
+fn without_a_limit_all_hosts_choose_the_free_runner() {
+    assert!(part_to_the_free_runner(usize::MAX) >= 0.9);
+}
+
+fn part_to_the_free_runner(all_considered: usize) -> f64 {
+    let now = Instant::now();
+    let chosen = (0..HOSTS).filter(|&host| {
+        let mut scheduler = scheduler(host, all_considered);
+        for runner in 0..RUNNERS {
+            let name = format!("runner-{runner}");
+            let pending_ms = if name == FREE { 0 } else { 250 };
+            let load = HostLoad {
+                requests: 3,
+                pending_ms,
+                ..HostLoad::default()
+            };
+            scheduler.set_peer_load(now, HOSTS, hash_name(&name), load);
+        }
+        let placement = scheduler.place(now, need(now, host));
+        placement.is_some_and(|placed| placed.is_ok_and(|placed| &*placed.server.id == FREE))
+    });
+    chosen.count() as f64 / HOSTS as f64
+}
+
+fn scheduler(host: u64, all_considered: usize) -> Scheduler {
+    let mut config = SchedulerConfig::new(hash_name(&format!("host-{host}")), "a".into());
+    config.all_considered = all_considered;
+    let mut scheduler = Scheduler::new(config);
+    scheduler.set_table(&table());
+    for runner in 0..RUNNERS {
+        let server = BackendServer {
+            id: format!("runner-{runner}").as_str().into(),
+            service: "models".into(),
+            address: ([127, 0, 0, 1], 1_000 + runner as u16).into(),
+            domain: "a".into(),
+            slots: 32,
+            is_leaving: false,
+            models: vec![("m".into(), 1)],
+            incarnation: 1,
+        };
+        scheduler.on_registry(RegistryEvent::Upsert(server));
+    }
+    scheduler
+}
+
+fn need(now: Instant, host: u64) -> Need {
+    let levels = vec![
+        Level {
+            key: hash_name(&format!("notice-{host}")),
+            tokens: 200,
+        },
+        Level {
+            key: hash_name(&format!("question-{host}")),
+            tokens: 600,
+        },
+    ];
+    Need {
+        ticket: 1_000 + host,
+        service: "models".into(),
+        rank: (1, 0),
+        prompt: Some(PromptNeed {
+            model: "m".into(),
+            input_tokens: 800,
+            chain: PrefixChain::from_levels(levels),
+            output_tokens: 50,
+        }),
+        is_resumable: true,
+        arrived: now,
+        target: Duration::from_millis(400),
+        deadline: now + Duration::from_secs(15),
+        exclude: Vec::new(),
+    }
+}
+
+fn table() -> RouteTable {
+    let models = ServiceInfo {
+        engine: Some(EngineShape {
+            slots: 32,
+            memory_tokens: 91_671,
+            token_bytes: 163_840.0,
+            link_mbps: 550_000.0,
+        }),
+        ..ServiceInfo::default()
+    };
+    RouteTable::from(TableParts {
+        revision: 1,
+        routes: Vec::new(),
+        services: HashMap::from([("models".into(), models)]),
+        workspaces: Vec::new(),
+        limits: CallerLimits {
+            head_bytes: 1,
+            body_bytes: 1,
+            read: Duration::ZERO,
+            idle: Duration::ZERO,
+        },
+    })
+}
