--- a/crates/hickoryhall-control/src/orders.rs
+++ b/crates/hickoryhall-control/src/orders.rs
@@ -150,6 +150,11 @@
         self.given.len()
     }
 
+    /// Forgets an order that certainly did not take effect, so that it may be given again at once.
+    pub fn forget(&mut self, runner: &str) {
+        self.given.remove(runner);
+    }
+
     /// Tells whether an order to a runner has shown no effect yet.
     #[must_use]
     pub fn awaits(&self, runner: &str) -> bool {
--- a/crates/hickoryhall-gateway/src/host.rs
+++ b/crates/hickoryhall-gateway/src/host.rs
@@ -16,7 +16,7 @@
 use metrics::gauge;
 use slog::{Logger, error, info, o, warn};
 use tokio::net::TcpListener;
-use tokio::signal::unix::{SignalKind, signal};
+use tokio::signal::unix::{Signal, SignalKind, signal};
 use tokio::sync::watch;
 use tokio::task::spawn_local;
 use tokio::time::sleep;
@@ -79,6 +79,8 @@
     platform: P,
     logger: Logger,
 ) -> Result<(), StartError> {
+    // First of all, so that a process that listens ends by a signal in order only.
+    let signals = Signals::take().map_err(StartError::Signals)?;
     let host = Host::start(&settings, platform, &logger).await?;
     info!(
         logger, "host: Host started.";
@@ -86,8 +88,26 @@
         "readiness" => %settings.readiness, "peer_port" => settings.peer_port,
         "version" => env!("CARGO_PKG_VERSION")
     );
-    host.until_stopped(&settings_path, settings.bounds.grace())
-        .await
+    host.until_stopped(signals, &settings_path, settings.bounds.grace())
+        .await;
+    Ok(())
+}
+
+/// The signals that a host acts on.
+struct Signals {
+    terminate: Signal,
+    interrupt: Signal,
+    hangup: Signal,
+}
+
+impl Signals {
+    fn take() -> io::Result<Self> {
+        Ok(Self {
+            terminate: signal(SignalKind::terminate())?,
+            interrupt: signal(SignalKind::interrupt())?,
+            hangup: signal(SignalKind::hangup())?,
+        })
+    }
 }
 
 struct Host<P> {
@@ -159,20 +179,15 @@
         })
     }
 
-    async fn until_stopped(self, settings_path: &Path, grace: Duration) -> Result<(), StartError> {
-        let take = |kind| signal(kind).map_err(StartError::Signals);
-        let mut term = take(SignalKind::terminate())?;
-        let mut interrupt = take(SignalKind::interrupt())?;
-        let mut hangup = take(SignalKind::hangup())?;
+    async fn until_stopped(self, mut signals: Signals, settings_path: &Path, grace: Duration) {
         loop {
             tokio::select! {
-                _ = term.recv() => break,
-                _ = interrupt.recv() => break,
-                _ = hangup.recv() => self.reload(settings_path),
+                _ = signals.terminate.recv() => break,
+                _ = signals.interrupt.recv() => break,
+                _ = signals.hangup.recv() => self.reload(settings_path),
             }
         }
         self.drain(grace).await;
-        Ok(())
     }
 
     /// Reads the settings again; addresses and names need a restart, so they are only checked.
--- a/crates/hickoryhall-gateway/src/orders.rs
+++ b/crates/hickoryhall-gateway/src/orders.rs
@@ -47,6 +47,8 @@
 const REPORT_INTERVAL: Duration = Duration::from_millis(100);
 /// Time for a report or an order to be answered.
 const CALL_WAIT: Duration = Duration::from_millis(600);
+/// Time for an order to be answered, which a runner does at once.
+const ORDER_WAIT: Duration = Duration::from_millis(300);
 /// Time after which an order that shows no effect is given again.
 const REPEAT_AFTER: Duration = Duration::from_millis(4_500);
 /// Time in which the other hosts hear that a runner is about to change its weights, and this one
@@ -336,8 +338,10 @@
         match change.stage {
             Stage::Emptying if !change.is_emptied(runner) => Some(change),
             Stage::Emptying => self.give(runner, change, giver).await,
-            Stage::Ordered { next_report } if Instant::now() < next_report => Some(change),
-            Stage::Ordered { .. } => self.follow(runner, change).await,
+            Stage::Ordered { next_report, .. } if Instant::now() < next_report => Some(change),
+            Stage::Ordered { is_accepted, .. } => {
+                self.follow(runner, change, is_accepted, giver).await
+            }
         }
     }
 
@@ -352,6 +356,7 @@
         let Some(report) = self.report(server).await else {
             warn!(self.logger, "orders: Runner does not report."; "server" => &*server.id);
             self.note(runner, runner.weights, false);
+            giver.borrow_mut().forget(&server.id);
             return None;
         };
         let weights = report.weights(&change.model);
@@ -375,7 +380,7 @@
             fencing: change.fencing,
             expected_orders: report.orders_accepted,
         };
-        let outcome = timeout(CALL_WAIT, self.platform.order(server, &order)).await;
+        let outcome = timeout(ORDER_WAIT, self.platform.order(server, &order)).await;
         let outcome = outcome.unwrap_or(OrderOutcome::Unknown);
         info!(
             self.logger, "orders: Order given.";
@@ -385,9 +390,19 @@
             "emptied_ms" => change.since.elapsed().as_millis(),
             "requests" => runner.load.requests, "bound" => runner.load.bound
         );
+        let is_accepted = matches!(
+            outcome,
+            OrderOutcome::Accepted | OrderOutcome::Holds | OrderOutcome::Busy
+        );
+        let wait = if is_accepted {
+            FIRST_REPORT
+        } else {
+            REPORT_INTERVAL
+        };
         Some(Change {
             stage: Stage::Ordered {
-                next_report: Instant::now() + FIRST_REPORT,
+                next_report: Instant::now() + wait,
+                is_accepted,
             },
             ..change
         })
@@ -406,7 +421,13 @@
     }
 
     /// Reads the report of a runner that was given an order.
-    async fn follow(&self, runner: &RunnerView, change: Change) -> Option<Change> {
+    async fn follow(
+        &self,
+        runner: &RunnerView,
+        change: Change,
+        is_accepted: bool,
+        giver: &RefCell<OrderGiver>,
+    ) -> Option<Change> {
         let report = self.report(&runner.server).await;
         let weights = report
             .as_ref()
@@ -415,11 +436,17 @@
         let is_done = weights >= change.version && !is_busy;
         let is_overdue = change.since.elapsed() >= REPEAT_AFTER;
         if !is_done && !is_overdue {
-            let next_report = Instant::now() + REPORT_INTERVAL;
-            return Some(Change {
-                stage: Stage::Ordered { next_report },
-                ..change
-            });
+            // An order without an answer that was not taken in is given again: the number of orders
+            // in it keeps the first one from taking effect later.
+            let stage = if is_accepted || is_busy {
+                Stage::Ordered {
+                    next_report: Instant::now() + REPORT_INTERVAL,
+                    is_accepted,
+                }
+            } else {
+                Stage::Emptying
+            };
+            return Some(Change { stage, ..change });
         }
         info!(
             self.logger, "orders: Runner followed to the end.";
@@ -427,6 +454,9 @@
             "busy" => is_busy, "took_ms" => change.since.elapsed().as_millis()
         );
         self.note(runner, weights, false);
+        if !is_done {
+            giver.borrow_mut().forget(&runner.server.id);
+        }
         None
     }
 
@@ -469,7 +499,11 @@
     /// It gets no new work, and what cannot go on elsewhere comes to its end.
     Emptying,
     /// It was given the order.
-    Ordered { next_report: Instant },
+    Ordered {
+        next_report: Instant,
+        /// Whether the runner said that it took the order.
+        is_accepted: bool,
+    },
 }
 
 impl Change {
--- a/crates/hickoryhall-gateway/src/peers.rs
+++ b/crates/hickoryhall-gateway/src/peers.rs
@@ -127,7 +127,7 @@
                 let known = self.told_addresses(round);
                 let bytes = digest.encode(&known);
                 for &ip in &targets {
-                    self.send(ip, &bytes);
+                    self.send(ip, &bytes).await;
                 }
             }
             let interval = interval(targets.len());
@@ -136,9 +136,9 @@
         }
     }
 
-    fn send(&self, ip: Ipv4Addr, bytes: &[u8]) {
+    async fn send(&self, ip: Ipv4Addr, bytes: &[u8]) {
         let to = SocketAddr::from((ip, self.settings.port));
-        if let Err(error) = self.socket.try_send_to(bytes, to) {
+        if let Err(error) = self.socket.send_to(bytes, to).await {
             debug!(self.logger, "peers: Digest not sent."; "host" => %ip, "error" => %error);
         }
     }
--- a/crates/hickoryhall-gateway/src/scheduler.rs
+++ b/crates/hickoryhall-gateway/src/scheduler.rs
@@ -16,7 +16,7 @@
 use std::time::{Duration, Instant};
 
 use hickoryhall_routing::PrefixChain;
-use hickoryhall_types::{FailureDomainId, TargetId, TokenCount, WeightsVersion};
+use hickoryhall_types::{FailureDomainId, TargetId, TokenCount, WeightsVersion, rendezvous_score};
 use slotmap::{SlotMap, new_key_type};
 
 pub use config::SchedulerConfig;
@@ -56,7 +56,7 @@
     unread: Option<PrefixChain>,
     placed_at: Instant,
     estimate: Duration,
-    fetched_from_keep: bool,
+    fetch_from: Option<SocketAddr>,
 }
 
 enum Tried {
@@ -76,7 +76,7 @@
     active: HashMap<Ticket, Active>,
     wanted: HashMap<TargetId, WantedVersions>,
     prompts: Vec<PromptNews>,
-    keep: Option<Keep>,
+    keeps: Vec<Keep>,
     /// Failure domains in which a server could not be reached, and until when that counts.
     doubted: HashMap<FailureDomainId, Instant>,
 }
@@ -105,7 +105,7 @@
             active: HashMap::new(),
             wanted: HashMap::new(),
             prompts: Vec::new(),
-            keep: None,
+            keeps: Vec::new(),
             doubted: HashMap::new(),
         }
     }
@@ -117,7 +117,7 @@
             Some((name.clone(), engine))
         });
         self.engines = engines.collect();
-        self.set_keep(table);
+        self.set_keeps(table);
         let stale = self
             .servers
             .iter()
@@ -131,16 +131,26 @@
         }
     }
 
-    /// Takes the store of cached prompts from the table in force, if there is one.
-    fn set_keep(&mut self, table: &RouteTable) {
-        let keeps = table
+    /// Takes the stores of cached prompts from the table in force.
+    fn set_keeps(&mut self, table: &RouteTable) {
+        let infos = table
             .services()
             .filter_map(|(_, service)| service.keep.as_ref());
-        let info = keeps.min_by_key(|info| (info.domain != self.config.domain, info.address));
-        let is_known = self.keep.as_ref().map(|keep| keep.address) == info.map(|info| info.address);
-        if !is_known {
-            self.keep = info.map(Keep::new);
-        }
+        let mut known = std::mem::take(&mut self.keeps);
+        let keeps = infos.map(|info| {
+            let place = known.iter().position(|keep| keep.address == info.address);
+            place.map_or_else(|| Keep::new(info), |place| known.swap_remove(place))
+        });
+        self.keeps = keeps.collect();
+    }
+
+    /// Returns the store in which a prompt's shared parts are kept: the same on every host.
+    fn keep_place(&self, now: Instant, prompt: &PromptNeed) -> Option<usize> {
+        let shared = prompt.chain.shared();
+        let keeps = self.keeps.iter().enumerate();
+        let keeps = keeps.filter(|(_, keep)| !keep.is_avoided(now));
+        let first = keeps.max_by_key(|(_, keep)| rendezvous_score(shared, keep.name_hash()));
+        first.map(|(place, _)| place)
     }
 
     /// Takes a change of the registry.
@@ -260,8 +270,8 @@
             return;
         };
         let took = now.saturating_duration_since(active.placed_at);
-        if active.fetched_from_keep
-            && let Some(keep) = &mut self.keep
+        if let Some(source) = active.fetch_from
+            && let Some(keep) = self.keeps.iter_mut().find(|keep| keep.address == source)
         {
             keep.observe(now, took, active.estimate);
         }
@@ -481,14 +491,12 @@
             state.fit_caches(now);
             state.shadow.insert(now, &prompt.chain);
         }
-        let keep_address = self.keep.as_ref().map(|keep| keep.address);
         let active = Active {
             key: offer.key,
             unread: prompt.map(|prompt| prompt.chain.clone()),
             placed_at: now,
             estimate: offer.estimate,
-            fetched_from_keep: offer.fetch_from.is_some()
-                && offer.fetch_from.map(|(from, _)| from) == keep_address,
+            fetch_from: offer.fetch_from.map(|(from, _)| from),
         };
         self.active.insert(need.ticket, active);
         let save_to = prompt.and_then(|prompt| self.save_to(now, prompt, offer));
@@ -508,7 +516,8 @@
 
     /// Returns the store for shared parts that the runner will read and the store does not hold.
     fn save_to(&mut self, now: Instant, prompt: &PromptNeed, offer: &Offer) -> Option<SocketAddr> {
-        let keep = self.keep.as_mut().filter(|keep| !keep.is_avoided(now))?;
+        let place = self.keep_place(now, prompt)?;
+        let keep = &mut self.keeps[place];
         let weights = self.servers[offer.key].weights();
         let shared = prompt.shared_levels();
         let shared_tokens = shared.iter().map(|level| level.tokens).sum::<TokenCount>();
@@ -534,9 +543,11 @@
 
     /// Records a prompt of another host that a runner has read.
     pub fn on_peer_prompt(&mut self, now: Instant, news: &PromptNews) {
-        if let Some(keep) = &mut self.keep
-            && keep.name_hash() == news.server
-        {
+        let keep = self
+            .keeps
+            .iter_mut()
+            .find(|keep| keep.name_hash() == news.server);
+        if let Some(keep) = keep {
             keep.on_saved(now, news.levels.clone());
             return;
         }
--- a/crates/hickoryhall-gateway/src/scheduler/keep.rs
+++ b/crates/hickoryhall-gateway/src/scheduler/keep.rs
@@ -21,6 +21,7 @@
 pub(super) struct Keep {
     pub address: SocketAddr,
     pub domain: FailureDomainId,
+    name_hash: u64,
     held: ShadowCache,
     avoided_until: Option<Instant>,
 }
@@ -30,6 +31,7 @@
         Self {
             address: info.address,
             domain: info.domain.clone(),
+            name_hash: hash_name(&info.address.to_string()),
             held: ShadowCache::new(info.memory_tokens, LEVELS),
             avoided_until: None,
         }
@@ -37,7 +39,7 @@
 
     /// Returns the name of the store among hosts.
     pub fn name_hash(&self) -> u64 {
-        hash_name(&self.address.to_string())
+        self.name_hash
     }
 
     pub fn is_avoided(&self, now: Instant) -> bool {
--- a/crates/hickoryhall-gateway/src/scheduler/offer.rs
+++ b/crates/hickoryhall-gateway/src/scheduler/offer.rs
@@ -245,7 +245,7 @@
         engine: &EngineShape,
         to: &Holder,
     ) -> Option<Transfer> {
-        let keep = self.keep.as_ref().filter(|keep| !keep.is_avoided(now))?;
+        let keep = &self.keeps[self.keep_place(now, prompt)?];
         let state = &self.servers[to.key];
         let tokens = keep.held_tokens(prompt.shared_levels(), state.weights());
         let tokens = tokens.saturating_sub(to.cached_tokens);
@@ -269,7 +269,7 @@
         prompt: &PromptNeed,
         missing_tokens: TokenCount,
     ) -> Option<(SocketAddr, TokenCount)> {
-        let keep = self.keep.as_ref().filter(|keep| !keep.is_avoided(now))?;
+        let keep = &self.keeps[self.keep_place(now, prompt)?];
         let shared = prompt.shared_levels().iter().map(|level| level.tokens);
         let shared = shared.sum::<TokenCount>();
         let private = prompt.input_tokens.saturating_sub(shared);
