--- a/crates/hickoryhall-gateway/src/feeds.rs
+++ b/crates/hickoryhall-gateway/src/feeds.rs
@@ -154,7 +154,7 @@
     }
 
     fn registry_pause(&self) -> Duration {
-        let hosts = self.core.with(|core, now| core.hosts(now));
+        let hosts = self.core.with(crate::core::Core::hosts);
         let pause = REGISTRY_PAUSE_PER_HOST * u32::try_from(hosts).unwrap_or(u32::MAX);
         pause.clamp(*REGISTRY_PAUSE.start(), *REGISTRY_PAUSE.end())
     }
--- a/crates/hickoryhall-gateway/src/scheduler/config.rs
+++ b/crates/hickoryhall-gateway/src/scheduler/config.rs
@@ -100,7 +100,7 @@
             prompt_wait_part: 0.25,
             told_ttl: Duration::from_millis(150),
             memory_part: 0.95,
-            plain_fill: 1.0,
+            plain_fill: 2.0,
         }
     }
 }
