Split scheduler and orders; errors of runners reach the log; always wait for a handover

Cause of the last: a claim without an answer may be carried out after another holder's orders, and looked like an earlier process of this host.

--- a/crates/hickoryhall-control/tests/orders.rs
+++ b/crates/hickoryhall-control/tests/orders.rs
@@ -190,3 +190,54 @@
 fn without_any_runner_the_wanted_version_is_chosen() {
     assert_eq!(choose_version(&BTreeMap::new(), 4, 9), 4);
 }
+
+#[test]
+fn a_new_holder_waits_for_the_orders_of_the_one_before_it_and_its_own_successor_does_not() {
+    let now = Instant::now();
+    let runners = [runner(0, 1, false)];
+    for (handover, first_ms) in [(Duration::from_secs(3), 3_000), (Duration::ZERO, 0)] {
+        let config = OrderConfig {
+            lease_ttl: Duration::from_secs(60),
+            order_flight: Duration::from_millis(600),
+            handover,
+            ..OrderConfig::default()
+        };
+        let mut giver = OrderGiver::new(config);
+        giver.on_taken(now, 5);
+        let first = now + Duration::from_millis(first_ms);
+        if let Some(before) = first
+            .checked_sub(Duration::from_millis(1))
+            .filter(|_| first_ms > 0)
+        {
+            assert!(giver.plan(before, &wanted(2), &runners, || true).is_empty());
+        }
+        assert_eq!(giver.plan(first, &wanted(2), &runners, || true).len(), 1);
+    }
+}
+
+#[test]
+fn an_order_that_did_not_take_effect_may_be_given_again_at_once() {
+    let now = Instant::now();
+    let runners = [runner(0, 1, true)];
+    let mut giver = OrderGiver::new(OrderConfig::default());
+    giver.on_taken(now, 5);
+    assert_eq!(giver.plan(now, &wanted(2), &runners, || true).len(), 1);
+    assert!(giver.plan(now, &wanted(2), &runners, || true).is_empty());
+    giver.forget("r0");
+    assert_eq!(giver.plan(now, &wanted(2), &runners, || true).len(), 1);
+}
+
+#[test]
+fn the_number_of_loads_at_once_follows_its_setting() {
+    let now = Instant::now();
+    let runners = (0..20).map(|i| runner(i, 1, true)).collect::<Vec<_>>();
+    let mut giver = OrderGiver::new(OrderConfig::default());
+    giver.on_taken(now, 5);
+    giver.set_loads_at_once(7);
+    assert_eq!(giver.plan(now, &wanted(2), &runners, || true).len(), 7);
+    giver.set_loads_at_once(0);
+    assert!(
+        giver.plan(now, &wanted(2), &runners, || true).is_empty(),
+        "seven load already"
+    );
+}
--- a/crates/hickoryhall-gateway/src/exchange.rs
+++ b/crates/hickoryhall-gateway/src/exchange.rs
@@ -20,7 +20,7 @@
 use hickoryhall_types::Ran;
 use hyper::body::Incoming;
 use hyper::{Request, Response, StatusCode};
-use slog::{Logger, debug};
+use slog::{Logger, debug, info};
 use tokio::sync::oneshot;
 
 use crate::core::CoreHandle;
@@ -96,10 +96,14 @@
     /// Asks a runner for the version of its weights, as it refused a request for another one.
     fn refresh(&self, assignment: &Assignment) {
         let (platform, core) = (Rc::clone(&self.platform), self.core.clone());
-        let server = assignment.server.clone();
+        let (server, logger) = (assignment.server.clone(), self.logger.clone());
         tokio::task::spawn_local(async move {
-            let Some(report) = platform.report(&server).await else {
-                return;
+            let report = match platform.report(&server).await {
+                Ok(report) => report,
+                Err(error) => {
+                    info!(logger, "exchange: Runner does not report."; "server" => &*server.id, "error" => %error);
+                    return;
+                }
             };
             let hash = hickoryhall_types::hash_name(&server.id);
             let weights = report.models.iter().map(|(_, version)| *version).max();
--- a/crates/hickoryhall-gateway/src/interface.rs
+++ b/crates/hickoryhall-gateway/src/interface.rs
@@ -365,23 +365,36 @@
     Holds,
     /// Another order is being carried out, or was accepted since.
     Busy,
-    /// The runner refused it.
+}
+
+/// A runner could not be asked or ordered.
+#[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
+pub enum ControlError {
+    /// No answer came; an order may be carried out later.
+    #[error("no answer: {0}")]
+    NoAnswer(String),
+    /// The runner refused the call.
+    #[error("refused with {0}")]
     Refused(StatusCode),
-    /// No answer came; it may be carried out later.
-    Unknown,
+    /// The answer, or the call, is not what both agreed on.
+    #[error("unreadable: {0}")]
+    Unreadable(String),
 }
 
 /// How runners are asked and ordered.
 pub trait RunnerControl {
-    /// Reads the report of a runner; `None` where none came.
-    fn report(&self, server: &BackendServer) -> impl Future<Output = Option<RunnerReport>>;
+    /// Reads the report of a runner.
+    fn report(
+        &self,
+        server: &BackendServer,
+    ) -> impl Future<Output = Result<RunnerReport, ControlError>>;
 
     /// Gives an order.
     fn order(
         &self,
         server: &BackendServer,
         order: &WeightsOrder,
-    ) -> impl Future<Output = OrderOutcome>;
+    ) -> impl Future<Output = Result<OrderOutcome, ControlError>>;
 }
 
 /// Everything that a gateway needs from a platform.
--- /dev/null
+++ b/crates/hickoryhall-gateway/src/orders/changes.rs
@@ -0,0 +1,339 @@
+//! Brings runners to new weights: empties them, gives the order, follows it to its end.
+
+use std::cell::RefCell;
+use std::collections::HashMap;
+use std::time::{Duration, Instant};
+
+use futures_util::future::join_all;
+use hickoryhall_control::{OrderGiver, PlannedOrder, RunnerStatus, WantedWeights};
+use hickoryhall_types::{FencingNumber, TargetId, WeightsVersion, hash_name};
+use slog::{info, warn};
+use tokio::time::{sleep, timeout};
+
+use super::{CALL_WAIT, OrderDuty, REPEAT_AFTER};
+use crate::interface::{
+    ControlError, OrderOutcome, Platform, RunnerReport, SwitchMode, WeightsOrder,
+};
+use crate::registry::{BackendServer, ServerId};
+use crate::scheduler::RunnerView;
+
+/// Time between two looks at what there is to order.
+const ROUND: Duration = Duration::from_millis(60);
+/// Time between two reports of a runner that changes its weights.
+const REPORT_INTERVAL: Duration = Duration::from_millis(100);
+/// Time for an order to be answered, which a runner does at once.
+const ORDER_WAIT: Duration = Duration::from_millis(300);
+/// Time in which the other hosts hear that a runner is about to change its weights, and this one
+/// what they have there.
+const NEWS_TRAVEL: Duration = Duration::from_millis(130);
+/// Longest time for which a runner is emptied before its order: that of the longest answers that
+/// cannot go on elsewhere.
+const EMPTYING_LIMIT: Duration = Duration::from_millis(1_300);
+/// Time from an order to the first report, a little less than loading takes.
+const FIRST_REPORT: Duration = Duration::from_millis(450);
+/// Part of the retries that must be left for streams to be moved rather than waited for.
+const TRUNCATE_BUDGET: f64 = 0.25;
+/// Part of the runners that change their weights at the same time: more than load at full speed, as
+/// part of the time goes into emptying them.
+const PART_AT_ONCE: f64 = 0.45;
+/// The same while the runners are busy: as many as load at full speed.
+const PART_AT_ONCE_BUSY: f64 = 0.22;
+/// Mean work ahead at the runners from which they count as busy, in milliseconds.
+const BUSY_MS: f64 = 60.0;
+
+impl<P: Platform> OrderDuty<P> {
+    pub(super) async fn give_orders(&self, giver: &RefCell<OrderGiver>) {
+        let mut changes = HashMap::<ServerId, Change>::new();
+        loop {
+            sleep(ROUND).await;
+            let wanted = self.wanted();
+            let runners = self.core.with(|core, now| core.runners(now));
+            // All at once, since each step may wait for its runner.
+            let steps = runners.iter().filter_map(|runner| {
+                let change = changes.remove(&runner.server.id)?;
+                Some(async move { (runner, self.advance(runner, change, giver).await) })
+            });
+            let steps = steps.collect::<Vec<_>>();
+            changes.clear();
+            for (runner, change) in join_all(steps).await {
+                if let Some(change) = change {
+                    changes.insert(runner.server.id.clone(), change);
+                }
+            }
+
+            let runners = self.core.with(|core, now| core.runners(now));
+            giver
+                .borrow_mut()
+                .set_loads_at_once(loads_at_once(&runners));
+            let planned = giver.borrow_mut().plan(
+                self.clock.now(),
+                &wanted,
+                &statuses(&runners, &wanted),
+                || true,
+            );
+            for order in planned {
+                let runner = runners
+                    .iter()
+                    .find(|runner| runner.server.id == order.runner);
+                if let Some(change) = runner.and_then(|runner| self.prepare(runner, &order)) {
+                    changes.insert(order.runner, change);
+                }
+            }
+        }
+    }
+
+    fn wanted(&self) -> WantedWeights {
+        let wanted = self.core.with(|core, _| core.wanted());
+        wanted.into_iter().collect()
+    }
+
+    /// Stops new work at a runner that is about to change its weights.
+    fn prepare(&self, runner: &RunnerView, order: &PlannedOrder) -> Option<Change> {
+        let (model, _) = runner.server.models.first()?;
+        self.note(runner, runner.weights, true);
+        Some(Change {
+            model: model.clone(),
+            version: order.weights,
+            fencing: order.fencing,
+            since: Instant::now(),
+            stage: Stage::Emptying,
+        })
+    }
+
+    /// Takes the next step of a change; `None` where it is over.
+    async fn advance(
+        &self,
+        runner: &RunnerView,
+        change: Change,
+        giver: &RefCell<OrderGiver>,
+    ) -> Option<Change> {
+        match change.stage {
+            Stage::Emptying if !change.is_emptied(runner) => Some(change),
+            Stage::Emptying => self.give(runner, change, giver).await,
+            Stage::Ordered { next_report, .. } if Instant::now() < next_report => Some(change),
+            Stage::Ordered { is_accepted, .. } => {
+                self.follow(runner, change, is_accepted, giver).await
+            }
+        }
+    }
+
+    /// Gives an order, where the runner does not have the weights already.
+    async fn give(
+        &self,
+        runner: &RunnerView,
+        change: Change,
+        giver: &RefCell<OrderGiver>,
+    ) -> Option<Change> {
+        let server = &runner.server;
+        let Some(report) = self.report(server).await else {
+            self.note(runner, runner.weights, false);
+            giver.borrow_mut().forget(&server.id);
+            return None;
+        };
+        let weights = report.weights(&change.model);
+        if weights >= change.version {
+            self.note(runner, weights, false);
+            return None;
+        }
+        // The report took time in which the lease may have ended.
+        let lease = giver.borrow().lease(self.clock.now() + CALL_WAIT);
+        let lease = lease.filter(|lease| lease.fencing == change.fencing);
+        if lease.is_none() {
+            self.note(runner, weights, false);
+            return None;
+        }
+        let mode = self.mode(runner);
+        let order = WeightsOrder {
+            model: change.model.clone(),
+            version: change.version,
+            mode,
+            holder: self.settings.host.clone(),
+            fencing: change.fencing,
+            expected_orders: report.orders_accepted,
+        };
+        let outcome = self.order(server, &order).await;
+        info!(
+            self.logger, "orders: Order given.";
+            "server" => &*server.id, "model" => &*order.model, "weights" => order.version,
+            "before" => weights, "mode" => ?mode, "fencing" => order.fencing,
+            "expected" => order.expected_orders, "outcome" => ?outcome,
+            "emptied_ms" => change.since.elapsed().as_millis(),
+            "requests" => runner.load.requests, "bound" => runner.load.bound
+        );
+        let is_accepted = outcome.is_ok();
+        let wait = if is_accepted {
+            FIRST_REPORT
+        } else {
+            REPORT_INTERVAL
+        };
+        Some(Change {
+            stage: Stage::Ordered {
+                next_report: Instant::now() + wait,
+                is_accepted,
+            },
+            ..change
+        })
+    }
+
+    /// Chooses what becomes of the requests that run: streams go on at other runners where the
+    /// retry budget allows that, and nothing runs that could not.
+    fn mode(&self, runner: &RunnerView) -> SwitchMode {
+        let service = &runner.server.service;
+        let left = self.core.with(|core, now| core.retries_left(now, service));
+        if runner.load.bound == 0 && left >= TRUNCATE_BUDGET {
+            SwitchMode::Truncate
+        } else {
+            SwitchMode::Wait
+        }
+    }
+
+    /// Reads the report of a runner that was given an order.
+    async fn follow(
+        &self,
+        runner: &RunnerView,
+        change: Change,
+        is_accepted: bool,
+        giver: &RefCell<OrderGiver>,
+    ) -> Option<Change> {
+        let report = self.report(&runner.server).await;
+        let weights = report
+            .as_ref()
+            .map_or(runner.weights, |report| report.weights(&change.model));
+        let is_busy = report.is_none_or(|report| report.is_busy);
+        let is_done = weights >= change.version && !is_busy;
+        let is_overdue = change.since.elapsed() >= REPEAT_AFTER;
+        if !is_done && !is_overdue {
+            // An order without an answer that was not taken in is given again: the number of orders
+            // in it keeps the first one from taking effect later.
+            let stage = if is_accepted || is_busy {
+                Stage::Ordered {
+                    next_report: Instant::now() + REPORT_INTERVAL,
+                    is_accepted,
+                }
+            } else {
+                Stage::Emptying
+            };
+            return Some(Change { stage, ..change });
+        }
+        info!(
+            self.logger, "orders: Runner followed to the end.";
+            "server" => &*runner.server.id, "weights" => weights, "wanted" => change.version,
+            "busy" => is_busy, "took_ms" => change.since.elapsed().as_millis()
+        );
+        self.note(runner, weights, false);
+        if !is_done {
+            giver.borrow_mut().forget(&runner.server.id);
+        }
+        None
+    }
+
+    async fn report(&self, server: &BackendServer) -> Option<RunnerReport> {
+        let report = timeout(CALL_WAIT, self.platform.report(server)).await;
+        match report.unwrap_or_else(|_| Err(no_answer(CALL_WAIT))) {
+            Ok(report) => Some(report),
+            Err(error) => {
+                warn!(self.logger, "orders: Runner does not report."; "server" => &*server.id, "error" => %error);
+                None
+            }
+        }
+    }
+
+    async fn order(
+        &self,
+        server: &BackendServer,
+        order: &WeightsOrder,
+    ) -> Result<OrderOutcome, ControlError> {
+        let outcome = timeout(ORDER_WAIT, self.platform.order(server, order)).await;
+        outcome.unwrap_or_else(|_| Err(no_answer(ORDER_WAIT)))
+    }
+
+    /// Tells this host and the others about a runner.
+    fn note(&self, runner: &RunnerView, weights: WeightsVersion, is_changing: bool) {
+        let hash = hash_name(&runner.server.id);
+        self.core
+            .with(|core, now| core.set_runner(now, hash, weights, is_changing));
+        self.peers.push();
+    }
+}
+
+/// A runner on its way to new weights.
+#[derive(Clone)]
+struct Change {
+    model: TargetId,
+    version: WeightsVersion,
+    fencing: FencingNumber,
+    since: Instant,
+    stage: Stage,
+}
+
+#[derive(Clone, Copy)]
+enum Stage {
+    /// It gets no new work, and what cannot go on elsewhere comes to its end.
+    Emptying,
+    /// It was given the order.
+    Ordered {
+        next_report: Instant,
+        /// Whether the runner said that it took the order.
+        is_accepted: bool,
+    },
+}
+
+impl Change {
+    fn is_emptied(&self, runner: &RunnerView) -> bool {
+        let age = self.since.elapsed();
+        let is_empty = runner.load.bound == 0 && age >= NEWS_TRAVEL;
+        is_empty || age >= EMPTYING_LIMIT
+    }
+}
+
+impl RunnerReport {
+    /// Returns the version of a model's weights, 0 where it has none.
+    #[must_use]
+    pub fn weights(&self, model: &str) -> WeightsVersion {
+        let model = self.models.iter().find(|(name, _)| name.as_ref() == model);
+        model.map_or(0, |(_, version)| *version)
+    }
+}
+
+/// Returns how many runners may change at the same time, by what the others have to do.
+fn loads_at_once(runners: &[RunnerView]) -> usize {
+    let up = runners.iter().filter(|runner| !runner.is_away);
+    let (count, pending_ms) = up.fold((0.0, 0.0), |(count, pending_ms), runner| {
+        (count + 1.0, pending_ms + f64::from(runner.load.pending_ms))
+    });
+    let part = if pending_ms > BUSY_MS * count {
+        PART_AT_ONCE_BUSY
+    } else {
+        PART_AT_ONCE
+    };
+    (count * part).round() as usize
+}
+
+/// Returns the runners in the order of their changes: those with the oldest weights first, and of
+/// these the ones with the fewest requests, so that streams of the others find runners that have
+/// changed already.
+fn statuses(runners: &[RunnerView], wanted: &WantedWeights) -> Vec<RunnerStatus> {
+    let mut runners = runners.iter().collect::<Vec<_>>();
+    runners.sort_by_key(|runner| {
+        let id = runner.server.id.clone();
+        (runner.weights, runner.load.requests, id)
+    });
+    let statuses = runners.into_iter().filter_map(|runner| {
+        let (model, _) = runner.server.models.first()?;
+        let is_newer = wanted
+            .get(model)
+            .is_some_and(|wanted| runner.weights > *wanted);
+        Some(RunnerStatus {
+            id: runner.server.id.clone(),
+            model: model.clone(),
+            weights: runner.weights,
+            checks_fencing: false,
+            up: !runner.server.is_leaving && !runner.is_away && !is_newer,
+        })
+    });
+    statuses.collect()
+}
+
+fn no_answer(wait: Duration) -> ControlError {
+    ControlError::NoAnswer(format!("none within {wait:?}"))
+}
--- a/crates/hickoryhall-gateway/src/scheduler.rs
+++ b/crates/hickoryhall-gateway/src/scheduler.rs
@@ -6,7 +6,9 @@
 
 mod config;
 mod keep;
+mod keeping;
 mod need;
+mod news;
 mod offer;
 mod server;
 mod wanted;
@@ -16,7 +18,7 @@
 use std::time::{Duration, Instant};
 
 use hickoryhall_routing::PrefixChain;
-use hickoryhall_types::{FailureDomainId, TargetId, TokenCount, WeightsVersion, rendezvous_score};
+use hickoryhall_types::{FailureDomainId, TargetId, WeightsVersion};
 use slotmap::{SlotMap, new_key_type};
 
 pub use config::SchedulerConfig;
@@ -29,7 +31,6 @@
 use server::{RequestLoad, ServerState};
 pub use wanted::WantedVersions;
 
-use crate::interface::Judged;
 use crate::peers::PromptNews;
 use crate::registry::{BackendServer, RegistryEvent, ServerId};
 use crate::table::{EngineShape, RouteTable};
@@ -131,28 +132,6 @@
         }
     }
 
-    /// Takes the stores of cached prompts from the table in force.
-    fn set_keeps(&mut self, table: &RouteTable) {
-        let infos = table
-            .services()
-            .filter_map(|(_, service)| service.keep.as_ref());
-        let mut known = std::mem::take(&mut self.keeps);
-        let keeps = infos.map(|info| {
-            let place = known.iter().position(|keep| keep.address == info.address);
-            place.map_or_else(|| Keep::new(info), |place| known.swap_remove(place))
-        });
-        self.keeps = keeps.collect();
-    }
-
-    /// Returns the store in which a prompt's shared parts are kept: the same on every host.
-    fn keep_place(&self, now: Instant, prompt: &PromptNeed) -> Option<usize> {
-        let shared = prompt.chain.shared();
-        let keeps = self.keeps.iter().enumerate();
-        let keeps = keeps.filter(|(_, keep)| !keep.is_avoided(now));
-        let first = keeps.max_by_key(|(_, keep)| rendezvous_score(shared, keep.name_hash()));
-        first.map(|(place, _)| place)
-    }
-
     /// Takes a change of the registry.
     pub fn on_registry(&mut self, event: RegistryEvent) {
         match event {
@@ -312,97 +291,6 @@
         }
     }
 
-    /// Takes what the head of an answer tells of its server.
-    pub fn observe(&mut self, now: Instant, id: &str, judged: &Judged) {
-        let Some(state) = self
-            .by_id
-            .get(id)
-            .and_then(|&key| self.servers.get_mut(key))
-        else {
-            return;
-        };
-        if let Some(load) = judged.load {
-            state.observe(now, load);
-        }
-        if let Some(weights) = judged.weights {
-            state.set_weights(weights);
-        }
-    }
-
-    /// Records that a server refuses work because it is leaving.
-    pub fn mark_leaving(&mut self, id: &str) {
-        if let Some(state) = self
-            .by_id
-            .get(id)
-            .and_then(|&key| self.servers.get_mut(key))
-        {
-            state.server.is_leaving = true;
-        }
-    }
-
-    /// Records the version that a runner reports, and whether it changes its weights now.
-    pub fn set_runner(
-        &mut self,
-        now: Instant,
-        hash: u64,
-        weights: WeightsVersion,
-        is_changing: bool,
-    ) {
-        let Some(state) = self
-            .by_hash
-            .get(&hash)
-            .and_then(|&key| self.servers.get_mut(key))
-        else {
-            return;
-        };
-        state.set_weights(weights);
-        if is_changing {
-            state.set_changing(now);
-        } else {
-            state.end_change();
-        }
-    }
-
-    /// Takes the load that another host has at a server.
-    pub fn set_peer_load(&mut self, now: Instant, host: HostHash, server: u64, load: HostLoad) {
-        if let Some(state) = self
-            .by_hash
-            .get(&server)
-            .and_then(|&key| self.servers.get_mut(key))
-        {
-            state.set_peer(now, host, load);
-        }
-    }
-
-    /// Forgets the load of another host where its news no longer name a server.
-    pub fn keep_peer_loads(&mut self, host: HostHash, named: &[u64]) {
-        for state in self.servers.values_mut() {
-            if !named.contains(&state.name_hash) {
-                state.clear_peer(host);
-            }
-        }
-    }
-
-    /// Returns this host's load at each server that has any, and the weights of each.
-    pub fn own_loads(&self) -> impl Iterator<Item = (u64, HostLoad, WeightsVersion)> {
-        self.servers
-            .values()
-            .map(|state| (state.name_hash, state.own_load(), state.weights()))
-    }
-
-    /// Returns the servers of model services with what all hosts have there.
-    #[must_use]
-    pub fn runners(&self, now: Instant) -> Vec<RunnerView> {
-        let runners = self.servers.values().filter(|state| state.engine.is_some());
-        let views = runners.map(|state| RunnerView {
-            server: state.server.clone(),
-            weights: state.weights(),
-            load: state.load(now),
-            is_away: state.ejection.is_ejected(now),
-        });
-        views.collect()
-    }
-
     fn waits_until(&self, need: &Need) -> Instant {
         let part = if need.prompt.is_some() {
             self.config.prompt_wait_part
@@ -513,53 +401,4 @@
             waited: now.saturating_duration_since(need.arrived),
         })
     }
-
-    /// Returns the store for shared parts that the runner will read and the store does not hold.
-    fn save_to(&mut self, now: Instant, prompt: &PromptNeed, offer: &Offer) -> Option<SocketAddr> {
-        let place = self.keep_place(now, prompt)?;
-        let keep = &mut self.keeps[place];
-        let weights = self.servers[offer.key].weights();
-        let shared = prompt.shared_levels();
-        let shared_tokens = shared.iter().map(|level| level.tokens).sum::<TokenCount>();
-        let private_tokens = prompt.input_tokens.saturating_sub(shared_tokens);
-        let reads_shared = offer.missing_tokens > private_tokens;
-        let is_known = keep.held_tokens(shared, weights) == shared_tokens;
-        if !reads_shared || is_known || shared_tokens < self.config.save_tokens {
-            return None;
-        }
-        // The runner saves the whole prompt, which takes room in the store.
-        self.prompts.push(PromptNews {
-            server: keep.name_hash(),
-            weights,
-            levels: keep.save(now, prompt.chain.levels(), weights),
-        });
-        Some(keep.address)
-    }
-
-    /// Returns the prompts that runners have read since the last call.
-    pub fn take_prompts(&mut self) -> Vec<PromptNews> {
-        std::mem::take(&mut self.prompts)
-    }
-
-    /// Records a prompt of another host that a runner has read.
-    pub fn on_peer_prompt(&mut self, now: Instant, news: &PromptNews) {
-        let keep = self
-            .keeps
-            .iter_mut()
-            .find(|keep| keep.name_hash() == news.server);
-        if let Some(keep) = keep {
-            keep.on_saved(now, news.levels.clone());
-            return;
-        }
-        let key = self.by_hash.get(&news.server);
-        let Some(state) = key.and_then(|&key| self.servers.get_mut(key)) else {
-            return;
-        };
-        if state.weights() == news.weights {
-            let chain = PrefixChain::from_levels(news.levels.clone());
-            state.fit_caches(now);
-            state.shadow.insert(now, &chain);
-            state.held.insert(now, &chain);
-        }
-    }
 }
--- /dev/null
+++ b/crates/hickoryhall-gateway/src/scheduler/news.rs
@@ -0,0 +1,130 @@
+//! What the scheduler hears from servers and other hosts, and tells them.
+
+use std::time::Instant;
+
+use hickoryhall_routing::PrefixChain;
+use hickoryhall_types::WeightsVersion;
+
+use super::{HostHash, HostLoad, RunnerView, Scheduler};
+use crate::interface::Judged;
+use crate::peers::PromptNews;
+
+impl Scheduler {
+    /// Takes what the head of an answer tells of its server.
+    pub fn observe(&mut self, now: Instant, id: &str, judged: &Judged) {
+        let Some(state) = self
+            .by_id
+            .get(id)
+            .and_then(|&key| self.servers.get_mut(key))
+        else {
+            return;
+        };
+        if let Some(load) = judged.load {
+            state.observe(now, load);
+        }
+        if let Some(weights) = judged.weights {
+            state.set_weights(weights);
+        }
+    }
+
+    /// Records that a server refuses work because it is leaving.
+    pub fn mark_leaving(&mut self, id: &str) {
+        if let Some(state) = self
+            .by_id
+            .get(id)
+            .and_then(|&key| self.servers.get_mut(key))
+        {
+            state.server.is_leaving = true;
+        }
+    }
+
+    /// Records the version that a runner reports, and whether it changes its weights now.
+    pub fn set_runner(
+        &mut self,
+        now: Instant,
+        hash: u64,
+        weights: WeightsVersion,
+        is_changing: bool,
+    ) {
+        let Some(state) = self
+            .by_hash
+            .get(&hash)
+            .and_then(|&key| self.servers.get_mut(key))
+        else {
+            return;
+        };
+        state.set_weights(weights);
+        if is_changing {
+            state.set_changing(now);
+        } else {
+            state.end_change();
+        }
+    }
+
+    /// Takes the load that another host has at a server.
+    pub fn set_peer_load(&mut self, now: Instant, host: HostHash, server: u64, load: HostLoad) {
+        if let Some(state) = self
+            .by_hash
+            .get(&server)
+            .and_then(|&key| self.servers.get_mut(key))
+        {
+            state.set_peer(now, host, load);
+        }
+    }
+
+    /// Forgets the load of another host where its news no longer name a server.
+    pub fn keep_peer_loads(&mut self, host: HostHash, named: &[u64]) {
+        for state in self.servers.values_mut() {
+            if !named.contains(&state.name_hash) {
+                state.clear_peer(host);
+            }
+        }
+    }
+
+    /// Returns this host's load at each server that has any, and the weights of each.
+    pub fn own_loads(&self) -> impl Iterator<Item = (u64, HostLoad, WeightsVersion)> {
+        self.servers
+            .values()
+            .map(|state| (state.name_hash, state.own_load(), state.weights()))
+    }
+
+    /// Returns the servers of model services with what all hosts have there.
+    #[must_use]
+    pub fn runners(&self, now: Instant) -> Vec<RunnerView> {
+        let runners = self.servers.values().filter(|state| state.engine.is_some());
+        let views = runners.map(|state| RunnerView {
+            server: state.server.clone(),
+            weights: state.weights(),
+            load: state.load(now),
+            is_away: state.ejection.is_ejected(now),
+        });
+        views.collect()
+    }
+
+    /// Returns the prompts that runners have read since the last call.
+    pub fn take_prompts(&mut self) -> Vec<PromptNews> {
+        std::mem::take(&mut self.prompts)
+    }
+
+    /// Records a prompt of another host that a runner has read.
+    pub fn on_peer_prompt(&mut self, now: Instant, news: &PromptNews) {
+        let keep = self
+            .keeps
+            .iter_mut()
+            .find(|keep| keep.name_hash() == news.server);
+        if let Some(keep) = keep {
+            keep.on_saved(now, news.levels.clone());
+            return;
+        }
+        let key = self.by_hash.get(&news.server);
+        let Some(state) = key.and_then(|&key| self.servers.get_mut(key)) else {
+            return;
+        };
+        if state.weights() == news.weights {
+            let chain = PrefixChain::from_levels(news.levels.clone());
+            state.fit_caches(now);
+            state.shadow.insert(now, &chain);
+            state.held.insert(now, &chain);
+        }
+    }
+}
--- a/crates/hickoryhall-gateway/tests/messages.rs
+++ b/crates/hickoryhall-gateway/tests/messages.rs
@@ -78,8 +78,8 @@
         }],
     };
     let snapshot = Snapshot {
-        operator: records(4, "op/config"),
-        registry: records(9, "servers/a"),
+        operator: records(4, "table"),
+        registry: records(9, "registry/a"),
     };
     let read = Snapshot::decode(snapshot.encode()).expect("own bytes");
     assert_eq!(read, snapshot);
