--- a/crates/hickoryhall-gateway/src/exchange.rs
+++ b/crates/hickoryhall-gateway/src/exchange.rs
@@ -14,7 +14,6 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
-use bytes::Bytes;
 use hickoryhall_edge::{AnswerBody, Handler, Pool};
 use hickoryhall_routing::Verdict;
 use hickoryhall_types::Ran;
@@ -26,9 +25,9 @@
 use crate::core::CoreHandle;
 use crate::interface::{OwnFailure, Platform};
 use crate::registry::ServerId;
-use crate::scheduler::{Assignment, AttemptEnd, Denied, Need, Ticket};
+use crate::scheduler::{Assignment, Denied, Need, Ticket};
 
-use attempt::{Attempted, SavedAnswer, TicketGuard};
+use attempt::{Attempted, SavedAnswer, TicketGuard, Unanswered};
 use intake::{Job, Rejected};
 use record::Record;
 
@@ -207,25 +206,21 @@
                 Ok(placed) => placed,
                 Err(denied) => return self.denied(denied),
             };
-            let attempted = self.attempt(&assignment, ticket, None).await;
-            match attempted {
+            let unanswered = match self.attempt(&assignment, ticket, None).await {
                 Attempted::Answer(answer) => return self.answer(answer),
+                Attempted::Without(unanswered) => unanswered,
                 Attempted::Stream(stream) => match self.start_stream(stream).await {
                     Ok(response) => return response,
-                    Err((exchange, attempted)) => {
+                    Err((exchange, unanswered)) => {
                         self = *exchange;
-                        match self.after(&assignment, attempted) {
-                            Next::Again => {}
-                            Next::End(failure) => return self.fail(failure),
-                            Next::Pass(answer) => return self.answer(answer),
-                        }
+                        unanswered
                     }
                 },
-                other => match self.after(&assignment, other) {
-                    Next::Again => {}
-                    Next::End(failure) => return self.fail(failure),
-                    Next::Pass(answer) => return self.answer(answer),
-                },
+            };
+            match self.after(&assignment, unanswered) {
+                Next::Again => {}
+                Next::End(failure) => return self.fail(failure),
+                Next::Pass(answer) => return self.answer(answer),
             }
         }
     }
@@ -269,30 +264,30 @@
         Ok((assignment, guard))
     }
 
-    /// Decides what follows an attempt that gave no answer.
-    fn after(&mut self, assignment: &Assignment, attempted: Attempted) -> Next {
+    /// Decides what follows an attempt without a success.
+    fn after(&mut self, assignment: &Assignment, unanswered: Unanswered) -> Next {
         let server = assignment.server.id.clone();
         debug!(
             self.gateway.logger, "exchange: Attempt without an answer.";
-            "request" => &*self.job.ask.request_id, "server" => &*server, "outcome" => attempted.name()
+            "request" => &*self.job.ask.request_id, "server" => &*server, "outcome" => unanswered.name()
         );
-        self.record.attempted(&server, attempted.name());
+        self.record.attempted(&server, unanswered.name());
         self.excluded.push(server);
-        match attempted {
-            Attempted::Unsent => {
+        match unanswered {
+            Unanswered::Unsent => {
                 self.unsent += 1;
                 if self.unsent < UNSENT_TRIES && self.has_time() {
                     return Next::Again;
                 }
                 self.end_unanswered("unreachable")
             }
-            Attempted::NotRun => {
+            Unanswered::NotRun => {
                 if self.has_time() && self.take_retry() {
                     return Next::Again;
                 }
                 self.end_unanswered("refused_by_server")
             }
-            Attempted::Failed(answer) => {
+            Unanswered::Failed(answer) => {
                 self.runs += 1;
                 if self.may_run_again() {
                     self.failed = Some(answer);
@@ -300,23 +295,18 @@
                 }
                 Next::Pass(answer)
             }
-            Attempted::Broken => {
-                self.runs += 1;
-                if self.may_run_again() {
-                    return Next::Again;
-                }
-                self.end_unanswered("broken_off")
-            }
-            Attempted::TimedOut => {
-                self.runs += 1;
-                if self.may_run_again() {
-                    return Next::Again;
-                }
-                self.end_unanswered("timed_out")
-            }
-            Attempted::Answer(answer) => Next::Pass(answer),
-            Attempted::Stream(_) => self.end_unanswered("stream_not_started"),
+            Unanswered::Broken => self.after_unknown("broken_off"),
+            Unanswered::TimedOut => self.after_unknown("timed_out"),
+        }
+    }
+
+    /// Decides what follows an attempt that may have run.
+    fn after_unknown(&mut self, reason: &'static str) -> Next {
+        self.runs += 1;
+        if self.may_run_again() {
+            return Next::Again;
         }
+        self.end_unanswered(reason)
     }
 
     fn has_time(&self) -> bool {
@@ -408,16 +398,3 @@
         response
     }
 }
-
-/// Ends an attempt whose server broke off.
-fn end_of(attempted: &Attempted) -> AttemptEnd {
-    match attempted {
-        Attempted::Answer(_) | Attempted::Stream(_) | Attempted::Failed(_) => AttemptEnd::Answered,
-        Attempted::NotRun => AttemptEnd::Released,
-        Attempted::Unsent | Attempted::TimedOut => AttemptEnd::Unreachable,
-        Attempted::Broken => AttemptEnd::Failed,
-    }
-}
-
-/// Body of an attempt; cheap to send again.
-type RequestBody = Bytes;
--- a/crates/hickoryhall-gateway/src/exchange/attempt.rs
+++ b/crates/hickoryhall-gateway/src/exchange/attempt.rs
@@ -13,7 +13,7 @@
 use slog::debug;
 use tokio::time::{Instant as TokioInstant, timeout_at};
 
-use super::{Exchange, RequestBody, end_of};
+use super::Exchange;
 use crate::core::CoreHandle;
 use crate::interface::{AttemptPlan, Judged, Meaning, Platform};
 use crate::registry::BackendServer;
@@ -92,6 +92,12 @@
     Answer(SavedAnswer),
     /// The head of a stream.
     Stream(Box<OpenStream>),
+    /// No success.
+    Without(Unanswered),
+}
+
+/// How an attempt ended without a success.
+pub(super) enum Unanswered {
     /// The server ran the request and failed.
     Failed(SavedAnswer),
     /// The server says that it did not run the request.
@@ -104,11 +110,9 @@
     TimedOut,
 }
 
-impl Attempted {
+impl Unanswered {
     pub fn name(&self) -> &'static str {
         match self {
-            Self::Answer(_) => "answer",
-            Self::Stream(_) => "stream",
             Self::Failed(_) => "failed",
             Self::NotRun => "not_run",
             Self::Unsent => "unsent",
@@ -116,6 +120,16 @@
             Self::TimedOut => "timed_out",
         }
     }
+
+    /// Returns what the scheduler should know of it.
+    pub fn end(&self) -> AttemptEnd {
+        match self {
+            Self::Failed(_) => AttemptEnd::Answered,
+            Self::NotRun => AttemptEnd::Released,
+            Self::Unsent | Self::TimedOut => AttemptEnd::Unreachable,
+            Self::Broken => AttemptEnd::Failed,
+        }
+    }
 }
 
 /// The head of an answer with its connection.
@@ -136,10 +150,10 @@
         let address = assignment.server.address;
         let answered = match self.send(assignment, resume_after, until).await {
             Ok(answered) => answered,
-            Err(attempted) => {
-                self.note_failure(&attempted, address);
-                ticket.end(end_of(&attempted));
-                return attempted;
+            Err(unanswered) => {
+                self.note_failure(&unanswered, address);
+                ticket.end(unanswered.end());
+                return Attempted::Without(unanswered);
             }
         };
         let (head, body) = answered.response.into_parts();
@@ -159,7 +173,7 @@
                 first_event_by: until,
             }));
         }
-        let attempted = match judged.meaning {
+        let outcome = match judged.meaning {
             Meaning::Success | Meaning::Failure => {
                 self.whole(head, body, answered.connection, &judged, until)
                     .await
@@ -170,13 +184,21 @@
                 }
                 self.keep_after_refusal(body, answered.connection, &judged)
                     .await;
-                Attempted::NotRun
+                Err(Unanswered::NotRun)
             }
-            Meaning::Foreign => Attempted::Broken,
+            Meaning::Foreign => Err(Unanswered::Broken),
         };
-        self.note_failure(&attempted, address);
-        ticket.end(end_of(&attempted));
-        attempted
+        match outcome {
+            Ok(answer) => {
+                ticket.end(AttemptEnd::Answered);
+                Attempted::Answer(answer)
+            }
+            Err(unanswered) => {
+                self.note_failure(&unanswered, address);
+                ticket.end(unanswered.end());
+                Attempted::Without(unanswered)
+            }
+        }
     }
 
     fn attempt_until(&self, assignment: &Assignment) -> Instant {
@@ -200,12 +222,12 @@
         assignment: &Assignment,
         resume_after: Option<&str>,
         until: Instant,
-    ) -> Result<Answered, Attempted> {
+    ) -> Result<Answered, Unanswered> {
         let server = &assignment.server;
         let pool = &self.gateway.pool;
         let mut connection = pool.connection(server.address).await.map_err(|error| {
             debug!(self.gateway.logger, "exchange: Server not reached."; "server" => &*server.id, "error" => %error);
-            Attempted::Unsent
+            Unanswered::Unsent
         })?;
         let request = self.request(assignment, resume_after);
         let deadline = TokioInstant::from_std(until);
@@ -217,24 +239,24 @@
                 connection = pool
                     .connect(server.address)
                     .await
-                    .map_err(|_| Attempted::Unsent)?;
+                    .map_err(|_| Unanswered::Unsent)?;
                 let request = self.request(assignment, resume_after);
                 match timeout_at(deadline, connection.send(request)).await {
                     Ok(Ok(response)) => response,
-                    Ok(Err(error)) if error.is_unsent => return Err(Attempted::Unsent),
-                    Ok(Err(_)) => return Err(Attempted::Broken),
-                    Err(_) => return Err(Attempted::TimedOut),
+                    Ok(Err(error)) if error.is_unsent => return Err(Unanswered::Unsent),
+                    Ok(Err(_)) => return Err(Unanswered::Broken),
+                    Err(_) => return Err(Unanswered::TimedOut),
                 }
             }
             Ok(Err(error)) => {
                 debug!(self.gateway.logger, "exchange: Attempt broke off."; "server" => &*server.id, "error" => %error);
                 return Err(if error.is_unsent {
-                    Attempted::Unsent
+                    Unanswered::Unsent
                 } else {
-                    Attempted::Broken
+                    Unanswered::Broken
                 });
             }
-            Err(_) => return Err(Attempted::TimedOut),
+            Err(_) => return Err(Unanswered::TimedOut),
         };
         Ok(Answered {
             response,
@@ -242,11 +264,7 @@
         })
     }
 
-    fn request(
-        &self,
-        assignment: &Assignment,
-        resume_after: Option<&str>,
-    ) -> Request<Full<RequestBody>> {
+    fn request(&self, assignment: &Assignment, resume_after: Option<&str>) -> Request<Full<Bytes>> {
         let job = &self.job;
         let weights = assignment.weights;
         let salt = job
@@ -274,7 +292,7 @@
         connection: Connection,
         judged: &Judged,
         until: Instant,
-    ) -> Attempted {
+    ) -> Result<SavedAnswer, Unanswered> {
         match timeout_at(TokioInstant::from_std(until), body.collect()).await {
             Ok(Ok(body)) => {
                 self.keep(connection, judged);
@@ -285,16 +303,16 @@
                     is_success: judged.meaning == Meaning::Success,
                 };
                 if answer.is_success {
-                    Attempted::Answer(answer)
+                    Ok(answer)
                 } else {
-                    Attempted::Failed(answer)
+                    Err(Unanswered::Failed(answer))
                 }
             }
             Ok(Err(error)) => {
                 debug!(self.gateway.logger, "exchange: Answer broke off."; "peer" => %connection.address(), "error" => %error);
-                Attempted::Broken
+                Err(Unanswered::Broken)
             }
-            Err(_) => Attempted::TimedOut,
+            Err(_) => Err(Unanswered::TimedOut),
         }
     }
 
@@ -313,9 +331,9 @@
     }
 
     /// Records that a server broke off a request, which may be the cause.
-    pub(super) fn note_failure(&self, attempted: &Attempted, address: SocketAddr) {
-        match attempted {
-            Attempted::Broken => {
+    pub(super) fn note_failure(&self, unanswered: &Unanswered, address: SocketAddr) {
+        match unanswered {
+            Unanswered::Broken => {
                 let fingerprint = self.job.fingerprint;
                 let deaths = self
                     .gateway
@@ -328,7 +346,7 @@
                 );
                 self.gateway.pool.forget(address);
             }
-            Attempted::Unsent | Attempted::TimedOut => self.gateway.pool.forget(address),
+            Unanswered::Unsent | Unanswered::TimedOut => self.gateway.pool.forget(address),
             _ => {}
         }
     }
--- a/crates/hickoryhall-gateway/src/exchange/relay.rs
+++ b/crates/hickoryhall-gateway/src/exchange/relay.rs
@@ -10,8 +10,8 @@
 use tokio::task::spawn_local;
 use tokio::time::timeout;
 
-use super::attempt::{Attempted, OpenStream};
-use super::{Exchange, end_of};
+use super::Exchange;
+use super::attempt::{Attempted, OpenStream, Unanswered};
 use crate::events::EventFramer;
 use crate::interface::Platform;
 use crate::scheduler::AttemptEnd;
@@ -19,6 +19,8 @@
 /// Silence after which a resumable stream goes on at another runner: well past the longest step
 /// of a busy runner, and under the time after which callers leave.
 const RESUME_SILENCE: Duration = Duration::from_millis(1_200);
+/// Reason of a stream that fell silent.
+const SILENT: &str = "silent";
 /// Runners that are tried to resume one break.
 const RESUME_TRIES: u32 = 3;
 
@@ -42,7 +44,7 @@
     async fn next(&mut self, limit: Duration) -> Step {
         match timeout(limit, self.read()).await {
             Ok(step) => step,
-            Err(_) => Step::Broken("silent"),
+            Err(_) => Step::Broken(SILENT),
         }
     }
 
@@ -76,11 +78,11 @@
     ///
     /// # Errors
     ///
-    /// Returns the exchange and the outcome of the attempt where no event came.
+    /// Returns the exchange and how the attempt ended where no event came.
     pub(super) async fn start_stream(
         self,
         open: Box<OpenStream>,
-    ) -> Result<Response<AnswerBody>, (Box<Self>, Attempted)> {
+    ) -> Result<Response<AnswerBody>, (Box<Self>, Unanswered)> {
         let limit = open
             .first_event_by
             .saturating_duration_since(Instant::now());
@@ -91,14 +93,14 @@
         };
         let first = match upstream.next(limit).await {
             Step::Broken(reason) => {
-                let attempted = if reason == "silent" {
-                    Attempted::TimedOut
+                let unanswered = if reason == SILENT {
+                    Unanswered::TimedOut
                 } else {
-                    Attempted::Broken
+                    Unanswered::Broken
                 };
-                self.note_failure(&attempted, upstream.open.server.address);
-                upstream.open.ticket.end(end_of(&attempted));
-                return Err((Box::new(self), attempted));
+                self.note_failure(&unanswered, upstream.open.server.address);
+                upstream.open.ticket.end(unanswered.end());
+                return Err((Box::new(self), unanswered));
             }
             step => step,
         };
@@ -228,7 +230,7 @@
                     self.upstream = Upstream { open, framer };
                     return true;
                 }
-                Attempted::Unsent | Attempted::NotRun => {
+                Attempted::Without(Unanswered::Unsent | Unanswered::NotRun) => {
                     // Nothing ran there, so that one does not count.
                     self.exchange.runs -= 1;
                     self.exchange.excluded.push(assignment.server.id.clone());
--- a/crates/hickoryhall-gateway/src/host.rs
+++ b/crates/hickoryhall-gateway/src/host.rs
@@ -41,8 +41,6 @@
 const SWEEP: Duration = Duration::from_millis(500);
 /// Shortest lease of the order-giver: it must outlive a few lost renewals.
 const ORDER_LEASE: Duration = Duration::from_millis(1_800);
-/// Time by which old weights take no more requests, before their bound.
-const OLD_WEIGHTS_MARGIN: Duration = Duration::from_millis(600);
 
 /// A host that could not start.
 #[derive(Debug, thiserror::Error)]
@@ -232,7 +230,7 @@
 fn core_config(settings: &Settings) -> CoreConfig {
     let me = hash_name(&settings.host);
     let mut scheduler = SchedulerConfig::new(me, settings.failure_domain.as_str().into());
-    scheduler.old_weights_limit = settings.bounds.weights().saturating_sub(OLD_WEIGHTS_MARGIN);
+    scheduler.old_weights_limit = settings.bounds.old_weights_limit();
     CoreConfig {
         me,
 
--- a/crates/hickoryhall-gateway/src/settings.rs
+++ b/crates/hickoryhall-gateway/src/settings.rs
@@ -8,6 +8,10 @@
 use hickoryhall_telemetry::LogFormat;
 use serde::Deserialize;
 
+/// Part of the time for new weights in which old ones take requests; the rest covers the wait at a
+/// busy runner, which a large fleet's estimates miss by a second.
+const OLD_WEIGHTS_PART: f64 = 0.85;
+
 /// Settings that cannot be used.
 #[derive(Debug, thiserror::Error)]
 pub enum SettingsError {
@@ -117,6 +121,12 @@
         Duration::from_millis(self.lease_min_ms)
     }
 
+    /// Returns the time after which replaced weights take no more requests.
+    #[must_use]
+    pub fn old_weights_limit(&self) -> Duration {
+        self.weights().mul_f64(OLD_WEIGHTS_PART)
+    }
+
     /// Returns the time in which runners must have new weights.
     #[must_use]
     pub fn weights(&self) -> Duration {
--- /dev/null
+++ b/crates/hickoryhall-gateway/tests/settings.rs
@@ -0,0 +1,55 @@
+//! Settings: what is read, and what cannot be used.
+
+use std::path::PathBuf;
+use std::time::Duration;
+
+use hickoryhall_gateway::settings::Settings;
+use rstest::rstest;
+
+const GOOD: &str = r#"{"host":"h1","failure_domain":"a","ip":"127.0.0.1","callers":"127.0.0.1:1",
+    "readiness":"127.0.0.1:2","peer_port":3,"store":"127.0.0.1:4","seeds":["127.0.0.5:3"],"later":1,
+    "bounds":{"grace_s":8,"retry_ratio":0.2,"retry_extra":54,"retry_window_s":10,"lease_ms":3000,
+    "lease_min_ms":1000,"weights_ms":10000}}"#;
+
+fn read(name: &str, text: &str) -> Result<Settings, String> {
+    let path = PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join(name);
+    std::fs::write(&path, text).expect("written");
+    Settings::read(&path).map_err(|error| error.to_string())
+}
+
+#[test]
+fn good_settings_are_read_and_unknown_fields_ignored() {
+    let settings = read("good.json", GOOD).expect("usable");
+    assert_eq!(settings.seed_ips().len(), 1);
+    assert_eq!(settings.metrics_port, None);
+    assert_eq!(settings.bounds.grace(), Duration::from_secs(8));
+}
+
+/// Grown Karoo, trouble-2 with seed 1,009,672,971,664: a request was sent 9.05 s after new weights
+/// were named, waited for a second at its runner and began past the bound of 10 s.
+#[test]
+fn old_weights_stop_well_before_their_bound() {
+    let settings = read("weights.json", GOOD).expect("usable");
+    let limit = settings.bounds.old_weights_limit();
+    assert!(limit + Duration::from_millis(1_050) <= settings.bounds.weights());
+}
+
+#[rstest]
+#[case::empty_host(r#""host":"h1""#, r#""host":"""#, "host")]
+#[case::empty_domain(r#""failure_domain":"a""#, r#""failure_domain":"""#, "failure_domain")]
+#[case::no_grace(r#""grace_s":8"#, r#""grace_s":0"#, "bounds.grace_s")]
+#[case::negative_ratio(r#""retry_ratio":0.2"#, r#""retry_ratio":-1"#, "bounds.retry_ratio")]
+#[case::no_window(
+    r#""retry_window_s":10"#,
+    r#""retry_window_s":0"#,
+    "bounds.retry_window_s"
+)]
+#[case::no_lease(r#""lease_ms":3000"#, r#""lease_ms":0"#, "bounds.lease_ms")]
+#[case::bad_address(r#""callers":"127.0.0.1:1""#, r#""callers":"here""#, "line 1")]
+fn unusable_settings_name_their_field(#[case] good: &str, #[case] bad: &str, #[case] named: &str) {
+    let text = GOOD.replace(good, bad);
+    assert_ne!(text, GOOD);
+    let error = read(&format!("{}.json", named.replace(' ', "-")), &text).expect_err("unusable");
+    assert!(error.contains(named), "{error}");
+    assert!(error.contains(".json"), "{error}");
+}
