--- a/crates/hickoryhall-entry/tests/process.rs
+++ b/crates/hickoryhall-entry/tests/process.rs
@@ -2,7 +2,7 @@
 
 use std::io::{BufRead, BufReader};
 use std::net::SocketAddr;
-use std::process::{Child, ChildStderr, Command, ExitStatus, Stdio};
+use std::process::{Child, ChildStdout, Command, ExitStatus, Stdio};
 use std::time::{Duration, Instant};
 
 use hickoryhall_clients::{Message, StoreClient};
@@ -27,7 +27,7 @@
     http: SocketAddr,
     listed: Listed,
     // Kept open, so that the process can go on logging.
-    _log: BufReader<ChildStderr>,
+    _log: BufReader<ChildStdout>,
 }
 
 impl Host {
@@ -35,10 +35,10 @@
         let path = platform.settings_file(name, domain);
         let mut process = Command::new(PROGRAM)
             .args(["--settings", &path])
-            .stderr(Stdio::piped())
+            .stdout(Stdio::piped())
             .spawn()
             .expect("the program");
-        let mut log = BufReader::new(process.stderr.take().expect("a log"));
+        let mut log = BufReader::new(process.stdout.take().expect("a log"));
         let mut line = String::new();
         // The addresses stand in the first line that has them.
         let started = loop {
