--- a/crates/hickoryhall-gateway/src/peers.rs
+++ b/crates/hickoryhall-gateway/src/peers.rs
@@ -33,7 +33,7 @@
 /// Time between two digests in a small fleet.
 const DIGEST_INTERVAL: Duration = Duration::from_millis(100);
 /// Digests a second that one host sends in a large fleet, whose rounds are longer instead.
-const DIGESTS_PER_S: f64 = 250.0;
+const DIGESTS_PER_S: f64 = 100.0;
 /// Time after which a silent host is only tried now and then.
 const SILENT: Duration = Duration::from_secs(3);
 /// Rounds between two tries to reach a silent host.
