--- a/crates/hickoryhall-gateway/src/core.rs
+++ b/crates/hickoryhall-gateway/src/core.rs
@@ -140,12 +140,6 @@
         }
     }
 
-    /// Tells whether any backend server is known.
-    #[must_use]
-    pub fn knows_servers(&self) -> bool {
-        self.registry.servers().next().is_some()
-    }
-
     fn apply(&mut self, events: impl IntoIterator<Item = RegistryEvent>) {
         for event in events {
             match &event {
@@ -192,11 +186,6 @@
         self.scheduler.observe(now, server, judged);
     }
 
-    /// Records that a server refuses work because it is leaving.
-    pub fn mark_leaving(&mut self, server: &str) {
-        self.scheduler.mark_leaving(server);
-    }
-
     /// Records a request to a service.
     pub fn record_request(&mut self, now: Instant, service: &TargetId) {
         let limit = self.config.retries;
--- a/crates/hickoryhall-gateway/src/scheduler/news.rs
+++ b/crates/hickoryhall-gateway/src/scheduler/news.rs
@@ -27,17 +27,6 @@
         }
     }
 
-    /// Records that a server refuses work because it is leaving.
-    pub fn mark_leaving(&mut self, id: &str) {
-        if let Some(state) = self
-            .by_id
-            .get(id)
-            .and_then(|&key| self.servers.get_mut(key))
-        {
-            state.server.is_leaving = true;
-        }
-    }
-
     /// Records the version that a runner reports, and whether it changes its weights now.
     pub fn set_runner(
         &mut self,
--- a/crates/hickoryhall-gateway/tests/herd.rs
+++ b/crates/hickoryhall-gateway/tests/herd.rs
@@ -1,14 +1,15 @@
 //! Many hosts with the same old news do not all send to the one runner that was free.
 
-use std::collections::HashMap;
+mod support;
+
 use std::time::{Duration, Instant};
 
 use hickoryhall_gateway::registry::{BackendServer, RegistryEvent};
 use hickoryhall_gateway::scheduler::{HostLoad, Need, PromptNeed, Scheduler, SchedulerConfig};
-use hickoryhall_gateway::table::{CallerLimits, EngineShape, RouteTable, ServiceInfo, TableParts};
 use hickoryhall_routing::{Level, PrefixChain};
 use hickoryhall_types::hash_name;
 use rstest::rstest;
+use support::{model_service, table_of};
 
 const HOSTS: u64 = 70;
 const RUNNERS: usize = 60;
@@ -51,7 +52,7 @@
     let mut config = SchedulerConfig::new(hash_name(&format!("host-{host}")), "a".into());
     config.all_considered = all_considered;
     let mut scheduler = Scheduler::new(config);
-    scheduler.set_table(&table());
+    scheduler.set_table(&table_of([("models", model_service(32, 91_671))]));
     for runner in 0..RUNNERS {
         let server = BackendServer {
             id: format!("runner-{runner}").as_str().into(),
@@ -96,27 +97,3 @@
         exclude: Vec::new(),
     }
 }
-
-fn table() -> RouteTable {
-    let models = ServiceInfo {
-        engine: Some(EngineShape {
-            slots: 32,
-            memory_tokens: 91_671,
-            token_bytes: 163_840.0,
-            link_mbps: 550_000.0,
-        }),
-        ..ServiceInfo::default()
-    };
-    RouteTable::from(TableParts {
-        revision: 1,
-        routes: Vec::new(),
-        services: HashMap::from([("models".into(), models)]),
-        workspaces: Vec::new(),
-        limits: CallerLimits {
-            head_bytes: 1,
-            body_bytes: 1,
-            read: Duration::ZERO,
-            idle: Duration::ZERO,
-        },
-    })
-}
--- a/crates/hickoryhall-gateway/tests/scheduler.rs
+++ b/crates/hickoryhall-gateway/tests/scheduler.rs
@@ -14,6 +14,8 @@
 //! - `changing NAME`, `changed NAME VERSION`: an order-giver's news
 //! - `pass MS`: time passes, in steps of 10 ms
 
+mod support;
+
 use std::collections::HashMap;
 use std::error::Error;
 use std::fmt::Write;
@@ -26,12 +28,11 @@
 use hickoryhall_gateway::scheduler::{
     AttemptEnd, HostLoad, Need, Placement, PromptNeed, Scheduler, SchedulerConfig,
 };
-use hickoryhall_gateway::table::{
-    CallerLimits, EngineShape, KeepInfo, RouteTable, ServiceInfo, TableParts,
-};
+use hickoryhall_gateway::table::{KeepInfo, RouteTable, ServiceInfo};
 use hickoryhall_routing::{Level, PrefixChain};
 use hickoryhall_types::hash_name;
 use rstest::rstest;
+use support::{model_service, table_of};
 
 type Outcome<T> = Result<T, Box<dyn Error>>;
 
@@ -280,15 +281,6 @@
 }
 
 fn table() -> RouteTable {
-    let models = ServiceInfo {
-        engine: Some(EngineShape {
-            slots: 8,
-            memory_tokens: 40_000,
-            token_bytes: 163_840.0,
-            link_mbps: 550_000.0,
-        }),
-        ..ServiceInfo::default()
-    };
     let keep = ServiceInfo {
         keep: Some(KeepInfo {
             address: keep_address(),
@@ -297,22 +289,11 @@
         }),
         ..ServiceInfo::default()
     };
-    RouteTable::from(TableParts {
-        revision: 1,
-        routes: Vec::new(),
-        services: HashMap::from([
-            ("models".into(), models),
-            ("keep".into(), keep),
-            ("booking".into(), ServiceInfo::default()),
-        ]),
-        workspaces: Vec::new(),
-        limits: CallerLimits {
-            head_bytes: 1,
-            body_bytes: 1,
-            read: Duration::ZERO,
-            idle: Duration::ZERO,
-        },
-    })
+    table_of([
+        ("models", model_service(8, 40_000)),
+        ("keep", keep),
+        ("booking", ServiceInfo::default()),
+    ])
 }
 
 #[rstest]
--- /dev/null
+++ b/crates/hickoryhall-gateway/tests/support/mod.rs
@@ -0,0 +1,38 @@
+//! What several tests of the scheduler start from.
+
+use std::collections::HashMap;
+use std::time::Duration;
+
+use hickoryhall_gateway::table::{CallerLimits, EngineShape, RouteTable, ServiceInfo, TableParts};
+
+/// Returns a service of model runners.
+pub fn model_service(slots: u32, memory_tokens: u32) -> ServiceInfo {
+    ServiceInfo {
+        engine: Some(EngineShape {
+            slots,
+            memory_tokens,
+            token_bytes: 163_840.0,
+            link_mbps: 550_000.0,
+        }),
+        ..ServiceInfo::default()
+    }
+}
+
+/// Returns a table that has services only.
+pub fn table_of(services: impl IntoIterator<Item = (&'static str, ServiceInfo)>) -> RouteTable {
+    let services = services.into_iter();
+    RouteTable::from(TableParts {
+        revision: 1,
+        routes: Vec::new(),
+        services: services
+            .map(|(name, info)| (name.into(), info))
+            .collect::<HashMap<_, _>>(),
+        workspaces: Vec::new(),
+        limits: CallerLimits {
+            head_bytes: 1,
+            body_bytes: 1,
+            read: Duration::ZERO,
+            idle: Duration::ZERO,
+        },
+    })
+}
