Count deaths that other hosts told before a request is judged

Cause: the question about a request went to the router past the cluster actor. The answer could leave before the rumor of the death was sent, and at the other host a question overtook a rumor that stood in the same queue, since the rumor takes one hop more. The question now takes the same way as rumors.

A datagram that is still with the system when the caller asks the other host can be overtaken as before.

--- a/crates/hickoryhall-entry/src/actors/cluster.rs
+++ b/crates/hickoryhall-entry/src/actors/cluster.rs
@@ -11,6 +11,7 @@
 use crossbeam_channel::Sender;
 use hickoryhall_control::{Adoption, RowDelta, TableState};
 use hickoryhall_membership::{Duty, Gossiper, HostInfo, Hosts, News, Outgoing};
+use hickoryhall_routing::{Fingerprint, Verdict};
 use hickoryhall_table::{Table, TableHead};
 use hickoryhall_types::Revision;
 use hickoryhall_wire::{Body, HostHash, Peer, Rumor};
@@ -200,6 +201,13 @@
         self.send_all(now, messages);
     }
 
+    /// Passes the question about a request to the router, behind what the hosts have told each
+    /// other up to now: deaths that others told are counted, and deaths here are on their way to
+    /// others before a caller hears of them.
+    pub fn verdict(&mut self, _cx: CX![], fingerprint: Fingerprint, reply: Sender<Verdict>) {
+        call!([self.router], verdict(fingerprint, reply));
+    }
+
     /// Tells other hosts that this one is shutting down.
     pub fn leave(&mut self, cx: CX![]) {
         let now = cx.now();
--- a/crates/hickoryhall-entry/src/actors/runtime.rs
+++ b/crates/hickoryhall-entry/src/actors/runtime.rs
@@ -331,7 +331,7 @@
             }
             CoreMsg::Retry { reply } => call!([self.router], retry(reply)),
             CoreMsg::Verdict { fingerprint, reply } => {
-                call!([self.router], verdict(fingerprint, reply));
+                call!([self.cluster], verdict(fingerprint, reply));
             }
             CoreMsg::Death { fingerprint } => call!([self.router], death(fingerprint)),
             CoreMsg::Acquit { fingerprint } => call!([self.router], acquit(fingerprint)),
