Serve all interfaces by one HTTP edge

The product's own interface and the stand-ins stood on tiny_http, with a thread for each connection and a watch over the system's table of connections, which does not see every network. Both now run on hickoryhall-edge; hickoryhall-http bridges to blocking workers, and the watch, tiny_http and procfs there are gone.

A stream is complete only where its feeder says so; a dropped feeder used to end it as whole.

Garbage of the engine stand-in is an event cut short and bytes that are no text, with the connection ended in the middle, as the library writes the chunk format itself.

--- a/crates/hickoryhall-edge/src/body.rs
+++ b/crates/hickoryhall-edge/src/body.rs
@@ -1,11 +1,13 @@
 //! Bodies of answers: whole ones, and streams fed by a task.
 
 use std::pin::Pin;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::task::{Context, Poll};
 
 use bytes::Bytes;
 use hyper::body::{Body, Frame, SizeHint};
-use tokio::sync::mpsc;
+use tokio::sync::mpsc::{self, error::TrySendError};
 
 /// Pieces of a stream that may wait for a slow caller before its feeder has to wait.
 const STREAM_QUEUE: usize = 4;
@@ -21,12 +23,22 @@
     /// Known in full; `None` once it has been sent.
     Full(Option<Bytes>),
     /// Pieces as they come.
-    Stream(mpsc::Receiver<Result<Bytes, Aborted>>),
+    Stream(BodyReceiver),
 }
 
-/// Feeder of a streamed body.
-#[derive(Clone, Debug)]
-pub struct BodySender(mpsc::Sender<Result<Bytes, Aborted>>);
+/// Receiver of a streamed body.
+#[derive(Debug)]
+pub struct BodyReceiver {
+    pieces: mpsc::Receiver<Bytes>,
+    is_complete: Arc<AtomicBool>,
+}
+
+/// Feeder of a streamed body; dropping it breaks the stream off.
+#[derive(Debug)]
+pub struct BodySender {
+    pieces: mpsc::Sender<Bytes>,
+    is_complete: Arc<AtomicBool>,
+}
 
 impl AnswerBody {
     /// Creates a body that is known in full.
@@ -35,29 +47,65 @@
         Self::Full(Some(bytes))
     }
 
-    /// Creates a streamed body and its feeder; dropping the feeder ends the body as complete.
+    /// Creates a streamed body and its feeder.
     #[must_use]
     pub fn stream() -> (BodySender, Self) {
         let (sender, receiver) = mpsc::channel(STREAM_QUEUE);
-        (BodySender(sender), Self::Stream(receiver))
+        let is_complete = Arc::new(AtomicBool::new(false));
+        let feeder = BodySender {
+            pieces: sender,
+            is_complete: Arc::clone(&is_complete),
+        };
+        let body = BodyReceiver {
+            pieces: receiver,
+            is_complete,
+        };
+        (feeder, Self::Stream(body))
     }
 }
 
 impl BodySender {
     /// Sends a piece; returns `false` where the caller is gone.
     pub async fn send(&self, piece: Bytes) -> bool {
-        self.0.send(Ok(piece)).await.is_ok()
+        self.pieces.send(piece).await.is_ok()
+    }
+
+    /// Sends a piece where the caller keeps up; gives it back where it has to wait or the caller
+    /// is gone.
+    ///
+    /// # Errors
+    ///
+    /// Returns the piece.
+    pub fn try_send(&self, piece: Bytes) -> Result<(), Bytes> {
+        self.pieces
+            .try_send(piece)
+            .map_err(TrySendError::into_inner)
     }
 
-    /// Breaks the stream off.
-    pub async fn abort(self) {
-        // A caller that is gone needs no broken stream.
-        let _ = self.0.send(Err(Aborted)).await;
+    /// Ends the stream as complete.
+    pub fn finish(self) {
+        self.is_complete.store(true, Ordering::Release);
     }
 
     /// Waits until the caller is gone.
     pub async fn closed(&self) {
-        self.0.closed().await;
+        self.pieces.closed().await;
+    }
+
+    /// Tells whether the caller is gone.
+    #[must_use]
+    pub fn is_closed(&self) -> bool {
+        self.pieces.is_closed()
+    }
+}
+
+impl BodyReceiver {
+    fn poll(&mut self, cx: &mut Context<'_>) -> Poll<Option<Result<Bytes, Aborted>>> {
+        self.pieces.poll_recv(cx).map(|piece| match piece {
+            Some(piece) => Some(Ok(piece)),
+            None if self.is_complete.load(Ordering::Acquire) => None,
+            None => Some(Err(Aborted)),
+        })
     }
 }
 
@@ -71,8 +119,8 @@
     ) -> Poll<Option<Result<Frame<Bytes>, Aborted>>> {
         match self.get_mut() {
             Self::Full(bytes) => Poll::Ready(bytes.take().map(|bytes| Ok(Frame::data(bytes)))),
-            Self::Stream(pieces) => pieces
-                .poll_recv(cx)
+            Self::Stream(body) => body
+                .poll(cx)
                 .map(|piece| piece.map(|piece| piece.map(Frame::data))),
         }
     }
--- a/crates/hickoryhall-edge/src/lib.rs
+++ b/crates/hickoryhall-edge/src/lib.rs
@@ -9,7 +9,7 @@
 mod server;
 mod sockets;
 
-pub use body::{Aborted, AnswerBody, BodySender};
+pub use body::{Aborted, AnswerBody, BodyReceiver, BodySender};
 pub use pool::{ConnectError, Connection, Pool, PoolConfig, SendError};
 pub use server::{Handler, ServerConfig, Stopping, serve};
 pub use sockets::tune;
--- a/crates/hickoryhall-edge/src/server.rs
+++ b/crates/hickoryhall-edge/src/server.rs
@@ -1,7 +1,6 @@
 //! Server for callers.
 
 use std::cell::Cell;
-use std::convert::Infallible;
 use std::net::SocketAddr;
 use std::pin::pin;
 use std::rc::Rc;
@@ -18,7 +17,7 @@
 use tokio::sync::watch;
 use tokio::task::spawn_local;
 
-use crate::{AnswerBody, tune};
+use crate::{Aborted, AnswerBody, tune};
 
 /// Pause after a failed accept, as when descriptors have run out.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
@@ -28,11 +27,15 @@
 /// Answers requests.
 pub trait Handler: 'static {
     /// Answers one request; the future is dropped where the caller hangs up.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error where the connection is to be closed without an answer.
     fn handle(
         self: Rc<Self>,
         request: Request<Incoming>,
         caller: SocketAddr,
-    ) -> impl Future<Output = Response<AnswerBody>>;
+    ) -> impl Future<Output = Result<Response<AnswerBody>, Aborted>>;
 }
 
 /// Limits of callers' connections.
@@ -99,13 +102,12 @@
         let config = self.config;
         let mut stopping = self.stopping.clone();
         let service = service_fn(move |request| {
-            let answer = answer(
+            answer(
                 Rc::clone(&self.handler),
                 request,
                 caller,
                 self.stopping.clone(),
-            );
-            async move { Ok::<_, Infallible>(answer.await) }
+            )
         });
         let connection = http1::Builder::new()
             .timer(TokioTimer::new())
@@ -135,13 +137,13 @@
     request: Request<Incoming>,
     caller: SocketAddr,
     stopping: Stopping,
-) -> Response<AnswerBody> {
+) -> Result<Response<AnswerBody>, Aborted> {
     let is_chunked = request.headers().contains_key(TRANSFER_ENCODING);
-    let mut response = handler.handle(request, caller).await;
+    let mut response = handler.handle(request, caller).await?;
     if is_chunked || *stopping.borrow() {
         response
             .headers_mut()
             .insert(CONNECTION, HeaderValue::from_static("close"));
     }
-    response
+    Ok(response)
 }
--- a/crates/hickoryhall-entry/src/attempts/answer.rs
+++ b/crates/hickoryhall-entry/src/attempts/answer.rs
@@ -11,7 +11,7 @@
 
 enum Way {
     /// Nothing has been sent.
-    Waiting(Request),
+    Waiting(Box<Request>),
     /// Events are on their way.
     Streaming(EventWriter),
     /// The caller has its answer, or is gone.
@@ -33,7 +33,7 @@
 impl Answer {
     pub fn new(http: Request, caller: Caller, request: &ModelRequest) -> Self {
         Self {
-            way: Way::Waiting(http),
+            way: Way::Waiting(Box::new(http)),
             caller,
             form: request.form,
             stream: request.stream,
@@ -56,7 +56,11 @@
 
     /// Tells whether the caller has hung up.
     pub fn is_abandoned(&self) -> bool {
-        self.caller.is_gone() || matches!(self.way, Way::Closed)
+        match &self.way {
+            Way::Waiting(_) => self.caller.is_gone(),
+            Way::Streaming(writer) => writer.is_closed(),
+            Way::Closed => true,
+        }
     }
 
     /// Passes a token on; an error means that the caller is gone.
@@ -81,7 +85,7 @@
             return self.finish_stream();
         }
         if let Way::Waiting(http) = std::mem::replace(&mut self.way, Way::Closed) {
-            respond_json(http, 200, &self.whole());
+            respond_json(*http, 200, &self.whole());
         }
         Ok(())
     }
@@ -89,7 +93,7 @@
     /// Ends the answer by a refusal, as an event where tokens are on their way already.
     pub fn refuse(mut self, refusal: &Refusal) {
         match std::mem::replace(&mut self.way, Way::Closed) {
-            Way::Waiting(http) => respond_refusal(http, &self.id, refusal),
+            Way::Waiting(http) => respond_refusal(*http, &self.id, refusal),
             Way::Streaming(mut writer) => {
                 let error = json!({"error": refusal}).to_string();
                 // The caller may be gone; there is nobody left to tell.
@@ -114,7 +118,7 @@
         if let Way::Waiting(_) = self.way
             && let Way::Waiting(http) = std::mem::replace(&mut self.way, Way::Closed)
         {
-            self.way = Way::Streaming(EventWriter::start(http, &[("X-Request-Id", &self.id)])?);
+            self.way = Way::Streaming(EventWriter::start(*http, &[("X-Request-Id", &self.id)])?);
         }
         match &mut self.way {
             Way::Streaming(writer) => Ok(writer),
--- a/crates/hickoryhall-entry/src/edge/admin.rs
+++ b/crates/hickoryhall-entry/src/edge/admin.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 use std::time::{SystemTime, UNIX_EPOCH};
 
-use hickoryhall_http::{Caller, Method, Request, header, read_body, respond_json};
+use hickoryhall_http::{Method, Request, header, read_body, respond_json};
 use hickoryhall_membership::HostInfo;
 use hickoryhall_table::{Clash, Row, Table};
 use hickoryhall_types::{Refusal, RefusalCode, Revision, Step};
@@ -40,25 +40,19 @@
 }
 
 /// Answers an operator's request.
-pub(super) fn handle(
-    context: &Arc<Context>,
-    request: Request,
-    caller: &Caller,
-    method: &Method,
-    path: &str,
-) {
+pub(super) fn handle(context: &Arc<Context>, request: Request, method: &Method, path: &str) {
     if !is_operator(context, &request) {
         let message = "Authorization is not the operators' key";
         let refusal = Refusal::new(RefusalCode::UnknownKey, Step::Authenticate, message);
         return respond_refusal(request, "", &refusal);
     }
     match (method, path) {
-        (Method::Get, "/admin/table") => table(context, request),
-        (Method::Post, "/admin/table") => change(context, request, caller),
-        (Method::Get, "/admin/history") => {
+        (&Method::GET, "/admin/table") => table(context, request),
+        (&Method::POST, "/admin/table") => change(context, request),
+        (&Method::GET, "/admin/history") => {
             respond_json(request, 200, &context.table.get().head.history);
         }
-        (Method::Get, "/admin/status") => status(context, request),
+        (&Method::GET, "/admin/status") => status(context, request),
         _ => respond_json(request, 404, &json!({"error": "no such path"})),
     }
 }
@@ -83,8 +77,8 @@
     );
 }
 
-fn change(context: &Context, mut request: Request, caller: &Caller) {
-    let change = read_body(&mut request, caller, SHEET_LIMIT_BYTES)
+fn change(context: &Context, mut request: Request) {
+    let change = read_body(&mut request, SHEET_LIMIT_BYTES)
         .map_err(|error| error.to_string())
         .and_then(|body| parse_change(&body));
     let change = match change {
--- a/crates/hickoryhall-entry/src/edge/intake.rs
+++ b/crates/hickoryhall-entry/src/edge/intake.rs
@@ -74,7 +74,7 @@
     let _in_flight = context.lifecycle.enter();
     let head = read_head(context, &http);
     let id = head.id.clone();
-    let checked = check_model(context, &mut http, &caller, head, form);
+    let checked = check_model(context, &mut http, head, form);
     let (request, _permit) = match checked {
         Ok(checked) => checked,
         Err(refusal) => return respond_refusal(http, &id, &refusal),
@@ -92,16 +92,11 @@
 }
 
 /// Serves a call of a plain service.
-pub(super) fn serve_service(
-    context: &Arc<Context>,
-    mut http: Request,
-    caller: &Caller,
-    path: &str,
-) {
+pub(super) fn serve_service(context: &Arc<Context>, mut http: Request, path: &str) {
     let _in_flight = context.lifecycle.enter();
     let head = read_head(context, &http);
     let id = head.id.clone();
-    let checked = check_service(context, &mut http, caller, head, path);
+    let checked = check_service(context, &mut http, head, path);
     let (request, _permit) = match checked {
         Ok(checked) => checked,
         Err(refusal) => return respond_refusal(http, &id, &refusal),
@@ -149,12 +144,11 @@
 fn check_model(
     context: &Context,
     http: &mut Request,
-    caller: &Caller,
     head: Head,
     form: AnswerForm,
 ) -> Checked<(ModelRequest, HeldPermit)> {
     let access = authenticate(context, http)?;
-    let body = read_limited(context, http, caller)?;
+    let body = read_limited(context, http)?;
     let body = RequestBody::parse(&body).map_err(|message| bad_request(&message))?;
     let model = body.model.clone();
     let stream = body.stream;
@@ -193,7 +187,6 @@
 fn check_service(
     context: &Context,
     http: &mut Request,
-    caller: &Caller,
     head: Head,
     path: &str,
 ) -> Checked<(ServiceRequest, HeldPermit)> {
@@ -214,7 +207,7 @@
             "Idempotency-Key is needed: the call may not be repeated",
         ));
     }
-    let body = read_limited(context, http, caller)?;
+    let body = read_limited(context, http)?;
     let permit = admit(context, &access, &target, &grant, 0)?;
     let request = ServiceRequest {
         id: head.id,
@@ -284,7 +277,7 @@
     }
     let sizes = http.headers().iter();
     let size = sizes
-        .map(|h| h.field.as_str().as_str().len() + h.value.as_str().len())
+        .map(|(name, value)| name.as_str().len() + value.len())
         .sum::<usize>();
     if size > HEADERS_LIMIT_BYTES {
         let message = format!("the headers have {size} bytes, {HEADERS_LIMIT_BYTES} are allowed");
@@ -314,11 +307,11 @@
     }
 }
 
-fn read_limited(context: &Context, http: &mut Request, caller: &Caller) -> Checked<Vec<u8>> {
-    read_body(http, caller, context.settings.limits.body_bytes).map_err(|error| {
+fn read_limited(context: &Context, http: &mut Request) -> Checked<Vec<u8>> {
+    read_body(http, context.settings.limits.body_bytes).map_err(|error| {
         let code = match error {
             BodyError::TooLarge { .. } => RefusalCode::TooLarge,
-            BodyError::Truncated { .. } | BodyError::Read(_) => RefusalCode::BadRequest,
+            BodyError::Read(_) => RefusalCode::BadRequest,
         };
         refuse(code, Step::Read, &error.to_string())
     })
--- a/crates/hickoryhall-entry/src/edge/routes.rs
+++ b/crates/hickoryhall-entry/src/edge/routes.rs
@@ -16,16 +16,16 @@
     let (path, query) = url.split_once('?').unwrap_or((&url, ""));
     let method = request.method().clone();
     match (method, path) {
-        (Method::Post, "/v1/chat/completions") => {
+        (Method::POST, "/v1/chat/completions") => {
             serve_model(context, request, caller, AnswerForm::Chat);
         }
-        (Method::Post, "/v1/completions") => {
+        (Method::POST, "/v1/completions") => {
             serve_model(context, request, caller, AnswerForm::Completion);
         }
-        (Method::Post, path) if path.starts_with("/svc/") => {
-            serve_service(context, request, &caller, path);
+        (Method::POST, path) if path.starts_with("/svc/") => {
+            serve_service(context, request, path);
         }
-        (Method::Get, "/healthz") => {
+        (Method::GET, "/healthz") => {
             let is_ok = !context.lifecycle.has_failed();
             respond_json(
                 request,
@@ -33,8 +33,8 @@
                 &json!({"ok": is_ok}),
             );
         }
-        (Method::Get, "/readyz") => ready(context, request),
-        (Method::Get, "/metrics") => {
+        (Method::GET, "/readyz") => ready(context, request),
+        (Method::GET, "/metrics") => {
             let page = context.metrics.render().into_bytes();
             respond_bytes(
                 request,
@@ -43,19 +43,19 @@
                 page,
             );
         }
-        (Method::Get, "/debug/traces") => {
+        (Method::GET, "/debug/traces") => {
             respond_json(
                 request,
                 200,
                 &context.spans.spans(parameter(query, "trace_id")),
             );
         }
-        (Method::Get, "/debug/explain") => {
+        (Method::GET, "/debug/explain") => {
             let id = parameter(query, "request_id").unwrap_or_default();
             respond_json(request, 200, &context.decisions.of_request(id));
         }
         (method, path) if path.starts_with("/admin/") => {
-            admin::handle(context, request, &caller, &method, path);
+            admin::handle(context, request, &method, path);
         }
         _ => respond_json(request, 404, &json!({"error": "no such path"})),
     }
--- a/crates/hickoryhall-entry/src/host.rs
+++ b/crates/hickoryhall-entry/src/host.rs
@@ -81,7 +81,8 @@
             workers: settings.limits.workers,
             ..ServerLimits::default()
         };
-        let server = HttpServer::bind(settings.http_address, limits)?;
+        let server = HttpServer::bind(settings.http_address, limits)?
+            .with_logger(logger.new(o!("part" => "edge")));
         let (http_address, http_stop) = (server.address(), server.stop_handle());
         let incarnation = wall_clock_ms();
         let keyring = Keyring::new(&settings.peer_secrets);
@@ -211,8 +212,12 @@
 
     fn start_edge(&mut self, server: HttpServer) -> Result<(), StartError> {
         let context = Arc::clone(&self.context);
+        let logger = self.part("edge");
         self.spawn("edge", move || {
-            server.run(move |request, caller| edge::handle(&context, request, caller));
+            let handler = move |request, caller| edge::handle(&context, request, caller);
+            if let Err(error) = server.run(handler) {
+                warn!(logger, "host: Callers are not served."; "error" => %error);
+            }
         })
     }
 
--- a/crates/hickoryhall-gateway/src/exchange.rs
+++ b/crates/hickoryhall-gateway/src/exchange.rs
@@ -14,7 +14,7 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
-use hickoryhall_edge::{AnswerBody, Handler, Pool};
+use hickoryhall_edge::{Aborted, AnswerBody, Handler, Pool};
 use hickoryhall_routing::Verdict;
 use hickoryhall_types::Ran;
 use hyper::body::Incoming;
@@ -135,11 +135,11 @@
         self: Rc<Self>,
         request: Request<Incoming>,
         _caller: SocketAddr,
-    ) -> Response<AnswerBody> {
+    ) -> Result<Response<AnswerBody>, Aborted> {
         let in_flight = self.enter();
         let arrived = Instant::now();
         match self.intake(request, arrived).await {
-            Ok(job) => Exchange::new(self, job, in_flight).run().await,
+            Ok(job) => Ok(Exchange::new(self, job, in_flight).run().await),
             Err(Rejected {
                 request_id,
                 failure,
@@ -152,7 +152,7 @@
                     &detail,
                     arrived,
                 );
-                self.own_failure(request_id.as_deref(), &failure)
+                Ok(self.own_failure(request_id.as_deref(), &failure))
             }
         }
     }
--- a/crates/hickoryhall-gateway/src/exchange/relay.rs
+++ b/crates/hickoryhall-gateway/src/exchange/relay.rs
@@ -151,6 +151,7 @@
                     .core
                     .with(|core, _| core.acquit(fingerprint));
                 exchange.record.answered(head.status);
+                sender.finish();
             }
             Outcome::CallerLeft => {
                 ticket.end(AttemptEnd::Released);
@@ -159,7 +160,6 @@
             Outcome::Broken(reason) => {
                 ticket.end(AttemptEnd::Failed);
                 exchange.record.broken(reason);
-                sender.abort().await;
             }
         }
     }
--- a/crates/hickoryhall-gateway/src/host.rs
+++ b/crates/hickoryhall-gateway/src/host.rs
@@ -8,7 +8,7 @@
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
-use hickoryhall_edge::{AnswerBody, Handler, Pool, PoolConfig, ServerConfig, serve};
+use hickoryhall_edge::{Aborted, AnswerBody, Handler, Pool, PoolConfig, ServerConfig, serve};
 use hickoryhall_telemetry::{MetricsError, MetricsPage};
 use hickoryhall_types::hash_name;
 use hyper::body::Incoming;
@@ -331,7 +331,7 @@
         self: Rc<Self>,
         _request: Request<Incoming>,
         _caller: SocketAddr,
-    ) -> Response<AnswerBody> {
+    ) -> Result<Response<AnswerBody>, Aborted> {
         let has_table = self.core.with(|core, _| core.table().is_some());
         let (status, text) = match (has_table, *self.stopping.borrow()) {
             (_, true) => (StatusCode::SERVICE_UNAVAILABLE, "stopping"),
@@ -340,7 +340,7 @@
         };
         let mut response = Response::new(AnswerBody::full(Bytes::from_static(text.as_bytes())));
         *response.status_mut() = status;
-        response
+        Ok(response)
     }
 }
 
@@ -352,7 +352,8 @@
         self: Rc<Self>,
         _request: Request<Incoming>,
         _caller: SocketAddr,
-    ) -> Response<AnswerBody> {
-        Response::new(AnswerBody::full(Bytes::from(self.0.render())))
+    ) -> Result<Response<AnswerBody>, Aborted> {
+        let page = Bytes::from(self.0.render());
+        Ok(Response::new(AnswerBody::full(page)))
     }
 }
--- a/crates/hickoryhall-http/src/lib.rs
+++ b/crates/hickoryhall-http/src/lib.rs
@@ -1,9 +1,8 @@
-//! The HTTP edge that entry hosts and stand-ins share, over `tiny_http`.
+//! Blocking handlers behind the HTTP edge, for entry hosts and stand-ins.
 //!
-//! `tiny_http` starts a thread for each connection and sets no timeouts, so this package adds what
-//! a server needs to outlive bad callers: a bounded [`WorkerPool`], an [`EventWriter`] that sends
-//! each event as it is made, and [`Callers`], which notices callers that hang up, send too slowly
-//! or hold idle connections.
+//! One thread runs [`hickoryhall_edge`] for all connections; each request is handed to a worker of
+//! a bounded [`WorkerPool`], which reads the body, answers in one piece or as an [`EventWriter`],
+//! and can tell through its [`Caller`] whether anybody still waits.
 //!
 //! ```no_run
 //! use hickoryhall_http::{HttpServer, ServerLimits, respond_json};
@@ -14,16 +13,17 @@
 //! ```
 
 mod body;
-mod callers;
+mod bridge;
 mod pool;
+mod request;
 mod respond;
 mod server;
 mod stream;
 
-pub use body::{BodyError, header, header_count, read_body};
-pub use callers::{Caller, Callers};
+pub use body::{BodyError, read_body};
+pub use hyper::Method;
 pub use pool::{Saturated, WorkerPool};
+pub use request::{Caller, Request, header, header_count};
 pub use respond::{respond_bytes, respond_json};
 pub use server::{BindError, HttpServer, ServerLimits, StopHandle};
 pub use stream::EventWriter;
-pub use tiny_http::{Method, Request};
--- a/crates/hickoryhall-http/src/server.rs
+++ b/crates/hickoryhall-http/src/server.rs
@@ -1,18 +1,30 @@
 //! A server whose requests run on a bounded pool of workers.
 
+use std::cell::Cell;
 use std::io;
 use std::net::{SocketAddr, TcpListener};
+use std::rc::Rc;
 use std::sync::Arc;
-use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
 
-use socket2::{Domain, Protocol, SockRef, Socket, Type};
-use tiny_http::{Request, Server};
+use hickoryhall_edge::{ServerConfig, serve};
+use slog::{Discard, Logger, o};
+use socket2::{Domain, Protocol, Socket, Type};
+use tokio::runtime::Builder;
+use tokio::sync::watch;
+use tokio::task::{LocalSet, spawn_local};
+use tokio::time::timeout;
 
-use crate::{Caller, Callers, Saturated, WorkerPool, respond_json};
+use crate::bridge::Bridge;
+use crate::{Caller, Request, WorkerPool};
 
 /// Connections that wait to be accepted.
 const BACKLOG: i32 = 1_024;
+/// Bytes of a request's head that are read at most; what a request may use of them is for the
+/// handler to say, with an answer of its own.
+const HEAD_BYTES: usize = 64 << 10;
+/// Time that answers of workers may take to leave after the server was stopped.
+const FLUSH: Duration = Duration::from_millis(200);
 
 /// Limits of a server.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -40,46 +52,31 @@
 
 /// A server that could not be started.
 #[derive(Debug, thiserror::Error)]
-pub enum BindError {
-    /// The address cannot be listened on.
-    #[error("listening on {address}: {source}")]
-    Listen {
-        /// The address.
-        address: SocketAddr,
-        /// Cause.
-        source: io::Error,
-    },
-    /// `tiny_http` refused the listener.
-    #[error("starting the server on {address}: {message}")]
-    Start {
-        /// The address.
-        address: SocketAddr,
-        /// Cause.
-        message: String,
-    },
+#[error("listening on {address}: {source}")]
+pub struct BindError {
+    /// The address.
+    pub address: SocketAddr,
+    /// Cause.
+    pub source: io::Error,
 }
 
 /// An HTTP server.
 pub struct HttpServer {
-    server: Arc<Server>,
+    listener: TcpListener,
     address: SocketAddr,
-    pool: WorkerPool,
-    callers: Callers,
-    stopped: Arc<AtomicBool>,
+    limits: ServerLimits,
+    stop: StopHandle,
+    logger: Logger,
 }
 
 /// Stops a server from another thread.
-#[derive(Clone)]
-pub struct StopHandle {
-    server: Arc<Server>,
-    stopped: Arc<AtomicBool>,
-}
+#[derive(Clone, Debug)]
+pub struct StopHandle(Arc<watch::Sender<bool>>);
 
 impl StopHandle {
-    /// Makes the server take no further request; those in progress go on.
+    /// Makes the server take no further request; answers that workers gave still leave.
     pub fn stop(&self) {
-        self.stopped.store(true, Ordering::SeqCst);
-        self.server.unblock();
+        self.0.send_replace(true);
     }
 }
 
@@ -90,24 +87,25 @@
     ///
     /// Returns an error where the address cannot be listened on.
     pub fn bind(address: SocketAddr, limits: ServerLimits) -> Result<Self, BindError> {
-        let listener =
-            listen(address, limits).map_err(|source| BindError::Listen { address, source })?;
-        let address = listener
-            .local_addr()
-            .map_err(|source| BindError::Listen { address, source })?;
-        let server = Server::from_listener(listener, None).map_err(|error| BindError::Start {
-            address,
-            message: error.to_string(),
-        })?;
+        let error = |source| BindError { address, source };
+        let listener = listen(address).map_err(error)?;
+        let address = listener.local_addr().map_err(error)?;
         Ok(Self {
-            server: Arc::new(server),
+            listener,
             address,
-            pool: WorkerPool::new("http-worker", limits.workers),
-            callers: Callers::watch(address, limits),
-            stopped: Arc::new(AtomicBool::new(false)),
+            limits,
+            stop: StopHandle(Arc::new(watch::Sender::new(false))),
+            logger: Logger::root(Discard, o!()),
         })
     }
 
+    /// Logs what goes wrong with connections.
+    #[must_use]
+    pub fn with_logger(mut self, logger: Logger) -> Self {
+        self.logger = logger;
+        self
+    }
+
     /// Returns the address that the server listens on.
     #[must_use]
     pub fn address(&self) -> SocketAddr {
@@ -117,64 +115,43 @@
     /// Returns a handle that stops the server.
     #[must_use]
     pub fn stop_handle(&self) -> StopHandle {
-        StopHandle {
-            server: Arc::clone(&self.server),
-            stopped: Arc::clone(&self.stopped),
-        }
-    }
-
-    /// Returns the watch over callers.
-    #[must_use]
-    pub fn callers(&self) -> &Callers {
-        &self.callers
+        self.stop.clone()
     }
 
     /// Serves requests until the server is stopped.
-    pub fn run(&self, handler: impl Fn(Request, Caller) + Send + Sync + 'static) {
-        let handler = Arc::new(handler);
-        while !self.stopped.load(Ordering::SeqCst) {
-            let Ok(request) = self.server.recv() else {
-                continue;
-            };
-            self.dispatch(request, &handler);
-        }
-        self.callers.stop();
-    }
-
-    fn dispatch(
-        &self,
-        request: Request,
-        handler: &Arc<impl Fn(Request, Caller) + Send + Sync + 'static>,
-    ) {
-        let caller = self.callers.begin(request.remote_addr().copied());
-        let handler = Arc::clone(handler);
-        // The request must be answered even when no worker takes it.
-        let (give, take) = crossbeam_channel::bounded(1);
-        let job = move || {
-            if let Ok((request, caller)) = take.recv() {
-                handler(request, caller);
-            }
-        };
-        match self.pool.run(job) {
-            Ok(()) => drop(give.send((request, caller))),
-            Err(saturated) => refuse(request, &saturated),
-        }
+    ///
+    /// # Errors
+    ///
+    /// Returns an error where the system refuses what an event loop needs.
+    pub fn run(self, handler: impl Fn(Request, Caller) + Send + Sync + 'static) -> io::Result<()> {
+        let runtime = Builder::new_current_thread().enable_all().build()?;
+        let _entered = runtime.enter();
+        let listener = tokio::net::TcpListener::from_std(self.listener)?;
+        let mut stopping = self.stop.0.subscribe();
+        let bridge = Rc::new(Bridge {
+            handler: Arc::new(handler),
+            pool: WorkerPool::new("http-worker", self.limits.workers),
+            limits: self.limits,
+        });
+        let config = Rc::new(Cell::new(ServerConfig {
+            head_bytes: HEAD_BYTES,
+            idle: self.limits.idle_connection,
+        }));
+        let serving = serve(listener, bridge, config, stopping.clone(), self.logger);
+        let connections = LocalSet::new();
+        connections.block_on(&runtime, async {
+            let serving = spawn_local(serving);
+            // The server owns a handle itself, so the wait ends by a stop only.
+            let _ = stopping.wait_for(|stopped| *stopped).await;
+            serving.abort();
+        });
+        // What has not left by then belongs to callers that do not read.
+        let _ = runtime.block_on(async { timeout(FLUSH, connections).await });
+        Ok(())
     }
 }
 
-fn refuse(request: Request, saturated: &Saturated) {
-    let body = serde_json::json!({
-        "code": "overloaded",
-        "step": "read",
-        "peer": "",
-        "ran": "no",
-        "message": saturated.to_string(),
-        "retry_after_ms": 1_000,
-    });
-    respond_json(request, 503, &body);
-}
-
-fn listen(address: SocketAddr, limits: ServerLimits) -> io::Result<TcpListener> {
+fn listen(address: SocketAddr) -> io::Result<TcpListener> {
     let socket = Socket::new(
         Domain::for_address(address),
         Type::STREAM,
@@ -183,8 +160,6 @@
     socket.set_reuse_address(true)?;
     socket.bind(&address.into())?;
     socket.listen(BACKLOG)?;
-    // Accepted connections inherit both options.
-    SockRef::from(&socket).set_write_timeout(Some(limits.write))?;
-    SockRef::from(&socket).set_tcp_nodelay(true)?;
+    socket.set_nonblocking(true)?;
     Ok(socket.into())
 }
--- a/crates/hickoryhall-http/src/stream.rs
+++ b/crates/hickoryhall-http/src/stream.rs
@@ -1,15 +1,22 @@
 //! Server-sent events, each on its way as soon as it is made.
 
-use std::io::{self, Write};
+use std::io;
+use std::time::Duration;
 
-use tiny_http::Request;
+use bytes::Bytes;
+use hickoryhall_edge::{AnswerBody, BodySender};
+use tokio::runtime::Handle;
+use tokio::time::timeout;
 
-/// Writes a chunked event stream.
-///
-/// `tiny_http`'s own streaming response gathers 8 KiB before it sends, so this writer takes the
-/// connection and flushes after every event.
+use crate::Request;
+use crate::respond::response;
+
+/// Writes an event stream; dropping it before [`EventWriter::finish`] breaks the stream off.
+#[derive(Debug)]
 pub struct EventWriter {
-    writer: Box<dyn Write + Send>,
+    sender: BodySender,
+    runtime: Handle,
+    write: Duration,
 }
 
 impl EventWriter {
@@ -19,18 +26,27 @@
     ///
     /// Returns an error where the caller is gone.
     pub fn start(request: Request, headers: &[(&str, &str)]) -> io::Result<Self> {
-        let mut writer = request.into_writer();
-        let mut head = String::from(
-            "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nCache-Control: no-store\r\n\
-             Transfer-Encoding: chunked\r\n",
-        );
-        for (name, value) in headers {
-            head.push_str(&format!("{name}: {value}\r\n"));
-        }
-        head.push_str("\r\n");
-        writer.write_all(head.as_bytes())?;
-        writer.flush()?;
-        Ok(Self { writer })
+        let (sender, body) = AnswerBody::stream();
+        let fixed = [
+            ("Content-Type", "text/event-stream"),
+            ("Cache-Control", "no-store"),
+        ];
+        let response = response(200, &[&fixed, headers].concat(), body);
+        request
+            .answer
+            .send(response)
+            .map_err(|_| io::ErrorKind::BrokenPipe)?;
+        Ok(Self {
+            sender,
+            runtime: request.runtime,
+            write: request.write,
+        })
+    }
+
+    /// Tells whether the caller has hung up.
+    #[must_use]
+    pub fn is_closed(&self) -> bool {
+        self.sender.is_closed()
     }
 
     /// Sends one event.
@@ -39,26 +55,41 @@
     ///
     /// Returns an error where the caller is gone or has not read for too long.
     pub fn event(&mut self, data: &str) -> io::Result<()> {
-        let event = format!("data: {data}\n\n");
-        self.raw(format!("{:x}\r\n{event}\r\n", event.len()).as_bytes())
+        self.send(Bytes::from(format!("data: {data}\n\n")))
     }
 
-    /// Sends bytes outside the chunk format, which a reader takes as a broken stream.
+    /// Sends bytes as they are.
     ///
     /// # Errors
     ///
-    /// Returns an error where the caller is gone.
-    pub fn raw(&mut self, bytes: &[u8]) -> io::Result<()> {
-        self.writer.write_all(bytes)?;
-        self.writer.flush()
+    /// Returns an error where the caller is gone or has not read for too long.
+    pub fn piece(&mut self, bytes: &[u8]) -> io::Result<()> {
+        self.send(Bytes::copy_from_slice(bytes))
     }
 
-    /// Sends the end of the stream.
+    fn send(&self, bytes: Bytes) -> io::Result<()> {
+        // Most callers keep up; waiting costs a timer and a trip through the runtime.
+        let Err(bytes) = self.sender.try_send(bytes) else {
+            return Ok(());
+        };
+        let sent = async { timeout(self.write, self.sender.send(bytes)).await };
+        match self.runtime.block_on(sent) {
+            Ok(true) => Ok(()),
+            Ok(false) => Err(io::ErrorKind::BrokenPipe.into()),
+            Err(_) => Err(io::ErrorKind::TimedOut.into()),
+        }
+    }
+
+    /// Ends the stream as complete.
     ///
     /// # Errors
     ///
     /// Returns an error where the caller is gone.
-    pub fn finish(mut self) -> io::Result<()> {
-        self.raw(b"0\r\n\r\n")
+    pub fn finish(self) -> io::Result<()> {
+        if self.is_closed() {
+            return Err(io::ErrorKind::BrokenPipe.into());
+        }
+        self.sender.finish();
+        Ok(())
     }
 }
--- /dev/null
+++ b/crates/hickoryhall-http/tests/streams.rs
@@ -0,0 +1,127 @@
+//! Streams end as complete only where the handler says so.
+
+use std::io::Read;
+use std::net::{SocketAddr, TcpStream};
+use std::sync::mpsc;
+use std::thread::{self, JoinHandle};
+use std::time::Duration;
+
+use hickoryhall_http::{EventWriter, HttpServer, Request, ServerLimits, StopHandle, respond_json};
+use rstest::rstest;
+
+struct Running {
+    address: SocketAddr,
+    stop: StopHandle,
+    thread: Option<JoinHandle<()>>,
+}
+
+impl Drop for Running {
+    fn drop(&mut self) {
+        self.stop.stop();
+        drop(self.thread.take().map(JoinHandle::join));
+    }
+}
+
+fn start(handler: impl Fn(Request) + Send + Sync + 'static) -> Running {
+    let limits = ServerLimits {
+        write: Duration::from_millis(300),
+        ..ServerLimits::default()
+    };
+    let server = HttpServer::bind(([127, 0, 0, 1], 0).into(), limits).expect("a free port");
+    let (address, stop) = (server.address(), server.stop_handle());
+    let thread = thread::spawn(move || {
+        let served = server.run(move |request, _| handler(request));
+        served.expect("an event loop");
+    });
+    Running {
+        address,
+        stop,
+        thread: Some(thread),
+    }
+}
+
+/// Reads an answer; the result is an error where the connection ends before the answer does.
+fn get(address: SocketAddr) -> Result<String, ureq::Error> {
+    let mut response = ureq::get(&format!("http://{address}/")).call()?;
+    response.body_mut().read_to_string()
+}
+
+#[rstest]
+#[case::finished(true, true)]
+#[case::dropped(false, false)]
+fn a_stream_is_whole_only_where_it_was_finished(#[case] finishes: bool, #[case] is_whole: bool) {
+    let server = start(move |request| {
+        let mut writer = EventWriter::start(request, &[]).expect("a caller");
+        writer.event("one").expect("a caller");
+        if finishes {
+            writer.finish().expect("a caller");
+        }
+    });
+    let answer = get(server.address);
+    assert_eq!(answer.is_ok(), is_whole, "{answer:?}");
+    if let Ok(text) = answer {
+        assert_eq!(text, "data: one\n\n");
+    }
+}
+
+#[test]
+fn a_handler_that_gives_no_answer_closes_the_connection() {
+    let server = start(Request::abandon);
+    let answer = get(server.address);
+    assert!(answer.is_err(), "{answer:?}");
+}
+
+#[test]
+fn an_event_leaves_before_the_next_one_is_made() {
+    let (next, made) = mpsc::channel::<()>();
+    let made = std::sync::Mutex::new(made);
+    let server = start(move |request| {
+        let mut writer = EventWriter::start(request, &[]).expect("a caller");
+        writer.event("one").expect("a caller");
+        let made = made.lock().expect("one request");
+        // Goes on only once the caller has read the first event.
+        made.recv().expect("a caller that has read");
+        writer.event("two").expect("a caller");
+        writer.finish().expect("a caller");
+    });
+    let response = ureq::get(&format!("http://{}/", server.address)).call();
+    let mut reader = response.expect("a head").into_body().into_reader();
+    let mut first = [0; 11];
+    reader.read_exact(&mut first).expect("the first event");
+    assert_eq!(&first, b"data: one\n\n");
+    next.send(()).expect("a handler that waits");
+    let mut rest = String::new();
+    reader.read_to_string(&mut rest).expect("the rest");
+    assert_eq!(rest, "data: two\n\n");
+}
+
+#[test]
+fn a_caller_that_does_not_read_ends_its_stream() {
+    let (ended, seen) = mpsc::channel();
+    let server = start(move |request| {
+        let mut writer = EventWriter::start(request, &[]).expect("a caller");
+        let event = "x".repeat(1 << 20);
+        while writer.event(&event).is_ok() {}
+        ended.send(()).expect("a test that waits");
+    });
+    let mut stream = TcpStream::connect(server.address).expect("a connection");
+    std::io::Write::write_all(&mut stream, b"GET / HTTP/1.1\r\nHost: x\r\n\r\n")
+        .expect("a request");
+    seen.recv().expect("the end of the stream");
+    drop(stream);
+}
+
+#[test]
+fn an_answer_that_was_given_leaves_although_the_server_stops() {
+    let (given, seen) = mpsc::channel();
+    let server = start(move |request| {
+        respond_json(request, 200, &"x".repeat(1 << 20));
+        given.send(()).expect("a test that waits");
+    });
+    let address = server.address;
+    let caller = thread::spawn(move || get(address));
+    seen.recv().expect("an answer that was given");
+    drop(server);
+    let answer = caller.join().expect("a caller");
+    assert_eq!(answer.expect("a whole answer").len(), (1 << 20) + 2);
+}
--- a/crates/hickoryhall-standins/src/engine/server.rs
+++ b/crates/hickoryhall-standins/src/engine/server.rs
@@ -9,9 +9,7 @@
 use std::time::{Duration, Instant};
 
 use crossbeam_channel::{Receiver, Sender, unbounded};
-use hickoryhall_http::{
-    BindError, Caller, EventWriter, Method, Request, header, read_body, respond_json,
-};
+use hickoryhall_http::{BindError, EventWriter, Method, Request, header, read_body, respond_json};
 use serde::Deserialize;
 use serde_json::json;
 
@@ -121,8 +119,8 @@
             })
             .expect("a thread at the start of a server");
         let handler = Arc::clone(&shared);
-        let running = start(address, move |request, caller| {
-            handler.handle(request, &caller);
+        let running = start(address, move |request| {
+            handler.handle(request);
         })?;
         Ok(Self { running, shared })
     }
@@ -209,14 +207,14 @@
         drop(self.wake.wait_timeout(state, sleep));
     }
 
-    fn handle(&self, mut request: Request, caller: &Caller) {
+    fn handle(&self, mut request: Request) {
         let path = request
             .url()
             .split('?')
             .next()
             .unwrap_or_default()
             .to_owned();
-        let body = match read_body(&mut request, caller, BODY_LIMIT_BYTES) {
+        let body = match read_body(&mut request, BODY_LIMIT_BYTES) {
             Ok(body) => body,
             Err(error) => return respond_json(request, 400, &json!({"error": error.to_string()})),
         };
@@ -225,18 +223,18 @@
         }
         if self.lock().is_down() {
             // Taking the connection without an answer closes it, as a dead engine's host does.
-            drop(request.into_writer());
+            request.abandon();
             return;
         }
         match (request.method().clone(), path.as_str()) {
-            (Method::Get, "/load") => respond_json(request, 200, &self.load()),
-            (Method::Get, "/v1/cache_events") => self.cache_events(request),
-            (Method::Post, "/v1/chat/completions") => self.complete(request, &body),
-            (Method::Post, "/v1/resume") => self.resume(request, &body),
-            (Method::Post, "/v1/cancel") => self.cancel(request, &body),
-            (Method::Post, "/orders") => self.order(request, &body),
-            (Method::Post, "/v1/kv/export") => self.export(request, &body),
-            (Method::Post, "/v1/kv/import") => self.import(request, &body),
+            (Method::GET, "/load") => respond_json(request, 200, &self.load()),
+            (Method::GET, "/v1/cache_events") => self.cache_events(request),
+            (Method::POST, "/v1/chat/completions") => self.complete(request, &body),
+            (Method::POST, "/v1/resume") => self.resume(request, &body),
+            (Method::POST, "/v1/cancel") => self.cancel(request, &body),
+            (Method::POST, "/orders") => self.order(request, &body),
+            (Method::POST, "/v1/kv/export") => self.export(request, &body),
+            (Method::POST, "/v1/kv/import") => self.import(request, &body),
             _ => respond_json(request, 404, &json!({"error": "no such path"})),
         }
     }
@@ -355,7 +353,7 @@
             // Another request's answer has other tokens.
             Some(log) => (log.answer_key ^ u64::from(plan.is_crossed), log.first_index),
             None => {
-                drop(request.into_writer());
+                request.abandon();
                 return false;
             }
         };
@@ -486,6 +484,6 @@
         // The reader is to see nonsense; whether it still listens does not matter.
         let _ = writer
             .event("{\"nonsense\": tru")
-            .and_then(|()| writer.raw(b"zz\r\n\xff\xfe\r\n"));
+            .and_then(|()| writer.piece(b"\xff\xfe\r\n"));
     }
 }
--- a/crates/hickoryhall-standins/src/hosts.rs
+++ b/crates/hickoryhall-standins/src/hosts.rs
@@ -68,14 +68,14 @@
             down: false,
         }));
         let shared = Arc::clone(&state);
-        let running = start(address, move |mut request, caller| {
-            let body = read_body(&mut request, &caller, BODY_LIMIT_BYTES).unwrap_or_default();
+        let running = start(address, move |mut request| {
+            let body = read_body(&mut request, BODY_LIMIT_BYTES).unwrap_or_default();
             match (request.method().clone(), request.url()) {
-                (Method::Get, "/hosts") => match lock(&shared).current() {
+                (Method::GET, "/hosts") => match lock(&shared).current() {
                     Some(list) => respond_json(request, 200, &list),
                     None => respond_json(request, 503, &json!({"error": "outage"})),
                 },
-                (Method::Post, "/control") => match serde_json::from_slice(&body) {
+                (Method::POST, "/control") => match serde_json::from_slice(&body) {
                     Ok(list) => {
                         lock(&shared).set(list);
                         respond_json(request, 200, &json!({"ok": true}));
--- a/crates/hickoryhall-standins/src/service.rs
+++ b/crates/hickoryhall-standins/src/service.rs
@@ -6,7 +6,7 @@
 use std::thread;
 use std::time::Duration;
 
-use hickoryhall_http::{BindError, Caller, Method, Request, header, read_body, respond_json};
+use hickoryhall_http::{BindError, Method, Request, header, read_body, respond_json};
 use serde::{Deserialize, Serialize};
 use serde_json::json;
 
@@ -50,8 +50,8 @@
         let state = Arc::new(Mutex::new(State::default()));
         let shared = Arc::clone(&state);
         let name = name.to_owned();
-        let running = start(address, move |request, caller| {
-            handle(&shared, &name, request, &caller);
+        let running = start(address, move |request| {
+            handle(&shared, &name, request);
         })?;
         Ok(Self { running, state })
     }
@@ -78,21 +78,21 @@
     state.lock().unwrap_or_else(PoisonError::into_inner)
 }
 
-fn handle(state: &Mutex<State>, name: &str, mut request: Request, caller: &Caller) {
-    let body = read_body(&mut request, caller, BODY_LIMIT_BYTES).unwrap_or_default();
+fn handle(state: &Mutex<State>, name: &str, mut request: Request) {
+    let body = read_body(&mut request, BODY_LIMIT_BYTES).unwrap_or_default();
     match (request.method().clone(), request.url()) {
-        (Method::Post, "/control") => match serde_json::from_slice(&body) {
+        (Method::POST, "/control") => match serde_json::from_slice(&body) {
             Ok(faults) => {
                 lock(state).faults = faults;
                 respond_json(request, 200, &json!({"ok": true}));
             }
             Err(error) => respond_json(request, 400, &json!({"error": error.to_string()})),
         },
-        (Method::Get, "/load") => {
+        (Method::GET, "/load") => {
             let leaving = lock(state).faults.leaving;
             respond_json(request, 200, &json!({"incarnation": 1, "leaving": leaving}));
         }
-        (Method::Get, "/runs") => {
+        (Method::GET, "/runs") => {
             let runs = lock(state).runs.clone();
             respond_json(request, 200, &runs);
         }
@@ -120,7 +120,7 @@
     };
     thread::sleep(Duration::from_millis(slow_ms));
     if lost {
-        drop(request.into_writer());
+        request.abandon();
     } else {
         respond_json(
             request,
--- a/crates/hickoryhall-standins/src/store/server.rs
+++ b/crates/hickoryhall-standins/src/store/server.rs
@@ -5,7 +5,7 @@
 use std::thread;
 use std::time::{Duration, Instant};
 
-use hickoryhall_http::{BindError, Caller, Method, Request, read_body, respond_json};
+use hickoryhall_http::{BindError, Method, Request, read_body, respond_json};
 use serde::{Deserialize, Serialize};
 use serde_json::{Value as Json, json};
 
@@ -78,8 +78,8 @@
             changed: Condvar::new(),
         });
         let handler = Arc::clone(&shared);
-        let running = start(address, move |request, caller| {
-            handler.handle(request, &caller);
+        let running = start(address, move |request| {
+            handler.handle(request);
         })?;
         Ok(Self { running, shared })
     }
@@ -145,8 +145,8 @@
         self.state.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
-    fn handle(&self, mut request: Request, caller: &Caller) {
-        let body = read_body(&mut request, caller, BODY_LIMIT_BYTES).unwrap_or_default();
+    fn handle(&self, mut request: Request) {
+        let body = read_body(&mut request, BODY_LIMIT_BYTES).unwrap_or_default();
         let body = String::from_utf8_lossy(&body).into_owned();
         if request.url() == "/control" {
             return self.control(request, &body);
@@ -175,7 +175,7 @@
         self.changed.notify_all();
         if is_write && self.lock().loses_answer() {
             // The write has taken effect; its answer never arrives.
-            drop(request.into_writer());
+            request.abandon();
             return;
         }
         respond_json(request, status, &answer);
@@ -312,9 +312,9 @@
     let number = |name: &str| param(name).and_then(|(_, value)| value.parse::<u64>().ok());
     if let Some(key) = path.strip_prefix("/v1/kv/") {
         let key = key.to_owned();
-        return match method {
-            Method::Get => Some(Call::Get { key }),
-            Method::Put => {
+        return match *method {
+            Method::GET => Some(Call::Get { key }),
+            Method::PUT => {
                 let condition = match number("if_revision") {
                     None => PutCondition::Always,
                     Some(0) => PutCondition::Absent,
@@ -326,16 +326,16 @@
                     lease: number("lease"),
                 })
             }
-            Method::Delete => Some(Call::Delete { key }),
+            Method::DELETE => Some(Call::Delete { key }),
             _ => None,
         };
     }
     match (method, path) {
-        (Method::Post, "/v1/lease") => Some(Call::Grant),
-        (Method::Post, "/v1/lease/renew") => Some(Call::Renew {
+        (&Method::POST, "/v1/lease") => Some(Call::Grant),
+        (&Method::POST, "/v1/lease/renew") => Some(Call::Renew {
             lease: number("lease")?,
         }),
-        (Method::Get, "/v1/watch") => Some(Call::Watch {
+        (&Method::GET, "/v1/watch") => Some(Call::Watch {
             prefix: param("prefix")?.1.to_owned(),
             after: number("after").unwrap_or(0),
             wait: Duration::from_millis(number("wait_ms").unwrap_or(0)),
