Tell loads within groups of hosts, and their sums between groups

In a large fleet every host told every other one: at 100 digests a second each, news of 70 hosts were 0.7 s old, and digests made up most of the bytes between failure domains. Members of a group (a failure domain, or a part of at most 32 hosts) now tell each other directly; one member sends the sum to one host of each other group, which passes it on. Short digests to all others tell who lives and what is urgent. Small fleets are one group and work as before.

Ruled out: 250 digests a second to all (bytes between domains and processor time, tried before).

--- a/crates/hickoryhall-gateway/src/core.rs
+++ b/crates/hickoryhall-gateway/src/core.rs
@@ -1,6 +1,7 @@
 //! Actor that owns every decision of a host, and the handle by which tasks on its thread reach it.
 
 use std::cell::RefCell;
+use std::cmp::Reverse;
 use std::collections::HashMap;
 use std::rc::Rc;
 use std::sync::Arc;
@@ -8,17 +9,18 @@
 
 use hickoryhall_limits::{FleetRetryBudget, FleetRetryLimit};
 use hickoryhall_routing::{Fingerprint, Suspects, Verdict};
-use hickoryhall_types::{TargetId, WeightsVersion, rendezvous_score};
+use hickoryhall_types::{TargetId, WeightsVersion, hash_name, rendezvous_score};
 use slog::{Logger, info};
 use stakker::{ActorOwn, CX, Stakker, ret_nop};
 use tokio::sync::{Notify, oneshot};
 
 use crate::fleet::Fleet;
 use crate::interface::Judged;
-use crate::peers::{Digest, ServerNews, SuspectNews, WantedNews};
+use crate::peers::{Digest, PromptNews, Scope, ServerNews, SuspectNews, WantedNews};
 use crate::registry::{BackendServer, Registry, RegistryEvent};
 use crate::scheduler::{
-    AttemptEnd, HostHash, Need, Placement, RunnerView, Scheduler, SchedulerConfig, Ticket,
+    AttemptEnd, GroupHash, HostHash, HostLoad, LoadSource, Need, Placement, RunnerView, Scheduler,
+    SchedulerConfig, Ticket,
 };
 use crate::table::RouteTable;
 
@@ -29,6 +31,11 @@
 /// Suspects told to other hosts at a time.
 const SUSPECTS_TOLD: usize = 16;
 
+/// Servers told at a time, so that a digest stays within its size.
+const SERVERS_TOLD: usize = 300;
+/// Prompts of a group told to other groups at a time, so that a digest stays within its size.
+const GROUP_PROMPTS: usize = 64;
+
 /// Settings of the decisions.
 #[derive(Clone, Debug)]
 pub struct CoreConfig {
@@ -51,6 +58,8 @@
     deaths: Vec<SuspectNews>,
     fleet: Fleet,
     changing: HashMap<u64, bool>,
+    /// Prompts that this host's group has read; `None` while another host tells them.
+    group_prompts: Option<Vec<PromptNews>>,
     replies: HashMap<Ticket, oneshot::Sender<Placement>>,
     logger: Logger,
 }
@@ -73,6 +82,7 @@
             deaths: Vec::new(),
             fleet: Fleet::default(),
             changing: HashMap::new(),
+            group_prompts: None,
             replies: HashMap::new(),
             logger,
         }
@@ -285,21 +295,51 @@
         budget.map_or(0.0, |budget| budget.part_left(now, hosts))
     }
 
-    /// Returns what other hosts should know.
-    pub fn digest(&mut self, now: Instant) -> Digest {
-        let servers = self
-            .scheduler
-            .own_loads()
-            .filter_map(|(server, load, weights)| {
-                let change = self.changing.get(&server).copied();
-                let is_news = load.requests > 0 || change.is_some();
-                is_news.then_some(ServerNews {
-                    server,
-                    load,
-                    weights,
-                    change,
-                })
-            });
+    /// Returns what the hosts of this one's group should know.
+    pub fn digest(&mut self, now: Instant, group: GroupHash) -> Digest {
+        let prompts = self.scheduler.take_prompts();
+        self.collect_prompts(&prompts);
+        let loads = self.scheduler.own_loads();
+        Digest {
+            servers: self.server_news(loads),
+            prompts,
+            ..self.news(now, group, Scope::Host)
+        }
+    }
+
+    /// Returns what all hosts should know: that this one lives, and what cannot wait.
+    pub fn presence(&mut self, now: Instant, group: GroupHash) -> Digest {
+        let mut servers = self.server_news(self.scheduler.own_loads());
+        servers.retain(|news| news.change.is_some());
+        Digest {
+            servers,
+            ..self.news(now, group, Scope::Presence)
+        }
+    }
+
+    /// Returns what other groups should know of this one's, whose other hosts are `hosts`.
+    pub fn group_digest(
+        &mut self,
+        now: Instant,
+        group: GroupHash,
+        mut hosts: Vec<HostHash>,
+    ) -> Digest {
+        hosts.push(self.config.me);
+        let prompts = self.group_prompts.replace(Vec::new());
+        let loads = self.scheduler.group_loads(now);
+        Digest {
+            servers: self.server_news(loads),
+            prompts: prompts.unwrap_or_default(),
+            ..self.news(now, group, Scope::Group { hosts })
+        }
+    }
+
+    /// Ends the collection of prompts for [`Core::group_digest`].
+    pub fn end_group_digests(&mut self) {
+        self.group_prompts = None;
+    }
+
+    fn news(&self, now: Instant, group: GroupHash, scope: Scope) -> Digest {
         let wanted = self.scheduler.wanted().flat_map(|(model, versions)| {
             versions.iter(now).map(|(version, age)| WantedNews {
                 model: model.clone(),
@@ -309,23 +349,63 @@
         });
         Digest {
             host: self.config.me,
+            domain: hash_name(&self.config.scheduler.domain),
+            group,
+            scope,
             table_revision: self.table.as_ref().map_or(0, |table| table.revision()),
-            servers: servers.collect(),
             wanted: wanted.collect(),
             suspects: self.deaths.clone(),
-            prompts: self.scheduler.take_prompts(),
+            ..Digest::default()
         }
     }
 
-    /// Takes what another host tells; returns the revision of its table.
+    /// Returns the news of servers, of very many those that change and the busiest.
+    fn server_news(
+        &self,
+        loads: impl Iterator<Item = (u64, HostLoad, WeightsVersion)>,
+    ) -> Vec<ServerNews> {
+        let news = loads.filter_map(|(server, load, weights)| {
+            let change = self.changing.get(&server).copied();
+            let is_news = load.requests > 0 || change.is_some();
+            is_news.then_some(ServerNews {
+                server,
+                load,
+                weights,
+                change,
+            })
+        });
+        let mut news = news.collect::<Vec<_>>();
+        if news.len() > SERVERS_TOLD {
+            news.sort_by_key(|news| Reverse((news.change.is_some(), news.load.pending_ms)));
+            news.truncate(SERVERS_TOLD);
+        }
+        news
+    }
+
+    fn collect_prompts(&mut self, prompts: &[PromptNews]) {
+        if let Some(collected) = &mut self.group_prompts {
+            let left = GROUP_PROMPTS.saturating_sub(collected.len());
+            collected.extend(prompts.iter().take(left).cloned());
+        }
+    }
+
+    /// Takes what another host tells.
     pub fn on_digest(&mut self, now: Instant, digest: &Digest) {
         self.fleet.seen(now, digest.host);
-        let named = digest.servers.iter().map(|news| news.server);
-        let named = named.collect::<Vec<_>>();
-        self.scheduler.keep_peer_loads(digest.host, &named);
+        match &digest.scope {
+            Scope::Host => {
+                self.set_loads(now, LoadSource::Host(digest.host), &digest.servers);
+                self.collect_prompts(&digest.prompts);
+            }
+            Scope::Presence => self.set_loads(now, LoadSource::Host(digest.host), &[]),
+            Scope::Group { hosts } => {
+                for &host in hosts {
+                    self.fleet.seen(now, host);
+                }
+                self.set_loads(now, LoadSource::Group(digest.group), &digest.servers);
+            }
+        }
         for news in &digest.servers {
-            self.scheduler
-                .set_peer_load(now, digest.host, news.server, news.load);
             if let Some(is_changing) = news.change {
                 self.scheduler
                     .set_runner(now, news.server, news.weights, is_changing);
@@ -345,6 +425,15 @@
         self.serve_waiting(now);
     }
 
+    fn set_loads(&mut self, now: Instant, source: LoadSource, servers: &[ServerNews]) {
+        let named = servers.iter().map(|news| news.server).collect::<Vec<_>>();
+        self.scheduler.keep_peer_loads(source, &named);
+        for news in servers {
+            self.scheduler
+                .set_peer_load(now, source, news.server, news.load);
+        }
+    }
+
     /// Returns the number of hosts, this one included.
     pub fn hosts(&mut self, now: Instant) -> usize {
         self.fleet.size(now)
--- a/crates/hickoryhall-gateway/src/host.rs
+++ b/crates/hickoryhall-gateway/src/host.rs
@@ -26,7 +26,7 @@
 use crate::feeds::{FeedKind, Feeds};
 use crate::interface::Platform;
 use crate::orders::{OrderDuty, OrderSettings};
-use crate::peers::{PeerSettings, Peers};
+use crate::peers::{Me, PeerSettings, Peers};
 use crate::scheduler::SchedulerConfig;
 use crate::settings::{Settings, SettingsError};
 
@@ -263,7 +263,11 @@
     logger: Logger,
 ) -> Result<(Rc<Peers<P>>, TcpListener), StartError> {
     let peers = PeerSettings {
-        ip: settings.ip,
+        me: Me {
+            ip: settings.ip,
+            host: hash_name(&settings.host),
+            domain: hash_name(&settings.failure_domain),
+        },
         port: settings.peer_port,
         seeds: settings.seed_ips(),
     };
@@ -312,6 +316,8 @@
 fn spawn_peers<P: Platform>(peers: &Rc<Peers<P>>, records: TcpListener) {
     let sender = Rc::clone(peers);
     spawn_local(async move { sender.send_digests().await });
+    let summer = Rc::clone(peers);
+    spawn_local(async move { summer.send_sums().await });
     let receiver = Rc::clone(peers);
     spawn_local(async move { receiver.receive_digests().await });
     let fetcher = Rc::clone(peers);
--- a/crates/hickoryhall-gateway/src/peers.rs
+++ b/crates/hickoryhall-gateway/src/peers.rs
@@ -5,9 +5,9 @@
 //! their agreeing: a digest that is lost makes placement worse, and no promise untrue.
 
 mod message;
+mod neighbors;
 
 use std::cell::RefCell;
-use std::collections::HashMap;
 use std::io;
 use std::net::{IpAddr, Ipv4Addr, SocketAddr};
 use std::rc::Rc;
@@ -23,27 +23,22 @@
 use tokio::time::timeout;
 
 pub use message::{
-    BadMessage, Digest, PromptNews, Records, ServerNews, Snapshot, SuspectNews, WantedNews,
+    BadMessage, Digest, PromptNews, Records, Scope, ServerNews, Snapshot, SuspectNews, WantedNews,
 };
+pub use neighbors::{Me, Neighbors};
 
 use crate::core::CoreHandle;
 use crate::feeds::Feeds;
 use crate::interface::Platform;
 
-/// Time between two digests in a small fleet.
+/// Time between two digests to a small group.
 const DIGEST_INTERVAL: Duration = Duration::from_millis(100);
-/// Digests a second that one host sends in a large fleet, whose rounds are longer instead.
-const DIGESTS_PER_S: f64 = 100.0;
-/// Time after which a silent host is only tried now and then.
-const SILENT: Duration = Duration::from_secs(3);
-/// Rounds between two tries to reach a silent host.
-const SILENT_ROUNDS: u64 = 10;
-/// Time after which a silent host is forgotten.
-const FORGOTTEN: Duration = Duration::from_secs(60);
-/// Hosts remembered at most.
-const HOST_LIMIT: usize = 1_024;
-/// Addresses told in one digest.
-const ADDRESSES_TOLD: usize = 16;
+/// Digests a second that one host sends to a large group, whose rounds are longer instead.
+const DIGESTS_PER_S: f64 = 150.0;
+/// Digests a second that one host sends to hosts of other groups, each of them in turn.
+const PRESENCES_PER_S: f64 = 50.0;
+/// Time between two sums of a group's load.
+const SUM_INTERVAL: Duration = Duration::from_millis(150);
 /// Largest digest.
 const DIGEST_BYTES: usize = 16_384;
 /// Largest snapshot: the largest value of the store, and the registry.
@@ -56,8 +51,8 @@
 /// Addresses of this host and those that it starts with.
 #[derive(Clone, Debug)]
 pub struct PeerSettings {
-    /// Address of this host.
-    pub ip: Ipv4Addr,
+    /// This host.
+    pub me: Me,
     /// Port of the protocol between hosts, the same on every host.
     pub port: u16,
     /// Hosts known from the settings.
@@ -70,18 +65,12 @@
     core: CoreHandle,
     feeds: Rc<Feeds<P>>,
     socket: UdpSocket,
-    known: RefCell<HashMap<Ipv4Addr, Known>>,
+    neighbors: RefCell<Neighbors>,
     push: Notify,
     fetch: Notify,
     logger: Logger,
 }
 
-#[derive(Clone, Copy)]
-struct Known {
-    heard_at: Instant,
-    table_revision: u64,
-}
-
 impl<P: Platform> Peers<P> {
     /// Opens the sockets of the protocol between hosts.
     ///
@@ -94,18 +83,16 @@
         feeds: Rc<Feeds<P>>,
         logger: Logger,
     ) -> io::Result<(Rc<Self>, TcpListener)> {
-        let address = SocketAddr::from((settings.ip, settings.port));
+        let address = SocketAddr::from((settings.me.ip, settings.port));
         let socket = UdpSocket::bind(address).await?;
         let listener = TcpListener::bind(address).await?;
-        let now = Instant::now();
-        let seeds = settings.seeds.iter().filter(|&&ip| ip != settings.ip);
-        let known = seeds.map(|&ip| (ip, Known::new(now))).collect();
+        let neighbors = Neighbors::new(Instant::now(), settings.me, settings.seeds.clone());
         let peers = Self {
             settings,
             core,
             feeds,
             socket,
-            known: RefCell::new(known),
+            neighbors: RefCell::new(neighbors),
             push: Notify::new(),
             fetch: Notify::new(),
             logger,
@@ -118,55 +105,68 @@
         self.push.notify_one();
     }
 
-    /// Sends digests until the task is dropped.
+    /// Sends digests until the task is dropped: to each member of the group, and in turn to all
+    /// others.
     pub async fn send_digests(&self) {
+        let mut turn = Turn::default();
+        let mut is_pushed = false;
         for round in 0.. {
-            let targets = self.targets(round);
-            if !targets.is_empty() {
-                let digest = self.core.with(crate::core::Core::digest);
-                let known = self.told_addresses(round);
-                let bytes = digest.encode(&known);
-                for &ip in &targets {
-                    self.send(ip, &bytes).await;
-                }
+            let now = Instant::now();
+            self.neighbors.borrow_mut().expire(now);
+            let (group, members, addresses) = {
+                let neighbors = self.neighbors.borrow();
+                let addresses = neighbors.told_addresses(round);
+                (neighbors.group(now), neighbors.members(now), addresses)
+            };
+            let interval = interval(members.len());
+            if !members.is_empty() {
+                let digest = self.core.with(|core, now| core.digest(now, group));
+                self.send_all(&members, &digest.encode(&addresses)).await;
+            }
+            let others = self.neighbors.borrow().others(now, turn.number);
+            let others = if is_pushed {
+                others
+            } else {
+                turn.next(others, interval)
+            };
+            if !others.is_empty() {
+                let presence = self.core.with(|core, now| core.presence(now, group));
+                self.send_all(&others, &presence.encode(&addresses)).await;
             }
-            let interval = interval(targets.len());
             // A push brings the next round forward; where none comes, the time is simply up.
-            let _ = timeout(interval, self.push.notified()).await;
+            is_pushed = timeout(interval, self.push.notified()).await.is_ok();
         }
     }
 
-    async fn send(&self, ip: Ipv4Addr, bytes: &[u8]) {
-        let to = SocketAddr::from((ip, self.settings.port));
-        if let Err(error) = self.socket.send_to(bytes, to).await {
-            debug!(self.logger, "peers: Digest not sent."; "host" => %ip, "error" => %error);
+    /// Sends the sum of the group's load to other groups, where that is this host's part, until
+    /// the task is dropped.
+    pub async fn send_sums(&self) {
+        loop {
+            tokio::time::sleep(SUM_INTERVAL).await;
+            let now = Instant::now();
+            let (group, targets, hosts) = {
+                let neighbors = self.neighbors.borrow();
+                let targets = neighbors.sum_targets(now);
+                (neighbors.group(now), targets, neighbors.member_hosts(now))
+            };
+            if targets.is_empty() {
+                self.core.with(|core, _| core.end_group_digests());
+                continue;
+            }
+            let sum = self
+                .core
+                .with(|core, now| core.group_digest(now, group, hosts));
+            self.send_all(&targets, &sum.encode(&[])).await;
         }
     }
 
-    fn targets(&self, round: u64) -> Vec<Ipv4Addr> {
-        let now = Instant::now();
-        let mut known = self.known.borrow_mut();
-        let is_seed = |ip: &Ipv4Addr| self.settings.seeds.contains(ip);
-        known.retain(|ip, peer| peer.age(now) < FORGOTTEN || is_seed(ip));
-        let is_due = |peer: &Known| peer.age(now) < SILENT || round.is_multiple_of(SILENT_ROUNDS);
-        let due = known.iter().filter(|(_, peer)| is_due(peer));
-        due.map(|(&ip, _)| ip).collect()
-    }
-
-    /// Returns some of the known addresses, others in each round.
-    fn told_addresses(&self, round: u64) -> Vec<Ipv4Addr> {
-        let known = self.known.borrow();
-        let mut addresses = known.keys().copied().collect::<Vec<_>>();
-        addresses.sort_unstable();
-        if addresses.len() <= ADDRESSES_TOLD {
-            // A small fleet learns all addresses in a few rounds and then needs them rarely.
-            let is_due = round < 50 || round.is_multiple_of(SILENT_ROUNDS);
-            return if is_due { addresses } else { Vec::new() };
+    async fn send_all(&self, targets: &[Ipv4Addr], bytes: &[u8]) {
+        for &ip in targets {
+            let to = SocketAddr::from((ip, self.settings.port));
+            if let Err(error) = self.socket.send_to(bytes, to).await {
+                debug!(self.logger, "peers: Digest not sent."; "host" => %ip, "error" => %error);
+            }
         }
-        let start = (round as usize * ADDRESSES_TOLD) % addresses.len();
-        addresses.rotate_left(start);
-        addresses.truncate(ADDRESSES_TOLD);
-        addresses
     }
 
     /// Takes digests of other hosts until the task is dropped.
@@ -174,7 +174,7 @@
         let mut buffer = vec![0; DIGEST_BYTES];
         loop {
             match self.socket.recv_from(&mut buffer).await {
-                Ok((length, from)) => self.receive(&buffer[..length], from.ip()),
+                Ok((length, from)) => self.receive(&buffer[..length], from.ip()).await,
                 Err(error) => {
                     warn!(self.logger, "peers: Receiving failed."; "error" => %error);
                     tokio::time::sleep(FETCH_PAUSE).await;
@@ -183,37 +183,44 @@
         }
     }
 
-    fn receive(&self, bytes: &[u8], from: IpAddr) {
+    async fn receive(&self, bytes: &[u8], from: IpAddr) {
         let IpAddr::V4(from) = from else { return };
-        let (digest, addresses) = match Digest::decode(bytes) {
-            Ok(decoded) => decoded,
+        match Digest::decode(bytes) {
+            Ok((digest, _)) if matches!(digest.scope, Scope::Group { .. }) => {
+                self.receive_sum(digest).await;
+            }
+            Ok((digest, addresses)) => self.receive_digest(&digest, addresses, from),
             Err(error) => {
                 warn!(self.logger, "peers: Unreadable digest."; "host" => %from, "error" => %error);
-                return;
             }
-        };
+        }
+    }
+
+    /// Takes the sum of another group's load, and passes it on to the members of this one.
+    async fn receive_sum(&self, mut sum: Digest) {
+        let now = Instant::now();
+        if sum.group == self.neighbors.borrow().group(now) {
+            return;
+        }
+        self.core.with(|core, now| core.on_digest(now, &sum));
+        if !sum.is_forwarded {
+            sum.is_forwarded = true;
+            let members = self.neighbors.borrow().members(now);
+            self.send_all(&members, &sum.encode(&[])).await;
+        }
+    }
+
+    fn receive_digest(&self, digest: &Digest, addresses: Vec<Ipv4Addr>, from: Ipv4Addr) {
         let own_revision = self.core.with(|core, now| {
-            core.on_digest(now, &digest);
+            core.on_digest(now, digest);
             core.table().map_or(0, |table| table.revision())
         });
         let now = Instant::now();
-        let mut known = self.known.borrow_mut();
-        let is_new = !known.contains_key(&from);
-        known.insert(
-            from,
-            Known {
-                heard_at: now,
-                table_revision: digest.table_revision,
-            },
-        );
-        if is_new {
+        let mut neighbors = self.neighbors.borrow_mut();
+        if neighbors.heard(now, from, digest) {
             info!(self.logger, "peers: Host heard."; "host" => %from, "table" => digest.table_revision);
         }
-        for ip in addresses {
-            if ip != self.settings.ip && known.len() < HOST_LIMIT {
-                known.entry(ip).or_insert_with(|| Known::new(now));
-            }
-        }
+        neighbors.learn(now, addresses);
         if digest.table_revision > own_revision {
             self.fetch.notify_one();
         }
@@ -228,7 +235,8 @@
                 .core
                 .with(|core, _| core.table())
                 .map_or(0, |table| table.revision());
-            let Some(ip) = self.newest_host(own) else {
+            let newest = self.neighbors.borrow().newest(own);
+            let Some(ip) = newest else {
                 continue;
             };
             match self.fetch_from(ip).await {
@@ -244,13 +252,6 @@
         }
     }
 
-    fn newest_host(&self, own: u64) -> Option<Ipv4Addr> {
-        let known = self.known.borrow();
-        let newer = known.iter().filter(|(_, peer)| peer.table_revision > own);
-        let newest = newer.max_by_key(|(_, peer)| peer.heard_at);
-        newest.map(|(&ip, _)| ip)
-    }
-
     async fn fetch_from(&self, ip: Ipv4Addr) -> io::Result<Snapshot> {
         let address = SocketAddr::from((ip, self.settings.port));
         let read = async {
@@ -285,16 +286,30 @@
     }
 }
 
-impl Known {
-    fn new(now: Instant) -> Self {
-        Self {
-            heard_at: now,
-            table_revision: 0,
-        }
-    }
+/// Whose turn it is among the hosts of other groups.
+#[derive(Default)]
+struct Turn {
+    /// Number of the turn, in which each of them is told once.
+    number: u64,
+    place: usize,
+    /// Part of a digest that is due beside whole ones.
+    due: f64,
+}
 
-    fn age(&self, now: Instant) -> Duration {
-        now.saturating_duration_since(self.heard_at)
+impl Turn {
+    /// Returns those whose turn comes within an interval.
+    fn next(&mut self, others: Vec<Ipv4Addr>, interval: Duration) -> Vec<Ipv4Addr> {
+        self.due += interval.as_secs_f64() * PRESENCES_PER_S;
+        let count = (self.due as usize).min(others.len());
+        self.due = self.due.fract();
+        let end = (self.place + count).min(others.len());
+        let next = others.get(self.place..end).unwrap_or_default().to_vec();
+        self.place = end;
+        if self.place >= others.len() {
+            self.place = 0;
+            self.number += 1;
+        }
+        next
     }
 }
 
--- a/crates/hickoryhall-gateway/src/peers/message.rs
+++ b/crates/hickoryhall-gateway/src/peers/message.rs
@@ -9,16 +9,24 @@
 use prost::Message;
 
 use crate::interface::{StoreItem, StoreRevision};
-use crate::scheduler::{HostHash, HostLoad};
+use crate::scheduler::{GroupHash, HostHash, HostLoad};
 
 /// What a host tells the others several times a second.
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct Digest {
     /// Hash of its name.
     pub host: HostHash,
+    /// Hash of the name of its failure domain.
+    pub domain: u64,
+    /// Group that it counts itself to.
+    pub group: GroupHash,
+    /// What it tells of loads.
+    pub scope: Scope,
+    /// Whether it came by another host than its sender.
+    pub is_forwarded: bool,
     /// Table in force there, 0 for none.
     pub table_revision: Revision,
-    /// Its load at backend servers, and runners that it gave orders to.
+    /// Load at backend servers, and runners that the sender gave orders to.
     pub servers: Vec<ServerNews>,
     /// Weights that runners shall have.
     pub wanted: Vec<WantedNews>,
@@ -28,6 +36,21 @@
     pub prompts: Vec<PromptNews>,
 }
 
+/// Whose load a digest tells.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub enum Scope {
+    /// The sender's own, in full.
+    #[default]
+    Host,
+    /// Nobody's: it only tells that the sender lives, and what is urgent.
+    Presence,
+    /// That of a group's hosts together.
+    Group {
+        /// Hosts counted.
+        hosts: Vec<HostHash>,
+    },
+}
+
 /// Levels of a prompt that a runner has read and now holds.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct PromptNews {
@@ -111,6 +134,17 @@
     known_hosts: Vec<u32>,
     #[prost(message, repeated, tag = "7")]
     prompts: Vec<WirePrompt>,
+    #[prost(fixed64, tag = "8")]
+    domain: u64,
+    #[prost(fixed64, tag = "9")]
+    group: u64,
+    #[prost(bool, tag = "10")]
+    is_presence: bool,
+    /// Set where the load is that of a group.
+    #[prost(fixed64, repeated, tag = "11")]
+    group_hosts: Vec<u64>,
+    #[prost(bool, tag = "12")]
+    is_forwarded: bool,
 }
 
 /// The levels' keys and tokens stand in two lists of equal length.
@@ -235,14 +269,35 @@
             suspects: digest.suspects.iter().map(WireSuspect::from).collect(),
             known_hosts: Vec::new(),
             prompts: digest.prompts.iter().map(WirePrompt::from).collect(),
+            domain: digest.domain,
+            group: digest.group,
+            is_presence: digest.scope == Scope::Presence,
+            group_hosts: match &digest.scope {
+                Scope::Group { hosts } => hosts.clone(),
+                Scope::Host | Scope::Presence => Vec::new(),
+            },
+            is_forwarded: digest.is_forwarded,
         }
     }
 }
 
 impl From<WireDigest> for Digest {
     fn from(wire: WireDigest) -> Self {
+        let scope = if wire.is_presence {
+            Scope::Presence
+        } else if wire.group_hosts.is_empty() {
+            Scope::Host
+        } else {
+            Scope::Group {
+                hosts: wire.group_hosts,
+            }
+        };
         Self {
             host: wire.host,
+            domain: wire.domain,
+            group: wire.group,
+            scope,
+            is_forwarded: wire.is_forwarded,
             table_revision: wire.table_revision,
             servers: wire.servers.iter().map(ServerNews::from).collect(),
             wanted: wire.wanted.into_iter().map(WantedNews::from).collect(),
--- a/crates/hickoryhall-gateway/src/scheduler.rs
+++ b/crates/hickoryhall-gateway/src/scheduler.rs
@@ -27,7 +27,7 @@
     Assignment, AttemptEnd, Denied, DenyReason, Need, Placement, PromptNeed, RunnerView,
 };
 use offer::{Offer, millis};
-pub use server::HostLoad;
+pub use server::{HostLoad, LoadSource};
 use server::{RequestLoad, ServerState};
 pub use wanted::WantedVersions;
 
@@ -39,6 +39,8 @@
 pub type Ticket = u64;
 /// Stable hash of a host's name.
 pub type HostHash = u64;
+/// Stable hash of a group of hosts.
+pub type GroupHash = u64;
 /// Urgency of a request, lowest first: that of its workspace, then that of its route.
 pub type Rank = (u8, u8);
 
--- a/crates/hickoryhall-gateway/src/scheduler/news.rs
+++ b/crates/hickoryhall-gateway/src/scheduler/news.rs
@@ -5,7 +5,7 @@
 use hickoryhall_routing::PrefixChain;
 use hickoryhall_types::WeightsVersion;
 
-use super::{HostHash, HostLoad, RunnerView, Scheduler};
+use super::{HostLoad, LoadSource, RunnerView, Scheduler};
 use crate::interface::Judged;
 use crate::peers::PromptNews;
 
@@ -50,22 +50,22 @@
         }
     }
 
-    /// Takes the load that another host has at a server.
-    pub fn set_peer_load(&mut self, now: Instant, host: HostHash, server: u64, load: HostLoad) {
+    /// Takes the load that other hosts have at a server.
+    pub fn set_peer_load(&mut self, now: Instant, source: LoadSource, server: u64, load: HostLoad) {
         if let Some(state) = self
             .by_hash
             .get(&server)
             .and_then(|&key| self.servers.get_mut(key))
         {
-            state.set_peer(now, host, load);
+            state.set_peer(now, source, load);
         }
     }
 
-    /// Forgets the load of another host where its news no longer name a server.
-    pub fn keep_peer_loads(&mut self, host: HostHash, named: &[u64]) {
+    /// Forgets the load of other hosts where their news no longer name a server.
+    pub fn keep_peer_loads(&mut self, source: LoadSource, named: &[u64]) {
         for state in self.servers.values_mut() {
             if !named.contains(&state.name_hash) {
-                state.clear_peer(host);
+                state.clear_peer(source);
             }
         }
     }
@@ -77,6 +77,16 @@
             .map(|state| (state.name_hash, state.own_load(), state.weights()))
     }
 
+    /// Returns the load of this host's group at each server, and the weights of each.
+    pub fn group_loads(
+        &self,
+        now: Instant,
+    ) -> impl Iterator<Item = (u64, HostLoad, WeightsVersion)> {
+        self.servers
+            .values()
+            .map(move |state| (state.name_hash, state.group_load(now), state.weights()))
+    }
+
     /// Returns the servers of model services with what all hosts have there.
     #[must_use]
     pub fn runners(&self, now: Instant) -> Vec<RunnerView> {
--- a/crates/hickoryhall-gateway/src/scheduler/server.rs
+++ b/crates/hickoryhall-gateway/src/scheduler/server.rs
@@ -6,7 +6,7 @@
 use hickoryhall_routing::{Ejection, ShadowCache};
 use hickoryhall_types::{TokenCount, WeightsVersion, hash_name};
 
-use super::{HostHash, Ticket};
+use super::{GroupHash, HostHash, Ticket};
 use crate::interface::ToldLoad;
 use crate::registry::BackendServer;
 use crate::table::EngineShape;
@@ -48,6 +48,15 @@
     pub bound: u32,
 }
 
+/// Whose load other hosts told.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub enum LoadSource {
+    /// That of one host of this one's group.
+    Host(HostHash),
+    /// That of all hosts of another group.
+    Group(GroupHash),
+}
+
 #[derive(Clone, Copy, Debug)]
 struct PeerLoad {
     load: HostLoad,
@@ -67,7 +76,7 @@
     pub engine: Option<EngineShape>,
     own: HashMap<Ticket, RequestLoad>,
     own_sum: HostLoad,
-    peers: HashMap<HostHash, PeerLoad>,
+    peers: HashMap<LoadSource, PeerLoad>,
     told: Option<(ToldLoad, Instant)>,
     weights: WeightsVersion,
     changing_since: Option<Instant>,
@@ -174,12 +183,12 @@
         self.own_sum
     }
 
-    pub fn set_peer(&mut self, now: Instant, host: HostHash, load: HostLoad) {
-        self.peers.insert(host, PeerLoad { load, at: now });
+    pub fn set_peer(&mut self, now: Instant, source: LoadSource, load: HostLoad) {
+        self.peers.insert(source, PeerLoad { load, at: now });
     }
 
-    pub fn clear_peer(&mut self, host: HostHash) {
-        self.peers.remove(&host);
+    pub fn clear_peer(&mut self, source: LoadSource) {
+        self.peers.remove(&source);
     }
 
     pub fn observe(&mut self, now: Instant, load: ToldLoad) {
@@ -188,11 +197,19 @@
 
     /// Returns the load of all hosts together.
     pub fn load(&self, now: Instant) -> HostLoad {
-        let fresh = self
-            .peers
-            .values()
-            .filter(|peer| now.saturating_duration_since(peer.at) < PEER_LOAD_TTL);
-        fresh.fold(self.own_sum, |sum, peer| HostLoad {
+        self.sum(now, |_| true)
+    }
+
+    /// Returns the load of this host's group.
+    pub fn group_load(&self, now: Instant) -> HostLoad {
+        self.sum(now, |source| matches!(source, LoadSource::Host(_)))
+    }
+
+    fn sum(&self, now: Instant, counts: impl Fn(&LoadSource) -> bool) -> HostLoad {
+        let is_fresh = |peer: &PeerLoad| now.saturating_duration_since(peer.at) < PEER_LOAD_TTL;
+        let fresh = self.peers.iter();
+        let fresh = fresh.filter(|&(source, peer)| is_fresh(peer) && counts(source));
+        fresh.fold(self.own_sum, |sum, (_, peer)| HostLoad {
             requests: sum.requests + peer.load.requests,
             pending_ms: sum.pending_ms + peer.load.pending_ms,
             own_tokens: sum.own_tokens + peer.load.own_tokens,
--- /dev/null
+++ b/crates/hickoryhall-gateway/tests/groups.rs
@@ -0,0 +1,324 @@
+//! Hosts of a large fleet hear of all load by groups, each load once, at a cost that does not
+//! follow the fleet's size.
+
+mod support;
+
+use std::collections::HashSet;
+use std::net::Ipv4Addr;
+use std::time::{Duration, Instant};
+
+use hickoryhall_gateway::core::{Core, CoreConfig};
+use hickoryhall_gateway::peers::{Digest, Me, Neighbors, PromptNews, Scope, ServerNews};
+use hickoryhall_gateway::registry::BackendServer;
+use hickoryhall_gateway::scheduler::{HostLoad, Need, PromptNeed, SchedulerConfig};
+use hickoryhall_limits::FleetRetryLimit;
+use hickoryhall_routing::{Level, PrefixChain};
+use hickoryhall_types::hash_name;
+use rstest::rstest;
+use slog::{Discard, Logger, o};
+use support::{model_service, table_of};
+use tokio::sync::oneshot;
+
+const DOMAINS: usize = 3;
+
+struct Host {
+    ip: Ipv4Addr,
+    neighbors: Neighbors,
+    core: Core,
+    received: usize,
+}
+
+/// Hosts on a network that loses and delays nothing.
+struct Network {
+    now: Instant,
+    hosts: Vec<Host>,
+    cut_off: HashSet<Ipv4Addr>,
+}
+
+impl Network {
+    fn new(count: usize) -> Self {
+        let now = Instant::now();
+        let ips = (0..count).map(|index| Ipv4Addr::from(0x0a00_0001 + index as u32));
+        let ips = ips.collect::<Vec<_>>();
+        let hosts = ips.iter().enumerate();
+        let hosts = hosts.map(|(index, &ip)| host(now, index, ip, ips[..2].to_vec()));
+        Self {
+            now,
+            hosts: hosts.collect(),
+            cut_off: HashSet::new(),
+        }
+    }
+
+    fn deliver(&mut self, from: Ipv4Addr, to: Ipv4Addr, digest: &Digest, known: &[Ipv4Addr]) {
+        if self.cut_off.contains(&from) || self.cut_off.contains(&to) {
+            return;
+        }
+        let now = self.now;
+        let Some(host) = self.hosts.iter_mut().find(|host| host.ip == to) else {
+            return;
+        };
+        host.received += 1;
+        if let Scope::Group { .. } = digest.scope {
+            if digest.group == host.neighbors.group(now) {
+                return;
+            }
+            host.core.on_digest(now, digest);
+            if !digest.is_forwarded {
+                let forwarded = Digest {
+                    is_forwarded: true,
+                    ..digest.clone()
+                };
+                for member in host.neighbors.members(now) {
+                    self.deliver(to, member, &forwarded, &[]);
+                }
+            }
+            return;
+        }
+        host.core.on_digest(now, digest);
+        host.neighbors.heard(now, from, digest);
+        host.neighbors.learn(now, known.iter().copied());
+    }
+
+    /// Lets every host tell the others; `meets` says whether hosts of other groups are told.
+    fn round(&mut self, number: u64, meets: bool) {
+        self.now += Duration::from_millis(100);
+        let now = self.now;
+        for index in 0..self.hosts.len() {
+            let host = &mut self.hosts[index];
+            let group = host.neighbors.group(now);
+            let known = host.neighbors.told_addresses(number);
+            let own = host.core.digest(now, group);
+            let presence = host.core.presence(now, group);
+            let members = host.neighbors.members(now);
+            let others = host.neighbors.others(now, number);
+            let from = host.ip;
+            for to in members {
+                self.deliver(from, to, &own, &known);
+            }
+            for to in others.into_iter().filter(|_| meets) {
+                self.deliver(from, to, &presence, &known);
+            }
+        }
+        for index in 0..self.hosts.len() {
+            let host = &mut self.hosts[index];
+            let targets = host.neighbors.sum_targets(now);
+            if targets.is_empty() {
+                continue;
+            }
+            let group = host.neighbors.group(now);
+            let members = host.neighbors.member_hosts(now);
+            let sum = host.core.group_digest(now, group, members);
+            let from = host.ip;
+            for to in targets {
+                self.deliver(from, to, &sum, &[]);
+            }
+        }
+    }
+
+    fn meet(&mut self) {
+        for number in 0..40 {
+            self.round(number, true);
+        }
+    }
+
+    /// Returns the requests that each host believes to be at the runner.
+    fn believed(&self) -> Vec<u32> {
+        let requests = |host: &Host| host.core.runners(self.now)[0].load.requests;
+        self.hosts.iter().map(requests).collect()
+    }
+}
+
+fn host(now: Instant, index: usize, ip: Ipv4Addr, seeds: Vec<Ipv4Addr>) -> Host {
+    let domain = format!("domain-{}", index % DOMAINS);
+    let me = Me {
+        ip,
+        host: hash_name(&format!("host-{index}")),
+        domain: hash_name(&domain),
+    };
+    let config = CoreConfig {
+        me: me.host,
+        scheduler: SchedulerConfig::new(me.host, domain.as_str().into()),
+        retries: FleetRetryLimit {
+            ratio: 0.2,
+            extra: 10.0,
+            window: Duration::from_secs(10),
+        },
+    };
+    let mut core = Core::new(config, Logger::root(Discard, o!()));
+    core.set_table(table_of([("models", model_service(10_000, 100_000_000))]));
+    core.on_registry_entry(runner("runner"));
+    Host {
+        ip,
+        neighbors: Neighbors::new(now, me, seeds),
+        core,
+        received: 0,
+    }
+}
+
+fn runner(id: &str) -> BackendServer {
+    BackendServer {
+        id: id.into(),
+        service: "models".into(),
+        address: ([127, 0, 0, 1], 1_000).into(),
+        domain: "domain-0".into(),
+        slots: 10_000,
+        is_leaving: false,
+        models: vec![("m".into(), 1)],
+        incarnation: 1,
+    }
+}
+
+fn send_request(network: &mut Network, index: usize) {
+    let need = Need {
+        ticket: 1,
+        service: "models".into(),
+        rank: (1, 0),
+        prompt: Some(PromptNeed {
+            model: "m".into(),
+            input_tokens: 100,
+            chain: PrefixChain::from_levels(vec![Level {
+                key: index as u64,
+                tokens: 100,
+            }]),
+            output_tokens: 10,
+        }),
+        is_resumable: true,
+        arrived: network.now,
+        target: Duration::from_secs(10),
+        deadline: network.now + Duration::from_secs(20),
+        exclude: Vec::new(),
+    };
+    let (reply, mut placed) = oneshot::channel();
+    network.hosts[index].core.place(network.now, need, reply);
+    placed.try_recv().expect("a placement").expect("a runner");
+}
+
+#[rstest]
+#[case::small(6)]
+#[case::still_one_group(24)]
+#[case::just_above(25)]
+#[case::grown(70)]
+#[case::domains_in_parts(150)]
+fn every_host_counts_each_request_once(#[case] count: usize) {
+    let mut network = Network::new(count);
+    network.meet();
+    for index in 0..count {
+        send_request(&mut network, index);
+    }
+    network.round(40, false);
+    network.round(41, false);
+    assert_eq!(network.believed(), vec![count as u32; count]);
+}
+
+/// Without groups each host takes one digest of every other in a round: 69 and 149.
+#[rstest]
+#[case::small(6, 6)]
+#[case::grown(70, 27)]
+#[case::large(150, 40)]
+fn a_round_costs_a_host_what_its_group_and_the_groups_cost(
+    #[case] count: usize,
+    #[case] most: usize,
+) {
+    let mut network = Network::new(count);
+    network.meet();
+    for host in &mut network.hosts {
+        host.received = 0;
+    }
+    network.round(41, false);
+    let received = network.hosts.iter().map(|host| host.received).max();
+    assert!(received <= Some(most), "{received:?}");
+}
+
+#[test]
+fn another_host_sends_the_sum_where_the_first_is_cut_off() {
+    let mut network = Network::new(70);
+    network.meet();
+    let now = network.now;
+    let sums = |host: &&Host| !host.neighbors.sum_targets(now).is_empty();
+    let first = network.hosts.iter().filter(sums).map(|host| host.ip);
+    let first = first.collect::<HashSet<_>>();
+    assert_eq!(first.len(), DOMAINS, "one host of each group");
+    network.cut_off.clone_from(&first);
+    // Silent hosts count for three seconds.
+    for number in 0..32 {
+        network.round(number, true);
+    }
+    for index in 0..70 {
+        send_request(&mut network, index);
+    }
+    network.round(33, true);
+    network.round(34, true);
+    let heard = network.hosts.iter().zip(network.believed());
+    let heard = heard.filter(|(host, _)| !first.contains(&host.ip));
+    let heard = heard.map(|(_, requests)| requests).collect::<Vec<_>>();
+    assert_eq!(heard, vec![70 - DOMAINS as u32; 70 - DOMAINS]);
+}
+
+#[test]
+fn urgent_news_reach_other_groups_directly() {
+    let mut network = Network::new(70);
+    network.meet();
+    network.hosts[0].core.death(network.now, 7);
+    network.round(40, true);
+    let now = network.now;
+    let told = network.hosts.iter_mut().filter_map(|host| {
+        let group = host.neighbors.group(now);
+        let suspects = host.core.presence(now, group).suspects;
+        suspects.iter().find(|news| news.fingerprint == 7).copied()
+    });
+    assert_eq!(told.count(), 70);
+}
+
+/// The largest datagram that a host takes is 16 KiB.
+#[test]
+fn a_sum_over_very_many_busy_servers_and_prompts_stays_within_a_datagram() {
+    let mut network = Network::new(70);
+    network.meet();
+    let now = network.now;
+    let host = &mut network.hosts[0];
+    let group = host.neighbors.group(now);
+    let number = |index: u32| hash_name(&index.to_string());
+    for index in 0..1_000 {
+        host.core
+            .on_registry_entry(runner(&format!("runner-{index}")));
+    }
+    let busy = Digest {
+        host: 1,
+        group,
+        servers: (0..1_000)
+            .map(|index| ServerNews {
+                server: hash_name(&format!("runner-{index}")),
+                load: HostLoad {
+                    requests: 200,
+                    pending_ms: index,
+                    own_tokens: 200_000,
+                    output_tokens: 20_000,
+                    bound: 200,
+                },
+                weights: 300,
+                change: None,
+            })
+            .collect(),
+        prompts: (0..200)
+            .map(|index| PromptNews {
+                server: number(index),
+                weights: 300,
+                levels: vec![
+                    Level {
+                        key: number(index),
+                        tokens: 5_000,
+                    };
+                    3
+                ],
+            })
+            .collect(),
+        ..Digest::default()
+    };
+    // The first one starts the collection of prompts.
+    host.core.group_digest(now, group, Vec::new());
+    host.core.on_digest(now, &busy);
+    let sum = host.core.group_digest(now, group, (0..32).collect());
+    assert!(sum.encode(&[]).len() <= 16_384);
+    let busiest = hash_name("runner-999");
+    assert!(sum.servers.iter().any(|news| news.server == busiest));
+}
--- a/crates/hickoryhall-gateway/tests/herd.rs
+++ b/crates/hickoryhall-gateway/tests/herd.rs
@@ -5,7 +5,9 @@
 use std::time::{Duration, Instant};
 
 use hickoryhall_gateway::registry::{BackendServer, RegistryEvent};
-use hickoryhall_gateway::scheduler::{HostLoad, Need, PromptNeed, Scheduler, SchedulerConfig};
+use hickoryhall_gateway::scheduler::{
+    HostLoad, LoadSource, Need, PromptNeed, Scheduler, SchedulerConfig,
+};
 use hickoryhall_routing::{Level, PrefixChain};
 use hickoryhall_types::hash_name;
 use rstest::rstest;
@@ -40,7 +42,7 @@
                 pending_ms,
                 ..HostLoad::default()
             };
-            scheduler.set_peer_load(now, HOSTS, hash_name(&name), load);
+            scheduler.set_peer_load(now, LoadSource::Host(HOSTS), hash_name(&name), load);
         }
         let placement = scheduler.place(now, need(now, host));
         placement.is_some_and(|placed| placed.is_ok_and(|placed| &*placed.server.id == FREE))
--- a/crates/hickoryhall-gateway/tests/messages.rs
+++ b/crates/hickoryhall-gateway/tests/messages.rs
@@ -6,7 +6,7 @@
 use bytes::Bytes;
 use hickoryhall_gateway::interface::StoreItem;
 use hickoryhall_gateway::peers::{
-    Digest, PromptNews, Records, ServerNews, Snapshot, SuspectNews, WantedNews,
+    Digest, PromptNews, Records, Scope, ServerNews, Snapshot, SuspectNews, WantedNews,
 };
 use hickoryhall_gateway::scheduler::HostLoad;
 use hickoryhall_routing::Level;
@@ -17,6 +17,17 @@
     let small = |index: usize| (number(index) % 1_000_000) as u32;
     Digest {
         host: number(0),
+        domain: number(4),
+        group: number(5),
+        scope: [
+            Scope::Host,
+            Scope::Presence,
+            Scope::Group {
+                hosts: vec![number(6), number(7)],
+            },
+        ][number(8) as usize % 3]
+            .clone(),
+        is_forwarded: number(9).is_multiple_of(2),
         table_revision: number(1),
         servers: vec![ServerNews {
             server: number(2),
--- a/crates/hickoryhall-gateway/tests/scheduler.rs
+++ b/crates/hickoryhall-gateway/tests/scheduler.rs
@@ -26,7 +26,7 @@
 use hickoryhall_gateway::peers::PromptNews;
 use hickoryhall_gateway::registry::{BackendServer, RegistryEvent};
 use hickoryhall_gateway::scheduler::{
-    AttemptEnd, HostLoad, Need, Placement, PromptNeed, Scheduler, SchedulerConfig,
+    AttemptEnd, HostLoad, LoadSource, Need, Placement, PromptNeed, Scheduler, SchedulerConfig,
 };
 use hickoryhall_gateway::table::{KeepInfo, RouteTable, ServiceInfo};
 use hickoryhall_routing::{Level, PrefixChain};
@@ -159,7 +159,8 @@
             ..HostLoad::default()
         };
         args.reject_next()?;
-        self.scheduler.set_peer_load(self.now, host, server, load);
+        self.scheduler
+            .set_peer_load(self.now, LoadSource::Host(host), server, load);
         Ok(())
     }
 
