Fetch cached prompts from whichever source leaves less to read

A runner that held the outer part of a prompt was asked before the store of cached prompts, also where the store held all of it.

--- a/crates/hickoryhall-gateway/src/scheduler/offer.rs
+++ b/crates/hickoryhall-gateway/src/scheduler/offer.rs
@@ -165,9 +165,7 @@
         if load.requests >= engine.slots || (!is_fitting && load.requests > 0) {
             return Err(DenyReason::Full);
         }
-        let transfer = self
-            .transfer(now, engine, holders, holder)
-            .or_else(|| self.keep_transfer(now, prompt, engine, holder));
+        let transfer = self.best_transfer(now, prompt, engine, holders, holder);
         let fetched_tokens = transfer.map_or(0, |transfer| transfer.tokens);
         let held = holder.cached_tokens + fetched_tokens;
         let missing_tokens = prompt.input_tokens.saturating_sub(held);
@@ -209,6 +207,27 @@
         displaced / self.config.prefill_tokens_per_ms * self.config.displaced_part
     }
 
+    /// Returns the transfer after which the prompt is read soonest: from another runner, or from the
+    /// store of cached prompts, which may hold more of it.
+    fn best_transfer(
+        &self,
+        now: Instant,
+        prompt: &PromptNeed,
+        engine: &EngineShape,
+        holders: &[Holder],
+        to: &Holder,
+    ) -> Option<Transfer> {
+        let from_runner = self.transfer(now, engine, holders, to);
+        let from_keep = self.keep_transfer(now, prompt, engine, to);
+        let read_after_ms = |transfer: &Transfer| {
+            let held = to.cached_tokens + transfer.tokens;
+            let missing = prompt.input_tokens.saturating_sub(held);
+            transfer.ms + self.read_ms(missing, prompt.input_tokens)
+        };
+        let transfers = from_runner.into_iter().chain(from_keep);
+        transfers.min_by(|one, other| read_after_ms(one).total_cmp(&read_after_ms(other)))
+    }
+
     /// Returns the transfer from another runner that spares this one the most.
     fn transfer(
         &self,
