Count hosts of very large fleets as live between turns of digests

A host of another group is told in turn, 50 a second: with 520 hosts a turn takes 10 s, and a host counted as silent after 3 s. It saw 156 of 519 (test), so that groups came out too large. It now counts for two turns where these are longer. Up to 75 hosts nothing changes: a turn is at most 1.5 s there.

--- a/crates/hickoryhall-gateway/src/host.rs
+++ b/crates/hickoryhall-gateway/src/host.rs
@@ -233,7 +233,6 @@
     scheduler.old_weights_limit = settings.bounds.old_weights_limit();
     CoreConfig {
         me,
-
         scheduler,
         retries: settings.bounds.retries(),
     }
--- a/crates/hickoryhall-gateway/src/peers.rs
+++ b/crates/hickoryhall-gateway/src/peers.rs
@@ -25,6 +25,7 @@
 pub use message::{
     BadMessage, Digest, PromptNews, Records, Scope, ServerNews, Snapshot, SuspectNews, WantedNews,
 };
+use neighbors::PRESENCES_PER_S;
 pub use neighbors::{Me, Neighbors};
 
 use crate::core::CoreHandle;
@@ -35,8 +36,6 @@
 const DIGEST_INTERVAL: Duration = Duration::from_millis(100);
 /// Digests a second that one host sends to a large group, whose rounds are longer instead.
 const DIGESTS_PER_S: f64 = 150.0;
-/// Digests a second that one host sends to hosts of other groups, each of them in turn.
-const PRESENCES_PER_S: f64 = 50.0;
 /// Time between two sums of a group's load.
 const SUM_INTERVAL: Duration = Duration::from_millis(150);
 /// Largest digest.
--- a/crates/hickoryhall-gateway/src/peers/neighbors.rs
+++ b/crates/hickoryhall-gateway/src/peers/neighbors.rs
@@ -21,8 +21,12 @@
 const GROUP_HOSTS: usize = 32;
 /// Group of all hosts of a small fleet.
 const WHOLE_FLEET: GroupHash = 1;
-/// Time after which a silent host is only tried now and then.
+/// Digests a second that one host sends to hosts of other groups, each of them in turn.
+pub(super) const PRESENCES_PER_S: f64 = 50.0;
+/// Time after which a silent host is only tried now and then, in a fleet of usual size.
 const SILENT: Duration = Duration::from_secs(3);
+/// Turns of digests to all hosts after which one of a very large fleet counts as silent.
+const SILENT_TURNS: f64 = 2.0;
 /// Rounds between two tries to reach a silent host.
 const SILENT_ROUNDS: u64 = 10;
 /// Time after which a silent host is forgotten.
@@ -140,10 +144,12 @@
     pub fn others(&self, now: Instant, round: u64) -> Vec<Ipv4Addr> {
         let group = self.group(now);
         let is_member = |neighbor: &Neighbor| {
-            neighbor.age(now) < SILENT && neighbor.named.is_some_and(|named| named.group == group)
+            !self.is_silent(now, neighbor)
+                && neighbor.named.is_some_and(|named| named.group == group)
+        };
+        let is_due = |neighbor: &Neighbor| {
+            !self.is_silent(now, neighbor) || round.is_multiple_of(SILENT_ROUNDS)
         };
-        let is_due =
-            |neighbor: &Neighbor| neighbor.age(now) < SILENT || round.is_multiple_of(SILENT_ROUNDS);
         let others = self.known.iter();
         let others = others.filter(|(_, neighbor)| !is_member(neighbor) && is_due(neighbor));
         let mut others = others.map(|(&ip, _)| ip).collect::<Vec<_>>();
@@ -198,9 +204,14 @@
         addresses
     }
 
+    fn is_silent(&self, now: Instant, neighbor: &Neighbor) -> bool {
+        let turn_s = self.known.len() as f64 / PRESENCES_PER_S;
+        neighbor.age(now) >= SILENT.max(Duration::from_secs_f64(turn_s * SILENT_TURNS))
+    }
+
     fn live(&self, now: Instant) -> impl Iterator<Item = (Ipv4Addr, Named)> {
         let live = self.known.iter();
-        let live = live.filter(move |(_, neighbor)| neighbor.age(now) < SILENT);
+        let live = live.filter(move |(_, neighbor)| !self.is_silent(now, neighbor));
         live.filter_map(|(&ip, neighbor)| Some((ip, neighbor.named?)))
     }
 }
--- a/crates/hickoryhall-gateway/src/scheduler/server.rs
+++ b/crates/hickoryhall-gateway/src/scheduler/server.rs
@@ -27,7 +27,6 @@
     pub own_tokens: TokenCount,
     /// Memory for what it generates, a part of its own.
     pub output_tokens: TokenCount,
-
     /// Whether it cannot go on at another server.
     pub is_bound: bool,
 }
@@ -43,7 +42,6 @@
     pub own_tokens: u32,
     /// Memory for what they generate, a part of their own.
     pub output_tokens: u32,
-
     /// Requests that cannot go on at another server.
     pub bound: u32,
 }
--- a/crates/hickoryhall-gateway/tests/groups.rs
+++ b/crates/hickoryhall-gateway/tests/groups.rs
@@ -13,7 +13,7 @@
 use hickoryhall_gateway::scheduler::{HostLoad, Need, PromptNeed, SchedulerConfig};
 use hickoryhall_limits::FleetRetryLimit;
 use hickoryhall_routing::{Level, PrefixChain};
-use hickoryhall_types::hash_name;
+use hickoryhall_types::{hash_name, rendezvous_score};
 use rstest::rstest;
 use slog::{Discard, Logger, o};
 use support::{model_service, table_of};
@@ -322,3 +322,34 @@
     let busiest = hash_name("runner-999");
     assert!(sum.servers.iter().any(|news| news.server == busiest));
 }
+
+/// At the planned size a turn of digests to all hosts takes ten seconds; who has been heard in the
+/// last one lives.
+#[test]
+fn hosts_of_the_largest_fleet_stay_known_between_turns() {
+    const ME: u64 = 1_000_001;
+    let start = Instant::now();
+    let me = Me {
+        ip: Ipv4Addr::new(10, 0, 0, 1),
+        host: ME,
+        domain: 0,
+    };
+    let mut neighbors = Neighbors::new(start, me, Vec::new());
+    let turn = Duration::from_secs(10);
+    for index in 2..=520_u32 {
+        let named = Digest {
+            host: hash_name(&index.to_string()),
+            domain: 0,
+            group: u64::from(index % 16 + 2),
+            ..Digest::default()
+        };
+        let heard_at = start + turn * index / 520;
+        neighbors.heard(heard_at, Ipv4Addr::from(0x0a00_0000 + index), &named);
+    }
+    assert_eq!(neighbors.others(start + turn, 1).len(), 519);
+    // One of each group that the others name.
+    assert_eq!(neighbors.sum_targets(start + turn).len(), 16);
+    // 520 hosts are more than 16 groups of 32, so there are 32 groups.
+    let group = neighbors.group(start + turn);
+    assert_eq!(group, rendezvous_score(0, ME % 32));
+}
