--- a/crates/hickoryhall-gateway/src/core.rs
+++ b/crates/hickoryhall-gateway/src/core.rs
@@ -1,26 +1,27 @@
 //! Actor that owns every decision of a host, and the handle by which tasks on its thread reach it.
 
-use std::cell::RefCell;
-use std::cmp::Reverse;
+mod digests;
+mod handle;
+
 use std::collections::HashMap;
-use std::rc::Rc;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
 use hickoryhall_limits::{FleetRetryBudget, FleetRetryLimit};
 use hickoryhall_routing::{Fingerprint, Suspects, Verdict};
-use hickoryhall_types::{TargetId, WeightsVersion, hash_name, rendezvous_score};
+use hickoryhall_types::{TargetId, WeightsVersion, rendezvous_score};
 use slog::{Logger, info};
-use stakker::{ActorOwn, CX, Stakker, ret_nop};
-use tokio::sync::{Notify, oneshot};
+use stakker::CX;
+use tokio::sync::oneshot;
+
+pub use handle::CoreHandle;
 
 use crate::fleet::Fleet;
 use crate::interface::Judged;
-use crate::peers::{Digest, PromptNews, Scope, ServerNews, SuspectNews, WantedNews};
+use crate::peers::{PromptNews, SuspectNews};
 use crate::registry::{BackendServer, Registry, RegistryEvent};
 use crate::scheduler::{
-    AttemptEnd, GroupHash, HostHash, HostLoad, LoadSource, Need, Placement, RunnerView, Scheduler,
-    SchedulerConfig, Ticket,
+    AttemptEnd, HostHash, Need, Placement, RunnerView, Scheduler, SchedulerConfig, Ticket,
 };
 use crate::table::RouteTable;
 
@@ -31,11 +32,6 @@
 /// Suspects told to other hosts at a time.
 const SUSPECTS_TOLD: usize = 16;
 
-/// Servers told at a time, so that a digest stays within its size.
-const SERVERS_TOLD: usize = 300;
-/// Prompts of a group told to other groups at a time, so that a digest stays within its size.
-const GROUP_PROMPTS: usize = 64;
-
 /// Settings of the decisions.
 #[derive(Clone, Debug)]
 pub struct CoreConfig {
@@ -295,145 +291,6 @@
         budget.map_or(0.0, |budget| budget.part_left(now, hosts))
     }
 
-    /// Returns what the hosts of this one's group should know.
-    pub fn digest(&mut self, now: Instant, group: GroupHash) -> Digest {
-        let prompts = self.scheduler.take_prompts();
-        self.collect_prompts(&prompts);
-        let loads = self.scheduler.own_loads();
-        Digest {
-            servers: self.server_news(loads),
-            prompts,
-            ..self.news(now, group, Scope::Host)
-        }
-    }
-
-    /// Returns what all hosts should know: that this one lives, and what cannot wait.
-    pub fn presence(&mut self, now: Instant, group: GroupHash) -> Digest {
-        let mut servers = self.server_news(self.scheduler.own_loads());
-        servers.retain(|news| news.change.is_some());
-        Digest {
-            servers,
-            ..self.news(now, group, Scope::Presence)
-        }
-    }
-
-    /// Returns what other groups should know of this one's, whose other hosts are `hosts`.
-    pub fn group_digest(
-        &mut self,
-        now: Instant,
-        group: GroupHash,
-        mut hosts: Vec<HostHash>,
-    ) -> Digest {
-        hosts.push(self.config.me);
-        let prompts = self.group_prompts.replace(Vec::new());
-        let loads = self.scheduler.group_loads(now);
-        Digest {
-            servers: self.server_news(loads),
-            prompts: prompts.unwrap_or_default(),
-            ..self.news(now, group, Scope::Group { hosts })
-        }
-    }
-
-    /// Ends the collection of prompts for [`Core::group_digest`].
-    pub fn end_group_digests(&mut self) {
-        self.group_prompts = None;
-    }
-
-    fn news(&self, now: Instant, group: GroupHash, scope: Scope) -> Digest {
-        let wanted = self.scheduler.wanted().flat_map(|(model, versions)| {
-            versions.iter(now).map(|(version, age)| WantedNews {
-                model: model.clone(),
-                version,
-                age,
-            })
-        });
-        Digest {
-            host: self.config.me,
-            domain: hash_name(&self.config.scheduler.domain),
-            group,
-            scope,
-            table_revision: self.table.as_ref().map_or(0, |table| table.revision()),
-            wanted: wanted.collect(),
-            suspects: self.deaths.clone(),
-            ..Digest::default()
-        }
-    }
-
-    /// Returns the news of servers, of very many those that change and the busiest.
-    fn server_news(
-        &self,
-        loads: impl Iterator<Item = (u64, HostLoad, WeightsVersion)>,
-    ) -> Vec<ServerNews> {
-        let news = loads.filter_map(|(server, load, weights)| {
-            let change = self.changing.get(&server).copied();
-            let is_news = load.requests > 0 || change.is_some();
-            is_news.then_some(ServerNews {
-                server,
-                load,
-                weights,
-                change,
-            })
-        });
-        let mut news = news.collect::<Vec<_>>();
-        if news.len() > SERVERS_TOLD {
-            news.sort_by_key(|news| Reverse((news.change.is_some(), news.load.pending_ms)));
-            news.truncate(SERVERS_TOLD);
-        }
-        news
-    }
-
-    fn collect_prompts(&mut self, prompts: &[PromptNews]) {
-        if let Some(collected) = &mut self.group_prompts {
-            let left = GROUP_PROMPTS.saturating_sub(collected.len());
-            collected.extend(prompts.iter().take(left).cloned());
-        }
-    }
-
-    /// Takes what another host tells.
-    pub fn on_digest(&mut self, now: Instant, digest: &Digest) {
-        self.fleet.seen(now, digest.host);
-        match &digest.scope {
-            Scope::Host => {
-                self.set_loads(now, LoadSource::Host(digest.host), &digest.servers);
-                self.collect_prompts(&digest.prompts);
-            }
-            Scope::Presence => self.set_loads(now, LoadSource::Host(digest.host), &[]),
-            Scope::Group { hosts } => {
-                for &host in hosts {
-                    self.fleet.seen(now, host);
-                }
-                self.set_loads(now, LoadSource::Group(digest.group), &digest.servers);
-            }
-        }
-        for news in &digest.servers {
-            if let Some(is_changing) = news.change {
-                self.scheduler
-                    .set_runner(now, news.server, news.weights, is_changing);
-            }
-        }
-        for prompt in &digest.prompts {
-            self.scheduler.on_peer_prompt(now, prompt);
-        }
-        for wanted in &digest.wanted {
-            self.set_wanted(now, wanted.model.clone(), wanted.version, wanted.age);
-        }
-        for &news in &digest.suspects {
-            if self.suspects.merge(now, news.fingerprint, news.deaths) {
-                self.tell_suspect(news);
-            }
-        }
-        self.serve_waiting(now);
-    }
-
-    fn set_loads(&mut self, now: Instant, source: LoadSource, servers: &[ServerNews]) {
-        let named = servers.iter().map(|news| news.server).collect::<Vec<_>>();
-        self.scheduler.keep_peer_loads(source, &named);
-        for news in servers {
-            self.scheduler
-                .set_peer_load(now, source, news.server, news.load);
-        }
-    }
-
     /// Returns the number of hosts, this one included.
     pub fn hosts(&mut self, now: Instant) -> usize {
         self.fleet.size(now)
@@ -493,68 +350,3 @@
         }
     }
 }
-
-/// Handle to the decisions for tasks on the same thread.
-#[derive(Clone)]
-pub struct CoreHandle {
-    shared: Rc<Shared>,
-}
-
-struct Shared {
-    stakker: RefCell<Stakker>,
-    actor: ActorOwn<Core>,
-    wake: Notify,
-}
-
-impl CoreHandle {
-    /// Starts the actor; [`CoreHandle::run`] gives it time.
-    #[must_use]
-    pub fn start(config: CoreConfig, logger: Logger) -> Self {
-        let now = Instant::now();
-        let mut stakker = Stakker::new(now);
-        let actor = stakker::actor!(stakker, Core::init(config, logger), ret_nop!());
-        stakker.run(now, false);
-        let shared = Shared {
-            stakker: RefCell::new(stakker),
-            actor,
-            wake: Notify::new(),
-        };
-        Self {
-            shared: Rc::new(shared),
-        }
-    }
-
-    /// Lets the actor act on an input at once.
-    ///
-    /// # Panics
-    ///
-    /// Panics where the actor has ended, which only a panic of its own brings about, or where
-    /// `act` itself uses the handle.
-    pub fn with<R>(&self, act: impl FnOnce(&mut Core, Instant) -> R) -> R {
-        let mut stakker = self.shared.stakker.borrow_mut();
-        let now = Instant::now();
-        let result = self.shared.actor.query(&mut stakker, |core, _cx| {
-            let result = act(core, now);
-            (result, core.scheduler.waiting() > 0)
-        });
-        let (result, is_waiting) = result.expect("the actor lives as long as its host");
-        if is_waiting {
-            self.shared.wake.notify_one();
-        }
-        result
-    }
-
-    /// Gives the actor time until the task is dropped.
-    pub async fn run(&self) {
-        let mut wait = IDLE_TICK;
-        loop {
-            let due = tokio::time::sleep(wait);
-            tokio::select! {
-                () = due => {}
-                () = self.shared.wake.notified() => tokio::time::sleep(WAITING_TICK).await,
-            }
-            wait = self.with(Core::tick);
-            self.shared.stakker.borrow_mut().run(Instant::now(), false);
-        }
-    }
-}
--- a/crates/hickoryhall-gateway/src/peers/neighbors.rs
+++ b/crates/hickoryhall-gateway/src/peers/neighbors.rs
@@ -126,16 +126,13 @@
     /// Returns the hosts of this one's group.
     #[must_use]
     pub fn members(&self, now: Instant) -> Vec<Ipv4Addr> {
-        let group = self.group(now);
-        let members = self.live(now).filter(|(_, named)| named.group == group);
-        members.map(|(ip, _)| ip).collect()
+        self.named_members(now).map(|(ip, _)| ip).collect()
     }
 
     /// Returns the names of the hosts of this one's group.
     #[must_use]
     pub fn member_hosts(&self, now: Instant) -> Vec<HostHash> {
-        let group = self.group(now);
-        let members = self.live(now).filter(|(_, named)| named.group == group);
+        let members = self.named_members(now);
         members.map(|(_, named)| named.host).collect()
     }
 
@@ -204,6 +201,12 @@
         addresses
     }
 
+    fn named_members(&self, now: Instant) -> impl Iterator<Item = (Ipv4Addr, Named)> {
+        let group = self.group(now);
+        let live = self.live(now);
+        live.filter(move |(_, named)| named.group == group)
+    }
+
     fn is_silent(&self, now: Instant, neighbor: &Neighbor) -> bool {
         let turn_s = self.known.len() as f64 / PRESENCES_PER_S;
         neighbor.age(now) >= SILENT.max(Duration::from_secs_f64(turn_s * SILENT_TURNS))
--- a/crates/hickoryhall-http/tests/callers.rs
+++ b/crates/hickoryhall-http/tests/callers.rs
@@ -1,27 +1,15 @@
 //! Bad callers are noticed and cost no other caller anything.
 
+mod support;
+
 use std::io::{Read, Write};
 use std::net::{SocketAddr, TcpStream};
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
 
-use hickoryhall_http::{
-    BodyError, HttpServer, Saturated, ServerLimits, StopHandle, WorkerPool, read_body, respond_json,
-};
-
-struct Running {
-    address: SocketAddr,
-    stop: StopHandle,
-    thread: Option<std::thread::JoinHandle<()>>,
-}
-
-impl Drop for Running {
-    fn drop(&mut self) {
-        self.stop.stop();
-        drop(self.thread.take().map(std::thread::JoinHandle::join));
-    }
-}
+use hickoryhall_http::{BodyError, Saturated, ServerLimits, WorkerPool, read_body, respond_json};
+use support::Running;
 
 /// Starts a server with short limits that answers with the length of each body.
 fn start(before: impl Fn(&hickoryhall_http::Caller) + Send + Sync + 'static) -> Running {
@@ -31,23 +19,13 @@
         body_read: Duration::from_millis(500),
         ..ServerLimits::default()
     };
-    let server = HttpServer::bind(([127, 0, 0, 1], 0).into(), limits).expect("a free port");
-    let (address, stop) = (server.address(), server.stop_handle());
-    let thread = std::thread::spawn(move || {
-        let served = server.run(move |mut request, caller| {
-            before(&caller);
-            match read_body(&mut request, 1_000) {
-                Ok(body) => respond_json(request, 200, &body.len()),
-                Err(error) => respond_json(request, 400, &error.to_string()),
-            }
-        });
-        served.expect("an event loop");
-    });
-    Running {
-        address,
-        stop,
-        thread: Some(thread),
-    }
+    support::start(limits, move |mut request, caller| {
+        before(&caller);
+        match read_body(&mut request, 1_000) {
+            Ok(body) => respond_json(request, 200, &body.len()),
+            Err(error) => respond_json(request, 400, &error.to_string()),
+        }
+    })
 }
 
 /// Sends bytes and reads until the server closes the connection.
--- a/crates/hickoryhall-http/tests/streams.rs
+++ b/crates/hickoryhall-http/tests/streams.rs
@@ -1,43 +1,23 @@
 //! Streams end as complete only where the handler says so.
 
+mod support;
+
 use std::io::Read;
 use std::net::{SocketAddr, TcpStream};
 use std::sync::mpsc;
-use std::thread::{self, JoinHandle};
+use std::thread;
 use std::time::Duration;
 
-use hickoryhall_http::{EventWriter, HttpServer, Request, ServerLimits, StopHandle, respond_json};
+use hickoryhall_http::{EventWriter, Request, ServerLimits, respond_json};
 use rstest::rstest;
-
-struct Running {
-    address: SocketAddr,
-    stop: StopHandle,
-    thread: Option<JoinHandle<()>>,
-}
-
-impl Drop for Running {
-    fn drop(&mut self) {
-        self.stop.stop();
-        drop(self.thread.take().map(JoinHandle::join));
-    }
-}
+use support::Running;
 
 fn start(handler: impl Fn(Request) + Send + Sync + 'static) -> Running {
     let limits = ServerLimits {
         write: Duration::from_millis(300),
         ..ServerLimits::default()
     };
-    let server = HttpServer::bind(([127, 0, 0, 1], 0).into(), limits).expect("a free port");
-    let (address, stop) = (server.address(), server.stop_handle());
-    let thread = thread::spawn(move || {
-        let served = server.run(move |request, _| handler(request));
-        served.expect("an event loop");
-    });
-    Running {
-        address,
-        stop,
-        thread: Some(thread),
-    }
+    support::start(limits, move |request, _| handler(request))
 }
 
 /// Reads an answer; the result is an error where the connection ends before the answer does.
