--- a/crates/hickoryhall-clients/src/stream.rs
+++ b/crates/hickoryhall-clients/src/stream.rs
@@ -225,8 +225,15 @@
             let mut limited = std::io::Read::take(&mut self.reader, LINE_LIMIT_BYTES);
             let read = limited.read_until(b'\n', &mut line);
             let after = self.validator.next_index();
-            if !matches!(read, Ok(read) if read > 0) {
-                return Err(self.error(StreamError::UnexpectedEnd { after }));
+            let is_too_long = matches!(read, Ok(read) if read as u64 == LINE_LIMIT_BYTES);
+            if !line.ends_with(b"\n") {
+                return Err(self.error(if is_too_long {
+                    let message = format!("a line is longer than {LINE_LIMIT_BYTES} bytes");
+                    StreamError::Malformed(message)
+                } else {
+                    // The connection ended, possibly in the middle of the line.
+                    StreamError::UnexpectedEnd { after }
+                }));
             }
             if let Some(data) = line.strip_prefix(b"data: ") {
                 return Ok(data.trim_ascii_end().to_vec());
--- a/crates/hickoryhall-control/src/orders.rs
+++ b/crates/hickoryhall-control/src/orders.rs
@@ -20,7 +20,7 @@
     /// Time that a new lease holder waits before its first order, so that all orders of its
     /// predecessor have arrived.
     pub handover_wait: Duration,
-    /// Maximum number of runners that load weights at the same time.
+    /// Maximum number of runners that load weights at the same time; 0 counts as 1.
     ///
     /// The planner applies it to each model of the failure domain, and `acquire_load_slot` may
     /// apply it to the whole fleet.
@@ -228,7 +228,7 @@
             .iter()
             .filter(|other| self.pending.contains_key(&other.id))
             .count();
-        let limit = (available.len() / 2).clamp(1, self.config.max_concurrent_loads);
+        let limit = (available.len() / 2).clamp(1, self.config.max_concurrent_loads.max(1));
         loading < limit
     }
 
--- a/crates/hickoryhall-control/tests/orders.rs
+++ b/crates/hickoryhall-control/tests/orders.rs
@@ -280,3 +280,17 @@
         "seven runners are already loading"
     );
 }
+
+/// Guards against a panic on a limit of 0, which counts as 1.
+#[test]
+fn a_limit_of_no_loads_counts_as_one() {
+    let now = Instant::now();
+    let mut planner = OrderPlanner::new(OrderConfig {
+        max_concurrent_loads: 0,
+        ..OrderConfig::default()
+    });
+    planner.on_acquired(now, 5);
+    let runners = (0..4).map(|i| runner(i, 1, true)).collect::<Vec<_>>();
+    let planned = planner.plan(now, &desired_versions(2), &runners, || true);
+    assert_eq!(planned.len(), 1);
+}
--- a/crates/hickoryhall-entry/src/actors/router.rs
+++ b/crates/hickoryhall-entry/src/actors/router.rs
@@ -209,13 +209,14 @@
         if let Err(error) = reply.send(picked)
             && let Some((id, _)) = error.0
         {
-            self.services.record_end(cx.now(), &id, true);
+            self.services
+                .record_end(cx.now(), &id, AttemptEnd::Released);
         }
     }
 
     /// Records the end of a call of a plain service.
-    pub fn record_service_end(&mut self, cx: CX![], id: Arc<str>, is_ok: bool) {
-        self.services.record_end(cx.now(), &id, is_ok);
+    pub fn record_service_end(&mut self, cx: CX![], id: Arc<str>, end: AttemptEnd) {
+        self.services.record_end(cx.now(), &id, end);
     }
 
     /// Replaces the list of backend servers.
--- a/crates/hickoryhall-entry/src/actors/runtime.rs
+++ b/crates/hickoryhall-entry/src/actors/runtime.rs
@@ -86,7 +86,7 @@
         reply: ServiceReply,
     },
     /// A call of a plain service ended.
-    ServiceCallEnded { id: Arc<str>, is_ok: bool },
+    ServiceCallEnded { id: Arc<str>, end: AttemptEnd },
     /// The platform's list of backend servers.
     Servers(Arc<Vec<Server>>),
     /// The platform's list of entry hosts.
@@ -366,8 +366,8 @@
                     pick_service(service, excluded_servers, reply)
                 );
             }
-            CoreMsg::ServiceCallEnded { id, is_ok } => {
-                call!([self.router], record_service_end(id, is_ok));
+            CoreMsg::ServiceCallEnded { id, end } => {
+                call!([self.router], record_service_end(id, end));
             }
             CoreMsg::Servers(servers) => {
                 call!([self.router], set_servers(Arc::clone(&servers)));
--- a/crates/hickoryhall-entry/src/attempts/attempt_group.rs
+++ b/crates/hickoryhall-entry/src/attempts/attempt_group.rs
@@ -23,6 +23,10 @@
 /// Multiple of the expected time to the first token that is waited before a hedge starts.
 const HEDGE_FACTOR: f64 = 3.0;
 
+/// Longest time to wait for the placement of a hedge. Events of the first attempt are handled only
+/// after it, and a placement that is held longer shows that no other runner is free.
+const HEDGE_PLACEMENT_TIMEOUT: Duration = Duration::from_millis(50);
+
 /// Distance between the priorities of two classes; priorities in table rows stay below it.
 const PRIORITIES_PER_CLASS: u32 = 1_000_000;
 
@@ -351,8 +355,15 @@
         placement
             .excluded_runners
             .extend(self.live.iter().map(|live| live.runner.clone()));
-        let Ok(Ok(placed)) = run.context.core.place(placement).recv() else {
-            return;
+        let placed = run
+            .context
+            .core
+            .place(placement)
+            .recv_timeout(HEDGE_PLACEMENT_TIMEOUT);
+        let placed = match placed {
+            Ok(Ok(placed)) => placed,
+            Ok(Err(_)) => return,
+            Err(_) => return run.report_end(attempt_id, AttemptEnd::Released),
         };
         if self.live.iter().any(|live| live.runner == placed.server.id) {
             // No other runner is available.
--- a/crates/hickoryhall-entry/src/attempts/call.rs
+++ b/crates/hickoryhall-entry/src/attempts/call.rs
@@ -12,6 +12,7 @@
 use super::claimed::run_claimed;
 use crate::actors::{CoreMsg, stopped_refusal};
 use crate::context::Context;
+use crate::dispatch::AttemptEnd;
 
 /// A service call whose caller is authenticated and whose fields are checked.
 #[derive(Clone, Debug)]
@@ -81,17 +82,21 @@
         if Instant::now() >= send_by.min(request.deadline) {
             context.core.send(CoreMsg::ServiceCallEnded {
                 id: server,
-                is_ok: true,
+                end: AttemptEnd::Released,
             });
             let message = "the time to send the call is over";
             let refusal = Refusal::new(RefusalCode::DeadlineExceeded, Step::Send, message);
             return Err(Box::new(refusal));
         }
         let result = send_once(context, request, &server, address);
-        let is_ok = result.is_ok();
+        let end = if result.is_ok() {
+            AttemptEnd::Finished
+        } else {
+            AttemptEnd::Failed
+        };
         context.core.send(CoreMsg::ServiceCallEnded {
             id: Arc::clone(&server),
-            is_ok,
+            end,
         });
         let error = match result {
             Ok(answer) => return Ok(answer),
--- a/crates/hickoryhall-entry/src/dispatch/placing/holding.rs
+++ b/crates/hickoryhall-entry/src/dispatch/placing/holding.rs
@@ -24,8 +24,10 @@
             // Every suitable runner may be running another suspect; one of these attempts is
             // expected to end soon.
             pending.retry_at = now + HELD_RETRY_INTERVAL;
-            pending.is_held = true;
-            self.enqueue(attempt_id, effects);
+            let was_held = std::mem::replace(&mut pending.is_held, true);
+            if !was_held {
+                self.enqueue(attempt_id, effects);
+            }
             return;
         }
         let model = &pending.request.model;
--- a/crates/hickoryhall-entry/src/dispatch/services.rs
+++ b/crates/hickoryhall-entry/src/dispatch/services.rs
@@ -8,7 +8,7 @@
 use hickoryhall_routing::Ejection;
 use hickoryhall_types::FailureDomainId;
 
-use super::Server;
+use super::{AttemptEnd, Server};
 
 /// Server of a plain service, with what this host knows of its state.
 #[derive(Clone, Debug)]
@@ -75,16 +75,16 @@
         Some((member.server.id.clone(), member.server.address))
     }
 
-    /// Records the end of a call and whether it succeeded.
-    pub fn record_end(&mut self, now: Instant, id: &str, is_ok: bool) {
+    /// Records the end of a call; one that was released says nothing about the server.
+    pub fn record_end(&mut self, now: Instant, id: &str, end: AttemptEnd) {
         let Some(member) = self.members.get_mut(id) else {
             return;
         };
         member.in_flight = member.in_flight.saturating_sub(1);
-        if is_ok {
-            member.ejection.record_success();
-        } else {
-            member.ejection.record_failure(now);
+        match end {
+            AttemptEnd::Finished => member.ejection.record_success(),
+            AttemptEnd::Released => {}
+            AttemptEnd::Failed => member.ejection.record_failure(now),
         }
     }
 
--- a/crates/hickoryhall-entry/src/duties/orders.rs
+++ b/crates/hickoryhall-entry/src/duties/orders.rs
@@ -4,7 +4,7 @@
 use std::thread;
 use std::time::{Duration, Instant};
 
-use hickoryhall_clients::{LeaseId, Order, OrderBody, PutCondition, StoreClient};
+use hickoryhall_clients::{ClientErrorKind, LeaseId, Order, OrderBody, PutCondition, StoreClient};
 use hickoryhall_control::{DesiredVersions, OrderConfig, OrderPlanner, PlannedOrder, RunnerStatus};
 use hickoryhall_types::TargetId;
 use metrics::counter;
@@ -88,8 +88,12 @@
     fn acquire(&mut self, logger: &Logger) {
         self.abandon();
         let requested_at = Instant::now();
-        let Ok(lease) = self.store.grant_lease(self.config.lease_ttl) else {
-            return;
+        let lease = match self.store.grant_lease(self.config.lease_ttl) {
+            Ok(lease) => lease,
+            Err(error) => {
+                warn!(logger, "orders: Failed to get a lease from the store."; "error" => %error);
+                return;
+            }
         };
         let put = self.store.put(
             &self.key,
@@ -105,9 +109,21 @@
             // names this incarnation, and only this thread writes it.
             Err(error) if error.is_in_doubt() => match self.store.get(&self.key) {
                 Ok(Some(found)) if found.value == self.holder_id => found.revision,
-                _ => return,
+                Ok(_) => return,
+                Err(error) => {
+                    warn!(
+                        logger, "orders: Failed to read back whether the lease was acquired.";
+                        "error" => %error
+                    );
+                    return;
+                }
             },
-            Err(_) => return,
+            // Another host holds the lease.
+            Err(error) if matches!(error.kind, ClientErrorKind::Conflict(_)) => return,
+            Err(error) => {
+                warn!(logger, "orders: Failed to acquire the lease."; "error" => %error);
+                return;
+            }
         };
         info!(logger, "orders: Lease acquired."; "fencing" => fencing);
         self.lease = Some(lease);
--- a/crates/hickoryhall-entry/src/table_store.rs
+++ b/crates/hickoryhall-entry/src/table_store.rs
@@ -93,10 +93,11 @@
     ///
     /// Returns an error that states whether the change may have taken effect.
     pub fn apply(&self, change: &TableChange) -> Result<AppliedChange, ApplyError> {
-        let mut in_doubt = false;
+        // Error of a write that may still take effect.
+        let mut doubt = None;
         for _ in 0..MAX_ATTEMPTS {
             let (head, table, store_revision) = match self.read_with_revision() {
-                Err(ApplyError::NotApplied(error)) if in_doubt => {
+                Err(ApplyError::NotApplied(error)) if doubt.is_some() => {
                     return Err(ApplyError::InDoubt(error));
                 }
                 result => result?,
@@ -123,11 +124,12 @@
                 Err(error) if matches!(error.kind, ClientErrorKind::Conflict(_)) => {}
                 // The next iteration reads back whether the write took effect. If it is still on
                 // its way, its condition fails once another write takes effect.
-                Err(error) if error.is_in_doubt() => in_doubt = true,
+                Err(error) if error.is_in_doubt() => doubt = Some(error),
+                Err(error) if doubt.is_some() => return Err(ApplyError::InDoubt(error)),
                 Err(error) => return Err(ApplyError::NotApplied(error)),
             }
         }
-        Err(ApplyError::Contended)
+        Err(doubt.map_or(ApplyError::Contended, ApplyError::InDoubt))
     }
 
     /// Reads head and table with the store revision of the head, 0 where there is none yet.
--- a/crates/hickoryhall-routing/src/ledger.rs
+++ b/crates/hickoryhall-routing/src/ledger.rs
@@ -50,6 +50,8 @@
     incarnation: Incarnation,
     prefill_tokens_per_s: u32,
     reservations: VecDeque<Reservation>,
+    /// Time at which the oldest reservation became the oldest one, from which its cost is counted
+    /// down.
     head_started_at: Option<Instant>,
     reported: Option<ReportedWait>,
     cache_estimate: CacheEstimate,
@@ -162,8 +164,13 @@
 
     /// Drops reservations that expired without being confirmed or released.
     pub fn expire(&mut self, now: Instant) {
-        self.reservations
-            .retain(|reservation| now.duration_since(reservation.created_at) < RESERVATION_TTL);
+        let head = self.reservations.front().map(|head| head.created_at);
+        self.reservations.retain(|reservation| {
+            now.saturating_duration_since(reservation.created_at) < RESERVATION_TTL
+        });
+        if self.reservations.front().map(|head| head.created_at) != head {
+            self.head_started_at = Some(now);
+        }
     }
 
     /// Returns the newest reported incarnation of the runner, which this ledger describes.
@@ -189,7 +196,9 @@
             .reservations
             .iter()
             .position(|reservation| reservation.id == id)?;
-        self.head_started_at = Some(now);
+        if index == 0 {
+            self.head_started_at = Some(now);
+        }
         self.reservations.remove(index)
     }
 
--- a/crates/hickoryhall-routing/src/placement.rs
+++ b/crates/hickoryhall-routing/src/placement.rs
@@ -124,14 +124,18 @@
 
     /// Adds a runner or updates its description.
     ///
-    /// Within one incarnation, the ledger is kept and a runner marked as leaving stays so.
+    /// Within one incarnation, the ledger is kept and a runner marked as leaving stays so. A
+    /// description of an older incarnation than the known one is ignored.
     pub fn upsert(&mut self, now: Instant, mut info: RunnerInfo) -> RunnerKey {
-        let known = self
-            .runners
-            .key(&info.id)
-            .and_then(|key| self.runners.get(key));
-        if let Some(known) = known.filter(|k| k.report.incarnation == info.report.incarnation) {
-            info.leaving |= known.leaving;
+        if let Some(key) = self.runners.key(&info.id)
+            && let Some(known) = self.runners.get(key)
+        {
+            if info.report.incarnation < known.report.incarnation {
+                return key;
+            }
+            if info.report.incarnation == known.report.incarnation {
+                info.leaving |= known.leaving;
+            }
         }
         let report = info.report;
         let key = self.runners.insert(info);
--- a/crates/hickoryhall-routing/tests/placement.rs
+++ b/crates/hickoryhall-routing/tests/placement.rs
@@ -149,3 +149,22 @@
         }
     }
 }
+
+/// Guards against a description that was delayed on its way and names an incarnation that has ended:
+/// requests would go to a runner that no longer exists in that form.
+#[test]
+fn a_description_of_an_older_incarnation_is_ignored() {
+    let now = Instant::now();
+    let mut placement = Placement::new(PlacementConfig::new("a".into()));
+    let describe = |incarnation, weights| {
+        let report = LoadReport {
+            incarnation,
+            ..report(weights)
+        };
+        RunnerInfo::new("r".into(), "a".into(), "m".into(), report)
+    };
+    let key = placement.upsert(now, describe(5, 2));
+    assert_eq!(placement.upsert(now, describe(4, 1)), key);
+    let known = placement.runners().get(key).expect("the runner is known");
+    assert_eq!((known.report.incarnation, known.report.weights), (5, 2));
+}
--- a/crates/hickoryhall-table/src/sheet.rs
+++ b/crates/hickoryhall-table/src/sheet.rs
@@ -40,12 +40,23 @@
         let mut reader = csv::ReaderBuilder::new()
             .trim(csv::Trim::All)
             .from_reader(text.as_bytes());
+        let headers = match reader.headers() {
+            Ok(headers) => headers.clone(),
+            Err(error) => {
+                let no_headers = csv::StringRecord::new();
+                return Err(SheetErrors(vec![csv_error(&error, &no_headers)]));
+            }
+        };
         let mut errors = Vec::new();
         let mut rows = Vec::new();
-        for record in reader.deserialize::<Row>() {
-            match record {
+        for record in reader.records() {
+            let parsed = record.and_then(|record| {
+                let line = record.position().map_or(0, csv::Position::line);
+                Ok((line, record.deserialize::<Row>(Some(&headers))?))
+            });
+            match parsed {
                 Ok(row) => rows.push(row),
-                Err(error) => errors.push(csv_error(&error)),
+                Err(error) => errors.push(csv_error(&error, &headers)),
             }
         }
         Self::validate(rows, errors)
@@ -65,7 +76,8 @@
                 message: error.to_string(),
             }])
         })?;
-        Self::validate(rows, Vec::new())
+        let lines = (2..).zip(rows).collect();
+        Self::validate(lines, Vec::new())
     }
 
     /// Returns the table in CSV form, with a header line.
@@ -93,10 +105,11 @@
         serde_json::to_string_pretty(&rows).expect("a row serializes to JSON")
     }
 
-    fn validate(rows: Vec<Row>, mut errors: Vec<SheetError>) -> Result<Self, SheetErrors> {
+    /// Validates rows, each given with its line.
+    fn validate(rows: Vec<(u64, Row)>, mut errors: Vec<SheetError>) -> Result<Self, SheetErrors> {
         let mut seen = BTreeSet::new();
-        for (index, row) in rows.iter().enumerate() {
-            let line = index as u64 + 2;
+        for (line, row) in &rows {
+            let line = *line;
             for (column, message) in row.invalid_cells() {
                 errors.push(SheetError {
                     line,
@@ -114,8 +127,9 @@
             }
         }
         if errors.is_empty() {
-            Ok(rows.into_iter().collect())
+            Ok(rows.into_iter().map(|(_, row)| row).collect())
         } else {
+            errors.sort_by_key(|error| error.line);
             Err(SheetErrors(errors))
         }
     }
@@ -166,15 +180,12 @@
     value.map(ToString::to_string).unwrap_or_default()
 }
 
-fn csv_error(error: &csv::Error) -> SheetError {
+fn csv_error(error: &csv::Error, headers: &csv::StringRecord) -> SheetError {
     let line = error.position().map_or(0, csv::Position::line);
     let (column, message) = match error.kind() {
         csv::ErrorKind::Deserialize { err, .. } => {
             let index = err.field().and_then(|index| usize::try_from(index).ok());
-            let column = index
-                .and_then(|index| Row::COLUMNS.get(index))
-                .copied()
-                .unwrap_or("");
+            let column = index.and_then(|index| headers.get(index)).unwrap_or("");
             (column, err.kind().to_string())
         }
         _ => ("", error.to_string()),
--- a/crates/hickoryhall-table/tests/table.rs
+++ b/crates/hickoryhall-table/tests/table.rs
@@ -141,3 +141,23 @@
     );
     assert!(table.access_policy("karoo", "model:none").is_none());
 }
+
+/// Guards against errors that name another line after a row that could not be parsed, or after an
+/// empty line, and another column where the header is in an order of its own.
+#[test]
+fn errors_name_the_line_and_the_column_of_the_sheet() {
+    let sheet = "weight,target,workspace\n\
+                 many,model:m,karoo\n\
+                 1,planner,karoo\n\
+                 \n\
+                 0,model:m,valenza\n";
+    let errors = Table::from_csv(sheet).expect_err("the sheet is invalid");
+    let places = errors
+        .0
+        .iter()
+        .map(|error| (error.line, error.column.as_str()));
+    assert_eq!(
+        places.collect::<Vec<_>>(),
+        [(2, "weight"), (3, "target"), (5, "weight")]
+    );
+}
