Keep waiting for a silent stream, and mend the readers' faults on the path

Cause: a resumable stream without an event for 1.2 s was broken off when no other runner resumed it, although its own runner was still at work. It now has as long as its request.

--- a/crates/hickoryhall-gateway/src/exchange.rs
+++ b/crates/hickoryhall-gateway/src/exchange.rs
@@ -179,6 +179,8 @@
     possible_runs: u32,
     /// Attempts that failed before anything was sent.
     unsent_attempts: u32,
+    /// Whether a server broke the request off before, so that it may crash servers.
+    is_suspect: bool,
     /// Last failure response of a server, returned to the caller if no later attempt succeeds.
     failure_response: Option<BufferedResponse>,
     record: RequestRecord,
@@ -207,6 +209,7 @@
             excluded: Vec::new(),
             possible_runs: 0,
             unsent_attempts: 0,
+            is_suspect: false,
             failure_response: None,
             record,
             _in_flight: in_flight,
@@ -241,13 +244,15 @@
         }
     }
 
-    /// Returns the refusal of a request that several servers broke off, as it may crash them.
+    /// Returns the refusal of a request that several servers broke off, as it may crash them. One
+    /// that a single server broke off is placed apart from other such requests.
     fn refuse_suspect(&mut self) -> Option<LocalFailure> {
         let fingerprint = self.request.fingerprint;
         let decision = self
             .gateway
             .core
             .with(|core, now| core.suspect_decision(now, fingerprint));
+        self.is_suspect = decision == SuspectDecision::Isolate;
         matches!(decision, SuspectDecision::Refuse(_)).then(|| LocalFailure {
             status: StatusCode::SERVICE_UNAVAILABLE,
             ran: Ran::No,
@@ -269,6 +274,7 @@
             target_latency: self.request.route.target_latency,
             deadline: self.request.deadline,
             excluded_servers: self.excluded.clone(),
+            is_suspect: self.is_suspect,
         };
         let (reply, placement) = oneshot::channel();
         self.gateway
@@ -280,6 +286,12 @@
         Ok((assignment, guard))
     }
 
+    /// Records that a server failed the request or did not run it.
+    fn attempt_failed(&mut self, server: &ServerId, outcome: &str) {
+        self.record.attempt_failed(server, outcome);
+        self.excluded.push(server.clone());
+    }
+
     /// Decides what to do after an attempt without a success.
     fn next_step(&mut self, assignment: &Assignment, failure: AttemptFailure) -> NextStep {
         let server = assignment.server.id.clone();
@@ -288,8 +300,7 @@
             "request" => &*self.request.meta.request_id, "server" => &*server,
             "outcome" => failure.outcome()
         );
-        self.record.attempt_failed(&server, failure.outcome());
-        self.excluded.push(server);
+        self.attempt_failed(&server, failure.outcome());
         match failure {
             AttemptFailure::Unsent => {
                 self.unsent_attempts += 1;
--- a/crates/hickoryhall-gateway/src/exchange/intake.rs
+++ b/crates/hickoryhall-gateway/src/exchange/intake.rs
@@ -202,7 +202,7 @@
 ) -> Result<Bytes, Rejection> {
     let left = deadline.saturating_duration_since(Instant::now());
     let collected = Limited::new(body, limits.body_bytes).collect();
-    match timeout(limits.body_timeout.min(left), collected).await {
+    match timeout(left, collected).await {
         Ok(Ok(body)) => Ok(body.to_bytes()),
         Ok(Err(error)) if error.is::<http_body_util::LengthLimitError>() => Err(Rejection::new(
             Some(meta),
--- a/crates/hickoryhall-gateway/src/exchange/relay.rs
+++ b/crates/hickoryhall-gateway/src/exchange/relay.rs
@@ -72,6 +72,9 @@
 struct Relay<P> {
     exchange: Exchange<P>,
     upstream: Upstream,
+    /// Whether the stream was silent and no other runner resumed it; it then has as long as the
+    /// request.
+    is_waited_for: bool,
 }
 
 impl<P: Platform> Exchange<P> {
@@ -115,6 +118,7 @@
         let relay = Relay {
             exchange: self,
             upstream,
+            is_waited_for: false,
         };
         spawn_local(relay.run(first, sender));
         Ok(response)
@@ -133,6 +137,7 @@
         let Self {
             mut exchange,
             upstream,
+            ..
         } = self;
         let Upstream { stream, .. } = upstream;
         let OpenStream {
@@ -183,7 +188,14 @@
                     return RelayOutcome::Complete;
                 }
                 StreamItem::Broken(reason) => {
-                    if !self.resume(reason).await {
+                    if self.resume(reason).await {
+                        self.is_waited_for = false;
+                    } else if reason == SILENT && !self.is_waited_for {
+                        // The runner may still work on the request, and a late answer is better
+                        // than none.
+                        self.is_waited_for = true;
+                        self.exchange.possible_runs -= 1;
+                    } else {
                         return RelayOutcome::Broken(reason);
                     }
                 }
@@ -196,7 +208,7 @@
     fn idle_limit(&self) -> Duration {
         let request = &self.exchange.request;
         let left = request.deadline.saturating_duration_since(Instant::now());
-        if request.route.kind.may_repeat() {
+        if request.route.kind.may_repeat() && !self.is_waited_for {
             left.min(RESUME_IDLE_TIMEOUT)
         } else {
             left
@@ -206,19 +218,20 @@
     /// Resumes the stream at another runner after the last whole event; returns whether that
     /// succeeded.
     async fn resume(&mut self, reason: &'static str) -> bool {
+        self.exchange
+            .attempt_failed(&self.upstream.stream.server.id.clone(), reason);
+        self.exchange.possible_runs += 1;
+        if !self.exchange.may_run_again() {
+            return false;
+        }
+        if reason != SILENT {
+            self.upstream.framer.drop_partial();
+        }
+        let last_id = self.upstream.framer.last_id().map(Box::<str>::from);
         for _ in 0..MAX_RESUME_ATTEMPTS {
-            let server = self.upstream.stream.server.id.clone();
-            self.exchange.record.attempt_failed(&server, reason);
-            self.exchange.excluded.push(server);
-            self.exchange.possible_runs += 1;
-            if !self.exchange.may_run_again() {
-                return false;
-            }
             let Ok((assignment, guard)) = self.exchange.place().await else {
                 return false;
             };
-            self.upstream.framer.drop_partial();
-            let last_id = self.upstream.framer.last_id().map(Box::<str>::from);
             info!(
                 self.exchange.gateway.logger,
                 "exchange: Stream is being resumed at another runner.";
@@ -230,18 +243,26 @@
                 .exchange
                 .attempt(&assignment, guard, last_id.as_deref())
                 .await;
-            match attempted {
+            let failure = match attempted {
                 AttemptResult::Stream(stream) => {
                     let framer = EventFramer::resuming_after(last_id);
                     self.upstream = Upstream { stream, framer };
                     return true;
                 }
-                AttemptResult::Failed(AttemptFailure::Unsent | AttemptFailure::NotRun) => {
-                    // That runner did not run the request, so it does not count as an attempt.
-                    self.exchange.possible_runs -= 1;
-                    self.exchange.excluded.push(assignment.server.id.clone());
-                }
-                _ => return false,
+                AttemptResult::Failed(failure) => failure,
+                AttemptResult::Response(_) => return false,
+            };
+            self.exchange
+                .attempt_failed(&assignment.server.id, failure.outcome());
+            // Neither failure is a run of the request. An attempt that was never sent left the
+            // retry that was taken for it unused.
+            let may_continue = match failure {
+                AttemptFailure::Unsent => self.exchange.has_time(),
+                AttemptFailure::NotRun => self.exchange.has_time() && self.exchange.take_retry(),
+                _ => false,
+            };
+            if !may_continue {
+                return false;
             }
         }
         false
--- a/crates/hickoryhall-gateway/src/interface.rs
+++ b/crates/hickoryhall-gateway/src/interface.rs
@@ -197,6 +197,17 @@
     },
 }
 
+impl StoreChange {
+    /// Returns the revision of the change.
+    #[must_use]
+    pub fn revision(&self) -> StoreRevision {
+        match self {
+            Self::Put(item) => item.revision,
+            Self::Removed { revision, .. } => *revision,
+        }
+    }
+}
+
 /// Items or changes with the store revision that they were read at.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct WithRevision<T> {
@@ -375,6 +386,17 @@
     Busy,
 }
 
+impl OrderOutcome {
+    /// Returns whether the runner has the ordered version or is loading it for this order.
+    #[must_use]
+    pub fn is_in_effect(self) -> bool {
+        match self {
+            Self::Accepted | Self::Holds => true,
+            Self::Busy => false,
+        }
+    }
+}
+
 /// A control call to a runner failed.
 #[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
 pub enum ControlError {
--- a/crates/hickoryhall-gateway/src/orders/weight_changes.rs
+++ b/crates/hickoryhall-gateway/src/orders/weight_changes.rs
@@ -165,7 +165,7 @@
             "emptied_ms" => change.started_at.elapsed().as_millis(),
             "requests" => runner.load.requests, "bound" => runner.load.non_resumable
         );
-        let is_accepted = outcome.is_ok();
+        let is_accepted = outcome.is_ok_and(OrderOutcome::is_in_effect);
         let wait = if is_accepted {
             FIRST_REPORT_DELAY
         } else {
@@ -211,8 +211,9 @@
         let is_done = weights >= change.version && !is_busy;
         let is_overdue = change.started_at.elapsed() >= REPEAT_AFTER;
         if !is_done && !is_overdue {
-            // An order without an acceptance is sent again while the runner is idle. Both name the
-            // same number of accepted orders, so the first one cannot take effect after the second.
+            // An order that the runner did not accept is sent again while the runner is idle. An
+            // unanswered order and its repetition name the same number of accepted orders, so the
+            // first one cannot take effect after the second.
             let stage = if is_accepted || is_busy {
                 Stage::Ordered {
                     next_report: Instant::now() + REPORT_INTERVAL,
--- a/crates/hickoryhall-gateway/src/scheduler.rs
+++ b/crates/hickoryhall-gateway/src/scheduler.rs
@@ -81,6 +81,8 @@
     by_id: HashMap<ServerId, ServerKey>,
     /// Servers by the hash of their id, under which peers report about them.
     by_hash: HashMap<u64, ServerKey>,
+    /// Servers of each service in the order of the hashes of their ids, which is the same on every
+    /// host.
     by_service: HashMap<TargetId, Vec<ServerKey>>,
     /// Capacity of one runner of each model service.
     runner_capacities: HashMap<TargetId, RunnerCapacity>,
@@ -169,7 +171,9 @@
         let key = self.servers.insert(state);
         self.by_id.insert(id, key);
         self.by_hash.insert(name_hash, key);
-        self.by_service.entry(service).or_default().push(key);
+        let keys = self.by_service.entry(service).or_default();
+        let position = keys.partition_point(|&other| self.servers[other].name_hash < name_hash);
+        keys.insert(position, key);
     }
 
     fn remove(&mut self, id: &str) {
@@ -396,6 +400,7 @@
             unshared_tokens: prompt.map_or(0, PromptInfo::unshared_tokens),
             output_tokens: prompt.map_or(0, |prompt| prompt.output_tokens),
             is_non_resumable: !request.is_resumable,
+            is_suspect: request.is_suspect,
         };
         state.add_request(request.attempt_id, load);
         if let Some(prompt) = prompt {
--- a/crates/hickoryhall-gateway/src/scheduler/candidate.rs
+++ b/crates/hickoryhall-gateway/src/scheduler/candidate.rs
@@ -137,7 +137,8 @@
         let is_unavailable = state.server.is_leaving
             || state.ejection.is_ejected(now)
             || state.is_changing_weights(now)
-            || request.excluded_servers.contains(&state.server.id);
+            || request.excluded_servers.contains(&state.server.id)
+            || (request.is_suspect && state.runs_suspect());
         if is_unavailable {
             return Err(RefusalReason::NoServer);
         }
--- a/crates/hickoryhall-gateway/src/scheduler/placement.rs
+++ b/crates/hickoryhall-gateway/src/scheduler/placement.rs
@@ -43,6 +43,8 @@
     pub deadline: Instant,
     /// Servers that already failed this request or did not run it.
     pub excluded_servers: Vec<ServerId>,
+    /// Whether the request may crash its server; it is kept apart from other such requests.
+    pub is_suspect: bool,
 }
 
 /// The server chosen for a request, with the values behind the choice.
--- a/crates/hickoryhall-gateway/src/scheduler/server.rs
+++ b/crates/hickoryhall-gateway/src/scheduler/server.rs
@@ -30,6 +30,8 @@
     pub output_tokens: TokenCount,
     /// Whether no other server can resume the answer.
     pub is_non_resumable: bool,
+    /// Whether the request may crash the server.
+    pub is_suspect: bool,
 }
 
 /// Load that a host, or several hosts together, put on a server.
@@ -186,6 +188,11 @@
         }
     }
 
+    /// Returns whether the server runs a request of this host that may crash it.
+    pub fn runs_suspect(&self) -> bool {
+        self.own_requests.values().any(|load| load.is_suspect)
+    }
+
     pub fn own_load(&self) -> HostLoad {
         self.own_total
     }
--- a/crates/hickoryhall-gateway/src/settings.rs
+++ b/crates/hickoryhall-gateway/src/settings.rs
@@ -13,6 +13,10 @@
 /// second.
 const OLD_WEIGHTS_FRACTION: f64 = 0.85;
 
+/// Longest duration in the settings; longer ones would overflow the points in time derived from
+/// them.
+const MAX_DURATION: Duration = Duration::from_secs(30 * 24 * 3_600);
+
 /// The settings file cannot be used.
 #[derive(Debug, thiserror::Error)]
 pub enum SettingsError {
@@ -182,6 +186,22 @@
                 return Err((field, format!("must be greater than 0, not {value}")));
             }
         }
+        let durations_s = [
+            ("bounds.grace_s", bounds.grace_s),
+            ("bounds.retry_window_s", bounds.retry_window_s),
+            ("bounds.lease_ms", bounds.lease_ms as f64 / 1_000.0),
+            ("bounds.lease_min_ms", bounds.lease_min_ms as f64 / 1_000.0),
+            ("bounds.weights_ms", bounds.weights_ms as f64 / 1_000.0),
+        ];
+        for (field, value_s) in durations_s {
+            let limit_s = MAX_DURATION.as_secs_f64();
+            if value_s > limit_s {
+                return Err((
+                    field,
+                    format!("must be at most {limit_s} s, not {value_s} s"),
+                ));
+            }
+        }
         let not_negative = [
             ("bounds.retry_ratio", bounds.retry_ratio),
             ("bounds.retry_extra", bounds.retry_extra),
--- a/crates/hickoryhall-gateway/src/table.rs
+++ b/crates/hickoryhall-gateway/src/table.rs
@@ -124,8 +124,6 @@
     pub head_bytes: usize,
     /// Maximum size of a request body, in bytes.
     pub body_bytes: usize,
-    /// Longest time for a request body to arrive.
-    pub body_timeout: Duration,
     /// Longest time for which a connection may stay idle.
     pub idle_timeout: Duration,
 }
--- a/crates/hickoryhall-gateway/tests/groups.rs
+++ b/crates/hickoryhall-gateway/tests/groups.rs
@@ -189,6 +189,7 @@
         target_latency: Duration::from_secs(10),
         deadline: network.now + Duration::from_secs(20),
         excluded_servers: Vec::new(),
+        is_suspect: false,
     };
     let (reply, mut placed) = oneshot::channel();
     network.hosts[index].core.place(network.now, request, reply);
--- a/crates/hickoryhall-gateway/tests/scheduler.rs
+++ b/crates/hickoryhall-gateway/tests/scheduler.rs
@@ -6,8 +6,8 @@
 //! - `runner NAME [domain=D] [weights=V] [leaving=true]`: adds or changes a runner's registry entry
 //! - `plain NAME [slots=N]`: adds or changes a plain server's registry entry
 //! - `gone NAME`: removes a registry entry
-//! - `place ID prompt=PART@TOKENS/PART@TOKENS [target=MS] [deadline=MS] [rank=N] [exclude=NAME]`:
-//!   places a model request; `rank` is the priority of its route
+//! - `place ID prompt=PART@TOKENS/PART@TOKENS [target=MS] [deadline=MS] [rank=N] [exclude=NAME]
+//!   [suspect=true]`: places a model request; `rank` is the priority of its route
 //! - `call ID`: places a request to the plain service
 //! - `first ID`, `end ID HOW`: reports the first event or the end of an attempt
 //! - `peer HOST NAME [requests=N] [pending=MS]`: sets the load of another host at a server
@@ -93,6 +93,7 @@
         let deadline = optional_arg(&mut args, "deadline")?.unwrap_or(5_000);
         let priority = optional_arg(&mut args, "rank")?.unwrap_or(0);
         let excluded: Option<String> = optional_arg(&mut args, "exclude")?;
+        let is_suspect = optional_arg(&mut args, "suspect")?.unwrap_or(false);
         args.reject_next()?;
         self.arrived.insert(attempt_id, self.now);
         let request = PlacementRequest {
@@ -105,6 +106,7 @@
             target_latency: Duration::from_millis(target_latency),
             deadline: self.now + Duration::from_millis(deadline),
             excluded_servers: excluded.iter().map(|name| name.as_str().into()).collect(),
+            is_suspect,
         };
         Ok(match self.scheduler.place(self.now, request) {
             Some(placement) => self.describe(attempt_id, placement),
--- a/crates/hickoryhall-gateway/tests/settings.rs
+++ b/crates/hickoryhall-gateway/tests/settings.rs
@@ -54,3 +54,27 @@
     assert!(error.contains(named), "{error}");
     assert!(error.contains(".json"), "{error}");
 }
+
+/// Guards against a panic at the start: such a duration cannot be added to a point in time.
+#[rstest]
+#[case::grace(r#""grace_s":8"#, r#""grace_s":1e300"#, "bounds.grace_s")]
+#[case::window(
+    r#""retry_window_s":10"#,
+    r#""retry_window_s":1e300"#,
+    "bounds.retry_window_s"
+)]
+#[case::lease(
+    r#""lease_ms":3000"#,
+    r#""lease_ms":18446744073709551615"#,
+    "bounds.lease_ms"
+)]
+fn durations_that_no_clock_reaches_are_refused(
+    #[case] good: &str,
+    #[case] bad: &str,
+    #[case] named: &str,
+) {
+    let text = GOOD.replace(good, bad);
+    assert_ne!(text, GOOD);
+    let error = read(&format!("long-{named}.json"), &text).expect_err("unusable");
+    assert!(error.contains(named), "{error}");
+}
--- a/crates/hickoryhall-gateway/tests/support/mod.rs
+++ b/crates/hickoryhall-gateway/tests/support/mod.rs
@@ -33,7 +33,6 @@
         limits: CallerLimits {
             head_bytes: 1,
             body_bytes: 1,
-            body_timeout: Duration::ZERO,
             idle_timeout: Duration::ZERO,
         },
     })
--- a/crates/hickoryhall-gateway/tests/table.rs
+++ b/crates/hickoryhall-gateway/tests/table.rs
@@ -42,7 +42,6 @@
         limits: CallerLimits {
             head_bytes: 1,
             body_bytes: 1,
-            body_timeout: Duration::ZERO,
             idle_timeout: Duration::ZERO,
         },
     })
