Let two hosts of each group read the registry for the others

Change: where the fleet has several groups, two members of each read the registry; their digests list what changed since a revision, for 0.6 s, and the others apply it. A follower that hears no relay for 0.8 s, or finds a gap, reads the store as before. A reader speaks for the store only while it got an answer within 1.2 s, and not for 2.5 s after an outage, so that followers see outages themselves. Fleets of up to 24 hosts are as before.

Ruled out: a longer pause after changes, which delays news of leaving servers; TCP between hosts, which needs a connection a host.

--- a/crates/hickoryhall-gateway/src/feeds.rs
+++ b/crates/hickoryhall-gateway/src/feeds.rs
@@ -1,10 +1,14 @@
 //! Reads the operators' records and the registry of backend servers from the store and keeps both
 //! up to date.
+//!
+//! In a large fleet only some hosts read the registry; see [`relay`].
 
-use std::cell::RefCell;
+pub mod relay;
+
+use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
 use std::rc::Rc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use rand::RngExt;
 use slog::{Logger, info, warn};
@@ -15,10 +19,18 @@
     OperatorRecord, Platform, StoreChange, StoreError, StoreItem, StoreRevision, WithRevision,
 };
 use crate::peers::{StoreRecords, StoreSnapshot};
+use relay::{RegistryRelay, RegistryRole, RelayLog, RelayMonitor};
 
 /// Longest time for which one watch waits for changes; keep-alive probes detect dead connections
 /// sooner.
 const WATCH_TIMEOUT: Duration = Duration::from_secs(20);
+/// The same time at a host that passes changes of the registry on: others rely on the store's
+/// answers that it gets.
+const READER_WATCH_TIMEOUT: Duration = Duration::from_millis(800);
+/// Pause after changes of the registry at a host that passes them on.
+const READER_PAUSE: Duration = Duration::from_millis(300);
+/// Interval at which a host checks whether its records are still kept up to date by others.
+const RELAY_CHECK_INTERVAL: Duration = Duration::from_millis(100);
 /// Pause after changes of the registry, per host of the fleet. More changes collect meanwhile and
 /// arrive together: all hosts call the store at each change, and each call is charged for.
 const REGISTRY_PAUSE_PER_HOST: Duration = Duration::from_millis(40);
@@ -82,6 +94,9 @@
     core: CoreHandle,
     operator: RefCell<CachedRecords>,
     registry: RefCell<CachedRecords>,
+    role: Cell<RegistryRole>,
+    relay_log: RefCell<RelayLog>,
+    relay_monitor: RefCell<RelayMonitor>,
     logger: Logger,
 }
 
@@ -94,6 +109,9 @@
             core,
             operator: RefCell::default(),
             registry: RefCell::default(),
+            role: Cell::default(),
+            relay_log: RefCell::default(),
+            relay_monitor: RefCell::default(),
             logger,
         }
     }
@@ -119,6 +137,56 @@
         }
     }
 
+    /// Sets how this host gets changes of the registry.
+    pub fn set_registry_role(&self, role: RegistryRole) {
+        let before = self.role.replace(role);
+        if before != role {
+            info!(self.logger, "feeds: Role for the registry changed."; "role" => ?role, "before" => ?before);
+        }
+    }
+
+    /// Returns the changes of the registry that this host passes on in its next digest.
+    pub fn registry_relay(&self, now: Instant) -> Option<RegistryRelay> {
+        let is_reader = self.role.get() == RegistryRole::Reader;
+        is_reader.then(|| self.relay_log.borrow_mut().relay(now))?
+    }
+
+    /// Applies the changes of the registry that a reader of this host's group passes on.
+    pub fn on_registry_relay(&self, now: Instant, relay: &RegistryRelay) {
+        let known = self.registry.borrow().revision;
+        if known == 0 {
+            return;
+        }
+        let changes = self.relay_monitor.borrow_mut().on_relay(now, known, relay);
+        let Some(changes) = changes else {
+            info!(
+                self.logger, "feeds: Changes of the registry are missing in a relay. The store is read.";
+                "known" => known, "after" => relay.after
+            );
+            return;
+        };
+        if self.is_relayed(now) {
+            self.core
+                .with(|core, now| core.set_registry_available(now, true));
+        }
+        for change in changes {
+            self.apply_change(FeedKind::Registry, change);
+        }
+        self.advance_revision(FeedKind::Registry, relay.until);
+    }
+
+    /// Returns whether other hosts keep this host's registry up to date.
+    fn is_relayed(&self, now: Instant) -> bool {
+        self.role.get() == RegistryRole::Follower && self.relay_monitor.borrow().is_current(now)
+    }
+
+    /// Waits while other hosts keep this host's records up to date.
+    async fn wait_while_relayed(&self, kind: FeedKind) {
+        while kind == FeedKind::Registry && self.is_relayed(Instant::now()) {
+            sleep(RELAY_CHECK_INTERVAL).await;
+        }
+    }
+
     /// Reads and watches one set of records until the task is dropped.
     pub async fn follow(&self, kind: FeedKind) {
         let mut link = LinkState::new(kind, self.logger.clone());
@@ -139,7 +207,16 @@
     async fn watch(&self, link: &mut LinkState, mut after: StoreRevision) {
         let prefix = prefix::<P>(link.kind);
         loop {
-            let watched = self.platform.watch(prefix, after, WATCH_TIMEOUT).await;
+            self.wait_while_relayed(link.kind).await;
+            after = after.max(self.cached(link.kind).borrow().revision);
+            let is_reader =
+                link.kind == FeedKind::Registry && self.role.get() == RegistryRole::Reader;
+            let wait = if is_reader {
+                READER_WATCH_TIMEOUT
+            } else {
+                WATCH_TIMEOUT
+            };
+            let watched = self.platform.watch(prefix, after, wait).await;
             if let Err(StoreError::Compacted) = watched {
                 info!(
                     self.logger, "feeds: Store compacted its history. All records are read again.";
@@ -151,12 +228,18 @@
                 continue;
             };
             let is_changed = !changes.content.is_empty();
+            after = after.max(changes.revision);
+            if link.kind == FeedKind::Registry {
+                let mut log = self.relay_log.borrow_mut();
+                log.record_changes(Instant::now(), after, changes.content.iter().cloned());
+            }
             for change in changes.content {
                 self.apply_change(link.kind, change);
             }
-            after = after.max(changes.revision);
             self.advance_revision(link.kind, after);
-            if is_changed && link.kind == FeedKind::Registry {
+            if is_changed && is_reader {
+                sleep(READER_PAUSE).await;
+            } else if is_changed && link.kind == FeedKind::Registry {
                 sleep(self.registry_pause()).await;
             }
         }
@@ -182,7 +265,12 @@
         result: Result<T, StoreError>,
     ) -> Option<T> {
         let is_up = result.is_ok();
-        if link.kind == FeedKind::Registry && is_up != link.is_up() {
+        if link.kind == FeedKind::Registry {
+            self.relay_log
+                .borrow_mut()
+                .record_answer(Instant::now(), is_up);
+        }
+        if link.kind == FeedKind::Registry && !(is_up && link.is_up()) {
             self.core
                 .with(|core, now| core.set_registry_available(now, is_up));
         }
@@ -214,6 +302,7 @@
                 let servers = servers.collect();
                 self.core
                     .with(|core, now| core.on_registry_list(now, servers));
+                self.relay_log.borrow_mut().record_list(records.revision);
             }
         }
         *self.cached(kind).borrow_mut() = CachedRecords::from(records);
--- a/crates/hickoryhall-gateway/src/peers.rs
+++ b/crates/hickoryhall-gateway/src/peers.rs
@@ -119,12 +119,14 @@
             self.known_peers.borrow_mut().expire(now);
             let (group, members, addresses) = {
                 let known_peers = self.known_peers.borrow();
+                self.feeds.set_registry_role(known_peers.registry_role(now));
                 let addresses = known_peers.addresses_to_list(round);
                 (known_peers.group(now), known_peers.members(now), addresses)
             };
             let interval = digest_interval(members.len());
             if !members.is_empty() {
-                let digest = self.core.with(|core, now| core.digest(now, group));
+                let mut digest = self.core.with(|core, now| core.digest(now, group));
+                digest.registry = self.feeds.registry_relay(now);
                 self.send_all(&members, &digest.encode(&addresses)).await;
             }
             let non_members = self.known_peers.borrow().non_members(now, rotation.number);
@@ -227,6 +229,9 @@
             core.table().map_or(0, |table| table.revision())
         });
         let now = Instant::now();
+        if let Some(relay) = &digest.registry {
+            self.feeds.on_registry_relay(now, relay);
+        }
         let mut known_peers = self.known_peers.borrow_mut();
         if known_peers.record_digest(now, from, digest) {
             info!(self.logger, "peers: Discovered a host by its digest."; "host" => %from, "table" => digest.table_revision);
--- a/crates/hickoryhall-gateway/src/peers/known_peers.rs
+++ b/crates/hickoryhall-gateway/src/peers/known_peers.rs
@@ -14,6 +14,7 @@
 use hickoryhall_types::rendezvous_score;
 
 use super::Digest;
+use crate::feeds::relay::RegistryRole;
 use crate::scheduler::{GroupHash, HostHash};
 
 /// Maximum number of hosts in a fleet that forms a single group.
@@ -22,6 +23,10 @@
 const MAX_GROUP_HOSTS: usize = 32;
 /// Id of the group that all hosts of a small fleet form.
 const SINGLE_GROUP: GroupHash = 1;
+/// Members of a group that read the registry from the store for all of them.
+const REGISTRY_READERS: usize = 2;
+/// Distinguishes the ranking of hosts as readers of the registry from other rankings.
+const REGISTRY_DUTY: u64 = 0x7265_6769_7374_7279;
 /// Heartbeats that one host sends to hosts outside its group per second, in rotation.
 pub(super) const HEARTBEATS_PER_S: f64 = 50.0;
 /// Time without a digest after which a host counts as unreachable, unless the fleet is so large
@@ -149,6 +154,25 @@
         members.map(|(_, identity)| identity.host).collect()
     }
 
+    /// Returns how this host gets changes of the registry: in a fleet of several groups, some
+    /// members of each group read it.
+    #[must_use]
+    pub fn registry_role(&self, now: Instant) -> RegistryRole {
+        let group = self.group(now);
+        if group == SINGLE_GROUP {
+            return RegistryRole::Alone;
+        }
+        let score = |host| rendezvous_score(group ^ REGISTRY_DUTY, host);
+        let own = score(self.local_host.host);
+        let members = self.live_members(now);
+        let ahead = members.filter(|(_, identity)| score(identity.host) > own);
+        if ahead.count() < REGISTRY_READERS {
+            RegistryRole::Reader
+        } else {
+            RegistryRole::Follower
+        }
+    }
+
     /// Returns the addresses of all hosts that are not live members of this host's group.
     ///
     /// `rotation` is the number of the current rotation; unreachable hosts are included in few of
--- a/crates/hickoryhall-gateway/src/peers/message.rs
+++ b/crates/hickoryhall-gateway/src/peers/message.rs
@@ -8,7 +8,8 @@
 use hickoryhall_types::{Revision, TargetId, WeightsVersion};
 use prost::Message;
 
-use crate::interface::{StoreItem, StoreRevision};
+use crate::feeds::relay::RegistryRelay;
+use crate::interface::{StoreChange, StoreItem, StoreRevision};
 use crate::scheduler::{GroupHash, HostHash, HostLoad};
 
 /// State of a host or of a group, sent to peers several times a second.
@@ -34,6 +35,8 @@
     pub suspects: Vec<SuspectUpdate>,
     /// Prompts that runners prefilled, or saved to a prompt cache store, since the last digest.
     pub prompts: Vec<PromptUpdate>,
+    /// Changes of the registry, from a host that reads it for its group.
+    pub registry: Option<RegistryRelay>,
 }
 
 /// Whose load a digest lists.
@@ -151,6 +154,27 @@
     group_hosts: Vec<u64>,
     #[prost(bool, tag = "12")]
     is_forwarded: bool,
+    #[prost(message, optional, tag = "13")]
+    registry: Option<WireRelay>,
+}
+
+#[derive(Clone, PartialEq, Message)]
+struct WireRelay {
+    #[prost(uint64, tag = "1")]
+    after: u64,
+    #[prost(uint64, tag = "2")]
+    until: u64,
+    #[prost(message, repeated, tag = "3")]
+    changes: Vec<WireChange>,
+}
+
+#[derive(Clone, PartialEq, Message)]
+struct WireChange {
+    #[prost(message, required, tag = "1")]
+    item: WireItem,
+    /// Whether the item was removed; its value is empty then.
+    #[prost(bool, tag = "2")]
+    is_removed: bool,
 }
 
 /// Keys and tokens of the levels are two lists of equal length.
@@ -289,6 +313,7 @@
                 Scope::Host | Scope::Heartbeat => Vec::new(),
             },
             is_forwarded: digest.is_forwarded,
+            registry: digest.registry.as_ref().map(WireRelay::from),
         }
     }
 }
@@ -319,6 +344,59 @@
                 .collect(),
             suspects: wire.suspects.iter().map(SuspectUpdate::from).collect(),
             prompts: wire.prompts.iter().map(PromptUpdate::from).collect(),
+            registry: wire.registry.map(RegistryRelay::from),
+        }
+    }
+}
+
+impl From<&RegistryRelay> for WireRelay {
+    fn from(relay: &RegistryRelay) -> Self {
+        Self {
+            after: relay.after,
+            until: relay.until,
+            changes: relay.changes.iter().map(WireChange::from).collect(),
+        }
+    }
+}
+
+impl From<WireRelay> for RegistryRelay {
+    fn from(wire: WireRelay) -> Self {
+        Self {
+            after: wire.after,
+            until: wire.until,
+            changes: wire.changes.into_iter().map(StoreChange::from).collect(),
+        }
+    }
+}
+
+impl From<&StoreChange> for WireChange {
+    fn from(change: &StoreChange) -> Self {
+        match change {
+            StoreChange::Put(item) => Self {
+                item: item.into(),
+                is_removed: false,
+            },
+            StoreChange::Removed { key, revision } => Self {
+                item: WireItem {
+                    key: key.clone(),
+                    value: Bytes::new(),
+                    revision: *revision,
+                },
+                is_removed: true,
+            },
+        }
+    }
+}
+
+impl From<WireChange> for StoreChange {
+    fn from(wire: WireChange) -> Self {
+        if wire.is_removed {
+            Self::Removed {
+                key: wire.item.key,
+                revision: wire.item.revision,
+            }
+        } else {
+            Self::Put(wire.item.into())
         }
     }
 }
--- a/crates/hickoryhall-gateway/tests/messages.rs
+++ b/crates/hickoryhall-gateway/tests/messages.rs
@@ -4,7 +4,8 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use hickoryhall_gateway::interface::StoreItem;
+use hickoryhall_gateway::feeds::relay::RegistryRelay;
+use hickoryhall_gateway::interface::{StoreChange, StoreItem};
 use hickoryhall_gateway::peers::{
     DesiredVersionUpdate, Digest, PromptUpdate, Scope, ServerUpdate, StoreRecords, StoreSnapshot,
     SuspectUpdate,
@@ -59,6 +60,21 @@
                 tokens: small(8),
             }],
         }],
+        registry: number(3).is_multiple_of(2).then(|| RegistryRelay {
+            after: number(1),
+            until: number(2),
+            changes: vec![
+                StoreChange::Put(StoreItem {
+                    key: "registry/a".to_owned(),
+                    value: Bytes::from_static(b"{}"),
+                    revision: number(4),
+                }),
+                StoreChange::Removed {
+                    key: "registry/b".to_owned(),
+                    revision: number(5),
+                },
+            ],
+        }),
     }
 }
 
