Name the newest desired version in each order

Cause: the version of a weight change was fixed when the change was planned.

Change: the order names the newest version at the time it is sent; a runner with a newer version than the planned one counts as done.

Ruled out: shorter draining; it breaks off answers that no other runner resumes.

--- a/crates/hickoryhall-control/src/orders.rs
+++ b/crates/hickoryhall-control/src/orders.rs
@@ -151,7 +151,8 @@
         let resend_after = self.config.resend_after;
         self.pending.retain(|id, order| {
             let runner = runners.iter().find(|runner| runner.id == *id);
-            let is_done = runner.is_none_or(|runner| runner.weights == order.weights);
+            // The order may have named a newer version than the planned one.
+            let is_done = runner.is_none_or(|runner| runner.weights >= order.weights);
             !is_done && now.saturating_duration_since(order.planned_at) < resend_after
         });
         self.pending.len()
--- a/crates/hickoryhall-gateway/src/orders/weight_changes.rs
+++ b/crates/hickoryhall-gateway/src/orders/weight_changes.rs
@@ -130,6 +130,7 @@
         planner: &RefCell<OrderPlanner>,
     ) -> Option<WeightChange> {
         let server = &runner.server;
+        let change = self.with_newest_version(change);
         let Some(report) = self.fetch_report(server).await else {
             self.publish_state(runner, runner.weights, false);
             planner.borrow_mut().remove_pending(&server.id);
@@ -180,6 +181,17 @@
         })
     }
 
+    /// Returns a weight change to the newest desired version, which may have changed while the
+    /// runner was drained. A runner that loads a version already replaced has to change again.
+    fn with_newest_version(&self, change: WeightChange) -> WeightChange {
+        let desired_versions = self.desired_versions();
+        let newest = desired_versions.get(&change.model).copied();
+        WeightChange {
+            version: newest.map_or(change.version, |newest| newest.max(change.version)),
+            ..change
+        }
+    }
+
     /// Chooses how the runner treats requests in flight: they are broken off to be resumed at other
     /// runners if all of them can be and the retry budget allows it.
     fn switch_mode(&self, runner: &RunnerView) -> SwitchMode {
