Compare as many owners of a prompt as its family's demand requires

Cause: above 16 runners each host compared 6 owners and 6 other runners with loads that are up to 0.3 s old.

Change: two owners, and one more for each 0.35 of a runner's time that the family's requests take, counted over two seconds from own requests and those in digests; owners that cannot take the request are passed over; runners of the prompt's length class come first. Services of up to 16 runners are as before.

--- a/crates/hickoryhall-gateway/src/scheduler.rs
+++ b/crates/hickoryhall-gateway/src/scheduler.rs
@@ -10,8 +10,10 @@
 mod cache_store_selection;
 mod candidate;
 mod config;
+mod demand;
 mod desired_versions;
 mod placement;
+mod search;
 mod server;
 mod updates;
 
@@ -26,6 +28,7 @@
 use cache_store::CacheStoreState;
 use candidate::{Candidate, millis};
 pub use config::SchedulerConfig;
+use demand::FamilyDemand;
 pub use desired_versions::DesiredVersionHistory;
 pub use placement::{
     Assignment, AttemptEnd, Placement, PlacementRefusal, PlacementRequest, PromptInfo,
@@ -92,6 +95,7 @@
     /// Updates for the next digest.
     prompt_updates: Vec<PromptUpdate>,
     cache_stores: Vec<CacheStoreState>,
+    demand: FamilyDemand,
     /// Failure domains with a recently unreachable server, and when each entry expires.
     unreachable_domains: HashMap<FailureDomainId, Instant>,
 }
@@ -121,6 +125,7 @@
             desired_versions: HashMap::new(),
             prompt_updates: Vec::new(),
             cache_stores: Vec::new(),
+            demand: FamilyDemand::default(),
             unreachable_domains: HashMap::new(),
         }
     }
@@ -211,6 +216,9 @@
 
     /// Places a request, or queues it and returns `None`.
     pub fn place(&mut self, now: Instant, request: PlacementRequest) -> Option<Placement> {
+        if let Some(prompt) = &request.prompt {
+            self.record_demand(now, prompt.chain.levels());
+        }
         match self.try_place(now, &request) {
             Decision::Placed(assignment) => Some(Ok(assignment)),
             Decision::Wait(reason, retry_after) => {
@@ -327,27 +335,9 @@
     }
 
     fn try_place(&mut self, now: Instant, request: &PlacementRequest) -> Decision {
-        let keys = self.by_service.get(&request.service);
-        let keys = keys.map(Vec::as_slice).unwrap_or_default();
-        let prompt = request.prompt.as_ref();
-        let affinities = prompt.map(|prompt| self.affinities(keys, prompt));
-        let shortlist = self.shortlist(keys, affinities.as_deref(), request.attempt_id);
-        let mut best: Option<Candidate> = None;
-        let mut candidates = 0;
-        let mut reason = RefusalReason::NoServer;
-        for index in shortlist {
-            match self.candidate(now, keys[index], request, affinities.as_deref(), index) {
-                Ok(candidate) => {
-                    candidates += 1;
-                    if best.is_none_or(|best| candidate.cost_ms < best.cost_ms) {
-                        best = Some(candidate);
-                    }
-                }
-                Err(RefusalReason::Full) => reason = RefusalReason::Full,
-                Err(_) => {}
-            }
-        }
-        let Some(best) = best else {
+        let search = self.search(now, request);
+        let Some(best) = search.best else {
+            let reason = search.refusal_reason();
             let retry_after = match reason {
                 RefusalReason::Full => *RETRY_AFTER.start(),
                 _ => RETRY_AFTER_NO_SERVER,
@@ -355,7 +345,7 @@
             return Decision::Wait(reason, retry_after);
         };
         if self.is_worth_placing(now, request, &best) {
-            return Decision::Placed(self.assign(now, request, &best, candidates));
+            return Decision::Placed(self.assign(now, request, &best, search.candidates));
         }
         let retry_after = best.estimate;
         Decision::Wait(
@@ -370,8 +360,7 @@
         if request.prompt.is_none() {
             return true;
         }
-        let elapsed = now.saturating_duration_since(request.arrived_at);
-        if elapsed + best.estimate + self.config.slack <= request.target_latency {
+        if self.is_on_time(now, request, best) {
             return true;
         }
         let exceeds_target_latency_alone =
@@ -384,6 +373,12 @@
         best.queued_ms <= millis(limit)
     }
 
+    /// Returns whether the request meets its target latency at a candidate.
+    fn is_on_time(&self, now: Instant, request: &PlacementRequest, candidate: &Candidate) -> bool {
+        let elapsed = now.saturating_duration_since(request.arrived_at);
+        elapsed + candidate.estimate + self.config.slack <= request.target_latency
+    }
+
     fn assign(
         &mut self,
         now: Instant,
--- a/crates/hickoryhall-gateway/src/scheduler/candidate.rs
+++ b/crates/hickoryhall-gateway/src/scheduler/candidate.rs
@@ -5,19 +5,13 @@
 
 use hickoryhall_types::{TokenCount, rendezvous_score};
 
-use super::{
-    AttemptId, PlacementRequest, PromptInfo, RefusalReason, Scheduler, ServerKey, ServerState,
-};
+use super::{PlacementRequest, PromptInfo, RefusalReason, Scheduler, ServerKey, ServerState};
 use crate::table::RunnerCapacity;
 
 /// Transfer time from a prompt cache store relative to that from a runner, whose link is faster.
 const CACHE_STORE_LINK_FACTOR: f64 = 4.0;
 /// Rank in the owner order of a prompt from which all runners cost the same.
 const MAX_OWNER_RANK: usize = 9;
-/// Number of first owners of a prompt that are evaluated in a large service.
-const OWNERS_SHORTLISTED: usize = 6;
-/// Number of other servers that are evaluated in a large service.
-const OTHERS_SHORTLISTED: usize = 6;
 /// Idle time after which evicting a cached prompt costs half as much.
 const EVICTION_HALF_LIFE: Duration = Duration::from_secs(8);
 /// Approximate duration of one request at a plain server with all slots busy.
@@ -59,7 +53,7 @@
     /// Tokens that other runners can fetch from it now.
     fetchable_tokens: TokenCount,
     /// Rank in the owner order of the prompt; 0 is the first owner.
-    owner_rank: usize,
+    pub owner_rank: usize,
 }
 
 impl Scheduler {
@@ -89,37 +83,6 @@
         affinities.collect()
     }
 
-    /// Returns the indices of the servers to evaluate.
-    ///
-    /// In a small service these are all servers. In a large one they are the first owners of the
-    /// prompt and a sample that differs by host and request. Without the sample, hosts with
-    /// outdated updates of each other's load would all choose the one server that was idle in them.
-    pub(super) fn shortlist(
-        &self,
-        keys: &[ServerKey],
-        affinities: Option<&[PromptAffinity]>,
-        attempt_id: AttemptId,
-    ) -> Vec<usize> {
-        if keys.len() <= self.config.full_scan_limit {
-            return (0..keys.len()).collect();
-        }
-        let mut shortlist = Vec::with_capacity(OWNERS_SHORTLISTED + OTHERS_SHORTLISTED);
-        if let Some(affinities) = affinities {
-            let owners = affinities.iter().enumerate();
-            let owners = owners.filter(|(_, affinity)| affinity.owner_rank < OWNERS_SHORTLISTED);
-            shortlist.extend(owners.map(|(index, _)| index));
-        }
-        let seed = rendezvous_score(attempt_id, self.config.host);
-        let others = (0..OTHERS_SHORTLISTED as u64).map(|n| {
-            let index = rendezvous_score(seed, n) % keys.len() as u64;
-            usize::try_from(index).unwrap_or(0)
-        });
-        shortlist.extend(others);
-        shortlist.sort_unstable();
-        shortlist.dedup();
-        shortlist
-    }
-
     /// Returns the cost of a request at a server.
     ///
     /// # Errors
@@ -214,7 +177,7 @@
 
     /// Returns the prefill time of the last `missing` tokens of a prompt. It grows with the prompt
     /// length because each token attends to all tokens before it.
-    fn prefill_ms(&self, missing: TokenCount, input: TokenCount) -> f64 {
+    pub(super) fn prefill_ms(&self, missing: TokenCount, input: TokenCount) -> f64 {
         let (missing, input) = (f64::from(missing), f64::from(input));
         let million_pairs = missing * (input - missing / 2.0) / 1e6;
         missing / self.config.prefill_tokens_per_ms
@@ -352,17 +315,27 @@
     }
 
     /// Returns the cost of a runner that is meant for prompts of the other length class.
+    fn length_cost_ms(&self, prompt: &PromptInfo, runners: usize, index: usize) -> f64 {
+        if self.is_other_length_class(prompt, runners, index) {
+            millis(self.config.other_length_cost)
+        } else {
+            0.0
+        }
+    }
+
+    /// Returns whether a runner is meant for prompts of the other length class.
     ///
     /// The first runners, by index, take the short prompts.
-    fn length_cost_ms(&self, prompt: &PromptInfo, runners: usize, index: usize) -> f64 {
+    pub(super) fn is_other_length_class(
+        &self,
+        prompt: &PromptInfo,
+        runners: usize,
+        index: usize,
+    ) -> bool {
         let short_runners = (runners as f64 * self.config.short_prompt_fraction).round() as usize;
         let is_short_runner = index < short_runners;
         let is_short = prompt.input_tokens < self.config.long_prompt_tokens;
-        if is_short == is_short_runner {
-            0.0
-        } else {
-            millis(self.config.other_length_cost)
-        }
+        is_short != is_short_runner
     }
 
     /// Returns the network cost of a server, which is higher if its failure domain may be
--- /dev/null
+++ b/crates/hickoryhall-gateway/src/scheduler/search.rs
@@ -0,0 +1,135 @@
+//! Searches the servers of a service for the one that takes a request.
+//!
+//! The load that the search in a large service answers: many hosts place prompts that share levels,
+//! each with load updates that are some tenths of a second old. If they compared many runners, each
+//! prompt family would spread over all of these whenever loads seem uneven; the copies would evict
+//! each other, runners would prefill the same levels again and again, and the work of that makes
+//! loads more uneven still. So the search compares only as many owners of the prompt as the demand
+//! for its family requires.
+
+use std::time::Instant;
+
+use hickoryhall_types::rendezvous_score;
+
+use super::candidate::{Candidate, PromptAffinity};
+use super::{PlacementRequest, PromptInfo, RefusalReason, Scheduler, ServerKey};
+
+/// Least number of owners of a prompt that are compared in a large service: with a second one, a
+/// queue at the first can be avoided.
+const MIN_OWNERS: u32 = 2;
+/// Part of an owner's time that a family may take before it gets another owner.
+const MAX_FAMILY_UTILIZATION: f64 = 0.35;
+/// Number of servers that are compared in a large service for a request without a prompt.
+const SAMPLE: u64 = 6;
+
+/// Best server found for a request so far.
+#[derive(Default)]
+pub(super) struct Search {
+    pub best: Option<Candidate>,
+    /// Number of servers that can take the request.
+    pub candidates: u32,
+    /// Whether a server cannot take the request only because it is at its limit.
+    has_full: bool,
+}
+
+impl Search {
+    fn record(&mut self, compared: Result<Candidate, RefusalReason>) {
+        match compared {
+            Ok(candidate) => {
+                self.candidates += 1;
+                if self
+                    .best
+                    .is_none_or(|best| candidate.cost_ms < best.cost_ms)
+                {
+                    self.best = Some(candidate);
+                }
+            }
+            Err(reason) => self.has_full |= reason == RefusalReason::Full,
+        }
+    }
+
+    /// Returns why no server takes the request, if none can.
+    pub fn refusal_reason(&self) -> RefusalReason {
+        if self.has_full {
+            RefusalReason::Full
+        } else {
+            RefusalReason::NoServer
+        }
+    }
+}
+
+impl Scheduler {
+    /// Searches the servers of the request's service.
+    ///
+    /// In a small service every server is compared. In a large one these are the first owners of
+    /// the prompt that can take the request.
+    pub(super) fn search(&self, now: Instant, request: &PlacementRequest) -> Search {
+        let keys = self.by_service.get(&request.service);
+        let keys = keys.map(Vec::as_slice).unwrap_or_default();
+        let prompt = request.prompt.as_ref();
+        let affinities = prompt.map(|prompt| self.affinities(keys, prompt));
+        let affinities = affinities.as_deref();
+        let is_small = keys.len() <= self.config.full_scan_limit;
+        let (indices, limit) = match (prompt, affinities) {
+            _ if is_small => ((0..keys.len()).collect(), u32::MAX),
+            (Some(prompt), Some(affinities)) => (
+                self.owners(prompt, affinities),
+                self.owner_count(now, prompt),
+            ),
+            _ => {
+                let sample = self.sample(keys, request);
+                (sample, u32::MAX)
+            }
+        };
+        let mut search = Search::default();
+        for index in indices {
+            if search.candidates == limit {
+                break;
+            }
+            search.record(self.candidate(now, keys[index], request, affinities, index));
+        }
+        search
+    }
+
+    /// Returns the indices of all runners, the first owners of the prompt first; those of the
+    /// prompt's length class come before the others, so that long prompts seldom stall the answers
+    /// to short ones.
+    fn owners(&self, prompt: &PromptInfo, affinities: &[PromptAffinity]) -> Vec<usize> {
+        let mut owners = (0..affinities.len()).collect::<Vec<_>>();
+        owners.sort_by_key(|&index| {
+            let is_other_class = self.is_other_length_class(prompt, affinities.len(), index);
+            (is_other_class, affinities[index].owner_rank)
+        });
+        owners
+    }
+
+    /// Returns how many owners of a prompt are compared, by the demand for its family.
+    fn owner_count(&self, now: Instant, prompt: &PromptInfo) -> u32 {
+        let busy = self.demand.busy_runners(now, prompt.chain.shared_key());
+        ((busy / MAX_FAMILY_UTILIZATION).ceil() as u32).max(MIN_OWNERS)
+    }
+
+    /// Returns the indices of some servers that differ by host and request. All hosts know equally
+    /// outdated loads; without the difference all of them would choose the one server that was idle.
+    fn sample(&self, keys: &[ServerKey], request: &PlacementRequest) -> Vec<usize> {
+        let seed = rendezvous_score(request.attempt_id, self.config.host);
+        let indices = (0..SAMPLE).map(|n| {
+            let index = rendezvous_score(seed, n) % keys.len() as u64;
+            usize::try_from(index).unwrap_or(0)
+        });
+        let mut indices = indices.collect::<Vec<_>>();
+        indices.sort_unstable();
+        indices.dedup();
+        indices
+    }
+
+    /// Counts a request of a prompt family, of this host or of another one.
+    pub(super) fn record_demand(&mut self, now: Instant, levels: &[hickoryhall_routing::Level]) {
+        let Some((own, shared)) = levels.split_last() else {
+            return;
+        };
+        let family = shared.last().unwrap_or(own).key;
+        let work_ms = self.prefill_ms(own.tokens, own.tokens);
+        self.demand.record(now, family, work_ms);
+    }
+}
--- a/crates/hickoryhall-gateway/src/scheduler/updates.rs
+++ b/crates/hickoryhall-gateway/src/scheduler/updates.rs
@@ -119,6 +119,7 @@
             store.record_peer_save(now, update.levels.clone());
             return;
         }
+        self.record_demand(now, &update.levels);
         let key = self.by_hash.get(&update.server);
         let Some(state) = key.and_then(|&key| self.servers.get_mut(key)) else {
             return;
