Let the rest of a runner's answers go on under new weights once half have ended

Cause: answers that no other runner can resume kept a runner from all work for 2 to 4 s at each change of its weights, while versions come every 3.2 s on Falaj. First reports came after 450 ms, the load time of two sites.

Change: if such answers are left when draining ends and at most half of the runner's requests at its start run, the order names `keep`. The first report follows the shortest recent load (LoadTimes); a runner that reports that it is at work gets 20 s before the change is given up, so that loads of three seconds are followed to their end.

--- a/crates/hickoryhall-control/src/lib.rs
+++ b/crates/hickoryhall-control/src/lib.rs
@@ -13,6 +13,7 @@
 //! ```
 
 mod claim;
+mod load_times;
 mod orders;
 mod revisions;
 
@@ -20,6 +21,7 @@
     Claim, ClaimEnd, ClaimFlow, ClaimState, ClaimStep, ReadResult, RecordedResponse, SendResult,
     WriteResult, claim_key,
 };
+pub use load_times::LoadTimes;
 pub use orders::{
     DesiredVersions, HeldLease, OrderConfig, OrderPlanner, PlannedOrder, RunnerStatus,
     choose_version,
--- a/crates/hickoryhall-gateway/src/orders.rs
+++ b/crates/hickoryhall-gateway/src/orders.rs
@@ -9,12 +9,14 @@
 mod clock;
 mod weight_changes;
 
+pub use weight_changes::switch_mode;
+
 use std::cell::RefCell;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
-use hickoryhall_control::{OrderConfig, OrderPlanner};
+use hickoryhall_control::{LoadTimes, OrderConfig, OrderPlanner};
 use hickoryhall_types::hash_name;
 use rand::RngExt;
 use slog::{Logger, info, warn};
@@ -47,6 +49,8 @@
 const CALL_TIMEOUT: Duration = Duration::from_millis(600);
 /// Time after which an order without visible effect is repeated.
 const REPEAT_AFTER: Duration = Duration::from_millis(4_500);
+/// Time after which a weight change is given up although its runner reports that it is at work.
+const MAX_CHANGE_TIME: Duration = Duration::from_secs(20);
 
 /// Configuration of [`OrderTask`].
 #[derive(Clone, Debug)]
@@ -66,6 +70,8 @@
     core: CoreHandle,
     peers: Rc<Peers<P>>,
     clock: SuspendAwareClock,
+    /// Kept while another host holds the lease.
+    load_times: RefCell<LoadTimes>,
     logger: Logger,
 }
 
@@ -95,6 +101,7 @@
             core,
             peers,
             clock: SuspendAwareClock::new(),
+            load_times: RefCell::default(),
             logger,
         }
     }
@@ -196,7 +203,7 @@
             // succeeded.
             handover_wait: self.config.handover,
             max_concurrent_loads: 1,
-            resend_after: REPEAT_AFTER,
+            resend_after: MAX_CHANGE_TIME,
         });
         planner.on_acquired(acquired.requested_at, acquired.fencing);
         let planner = RefCell::new(planner);
--- a/crates/hickoryhall-gateway/src/orders/weight_changes.rs
+++ b/crates/hickoryhall-gateway/src/orders/weight_changes.rs
@@ -10,12 +10,12 @@
 use slog::{info, warn};
 use tokio::time::{sleep, timeout};
 
-use super::{CALL_TIMEOUT, OrderTask, REPEAT_AFTER};
+use super::{CALL_TIMEOUT, MAX_CHANGE_TIME, OrderTask, REPEAT_AFTER};
 use crate::interface::{
     ControlError, OrderOutcome, Platform, RunnerReport, SwitchMode, WeightsOrder,
 };
 use crate::registry::{BackendServer, ServerId};
-use crate::scheduler::RunnerView;
+use crate::scheduler::{HostLoad, RunnerView};
 
 /// Time between two planning rounds.
 const PLAN_INTERVAL: Duration = Duration::from_millis(60);
@@ -29,11 +29,13 @@
 /// Longest time that a runner is drained before its order: the duration of the longest responses
 /// that cannot be resumed at another runner.
 const MAX_DRAIN_TIME: Duration = Duration::from_millis(1_300);
-/// Time from an accepted order to the first report request, a little less than loading takes.
-const FIRST_REPORT_DELAY: Duration = Duration::from_millis(450);
 /// Fraction of the retry budget that must be left to break off streams, which then resume at other
 /// runners, rather than wait for them.
 const MIN_BUDGET_TO_TRUNCATE: f64 = 0.25;
+/// Fraction of a runner's requests at the start of draining up to which the rest may go on under new
+/// weights: what they generate from then on is worth less, but a runner that waits for the last of
+/// them serves nothing else meanwhile.
+const MAX_KEPT_FRACTION: f64 = 0.5;
 /// Fraction of the runners that change their weights at the same time: more than can load at full
 /// speed, because a part of the time goes into draining them.
 const MAX_CHANGING_FRACTION: f64 = 0.45;
@@ -100,6 +102,7 @@
             version: order.weights,
             fencing: order.fencing,
             started_at: Instant::now(),
+            requests_at_start: runner.load.requests,
             stage: Stage::Draining,
         })
     }
@@ -114,11 +117,8 @@
         match change.stage {
             Stage::Draining if !change.is_drained(runner) => Some(change),
             Stage::Draining => self.issue_order(runner, change, planner).await,
-            Stage::Ordered { next_report, .. } if Instant::now() < next_report => Some(change),
-            Stage::Ordered { is_accepted, .. } => {
-                self.check_progress(runner, change, is_accepted, planner)
-                    .await
-            }
+            Stage::Ordered(order) if Instant::now() < order.next_report => Some(change),
+            Stage::Ordered(order) => self.check_progress(runner, change, order, planner).await,
         }
     }
 
@@ -148,7 +148,7 @@
             self.publish_state(runner, weights, false);
             return None;
         }
-        let mode = self.switch_mode(runner);
+        let mode = self.switch_mode(runner, &change);
         let order = WeightsOrder {
             model: change.model.clone(),
             version: change.version,
@@ -168,15 +168,18 @@
         );
         let is_accepted = outcome.is_ok_and(OrderOutcome::is_in_effect);
         let wait = if is_accepted {
-            FIRST_REPORT_DELAY
+            self.load_times.borrow().earliest_end()
         } else {
-            REPORT_INTERVAL
+            Duration::ZERO
         };
+        let now = Instant::now();
         Some(WeightChange {
-            stage: Stage::Ordered {
-                next_report: Instant::now() + wait,
+            stage: Stage::Ordered(SentOrder {
+                sent_at: now,
+                next_report: now + wait.max(REPORT_INTERVAL),
                 is_accepted,
-            },
+                waits_for_requests: mode == SwitchMode::Wait && runner.load.requests > 0,
+            }),
             ..change
         })
     }
@@ -192,18 +195,16 @@
         }
     }
 
-    /// Chooses how the runner treats requests in flight: they are broken off to be resumed at other
-    /// runners if all of them can be and the retry budget allows it.
-    fn switch_mode(&self, runner: &RunnerView) -> SwitchMode {
+    /// Chooses how the runner treats requests in flight. They are broken off to be resumed at other
+    /// runners if all of them can be and the retry budget allows it. If only this runner can
+    /// complete some, and most of its requests have ended since draining began, the rest go on under
+    /// the new weights.
+    fn switch_mode(&self, runner: &RunnerView, change: &WeightChange) -> SwitchMode {
         let service = &runner.server.service;
         let left = self
             .core
             .with(|core, now| core.retry_budget_left(now, service));
-        if runner.load.non_resumable == 0 && left >= MIN_BUDGET_TO_TRUNCATE {
-            SwitchMode::Truncate
-        } else {
-            SwitchMode::Wait
-        }
+        switch_mode(&runner.load, change.requests_at_start, left)
     }
 
     /// Checks by its report whether a runner has carried out its order; `None` if the change has
@@ -212,25 +213,32 @@
         &self,
         runner: &RunnerView,
         change: WeightChange,
-        is_accepted: bool,
+        order: SentOrder,
         planner: &RefCell<OrderPlanner>,
     ) -> Option<WeightChange> {
         let report = self.fetch_report(&runner.server).await;
         let weights = report
             .as_ref()
             .map_or(runner.weights, |report| report.weights(&change.model));
+        let report_arrived = report.is_some();
         let is_busy = report.is_none_or(|report| report.is_busy);
         let is_done = weights >= change.version && !is_busy;
-        let is_overdue = change.started_at.elapsed() >= REPEAT_AFTER;
+        // A runner that carries an order out may need long for it.
+        let limit = if is_busy && report_arrived {
+            MAX_CHANGE_TIME
+        } else {
+            REPEAT_AFTER
+        };
+        let is_overdue = change.started_at.elapsed() >= limit;
         if !is_done && !is_overdue {
             // An order that the runner did not accept is sent again while the runner is idle. An
             // unanswered order and its repetition name the same number of accepted orders, so the
             // first one cannot take effect after the second.
-            let stage = if is_accepted || is_busy {
-                Stage::Ordered {
+            let stage = if order.is_accepted || is_busy {
+                Stage::Ordered(SentOrder {
                     next_report: Instant::now() + REPORT_INTERVAL,
-                    is_accepted,
-                }
+                    ..order
+                })
             } else {
                 Stage::Draining
             };
@@ -242,6 +250,9 @@
             "busy" => is_busy, "took_ms" => change.started_at.elapsed().as_millis()
         );
         self.publish_state(runner, weights, false);
+        if is_done && order.is_accepted && !order.waits_for_requests {
+            self.load_times.borrow_mut().record(order.sent_at.elapsed());
+        }
         if !is_done {
             planner.borrow_mut().remove_pending(&runner.server.id);
         }
@@ -284,6 +295,8 @@
     version: WeightsVersion,
     fencing: FencingNumber,
     started_at: Instant,
+    /// Requests in flight when draining began.
+    requests_at_start: u32,
     stage: Stage,
 }
 
@@ -292,12 +305,18 @@
     /// The runner gets no new work and finishes requests that cannot be resumed elsewhere.
     Draining,
     /// The order was sent.
-    Ordered {
-        /// Time of the next report request.
-        next_report: Instant,
-        /// Whether the runner answered the order without an error.
-        is_accepted: bool,
-    },
+    Ordered(SentOrder),
+}
+
+#[derive(Clone, Copy)]
+struct SentOrder {
+    sent_at: Instant,
+    /// Time of the next report request.
+    next_report: Instant,
+    /// Whether the runner accepted the order.
+    is_accepted: bool,
+    /// Whether the runner completes requests before it loads.
+    waits_for_requests: bool,
 }
 
 impl WeightChange {
@@ -318,6 +337,24 @@
     }
 }
 
+/// Returns how a runner treats requests in flight, by its load now, the number of its requests when
+/// draining began, and the unused fraction of the retry budget.
+///
+/// The load that it answers: a few long answers would keep a runner from all other work until their
+/// end, while versions follow each other every few seconds.
+#[must_use]
+pub fn switch_mode(load: &HostLoad, requests_at_start: u32, budget_left: f64) -> SwitchMode {
+    if load.non_resumable == 0 && budget_left >= MIN_BUDGET_TO_TRUNCATE {
+        return SwitchMode::Truncate;
+    }
+    let few = f64::from(requests_at_start) * MAX_KEPT_FRACTION;
+    if load.non_resumable > 0 && f64::from(load.requests) <= few {
+        SwitchMode::Keep
+    } else {
+        SwitchMode::Wait
+    }
+}
+
 /// Returns how many runners may change their weights at the same time, by the load on all runners.
 fn max_concurrent_changes(runners: &[RunnerView]) -> usize {
     let up = runners.iter().filter(|runner| !runner.is_ejected);
