Count a run that may have begun at a runner that failed to resume a stream

Cause: read, not seen in a run: after a silent stream was not resumed, its own run was taken back from the count of runs, also where the other runner may have begun one, so that a later break could lead to one run more than the route allows.

--- a/crates/hickoryhall-gateway/src/exchange/relay.rs
+++ b/crates/hickoryhall-gateway/src/exchange/relay.rs
@@ -192,7 +192,7 @@
                         self.is_waited_for = false;
                     } else if reason == SILENT && !self.is_waited_for {
                         // The runner may still work on the request, and a late answer is better
-                        // than none.
+                        // than none. Its run goes on and counts once.
                         self.is_waited_for = true;
                         self.exchange.possible_runs -= 1;
                     } else {
@@ -254,12 +254,16 @@
             };
             self.exchange
                 .attempt_failed(&assignment.server.id, failure.outcome());
-            // Neither failure is a run of the request. An attempt that was never sent left the
-            // retry that was taken for it unused.
+            // An attempt that was never sent left the retry that was taken for it unused.
             let may_continue = match failure {
                 AttemptFailure::Unsent => self.exchange.has_time(),
                 AttemptFailure::NotRun => self.exchange.has_time() && self.exchange.take_retry(),
-                _ => false,
+                AttemptFailure::ServerFailure(_)
+                | AttemptFailure::Broken
+                | AttemptFailure::TimedOut => {
+                    self.exchange.possible_runs += 1;
+                    false
+                }
             };
             if !may_continue {
                 return false;
--- a/crates/hickoryhall-gateway/src/scheduler/search.rs
+++ b/crates/hickoryhall-gateway/src/scheduler/search.rs
@@ -9,6 +9,7 @@
 
 use std::time::Instant;
 
+use hickoryhall_routing::Level;
 use hickoryhall_types::rendezvous_score;
 
 use super::candidate::{Candidate, PromptAffinity};
@@ -76,10 +77,7 @@
                 self.owners(prompt, affinities),
                 self.owner_count(now, prompt),
             ),
-            _ => {
-                let sample = self.sample(keys, request);
-                (sample, u32::MAX)
-            }
+            _ => (self.sample(keys, request), u32::MAX),
         };
         let mut search = Search::default();
         for index in indices {
@@ -124,7 +122,7 @@
     }
 
     /// Counts a request of a prompt family, of this host or of another one.
-    pub(super) fn record_demand(&mut self, now: Instant, levels: &[hickoryhall_routing::Level]) {
+    pub(super) fn record_demand(&mut self, now: Instant, levels: &[Level]) {
         let Some((own, shared)) = levels.split_last() else {
             return;
         };
