--- a/crates/hickoryhall-gateway/tests/agreement.rs
+++ b/crates/hickoryhall-gateway/tests/agreement.rs
@@ -4,28 +4,20 @@
 
 use std::time::{Duration, Instant};
 
-use hickoryhall_gateway::registry::{BackendServer, RegistryEvent};
+use hickoryhall_gateway::registry::RegistryEvent;
 use hickoryhall_gateway::scheduler::{PlacementRequest, PromptInfo, Scheduler, SchedulerConfig};
 use hickoryhall_routing::{Level, PrefixChain};
 use hickoryhall_types::hash_name;
-use support::{model_service, table_of};
+use support::{model_service, runner, table_of};
 
 const RUNNERS: usize = 12;
+const SLOTS: u32 = 32;
 
 fn scheduler(order: impl Iterator<Item = usize>) -> Scheduler {
     let mut scheduler = Scheduler::new(SchedulerConfig::new(hash_name("host"), "a".into()));
-    scheduler.set_table(&table_of([("models", model_service(32, 91_671))]));
-    for runner in order {
-        scheduler.on_registry(RegistryEvent::Upsert(BackendServer {
-            id: format!("runner-{runner}").as_str().into(),
-            service: "models".into(),
-            address: ([127, 0, 0, 1], 1_000 + runner as u16).into(),
-            domain: "a".into(),
-            slots: 32,
-            is_leaving: false,
-            models: vec![("m".into(), 1)],
-            incarnation: 1,
-        }));
+    scheduler.set_table(&table_of([("models", model_service(SLOTS, 91_671))]));
+    for number in order {
+        scheduler.on_registry(RegistryEvent::Upsert(runner(number, SLOTS)));
     }
     scheduler
 }
--- a/crates/hickoryhall-gateway/tests/herd.rs
+++ b/crates/hickoryhall-gateway/tests/herd.rs
@@ -5,7 +5,7 @@
 
 use std::time::{Duration, Instant};
 
-use hickoryhall_gateway::registry::{BackendServer, RegistryEvent};
+use hickoryhall_gateway::registry::RegistryEvent;
 use hickoryhall_gateway::scheduler::{
     HostLoad, LoadSource, PlacementRequest, PromptInfo, Scheduler, SchedulerConfig,
 };
@@ -57,17 +57,7 @@
     let mut scheduler = Scheduler::new(config);
     scheduler.set_table(&table_of([("models", model_service(32, 91_671))]));
     for runner in 0..RUNNERS {
-        let server = BackendServer {
-            id: format!("runner-{runner}").as_str().into(),
-            service: "models".into(),
-            address: ([127, 0, 0, 1], 1_000 + runner as u16).into(),
-            domain: "a".into(),
-            slots: 32,
-            is_leaving: false,
-            models: vec![("m".into(), 1)],
-            incarnation: 1,
-        };
-        scheduler.on_registry(RegistryEvent::Upsert(server));
+        scheduler.on_registry(RegistryEvent::Upsert(support::runner(runner, 32)));
     }
     scheduler
 }
--- a/crates/hickoryhall-gateway/tests/many_hosts.rs
+++ b/crates/hickoryhall-gateway/tests/many_hosts.rs
@@ -15,7 +15,7 @@
 use std::time::{Duration, Instant};
 
 use hickoryhall_gateway::peers::PromptUpdate;
-use hickoryhall_gateway::registry::{BackendServer, RegistryEvent};
+use hickoryhall_gateway::registry::RegistryEvent;
 use hickoryhall_gateway::scheduler::{
     AttemptEnd, AttemptId, HostLoad, LoadSource, Placement, PlacementRequest, PromptInfo,
     Scheduler, SchedulerConfig,
@@ -145,7 +145,7 @@
             let mut scheduler = Scheduler::new(config);
             scheduler.set_table(&table_of([("models", model_service(SLOTS, CACHE_TOKENS))]));
             for runner in 0..RUNNERS {
-                scheduler.on_registry(RegistryEvent::Upsert(server(runner)));
+                scheduler.on_registry(RegistryEvent::Upsert(support::runner(runner, SLOTS)));
             }
             scheduler
         });
@@ -324,7 +324,7 @@
         for (runner, state) in self.runners.iter_mut().enumerate() {
             state.cache.clear();
             for host in &mut self.hosts {
-                let hash = hash_name(&server(runner).id);
+                let hash = hash_name(&support::runner(runner, SLOTS).id);
                 host.record_runner_update(self.now, hash, version, false);
             }
         }
@@ -335,7 +335,7 @@
         for runner in (0..RUNNERS).step_by(4) {
             self.runners[runner].is_lost = true;
             for host in &mut self.hosts {
-                host.on_registry(RegistryEvent::Removed(server(runner).id));
+                host.on_registry(RegistryEvent::Removed(support::runner(runner, SLOTS).id));
             }
         }
         let lost = self.in_flight.iter();
@@ -389,19 +389,6 @@
     number.parse().expect("a runner's number")
 }
 
-fn server(runner: usize) -> BackendServer {
-    BackendServer {
-        id: format!("runner-{runner}").as_str().into(),
-        service: "models".into(),
-        address: ([127, 0, 0, 1], 1_000 + runner as u16).into(),
-        domain: "a".into(),
-        slots: SLOTS,
-        is_leaving: false,
-        models: vec![("m".into(), 1)],
-        incarnation: 1,
-    }
-}
-
 fn request(now: Instant, id: u64, kind: &RequestKind) -> PlacementRequest {
     let family = rendezvous_score(id, 4) % kind.family_count;
     let outer = family % kind.outer_count;
--- a/crates/hickoryhall-gateway/tests/support/mod.rs
+++ b/crates/hickoryhall-gateway/tests/support/mod.rs
@@ -1,8 +1,11 @@
 //! Fixtures that several scheduler tests share.
 
+#![allow(dead_code, reason = "each test file uses its own part")]
+
 use std::collections::HashMap;
 use std::time::Duration;
 
+use hickoryhall_gateway::registry::BackendServer;
 use hickoryhall_gateway::table::{
     CallerLimits, RouteTable, RunnerCapacity, ServiceInfo, TableParts,
 };
@@ -37,3 +40,18 @@
         },
     })
 }
+
+/// Returns the registry entry of the runner with the given number, which serves the service
+/// `models`.
+pub fn runner(number: usize, slots: u32) -> BackendServer {
+    BackendServer {
+        id: format!("runner-{number}").as_str().into(),
+        service: "models".into(),
+        address: ([127, 0, 0, 1], 1_000 + number as u16).into(),
+        domain: "a".into(),
+        slots,
+        is_leaving: false,
+        models: vec![("m".into(), 1)],
+        incarnation: 1,
+    }
+}
--- a/crates/hickoryhall-table/src/sheet.rs
+++ b/crates/hickoryhall-table/src/sheet.rs
@@ -44,19 +44,19 @@
             Ok(headers) => headers.clone(),
             Err(error) => {
                 let no_headers = csv::StringRecord::new();
-                return Err(SheetErrors(vec![csv_error(&error, &no_headers)]));
+                return Err(SheetErrors(vec![csv_error(text, &error, &no_headers)]));
             }
         };
         let mut errors = Vec::new();
         let mut rows = Vec::new();
         for record in reader.records() {
             let parsed = record.and_then(|record| {
-                let line = record.position().map_or(0, csv::Position::line);
+                let line = line_of(text, record.position());
                 Ok((line, record.deserialize::<Row>(Some(&headers))?))
             });
             match parsed {
                 Ok(row) => rows.push(row),
-                Err(error) => errors.push(csv_error(&error, &headers)),
+                Err(error) => errors.push(csv_error(text, &error, &headers)),
             }
         }
         Self::validate(rows, errors)
@@ -180,8 +180,20 @@
     value.map(ToString::to_string).unwrap_or_default()
 }
 
-fn csv_error(error: &csv::Error, headers: &csv::StringRecord) -> SheetError {
-    let line = error.position().map_or(0, csv::Position::line);
+/// Returns the line at which the record at a position starts, 0 without a position. A position is
+/// that before the empty lines in front of the record.
+fn line_of(text: &str, position: Option<&csv::Position>) -> u64 {
+    let Some(position) = position else {
+        return 0;
+    };
+    let start = usize::try_from(position.byte()).unwrap_or(usize::MAX);
+    let rest = text.as_bytes().get(start..).unwrap_or_default();
+    let blank = rest.iter().take_while(|byte| matches!(byte, b'\r' | b'\n'));
+    position.line() + blank.filter(|&&byte| byte == b'\n').count() as u64
+}
+
+fn csv_error(text: &str, error: &csv::Error, headers: &csv::StringRecord) -> SheetError {
+    let line = line_of(text, error.position());
     let (column, message) = match error.kind() {
         csv::ErrorKind::Deserialize { err, .. } => {
             let index = err.field().and_then(|index| usize::try_from(index).ok());
