--- a/crates/hickoryhall-gateway/src/scheduler/demand.rs
+++ b/crates/hickoryhall-gateway/src/scheduler/demand.rs
@@ -59,10 +59,10 @@
 
     /// Drops the half of the families that brought least.
     fn drop_smallest(&mut self, now: Instant) {
-        let mut recent = self.families.values().map(|work| work.recent_ms(now));
-        let mut sorted = recent.by_ref().collect::<Vec<_>>();
-        let middle = sorted.len() / 2;
-        let (_, median, _) = sorted.select_nth_unstable_by(middle, f64::total_cmp);
+        let recent = self.families.values().map(|work| work.recent_ms(now));
+        let mut recent = recent.collect::<Vec<_>>();
+        let middle = recent.len() / 2;
+        let (_, median, _) = recent.select_nth_unstable_by(middle, f64::total_cmp);
         let median = *median;
         self.families.retain(|_, work| work.recent_ms(now) > median);
     }
