Log the response heads of failed attempts

The line of a request said that an attempt failed or was refused, but not with which status, whether the response carried the request's id and seal, and whether its connection had carried a request before. Neither could be told apart from a response that belongs to another request. `responses` holds these per failed attempt, `server_status` the last status of a server beside the one that the caller got. `ResponseMeta` passes the id and the seal on as facts.

--- a/crates/hickoryhall-gateway/src/exchange/attempt.rs
+++ b/crates/hickoryhall-gateway/src/exchange/attempt.rs
@@ -14,6 +14,7 @@
 use tokio::time::{Instant as TokioInstant, timeout_at};
 
 use super::Exchange;
+use super::record::ResponseRecord;
 use crate::core::CoreHandle;
 use crate::interface::{AttemptPlan, Platform, ResponseKind, ResponseMeta};
 use crate::registry::BackendServer;
@@ -150,6 +151,7 @@
         guard: AttemptGuard,
         resume_after: Option<&str>,
     ) -> AttemptResult {
+        self.record.attempt_begins();
         let until = self.attempt_deadline(assignment);
         let address = assignment.server.address;
         let received = match self.send(assignment, resume_after, until).await {
@@ -165,6 +167,12 @@
             .gateway
             .platform
             .parse_response_head(&head, &self.request.meta);
+        self.record.response_head(ResponseRecord {
+            status: head.status,
+            id: response_meta.id,
+            is_sealed: response_meta.is_sealed,
+            is_kept: received.connection.is_reused(),
+        });
         let server = &assignment.server.id;
         self.gateway
             .core
--- a/crates/hickoryhall-gateway/src/exchange/record.rs
+++ b/crates/hickoryhall-gateway/src/exchange/record.rs
@@ -9,7 +9,7 @@
 use slog::{Logger, info};
 
 use super::intake::PreparedRequest;
-use crate::interface::LocalFailure;
+use crate::interface::{LocalFailure, ResponseId};
 use crate::scheduler::Assignment;
 
 /// Collects what is logged when a request ends. A record dropped before its request ended logs
@@ -24,6 +24,12 @@
     arrived_at: Instant,
     /// Failed attempts, each as `SERVER:OUTCOME`.
     tried: Vec<String>,
+    /// Responses of failed attempts; see [`ResponseRecord::describe`].
+    responses: Vec<String>,
+    /// Response head of the current attempt.
+    response: Option<ResponseRecord>,
+    /// Last status that a server gave.
+    server_status: Option<u16>,
     placed: Option<PlacementRecord>,
     first_event_ms: Option<u128>,
     /// Bytes of the events passed on.
@@ -31,6 +37,25 @@
     is_ended: bool,
 }
 
+/// The head of a server's response, as it is logged.
+pub(super) struct ResponseRecord {
+    pub status: StatusCode,
+    pub id: ResponseId,
+    pub is_sealed: bool,
+    /// Whether the connection had carried a request before.
+    pub is_kept: bool,
+}
+
+impl ResponseRecord {
+    /// Returns the text `SERVER:STATUS:CONNECTION:ID:SEAL` for the log.
+    fn describe(&self, server: &str) -> String {
+        let connection = if self.is_kept { "kept" } else { "new" };
+        let seal = if self.is_sealed { "sealed" } else { "unsealed" };
+        let (status, id) = (self.status.as_u16(), self.id.as_str());
+        format!("{server}:{status}:{connection}:{id}:{seal}")
+    }
+}
+
 /// The last placement, as it is logged.
 struct PlacementRecord {
     server: Arc<str>,
@@ -57,6 +82,9 @@
             table_revision: request.table_revision,
             arrived_at: request.arrived_at,
             tried: Vec::new(),
+            responses: Vec::new(),
+            response: None,
+            server_status: None,
             placed: None,
             first_event_ms: None,
             bytes: 0,
@@ -78,10 +106,24 @@
         });
     }
 
+    /// Forgets the response of the attempt before.
+    pub fn attempt_begins(&mut self) {
+        self.response = None;
+    }
+
+    /// Records the head of the response to the current attempt.
+    pub fn response_head(&mut self, response: ResponseRecord) {
+        self.server_status = Some(response.status.as_u16());
+        self.response = Some(response);
+    }
+
     /// Records a failed attempt.
     pub fn attempt_failed(&mut self, server: &str, outcome: &str) {
         counter!("attempts_without_answer_total", "outcome" => outcome.to_owned()).increment(1);
         self.tried.push(format!("{server}:{outcome}"));
+        if let Some(response) = self.response.take() {
+            self.responses.push(response.describe(server));
+        }
     }
 
     /// Records the arrival of a stream's first event.
@@ -142,7 +184,8 @@
             "requests_there" => placed.map(|placed| placed.requests),
             "candidates" => placed.map(|placed| placed.candidates),
             "waited_ms" => placed.map(|placed| placed.waited_ms),
-            "tried" => self.tried.join(" "), "bytes" => self.bytes
+            "tried" => self.tried.join(" "), "responses" => self.responses.join(" "),
+            "server_status" => self.server_status, "bytes" => self.bytes
         );
     }
 }
--- a/crates/hickoryhall-gateway/src/interface.rs
+++ b/crates/hickoryhall-gateway/src/interface.rs
@@ -116,11 +116,38 @@
     Invalid,
 }
 
+/// Id that a response repeats of the request that it belongs to.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum ResponseId {
+    /// The id of the request that was sent.
+    Matching,
+    /// No id.
+    Missing,
+    /// The id of another request.
+    Other,
+}
+
+impl ResponseId {
+    /// Returns the name in logs.
+    #[must_use]
+    pub fn as_str(self) -> &'static str {
+        match self {
+            Self::Matching => "matching",
+            Self::Missing => "missing",
+            Self::Other => "other",
+        }
+    }
+}
+
 /// Contents of the head of a backend server's response.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct ResponseMeta {
     /// Classification of the response.
     pub kind: ResponseKind,
+    /// Id of the request that the response belongs to.
+    pub id: ResponseId,
+    /// Whether the response has the seal of a backend server.
+    pub is_sealed: bool,
     /// Load of the server, where the response reports it.
     pub load: Option<ReportedLoad>,
     /// Version of the weights that generated the response, where the response reports it.
