Log where a host learned of a desired version

A host that starts takes a desired version from the store without its age, and the log did not tell that from an age that a peer knew. The line now has the source.

--- a/crates/hickoryhall-gateway/src/core.rs
+++ b/crates/hickoryhall-gateway/src/core.rs
@@ -46,6 +46,24 @@
     pub retry_limit: FleetRetryLimit,
 }
 
+/// Where this host learned of a desired version.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum DesiredVersionSource {
+    /// The operators' record in the store, which does not tell its age.
+    Store,
+    /// A digest of a peer.
+    Peer,
+}
+
+impl DesiredVersionSource {
+    fn as_str(self) -> &'static str {
+        match self {
+            Self::Store => "store",
+            Self::Peer => "peer",
+        }
+    }
+}
+
 /// State and decision logic of one host: placement, retries, suspects and digests.
 pub struct Core {
     config: CoreConfig,
@@ -119,12 +137,13 @@
         model: TargetId,
         version: WeightsVersion,
         age: Duration,
+        source: DesiredVersionSource,
     ) {
         let is_newest = self
             .scheduler
             .record_desired_version(now, model.clone(), version, age);
         if is_newest {
-            info!(self.logger, "core: New desired version of a model."; "model" => &*model, "version" => version, "age_ms" => age.as_millis());
+            info!(self.logger, "core: New desired version of a model."; "model" => &*model, "version" => version, "age_ms" => age.as_millis(), "source" => source.as_str());
         }
     }
 
--- a/crates/hickoryhall-gateway/src/core/digests.rs
+++ b/crates/hickoryhall-gateway/src/core/digests.rs
@@ -5,7 +5,7 @@
 
 use hickoryhall_types::{WeightsVersion, hash_name};
 
-use super::Core;
+use super::{Core, DesiredVersionSource};
 use crate::peers::{DesiredVersionUpdate, Digest, PromptUpdate, Scope, ServerUpdate};
 use crate::scheduler::{GroupHash, HostHash, HostLoad, LoadSource};
 
@@ -155,7 +155,13 @@
             self.scheduler.on_peer_prompt(now, prompt);
         }
         for update in &digest.desired_versions {
-            self.set_desired_version(now, update.model.clone(), update.version, update.age);
+            self.set_desired_version(
+                now,
+                update.model.clone(),
+                update.version,
+                update.age,
+                DesiredVersionSource::Peer,
+            );
         }
         for &update in &digest.suspects {
             if self.suspects.merge(now, update.fingerprint, update.deaths) {
--- a/crates/hickoryhall-gateway/src/feeds.rs
+++ b/crates/hickoryhall-gateway/src/feeds.rs
@@ -14,7 +14,7 @@
 use slog::{Logger, info, warn};
 use tokio::time::sleep;
 
-use crate::core::CoreHandle;
+use crate::core::{CoreHandle, DesiredVersionSource};
 use crate::interface::{
     OperatorRecord, Platform, StoreChange, StoreError, StoreItem, StoreRevision, WithRevision,
 };
@@ -339,7 +339,8 @@
             }
             Ok(Some(OperatorRecord::DesiredVersion { model, version })) => {
                 self.core.with(|core, now| {
-                    core.set_desired_version(now, model, version, Duration::ZERO);
+                    let source = DesiredVersionSource::Store;
+                    core.set_desired_version(now, model, version, Duration::ZERO, source);
                 });
             }
             Ok(None) => {}
