Promise "not run" only while no attempt may have run the request

Callers got a server's failure with the status that it gave. For 408, 421, 429 and 503 that status promises that the request did not run, which the server, having run it, never said: a caller that believes it sends the request again. A 421 was worse: it was taken for "another server has the address" even where the server's seal showed that it had run the request, and the request ran again at the next server.

What a response proves and what a caller is told is now decided in one place (`outcome`), for every kind of route:

- a sealed response without the mark for "not run" comes from a run, also with 421; an unsealed 421 stays "wrong server";
- a failure with one of these statuses is withheld: the caller gets an earlier failure that may be passed on, else 502 or, after the deadline, 504, without seal and without `Retry-After`;
- once an attempt may have run, nothing that comes later (refusal, unreachable server, refused placement) brings 503 or `Retry-After` back; a refused placement after the deadline is 504 instead of 502;
- 1xx is never a response.

The adapter passes facts only.

--- a/crates/hickoryhall-gateway/src/exchange.rs
+++ b/crates/hickoryhall-gateway/src/exchange.rs
@@ -1,9 +1,9 @@
 //! Handles a caller's request from its head to the last byte of the response.
 //!
-//! How a request fails depends on whether it may have run. While nothing has been sent, or where
-//! the server itself says that it did not run the request, the caller is told that the request was
-//! not run. Once it may have run, only a repeatable request is sent again, within the retry budget;
-//! every other request fails with `ran` unknown.
+//! How a request fails depends on whether it may have run; [`outcome`](crate::outcome) decides it.
+//! While nothing has been sent, or where the server itself says that it did not run the request, the
+//! caller is told that the request was not run. Once it may have run, only a repeatable request is
+//! sent again, within the retry budget; every other request fails with `ran` unknown.
 
 mod attempt;
 mod intake;
@@ -25,6 +25,7 @@
 
 use crate::core::CoreHandle;
 use crate::interface::{LocalFailure, Platform};
+use crate::outcome::{Ending, NextStep, RequestOutcome, TimeLeft};
 use crate::registry::ServerId;
 use crate::scheduler::{Assignment, AttemptId, PlacementRefusal, PlacementRequest};
 
@@ -32,13 +33,8 @@
 use intake::{PreparedRequest, Rejection};
 use record::RequestRecord;
 
-/// Number of attempts that fail before anything is sent, after which a request is given up.
-const MAX_UNSENT_ATTEMPTS: u32 = 3;
 /// Time that must remain before the deadline for another attempt to be worthwhile.
 const MIN_ATTEMPT_TIME: Duration = Duration::from_millis(30);
-/// `Retry-After` of a request that was not run: about the time after which a server that refused
-/// a request accepts new work again.
-const RETRY_AFTER_REFUSED: Duration = Duration::from_millis(200);
 /// `Retry-After` of a request suspected of crashing servers: longer than its caller waits.
 const RETRY_AFTER_SUSPECT: Duration = Duration::from_secs(30);
 
@@ -175,31 +171,17 @@
     request: PreparedRequest,
     /// Servers that failed this request or did not run it; it is not placed there again.
     excluded: Vec<ServerId>,
-    /// Attempts that may have run the request.
-    possible_runs: u32,
-    /// Attempts that failed before anything was sent.
-    unsent_attempts: u32,
+    outcome: RequestOutcome<BufferedResponse>,
     /// Whether a server broke the request off before, so that it may crash servers.
     is_suspect: bool,
-    /// Last failure response of a server, returned to the caller if no later attempt succeeds.
-    failure_response: Option<BufferedResponse>,
     record: RequestRecord,
     _in_flight: InFlight,
 }
 
-/// What to do after an attempt without a success.
-enum NextStep {
-    /// Place the request again.
-    Retry,
-    /// Return a failure of this host.
-    Fail(LocalFailure),
-    /// Return the failure response of a server.
-    Respond(BufferedResponse),
-}
-
 impl<P: Platform> Exchange<P> {
     fn new(gateway: Rc<Gateway<P>>, request: PreparedRequest, in_flight: InFlight) -> Self {
         let record = RequestRecord::new(&request, gateway.logger.clone());
+        let outcome = RequestOutcome::new(request.route.kind, request.route.attempts);
         gateway
             .core
             .with(|core, now| core.record_request(now, &request.service));
@@ -207,10 +189,8 @@
             gateway,
             request,
             excluded: Vec::new(),
-            possible_runs: 0,
-            unsent_attempts: 0,
+            outcome,
             is_suspect: false,
-            failure_response: None,
             record,
             _in_flight: in_flight,
         }
@@ -238,8 +218,7 @@
             };
             match self.next_step(&assignment, failure) {
                 NextStep::Retry => {}
-                NextStep::Fail(failure) => return self.respond_failure(failure),
-                NextStep::Respond(response) => return self.respond(response),
+                NextStep::End(ending) => return self.respond_ending(ending),
             }
         }
     }
@@ -293,7 +272,11 @@
     }
 
     /// Decides what to do after an attempt without a success.
-    fn next_step(&mut self, assignment: &Assignment, failure: AttemptFailure) -> NextStep {
+    fn next_step(
+        &mut self,
+        assignment: &Assignment,
+        failure: AttemptFailure,
+    ) -> NextStep<BufferedResponse> {
         let server = assignment.server.id.clone();
         debug!(
             self.gateway.logger, "exchange: Attempt failed.";
@@ -301,109 +284,53 @@
             "outcome" => failure.outcome()
         );
         self.attempt_failed(&server, failure.outcome());
-        match failure {
-            AttemptFailure::Unsent => {
-                self.unsent_attempts += 1;
-                if self.unsent_attempts < MAX_UNSENT_ATTEMPTS && self.has_time() {
-                    return NextStep::Retry;
-                }
-                self.end_without_response("unreachable")
-            }
-            AttemptFailure::NotRun => {
-                if self.has_time() && self.take_retry() {
-                    return NextStep::Retry;
-                }
-                self.end_without_response("refused_by_server")
-            }
-            AttemptFailure::ServerFailure(response) => {
-                self.possible_runs += 1;
-                if self.may_run_again() {
-                    self.failure_response = Some(response);
-                    return NextStep::Retry;
-                }
-                NextStep::Respond(response)
-            }
-            AttemptFailure::Broken => self.next_step_after_possible_run("broken_off"),
-            AttemptFailure::TimedOut => self.next_step_after_possible_run("timed_out"),
-        }
+        let time_left = self.time_left();
+        let (core, service) = (&self.gateway.core, &self.request.service);
+        self.outcome.on_failure(failure, time_left, || {
+            core.with(|core, now| core.take_retry(now, service))
+        })
     }
 
-    /// Decides what to do after an attempt that may have run the request.
-    fn next_step_after_possible_run(&mut self, reason: &'static str) -> NextStep {
-        self.possible_runs += 1;
-        if self.may_run_again() {
-            return NextStep::Retry;
+    fn time_left(&self) -> TimeLeft {
+        let now = Instant::now();
+        let left = self.request.deadline.saturating_duration_since(now);
+        if left > MIN_ATTEMPT_TIME {
+            TimeLeft::Enough
+        } else if left > Duration::ZERO {
+            TimeLeft::TooLittle
+        } else {
+            TimeLeft::None
         }
-        self.end_without_response(reason)
     }
 
     fn has_time(&self) -> bool {
-        self.request
-            .deadline
-            .saturating_duration_since(Instant::now())
-            > MIN_ATTEMPT_TIME
+        self.time_left() == TimeLeft::Enough
     }
 
     fn may_run_again(&mut self) -> bool {
-        let route = &self.request.route;
-        let is_allowed = route.kind.may_repeat() && self.possible_runs < route.attempts;
-        is_allowed && self.has_time() && self.take_retry()
+        let time_left = self.time_left();
+        self.outcome.may_run_again(time_left, || self.take_retry())
     }
 
-    fn take_retry(&mut self) -> bool {
+    fn take_retry(&self) -> bool {
         let service = &self.request.service;
         self.gateway
             .core
             .with(|core, now| core.take_retry(now, service))
     }
 
-    /// Ends a request without a success: with the last failure response of a server where there is
-    /// one, else with a failure that says whether the request ran, as far as this host knows.
-    fn end_without_response(&mut self, reason: &'static str) -> NextStep {
-        if let Some(response) = self.failure_response.take() {
-            return NextStep::Respond(response);
-        }
-        if self.possible_runs == 0 {
-            return NextStep::Fail(LocalFailure {
-                status: StatusCode::SERVICE_UNAVAILABLE,
-                ran: Ran::No,
-                retry_after: Some(RETRY_AFTER_REFUSED),
-                reason,
-            });
-        }
-        let is_late = Instant::now() >= self.request.deadline;
-        NextStep::Fail(LocalFailure {
-            status: if is_late {
-                StatusCode::GATEWAY_TIMEOUT
-            } else {
-                StatusCode::BAD_GATEWAY
-            },
-            ran: Ran::Unknown,
-            retry_after: None,
-            reason,
-        })
+    fn respond_refused(mut self, refusal: PlacementRefusal) -> Response<ResponseBody> {
+        let time_left = self.time_left();
+        let reason = refusal.reason.as_str();
+        let ending = self.outcome.end(time_left, refusal.retry_after, reason);
+        self.respond_ending(ending)
     }
 
-    fn respond_refused(mut self, refusal: PlacementRefusal) -> Response<ResponseBody> {
-        if let Some(response) = self.failure_response.take() {
-            return self.respond(response);
+    fn respond_ending(self, ending: Ending<BufferedResponse>) -> Response<ResponseBody> {
+        match ending {
+            Ending::Relay(response) => self.respond(response),
+            Ending::Fail(failure) => self.respond_failure(failure),
         }
-        let failure = if self.possible_runs == 0 {
-            LocalFailure {
-                status: StatusCode::SERVICE_UNAVAILABLE,
-                ran: Ran::No,
-                retry_after: Some(refusal.retry_after),
-                reason: refusal.reason.as_str(),
-            }
-        } else {
-            LocalFailure {
-                status: StatusCode::BAD_GATEWAY,
-                ran: Ran::Unknown,
-                retry_after: None,
-                reason: refusal.reason.as_str(),
-            }
-        };
-        self.respond_failure(failure)
     }
 
     fn respond_failure(mut self, failure: LocalFailure) -> Response<ResponseBody> {
@@ -413,7 +340,7 @@
     }
 
     fn respond(mut self, response: BufferedResponse) -> Response<ResponseBody> {
-        if response.is_success {
+        if response.status.is_success() {
             let fingerprint = self.request.fingerprint;
             self.gateway
                 .core
--- a/crates/hickoryhall-gateway/src/exchange/attempt.rs
+++ b/crates/hickoryhall-gateway/src/exchange/attempt.rs
@@ -16,7 +16,8 @@
 use super::Exchange;
 use super::record::ResponseRecord;
 use crate::core::CoreHandle;
-use crate::interface::{AttemptPlan, Platform, ResponseKind, ResponseMeta};
+use crate::interface::{AttemptPlan, Platform, ResponseMeta};
+use crate::outcome::{self, ResponseKind};
 use crate::registry::BackendServer;
 use crate::scheduler::{Assignment, AttemptEnd, AttemptId};
 
@@ -75,7 +76,6 @@
     pub status: StatusCode,
     pub headers: HeaderMap,
     pub body: Bytes,
-    pub is_success: bool,
 }
 
 /// A stream whose response head was received.
@@ -100,40 +100,16 @@
     Failed(AttemptFailure),
 }
 
-/// Why an attempt failed.
-pub(super) enum AttemptFailure {
-    /// The server ran the request and returned a failure.
-    ServerFailure(BufferedResponse),
-    /// The server says that it did not run the request.
-    NotRun,
-    /// Nothing was sent to the server.
-    Unsent,
-    /// The server broke off, or its response was not valid; the request may have run.
-    Broken,
-    /// No response arrived in time; the request may have run.
-    TimedOut,
-}
+/// Why an attempt failed, with the server's failure response where there is one.
+pub(super) type AttemptFailure = outcome::AttemptFailure<BufferedResponse>;
 
-impl AttemptFailure {
-    /// Returns the outcome as named in logs and metrics.
-    pub fn outcome(&self) -> &'static str {
-        match self {
-            Self::ServerFailure(_) => "failed",
-            Self::NotRun => "not_run",
-            Self::Unsent => "unsent",
-            Self::Broken => "broken",
-            Self::TimedOut => "timed_out",
-        }
-    }
-
-    /// Returns the end of the attempt as reported to the scheduler.
-    pub fn attempt_end(&self) -> AttemptEnd {
-        match self {
-            Self::ServerFailure(_) => AttemptEnd::Answered,
-            Self::NotRun => AttemptEnd::Released,
-            Self::Unsent | Self::TimedOut => AttemptEnd::Unreachable,
-            Self::Broken => AttemptEnd::Failed,
-        }
+/// Returns the end of a failed attempt as reported to the scheduler.
+pub(super) fn attempt_end(failure: &AttemptFailure) -> AttemptEnd {
+    match failure {
+        AttemptFailure::ServerFailure { .. } => AttemptEnd::Answered,
+        AttemptFailure::NotRun => AttemptEnd::Released,
+        AttemptFailure::Unsent | AttemptFailure::TimedOut => AttemptEnd::Unreachable,
+        AttemptFailure::Broken => AttemptEnd::Failed,
     }
 }
 
@@ -158,7 +134,7 @@
             Ok(received) => received,
             Err(failure) => {
                 self.record_failure(&failure, address);
-                guard.end(failure.attempt_end());
+                guard.end(attempt_end(&failure));
                 return AttemptResult::Failed(failure);
             }
         };
@@ -167,17 +143,19 @@
             .gateway
             .platform
             .parse_response_head(&head, &self.request.meta);
+        let is_kept = received.connection.is_reused();
+        let kind = ResponseKind::of(head.status, &response_meta);
         self.record.response_head(ResponseRecord {
             status: head.status,
             id: response_meta.id,
             is_sealed: response_meta.is_sealed,
-            is_kept: received.connection.is_reused(),
+            is_kept,
         });
         let server = &assignment.server.id;
         self.gateway
             .core
             .with(|core, now| core.on_response_head(now, server, &response_meta));
-        if response_meta.kind == ResponseKind::Success && self.request.route.kind.is_stream() {
+        if kind == ResponseKind::Success && self.request.route.kind.is_stream() {
             return AttemptResult::Stream(Box::new(OpenStream {
                 head,
                 body,
@@ -188,13 +166,13 @@
                 first_event_by: until,
             }));
         }
-        let outcome = match response_meta.kind {
+        let outcome = match kind {
             ResponseKind::Success | ResponseKind::Failure => {
                 self.read_response(head, body, received.connection, &response_meta, until)
                     .await
             }
             ResponseKind::NotRun | ResponseKind::WrongServer => {
-                if response_meta.kind == ResponseKind::WrongServer {
+                if kind == ResponseKind::WrongServer {
                     self.gateway.refresh_weights(assignment);
                 }
                 self.drain_refusal(body, received.connection, &response_meta)
@@ -210,7 +188,7 @@
             }
             Err(failure) => {
                 self.record_failure(&failure, address);
-                guard.end(failure.attempt_end());
+                guard.end(attempt_end(&failure));
                 AttemptResult::Failed(failure)
             }
         }
@@ -220,8 +198,7 @@
     /// gets all the remaining time; an earlier one less, so that another server can take over.
     fn attempt_deadline(&self, assignment: &Assignment) -> Instant {
         let route = &self.request.route;
-        let is_last = !route.kind.may_repeat() || self.possible_runs + 1 >= route.attempts;
-        if is_last {
+        if self.outcome.is_last_run() {
             return self.request.deadline;
         }
         let now = Instant::now();
@@ -327,16 +304,16 @@
         match timeout_at(TokioInstant::from_std(until), body.collect()).await {
             Ok(Ok(body)) => {
                 self.return_to_pool(connection, response_meta);
+                let status = head.status;
                 let response = BufferedResponse {
-                    status: head.status,
+                    status,
                     headers: self.gateway.platform.response_headers(&head.headers),
                     body: body.to_bytes(),
-                    is_success: response_meta.kind == ResponseKind::Success,
                 };
-                if response.is_success {
+                if status.is_success() {
                     Ok(response)
                 } else {
-                    Err(AttemptFailure::ServerFailure(response))
+                    Err(AttemptFailure::ServerFailure { status, response })
                 }
             }
             Ok(Err(error)) => {
--- a/crates/hickoryhall-gateway/src/exchange/record.rs
+++ b/crates/hickoryhall-gateway/src/exchange/record.rs
@@ -10,6 +10,7 @@
 
 use super::intake::PreparedRequest;
 use crate::interface::{LocalFailure, ResponseId};
+use crate::outcome::is_promise;
 use crate::scheduler::Assignment;
 
 /// Collects what is logged when a request ends. A record dropped before its request ended logs
@@ -122,6 +123,10 @@
         counter!("attempts_without_answer_total", "outcome" => outcome.to_owned()).increment(1);
         self.tried.push(format!("{server}:{outcome}"));
         if let Some(response) = self.response.take() {
+            if outcome == "failed" && is_promise(response.status) {
+                let status = response.status.as_str().to_owned();
+                counter!("failures_withheld_total", "status" => status).increment(1);
+            }
             self.responses.push(response.describe(server));
         }
     }
--- a/crates/hickoryhall-gateway/src/exchange/relay.rs
+++ b/crates/hickoryhall-gateway/src/exchange/relay.rs
@@ -12,7 +12,7 @@
 use tokio::time::timeout;
 
 use super::Exchange;
-use super::attempt::{AttemptFailure, AttemptResult, OpenStream};
+use super::attempt::{AttemptFailure, AttemptResult, OpenStream, attempt_end};
 use crate::events::EventFramer;
 use crate::interface::Platform;
 use crate::scheduler::AttemptEnd;
@@ -103,7 +103,7 @@
                     AttemptFailure::Broken
                 };
                 self.record_failure(&failure, upstream.stream.server.address);
-                upstream.stream.guard.end(failure.attempt_end());
+                upstream.stream.guard.end(attempt_end(&failure));
                 return Err((Box::new(self), failure));
             }
             item => item,
@@ -194,7 +194,7 @@
                         // The runner may still work on the request, and a late answer is better
                         // than none. Its run goes on and counts once.
                         self.is_waited_for = true;
-                        self.exchange.possible_runs -= 1;
+                        self.exchange.outcome.continue_run();
                     } else {
                         return RelayOutcome::Broken(reason);
                     }
@@ -220,7 +220,7 @@
     async fn resume(&mut self, reason: &'static str) -> bool {
         self.exchange
             .attempt_failed(&self.upstream.stream.server.id.clone(), reason);
-        self.exchange.possible_runs += 1;
+        self.exchange.outcome.record_possible_run();
         if !self.exchange.may_run_again() {
             return false;
         }
@@ -258,10 +258,10 @@
             let may_continue = match failure {
                 AttemptFailure::Unsent => self.exchange.has_time(),
                 AttemptFailure::NotRun => self.exchange.has_time() && self.exchange.take_retry(),
-                AttemptFailure::ServerFailure(_)
+                AttemptFailure::ServerFailure { .. }
                 | AttemptFailure::Broken
                 | AttemptFailure::TimedOut => {
-                    self.exchange.possible_runs += 1;
+                    self.exchange.outcome.record_possible_run();
                     false
                 }
             };
--- a/crates/hickoryhall-gateway/src/interface.rs
+++ b/crates/hickoryhall-gateway/src/interface.rs
@@ -100,22 +100,6 @@
     pub waiting: u32,
 }
 
-/// Classification of a backend server's response by its head.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum ResponseKind {
-    /// The request succeeded.
-    Success,
-    /// The server ran the request and failed.
-    Failure,
-    /// The server did not run the request.
-    NotRun,
-    /// Another server has the address, or the runner has another version of its weights than the
-    /// expected one; the request did not run.
-    WrongServer,
-    /// The response belongs to another request, or does not come from a backend server.
-    Invalid,
-}
-
 /// Id that a response repeats of the request that it belongs to.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum ResponseId {
@@ -142,12 +126,12 @@
 /// Contents of the head of a backend server's response.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct ResponseMeta {
-    /// Classification of the response.
-    pub kind: ResponseKind,
     /// Id of the request that the response belongs to.
     pub id: ResponseId,
     /// Whether the response has the seal of a backend server.
     pub is_sealed: bool,
+    /// Whether the response is marked as coming from a server that did not run the request.
+    pub says_not_run: bool,
     /// Load of the server, where the response reports it.
     pub load: Option<ReportedLoad>,
     /// Version of the weights that generated the response, where the response reports it.
@@ -183,7 +167,7 @@
     /// Returns the head of an attempt, with the method and path of the caller's request.
     fn attempt_head(&self, head: &request::Parts, plan: &AttemptPlan<'_>) -> Request<()>;
 
-    /// Parses and classifies the response head of an attempt.
+    /// Parses the response head of an attempt.
     fn parse_response_head(&self, head: &response::Parts, meta: &RequestMeta) -> ResponseMeta;
 
     /// Returns those headers of a server's response that are passed on to the caller.
--- a/crates/hickoryhall-gateway/src/lib.rs
+++ b/crates/hickoryhall-gateway/src/lib.rs
@@ -15,6 +15,7 @@
 pub mod host;
 pub mod interface;
 pub mod orders;
+pub mod outcome;
 pub mod peers;
 pub mod registry;
 pub mod scheduler;
