Believe a refusal without an id only as a connection's first response

A refusal (marked "not run", or an unsealed 421) may lack the id of its request. On a connection that has carried a request before, such a response can be a late one to that earlier request. It was read as the refusal of the present request, which the server then ran: the request went on to the next server and ran twice, or its caller was told 503 for a request that ran.

On a kept connection such a response now proves nothing (`unproven` in `tried`): the request may have run, is sent again only if its route allows that, and its connection is closed. It does not count as a server's death. On a new connection the first response belongs to the only request that was sent, so that it is believed as before. Refusals with the id are not affected; servers repeat it by the protocol, and `attempts_without_answer_total{outcome="unproven"}` shows any that do not.

--- a/crates/hickoryhall-gateway/src/exchange/attempt.rs
+++ b/crates/hickoryhall-gateway/src/exchange/attempt.rs
@@ -107,7 +107,7 @@
 pub(super) fn attempt_end(failure: &AttemptFailure) -> AttemptEnd {
     match failure {
         AttemptFailure::ServerFailure { .. } => AttemptEnd::Answered,
-        AttemptFailure::NotRun => AttemptEnd::Released,
+        AttemptFailure::NotRun | AttemptFailure::Unproven => AttemptEnd::Released,
         AttemptFailure::Unsent | AttemptFailure::TimedOut => AttemptEnd::Unreachable,
         AttemptFailure::Broken => AttemptEnd::Failed,
     }
@@ -144,7 +144,7 @@
             .platform
             .parse_response_head(&head, &self.request.meta);
         let is_kept = received.connection.is_reused();
-        let kind = ResponseKind::of(head.status, &response_meta);
+        let kind = ResponseKind::of(head.status, &response_meta, is_kept);
         self.record.response_head(ResponseRecord {
             status: head.status,
             id: response_meta.id,
@@ -179,6 +179,7 @@
                     .await;
                 Err(AttemptFailure::NotRun)
             }
+            ResponseKind::Unproven => Err(AttemptFailure::Unproven),
             ResponseKind::Invalid => Err(AttemptFailure::Broken),
         };
         match outcome {
--- a/crates/hickoryhall-gateway/src/exchange/relay.rs
+++ b/crates/hickoryhall-gateway/src/exchange/relay.rs
@@ -259,6 +259,7 @@
                 AttemptFailure::Unsent => self.exchange.has_time(),
                 AttemptFailure::NotRun => self.exchange.has_time() && self.exchange.take_retry(),
                 AttemptFailure::ServerFailure { .. }
+                | AttemptFailure::Unproven
                 | AttemptFailure::Broken
                 | AttemptFailure::TimedOut => {
                     self.exchange.outcome.record_possible_run();
--- a/crates/hickoryhall-gateway/src/outcome.rs
+++ b/crates/hickoryhall-gateway/src/outcome.rs
@@ -30,18 +30,27 @@
     /// Another server has the address, or the runner has another version of its weights than the
     /// expected one; the request did not run.
     WrongServer,
+    /// The response says that a request did not run, but not which one.
+    Unproven,
     /// The response belongs to another request, or does not come from a backend server.
     Invalid,
 }
 
 impl ResponseKind {
-    /// Classifies a response by its head.
+    /// Classifies a response by its head. `is_kept` tells whether its connection had carried another
+    /// request before.
+    ///
+    /// A response without an id belongs to the request only if it is the first one on its
+    /// connection: on a kept connection it may be a late response to an earlier request.
     #[must_use]
-    pub fn of(status: StatusCode, meta: &ResponseMeta) -> Self {
+    pub fn of(status: StatusCode, meta: &ResponseMeta, is_kept: bool) -> Self {
         // A seal shows that a server ran the request, so that 421 is that server's failure.
         let is_wrong_server = status == StatusCode::MISDIRECTED_REQUEST && !meta.is_sealed;
+        let says_not_run = meta.says_not_run || is_wrong_server;
         if meta.id == ResponseId::Other || status.is_informational() {
             Self::Invalid
+        } else if says_not_run && meta.id == ResponseId::Missing && is_kept {
+            Self::Unproven
         } else if meta.says_not_run {
             Self::NotRun
         } else if is_wrong_server {
@@ -80,6 +89,8 @@
     },
     /// The server says that it did not run the request.
     NotRun,
+    /// A response says that a request did not run, but not which one; the request may have run.
+    Unproven,
     /// Nothing was sent to the server.
     Unsent,
     /// The server broke off, or its response was not valid; the request may have run.
@@ -95,6 +106,7 @@
         match self {
             Self::ServerFailure { .. } => "failed",
             Self::NotRun => "not_run",
+            Self::Unproven => "unproven",
             Self::Unsent => "unsent",
             Self::Broken => "broken",
             Self::TimedOut => "timed_out",
@@ -112,6 +124,7 @@
         match self {
             Self::ServerFailure { .. } => "failed_by_server",
             Self::NotRun => "refused_by_server",
+            Self::Unproven => "unproven_refusal",
             Self::Unsent => "unreachable",
             Self::Broken => "broken_off",
             Self::TimedOut => "timed_out",
@@ -222,7 +235,7 @@
                 }
                 self.may_run_again(time_left, take_retry)
             }
-            AttemptFailure::Broken | AttemptFailure::TimedOut => {
+            AttemptFailure::Unproven | AttemptFailure::Broken | AttemptFailure::TimedOut => {
                 self.may_run_again(time_left, take_retry)
             }
         };
--- a/crates/hickoryhall-gateway/tests/outcome.rs
+++ b/crates/hickoryhall-gateway/tests/outcome.rs
@@ -49,6 +49,7 @@
             response: status,
         }),
         ResponseKind::NotRun | ResponseKind::WrongServer => Some(AttemptFailure::NotRun),
+        ResponseKind::Unproven => Some(AttemptFailure::Unproven),
         ResponseKind::Invalid => Some(AttemptFailure::Broken),
     }
 }
@@ -62,11 +63,11 @@
 }
 
 /// Returns whether the protocol excludes that the server ran the request.
-fn is_proof_of_no_run(code: u16, meta: &ResponseMeta) -> bool {
+fn is_proof_of_no_run(code: u16, meta: &ResponseMeta, is_kept: bool) -> bool {
     let states_it = meta.says_not_run || (code == 421 && !meta.is_sealed);
     let is_own = match meta.id {
         ResponseId::Matching => true,
-        ResponseId::Missing => true,
+        ResponseId::Missing => !is_kept,
         ResponseId::Other => false,
     };
     states_it && is_own && code != 101
@@ -77,16 +78,21 @@
     let mut cases = 0;
     for code in STATUSES {
         for id in [ResponseId::Matching, ResponseId::Missing, ResponseId::Other] {
-            for bits in 0..4_u8 {
-                let (is_sealed, says_not_run) = (bits & 1 != 0, bits & 2 != 0);
+            for bits in 0..8_u8 {
+                let (is_sealed, says_not_run, is_kept) =
+                    (bits & 1 != 0, bits & 2 != 0, bits & 4 != 0);
                 let meta = meta(id, is_sealed, says_not_run);
-                let kind = ResponseKind::of(status(code), &meta);
+                let kind = ResponseKind::of(status(code), &meta, is_kept);
                 let Some(failure) = failure(kind, status(code)) else {
                     assert!(id == ResponseId::Matching && is_sealed && !says_not_run);
                     continue;
                 };
-                let is_proof = is_proof_of_no_run(code, &meta);
-                assert_eq!(failure.may_have_run(), !is_proof, "{code} {meta:?}");
+                let is_proof = is_proof_of_no_run(code, &meta, is_kept);
+                assert_eq!(
+                    failure.may_have_run(),
+                    !is_proof,
+                    "{code} {meta:?} {is_kept}"
+                );
                 for kind in KINDS {
                     let mut outcome = RequestOutcome::new(kind, 1);
                     let step = outcome.on_failure(failure.clone(), TimeLeft::Enough, || false);
@@ -94,7 +100,11 @@
                         panic!("{code} {meta:?}: retried without budget");
                     };
                     let (told, has_retry_after) = told(&ending);
-                    assert_eq!(is_promise(told), is_proof, "{code} {meta:?} {kind:?}");
+                    assert_eq!(
+                        is_promise(told),
+                        is_proof,
+                        "{code} {meta:?} {is_kept} {kind:?}"
+                    );
                     assert_eq!(has_retry_after, is_proof);
                     // What claims to come from a server is unchanged.
                     if let Ending::Relay(relayed) = ending {
@@ -105,7 +115,7 @@
             }
         }
     }
-    assert!(cases > 500, "{cases}");
+    assert!(cases > 1_000, "{cases}");
 }
 
 /// Plays every series of three attempts and a placement that is refused in the end.
@@ -121,6 +131,7 @@
             response: status(503),
         },
         AttemptFailure::NotRun,
+        AttemptFailure::Unproven,
         AttemptFailure::Unsent,
         AttemptFailure::Broken,
         AttemptFailure::TimedOut,
@@ -180,6 +191,7 @@
 #[case(RouteKind::Stream { is_resumable: true }, true)]
 fn only_repeatable_requests_run_again(#[case] kind: RouteKind, #[case] may_repeat: bool) {
     for failure in [
+        AttemptFailure::Unproven,
         AttemptFailure::Broken,
         AttemptFailure::TimedOut,
         AttemptFailure::ServerFailure {
