--- a/crates/hickoryhall-gateway/src/interface.rs
+++ b/crates/hickoryhall-gateway/src/interface.rs
@@ -132,6 +132,9 @@
     pub is_sealed: bool,
     /// Whether the response is marked as coming from a server that did not run the request.
     pub says_not_run: bool,
+    /// Whether the body has an encoding that the caller did not ask for, so that it is not the
+    /// server's own.
+    pub is_encoded: bool,
     /// Load of the server, where the response reports it.
     pub load: Option<ReportedLoad>,
     /// Version of the weights that generated the response, where the response reports it.
--- a/crates/hickoryhall-gateway/src/outcome.rs
+++ b/crates/hickoryhall-gateway/src/outcome.rs
@@ -55,7 +55,7 @@
             Self::NotRun
         } else if is_wrong_server {
             Self::WrongServer
-        } else if meta.id == ResponseId::Missing || !meta.is_sealed {
+        } else if meta.id == ResponseId::Missing || !meta.is_sealed || meta.is_encoded {
             Self::Invalid
         } else if status.is_success() {
             Self::Success
--- a/crates/hickoryhall-gateway/tests/outcome.rs
+++ b/crates/hickoryhall-gateway/tests/outcome.rs
@@ -28,8 +28,9 @@
     StatusCode::from_u16(code).expect("valid status")
 }
 
-fn meta(id: ResponseId, is_sealed: bool, says_not_run: bool) -> ResponseMeta {
+fn meta(id: ResponseId, is_sealed: bool, says_not_run: bool, is_encoded: bool) -> ResponseMeta {
     ResponseMeta {
+        is_encoded,
         id,
         is_sealed,
         says_not_run,
@@ -78,13 +79,18 @@
     let mut cases = 0;
     for code in STATUSES {
         for id in [ResponseId::Matching, ResponseId::Missing, ResponseId::Other] {
-            for bits in 0..8_u8 {
+            for bits in 0..16_u8 {
                 let (is_sealed, says_not_run, is_kept) =
                     (bits & 1 != 0, bits & 2 != 0, bits & 4 != 0);
-                let meta = meta(id, is_sealed, says_not_run);
+                let meta = meta(id, is_sealed, says_not_run, bits & 8 != 0);
                 let kind = ResponseKind::of(status(code), &meta, is_kept);
                 let Some(failure) = failure(kind, status(code)) else {
-                    assert!(id == ResponseId::Matching && is_sealed && !says_not_run);
+                    assert!(
+                        id == ResponseId::Matching
+                            && is_sealed
+                            && !says_not_run
+                            && !meta.is_encoded
+                    );
                     continue;
                 };
                 let is_proof = is_proof_of_no_run(code, &meta, is_kept);
