Count only ended connections against a request that may crash servers

A response without a seal, with another id or that is no HTTP was counted as a death of its server, like a connection that ended. After two of them the same request of any caller was refused as one that crashes servers (503 `suspect`, with `Retry-After` of 30 s), although a faulty server, or a late response on its connection, says nothing about the request.

Such attempts now end as `invalid`: the server is still counted as failed, the request is not.

--- a/crates/hickoryhall-gateway/src/exchange/attempt.rs
+++ b/crates/hickoryhall-gateway/src/exchange/attempt.rs
@@ -4,7 +4,7 @@
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
-use hickoryhall_edge::Connection;
+use hickoryhall_edge::{Connection, SendError};
 use http::response;
 use http_body_util::{BodyExt, Full};
 use hyper::body::Incoming;
@@ -109,7 +109,7 @@
         AttemptFailure::ServerFailure { .. } => AttemptEnd::Answered,
         AttemptFailure::NotRun | AttemptFailure::Unproven => AttemptEnd::Released,
         AttemptFailure::Unsent | AttemptFailure::TimedOut => AttemptEnd::Unreachable,
-        AttemptFailure::Broken => AttemptEnd::Failed,
+        AttemptFailure::Broken | AttemptFailure::Invalid => AttemptEnd::Failed,
     }
 }
 
@@ -180,7 +180,7 @@
                 Err(AttemptFailure::NotRun)
             }
             ResponseKind::Unproven => Err(AttemptFailure::Unproven),
-            ResponseKind::Invalid => Err(AttemptFailure::Broken),
+            ResponseKind::Invalid => Err(AttemptFailure::Invalid),
         };
         match outcome {
             Ok(response) => {
@@ -243,23 +243,11 @@
                 let request = self.build_request(assignment, resume_after);
                 match timeout_at(deadline, connection.send(request)).await {
                     Ok(Ok(response)) => response,
-                    Ok(Err(error)) if error.is_unsent => return Err(AttemptFailure::Unsent),
-                    Ok(Err(_)) => return Err(AttemptFailure::Broken),
+                    Ok(Err(error)) => return Err(self.send_failure(&error, server)),
                     Err(_) => return Err(AttemptFailure::TimedOut),
                 }
             }
-            Ok(Err(error)) => {
-                debug!(
-                    self.gateway.logger, "exchange: Attempt ended without a response head.";
-                    "request" => &*self.request.meta.request_id,
-                    "server" => &*server.id, "error" => %error
-                );
-                return Err(if error.is_unsent {
-                    AttemptFailure::Unsent
-                } else {
-                    AttemptFailure::Broken
-                });
-            }
+            Ok(Err(error)) => return Err(self.send_failure(&error, server)),
             Err(_) => return Err(AttemptFailure::TimedOut),
         };
         Ok(ReceivedResponse {
@@ -268,6 +256,22 @@
         })
     }
 
+    /// Returns the failure of an attempt that got no response head.
+    fn send_failure(&self, error: &SendError, server: &BackendServer) -> AttemptFailure {
+        debug!(
+            self.gateway.logger, "exchange: Attempt ended without a response head.";
+            "request" => &*self.request.meta.request_id,
+            "server" => &*server.id, "error" => %error
+        );
+        if error.is_unsent {
+            AttemptFailure::Unsent
+        } else if error.source.is_parse() {
+            AttemptFailure::Invalid
+        } else {
+            AttemptFailure::Broken
+        }
+    }
+
     fn build_request(
         &self,
         assignment: &Assignment,
@@ -368,7 +372,7 @@
                 );
                 self.gateway.pool.close_idle(address);
             }
-            AttemptFailure::Unsent | AttemptFailure::TimedOut => {
+            AttemptFailure::Unsent | AttemptFailure::Invalid | AttemptFailure::TimedOut => {
                 self.gateway.pool.close_idle(address);
             }
             _ => {}
--- a/crates/hickoryhall-gateway/src/exchange/relay.rs
+++ b/crates/hickoryhall-gateway/src/exchange/relay.rs
@@ -22,6 +22,8 @@
 const RESUME_IDLE_TIMEOUT: Duration = Duration::from_millis(1_200);
 /// Reason for a stream without an event within the limit.
 const SILENT: &str = "silent";
+/// Reason for a stream with an event that is larger than any that a runner sends.
+const OVERSIZE_EVENT: &str = "oversize_event";
 /// Maximum number of runners tried for resuming a stream after one break.
 const MAX_RESUME_ATTEMPTS: u32 = 3;
 
@@ -62,7 +64,7 @@
             match self.framer.push(&data) {
                 Ok(Some(events)) => return StreamItem::Events(events),
                 Ok(None) => {}
-                Err(_) => return StreamItem::Broken("oversize_event"),
+                Err(_) => return StreamItem::Broken(OVERSIZE_EVENT),
             }
         }
     }
@@ -97,10 +99,10 @@
         };
         let first = match upstream.next(limit).await {
             StreamItem::Broken(reason) => {
-                let failure = if reason == SILENT {
-                    AttemptFailure::TimedOut
-                } else {
-                    AttemptFailure::Broken
+                let failure = match reason {
+                    SILENT => AttemptFailure::TimedOut,
+                    OVERSIZE_EVENT => AttemptFailure::Invalid,
+                    _ => AttemptFailure::Broken,
                 };
                 self.record_failure(&failure, upstream.stream.server.address);
                 upstream.stream.guard.end(attempt_end(&failure));
@@ -261,6 +263,7 @@
                 AttemptFailure::ServerFailure { .. }
                 | AttemptFailure::Unproven
                 | AttemptFailure::Broken
+                | AttemptFailure::Invalid
                 | AttemptFailure::TimedOut => {
                     self.exchange.outcome.record_possible_run();
                     false
--- a/crates/hickoryhall-gateway/src/outcome.rs
+++ b/crates/hickoryhall-gateway/src/outcome.rs
@@ -93,8 +93,10 @@
     Unproven,
     /// Nothing was sent to the server.
     Unsent,
-    /// The server broke off, or its response was not valid; the request may have run.
+    /// The server broke off; the request may have run.
     Broken,
+    /// What the server sent is no response to the request, which may have run.
+    Invalid,
     /// No response arrived in time; the request may have run.
     TimedOut,
 }
@@ -109,6 +111,7 @@
             Self::Unproven => "unproven",
             Self::Unsent => "unsent",
             Self::Broken => "broken",
+            Self::Invalid => "invalid",
             Self::TimedOut => "timed_out",
         }
     }
@@ -127,6 +130,7 @@
             Self::Unproven => "unproven_refusal",
             Self::Unsent => "unreachable",
             Self::Broken => "broken_off",
+            Self::Invalid => "invalid_response",
             Self::TimedOut => "timed_out",
         }
     }
@@ -235,9 +239,10 @@
                 }
                 self.may_run_again(time_left, take_retry)
             }
-            AttemptFailure::Unproven | AttemptFailure::Broken | AttemptFailure::TimedOut => {
-                self.may_run_again(time_left, take_retry)
-            }
+            AttemptFailure::Unproven
+            | AttemptFailure::Broken
+            | AttemptFailure::Invalid
+            | AttemptFailure::TimedOut => self.may_run_again(time_left, take_retry),
         };
         if is_retried {
             return NextStep::Retry;
--- a/crates/hickoryhall-gateway/tests/outcome.rs
+++ b/crates/hickoryhall-gateway/tests/outcome.rs
@@ -51,7 +51,7 @@
         }),
         ResponseKind::NotRun | ResponseKind::WrongServer => Some(AttemptFailure::NotRun),
         ResponseKind::Unproven => Some(AttemptFailure::Unproven),
-        ResponseKind::Invalid => Some(AttemptFailure::Broken),
+        ResponseKind::Invalid => Some(AttemptFailure::Invalid),
     }
 }
 
@@ -140,6 +140,7 @@
         AttemptFailure::Unproven,
         AttemptFailure::Unsent,
         AttemptFailure::Broken,
+        AttemptFailure::Invalid,
         AttemptFailure::TimedOut,
     ];
     let times = [TimeLeft::Enough, TimeLeft::TooLittle, TimeLeft::None];
@@ -199,6 +200,7 @@
     for failure in [
         AttemptFailure::Unproven,
         AttemptFailure::Broken,
+        AttemptFailure::Invalid,
         AttemptFailure::TimedOut,
         AttemptFailure::ServerFailure {
             status: status(421),
