Install signal handlers before the settings are read

A process that gets SIGHUP or SIGTERM in the moment of its start was killed by it: the handlers were installed only once the settings had been read and the logger started. A reload that meets a starting host ended it, and a stop counted as a crash. In a series of restarts and reloads over all hosts the two overlap.

The handlers are now the first thing that the program installs, before its arguments and settings are read; signals that arrive from then on wait for the host. Between the start of the program and the first line of main a signal still kills the process, as nothing can be installed earlier.

--- a/crates/hickoryhall-gateway/src/host.rs
+++ b/crates/hickoryhall-gateway/src/host.rs
@@ -73,15 +73,14 @@
 ///
 /// # Errors
 ///
-/// Returns an error if an address cannot be bound, or signal handlers or metrics cannot be set up.
+/// Returns an error if an address cannot be bound or metrics cannot be set up.
 pub async fn run<P: Platform>(
+    signals: Signals,
     settings_path: PathBuf,
     settings: Settings,
     platform: P,
     logger: Logger,
 ) -> Result<(), StartError> {
-    // Must come first: once the process listens, every stop signal must lead to a graceful stop.
-    let signals = Signals::install().map_err(StartError::Signals)?;
     let host = Host::start(&settings, platform, &logger).await?;
     info!(
         logger, "host: Host started.";
@@ -95,18 +94,32 @@
 }
 
 /// Signals that a host handles: `SIGTERM` and `SIGINT` stop it, `SIGHUP` reloads the settings.
-struct Signals {
+///
+/// Signals that arrive before [`run`] wait for it.
+#[derive(Debug)]
+pub struct Signals {
     terminate: Signal,
     interrupt: Signal,
     hangup: Signal,
 }
 
 impl Signals {
-    fn install() -> io::Result<Self> {
+    /// Installs the signal handlers; a process must do this before anything else, because it is
+    /// killed by signals without a handler.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the operating system refuses a handler.
+    ///
+    /// # Panics
+    ///
+    /// Panics if it is called outside a tokio runtime.
+    pub fn install() -> Result<Self, StartError> {
+        let install = |kind| signal(kind).map_err(StartError::Signals);
         Ok(Self {
-            terminate: signal(SignalKind::terminate())?,
-            interrupt: signal(SignalKind::interrupt())?,
-            hangup: signal(SignalKind::hangup())?,
+            terminate: install(SignalKind::terminate())?,
+            interrupt: install(SignalKind::interrupt())?,
+            hangup: install(SignalKind::hangup())?,
         })
     }
 }
