Log what is open and unsent when a host stops

The lines of a stop told only how many requests were in flight, a count that ends when a response has been handed over. It was zero in stops that lost megabytes. The open connections of callers are now listed, each with how far its current request has got and how much of its response no socket has taken, at a few counters per request. The lines at the begin and the end of a stop give these counts, a line names the requests that were cut off (at most 16), and a metric counts connections that ended with bytes unsent.

--- a/crates/hickoryhall-edge/src/body.rs
+++ b/crates/hickoryhall-edge/src/body.rs
@@ -1,14 +1,17 @@
 //! Response bodies, either complete or streamed by a task.
 
 use std::pin::Pin;
+use std::rc::Rc;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
-use std::task::{Context, Poll};
+use std::task::{Context, Poll, ready};
 
 use bytes::Bytes;
 use hyper::body::{Body, Frame, SizeHint};
 use tokio::sync::mpsc::{self, error::TrySendError};
 
+use crate::CallerConnection;
+
 /// Number of chunks that are queued for a slow caller before the sender has to wait.
 const STREAM_QUEUE_CHUNKS: usize = 4;
 
@@ -139,3 +142,54 @@
         }
     }
 }
+
+/// Body of a response, which records its progress; the HTTP library drops it once it has taken over
+/// the last byte.
+#[derive(Debug)]
+pub(crate) struct TrackedBody {
+    body: ResponseBody,
+    connection: Rc<CallerConnection>,
+}
+
+impl TrackedBody {
+    pub(crate) fn new(body: ResponseBody, connection: Rc<CallerConnection>) -> Self {
+        if let Some(bytes) = body.size_hint().exact() {
+            connection.on_response_bytes(bytes);
+        }
+        Self { body, connection }
+    }
+}
+
+impl Body for TrackedBody {
+    type Data = Bytes;
+    type Error = StreamAborted;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, StreamAborted>>> {
+        let is_stream = matches!(self.body, ResponseBody::Stream(_));
+        let frame = ready!(Pin::new(&mut self.body).poll_frame(cx));
+        if let Some(Ok(frame)) = &frame
+            && is_stream
+        {
+            let bytes = frame.data_ref().map_or(0, Bytes::len);
+            self.connection.on_response_bytes(bytes as u64);
+        }
+        Poll::Ready(frame)
+    }
+
+    fn is_end_stream(&self) -> bool {
+        self.body.is_end_stream()
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        self.body.size_hint()
+    }
+}
+
+impl Drop for TrackedBody {
+    fn drop(&mut self) {
+        self.connection.on_response_ended();
+    }
+}
--- a/crates/hickoryhall-edge/src/lib.rs
+++ b/crates/hickoryhall-edge/src/lib.rs
@@ -6,11 +6,14 @@
 //! has left.
 
 mod body;
+mod caller_stream;
+mod connections;
 mod pool;
 mod server;
 mod sockets;
 
 pub use body::{BodyReceiver, BodySender, ResponseBody, StreamAborted};
+pub use connections::{CallerConnection, ConnectionCounts, Connections};
 pub use pool::{ConnectError, Connection, Pool, PoolConfig, SendError};
 pub use server::{Handler, ServerConfig, ShutdownSignal, serve};
 pub use sockets::set_socket_options;
--- a/crates/hickoryhall-edge/src/server.rs
+++ b/crates/hickoryhall-edge/src/server.rs
@@ -1,7 +1,6 @@
 //! HTTP server for callers.
 
 use std::cell::Cell;
-use std::net::SocketAddr;
 use std::pin::pin;
 use std::rc::Rc;
 use std::time::Duration;
@@ -17,7 +16,10 @@
 use tokio::sync::watch;
 use tokio::task::spawn_local;
 
-use crate::{ResponseBody, StreamAborted, set_socket_options};
+use crate::body::TrackedBody;
+use crate::caller_stream::CallerStream;
+use crate::connections::OpenConnection;
+use crate::{CallerConnection, Connections, ResponseBody, StreamAborted, set_socket_options};
 
 /// Pause after a failed accept, for example if the process has run out of file descriptors.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(20);
@@ -34,7 +36,7 @@
     fn handle(
         self: Rc<Self>,
         request: Request<Incoming>,
-        caller: SocketAddr,
+        caller: Rc<CallerConnection>,
     ) -> impl Future<Output = Result<Response<ResponseBody>, StreamAborted>>;
 }
 
@@ -59,24 +61,28 @@
 /// Signal that the process shuts down, after which each connection is closed after its response.
 pub type ShutdownSignal = watch::Receiver<bool>;
 
-/// Accepts connections until the task is dropped; each new connection uses the current `config`.
+/// Accepts connections until the task is dropped; each new connection uses the current `config` and
+/// is listed in `connections` while it is open.
 pub async fn serve<H: Handler>(
     listener: TcpListener,
     handler: Rc<H>,
     config: Rc<Cell<ServerConfig>>,
     shutdown: ShutdownSignal,
+    connections: Rc<Connections>,
     logger: Logger,
 ) {
     loop {
         match listener.accept().await {
             Ok((stream, caller)) => {
-                let connection = CallerConnection {
+                let (connection, guard) = connections.open(caller);
+                let server = ConnectionServer {
                     handler: Rc::clone(&handler),
                     config: config.get(),
                     shutdown: shutdown.clone(),
-                    caller,
+                    connection,
+                    _guard: guard,
                 };
-                spawn_local(connection.run(stream, logger.clone()));
+                spawn_local(server.run(stream, logger.clone()));
             }
             Err(error) => {
                 warn!(logger, "edge: Failed to accept a connection."; "error" => %error);
@@ -86,36 +92,38 @@
     }
 }
 
-struct CallerConnection<H> {
+/// Serves one connection.
+struct ConnectionServer<H> {
     handler: Rc<H>,
     config: ServerConfig,
     shutdown: ShutdownSignal,
-    caller: SocketAddr,
+    connection: Rc<CallerConnection>,
+    _guard: OpenConnection,
 }
 
-impl<H: Handler> CallerConnection<H> {
+impl<H: Handler> ConnectionServer<H> {
     async fn run(self, stream: TcpStream, logger: Logger) {
+        let caller = &self.connection;
         if let Err(error) = set_socket_options(&stream) {
             debug!(logger, "edge: Failed to set socket options.";
-                "caller" => %self.caller, "error" => %error);
+                "caller" => %caller.address(), "error" => %error);
         }
-        let caller = self.caller;
-        let config = self.config;
-        let mut shutdown = self.shutdown.clone();
-        let service = service_fn(move |request| {
+        let stream = CallerStream::new(stream, Rc::clone(caller));
+        let service = service_fn(|request| {
             respond(
                 Rc::clone(&self.handler),
                 request,
-                caller,
+                Rc::clone(caller),
                 self.shutdown.clone(),
             )
         });
         let connection = http1::Builder::new()
             .timer(TokioTimer::new())
-            .header_read_timeout(config.idle_timeout)
-            .max_buf_size(config.max_head_bytes.max(MIN_BUFFER_BYTES))
+            .header_read_timeout(self.config.idle_timeout)
+            .max_buf_size(self.config.max_head_bytes.max(MIN_BUFFER_BYTES))
             .serve_connection(TokioIo::new(stream), service);
         let mut connection = pin!(connection);
+        let mut shutdown = self.shutdown.clone();
         let was_shutting_down = *shutdown.borrow();
         let result = tokio::select! {
             result = connection.as_mut() => result,
@@ -127,7 +135,9 @@
         };
         if let Err(error) = result {
             debug!(logger, "edge: Caller connection closed with an error.";
-                "caller" => %caller, "error" => %error);
+                "caller" => %caller.address(), "error" => %error,
+                "request" => caller.request_id().as_deref(),
+                "unsent_bytes" => caller.unsent_bytes());
         }
     }
 }
@@ -140,15 +150,16 @@
 async fn respond<H: Handler>(
     handler: Rc<H>,
     request: Request<Incoming>,
-    caller: SocketAddr,
+    caller: Rc<CallerConnection>,
     shutdown: ShutdownSignal,
-) -> Result<Response<ResponseBody>, StreamAborted> {
+) -> Result<Response<TrackedBody>, StreamAborted> {
     let is_chunked = request.headers().contains_key(TRANSFER_ENCODING);
-    let mut response = handler.handle(request, caller).await?;
+    caller.on_request();
+    let mut response = handler.handle(request, Rc::clone(&caller)).await?;
     if is_chunked || *shutdown.borrow() {
         response
             .headers_mut()
             .insert(CONNECTION, HeaderValue::from_static("close"));
     }
-    Ok(response)
+    Ok(response.map(|body| TrackedBody::new(body, caller)))
 }
--- a/crates/hickoryhall-gateway/src/exchange.rs
+++ b/crates/hickoryhall-gateway/src/exchange.rs
@@ -11,11 +11,10 @@
 mod relay;
 
 use std::cell::Cell;
-use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
-use hickoryhall_edge::{Handler, Pool, ResponseBody, StreamAborted};
+use hickoryhall_edge::{CallerConnection, Handler, Pool, ResponseBody, StreamAborted};
 use hickoryhall_routing::SuspectDecision;
 use hickoryhall_types::Ran;
 use hyper::body::Incoming;
@@ -84,7 +83,8 @@
         &self.core
     }
 
-    /// Returns the number of requests in progress, streams included.
+    /// Returns the number of requests in progress, streams included. Their callers may not have got
+    /// the whole response when they end.
     #[must_use]
     pub fn in_flight(&self) -> usize {
         self.in_flight.get()
@@ -145,12 +145,15 @@
     async fn handle(
         self: Rc<Self>,
         request: Request<Incoming>,
-        _caller: SocketAddr,
+        caller: Rc<CallerConnection>,
     ) -> Result<Response<ResponseBody>, StreamAborted> {
         let in_flight = self.track_in_flight();
         let arrived_at = Instant::now();
         match self.intake(request, arrived_at).await {
-            Ok(request) => Ok(Exchange::new(self, request, in_flight).run().await),
+            Ok(request) => {
+                caller.set_request_id(request.meta.request_id.clone());
+                Ok(Exchange::new(self, request, in_flight).run().await)
+            }
             Err(Rejection {
                 request_id,
                 failure,
--- a/crates/hickoryhall-gateway/src/host.rs
+++ b/crates/hickoryhall-gateway/src/host.rs
@@ -9,13 +9,14 @@
 
 use bytes::Bytes;
 use hickoryhall_edge::{
-    Handler, Pool, PoolConfig, ResponseBody, ServerConfig, StreamAborted, serve,
+    CallerConnection, Connections, Handler, Pool, PoolConfig, ResponseBody, ServerConfig,
+    StreamAborted, serve,
 };
 use hickoryhall_telemetry::{MetricsError, MetricsPage};
 use hickoryhall_types::hash_name;
 use hyper::body::Incoming;
 use hyper::{Request, Response, StatusCode};
-use metrics::gauge;
+use metrics::{counter, gauge};
 use slog::{Logger, error, info, o, warn};
 use tokio::net::TcpListener;
 use tokio::signal::unix::{Signal, SignalKind, signal};
@@ -39,6 +40,8 @@
 const STOP_MARGIN: Duration = Duration::from_millis(350);
 /// Interval at which a stopping host checks for requests in flight.
 const STOP_POLL_INTERVAL: Duration = Duration::from_millis(25);
+/// Maximum number of request ids in the log line of the requests that a stop cuts off.
+const MAX_LOGGED_REQUESTS: usize = 16;
 /// Interval at which expired idle connections are closed, and connection limits and gauges updated.
 const SWEEP_INTERVAL: Duration = Duration::from_millis(500);
 /// Shortest lease of the lease holder that gives orders: it must outlast a few lost renewals.
@@ -127,6 +130,7 @@
 /// A host whose tasks are running.
 struct Host<P> {
     gateway: Rc<Gateway<P>>,
+    connections: Rc<Connections>,
     stop: watch::Sender<bool>,
     logger: Logger,
 }
@@ -152,7 +156,8 @@
         let gateway = Rc::new(gateway);
         let (stop, stopping) = watch::channel(false);
         let config = Rc::new(Cell::new(ServerConfig::default()));
-        spawn_core(&core, &config, &pool, &gateway);
+        let connections = Rc::<Connections>::default();
+        spawn_core(&core, &config, &pool, &gateway, &connections);
         spawn_feeds(&feeds);
         spawn_peers(&peers, records_listener);
         let orders = OrderTask::new(
@@ -173,6 +178,7 @@
             Rc::new(ready),
             Rc::default(),
             stopping.clone(),
+            Rc::clone(&connections),
             edge.clone(),
         ));
         if let Some(port) = settings.metrics_port {
@@ -183,12 +189,21 @@
                 page,
                 Rc::default(),
                 stopping.clone(),
+                Rc::clone(&connections),
                 edge.clone(),
             ));
         }
-        spawn_local(serve(callers, Rc::clone(&gateway), config, stopping, edge));
+        spawn_local(serve(
+            callers,
+            Rc::clone(&gateway),
+            config,
+            stopping,
+            Rc::clone(&connections),
+            edge,
+        ));
         Ok(Self {
             gateway,
+            connections,
             stop,
             logger: part("host"),
         })
@@ -230,7 +245,12 @@
     /// the stop.
     async fn drain(&self, grace: Duration) {
         let started = Instant::now();
-        info!(self.logger, "host: Host stops."; "in_flight" => self.gateway.in_flight());
+        let counts = self.connections.counts();
+        info!(
+            self.logger, "host: Host stops."; "in_flight" => self.gateway.in_flight(),
+            "connections" => counts.open, "unanswered" => counts.unanswered,
+            "unsent_bytes" => counts.unsent_bytes
+        );
         // Sending fails only without receivers; the tasks that hold them outlive this function.
         let _ = self.stop.send(true);
         let max_drain_time = grace.saturating_sub(STOP_MARGIN);
@@ -243,11 +263,19 @@
                 break;
             }
         }
-        let aborted = self.gateway.in_flight();
-        if aborted > 0 {
-            warn!(self.logger, "host: Requests aborted by the stop."; "count" => aborted);
+        let counts = self.connections.counts();
+        if counts.unanswered > 0 {
+            let requests = self.connections.unanswered_ids(MAX_LOGGED_REQUESTS);
+            warn!(
+                self.logger, "host: Requests cut off by the stop."; "count" => counts.unanswered,
+                "unsent_bytes" => counts.unsent_bytes, "requests" => requests.join(" ")
+            );
         }
-        info!(self.logger, "host: Host stopped."; "after_ms" => started.elapsed().as_millis());
+        info!(
+            self.logger, "host: Host stopped."; "after_ms" => started.elapsed().as_millis(),
+            "connections" => counts.open, "unclosed" => counts.closing,
+            "closed_unsent" => self.connections.closed_unsent()
+        );
     }
 }
 
@@ -307,11 +335,13 @@
     config: &Rc<Cell<ServerConfig>>,
     pool: &Pool,
     gateway: &Rc<Gateway<P>>,
+    connections: &Rc<Connections>,
 ) {
     let actor = core.clone();
     spawn_local(async move { actor.run().await });
     let (core, config) = (core.clone(), Rc::clone(config));
     let (pool, gateway) = (pool.clone(), Rc::clone(gateway));
+    let connections = Rc::clone(connections);
     spawn_local(async move {
         loop {
             sleep(SWEEP_INTERVAL).await;
@@ -325,6 +355,7 @@
                 gauge!("table_revision").set(table.revision() as f64);
             }
             gauge!("requests_in_flight").set(gateway.in_flight() as f64);
+            counter!("connections_closed_unsent_total").absolute(connections.closed_unsent());
         }
     });
 }
@@ -359,7 +390,7 @@
     async fn handle(
         self: Rc<Self>,
         _request: Request<Incoming>,
-        _caller: SocketAddr,
+        _caller: Rc<CallerConnection>,
     ) -> Result<Response<ResponseBody>, StreamAborted> {
         let has_table = self.core.with(|core, _| core.table().is_some());
         let (status, text) = match (has_table, *self.stopping.borrow()) {
@@ -380,7 +411,7 @@
     async fn handle(
         self: Rc<Self>,
         _request: Request<Incoming>,
-        _caller: SocketAddr,
+        _caller: Rc<CallerConnection>,
     ) -> Result<Response<ResponseBody>, StreamAborted> {
         let page = Bytes::from(self.0.render());
         Ok(Response::new(ResponseBody::full(page)))
--- a/crates/hickoryhall-http/src/bridge.rs
+++ b/crates/hickoryhall-http/src/bridge.rs
@@ -1,11 +1,10 @@
 //! Passes requests from the event loop to worker threads, and their responses back.
 
-use std::net::SocketAddr;
 use std::rc::Rc;
 use std::sync::Arc;
 
 use bytes::Bytes;
-use hickoryhall_edge::{Handler, ResponseBody, StreamAborted};
+use hickoryhall_edge::{CallerConnection, Handler, ResponseBody, StreamAborted};
 use http_body_util::BodyExt;
 use hyper::body::{Body, Incoming};
 use hyper::{Request as HttpRequest, Response};
@@ -36,7 +35,7 @@
     async fn handle(
         self: Rc<Self>,
         request: HttpRequest<Incoming>,
-        _caller: SocketAddr,
+        _caller: Rc<CallerConnection>,
     ) -> Result<Response<ResponseBody>, StreamAborted> {
         let (head, mut body) = request.into_parts();
         let (chunk_sender, body_chunks) = mpsc::channel(BODY_QUEUE_CHUNKS);
--- a/crates/hickoryhall-http/src/server.rs
+++ b/crates/hickoryhall-http/src/server.rs
@@ -140,7 +140,14 @@
             max_head_bytes: MAX_HEAD_BYTES,
             idle_timeout: self.limits.idle_timeout,
         }));
-        let serving = serve(listener, bridge, config, stopping.clone(), self.logger);
+        let serving = serve(
+            listener,
+            bridge,
+            config,
+            stopping.clone(),
+            Rc::default(),
+            self.logger,
+        );
         let connections = LocalSet::new();
         connections.block_on(&runtime, async {
             let serving = spawn_local(serving);
