Let callers pause their reading

A caller that read nothing for 2.5 s in the middle of a large response lost the rest: the connection was closed under it, stopping or not.

The limit for unacknowledged bytes (TCP_USER_TIMEOUT), meant for peers that have vanished, also runs while a peer that is alive has no room in its window. It was set on every socket. Sockets to backend servers and the store keep it, as those read at once.

Before, the tests failed for whole bodies and for streams:

a_caller_may_pause_its_reading: left: (200, false), right: (200, true)

--- a/crates/hickoryhall-edge/src/server.rs
+++ b/crates/hickoryhall-edge/src/server.rs
@@ -19,7 +19,8 @@
 use crate::body::TrackedBody;
 use crate::caller_stream::CallerStream;
 use crate::connections::OpenConnection;
-use crate::{CallerConnection, Connections, ResponseBody, StreamAborted, set_socket_options};
+use crate::sockets::set_caller_socket_options;
+use crate::{CallerConnection, Connections, ResponseBody, StreamAborted};
 
 /// Pause after a failed accept, for example if the process has run out of file descriptors.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(20);
@@ -104,7 +105,7 @@
 impl<H: Handler> ConnectionServer<H> {
     async fn run(self, stream: TcpStream, logger: Logger) {
         let caller = &self.connection;
-        if let Err(error) = set_socket_options(&stream) {
+        if let Err(error) = set_caller_socket_options(&stream) {
             debug!(logger, "edge: Failed to set socket options.";
                 "caller" => %caller.address(), "error" => %error);
         }
