Tie what is known of a runner's weights to its process

A runner that starts again keeps its id, but may have older weights than before. Callers of such a runner got 503 for as long as it ran: each request named the version of before and was refused, and no order was given, as the runner counted as done.

The belief about its version never decreased, not even for a new incarnation in the registry or when the runner's own report said otherwise. Responses, digests of peers and ends of attempts counted for whichever process was known last.

The state of a server now belongs to one incarnation as a whole: weights, load of this host and of peers, cache estimates, ejection and a change in progress. Registry entries, reports and digests carry the incarnation (digests of older hosts do not; their versions only raise the belief). News about an earlier process is ignored, news about a later one replaces all. Within a process a lower version counts once its registry entry goes back, or once two reports that were requested a second apart agree, since a report may be some hundred milliseconds old; the lease holder's repetition of what it said before does not count against them. An idle runner's report no longer ends the drain that the lease holder announced.

Each change of the belief is logged with its source and incarnation, and corrections downwards are counted.

Before the change the test with a real host and a runner that restarts with version 1 failed: panicked at platform/tests/support/mod.rs:48:9: timed out after 30s waiting for an answer of version 2 at the wait after the restart, with "weights":2 and tried "r-1:not_run" in the host's line of each request.

--- a/crates/hickoryhall-gateway/src/core.rs
+++ b/crates/hickoryhall-gateway/src/core.rs
@@ -11,6 +11,7 @@
 use hickoryhall_limits::{FleetRetryBudget, FleetRetryLimit};
 use hickoryhall_routing::{Fingerprint, SuspectDecision, Suspects};
 use hickoryhall_types::{TargetId, WeightsVersion, rendezvous_score};
+use metrics::counter;
 use slog::{Logger, info};
 use stakker::CX;
 use tokio::sync::oneshot;
@@ -22,8 +23,8 @@
 use crate::peers::{PromptUpdate, SuspectUpdate};
 use crate::registry::{BackendServer, Registry, RegistryEvent};
 use crate::scheduler::{
-    AttemptEnd, AttemptId, HostHash, Placement, PlacementRequest, RunnerView, Scheduler,
-    SchedulerConfig,
+    AttemptEnd, AttemptId, HostHash, Placement, PlacementRequest, ReportedState, RunnerView,
+    Scheduler, SchedulerConfig, WeightsChange,
 };
 use crate::table::RouteTable;
 
@@ -192,10 +193,29 @@
                     info!(self.logger, "core: Backend server gone."; "server" => &**id);
                 }
             }
-            self.scheduler.on_registry(event);
+            let change = self.scheduler.on_registry(event);
+            self.log_weights(change);
         }
     }
 
+    /// Logs a changed belief about a runner's weights, and counts one that became lower.
+    fn log_weights(&self, change: Option<WeightsChange>) {
+        let Some(change) = change else {
+            return;
+        };
+        let source = change.source.as_str();
+        let is_lower = change.weights < change.before;
+        if is_lower {
+            counter!("weights_corrected_total", "source" => source).increment(1);
+        }
+        info!(
+            self.logger, "core: Weights of a runner changed.";
+            "server" => &*change.server, "incarnation" => change.incarnation,
+            "weights" => change.weights, "before" => change.before,
+            "source" => source, "is_lower" => is_lower
+        );
+    }
+
     /// Places an attempt, at once or after it has waited in the queue, and sends the result through
     /// `reply`.
     pub fn place(
@@ -226,10 +246,18 @@
         self.place_waiting(now);
     }
 
-    /// Records the load and weights that a response head reports about its server.
-    pub fn on_response_head(&mut self, now: Instant, server: &str, response_meta: &ResponseMeta) {
-        self.scheduler
+    /// Records the load and weights that a response head reports about its server, as its registry
+    /// entry was when the request was sent.
+    pub fn on_response_head(
+        &mut self,
+        now: Instant,
+        server: &BackendServer,
+        response_meta: &ResponseMeta,
+    ) {
+        let change = self
+            .scheduler
             .record_response_head(now, server, response_meta);
+        self.log_weights(change);
     }
 
     /// Counts a request to a service, which adds to the retry budget of that service.
@@ -284,30 +312,19 @@
         }
     }
 
-    /// Records the state of a runner, as the lease holder, and includes it in the next digests.
-    pub fn announce_runner(
-        &mut self,
-        now: Instant,
-        server: u64,
-        weights: WeightsVersion,
-        is_changing: bool,
-    ) {
+    /// Records, as the lease holder, whether a runner is changing its weights, and includes its
+    /// state in the next digests.
+    pub fn announce_runner(&mut self, now: Instant, server: u64, is_changing: bool) {
         self.weight_changes.insert(server, is_changing);
         self.scheduler
-            .record_runner_update(now, server, weights, is_changing);
+            .set_announced_change(now, server, is_changing);
         self.place_waiting(now);
     }
 
-    /// Records the state that a runner reports, without including it in digests.
-    pub fn record_runner_report(
-        &mut self,
-        now: Instant,
-        server: u64,
-        weights: WeightsVersion,
-        is_changing: bool,
-    ) {
-        self.scheduler
-            .record_runner_update(now, server, weights, is_changing);
+    /// Records the state that a runner reported about itself.
+    pub fn record_report(&mut self, now: Instant, server: u64, report: &ReportedState) {
+        let change = self.scheduler.record_report(now, server, report);
+        self.log_weights(change);
         self.place_waiting(now);
     }
 
--- a/crates/hickoryhall-gateway/src/core/digests.rs
+++ b/crates/hickoryhall-gateway/src/core/digests.rs
@@ -3,11 +3,11 @@
 use std::cmp::Reverse;
 use std::time::Instant;
 
-use hickoryhall_types::{WeightsVersion, hash_name};
+use hickoryhall_types::hash_name;
 
 use super::{Core, DesiredVersionSource};
 use crate::peers::{DesiredVersionUpdate, Digest, PromptUpdate, Scope, ServerUpdate};
-use crate::scheduler::{GroupHash, HostHash, HostLoad, LoadSource};
+use crate::scheduler::{AnnouncedState, GroupHash, HostHash, LoadSource};
 
 /// Maximum number of servers listed in one digest, so that it fits into a datagram.
 const MAX_SERVERS_PER_DIGEST: usize = 300;
@@ -93,18 +93,13 @@
     ///
     /// Where they exceed [`MAX_SERVERS_PER_DIGEST`], those with a weight change come first, then
     /// those with the most pending work; the rest are left out.
-    fn server_updates(
-        &self,
-        loads: impl Iterator<Item = (u64, HostLoad, WeightsVersion)>,
-    ) -> Vec<ServerUpdate> {
-        let updates = loads.filter_map(|(server, load, weights)| {
-            let is_changing = self.weight_changes.get(&server).copied();
-            let is_reported = load.requests > 0 || is_changing.is_some();
+    fn server_updates(&self, loads: impl Iterator<Item = ServerUpdate>) -> Vec<ServerUpdate> {
+        let updates = loads.filter_map(|update| {
+            let is_changing = self.weight_changes.get(&update.server).copied();
+            let is_reported = update.load.requests > 0 || is_changing.is_some();
             is_reported.then_some(ServerUpdate {
-                server,
-                load,
-                weights,
                 is_changing,
+                ..update
             })
         });
         let mut updates = updates.collect::<Vec<_>>();
@@ -143,12 +138,15 @@
         }
         for update in &digest.servers {
             if let Some(is_changing) = update.is_changing {
-                self.scheduler.record_runner_update(
-                    now,
-                    update.server,
-                    update.weights,
+                let announced = AnnouncedState {
+                    incarnation: update.incarnation,
+                    weights: update.weights,
                     is_changing,
-                );
+                };
+                let change = self
+                    .scheduler
+                    .record_announcement(now, update.server, &announced);
+                self.log_weights(change);
             }
         }
         for prompt in &digest.prompts {
@@ -178,8 +176,13 @@
             .collect::<Vec<_>>();
         self.scheduler.retain_peer_loads(source, &listed);
         for update in servers {
-            self.scheduler
-                .set_peer_load(now, source, update.server, update.load);
+            self.scheduler.set_peer_load(
+                now,
+                source,
+                update.server,
+                update.incarnation,
+                update.load,
+            );
         }
     }
 }
--- a/crates/hickoryhall-gateway/src/exchange.rs
+++ b/crates/hickoryhall-gateway/src/exchange.rs
@@ -26,7 +26,7 @@
 use crate::core::CoreHandle;
 use crate::interface::{LocalFailure, Platform};
 use crate::registry::ServerId;
-use crate::scheduler::{Assignment, AttemptId, PlacementRefusal, PlacementRequest};
+use crate::scheduler::{Assignment, AttemptId, PlacementRefusal, PlacementRequest, ReportedState};
 
 use attempt::{AttemptFailure, AttemptGuard, AttemptResult, BufferedResponse};
 use intake::{PreparedRequest, Rejection};
@@ -101,6 +101,7 @@
         let (platform, core) = (Rc::clone(&self.platform), self.core.clone());
         let (server, logger) = (assignment.server.clone(), self.logger.clone());
         tokio::task::spawn_local(async move {
+            let requested_at = Instant::now();
             let report = match platform.report(&server).await {
                 Ok(report) => report,
                 Err(error) => {
@@ -113,9 +114,13 @@
             };
             let hash = hickoryhall_types::hash_name(&server.id);
             let weights = report.models.iter().map(|(_, version)| *version).max();
-            core.with(|core, now| {
-                core.record_runner_report(now, hash, weights.unwrap_or(0), report.is_busy);
-            });
+            let state = ReportedState {
+                requested_at,
+                incarnation: report.incarnation,
+                weights,
+                is_busy: report.is_busy,
+            };
+            core.with(|core, now| core.record_report(now, hash, &state));
         });
     }
 
--- a/crates/hickoryhall-gateway/src/exchange/attempt.rs
+++ b/crates/hickoryhall-gateway/src/exchange/attempt.rs
@@ -165,7 +165,7 @@
             .gateway
             .platform
             .parse_response_head(&head, &self.request.meta);
-        let server = &assignment.server.id;
+        let server = &assignment.server;
         self.gateway
             .core
             .with(|core, now| core.on_response_head(now, server, &response_meta));
--- a/crates/hickoryhall-gateway/src/interface.rs
+++ b/crates/hickoryhall-gateway/src/interface.rs
@@ -8,7 +8,9 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use hickoryhall_types::{FencingNumber, Ran, TargetId, TokenCount, WeightsVersion, WorkspaceId};
+use hickoryhall_types::{
+    FencingNumber, Incarnation, Ran, TargetId, TokenCount, WeightsVersion, WorkspaceId,
+};
 use http::{request, response};
 use hyper::header::HeaderMap;
 use hyper::{Request, Response, StatusCode};
@@ -344,6 +346,8 @@
     pub is_busy: bool,
     /// Number of orders that the runner has accepted since its start.
     pub orders_accepted: u64,
+    /// Process that reports; `None` if the report does not tell.
+    pub incarnation: Option<Incarnation>,
 }
 
 /// What happens to running requests when the weights change.
--- a/crates/hickoryhall-gateway/src/orders/weight_changes.rs
+++ b/crates/hickoryhall-gateway/src/orders/weight_changes.rs
@@ -15,7 +15,7 @@
     ControlError, OrderOutcome, Platform, RunnerReport, SwitchMode, WeightsOrder,
 };
 use crate::registry::{BackendServer, ServerId};
-use crate::scheduler::{HostLoad, RunnerView};
+use crate::scheduler::{HostLoad, ReportedState, RunnerView};
 
 /// Time between two planning rounds.
 const PLAN_INTERVAL: Duration = Duration::from_millis(60);
@@ -58,7 +58,10 @@
                 Some(async move { (runner, self.advance(runner, change, planner).await) })
             });
             let steps = steps.collect::<Vec<_>>();
-            changes.clear();
+            for (id, _) in changes.drain() {
+                info!(self.logger, "orders: Weight change given up, its runner is gone."; "server" => &*id);
+                self.announce(&id, false);
+            }
             for (runner, change) in join_all(steps).await {
                 if let Some(change) = change {
                     changes.insert(runner.server.id.clone(), change);
@@ -96,7 +99,7 @@
     /// `None` if the runner has no model.
     fn start_draining(&self, runner: &RunnerView, order: &PlannedOrder) -> Option<WeightChange> {
         let (model, _) = runner.server.models.first()?;
-        self.publish_state(runner, runner.weights, true);
+        self.announce(&runner.server.id, true);
         Some(WeightChange {
             model: model.clone(),
             version: order.weights,
@@ -131,21 +134,21 @@
     ) -> Option<WeightChange> {
         let server = &runner.server;
         let change = self.with_newest_version(change);
-        let Some(report) = self.fetch_report(server).await else {
-            self.publish_state(runner, runner.weights, false);
+        let Some(report) = self.fetch_report(server, &change.model).await else {
+            self.announce(&server.id, false);
             planner.borrow_mut().remove_pending(&server.id);
             return None;
         };
         let weights = report.weights(&change.model);
         if weights >= change.version {
-            self.publish_state(runner, weights, false);
+            self.announce(&server.id, false);
             return None;
         }
         // The lease may have expired while the report was fetched.
         let lease = planner.borrow().lease(self.clock.now() + CALL_TIMEOUT);
         let lease = lease.filter(|lease| lease.fencing == change.fencing);
         if lease.is_none() {
-            self.publish_state(runner, weights, false);
+            self.announce(&server.id, false);
             return None;
         }
         let mode = self.switch_mode(runner, &change);
@@ -166,7 +169,7 @@
             "emptied_ms" => change.started_at.elapsed().as_millis(),
             "requests" => runner.load.requests, "bound" => runner.load.non_resumable
         );
-        let is_accepted = outcome.is_ok_and(OrderOutcome::is_in_effect);
+        let is_accepted = outcome.as_ref().is_ok_and(|outcome| outcome.is_in_effect());
         let wait = if is_accepted {
             self.load_times.borrow().earliest_end()
         } else {
@@ -216,7 +219,7 @@
         order: SentOrder,
         planner: &RefCell<OrderPlanner>,
     ) -> Option<WeightChange> {
-        let report = self.fetch_report(&runner.server).await;
+        let report = self.fetch_report(&runner.server, &change.model).await;
         let weights = report
             .as_ref()
             .map_or(runner.weights, |report| report.weights(&change.model));
@@ -249,7 +252,7 @@
             "server" => &*runner.server.id, "weights" => weights, "wanted" => change.version,
             "busy" => is_busy, "took_ms" => change.started_at.elapsed().as_millis()
         );
-        self.publish_state(runner, weights, false);
+        self.announce(&runner.server.id, false);
         if is_done && order.is_accepted && !order.waits_for_requests {
             self.load_times.borrow_mut().record(order.sent_at.elapsed());
         }
@@ -259,10 +262,23 @@
         None
     }
 
-    async fn fetch_report(&self, server: &BackendServer) -> Option<RunnerReport> {
+    /// Gets a report of a runner and records what it says about the weights of a model.
+    async fn fetch_report(&self, server: &BackendServer, model: &str) -> Option<RunnerReport> {
+        let requested_at = Instant::now();
         let report = timeout(CALL_TIMEOUT, self.platform.report(server)).await;
         match report.unwrap_or_else(|_| Err(timeout_error(CALL_TIMEOUT))) {
-            Ok(report) => Some(report),
+            Ok(report) => {
+                let state = ReportedState {
+                    requested_at,
+                    incarnation: report.incarnation,
+                    weights: report.find_weights(model),
+                    is_busy: report.is_busy,
+                };
+                let hash = hash_name(&server.id);
+                self.core
+                    .with(|core, now| core.record_report(now, hash, &state));
+                Some(report)
+            }
             Err(error) => {
                 warn!(self.logger, "orders: Failed to get a report from runner."; "server" => &*server.id, "error" => %error);
                 None
@@ -279,11 +295,11 @@
         outcome.unwrap_or_else(|_| Err(timeout_error(ORDER_TIMEOUT)))
     }
 
-    /// Records the state of a runner on this host, and sends it to all peers at once.
-    fn publish_state(&self, runner: &RunnerView, weights: WeightsVersion, is_changing: bool) {
-        let hash = hash_name(&runner.server.id);
+    /// Records whether a runner is changing its weights, and sends its state to all peers at once.
+    fn announce(&self, server: &str, is_changing: bool) {
+        let hash = hash_name(server);
         self.core
-            .with(|core, now| core.announce_runner(now, hash, weights, is_changing));
+            .with(|core, now| core.announce_runner(now, hash, is_changing));
         self.peers.push_digests();
     }
 }
@@ -332,8 +348,14 @@
     /// Returns the version of a model's weights, 0 if the runner does not have the model.
     #[must_use]
     pub fn weights(&self, model: &str) -> WeightsVersion {
+        self.find_weights(model).unwrap_or(0)
+    }
+
+    /// Returns the version of a model's weights, `None` if the runner does not have the model.
+    #[must_use]
+    pub fn find_weights(&self, model: &str) -> Option<WeightsVersion> {
         let model = self.models.iter().find(|(name, _)| name.as_ref() == model);
-        model.map_or(0, |(_, version)| *version)
+        model.map(|(_, version)| *version)
     }
 }
 
--- a/crates/hickoryhall-gateway/src/peers/message.rs
+++ b/crates/hickoryhall-gateway/src/peers/message.rs
@@ -5,7 +5,7 @@
 
 use bytes::Bytes;
 use hickoryhall_routing::Level;
-use hickoryhall_types::{Revision, TargetId, WeightsVersion};
+use hickoryhall_types::{Incarnation, Revision, TargetId, WeightsVersion};
 use prost::Message;
 
 use crate::feeds::relay::RegistryRelay;
@@ -60,6 +60,8 @@
 pub struct PromptUpdate {
     /// Hash of the runner's id, or of the prompt cache store's address.
     pub server: u64,
+    /// Process of the runner; `None` for a prompt cache store, or if the sender does not tell.
+    pub incarnation: Option<Incarnation>,
     /// Version of the weights with which the prompt was prefilled; its cached levels are useless to
     /// other versions.
     pub weights: WeightsVersion,
@@ -73,6 +75,8 @@
 pub struct ServerUpdate {
     /// Hash of the server's id.
     pub server: u64,
+    /// Process of the server that the update is about; `None` if the sender does not tell.
+    pub incarnation: Option<Incarnation>,
     /// Load on the server, counted over the hosts of the digest's scope.
     pub load: HostLoad,
     /// Version of the weights that the server has.
@@ -188,6 +192,8 @@
     keys: Vec<u64>,
     #[prost(uint32, repeated, tag = "4")]
     tokens: Vec<u32>,
+    #[prost(uint64, optional, tag = "5")]
+    incarnation: Option<u64>,
 }
 
 #[derive(Clone, PartialEq, Message)]
@@ -209,6 +215,8 @@
     bound: u32,
     #[prost(uint32, tag = "8")]
     output_tokens: u32,
+    #[prost(uint64, optional, tag = "9")]
+    incarnation: Option<u64>,
 }
 
 /// Desired version of a model.
@@ -408,6 +416,7 @@
             weights: update.weights,
             keys: update.levels.iter().map(|level| level.key).collect(),
             tokens: update.levels.iter().map(|level| level.tokens).collect(),
+            incarnation: update.incarnation,
         }
     }
 }
@@ -417,6 +426,7 @@
         let levels = wire.keys.iter().zip(&wire.tokens);
         Self {
             server: wire.server,
+            incarnation: wire.incarnation,
             weights: wire.weights,
             levels: levels
                 .map(|(&key, &tokens)| Level { key, tokens })
@@ -436,6 +446,7 @@
             is_changing: update.is_changing,
             bound: update.load.non_resumable,
             output_tokens: update.load.output_tokens,
+            incarnation: update.incarnation,
         }
     }
 }
@@ -444,6 +455,7 @@
     fn from(wire: &WireServer) -> Self {
         Self {
             server: wire.server,
+            incarnation: wire.incarnation,
             load: HostLoad {
                 requests: wire.requests,
                 pending_ms: wire.pending_ms,
--- a/crates/hickoryhall-gateway/src/scheduler.rs
+++ b/crates/hickoryhall-gateway/src/scheduler.rs
@@ -16,13 +16,14 @@
 mod search;
 mod server;
 mod updates;
+mod weights;
 
 use std::collections::{BTreeMap, HashMap};
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
 use hickoryhall_routing::PrefixChain;
-use hickoryhall_types::{FailureDomainId, TargetId, WeightsVersion};
+use hickoryhall_types::{FailureDomainId, Incarnation, TargetId, WeightsVersion};
 use slotmap::{SlotMap, new_key_type};
 
 use cache_store::CacheStoreState;
@@ -36,6 +37,7 @@
 };
 pub use server::{HostLoad, LoadSource};
 use server::{RequestLoad, ServerState};
+pub use weights::{AnnouncedState, ReportedState, WeightsChange, WeightsSource};
 
 use crate::peers::PromptUpdate;
 use crate::registry::{BackendServer, RegistryEvent, ServerId};
@@ -62,6 +64,8 @@
 
 struct ActiveAttempt {
     key: ServerKey,
+    /// Process of the server that the attempt was placed on.
+    incarnation: Incarnation,
     /// Prompt that the runner has not prefilled yet; `None` after the first event.
     pending_prompt: Option<PrefixChain>,
     placed_at: Instant,
@@ -153,12 +157,14 @@
     }
 
     /// Applies a registry event.
-    pub fn on_registry(&mut self, event: RegistryEvent) {
+    ///
+    /// Returns the change of the belief about a known server's weights, if there is one.
+    pub fn on_registry(&mut self, event: RegistryEvent) -> Option<WeightsChange> {
         match event {
             RegistryEvent::Removed(id) => self.remove(&id),
             RegistryEvent::Upsert(server) => match self.by_id.get(&server.id) {
                 Some(&key) if self.servers[key].server.service == server.service => {
-                    self.servers[key].update(server);
+                    return self.servers[key].update(server);
                 }
                 _ => {
                     self.remove(&server.id);
@@ -166,6 +172,7 @@
                 }
             },
         }
+        None
     }
 
     fn insert(&mut self, server: BackendServer) {
@@ -286,13 +293,16 @@
             store.record_first_event(now, took, active.estimate);
         }
         let pending_prompt = active.pending_prompt.take();
-        if let Some(state) = self.servers.get_mut(active.key) {
+        if let Some(state) = self.servers.get_mut(active.key)
+            && state.is_current(Some(active.incarnation))
+        {
             state.record_first_event(attempt_id);
             state.ejection.record_success();
             if let Some(chain) = pending_prompt {
                 state.current_cache.insert(now, &chain);
                 self.prompt_updates.push(PromptUpdate {
                     server: state.name_hash,
+                    incarnation: Some(active.incarnation),
                     weights: state.weights(),
                     levels: chain.levels().to_vec(),
                 });
@@ -310,6 +320,9 @@
         let Some(state) = self.servers.get_mut(active.key) else {
             return;
         };
+        if !state.is_current(Some(active.incarnation)) {
+            return;
+        }
         state.remove_request(attempt_id);
         match end {
             AttemptEnd::Answered => state.ejection.record_success(),
@@ -404,6 +417,7 @@
         }
         let active = ActiveAttempt {
             key: candidate.key,
+            incarnation: state.server.incarnation,
             pending_prompt: prompt.map(|prompt| prompt.chain.clone()),
             placed_at: now,
             estimate: candidate.estimate,
--- a/crates/hickoryhall-gateway/src/scheduler/cache_store_selection.rs
+++ b/crates/hickoryhall-gateway/src/scheduler/cache_store_selection.rs
@@ -61,6 +61,7 @@
         // The runner saves the whole prompt, so all levels occupy space in the store.
         self.prompt_updates.push(PromptUpdate {
             server: store.name_hash(),
+            incarnation: None,
             weights,
             levels: store.record_save(now, prompt.chain.levels(), weights),
         });
--- a/crates/hickoryhall-gateway/src/scheduler/server.rs
+++ b/crates/hickoryhall-gateway/src/scheduler/server.rs
@@ -4,10 +4,12 @@
 use std::time::{Duration, Instant};
 
 use hickoryhall_routing::{CacheEstimate, Ejection};
-use hickoryhall_types::{TokenCount, WeightsVersion, hash_name};
+use hickoryhall_types::{Incarnation, TokenCount, WeightsVersion, hash_name};
 
+use super::weights::{AnnouncedState, ReportedState, WeightsBelief, WeightsChange, WeightsSource};
 use super::{AttemptId, GroupHash, HostHash};
 use crate::interface::ReportedLoad;
+use crate::peers::ServerUpdate;
 use crate::registry::BackendServer;
 use crate::table::RunnerCapacity;
 
@@ -64,9 +66,19 @@
     received_at: Instant,
 }
 
-/// What the scheduler knows about a backend server.
+/// A weight change in progress.
+#[derive(Clone, Copy, Debug)]
+struct ChangeInProgress {
+    since: Instant,
+    /// Whether the lease holder announced it; else the runner reported that it is busy.
+    is_announced: bool,
+}
+
+/// What the scheduler knows about a backend server. All of it is about one process of the server.
 #[derive(Debug)]
 pub(super) struct ServerState {
+    /// Registry entry; its incarnation is that of the newest known process, for which the entry may
+    /// not have arrived yet.
     pub server: BackendServer,
     /// Hash of the server's id, under which hosts refer to it in updates.
     pub name_hash: u64,
@@ -83,10 +95,15 @@
     peer_loads: HashMap<LoadSource, PeerLoad>,
     /// Load that the server itself reported last, and when it did.
     reported_load: Option<(ReportedLoad, Instant)>,
-    /// Last known weights version; 0 if the server has no model.
-    weights: WeightsVersion,
-    /// Start of the weight change in progress.
-    changing_since: Option<Instant>,
+    /// Version that the process is believed to have; 0 if the server has no model.
+    weights: WeightsBelief,
+    change: Option<ChangeInProgress>,
+    /// Incarnation and weights version in the last registry entry.
+    entry: (Incarnation, WeightsVersion),
+    /// Incarnation before this one. Starts are numbered by clocks, so it may be the higher one.
+    replaced: Option<Incarnation>,
+    /// Last announcement, which the lease holder repeats.
+    announced: Option<(Option<Incarnation>, WeightsVersion)>,
 }
 
 impl ServerState {
@@ -104,51 +121,178 @@
             own_total: HostLoad::default(),
             peer_loads: HashMap::new(),
             reported_load: None,
-            weights: newest_weights(&server),
-            changing_since: None,
+            weights: WeightsBelief::new(newest_weights(&server)),
+            change: None,
+            entry: (server.incarnation, newest_weights(&server)),
+            replaced: None,
+            announced: None,
             server,
         }
     }
 
-    /// Applies a changed registry entry; a new incarnation resets the recorded state.
-    pub fn update(&mut self, server: BackendServer) {
-        if server.incarnation != self.server.incarnation {
-            self.expected_cache.clear();
-            self.current_cache.clear();
-            self.ejection = Ejection::default();
-            self.reported_load = None;
-            self.changing_since = None;
+    /// Applies a changed registry entry.
+    ///
+    /// Returns the change of the belief about the runner's weights, if there is one.
+    pub fn update(&mut self, mut server: BackendServer) -> Option<WeightsChange> {
+        let weights = newest_weights(&server);
+        let entry_before = std::mem::replace(&mut self.entry, (server.incarnation, weights));
+        let before = self.weights();
+        let is_same = server.incarnation == self.server.incarnation;
+        let is_outdated = !is_same && server.incarnation == entry_before.0;
+        if is_outdated {
+            server.incarnation = self.server.incarnation;
+        } else if is_same {
+            let entry_weights = (entry_before.0 == server.incarnation).then_some(entry_before.1);
+            let entry_weights = entry_weights.unwrap_or(weights);
+            if self.weights.record_entry(entry_weights, weights) {
+                self.on_new_weights();
+            }
+        } else {
+            self.start_incarnation(server.incarnation, weights);
         }
-        self.set_weights(newest_weights(&server));
         self.server = server;
+        self.weights_change(before, WeightsSource::Entry)
+    }
+
+    /// Forgets what is known of the process before, all of which ended with it.
+    fn start_incarnation(&mut self, incarnation: Incarnation, weights: WeightsVersion) {
+        self.replaced = Some(self.server.incarnation);
+        self.server.incarnation = incarnation;
+        self.weights = WeightsBelief::new(weights);
+        self.ejection = Ejection::default();
+        self.own_requests.clear();
+        self.own_total = HostLoad::default();
+        self.peer_loads.clear();
+        self.reported_load = None;
+        self.on_new_weights();
+    }
+
+    fn on_new_weights(&mut self) {
+        self.expected_cache.clear();
+        self.current_cache.clear();
+        self.change = None;
+    }
+
+    /// Returns whether a statement is about an earlier process than the one known now.
+    fn is_outdated(&self, incarnation: Option<Incarnation>) -> bool {
+        incarnation.is_some_and(|incarnation| {
+            incarnation < self.server.incarnation || Some(incarnation) == self.replaced
+        })
+    }
+
+    /// Returns whether a statement is about the process known now, or does not tell.
+    pub fn is_current(&self, incarnation: Option<Incarnation>) -> bool {
+        incarnation.is_none_or(|incarnation| incarnation == self.server.incarnation)
+    }
+
+    fn weights_change(
+        &self,
+        before: WeightsVersion,
+        source: WeightsSource,
+    ) -> Option<WeightsChange> {
+        (self.weights() != before).then(|| WeightsChange {
+            server: self.server.id.clone(),
+            incarnation: self.server.incarnation,
+            weights: self.weights(),
+            before,
+            source,
+        })
     }
 
-    /// Records a weights version reported by the runner; versions never decrease.
-    pub fn set_weights(&mut self, weights: WeightsVersion) {
-        if weights > self.weights {
-            self.weights = weights;
-            self.expected_cache.clear();
-            self.current_cache.clear();
-            self.changing_since = None;
+    /// Records a report of the runner about itself.
+    ///
+    /// Returns the change of the belief about its weights, if there is one.
+    pub fn record_report(&mut self, now: Instant, report: &ReportedState) -> Option<WeightsChange> {
+        if self.is_outdated(report.incarnation) {
+            return None;
         }
+        let before = self.weights();
+        match report.incarnation {
+            Some(incarnation) if incarnation != self.server.incarnation => {
+                self.start_incarnation(incarnation, report.weights.unwrap_or(0));
+            }
+            _ => {
+                let is_changed = report.weights.is_some_and(|weights| {
+                    self.weights.record_report(report.requested_at, weights)
+                });
+                if is_changed {
+                    self.on_new_weights();
+                }
+            }
+        }
+        match self.change {
+            None if report.is_busy => self.begin_change(now, false),
+            // The lease holder also announces a change while the runner is still being drained.
+            Some(change) if !report.is_busy && !change.is_announced => self.change = None,
+            _ => {}
+        }
+        self.weights_change(before, WeightsSource::Report)
     }
 
-    pub fn weights(&self) -> WeightsVersion {
-        self.weights
+    /// Records an announcement of the lease holder.
+    ///
+    /// Returns the change of the belief about the runner's weights, if there is one.
+    pub fn record_announcement(
+        &mut self,
+        now: Instant,
+        announced: &AnnouncedState,
+    ) -> Option<WeightsChange> {
+        if self.is_outdated(announced.incarnation) {
+            return None;
+        }
+        let before = self.weights();
+        let statement = (announced.incarnation, announced.weights);
+        let is_repeated = self.announced.replace(statement) == Some(statement);
+        match announced.incarnation {
+            Some(incarnation) if incarnation != self.server.incarnation => {
+                self.start_incarnation(incarnation, announced.weights);
+            }
+            _ => {
+                if !is_repeated && self.weights.raise(announced.weights) {
+                    self.on_new_weights();
+                }
+            }
+        }
+        self.set_announced_change(now, announced.is_changing);
+        self.weights_change(before, WeightsSource::LeaseHolder)
+    }
+
+    /// Records whether the lease holder changes the runner's weights; repeated calls keep the first
+    /// time.
+    pub fn set_announced_change(&mut self, now: Instant, is_changing: bool) {
+        if !is_changing {
+            self.change = None;
+        } else if self.change.is_none_or(|change| !change.is_announced) {
+            self.begin_change(now, true);
+        }
     }
 
-    /// Records that the runner is changing its weights; repeated calls keep the first time.
-    pub fn begin_weight_change(&mut self, now: Instant) {
-        self.changing_since.get_or_insert(now);
+    fn begin_change(&mut self, now: Instant, is_announced: bool) {
+        self.change = Some(ChangeInProgress {
+            since: now,
+            is_announced,
+        });
     }
 
-    pub fn end_weight_change(&mut self) {
-        self.changing_since = None;
+    /// Records the weights version in the head of a response of one process of the runner.
+    ///
+    /// Returns the change of the belief about its weights, if there is one.
+    pub fn record_response_weights(&mut self, weights: WeightsVersion) -> Option<WeightsChange> {
+        let before = self.weights();
+        if self.weights.raise(weights) {
+            self.on_new_weights();
+        }
+        self.weights_change(before, WeightsSource::Response)
+    }
+
+    pub fn weights(&self) -> WeightsVersion {
+        self.weights.version()
     }
 
     pub fn is_changing_weights(&self, now: Instant) -> bool {
-        self.changing_since
-            .is_some_and(|since| now.saturating_duration_since(since) < WEIGHT_CHANGE_TIMEOUT)
+        self.change.is_some_and(|change| {
+            now.saturating_duration_since(change.since) < WEIGHT_CHANGE_TIMEOUT
+        })
     }
 
     pub fn add_request(&mut self, attempt_id: AttemptId, load: RequestLoad) {
@@ -197,6 +341,17 @@
         self.own_total
     }
 
+    /// Returns the update for peers, with the given load.
+    pub fn to_update(&self, load: HostLoad) -> ServerUpdate {
+        ServerUpdate {
+            server: self.name_hash,
+            incarnation: Some(self.server.incarnation),
+            load,
+            weights: self.weights(),
+            is_changing: None,
+        }
+    }
+
     pub fn set_peer_load(&mut self, now: Instant, source: LoadSource, load: HostLoad) {
         self.peer_loads.insert(
             source,
--- a/crates/hickoryhall-gateway/src/scheduler/updates.rs
+++ b/crates/hickoryhall-gateway/src/scheduler/updates.rs
@@ -3,59 +3,84 @@
 use std::time::Instant;
 
 use hickoryhall_routing::PrefixChain;
-use hickoryhall_types::WeightsVersion;
+use hickoryhall_types::Incarnation;
 
+use super::server::ServerState;
+use super::weights::{AnnouncedState, ReportedState, WeightsChange};
 use super::{HostLoad, LoadSource, RunnerView, Scheduler};
 use crate::interface::ResponseMeta;
-use crate::peers::PromptUpdate;
+use crate::peers::{PromptUpdate, ServerUpdate};
+use crate::registry::BackendServer;
 
 impl Scheduler {
-    /// Records the load and weights version that a response head reports for a server.
-    pub fn record_response_head(&mut self, now: Instant, id: &str, response_meta: &ResponseMeta) {
-        let Some(state) = self
-            .by_id
-            .get(id)
-            .and_then(|&key| self.servers.get_mut(key))
-        else {
-            return;
-        };
+    /// Records the load and weights version that a response head reports for a server, as its
+    /// registry entry was when the request was sent.
+    ///
+    /// Returns the change of the belief about the server's weights, if there is one.
+    pub fn record_response_head(
+        &mut self,
+        now: Instant,
+        server: &BackendServer,
+        response_meta: &ResponseMeta,
+    ) -> Option<WeightsChange> {
+        let key = self.by_id.get(&server.id)?;
+        let state = self.servers.get_mut(*key)?;
+        if !state.is_current(Some(server.incarnation)) {
+            return None;
+        }
         if let Some(load) = response_meta.load {
             state.set_reported_load(now, load);
         }
-        if let Some(weights) = response_meta.weights {
-            state.set_weights(weights);
-        }
+        state.record_response_weights(response_meta.weights?)
     }
 
-    /// Records the weights version of a runner, and whether it is changing its weights.
-    pub fn record_runner_update(
+    /// Records the state that a runner, given by the hash of its id, reported about itself.
+    ///
+    /// Returns the change of the belief about its weights, if there is one.
+    pub fn record_report(
         &mut self,
         now: Instant,
         server: u64,
-        weights: WeightsVersion,
-        is_changing: bool,
-    ) {
-        let Some(state) = self
-            .by_hash
-            .get(&server)
-            .and_then(|&key| self.servers.get_mut(key))
-        else {
-            return;
-        };
-        state.set_weights(weights);
-        if is_changing {
-            state.begin_weight_change(now);
-        } else {
-            state.end_weight_change();
+        report: &ReportedState,
+    ) -> Option<WeightsChange> {
+        self.state_mut(server)?.record_report(now, report)
+    }
+
+    /// Records the state of a runner that the lease holder announced.
+    ///
+    /// Returns the change of the belief about its weights, if there is one.
+    pub fn record_announcement(
+        &mut self,
+        now: Instant,
+        server: u64,
+        announced: &AnnouncedState,
+    ) -> Option<WeightsChange> {
+        self.state_mut(server)?.record_announcement(now, announced)
+    }
+
+    /// Records, as the lease holder, whether a runner is changing its weights.
+    pub fn set_announced_change(&mut self, now: Instant, server: u64, is_changing: bool) {
+        if let Some(state) = self.state_mut(server) {
+            state.set_announced_change(now, is_changing);
         }
     }
 
-    /// Records the load of other hosts at a server.
-    pub fn set_peer_load(&mut self, now: Instant, source: LoadSource, server: u64, load: HostLoad) {
-        if let Some(state) = self
-            .by_hash
-            .get(&server)
-            .and_then(|&key| self.servers.get_mut(key))
+    fn state_mut(&mut self, server: u64) -> Option<&mut ServerState> {
+        let key = *self.by_hash.get(&server)?;
+        self.servers.get_mut(key)
+    }
+
+    /// Records the load of other hosts at a server, unless it is that of another process.
+    pub fn set_peer_load(
+        &mut self,
+        now: Instant,
+        source: LoadSource,
+        server: u64,
+        incarnation: Option<Incarnation>,
+        load: HostLoad,
+    ) {
+        if let Some(state) = self.state_mut(server)
+            && state.is_current(incarnation)
         {
             state.set_peer_load(now, source, load);
         }
@@ -70,21 +95,18 @@
         }
     }
 
-    /// Returns the id hash, this host's load and the weights version of each server.
-    pub fn own_loads(&self) -> impl Iterator<Item = (u64, HostLoad, WeightsVersion)> {
+    /// Returns this host's load on each server.
+    pub fn own_loads(&self) -> impl Iterator<Item = ServerUpdate> {
         self.servers
             .values()
-            .map(|state| (state.name_hash, state.own_load(), state.weights()))
+            .map(|state| state.to_update(state.own_load()))
     }
 
-    /// Returns the id hash, the load of this host's group and the weights version of each server.
-    pub fn group_loads(
-        &self,
-        now: Instant,
-    ) -> impl Iterator<Item = (u64, HostLoad, WeightsVersion)> {
+    /// Returns the load of this host's group on each server.
+    pub fn group_loads(&self, now: Instant) -> impl Iterator<Item = ServerUpdate> {
         self.servers
             .values()
-            .map(move |state| (state.name_hash, state.group_load(now), state.weights()))
+            .map(move |state| state.to_update(state.group_load(now)))
     }
 
     /// Returns the servers of model services with the load of all hosts.
@@ -120,11 +142,10 @@
             return;
         }
         self.record_demand(now, &update.levels);
-        let key = self.by_hash.get(&update.server);
-        let Some(state) = key.and_then(|&key| self.servers.get_mut(key)) else {
+        let Some(state) = self.state_mut(update.server) else {
             return;
         };
-        if state.weights() == update.weights {
+        if state.weights() == update.weights && state.is_current(update.incarnation) {
             let chain = PrefixChain::from_levels(update.levels.clone());
             state.update_cache_budgets(now);
             state.expected_cache.insert(now, &chain);
--- a/crates/hickoryhall-gateway/tests/groups.rs
+++ b/crates/hickoryhall-gateway/tests/groups.rs
@@ -308,6 +308,7 @@
         servers: (0..1_000)
             .map(|index| ServerUpdate {
                 server: hash_name(&format!("runner-{index}")),
+                incarnation: Some(1),
                 load: HostLoad {
                     requests: 200,
                     pending_ms: index,
@@ -322,6 +323,7 @@
         prompts: (0..200)
             .map(|index| PromptUpdate {
                 server: number(index),
+                incarnation: Some(1),
                 weights: 300,
                 levels: vec![
                     Level {
--- a/crates/hickoryhall-gateway/tests/herd.rs
+++ b/crates/hickoryhall-gateway/tests/herd.rs
@@ -43,7 +43,7 @@
                 pending_ms,
                 ..HostLoad::default()
             };
-            scheduler.set_peer_load(now, LoadSource::Host(HOSTS), hash_name(&name), load);
+            scheduler.set_peer_load(now, LoadSource::Host(HOSTS), hash_name(&name), None, load);
         }
         let placement = scheduler.place(now, request(now, host));
         placement.is_some_and(|placed| placed.is_ok_and(|placed| &*placed.server.id == FREE))
--- a/crates/hickoryhall-gateway/tests/many_hosts.rs
+++ b/crates/hickoryhall-gateway/tests/many_hosts.rs
@@ -17,8 +17,8 @@
 use hickoryhall_gateway::peers::PromptUpdate;
 use hickoryhall_gateway::registry::RegistryEvent;
 use hickoryhall_gateway::scheduler::{
-    AttemptEnd, AttemptId, HostLoad, LoadSource, Placement, PlacementRequest, PromptInfo,
-    Scheduler, SchedulerConfig,
+    AnnouncedState, AttemptEnd, AttemptId, HostLoad, LoadSource, Placement, PlacementRequest,
+    PromptInfo, Scheduler, SchedulerConfig,
 };
 use hickoryhall_routing::{CacheEstimate, Level, PrefixChain};
 use hickoryhall_types::{hash_name, rendezvous_score};
@@ -325,7 +325,12 @@
             state.cache.clear();
             for host in &mut self.hosts {
                 let hash = hash_name(&support::runner(runner, SLOTS).id);
-                host.record_runner_update(self.now, hash, version, false);
+                let announced = AnnouncedState {
+                    incarnation: None,
+                    weights: version,
+                    is_changing: false,
+                };
+                host.record_announcement(self.now, hash, &announced);
             }
         }
     }
@@ -361,7 +366,7 @@
                 }
                 host.retain_peer_loads(source, &listed);
                 for &(server, load) in &update.loads {
-                    host.set_peer_load(self.now, source, server, load);
+                    host.set_peer_load(self.now, source, server, None, load);
                 }
                 for prompt in &update.prompts {
                     host.on_peer_prompt(self.now, prompt);
@@ -369,7 +374,7 @@
             }
         }
         let updates = self.hosts.iter_mut().map(|host| {
-            let loads = host.own_loads().map(|(server, load, _)| (server, load));
+            let loads = host.own_loads().map(|update| (update.server, update.load));
             let loads = loads.filter(|(_, load)| load.requests > 0).collect();
             HostUpdate {
                 loads,
--- a/crates/hickoryhall-gateway/tests/messages.rs
+++ b/crates/hickoryhall-gateway/tests/messages.rs
@@ -33,6 +33,7 @@
         table_revision: number(1),
         servers: vec![ServerUpdate {
             server: number(2),
+            incarnation: [None, Some(number(3))][number(4) as usize % 2],
             load: HostLoad {
                 requests: small(3),
                 pending_ms: small(4),
@@ -54,6 +55,7 @@
         }],
         prompts: vec![PromptUpdate {
             server: number(5),
+            incarnation: [None, Some(number(6))][number(7) as usize % 2],
             weights: number(6),
             levels: vec![Level {
                 key: number(7),
--- a/crates/hickoryhall-gateway/tests/scheduler.rs
+++ b/crates/hickoryhall-gateway/tests/scheduler.rs
@@ -28,8 +28,8 @@
 use hickoryhall_gateway::peers::PromptUpdate;
 use hickoryhall_gateway::registry::{BackendServer, RegistryEvent};
 use hickoryhall_gateway::scheduler::{
-    AttemptEnd, HostLoad, LoadSource, Placement, PlacementRequest, PromptInfo, Scheduler,
-    SchedulerConfig,
+    AnnouncedState, AttemptEnd, HostLoad, LoadSource, Placement, PlacementRequest, PromptInfo,
+    Scheduler, SchedulerConfig,
 };
 use hickoryhall_gateway::table::{PromptCacheStoreInfo, RouteTable, ServiceInfo};
 use hickoryhall_routing::{Level, PrefixChain};
@@ -174,7 +174,7 @@
         };
         args.reject_next()?;
         self.scheduler
-            .set_peer_load(self.now, LoadSource::Host(host), server, load);
+            .set_peer_load(self.now, LoadSource::Host(host), server, None, load);
         Ok(())
     }
 
@@ -185,6 +185,7 @@
         args.reject_next()?;
         let update = PromptUpdate {
             server,
+            incarnation: None,
             weights: 1,
             levels: parse_prompt(&prompt)?.chain.levels().to_vec(),
         };
@@ -208,8 +209,13 @@
         let version = args.next_pos().map(str::parse).transpose()?;
         args.reject_next()?;
         let is_changing = version.is_none();
+        let announced = AnnouncedState {
+            incarnation: None,
+            weights: version.unwrap_or(0),
+            is_changing,
+        };
         self.scheduler
-            .record_runner_update(self.now, server, version.unwrap_or(0), is_changing);
+            .record_announcement(self.now, server, &announced);
         Ok(())
     }
 
