Order a runner again at once when it forgot its order in a restart

A runner that restarted while it loaded new weights, or while it was drained for them, kept its old ones for 4.5 s longer than needed, of the 8 s within which a version is to be in force: the lease holder asked the new process for the effect of an order that the one before had accepted. While the change counted as in progress, no host sent the runner any work.

A weight change now belongs to the process that it began with. It is given up where the registry or a report of the runner shows another one, and planned anew with the count of orders of the new process. A runner whose report does not tell its process, and that has accepted fewer orders than it had after the order, counts as restarted too.

--- a/crates/hickoryhall-gateway/src/orders/weight_changes.rs
+++ b/crates/hickoryhall-gateway/src/orders/weight_changes.rs
@@ -6,7 +6,7 @@
 
 use futures_util::future::join_all;
 use hickoryhall_control::{DesiredVersions, OrderPlanner, PlannedOrder, RunnerStatus};
-use hickoryhall_types::{FencingNumber, TargetId, WeightsVersion, hash_name};
+use hickoryhall_types::{FencingNumber, Incarnation, TargetId, WeightsVersion, hash_name};
 use slog::{info, warn};
 use tokio::time::{sleep, timeout};
 
@@ -21,6 +21,8 @@
 const PLAN_INTERVAL: Duration = Duration::from_millis(60);
 /// Time between two report requests to a runner that is changing its weights.
 const REPORT_INTERVAL: Duration = Duration::from_millis(100);
+/// Time by which the content of a report may be older than the request for it.
+const MAX_REPORT_AGE: Duration = Duration::from_secs(1);
 /// Timeout of an order; a runner answers before it carries the order out.
 const ORDER_TIMEOUT: Duration = Duration::from_millis(300);
 /// Time within which peers learn that a runner is about to change its weights, and this host learns
@@ -102,6 +104,7 @@
         self.announce(&runner.server.id, true);
         Some(WeightChange {
             model: model.clone(),
+            incarnation: runner.server.incarnation,
             version: order.weights,
             fencing: order.fencing,
             started_at: Instant::now(),
@@ -117,6 +120,9 @@
         change: WeightChange,
         planner: &RefCell<OrderPlanner>,
     ) -> Option<WeightChange> {
+        if runner.server.incarnation != change.incarnation {
+            return self.give_up_after_restart(runner, &change, planner);
+        }
         match change.stage {
             Stage::Draining if !change.is_drained(runner) => Some(change),
             Stage::Draining => self.issue_order(runner, change, planner).await,
@@ -125,6 +131,26 @@
         }
     }
 
+    /// Ends a weight change at a runner that started again, so that it is planned anew: the order
+    /// went to the process before.
+    fn give_up_after_restart(
+        &self,
+        runner: &RunnerView,
+        change: &WeightChange,
+        planner: &RefCell<OrderPlanner>,
+    ) -> Option<WeightChange> {
+        let id = &runner.server.id;
+        info!(
+            self.logger, "orders: Weight change given up, its runner started again.";
+            "server" => &**id, "incarnation" => runner.server.incarnation,
+            "before" => change.incarnation, "wanted" => change.version,
+            "took_ms" => change.started_at.elapsed().as_millis()
+        );
+        self.announce(id, false);
+        planner.borrow_mut().remove_pending(id);
+        None
+    }
+
     /// Sends the order unless the runner already has the weights or the lease may expire.
     async fn issue_order(
         &self,
@@ -139,6 +165,9 @@
             planner.borrow_mut().remove_pending(&server.id);
             return None;
         };
+        if report.is_of_other_process(change.incarnation) {
+            return self.give_up_after_restart(runner, &change, planner);
+        }
         let weights = report.weights(&change.model);
         if weights >= change.version {
             self.announce(&server.id, false);
@@ -181,6 +210,8 @@
                 sent_at: now,
                 next_report: now + wait.max(REPORT_INTERVAL),
                 is_accepted,
+                min_orders: order.expected_orders
+                    + u64::from(outcome == Ok(OrderOutcome::Accepted)),
                 waits_for_requests: mode == SwitchMode::Wait && runner.load.requests > 0,
             }),
             ..change
@@ -219,7 +250,14 @@
         order: SentOrder,
         planner: &RefCell<OrderPlanner>,
     ) -> Option<WeightChange> {
+        let requested_at = Instant::now();
         let report = self.fetch_report(&runner.server, &change.model).await;
+        let is_restarted = report.as_ref().is_some_and(|report| {
+            report.is_of_other_process(change.incarnation) || order.is_lost(requested_at, report)
+        });
+        if is_restarted {
+            return self.give_up_after_restart(runner, &change, planner);
+        }
         let weights = report
             .as_ref()
             .map_or(runner.weights, |report| report.weights(&change.model));
@@ -308,6 +346,8 @@
 #[derive(Clone)]
 struct WeightChange {
     model: TargetId,
+    /// Process of the runner when the change began.
+    incarnation: Incarnation,
     version: WeightsVersion,
     fencing: FencingNumber,
     started_at: Instant,
@@ -331,6 +371,8 @@
     next_report: Instant,
     /// Whether the runner accepted the order.
     is_accepted: bool,
+    /// Number of orders that the process has accepted since, at least.
+    min_orders: u64,
     /// Whether the runner completes requests before it loads.
     waits_for_requests: bool,
 }
@@ -344,7 +386,22 @@
     }
 }
 
+impl SentOrder {
+    /// Returns whether the runner accepted the order and no longer knows of it, which only a
+    /// restart can cause.
+    fn is_lost(&self, requested_at: Instant, report: &RunnerReport) -> bool {
+        let is_up_to_date = requested_at.saturating_duration_since(self.sent_at) >= MAX_REPORT_AGE;
+        self.is_accepted && is_up_to_date && report.orders_accepted < self.min_orders
+    }
+}
+
 impl RunnerReport {
+    /// Returns whether the report is known to come from another process of the runner.
+    #[must_use]
+    pub fn is_of_other_process(&self, incarnation: Incarnation) -> bool {
+        self.incarnation.is_some_and(|other| other != incarnation)
+    }
+
     /// Returns the version of a model's weights, 0 if the runner does not have the model.
     #[must_use]
     pub fn weights(&self, model: &str) -> WeightsVersion {
