Give the lease for orders back when its holder stops

A host that stopped kept ordering until its process ended and left its lease to expire. No runner got an order for up to 1.8 s of lease, 0.3 s of delay and 3 s of handover after that, and runners that it was draining then took no work until the belief that they were changing timed out. With hosts restarted one after the other, each restart of a lease holder cost most of the 8 s within which a version is to be in force.

The task of orders now learns that the host stops. It begins no more weight changes, sends the orders of those runners that it is draining already, and ends the lease; the next holder waits for its handover from then on, while the first host still answers its last requests. A stopping host no longer takes a free lease.

Before the change the test with two real hosts failed; its store lets no lease expire: panicked at platform/tests/support/mod.rs:48:9: timed out after 30s waiting for the next lease holder

--- a/crates/hickoryhall-gateway/src/host.rs
+++ b/crates/hickoryhall-gateway/src/host.rs
@@ -147,6 +147,7 @@
             platform,
             core.clone(),
             peers,
+            stopping.clone(),
             part("orders"),
         );
         spawn_local(async move { orders.run().await });
--- a/crates/hickoryhall-gateway/src/orders.rs
+++ b/crates/hickoryhall-gateway/src/orders.rs
@@ -4,7 +4,8 @@
 //! orders only while the lease is certainly valid, by a clock that keeps counting while the host is
 //! suspended; a new lease holder first waits until all orders of its predecessor have arrived. Each
 //! order names the number of orders that the runner must have accepted before it, so that a late
-//! order has no effect.
+//! order has no effect. A host that stops gives the lease back, so that its successor need not wait
+//! for the expiry.
 
 mod clock;
 mod weight_changes;
@@ -20,6 +21,7 @@
 use hickoryhall_types::hash_name;
 use rand::RngExt;
 use slog::{Logger, info, warn};
+use tokio::sync::watch;
 use tokio::time::sleep;
 
 use clock::SuspendAwareClock;
@@ -72,6 +74,8 @@
     clock: SuspendAwareClock,
     /// Kept while another host holds the lease.
     load_times: RefCell<LoadTimes>,
+    /// Whether the host stops.
+    stopping: watch::Receiver<bool>,
     logger: Logger,
 }
 
@@ -93,6 +97,7 @@
         platform: Rc<P>,
         core: CoreHandle,
         peers: Rc<Peers<P>>,
+        stopping: watch::Receiver<bool>,
         logger: Logger,
     ) -> Self {
         Self {
@@ -102,13 +107,14 @@
             peers,
             clock: SuspendAwareClock::new(),
             load_times: RefCell::default(),
+            stopping,
             logger,
         }
     }
 
-    /// Competes for the lease and gives orders while holding it, until the task is dropped.
+    /// Competes for the lease and gives orders while holding it, until the host stops.
     pub async fn run(&self) {
-        loop {
+        while !self.is_stopping() {
             if !self.is_candidate() {
                 sleep(CANDIDATE_CHECK_INTERVAL).await;
                 continue;
@@ -127,6 +133,17 @@
         }
     }
 
+    fn is_stopping(&self) -> bool {
+        *self.stopping.borrow()
+    }
+
+    /// Waits until the host stops.
+    async fn stopped(&self) {
+        let mut stopping = self.stopping.clone();
+        // Without a sender, the host has ended already.
+        let _ = stopping.wait_for(|is_stopping| *is_stopping).await;
+    }
+
     /// Returns whether this host is among the live hosts that compete for the lease.
     fn is_candidate(&self) -> bool {
         let duty = hash_name(LEASE_KEY);
@@ -141,7 +158,10 @@
             LeaseKeyState::Free => 0,
             LeaseKeyState::Own(revision) => revision,
             LeaseKeyState::Held(revision) => {
-                self.wait_until_free(revision).await?;
+                tokio::select! {
+                    freed = self.wait_until_free(revision) => freed?,
+                    () = self.stopped() => return Ok(None),
+                }
                 0
             }
         };
@@ -192,7 +212,8 @@
         }
     }
 
-    /// Renews the lease and gives orders until the lease is lost.
+    /// Renews the lease and gives orders until the lease is lost, or given back because the host
+    /// stops.
     async fn hold(&self, acquired: AcquiredLease) {
         info!(self.logger, "orders: Lease acquired."; "fencing" => acquired.fencing);
         let mut planner = OrderPlanner::new(OrderConfig {
@@ -208,10 +229,14 @@
         planner.on_acquired(acquired.requested_at, acquired.fencing);
         let planner = RefCell::new(planner);
         tokio::select! {
-            () = self.renew(acquired.lease, &planner) => {}
-            () = self.issue_orders(&planner) => {}
+            () = self.renew(acquired.lease, &planner) => {
+                warn!(self.logger, "orders: Lease lost."; "fencing" => acquired.fencing);
+            }
+            () = self.issue_orders(&planner) => {
+                let ended = self.platform.end_lease(acquired.lease).await;
+                info!(self.logger, "orders: Lease given back, the host stops."; "fencing" => acquired.fencing, "outcome" => ?ended);
+            }
         }
-        warn!(self.logger, "orders: Lease lost."; "fencing" => acquired.fencing);
     }
 
     /// Renews the lease until it is lost.
--- a/crates/hickoryhall-gateway/src/orders/weight_changes.rs
+++ b/crates/hickoryhall-gateway/src/orders/weight_changes.rs
@@ -47,7 +47,8 @@
 const BUSY_PENDING_MS: f64 = 60.0;
 
 impl<P: Platform> OrderTask<P> {
-    /// Plans and carries out weight changes until the task is dropped.
+    /// Plans and carries out weight changes until the host stops and all runners that are being
+    /// drained have their orders.
     pub(super) async fn issue_orders(&self, planner: &RefCell<OrderPlanner>) {
         let mut changes = HashMap::<ServerId, WeightChange>::new();
         loop {
@@ -69,6 +70,12 @@
                     changes.insert(runner.server.id.clone(), change);
                 }
             }
+            if self.is_stopping() {
+                if changes.values().any(WeightChange::is_draining) {
+                    continue;
+                }
+                return;
+            }
 
             let runners = self.core.with(|core, now| core.runners(now));
             planner
@@ -378,6 +385,10 @@
 }
 
 impl WeightChange {
+    fn is_draining(&self) -> bool {
+        matches!(self.stage, Stage::Draining)
+    }
+
     /// Returns whether the order may be sent: the runner is drained, or draining took too long.
     fn is_drained(&self, runner: &RunnerView) -> bool {
         let age = self.started_at.elapsed();
