--- a/crates/hickoryhall-gateway/src/exchange/attempt.rs
+++ b/crates/hickoryhall-gateway/src/exchange/attempt.rs
@@ -151,7 +151,7 @@
             is_sealed: response_meta.is_sealed,
             is_kept,
         });
-        let server = &assignment.server.id;
+        let server = &assignment.server;
         self.gateway
             .core
             .with(|core, now| core.on_response_head(now, server, &response_meta));
