Read everything again when the store comes back from an older copy

A store that comes back from a copy some seconds old gives revisions out again and states its era in each answer (`Store-Era`). Hosts took revisions for comparable forever: a watch was continued from a revision of before the restore as soon as the store had reached it again, so a table written below that revision never came into force. A host that had read the older copy passed its records on, so a host that started meanwhile stayed on the older table although all others had the newer one in force.

All calls go through one `StoreClient`: the first answer of a newer era, or a digest of a peer that has seen one, ends every watch of an older era, late answers of an older era are dropped, and all records are read again. No call is made with a revision of an older era. An answer without the header is of era 0, so stores without eras work as before. Additions to messages between hosts are new optional fields.

Operators' records are kept by their own version: the newest that was ever read stays in force and is what peers get, whichever position it was read at.

Leases are left to lapse instead of being ended, because the id may name another lease after a restore.

--- a/crates/hickoryhall-gateway/src/feeds.rs
+++ b/crates/hickoryhall-gateway/src/feeds.rs
@@ -3,10 +3,10 @@
 //!
 //! In a large fleet only some hosts read the registry; see [`relay`].
 
+pub mod records;
 pub mod relay;
 
 use std::cell::{Cell, RefCell};
-use std::collections::BTreeMap;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
@@ -15,10 +15,11 @@
 use tokio::time::sleep;
 
 use crate::core::CoreHandle;
-use crate::interface::{
-    OperatorRecord, Platform, StoreChange, StoreError, StoreItem, StoreRevision, WithRevision,
-};
+use crate::interface::{OperatorRecord, Platform, StoreChange, StoreEra, StoreError, StoreItem};
 use crate::peers::{StoreRecords, StoreSnapshot};
+use crate::store_client::{StoreClient, WithPosition};
+use crate::store_position::StorePosition;
+use records::{OperatorRecords, RegistryRecords};
 use relay::{RegistryRelay, RegistryRole, RelayLog, RelayMonitor};
 
 /// Longest time for which one watch waits for changes; keep-alive probes detect dead connections
@@ -38,6 +39,10 @@
 /// at most two seconds.
 const REGISTRY_PAUSE_RANGE: std::ops::RangeInclusive<Duration> =
     Duration::from_millis(400)..=Duration::from_millis(1_200);
+/// Longest delay before all records are read again in a newer era, per host of the fleet and in
+/// total.
+const RELIST_DELAY_PER_HOST: Duration = Duration::from_millis(2);
+const MAX_RELIST_DELAY: Duration = Duration::from_secs(1);
 /// Pause after the first failed call to the store.
 const FIRST_RETRY_PAUSE: Duration = Duration::from_millis(100);
 /// Longest pause between two calls while the store fails: changes must be in force within two
@@ -62,38 +67,13 @@
     }
 }
 
-/// Unparsed records by key, as of a store revision; the revision is 0 until any were read.
-#[derive(Debug, Default)]
-struct CachedRecords {
-    revision: StoreRevision,
-    items: BTreeMap<String, StoreItem>,
-}
-
-impl From<&CachedRecords> for StoreRecords {
-    fn from(cached: &CachedRecords) -> Self {
-        Self {
-            revision: cached.revision,
-            items: cached.items.values().cloned().collect(),
-        }
-    }
-}
-
-impl From<StoreRecords> for CachedRecords {
-    fn from(records: StoreRecords) -> Self {
-        let items = records.items.into_iter();
-        Self {
-            revision: records.revision,
-            items: items.map(|item| (item.key.clone(), item)).collect(),
-        }
-    }
-}
-
 /// Holds the records that this host has read, keeps them up to date and applies them to the core.
 pub struct Feeds<P> {
     platform: Rc<P>,
+    store: Rc<StoreClient<P>>,
     core: CoreHandle,
-    operator: RefCell<CachedRecords>,
-    registry: RefCell<CachedRecords>,
+    operator: RefCell<OperatorRecords>,
+    registry: RefCell<RegistryRecords>,
     role: Cell<RegistryRole>,
     relay_log: RefCell<RelayLog>,
     relay_monitor: RefCell<RelayMonitor>,
@@ -103,9 +83,15 @@
 impl<P: Platform> Feeds<P> {
     /// Creates feeds without any records.
     #[must_use]
-    pub fn new(platform: Rc<P>, core: CoreHandle, logger: Logger) -> Self {
+    pub fn new(
+        platform: Rc<P>,
+        store: Rc<StoreClient<P>>,
+        core: CoreHandle,
+        logger: Logger,
+    ) -> Self {
         Self {
             platform,
+            store,
             core,
             operator: RefCell::default(),
             registry: RefCell::default(),
@@ -120,21 +106,32 @@
     #[must_use]
     pub fn snapshot(&self) -> StoreSnapshot {
         StoreSnapshot {
-            operator: StoreRecords::from(&*self.operator.borrow()),
-            registry: StoreRecords::from(&*self.registry.borrow()),
+            operator: self.operator.borrow().snapshot(),
+            registry: self.registry.borrow().snapshot(),
         }
     }
 
-    /// Applies the records of a peer that are newer than this host's.
+    /// Applies the records of a peer that are newer than this host's. Operators' records are
+    /// compared by their own versions, because a peer may have newer ones than the store after it
+    /// came back from an older copy.
     pub fn apply_snapshot(&self, snapshot: StoreSnapshot) {
-        self.apply_newer(FeedKind::Operator, snapshot.operator);
-        self.apply_newer(FeedKind::Registry, snapshot.registry);
+        let (operator, registry) = (snapshot.operator, snapshot.registry);
+        self.observe_peer_era(operator.position.era.max(registry.position.era));
+        self.apply_list(FeedKind::Operator, operator);
+        if registry.position > self.position(FeedKind::Registry) {
+            self.apply_list(FeedKind::Registry, registry);
+        }
     }
 
-    fn apply_newer(&self, kind: FeedKind, records: StoreRecords) {
-        if records.revision > self.cached(kind).borrow().revision {
-            self.apply_list(kind, records);
-        }
+    /// Returns the newest era of the store that this host knows, for its peers.
+    #[must_use]
+    pub fn store_era(&self) -> StoreEra {
+        self.store.era()
+    }
+
+    /// Records the era that a peer has observed; a newer one makes this host read all records again.
+    pub fn observe_peer_era(&self, era: StoreEra) {
+        self.store.observe_peer_era(era);
     }
 
     /// Sets how this host gets changes of the registry.
@@ -153,15 +150,17 @@
 
     /// Applies the changes of the registry that a reader of this host's group passes on.
     pub fn on_registry_relay(&self, now: Instant, relay: &RegistryRelay) {
-        let known = self.registry.borrow().revision;
-        if known == 0 {
+        self.observe_peer_era(relay.era);
+        let known = self.registry.borrow().position();
+        if known.is_unread() || relay.era < known.era {
             return;
         }
         let changes = self.relay_monitor.borrow_mut().on_relay(now, known, relay);
         let Some(changes) = changes else {
             info!(
                 self.logger, "feeds: Changes of the registry are missing in a relay. The store is read.";
-                "known" => known, "after" => relay.after
+                "known" => known.revision, "after" => relay.after,
+                "era" => known.era, "relay_era" => relay.era
             );
             return;
         };
@@ -172,7 +171,7 @@
         for change in changes {
             self.apply_change(FeedKind::Registry, change);
         }
-        self.advance_revision(FeedKind::Registry, relay.until);
+        self.advance(FeedKind::Registry, relay.position());
     }
 
     /// Returns whether other hosts keep this host's registry up to date.
@@ -187,28 +186,48 @@
         }
     }
 
-    /// Reads and watches one set of records until the task is dropped.
+    /// Reads and watches one set of records until the task is dropped. In a newer era of the store
+    /// all records are read again.
     pub async fn follow(&self, kind: FeedKind) {
         let mut link = LinkState::new(kind, self.logger.clone());
         loop {
-            let listed = self.platform.range(prefix::<P>(kind)).await;
-            let Some(WithRevision { content, revision }) =
+            let listed = self.store.range(prefix::<P>(kind)).await;
+            if matches!(listed, Err(StoreError::EraChanged)) {
+                continue;
+            }
+            let Some(WithPosition { content, position }) =
                 self.track_result(&mut link, listed).await
             else {
                 continue;
             };
             let items = content;
-            self.apply_list(kind, StoreRecords { revision, items });
-            self.watch(&mut link, revision).await;
+            self.apply_list(kind, StoreRecords { position, items });
+            tokio::select! {
+                biased;
+                () = self.store.wait_for_newer_era(position.era) => {
+                    sleep(self.relist_delay()).await;
+                }
+                () = self.watch(&mut link, position) => {}
+            }
         }
     }
 
-    /// Applies the changes after a revision until the store no longer has the history since then.
-    async fn watch(&self, link: &mut LinkState, mut after: StoreRevision) {
+    /// Returns the delay before all records are read again: the hosts of a large fleet learn of a
+    /// newer era at the same time.
+    fn relist_delay(&self) -> Duration {
+        let hosts = self.core.with(crate::core::Core::host_count);
+        let longest = RELIST_DELAY_PER_HOST * u32::try_from(hosts).unwrap_or(u32::MAX);
+        longest
+            .min(MAX_RELIST_DELAY)
+            .mul_f64(rand::rng().random_range(0.0..1.0))
+    }
+
+    /// Applies the changes after a position until the store no longer has the history since then.
+    async fn watch(&self, link: &mut LinkState, mut after: StorePosition) {
         let prefix = prefix::<P>(link.kind);
         loop {
             self.wait_while_relayed(link.kind).await;
-            after = after.max(self.cached(link.kind).borrow().revision);
+            after = after.max(self.position(link.kind));
             let is_reader =
                 link.kind == FeedKind::Registry && self.role.get() == RegistryRole::Reader;
             let wait = if is_reader {
@@ -216,11 +235,14 @@
             } else {
                 WATCH_TIMEOUT
             };
-            let watched = self.platform.watch(prefix, after, wait).await;
+            let watched = self.store.watch(prefix, after, wait).await;
+            if let Err(StoreError::EraChanged) = watched {
+                return;
+            }
             if let Err(StoreError::Compacted) = watched {
                 info!(
                     self.logger, "feeds: Store compacted its history. All records are read again.";
-                    "source" => link.kind.name(), "after" => after
+                    "source" => link.kind.name(), "after" => after.revision
                 );
                 return;
             }
@@ -228,15 +250,16 @@
                 continue;
             };
             let is_changed = !changes.content.is_empty();
-            after = after.max(changes.revision);
+            after = after.max(changes.position);
             if link.kind == FeedKind::Registry {
                 let mut log = self.relay_log.borrow_mut();
-                log.record_changes(Instant::now(), after, changes.content.iter().cloned());
+                let content = changes.content.iter().cloned();
+                log.record_changes(Instant::now(), after.revision, content);
             }
             for change in changes.content {
                 self.apply_change(link.kind, change);
             }
-            self.advance_revision(link.kind, after);
+            self.advance(link.kind, after);
             if is_changed && is_reader {
                 sleep(READER_PAUSE).await;
             } else if is_changed && link.kind == FeedKind::Registry {
@@ -252,9 +275,18 @@
         pause.clamp(*REGISTRY_PAUSE_RANGE.start(), *REGISTRY_PAUSE_RANGE.end())
     }
 
-    fn advance_revision(&self, kind: FeedKind, revision: StoreRevision) {
-        let mut cached = self.cached(kind).borrow_mut();
-        cached.revision = cached.revision.max(revision);
+    fn position(&self, kind: FeedKind) -> StorePosition {
+        match kind {
+            FeedKind::Operator => self.operator.borrow().position(),
+            FeedKind::Registry => self.registry.borrow().position(),
+        }
+    }
+
+    fn advance(&self, kind: FeedKind, position: StorePosition) {
+        match kind {
+            FeedKind::Operator => self.operator.borrow_mut().advance(position),
+            FeedKind::Registry => self.registry.borrow_mut().advance(position),
+        }
     }
 
     /// Records whether a call to the store succeeded and returns its value; after a failure, pauses
@@ -287,13 +319,24 @@
         }
     }
 
-    /// Replaces all records of one kind.
+    /// Applies all records of one kind, as of a position of the store.
     fn apply_list(&self, kind: FeedKind, records: StoreRecords) {
+        let before = self.position(kind);
+        if before.era != records.position.era && !before.is_unread() {
+            info!(
+                self.logger, "feeds: Records of another era of the store read.";
+                "source" => kind.name(), "records" => records.items.len(),
+                "era" => records.position.era, "revision" => records.position.revision,
+                "era_before" => before.era, "revision_before" => before.revision
+            );
+        }
         match kind {
-            FeedKind::Operator => records
-                .items
-                .iter()
-                .for_each(|item| self.apply_operator_record(item)),
+            FeedKind::Operator => {
+                for item in &records.items {
+                    self.apply_operator_record(item);
+                }
+                self.advance(kind, records.position);
+            }
             FeedKind::Registry => {
                 let servers = records
                     .items
@@ -302,10 +345,12 @@
                 let servers = servers.collect();
                 self.core
                     .with(|core, now| core.on_registry_list(now, servers));
-                self.relay_log.borrow_mut().record_list(records.revision);
+                self.relay_log
+                    .borrow_mut()
+                    .record_list(Instant::now(), records.position);
+                self.registry.borrow_mut().replace(records);
             }
         }
-        *self.cached(kind).borrow_mut() = CachedRecords::from(records);
     }
 
     fn apply_change(&self, kind: FeedKind, change: StoreChange) {
@@ -317,39 +362,41 @@
                 if let Some(server) = self.parse_server(item) {
                     self.core.with(|core, _| core.on_registry_entry(server));
                 }
+                self.registry.borrow_mut().apply(change);
             }
             (FeedKind::Registry, StoreChange::Removed { key, .. }) => {
                 let id = self.platform.server_id(key);
                 self.core
                     .with(|core, now| core.on_registry_removed(now, id));
+                self.registry.borrow_mut().apply(change);
             }
         }
-        let mut cached = self.cached(kind).borrow_mut();
-        match change {
-            StoreChange::Put(item) => drop(cached.items.insert(item.key.clone(), item)),
-            StoreChange::Removed { key, .. } => drop(cached.items.remove(&key)),
-        }
     }
 
-    /// Applies a record of the operators.
+    /// Applies a record of the operators, unless a newer one is in force.
     fn apply_operator_record(&self, item: &StoreItem) {
-        match self.platform.operator_record(item) {
+        let version = match self.platform.operator_record(item) {
             Ok(Some(OperatorRecord::Table(table))) => {
+                let revision = table.revision();
                 self.core.with(|core, _| core.set_table(*table));
+                revision
             }
             Ok(Some(OperatorRecord::DesiredVersion { model, version })) => {
                 self.core.with(|core, now| {
                     core.set_desired_version(now, model, version, Duration::ZERO);
                 });
+                version
             }
-            Ok(None) => {}
+            Ok(None) => return,
             Err(error) => {
                 warn!(
                     self.logger, "feeds: Operator record skipped.";
                     "error" => %error, "revision" => item.revision
                 );
+                return;
             }
-        }
+        };
+        self.operator.borrow_mut().record(version, item);
     }
 
     /// Reads a registry entry; logs one that cannot be used and returns `None`.
@@ -365,13 +412,6 @@
             }
         }
     }
-
-    fn cached(&self, kind: FeedKind) -> &RefCell<CachedRecords> {
-        match kind {
-            FeedKind::Operator => &self.operator,
-            FeedKind::Registry => &self.registry,
-        }
-    }
 }
 
 fn prefix<P: Platform>(kind: FeedKind) -> &'static str {
--- /dev/null
+++ b/crates/hickoryhall-gateway/src/feeds/records.rs
@@ -0,0 +1,92 @@
+//! Records of the store as a host keeps them, for itself and for peers that cannot read the store.
+
+use std::collections::BTreeMap;
+
+use crate::interface::{StoreChange, StoreItem};
+use crate::peers::StoreRecords;
+use crate::store_position::StorePosition;
+
+/// Unparsed registry entries by key, as of a position of the store; the position is 0 until any
+/// were read.
+#[derive(Debug, Default)]
+pub struct RegistryRecords {
+    position: StorePosition,
+    items: BTreeMap<String, StoreItem>,
+}
+
+impl RegistryRecords {
+    /// Returns the position up to which the records are complete.
+    #[must_use]
+    pub fn position(&self) -> StorePosition {
+        self.position
+    }
+
+    /// Records that no change up to a position is missing.
+    pub fn advance(&mut self, position: StorePosition) {
+        self.position = self.position.max(position);
+    }
+
+    /// Replaces all records, also by those of a lower position.
+    pub fn replace(&mut self, records: StoreRecords) {
+        let items = records.items.into_iter();
+        self.position = records.position;
+        self.items = items.map(|item| (item.key.clone(), item)).collect();
+    }
+
+    /// Applies one change.
+    pub fn apply(&mut self, change: StoreChange) {
+        match change {
+            StoreChange::Put(item) => drop(self.items.insert(item.key.clone(), item)),
+            StoreChange::Removed { key, .. } => drop(self.items.remove(&key)),
+        }
+    }
+
+    /// Returns all records.
+    #[must_use]
+    pub fn snapshot(&self) -> StoreRecords {
+        StoreRecords {
+            position: self.position,
+            items: self.items.values().cloned().collect(),
+        }
+    }
+}
+
+/// Operators' records that are in force, by key: of each, the one with the highest version that was
+/// ever read. An older copy of the store, and the removal of a record, leave them as they are.
+#[derive(Debug, Default)]
+pub struct OperatorRecords {
+    position: StorePosition,
+    newest: BTreeMap<String, (u64, StoreItem)>,
+}
+
+impl OperatorRecords {
+    /// Returns the position up to which the records are complete.
+    #[must_use]
+    pub fn position(&self) -> StorePosition {
+        self.position
+    }
+
+    /// Records that no change up to a position is missing.
+    pub fn advance(&mut self, position: StorePosition) {
+        self.position = self.position.max(position);
+    }
+
+    /// Keeps a record with its version, unless the known one is as new or newer.
+    pub fn record(&mut self, version: u64, item: &StoreItem) {
+        let known = self.newest.get(&item.key);
+        if known.is_none_or(|(known, _)| version > *known) {
+            self.newest
+                .insert(item.key.clone(), (version, item.clone()));
+        }
+    }
+
+    /// Returns all records.
+    #[must_use]
+    pub fn snapshot(&self) -> StoreRecords {
+        let items = self.newest.values().map(|(_, item)| item.clone());
+        StoreRecords {
+            position: self.position,
+            items: items.collect(),
+        }
+    }
+}
--- a/crates/hickoryhall-gateway/src/feeds/relay.rs
+++ b/crates/hickoryhall-gateway/src/feeds/relay.rs
@@ -8,7 +8,8 @@
 use std::collections::VecDeque;
 use std::time::{Duration, Instant};
 
-use crate::interface::{StoreChange, StoreRevision};
+use crate::interface::{StoreChange, StoreEra, StoreRevision};
+use crate::store_position::StorePosition;
 
 /// Time for which a change is repeated in digests, because some of them are lost.
 const REPEAT_FOR: Duration = Duration::from_millis(600);
@@ -37,6 +38,8 @@
 /// Changes of the registry between two revisions of the store.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct RegistryRelay {
+    /// Era of the store that the revisions belong to.
+    pub era: StoreEra,
     /// Revision after which no change is missing.
     pub after: StoreRevision,
     /// Revision up to which no change is missing.
@@ -45,9 +48,21 @@
     pub changes: Vec<StoreChange>,
 }
 
+impl RegistryRelay {
+    /// Returns the position up to which no change is missing.
+    #[must_use]
+    pub fn position(&self) -> StorePosition {
+        StorePosition {
+            era: self.era,
+            revision: self.until,
+        }
+    }
+}
+
 /// Recent changes of the registry at a reader.
 #[derive(Debug, Default)]
 pub struct RelayLog {
+    era: StoreEra,
     after: StoreRevision,
     until: StoreRevision,
     changes: VecDeque<(Instant, StoreChange)>,
@@ -58,11 +73,16 @@
 }
 
 impl RelayLog {
-    /// Records that the whole registry was read as of a revision.
-    pub fn record_list(&mut self, revision: StoreRevision) {
+    /// Records that the whole registry was read as of a position. A newer era than before counts
+    /// as an outage, although the store may have been back before the next call.
+    pub fn record_list(&mut self, now: Instant, position: StorePosition) {
+        if position.era > self.era && self.until > 0 {
+            self.silent_until = Some(now + OUTAGE_SETTLING);
+        }
         self.changes.clear();
-        self.after = revision;
-        self.until = revision;
+        self.era = position.era;
+        self.after = position.revision;
+        self.until = position.revision;
     }
 
     /// Records the changes after the last revision up to `until`.
@@ -99,6 +119,7 @@
             return None;
         }
         Some(RegistryRelay {
+            era: self.era,
             after: self.after,
             until: self.until,
             changes: self
@@ -131,20 +152,25 @@
 
 impl RelayMonitor {
     /// Returns the changes of a relay that are new to a host whose records are complete up to
-    /// `known`; `None` if changes before them are missing.
+    /// `known`; `None` if changes before them are missing, or the relay is of another era.
     pub fn on_relay(
         &mut self,
         now: Instant,
-        known: StoreRevision,
+        known: StorePosition,
         relay: &RegistryRelay,
     ) -> Option<Vec<StoreChange>> {
-        if relay.after > known {
+        // A reader that is still in an older era does not keep this host's records up to date, and
+        // does not speak against one that does.
+        if relay.era < known.era {
+            return None;
+        }
+        if relay.era > known.era || relay.after > known.revision {
             self.heard_at = None;
             return None;
         }
         self.heard_at = Some(now);
         let changes = relay.changes.iter();
-        let changes = changes.filter(|change| change.revision() > known);
+        let changes = changes.filter(|change| change.revision() > known.revision);
         Some(changes.cloned().collect())
     }
 
--- a/crates/hickoryhall-gateway/src/host.rs
+++ b/crates/hickoryhall-gateway/src/host.rs
@@ -31,6 +31,7 @@
 use crate::peers::{LocalHost, Peers, PeersConfig};
 use crate::scheduler::SchedulerConfig;
 use crate::settings::{Settings, SettingsError};
+use crate::store_client::StoreClient;
 
 /// Time for which a stopping host still accepts requests: the load balancer stops sending
 /// connections only after two failed readiness checks, one second apart.
@@ -124,7 +125,13 @@
         let platform = Rc::new(platform);
         let part = |name: &'static str| logger.new(o!("part" => name));
         let core = CoreHandle::start(core_config(settings), part("core"));
-        let feeds = Feeds::new(Rc::clone(&platform), core.clone(), part("feeds"));
+        let store = Rc::new(StoreClient::new(Rc::clone(&platform), part("store")));
+        let feeds = Feeds::new(
+            Rc::clone(&platform),
+            Rc::clone(&store),
+            core.clone(),
+            part("feeds"),
+        );
         let feeds = Rc::new(feeds);
         let callers = listen("callers", settings.callers).await?;
         let readiness = listen("readiness", settings.readiness).await?;
@@ -145,6 +152,7 @@
         let orders = OrderTask::new(
             order_task_config(settings),
             platform,
+            store,
             core.clone(),
             peers,
             part("orders"),
--- a/crates/hickoryhall-gateway/src/interface.rs
+++ b/crates/hickoryhall-gateway/src/interface.rs
@@ -167,7 +167,10 @@
     fn error_response(&self, request_id: Option<&str>, failure: &LocalFailure) -> Response<Bytes>;
 }
 
-/// Revision of the store, which grows with each change.
+/// Number of times that the store came back from an older copy of its contents; 0 for a store that
+/// has none.
+pub type StoreEra = u64;
+/// Revision of the store, which grows with each change within an era.
 pub type StoreRevision = u64;
 /// Id of a lease that the store granted.
 pub type LeaseId = u64;
@@ -217,6 +220,15 @@
     pub revision: StoreRevision,
 }
 
+/// Result of a call to the store, with the era that the store answered in.
+#[derive(Debug)]
+pub struct StoreAnswer<T> {
+    /// Era that the response states, 0 if it states none; `None` if no response arrived.
+    pub era: Option<StoreEra>,
+    /// Result of the call.
+    pub result: Result<T, StoreError>,
+}
+
 /// A write that happens only if the key is at an expected revision.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct ConditionalPut {
@@ -245,6 +257,13 @@
     /// The store refused the call; nothing was changed.
     #[error("the store refused the call with status {0}")]
     Refused(StatusCode),
+    /// The store answered in a newer era than the one that the call belongs to: what the caller
+    /// knows of revisions and leases no longer holds. A write may have been carried out.
+    #[error("the store is in a newer era")]
+    EraChanged,
+    /// A response of an older era arrived late; a write may have been carried out.
+    #[error("the response is from an older era of the store")]
+    OlderEra,
     /// No response arrived; a write may have been carried out.
     #[error("no response from the store: {0}")]
     NoAnswer(String),
@@ -254,12 +273,14 @@
 }
 
 /// Calls to the store, which holds the operators' records, the registry and leases.
+///
+/// Implementations report the era of each response, also of one with an error status.
 pub trait Store {
     /// Returns all items under a prefix.
     fn range(
         &self,
         prefix: &str,
-    ) -> impl Future<Output = Result<WithRevision<Vec<StoreItem>>, StoreError>>;
+    ) -> impl Future<Output = StoreAnswer<WithRevision<Vec<StoreItem>>>>;
 
     /// Returns the changes under a prefix after a revision; waits for the first one at most for
     /// `wait` and returns none if none occurs.
@@ -268,22 +289,16 @@
         prefix: &str,
         after: StoreRevision,
         wait: Duration,
-    ) -> impl Future<Output = Result<WithRevision<Vec<StoreChange>>, StoreError>>;
+    ) -> impl Future<Output = StoreAnswer<WithRevision<Vec<StoreChange>>>>;
 
     /// Writes an item if its key is at the expected revision and returns its new revision.
-    fn put_if(
-        &self,
-        put: &ConditionalPut,
-    ) -> impl Future<Output = Result<StoreRevision, StoreError>>;
+    fn put_if(&self, put: &ConditionalPut) -> impl Future<Output = StoreAnswer<StoreRevision>>;
 
     /// Requests a lease, which lapses unless it is renewed within `ttl`.
-    fn grant(&self, ttl: Duration) -> impl Future<Output = Result<LeaseId, StoreError>>;
+    fn grant(&self, ttl: Duration) -> impl Future<Output = StoreAnswer<LeaseId>>;
 
     /// Renews a lease for another period of the `ttl` that it was granted for.
-    fn renew(&self, lease: LeaseId) -> impl Future<Output = Result<(), StoreError>>;
-
-    /// Ends a lease, which removes its items.
-    fn end_lease(&self, lease: LeaseId) -> impl Future<Output = Result<(), StoreError>>;
+    fn renew(&self, lease: LeaseId) -> impl Future<Output = StoreAnswer<()>>;
 }
 
 /// A record that operators write.
--- a/crates/hickoryhall-gateway/src/lib.rs
+++ b/crates/hickoryhall-gateway/src/lib.rs
@@ -19,4 +19,6 @@
 pub mod registry;
 pub mod scheduler;
 pub mod settings;
+pub mod store_client;
+pub mod store_position;
 pub mod table;
--- a/crates/hickoryhall-gateway/src/orders.rs
+++ b/crates/hickoryhall-gateway/src/orders.rs
@@ -26,10 +26,11 @@
 
 use crate::core::CoreHandle;
 use crate::interface::{
-    ConditionalPut, LeaseId, Platform, StoreChange, StoreError, StoreItem, StoreRevision,
-    WithRevision,
+    ConditionalPut, Platform, StoreChange, StoreError, StoreItem, StoreRevision,
 };
 use crate::peers::Peers;
+use crate::store_client::{StoreClient, StoreLease, WithPosition};
+use crate::store_position::StorePosition;
 
 /// Key in the store whose writer is the lease holder.
 const LEASE_KEY: &str = "hickoryhall/order-giver";
@@ -67,6 +68,7 @@
 pub struct OrderTask<P> {
     config: OrderTaskConfig,
     platform: Rc<P>,
+    store: Rc<StoreClient<P>>,
     core: CoreHandle,
     peers: Rc<Peers<P>>,
     clock: SuspendAwareClock,
@@ -81,8 +83,8 @@
     Free,
     /// The key was written by an earlier process on this host, at this revision.
     Own(StoreRevision),
-    /// Another host is the lease holder, as of this revision of the store.
-    Held(StoreRevision),
+    /// Another host is the lease holder, as of this position of the store.
+    Held(StorePosition),
 }
 
 impl<P: Platform> OrderTask<P> {
@@ -91,6 +93,7 @@
     pub fn new(
         config: OrderTaskConfig,
         platform: Rc<P>,
+        store: Rc<StoreClient<P>>,
         core: CoreHandle,
         peers: Rc<Peers<P>>,
         logger: Logger,
@@ -98,6 +101,7 @@
         Self {
             config,
             platform,
+            store,
             core,
             peers,
             clock: SuspendAwareClock::new(),
@@ -136,12 +140,12 @@
 
     /// Waits until the lease key is free and acquires the lease; `None` if another host was faster.
     async fn acquire(&self) -> Result<Option<AcquiredLease>, StoreError> {
-        let WithRevision { content, revision } = self.platform.range(LEASE_KEY).await?;
-        let expected_revision = match self.lease_key_state(&content, revision) {
+        let WithPosition { content, position } = self.store.range(LEASE_KEY).await?;
+        let expected_revision = match self.lease_key_state(&content, position) {
             LeaseKeyState::Free => 0,
             LeaseKeyState::Own(revision) => revision,
-            LeaseKeyState::Held(revision) => {
-                self.wait_until_free(revision).await?;
+            LeaseKeyState::Held(position) => {
+                self.wait_until_free(position).await?;
                 0
             }
         };
@@ -149,42 +153,40 @@
             sleep(MAX_ACQUIRE_DELAY.mul_f64(rand::rng().random_range(0.0..1.0))).await;
         }
         let requested_at = self.clock.now();
-        let lease = self.platform.grant(self.config.lease_ttl).await?;
+        let lease = self.store.grant(self.config.lease_ttl).await?;
         let put = ConditionalPut {
             key: LEASE_KEY.to_owned(),
             value: Bytes::from(self.config.host.clone()),
             expected_revision,
-            lease,
+            lease: lease.id,
         };
-        match self.platform.put_if(&put).await {
-            Ok(fencing) => Ok(Some(AcquiredLease {
+        match self.store.put_if(&put, position.era).await {
+            Ok(written) => Ok(Some(AcquiredLease {
                 lease,
-                fencing,
+                fencing: written.revision,
                 requested_at,
             })),
-            Err(StoreError::Conflict) => {
-                self.platform.end_lease(lease).await?;
-                Ok(None)
-            }
+            // The lease lapses by itself; ending it could end another one after a restore.
+            Err(StoreError::Conflict) => Ok(None),
             Err(error) => Err(error),
         }
     }
 
-    fn lease_key_state(&self, items: &[StoreItem], revision: StoreRevision) -> LeaseKeyState {
+    fn lease_key_state(&self, items: &[StoreItem], position: StorePosition) -> LeaseKeyState {
         match items.iter().find(|item| item.key == LEASE_KEY) {
             None => LeaseKeyState::Free,
             Some(item) if item.value == self.config.host.as_bytes() => {
                 LeaseKeyState::Own(item.revision)
             }
-            Some(_) => LeaseKeyState::Held(revision),
+            Some(_) => LeaseKeyState::Held(position),
         }
     }
 
-    /// Waits for a change after the given revision that removes the lease key.
-    async fn wait_until_free(&self, mut after: StoreRevision) -> Result<(), StoreError> {
+    /// Waits for a change after the given position that removes the lease key.
+    async fn wait_until_free(&self, mut after: StorePosition) -> Result<(), StoreError> {
         loop {
-            let watched = self.platform.watch(LEASE_KEY, after, WATCH_TIMEOUT).await?;
-            after = after.max(watched.revision);
+            let watched = self.store.watch(LEASE_KEY, after, WATCH_TIMEOUT).await?;
+            after = after.max(watched.position);
             let last = watched.content.last();
             if matches!(last, Some(StoreChange::Removed { .. })) {
                 return Ok(());
@@ -215,13 +217,13 @@
     }
 
     /// Renews the lease until it is lost.
-    async fn renew(&self, lease: LeaseId, planner: &RefCell<OrderPlanner>) {
+    async fn renew(&self, lease: StoreLease, planner: &RefCell<OrderPlanner>) {
         loop {
             sleep(self.config.lease_ttl / 3).await;
             let requested_at = self.clock.now();
-            match self.platform.renew(lease).await {
+            match self.store.renew(lease).await {
                 Ok(()) => planner.borrow_mut().on_renewed(requested_at),
-                Err(StoreError::NotFound) => return,
+                Err(StoreError::NotFound | StoreError::EraChanged) => return,
                 Err(error) => {
                     slog::debug!(self.logger, "orders: Failed to renew the lease."; "error" => %error);
                 }
@@ -235,7 +237,7 @@
 
 /// Lease of the store under which this host wrote the lease key.
 struct AcquiredLease {
-    lease: LeaseId,
+    lease: StoreLease,
     /// Revision of the written key, which fences off the orders of earlier lease holders.
     fencing: StoreRevision,
     /// Time just before the lease was requested, from which its validity counts.
--- a/crates/hickoryhall-gateway/src/peers.rs
+++ b/crates/hickoryhall-gateway/src/peers.rs
@@ -126,6 +126,7 @@
             let interval = digest_interval(members.len());
             if !members.is_empty() {
                 let mut digest = self.core.with(|core, now| core.digest(now, group));
+                digest.store_era = self.feeds.store_era();
                 digest.registry = self.feeds.registry_relay(now);
                 self.send_all(&members, &digest.encode(&addresses)).await;
             }
@@ -136,7 +137,8 @@
                 rotation.next(non_members, interval)
             };
             if !non_members.is_empty() {
-                let heartbeat = self.core.with(|core, now| core.heartbeat(now, group));
+                let mut heartbeat = self.core.with(|core, now| core.heartbeat(now, group));
+                heartbeat.store_era = self.feeds.store_era();
                 self.send_all(&non_members, &heartbeat.encode(&addresses))
                     .await;
             }
@@ -166,9 +168,10 @@
                 self.core.with(|core, _| core.stop_collecting_prompts());
                 continue;
             }
-            let digest = self
+            let mut digest = self
                 .core
                 .with(|core, now| core.group_digest(now, group, hosts));
+            digest.store_era = self.feeds.store_era();
             self.send_all(&recipients, &digest.encode(&[])).await;
         }
     }
@@ -216,6 +219,7 @@
             return;
         }
         self.core.with(|core, now| core.on_digest(now, &digest));
+        self.feeds.observe_peer_era(digest.store_era);
         if !digest.is_forwarded {
             digest.is_forwarded = true;
             let members = self.known_peers.borrow().members(now);
@@ -229,6 +233,7 @@
             core.table().map_or(0, |table| table.revision())
         });
         let now = Instant::now();
+        self.feeds.observe_peer_era(digest.store_era);
         if let Some(relay) = &digest.registry {
             self.feeds.on_registry_relay(now, relay);
         }
@@ -260,7 +265,7 @@
             };
             match self.fetch_from(ip).await {
                 Ok(snapshot) => {
-                    info!(self.logger, "peers: Fetched store records from a peer."; "host" => %ip, "revision" => snapshot.operator.revision);
+                    info!(self.logger, "peers: Fetched store records from a peer."; "host" => %ip, "era" => snapshot.operator.position.era, "revision" => snapshot.operator.position.revision);
                     self.feeds.apply_snapshot(snapshot);
                 }
                 Err(error) => {
--- a/crates/hickoryhall-gateway/src/peers/message.rs
+++ b/crates/hickoryhall-gateway/src/peers/message.rs
@@ -9,8 +9,9 @@
 use prost::Message;
 
 use crate::feeds::relay::RegistryRelay;
-use crate::interface::{StoreChange, StoreItem, StoreRevision};
+use crate::interface::{StoreChange, StoreEra, StoreItem};
 use crate::scheduler::{GroupHash, HostHash, HostLoad};
+use crate::store_position::StorePosition;
 
 /// State of a host or of a group, sent to peers several times a second.
 #[derive(Clone, Debug, Default, PartialEq)]
@@ -27,6 +28,8 @@
     pub is_forwarded: bool,
     /// Revision of the sender's route table, 0 for none.
     pub table_revision: Revision,
+    /// Newest era of the store that the sender knows.
+    pub store_era: StoreEra,
     /// Load at backend servers, and runners that receive orders from the sender.
     pub servers: Vec<ServerUpdate>,
     /// Desired versions of models that the sender knows.
@@ -111,11 +114,11 @@
     pub registry: StoreRecords,
 }
 
-/// Records under one prefix of the store, as of one revision.
+/// Records under one prefix of the store, as of one position.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct StoreRecords {
-    /// Revision of the store as of which the records are current, 0 if none were read.
-    pub revision: StoreRevision,
+    /// Position of the store as of which the records are current, 0 if none were read.
+    pub position: StorePosition,
     /// Records with their full keys.
     pub items: Vec<StoreItem>,
 }
@@ -156,6 +159,8 @@
     is_forwarded: bool,
     #[prost(message, optional, tag = "13")]
     registry: Option<WireRelay>,
+    #[prost(uint64, tag = "14")]
+    store_era: u64,
 }
 
 #[derive(Clone, PartialEq, Message)]
@@ -166,6 +171,8 @@
     until: u64,
     #[prost(message, repeated, tag = "3")]
     changes: Vec<WireChange>,
+    #[prost(uint64, tag = "4")]
+    era: u64,
 }
 
 #[derive(Clone, PartialEq, Message)]
@@ -250,6 +257,10 @@
     registry_revision: u64,
     #[prost(message, repeated, tag = "4")]
     registry: Vec<WireItem>,
+    #[prost(uint64, tag = "5")]
+    operator_era: u64,
+    #[prost(uint64, tag = "6")]
+    registry_era: u64,
 }
 
 impl Digest {
@@ -314,6 +325,7 @@
             },
             is_forwarded: digest.is_forwarded,
             registry: digest.registry.as_ref().map(WireRelay::from),
+            store_era: digest.store_era,
         }
     }
 }
@@ -336,6 +348,7 @@
             scope,
             is_forwarded: wire.is_forwarded,
             table_revision: wire.table_revision,
+            store_era: wire.store_era,
             servers: wire.servers.iter().map(ServerUpdate::from).collect(),
             desired_versions: wire
                 .wanted
@@ -355,6 +368,7 @@
             after: relay.after,
             until: relay.until,
             changes: relay.changes.iter().map(WireChange::from).collect(),
+            era: relay.era,
         }
     }
 }
@@ -362,6 +376,7 @@
 impl From<WireRelay> for RegistryRelay {
     fn from(wire: WireRelay) -> Self {
         Self {
+            era: wire.era,
             after: wire.after,
             until: wire.until,
             changes: wire.changes.into_iter().map(StoreChange::from).collect(),
@@ -518,9 +533,11 @@
 impl From<&StoreSnapshot> for WireSnapshot {
     fn from(snapshot: &StoreSnapshot) -> Self {
         Self {
-            operator_revision: snapshot.operator.revision,
+            operator_era: snapshot.operator.position.era,
+            operator_revision: snapshot.operator.position.revision,
             operator: snapshot.operator.items.iter().map(WireItem::from).collect(),
-            registry_revision: snapshot.registry.revision,
+            registry_era: snapshot.registry.position.era,
+            registry_revision: snapshot.registry.position.revision,
             registry: snapshot.registry.items.iter().map(WireItem::from).collect(),
         }
     }
@@ -528,13 +545,13 @@
 
 impl From<WireSnapshot> for StoreSnapshot {
     fn from(wire: WireSnapshot) -> Self {
-        let records = |revision, items: Vec<WireItem>| StoreRecords {
-            revision,
+        let records = |era, revision, items: Vec<WireItem>| StoreRecords {
+            position: StorePosition { era, revision },
             items: items.into_iter().map(StoreItem::from).collect(),
         };
         Self {
-            operator: records(wire.operator_revision, wire.operator),
-            registry: records(wire.registry_revision, wire.registry),
+            operator: records(wire.operator_era, wire.operator_revision, wire.operator),
+            registry: records(wire.registry_era, wire.registry_revision, wire.registry),
         }
     }
 }
--- a/crates/hickoryhall-gateway/tests/messages.rs
+++ b/crates/hickoryhall-gateway/tests/messages.rs
@@ -11,6 +11,7 @@
     SuspectUpdate,
 };
 use hickoryhall_gateway::scheduler::HostLoad;
+use hickoryhall_gateway::store_position::StorePosition;
 use hickoryhall_routing::Level;
 use proptest::prelude::*;
 
@@ -31,6 +32,7 @@
             .clone(),
         is_forwarded: number(9).is_multiple_of(2),
         table_revision: number(1),
+        store_era: number(5),
         servers: vec![ServerUpdate {
             server: number(2),
             load: HostLoad {
@@ -61,6 +63,7 @@
             }],
         }],
         registry: number(3).is_multiple_of(2).then(|| RegistryRelay {
+            era: number(6),
             after: number(1),
             until: number(2),
             changes: vec![
@@ -97,8 +100,8 @@
 
 #[test]
 fn a_snapshot_is_read_as_written() {
-    let records = |revision, key: &str| StoreRecords {
-        revision,
+    let records = |era, revision, key: &str| StoreRecords {
+        position: StorePosition { era, revision },
         items: vec![StoreItem {
             key: key.to_owned(),
             value: Bytes::from_static(b"{}"),
@@ -106,8 +109,8 @@
         }],
     };
     let snapshot = StoreSnapshot {
-        operator: records(4, "table"),
-        registry: records(9, "registry/a"),
+        operator: records(2, 4, "table"),
+        registry: records(3, 9, "registry/a"),
     };
     let read = StoreSnapshot::decode(snapshot.encode()).expect("own bytes");
     assert_eq!(read, snapshot);
--- a/crates/hickoryhall-gateway/tests/relay.rs
+++ b/crates/hickoryhall-gateway/tests/relay.rs
@@ -7,6 +7,7 @@
 use bytes::Bytes;
 use hickoryhall_gateway::feeds::relay::{RelayLog, RelayMonitor};
 use hickoryhall_gateway::interface::{StoreChange, StoreItem};
+use hickoryhall_gateway::store_position::StorePosition;
 use proptest::prelude::*;
 
 fn put(revision: u64) -> StoreChange {
@@ -17,6 +18,11 @@
     })
 }
 
+/// Returns a position in the first era.
+fn at(revision: u64) -> StorePosition {
+    StorePosition { era: 0, revision }
+}
+
 fn ms(value: u64) -> Duration {
     Duration::from_millis(value)
 }
@@ -32,7 +38,7 @@
         let (mut log, mut monitor) = (RelayLog::default(), RelayMonitor::default());
         let (mut reader, mut follower) = (BTreeMap::new(), BTreeMap::new());
         let (mut revision, mut known) = (1, 1);
-        log.record_list(1);
+        log.record_list(now, at(1));
         for (changes, is_lost, pause_ms) in steps {
             now += ms(pause_ms);
             log.record_answer(now, true);
@@ -43,7 +49,7 @@
             if is_lost {
                 continue;
             }
-            match monitor.on_relay(now, known, &relay) {
+            match monitor.on_relay(now, at(known), &relay) {
                 Some(changes) => {
                     apply(&mut follower, &changes);
                     known = known.max(relay.until);
@@ -76,7 +82,7 @@
     let start = Instant::now();
     let mut log = RelayLog::default();
     assert_eq!(log.relay(start), None, "nothing was read yet");
-    log.record_list(7);
+    log.record_list(start, at(7));
     log.record_answer(start, true);
     assert!(log.relay(start + ms(1_000)).is_some());
     assert_eq!(
@@ -92,7 +98,7 @@
 fn a_reader_is_silent_during_an_outage_and_for_a_while_after_it() {
     let start = Instant::now();
     let mut log = RelayLog::default();
-    log.record_list(7);
+    log.record_list(start, at(7));
     log.record_answer(start, true);
     log.record_answer(start + ms(100), false);
     assert_eq!(log.relay(start + ms(100)), None);
@@ -108,12 +114,12 @@
 fn a_follower_that_hears_nothing_reads_the_store() {
     let start = Instant::now();
     let mut log = RelayLog::default();
-    log.record_list(7);
+    log.record_list(start, at(7));
     log.record_answer(start, true);
     let relay = log.relay(start).expect("the store answers");
     let mut monitor = RelayMonitor::default();
     assert!(!monitor.is_current(start));
-    assert_eq!(monitor.on_relay(start, 7, &relay), Some(Vec::new()));
+    assert_eq!(monitor.on_relay(start, at(7), &relay), Some(Vec::new()));
     assert!(monitor.is_current(start + ms(500)));
     assert!(!monitor.is_current(start + ms(1_000)));
 }
