Give up the lease of orders when the store comes back from an older copy

The lease is lost with the copy, and its id and the revision of its key are given out again. What runners saw:

- The revision of the key is the fencing number, so two holders had the same one, or a later holder a lower one.
- The next holder acquired the lease as soon as the store was back, while a predecessor that was cut off from the store still counted on its own; the wait of 3 s did not cover it, and the two gave orders 2.7 s apart.
- A conditional write of an older era, carried out late, may overwrite the key of a holder, which did not notice, because its lease was still renewed.

A holder stops in the poll in which it learns of a newer era, before any order: the branches of its `select!` are in order, orders last. The wait of a new holder is longer by what a lease that the store forgot may still run, counted from the time at which this host first saw the era. The holder watches its key and stops when that changes.

--- a/crates/hickoryhall-gateway/src/interface.rs
+++ b/crates/hickoryhall-gateway/src/interface.rs
@@ -201,6 +201,15 @@
 }
 
 impl StoreChange {
+    /// Returns the key that changed.
+    #[must_use]
+    pub fn key(&self) -> &str {
+        match self {
+            Self::Put(item) => &item.key,
+            Self::Removed { key, .. } => key,
+        }
+    }
+
     /// Returns the revision of the change.
     #[must_use]
     pub fn revision(&self) -> StoreRevision {
--- a/crates/hickoryhall-gateway/src/orders.rs
+++ b/crates/hickoryhall-gateway/src/orders.rs
@@ -4,7 +4,9 @@
 //! orders only while the lease is certainly valid, by a clock that keeps counting while the host is
 //! suspended; a new lease holder first waits until all orders of its predecessor have arrived. Each
 //! order names the number of orders that the runner must have accepted before it, so that a late
-//! order has no effect.
+//! order has no effect. A store that comes back from an older copy has forgotten the lease and may
+//! give its id and the key's revision out again: the holder gives no further order, and the wait of
+//! the next one covers the lease that the store forgot.
 
 mod clock;
 mod weight_changes;
@@ -17,7 +19,7 @@
 
 use bytes::Bytes;
 use hickoryhall_control::{LoadTimes, OrderConfig, OrderPlanner};
-use hickoryhall_types::hash_name;
+use hickoryhall_types::{FencingNumber, hash_name};
 use rand::RngExt;
 use slog::{Logger, info, warn};
 use tokio::time::sleep;
@@ -153,6 +155,7 @@
             sleep(MAX_ACQUIRE_DELAY.mul_f64(rand::rng().random_range(0.0..1.0))).await;
         }
         let requested_at = self.clock.now();
+        let handover_wait = self.config.handover + self.forgotten_lease();
         let lease = self.store.grant(self.config.lease_ttl).await?;
         let put = ConditionalPut {
             key: LEASE_KEY.to_owned(),
@@ -161,10 +164,11 @@
             lease: lease.id,
         };
         match self.store.put_if(&put, position.era).await {
-            Ok(written) => Ok(Some(AcquiredLease {
+            Ok(key) => Ok(Some(AcquiredLease {
                 lease,
-                fencing: written.revision,
+                key,
                 requested_at,
+                handover_wait,
             })),
             // The lease lapses by itself; ending it could end another one after a restore.
             Err(StoreError::Conflict) => Ok(None),
@@ -172,6 +176,15 @@
         }
     }
 
+    /// Returns how much longer a lease may run, by its holder's clock, that the store forgot when it
+    /// came back from an older copy: the last one was renewed before this host saw the new era.
+    fn forgotten_lease(&self) -> Duration {
+        if self.store.era() == 0 {
+            return Duration::ZERO;
+        }
+        self.config.lease_ttl.saturating_sub(self.store.era_age())
+    }
+
     fn lease_key_state(&self, items: &[StoreItem], position: StorePosition) -> LeaseKeyState {
         match items.iter().find(|item| item.key == LEASE_KEY) {
             None => LeaseKeyState::Free,
@@ -196,24 +209,32 @@
 
     /// Renews the lease and gives orders until the lease is lost.
     async fn hold(&self, acquired: AcquiredLease) {
-        info!(self.logger, "orders: Lease acquired."; "fencing" => acquired.fencing);
+        info!(
+            self.logger, "orders: Lease acquired.";
+            "fencing" => acquired.fencing(), "era" => acquired.key.era,
+            "wait_ms" => acquired.handover_wait.as_millis()
+        );
         let mut planner = OrderPlanner::new(OrderConfig {
             lease_ttl: self.config.lease_ttl,
             max_order_transit: CALL_TIMEOUT,
             // Also applies if an earlier process on this host held the key: it may have acquired
             // the lease only just before, or an unanswered write of this process may have
             // succeeded.
-            handover_wait: self.config.handover,
+            handover_wait: acquired.handover_wait,
             max_concurrent_loads: 1,
             resend_after: MAX_CHANGE_TIME,
         });
-        planner.on_acquired(acquired.requested_at, acquired.fencing);
+        planner.on_acquired(acquired.requested_at, acquired.fencing());
         let planner = RefCell::new(planner);
-        tokio::select! {
-            () = self.renew(acquired.lease, &planner) => {}
-            () = self.issue_orders(&planner) => {}
-        }
-        warn!(self.logger, "orders: Lease lost."; "fencing" => acquired.fencing);
+        // Orders come last: none is given in a poll that finds the lease lost.
+        let reason = tokio::select! {
+            biased;
+            () = self.store.wait_for_newer_era(acquired.key.era) => "store restored",
+            () = self.watch_key(acquired.key) => "key changed",
+            () = self.renew(acquired.lease, &planner) => "not renewed",
+            () = self.issue_orders(&planner) => "no orders",
+        };
+        warn!(self.logger, "orders: Lease lost."; "fencing" => acquired.fencing(), "reason" => reason);
     }
 
     /// Renews the lease until it is lost.
@@ -233,13 +254,60 @@
             }
         }
     }
+
+    /// Waits until the lease key is no longer as this host wrote it. Renewals do not show this: the
+    /// key may be overwritten under another lease, by a late write whose expected revision was
+    /// given out again.
+    async fn watch_key(&self, written: StorePosition) {
+        let mut after = written;
+        loop {
+            match self.store.watch(LEASE_KEY, after, WATCH_TIMEOUT).await {
+                Ok(watched) => {
+                    if watched
+                        .content
+                        .iter()
+                        .any(|change| change.key() == LEASE_KEY)
+                    {
+                        return;
+                    }
+                    after = after.max(watched.position);
+                }
+                Err(StoreError::Compacted) => match self.store.range(LEASE_KEY).await {
+                    Ok(read) if is_key_at(&read, written) => after = read.position,
+                    Ok(_) => return,
+                    Err(error) => self.pause_after(&error).await,
+                },
+                Err(StoreError::EraChanged) => return,
+                Err(error) => self.pause_after(&error).await,
+            }
+        }
+    }
+
+    async fn pause_after(&self, error: &StoreError) {
+        slog::debug!(self.logger, "orders: Call to the store failed."; "error" => %error);
+        sleep(STORE_RETRY_DELAY.mul_f64(rand::rng().random_range(0.7..1.5))).await;
+    }
+}
+
+/// Returns whether the lease key is as it was written at a position.
+fn is_key_at(read: &WithPosition<Vec<StoreItem>>, written: StorePosition) -> bool {
+    let key = read.content.iter().find(|item| item.key == LEASE_KEY);
+    read.position.era == written.era && key.is_some_and(|item| item.revision == written.revision)
 }
 
 /// Lease of the store under which this host wrote the lease key.
 struct AcquiredLease {
     lease: StoreLease,
-    /// Revision of the written key, which fences off the orders of earlier lease holders.
-    fencing: StoreRevision,
+    /// Position of the written key, which fences off the orders of earlier lease holders.
+    key: StorePosition,
     /// Time just before the lease was requested, from which its validity counts.
     requested_at: Instant,
+    /// Time from then on until the first order.
+    handover_wait: Duration,
+}
+
+impl AcquiredLease {
+    fn fencing(&self) -> FencingNumber {
+        self.key.fencing_number()
+    }
 }
