--- a/crates/hickoryhall-gateway/src/orders.rs
+++ b/crates/hickoryhall-gateway/src/orders.rs
@@ -5,7 +5,9 @@
 //! suspended; a new lease holder first waits until all orders of its predecessor have arrived. Each
 //! order names the number of orders that the runner must have accepted before it, so that a late
 //! order has no effect. A host that stops gives the lease back, so that its successor need not wait
-//! for the expiry.
+//! for the expiry. A store that comes back from an older copy has forgotten the lease and may give
+//! its id and the key's revision out again: the holder gives no further order, and the wait of the
+//! next one covers the lease that the store forgot.
 
 mod clock;
 mod weight_changes;
@@ -18,7 +20,7 @@
 
 use bytes::Bytes;
 use hickoryhall_control::{LoadTimes, OrderConfig, OrderPlanner};
-use hickoryhall_types::hash_name;
+use hickoryhall_types::{FencingNumber, hash_name};
 use rand::RngExt;
 use slog::{Logger, info, warn};
 use tokio::sync::watch;
@@ -28,10 +30,11 @@
 
 use crate::core::CoreHandle;
 use crate::interface::{
-    ConditionalPut, LeaseId, Platform, StoreChange, StoreError, StoreItem, StoreRevision,
-    WithRevision,
+    ConditionalPut, Platform, StoreChange, StoreError, StoreItem, StoreRevision,
 };
 use crate::peers::Peers;
+use crate::store_client::{StoreClient, StoreLease, WithPosition};
+use crate::store_position::StorePosition;
 
 /// Key in the store whose writer is the lease holder.
 const LEASE_KEY: &str = "hickoryhall/order-giver";
@@ -69,6 +72,7 @@
 pub struct OrderTask<P> {
     config: OrderTaskConfig,
     platform: Rc<P>,
+    store: Rc<StoreClient<P>>,
     core: CoreHandle,
     peers: Rc<Peers<P>>,
     clock: SuspendAwareClock,
@@ -85,8 +89,8 @@
     Free,
     /// The key was written by an earlier process on this host, at this revision.
     Own(StoreRevision),
-    /// Another host is the lease holder, as of this revision of the store.
-    Held(StoreRevision),
+    /// Another host is the lease holder, as of this position of the store.
+    Held(StorePosition),
 }
 
 impl<P: Platform> OrderTask<P> {
@@ -95,6 +99,7 @@
     pub fn new(
         config: OrderTaskConfig,
         platform: Rc<P>,
+        store: Rc<StoreClient<P>>,
         core: CoreHandle,
         peers: Rc<Peers<P>>,
         stopping: watch::Receiver<bool>,
@@ -103,6 +108,7 @@
         Self {
             config,
             platform,
+            store,
             core,
             peers,
             clock: SuspendAwareClock::new(),
@@ -153,13 +159,13 @@
 
     /// Waits until the lease key is free and acquires the lease; `None` if another host was faster.
     async fn acquire(&self) -> Result<Option<AcquiredLease>, StoreError> {
-        let WithRevision { content, revision } = self.platform.range(LEASE_KEY).await?;
-        let expected_revision = match self.lease_key_state(&content, revision) {
+        let WithPosition { content, position } = self.store.range(LEASE_KEY).await?;
+        let expected_revision = match self.lease_key_state(&content, position) {
             LeaseKeyState::Free => 0,
             LeaseKeyState::Own(revision) => revision,
-            LeaseKeyState::Held(revision) => {
+            LeaseKeyState::Held(position) => {
                 tokio::select! {
-                    freed = self.wait_until_free(revision) => freed?,
+                    freed = self.wait_until_free(position) => freed?,
                     () = self.stopped() => return Ok(None),
                 }
                 0
@@ -169,42 +175,51 @@
             sleep(MAX_ACQUIRE_DELAY.mul_f64(rand::rng().random_range(0.0..1.0))).await;
         }
         let requested_at = self.clock.now();
-        let lease = self.platform.grant(self.config.lease_ttl).await?;
+        let handover_wait = self.config.handover + self.forgotten_lease();
+        let lease = self.store.grant(self.config.lease_ttl).await?;
         let put = ConditionalPut {
             key: LEASE_KEY.to_owned(),
             value: Bytes::from(self.config.host.clone()),
             expected_revision,
-            lease,
+            lease: lease.id,
         };
-        match self.platform.put_if(&put).await {
-            Ok(fencing) => Ok(Some(AcquiredLease {
+        match self.store.put_if(&put, position.era).await {
+            Ok(key) => Ok(Some(AcquiredLease {
                 lease,
-                fencing,
+                key,
                 requested_at,
+                handover_wait,
             })),
-            Err(StoreError::Conflict) => {
-                self.platform.end_lease(lease).await?;
-                Ok(None)
-            }
+            // The lease lapses by itself; ending it could end another one after a restore.
+            Err(StoreError::Conflict) => Ok(None),
             Err(error) => Err(error),
         }
     }
 
-    fn lease_key_state(&self, items: &[StoreItem], revision: StoreRevision) -> LeaseKeyState {
+    /// Returns how much longer a lease may run, by its holder's clock, that the store forgot when it
+    /// came back from an older copy: the last one was renewed before this host saw the new era.
+    fn forgotten_lease(&self) -> Duration {
+        if self.store.era() == 0 {
+            return Duration::ZERO;
+        }
+        self.config.lease_ttl.saturating_sub(self.store.era_age())
+    }
+
+    fn lease_key_state(&self, items: &[StoreItem], position: StorePosition) -> LeaseKeyState {
         match items.iter().find(|item| item.key == LEASE_KEY) {
             None => LeaseKeyState::Free,
             Some(item) if item.value == self.config.host.as_bytes() => {
                 LeaseKeyState::Own(item.revision)
             }
-            Some(_) => LeaseKeyState::Held(revision),
+            Some(_) => LeaseKeyState::Held(position),
         }
     }
 
-    /// Waits for a change after the given revision that removes the lease key.
-    async fn wait_until_free(&self, mut after: StoreRevision) -> Result<(), StoreError> {
+    /// Waits for a change after the given position that removes the lease key.
+    async fn wait_until_free(&self, mut after: StorePosition) -> Result<(), StoreError> {
         loop {
-            let watched = self.platform.watch(LEASE_KEY, after, WATCH_TIMEOUT).await?;
-            after = after.max(watched.revision);
+            let watched = self.store.watch(LEASE_KEY, after, WATCH_TIMEOUT).await?;
+            after = after.max(watched.position);
             let last = watched.content.last();
             if matches!(last, Some(StoreChange::Removed { .. })) {
                 return Ok(());
@@ -215,38 +230,46 @@
     /// Renews the lease and gives orders until the lease is lost, or given back because the host
     /// stops.
     async fn hold(&self, acquired: AcquiredLease) {
-        info!(self.logger, "orders: Lease acquired."; "fencing" => acquired.fencing);
+        info!(
+            self.logger, "orders: Lease acquired.";
+            "fencing" => acquired.fencing(), "era" => acquired.key.era,
+            "wait_ms" => acquired.handover_wait.as_millis()
+        );
         let mut planner = OrderPlanner::new(OrderConfig {
             lease_ttl: self.config.lease_ttl,
             max_order_transit: CALL_TIMEOUT,
             // Also applies if an earlier process on this host held the key: it may have acquired
             // the lease only just before, or an unanswered write of this process may have
             // succeeded.
-            handover_wait: self.config.handover,
+            handover_wait: acquired.handover_wait,
             max_concurrent_loads: 1,
             resend_after: MAX_CHANGE_TIME,
         });
-        planner.on_acquired(acquired.requested_at, acquired.fencing);
+        planner.on_acquired(acquired.requested_at, acquired.fencing());
         let planner = RefCell::new(planner);
-        tokio::select! {
-            () = self.renew(acquired.lease, &planner) => {
-                warn!(self.logger, "orders: Lease lost."; "fencing" => acquired.fencing);
-            }
+        // Orders come last: none is given in a poll that finds the lease lost.
+        let reason = tokio::select! {
+            biased;
+            () = self.store.wait_for_newer_era(acquired.key.era) => "store restored",
+            () = self.watch_key(acquired.key) => "key changed",
+            () = self.renew(acquired.lease, &planner) => "not renewed",
             () = self.issue_orders(&planner) => {
-                let ended = self.platform.end_lease(acquired.lease).await;
-                info!(self.logger, "orders: Lease given back, the host stops."; "fencing" => acquired.fencing, "outcome" => ?ended);
+                let ended = self.store.end_lease(acquired.lease).await;
+                info!(self.logger, "orders: Lease given back, the host stops."; "fencing" => acquired.fencing(), "outcome" => ?ended);
+                return;
             }
-        }
+        };
+        warn!(self.logger, "orders: Lease lost."; "fencing" => acquired.fencing(), "reason" => reason);
     }
 
     /// Renews the lease until it is lost.
-    async fn renew(&self, lease: LeaseId, planner: &RefCell<OrderPlanner>) {
+    async fn renew(&self, lease: StoreLease, planner: &RefCell<OrderPlanner>) {
         loop {
             sleep(self.config.lease_ttl / 3).await;
             let requested_at = self.clock.now();
-            match self.platform.renew(lease).await {
+            match self.store.renew(lease).await {
                 Ok(()) => planner.borrow_mut().on_renewed(requested_at),
-                Err(StoreError::NotFound) => return,
+                Err(StoreError::NotFound | StoreError::EraChanged) => return,
                 Err(error) => {
                     slog::debug!(self.logger, "orders: Failed to renew the lease."; "error" => %error);
                 }
@@ -256,13 +279,60 @@
             }
         }
     }
+
+    /// Waits until the lease key is no longer as this host wrote it. Renewals do not show this: the
+    /// key may be overwritten under another lease, by a late write whose expected revision was
+    /// given out again.
+    async fn watch_key(&self, written: StorePosition) {
+        let mut after = written;
+        loop {
+            match self.store.watch(LEASE_KEY, after, WATCH_TIMEOUT).await {
+                Ok(watched) => {
+                    if watched
+                        .content
+                        .iter()
+                        .any(|change| change.key() == LEASE_KEY)
+                    {
+                        return;
+                    }
+                    after = after.max(watched.position);
+                }
+                Err(StoreError::Compacted) => match self.store.range(LEASE_KEY).await {
+                    Ok(read) if is_key_at(&read, written) => after = read.position,
+                    Ok(_) => return,
+                    Err(error) => self.pause_after(&error).await,
+                },
+                Err(StoreError::EraChanged) => return,
+                Err(error) => self.pause_after(&error).await,
+            }
+        }
+    }
+
+    async fn pause_after(&self, error: &StoreError) {
+        slog::debug!(self.logger, "orders: Call to the store failed."; "error" => %error);
+        sleep(STORE_RETRY_DELAY.mul_f64(rand::rng().random_range(0.7..1.5))).await;
+    }
+}
+
+/// Returns whether the lease key is as it was written at a position.
+fn is_key_at(read: &WithPosition<Vec<StoreItem>>, written: StorePosition) -> bool {
+    let key = read.content.iter().find(|item| item.key == LEASE_KEY);
+    read.position.era == written.era && key.is_some_and(|item| item.revision == written.revision)
 }
 
 /// Lease of the store under which this host wrote the lease key.
 struct AcquiredLease {
-    lease: LeaseId,
-    /// Revision of the written key, which fences off the orders of earlier lease holders.
-    fencing: StoreRevision,
+    lease: StoreLease,
+    /// Position of the written key, which fences off the orders of earlier lease holders.
+    key: StorePosition,
     /// Time just before the lease was requested, from which its validity counts.
     requested_at: Instant,
+    /// Time from then on until the first order.
+    handover_wait: Duration,
+}
+
+impl AcquiredLease {
+    fn fencing(&self) -> FencingNumber {
+        self.key.fencing_number()
+    }
 }
