--- a/crates/hickoryhall-gateway/src/exchange/relay.rs
+++ b/crates/hickoryhall-gateway/src/exchange/relay.rs
@@ -12,7 +12,7 @@
 use tokio::time::timeout;
 
 use super::Exchange;
-use super::attempt::{AttemptFailure, AttemptResult, OpenStream};
+use super::attempt::{AttemptFailure, AttemptResult, OpenStream, attempt_end};
 use crate::events::EventFramer;
 use crate::interface::Platform;
 use crate::scheduler::AttemptEnd;
@@ -22,6 +22,8 @@
 const RESUME_IDLE_TIMEOUT: Duration = Duration::from_millis(1_200);
 /// Reason for a stream without an event within the limit.
 const SILENT: &str = "silent";
+/// Reason for a stream with an event that is larger than any that a runner sends.
+const OVERSIZE_EVENT: &str = "oversize_event";
 /// Maximum number of runners tried for resuming a stream after one break.
 const MAX_RESUME_ATTEMPTS: u32 = 3;
 
@@ -62,7 +64,7 @@
             match self.framer.push(&data) {
                 Ok(Some(events)) => return StreamItem::Events(events),
                 Ok(None) => {}
-                Err(_) => return StreamItem::Broken("oversize_event"),
+                Err(_) => return StreamItem::Broken(OVERSIZE_EVENT),
             }
         }
     }
@@ -97,13 +99,13 @@
         };
         let first = match upstream.next(limit).await {
             StreamItem::Broken(reason) => {
-                let failure = if reason == SILENT {
-                    AttemptFailure::TimedOut
-                } else {
-                    AttemptFailure::Broken
+                let failure = match reason {
+                    SILENT => AttemptFailure::TimedOut,
+                    OVERSIZE_EVENT => AttemptFailure::Invalid,
+                    _ => AttemptFailure::Broken,
                 };
                 self.record_failure(&failure, upstream.stream.server.address);
-                upstream.stream.guard.end(failure.attempt_end());
+                upstream.stream.guard.end(attempt_end(&failure));
                 return Err((Box::new(self), failure));
             }
             item => item,
@@ -194,7 +196,7 @@
                         // The runner may still work on the request, and a late answer is better
                         // than none. Its run goes on and counts once.
                         self.is_waited_for = true;
-                        self.exchange.possible_runs -= 1;
+                        self.exchange.outcome.continue_run();
                     } else {
                         return RelayOutcome::Broken(reason);
                     }
@@ -220,7 +222,7 @@
     async fn resume(&mut self, reason: &'static str) -> bool {
         self.exchange
             .attempt_failed(&self.upstream.stream.server.id.clone(), reason);
-        self.exchange.possible_runs += 1;
+        self.exchange.outcome.record_possible_run();
         if !self.exchange.may_run_again() {
             return false;
         }
@@ -258,10 +260,12 @@
             let may_continue = match failure {
                 AttemptFailure::Unsent => self.exchange.has_time(),
                 AttemptFailure::NotRun => self.exchange.has_time() && self.exchange.take_retry(),
-                AttemptFailure::ServerFailure(_)
+                AttemptFailure::ServerFailure { .. }
+                | AttemptFailure::Unproven
                 | AttemptFailure::Broken
+                | AttemptFailure::Invalid
                 | AttemptFailure::TimedOut => {
-                    self.exchange.possible_runs += 1;
+                    self.exchange.outcome.record_possible_run();
                     false
                 }
             };
