Bound what a host reads of a response

A server may send bytes that are no response and never end. A host read them all until the request's deadline: eight such responses at once took 413 MB of resident memory, with bodies of chunks of some bytes the work of the only thread for seconds, and callers were told 504 at their deadline.

Beyond a limit the attempt ends as `invalid`: the request may have run, the caller gets 502 at once, and the connection is closed. A refusal stays one, as its head says so; only its connection is closed.

--- a/crates/hickoryhall-edge/src/lib.rs
+++ b/crates/hickoryhall-edge/src/lib.rs
@@ -7,10 +7,12 @@
 
 mod body;
 mod pool;
+mod read;
 mod server;
 mod sockets;
 
 pub use body::{BodyReceiver, BodySender, ResponseBody, StreamAborted};
-pub use pool::{ConnectError, Connection, Pool, PoolConfig, SendError};
+pub use pool::{ConnectError, Connection, Pool, PoolConfig, SendError, SendErrorCause};
+pub use read::{BodyReader, ReadBodyError};
 pub use server::{Handler, ServerConfig, ShutdownSignal, serve};
 pub use sockets::set_socket_options;
--- a/crates/hickoryhall-edge/src/pool.rs
+++ b/crates/hickoryhall-edge/src/pool.rs
@@ -5,6 +5,8 @@
 use std::io;
 use std::net::SocketAddr;
 use std::rc::Rc;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicUsize, Ordering};
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
@@ -14,11 +16,17 @@
 use hyper::{Request, Response};
 use hyper_util::rt::TokioIo;
 use tokio::net::TcpStream;
+use tokio::sync::Notify;
 use tokio::task::{AbortHandle, spawn_local};
 use tokio::time::timeout;
 
 use crate::set_socket_options;
 
+/// Maximum size of a response head, in bytes; also of what is read at a time.
+const MAX_HEAD_BYTES: usize = 64 << 10;
+/// Maximum number of informational (1xx) heads before a response.
+const MAX_INFORMATIONAL_HEADS: usize = 16;
+
 /// Settings of a [`Pool`].
 #[derive(Clone, Copy, Debug)]
 pub struct PoolConfig {
@@ -72,8 +80,30 @@
     pub address: SocketAddr,
     /// Whether no byte of the request was sent.
     pub is_unsent: bool,
+    /// Reason for the failure.
+    pub source: SendErrorCause,
+}
+
+impl SendError {
+    /// Returns whether the server sent something else than a response.
+    #[must_use]
+    pub fn is_invalid_response(&self) -> bool {
+        match &self.source {
+            SendErrorCause::Http(error) => error.is_parse(),
+            SendErrorCause::TooManyInformational => true,
+        }
+    }
+}
+
+/// Reason for a [`SendError`].
+#[derive(Debug, thiserror::Error)]
+pub enum SendErrorCause {
     /// Error of the HTTP library.
-    pub source: hyper::Error,
+    #[error(transparent)]
+    Http(#[from] hyper::Error),
+    /// The server sent informational heads only.
+    #[error("more than {MAX_INFORMATIONAL_HEADS} informational heads")]
+    TooManyInformational,
 }
 
 struct IdleConnection {
@@ -136,6 +166,7 @@
             .map_err(|source| ConnectError::Io { address, source })?;
         set_socket_options(&stream).map_err(|source| ConnectError::Io { address, source })?;
         let (sender, driver) = http1::Builder::new()
+            .max_buf_size(MAX_HEAD_BYTES)
             .handshake(TokioIo::new(stream))
             .await
             .map_err(|source| ConnectError::Http { address, source })?;
@@ -214,17 +245,39 @@
     ///
     /// # Errors
     ///
-    /// Returns an error if the connection ends before the response head arrives; the error tells
-    /// whether anything was sent.
+    /// Returns an error if the connection ends before the response head arrives, or if the server
+    /// sends something else; the error tells whether anything was sent.
     pub async fn send(
         &mut self,
-        request: Request<Full<Bytes>>,
+        mut request: Request<Full<Bytes>>,
     ) -> Result<Response<Incoming>, SendError> {
-        let sent = self.sender.try_send_request(request).await;
+        let too_many = Arc::new(Notify::new());
+        limit_informational(&mut request, &too_many);
+        let sent = tokio::select! {
+            biased;
+            sent = self.sender.try_send_request(request) => sent,
+            () = too_many.notified() => {
+                return Err(SendError {
+                    address: self.address,
+                    is_unsent: false,
+                    source: SendErrorCause::TooManyInformational,
+                });
+            }
+        };
         sent.map_err(|mut error| SendError {
             address: self.address,
             is_unsent: error.take_message().is_some(),
-            source: error.into_error(),
+            source: error.into_error().into(),
         })
     }
 }
+
+/// Notifies `too_many` when more informational heads precede the response than allowed.
+fn limit_informational(request: &mut Request<Full<Bytes>>, too_many: &Arc<Notify>) {
+    let (too_many, heads) = (Arc::clone(too_many), AtomicUsize::new(0));
+    hyper::ext::on_informational(request, move |_| {
+        if heads.fetch_add(1, Ordering::Relaxed) == MAX_INFORMATIONAL_HEADS {
+            too_many.notify_one();
+        }
+    });
+}
--- a/crates/hickoryhall-gateway/src/exchange.rs
+++ b/crates/hickoryhall-gateway/src/exchange.rs
@@ -15,7 +15,7 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
-use hickoryhall_edge::{Handler, Pool, ResponseBody, StreamAborted};
+use hickoryhall_edge::{BodyReader, Handler, Pool, ResponseBody, StreamAborted};
 use hickoryhall_routing::SuspectDecision;
 use hickoryhall_types::Ran;
 use hyper::body::Incoming;
@@ -33,6 +33,12 @@
 use intake::{PreparedRequest, Rejection};
 use record::RequestRecord;
 
+/// Maximum size of a response that is not a stream, in bytes.
+const MAX_RESPONSE_BYTES: usize = 8 << 20;
+/// Maximum number of large responses that are read at a time; more would fill the host's memory.
+const MAX_LARGE_RESPONSES: usize = 3;
+/// Maximum size of a refusal, in bytes.
+const MAX_REFUSAL_BYTES: usize = 64 << 10;
 /// Time that must remain before the deadline for another attempt to be worthwhile.
 const MIN_ATTEMPT_TIME: Duration = Duration::from_millis(30);
 /// `Retry-After` of a request suspected of crashing servers: longer than its caller waits.
@@ -44,6 +50,8 @@
     platform: Rc<P>,
     core: CoreHandle,
     pool: Pool,
+    responses: BodyReader,
+    refusals: BodyReader,
     next_attempt_id: Cell<AttemptId>,
     in_flight: Rc<Cell<usize>>,
     is_closed: Cell<bool>,
@@ -67,6 +75,8 @@
             platform,
             core,
             pool,
+            responses: BodyReader::new(MAX_RESPONSE_BYTES, MAX_LARGE_RESPONSES),
+            refusals: BodyReader::new(MAX_REFUSAL_BYTES, MAX_LARGE_RESPONSES),
             next_attempt_id: Cell::new(1),
             in_flight: Rc::default(),
             is_closed: Cell::new(false),
--- a/crates/hickoryhall-gateway/src/exchange/attempt.rs
+++ b/crates/hickoryhall-gateway/src/exchange/attempt.rs
@@ -4,9 +4,9 @@
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
-use hickoryhall_edge::{Connection, SendError};
+use hickoryhall_edge::{Connection, ReadBodyError, SendError};
 use http::response;
-use http_body_util::{BodyExt, Full};
+use http_body_util::Full;
 use hyper::body::Incoming;
 use hyper::header::HeaderMap;
 use hyper::{Request, Response, StatusCode};
@@ -265,7 +265,7 @@
         );
         if error.is_unsent {
             AttemptFailure::Unsent
-        } else if error.source.is_parse() {
+        } else if error.is_invalid_response() {
             AttemptFailure::Invalid
         } else {
             AttemptFailure::Broken
@@ -306,14 +306,15 @@
         response_meta: &ResponseMeta,
         until: Instant,
     ) -> Result<BufferedResponse, AttemptFailure> {
-        match timeout_at(TokioInstant::from_std(until), body.collect()).await {
+        let read = self.gateway.responses.read(body);
+        match timeout_at(TokioInstant::from_std(until), read).await {
             Ok(Ok(body)) => {
                 self.return_to_pool(connection, response_meta);
                 let status = head.status;
                 let response = BufferedResponse {
                     status,
                     headers: self.gateway.platform.response_headers(&head.headers),
-                    body: body.to_bytes(),
+                    body,
                 };
                 if status.is_success() {
                     Ok(response)
@@ -323,25 +324,30 @@
             }
             Ok(Err(error)) => {
                 debug!(
-                    self.gateway.logger, "exchange: Response body broke off.";
+                    self.gateway.logger, "exchange: Response body could not be read.";
                     "request" => &*self.request.meta.request_id,
                     "peer" => %connection.address(), "error" => %error
                 );
-                Err(AttemptFailure::Broken)
+                Err(match error {
+                    ReadBodyError::TooLarge { .. } => AttemptFailure::Invalid,
+                    ReadBodyError::Incomplete(_) => AttemptFailure::Broken,
+                })
             }
             Err(_) => Err(AttemptFailure::TimedOut),
         }
     }
 
-    /// Reads the body of a refusal and returns the connection to the pool if it ends soon enough.
+    /// Reads the body of a refusal and returns the connection to the pool if it ends soon enough and
+    /// is small.
     async fn drain_refusal(
         &self,
         body: Incoming,
         connection: Connection,
         response_meta: &ResponseMeta,
     ) {
-        let collected = tokio::time::timeout(REFUSAL_BODY_TIMEOUT, body.collect()).await;
-        if matches!(collected, Ok(Ok(_))) {
+        let read = self.gateway.refusals.read(body);
+        let read = tokio::time::timeout(REFUSAL_BODY_TIMEOUT, read).await;
+        if matches!(read, Ok(Ok(_))) {
             self.return_to_pool(connection, response_meta);
         }
     }
--- a/crates/hickoryhall-gateway/src/exchange/relay.rs
+++ b/crates/hickoryhall-gateway/src/exchange/relay.rs
@@ -24,6 +24,8 @@
 const SILENT: &str = "silent";
 /// Reason for a stream with an event that is larger than any that a runner sends.
 const OVERSIZE_EVENT: &str = "oversize_event";
+/// Maximum number of pieces in which an event may arrive.
+const MAX_EVENT_PIECES: usize = 4_096;
 /// Maximum number of runners tried for resuming a stream after one break.
 const MAX_RESUME_ATTEMPTS: u32 = 3;
 
@@ -52,7 +54,7 @@
     }
 
     async fn read(&mut self) -> StreamItem {
-        loop {
+        for _ in 0..MAX_EVENT_PIECES {
             let frame = match self.stream.body.frame().await {
                 None => return StreamItem::End,
                 Some(Err(_)) => return StreamItem::Broken("broken_off"),
@@ -67,6 +69,7 @@
                 Err(_) => return StreamItem::Broken(OVERSIZE_EVENT),
             }
         }
+        StreamItem::Broken(OVERSIZE_EVENT)
     }
 }
 
