--- a/crates/hickoryhall-edge/src/lib.rs
+++ b/crates/hickoryhall-edge/src/lib.rs
@@ -9,11 +9,13 @@
 mod caller_stream;
 mod connections;
 mod pool;
+mod read;
 mod server;
 mod sockets;
 
 pub use body::{BodyReceiver, BodySender, ResponseBody, StreamAborted};
 pub use connections::{CallerConnection, ConnectionCounts, Connections};
-pub use pool::{ConnectError, Connection, Pool, PoolConfig, SendError};
+pub use pool::{ConnectError, Connection, Pool, PoolConfig, SendError, SendErrorCause};
+pub use read::{BodyReader, ReadBodyError};
 pub use server::{Handler, ServerConfig, ShutdownSignal, serve};
 pub use sockets::set_socket_options;
