Close connections of half-read requests without a reset

A caller that was refused while it was still sending a body (413, 401, 404 or a head that cannot be parsed) had its connection reset: its writes failed, and depending on its timing it lost the response with them.

The socket was closed with bytes of the caller unread, which the system answers with a reset that also discards what the host has sent. The connection now closes its sending direction after the response, and discards what arrives until the caller closes it too, for two seconds at most. It does so only where a request was answered before it was read in full; any other connection is closed as before, without a wait.

Before, the test failed: "a_refusal_of_a_large_body_does_not_reset_the_connection: the connection is reset". That a small refusal itself is lost has not been seen here, as the system keeps what has already arrived at the caller.

--- a/crates/hickoryhall-edge/src/body.rs
+++ b/crates/hickoryhall-edge/src/body.rs
@@ -1,4 +1,4 @@
-//! Response bodies, either complete or streamed by a task.
+//! Bodies of requests, and of responses, which are either complete or streamed by a task.
 
 use std::pin::Pin;
 use std::rc::Rc;
@@ -7,7 +7,7 @@
 use std::task::{Context, Poll, ready};
 
 use bytes::Bytes;
-use hyper::body::{Body, Frame, SizeHint};
+use hyper::body::{Body, Frame, Incoming, SizeHint};
 use tokio::sync::mpsc::{self, error::TrySendError};
 
 use crate::CallerConnection;
@@ -143,6 +143,46 @@
     }
 }
 
+/// Body of a caller's request.
+#[derive(Debug)]
+pub struct RequestBody {
+    incoming: Incoming,
+    connection: Rc<CallerConnection>,
+}
+
+impl RequestBody {
+    pub(crate) fn new(incoming: Incoming, connection: Rc<CallerConnection>) -> Self {
+        Self {
+            incoming,
+            connection,
+        }
+    }
+}
+
+impl Body for RequestBody {
+    type Data = Bytes;
+    type Error = hyper::Error;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, hyper::Error>>> {
+        let frame = ready!(Pin::new(&mut self.incoming).poll_frame(cx));
+        if frame.is_none() || self.incoming.is_end_stream() {
+            self.connection.on_request_read();
+        }
+        Poll::Ready(frame)
+    }
+
+    fn is_end_stream(&self) -> bool {
+        self.incoming.is_end_stream()
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        self.incoming.size_hint()
+    }
+}
+
 /// Body of a response, which records its progress; the HTTP library drops it once it has taken over
 /// the last byte.
 #[derive(Debug)]
--- a/crates/hickoryhall-edge/src/caller_stream.rs
+++ b/crates/hickoryhall-edge/src/caller_stream.rs
@@ -1,4 +1,4 @@
-//! Socket of a caller's connection, which records its progress.
+//! Socket of a caller's connection, which is closed without losing what was written to it.
 
 use std::io;
 use std::pin::Pin;
@@ -14,14 +14,32 @@
 
 /// Time without progress after which a response that the caller does not read is given up.
 const WRITE_STALL_TIMEOUT: Duration = Duration::from_secs(30);
+/// Time for which a closed connection waits for its caller to close it too.
+const LINGER_TIMEOUT: Duration = Duration::from_secs(2);
+/// Size of the buffer for bytes that are read to be discarded.
+const DISCARD_BUFFER_BYTES: usize = 2_048;
+
+/// How a connection is being closed.
+#[derive(Debug)]
+enum Closing {
+    /// Both directions are open.
+    Open,
+    /// The sending direction is closed; the rest of a request that was answered before it was read
+    /// is discarded, because closing a socket with unread bytes resets the connection.
+    Discarding(Pin<Box<Sleep>>),
+    /// The socket may be dropped.
+    Closed,
+}
 
 /// Socket of a caller that records the progress of its connection.
 #[derive(Debug)]
 pub(crate) struct CallerStream {
     stream: TcpStream,
     connection: Rc<CallerConnection>,
+    closing: Closing,
     /// Runs while the socket accepts no bytes.
     write_stall: Option<Pin<Box<Sleep>>>,
+    has_caller_closed: bool,
 }
 
 impl CallerStream {
@@ -29,7 +47,9 @@
         Self {
             stream,
             connection,
+            closing: Closing::Open,
             write_stall: None,
+            has_caller_closed: false,
         }
     }
 
@@ -52,6 +72,30 @@
         ready!(stall.as_mut().poll(cx));
         Poll::Ready(Err(io::ErrorKind::TimedOut.into()))
     }
+
+    /// Decides how the connection is closed after the last byte has been written.
+    fn start_closing(&self) -> Closing {
+        let linger = || Box::pin(sleep(LINGER_TIMEOUT));
+        if self.has_caller_closed {
+            Closing::Closed
+        } else if !self.connection.has_read_request() {
+            Closing::Discarding(linger())
+        } else {
+            Closing::Closed
+        }
+    }
+
+    /// Discards what the caller sends until it closes the connection.
+    fn poll_discard(&mut self, cx: &mut Context<'_>) -> Poll<()> {
+        let mut buffer = [0; DISCARD_BUFFER_BYTES];
+        loop {
+            let mut buffer = ReadBuf::new(&mut buffer);
+            let read = ready!(Pin::new(&mut self.stream).poll_read(cx, &mut buffer));
+            if read.is_err() || buffer.filled().is_empty() {
+                return Poll::Ready(());
+            }
+        }
+    }
 }
 
 impl AsyncRead for CallerStream {
@@ -64,6 +108,8 @@
         ready!(Pin::new(&mut self.stream).poll_read(cx, buffer))?;
         if buffer.filled().len() > before {
             self.connection.on_read();
+        } else {
+            self.has_caller_closed = true;
         }
         Poll::Ready(Ok(()))
     }
@@ -99,8 +145,28 @@
     }
 
     fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
-        ready!(Pin::new(&mut self.stream).poll_shutdown(cx))?;
-        self.connection.on_closing();
-        Poll::Ready(Ok(()))
+        loop {
+            let mut closing = std::mem::replace(&mut self.closing, Closing::Closed);
+            let is_over = match &mut closing {
+                Closing::Open => {
+                    if Pin::new(&mut self.stream).poll_shutdown(cx)?.is_pending() {
+                        self.closing = closing;
+                        return Poll::Pending;
+                    }
+                    self.closing = self.start_closing();
+                    self.connection.on_closing();
+                    continue;
+                }
+                Closing::Discarding(limit) => {
+                    limit.as_mut().poll(cx).is_ready() || self.poll_discard(cx).is_ready()
+                }
+                Closing::Closed => true,
+            };
+            if is_over {
+                return Poll::Ready(Ok(()));
+            }
+            self.closing = closing;
+            return Poll::Pending;
+        }
     }
 }
--- a/crates/hickoryhall-edge/src/connections.rs
+++ b/crates/hickoryhall-edge/src/connections.rs
@@ -28,6 +28,7 @@
     phase: Cell<Phase>,
     /// Id of the last request.
     request_id: RefCell<Option<Arc<str>>>,
+    has_read_request: Cell<bool>,
     has_ended_response: Cell<bool>,
     /// Size of the current response, as far as it has been generated.
     response_bytes: Cell<u64>,
@@ -68,6 +69,7 @@
             address,
             phase: Cell::default(),
             request_id: RefCell::default(),
+            has_read_request: Cell::new(true),
             has_ended_response: Cell::default(),
             response_bytes: Cell::default(),
             written_bytes: Cell::default(),
@@ -96,6 +98,11 @@
         self.phase.get() == Phase::Responding
     }
 
+    /// Returns whether the last request was read in full.
+    pub(crate) fn has_read_request(&self) -> bool {
+        self.has_read_request.get() && self.phase.get() != Phase::Reading
+    }
+
     /// Returns the bytes of the current response that have not been written to the socket. The size
     /// of heads is not counted.
     #[must_use]
@@ -107,18 +114,24 @@
     pub(crate) fn on_read(&self) {
         if self.phase.get() == Phase::Idle {
             self.phase.set(Phase::Reading);
+            self.has_read_request.set(false);
         }
     }
 
     /// Records that the head of a request was read.
-    pub(crate) fn on_request(&self) {
+    pub(crate) fn on_request(&self, has_body: bool) {
         self.phase.set(Phase::Responding);
         self.request_id.replace(None);
+        self.has_read_request.set(!has_body);
         self.has_ended_response.set(false);
         self.response_bytes.set(0);
         self.written_bytes.set(0);
     }
 
+    pub(crate) fn on_request_read(&self) {
+        self.has_read_request.set(true);
+    }
+
     /// Records that a part of a response was generated.
     pub(crate) fn on_response_bytes(&self, bytes: u64) {
         self.response_bytes.set(self.response_bytes.get() + bytes);
--- a/crates/hickoryhall-edge/src/lib.rs
+++ b/crates/hickoryhall-edge/src/lib.rs
@@ -12,7 +12,7 @@
 mod server;
 mod sockets;
 
-pub use body::{BodyReceiver, BodySender, ResponseBody, StreamAborted};
+pub use body::{BodyReceiver, BodySender, RequestBody, ResponseBody, StreamAborted};
 pub use connections::{CallerConnection, ConnectionCounts, Connections};
 pub use pool::{ConnectError, Connection, Pool, PoolConfig, SendError};
 pub use server::{Handler, ServerConfig, ShutdownSignal, serve};
--- a/crates/hickoryhall-edge/src/server.rs
+++ b/crates/hickoryhall-edge/src/server.rs
@@ -5,7 +5,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use hyper::body::Incoming;
+use hyper::body::{Body, Incoming};
 use hyper::header::{CONNECTION, HeaderValue, TRANSFER_ENCODING};
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
@@ -20,7 +20,7 @@
 use crate::caller_stream::CallerStream;
 use crate::connections::OpenConnection;
 use crate::sockets::set_caller_socket_options;
-use crate::{CallerConnection, Connections, ResponseBody, StreamAborted};
+use crate::{CallerConnection, Connections, RequestBody, ResponseBody, StreamAborted};
 
 /// Pause after a failed accept, for example if the process has run out of file descriptors.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(20);
@@ -36,7 +36,7 @@
     /// Returns an error if the connection must be closed without a response.
     fn handle(
         self: Rc<Self>,
-        request: Request<Incoming>,
+        request: Request<RequestBody>,
         caller: Rc<CallerConnection>,
     ) -> impl Future<Output = Result<Response<ResponseBody>, StreamAborted>>;
 }
@@ -155,7 +155,8 @@
     shutdown: ShutdownSignal,
 ) -> Result<Response<TrackedBody>, StreamAborted> {
     let is_chunked = request.headers().contains_key(TRANSFER_ENCODING);
-    caller.on_request();
+    caller.on_request(!request.body().is_end_stream());
+    let request = request.map(|body| RequestBody::new(body, Rc::clone(&caller)));
     let mut response = handler.handle(request, Rc::clone(&caller)).await?;
     if is_chunked || *shutdown.borrow() {
         response
--- a/crates/hickoryhall-gateway/src/exchange.rs
+++ b/crates/hickoryhall-gateway/src/exchange.rs
@@ -14,10 +14,9 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
-use hickoryhall_edge::{CallerConnection, Handler, Pool, ResponseBody, StreamAborted};
+use hickoryhall_edge::{CallerConnection, Handler, Pool, RequestBody, ResponseBody, StreamAborted};
 use hickoryhall_routing::SuspectDecision;
 use hickoryhall_types::Ran;
-use hyper::body::Incoming;
 use hyper::{Request, Response, StatusCode};
 use slog::{Logger, debug, info};
 use tokio::sync::oneshot;
@@ -144,7 +143,7 @@
 impl<P: Platform> Handler for Gateway<P> {
     async fn handle(
         self: Rc<Self>,
-        request: Request<Incoming>,
+        request: Request<RequestBody>,
         caller: Rc<CallerConnection>,
     ) -> Result<Response<ResponseBody>, StreamAborted> {
         let in_flight = self.track_in_flight();
--- a/crates/hickoryhall-gateway/src/exchange/intake.rs
+++ b/crates/hickoryhall-gateway/src/exchange/intake.rs
@@ -4,11 +4,11 @@
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
+use hickoryhall_edge::RequestBody;
 use hickoryhall_routing::{Fingerprint, Level, PrefixChain};
 use hickoryhall_types::{Ran, Revision, TargetId};
 use http::request;
 use http_body_util::{BodyExt, Limited};
-use hyper::body::Incoming;
 use hyper::{Request, StatusCode};
 use tokio::time::timeout;
 
@@ -115,7 +115,7 @@
     /// Returns the rejection of a request that cannot be placed.
     pub(super) async fn intake(
         &self,
-        request: Request<Incoming>,
+        request: Request<RequestBody>,
         arrived_at: Instant,
     ) -> Result<PreparedRequest, Rejection> {
         let (head, body) = request.into_parts();
@@ -195,7 +195,7 @@
 }
 
 async fn read_body(
-    body: Incoming,
+    body: RequestBody,
     limits: CallerLimits,
     deadline: Instant,
     meta: &RequestMeta,
--- a/crates/hickoryhall-gateway/src/host.rs
+++ b/crates/hickoryhall-gateway/src/host.rs
@@ -9,12 +9,11 @@
 
 use bytes::Bytes;
 use hickoryhall_edge::{
-    CallerConnection, Connections, Handler, Pool, PoolConfig, ResponseBody, ServerConfig,
-    StreamAborted, serve,
+    CallerConnection, Connections, Handler, Pool, PoolConfig, RequestBody, ResponseBody,
+    ServerConfig, StreamAborted, serve,
 };
 use hickoryhall_telemetry::{MetricsError, MetricsPage};
 use hickoryhall_types::hash_name;
-use hyper::body::Incoming;
 use hyper::{Request, Response, StatusCode};
 use metrics::{counter, gauge};
 use slog::{Logger, error, info, o, warn};
@@ -389,7 +388,7 @@
 impl Handler for Readiness {
     async fn handle(
         self: Rc<Self>,
-        _request: Request<Incoming>,
+        _request: Request<RequestBody>,
         _caller: Rc<CallerConnection>,
     ) -> Result<Response<ResponseBody>, StreamAborted> {
         let has_table = self.core.with(|core, _| core.table().is_some());
@@ -410,7 +409,7 @@
 impl Handler for MetricsHandler {
     async fn handle(
         self: Rc<Self>,
-        _request: Request<Incoming>,
+        _request: Request<RequestBody>,
         _caller: Rc<CallerConnection>,
     ) -> Result<Response<ResponseBody>, StreamAborted> {
         let page = Bytes::from(self.0.render());
--- a/crates/hickoryhall-http/src/bridge.rs
+++ b/crates/hickoryhall-http/src/bridge.rs
@@ -4,9 +4,9 @@
 use std::sync::Arc;
 
 use bytes::Bytes;
-use hickoryhall_edge::{CallerConnection, Handler, ResponseBody, StreamAborted};
+use hickoryhall_edge::{CallerConnection, Handler, RequestBody, ResponseBody, StreamAborted};
 use http_body_util::BodyExt;
-use hyper::body::{Body, Incoming};
+use hyper::body::Body;
 use hyper::{Request as HttpRequest, Response};
 use serde_json::json;
 use tokio::runtime::Handle;
@@ -34,7 +34,7 @@
 impl<F: Fn(Request, Caller) + Send + Sync + 'static> Handler for Bridge<F> {
     async fn handle(
         self: Rc<Self>,
-        request: HttpRequest<Incoming>,
+        request: HttpRequest<RequestBody>,
         _caller: Rc<CallerConnection>,
     ) -> Result<Response<ResponseBody>, StreamAborted> {
         let (head, mut body) = request.into_parts();
@@ -73,7 +73,7 @@
 
 /// Forwards body chunks to the worker until the body ends or the worker stops reading.
 async fn forward_body(
-    body: &mut Incoming,
+    body: &mut RequestBody,
     chunk_sender: mpsc::Sender<Result<Bytes, BodyReadError>>,
     time_limit: Duration,
 ) {
@@ -98,7 +98,7 @@
 
 /// Reads and discards the rest of a body. Closing the connection while the caller still sends would
 /// reset it, and the caller could lose the early response.
-async fn drain_body(mut body: Incoming) {
+async fn drain_body(mut body: RequestBody) {
     let rest = async { while let Some(Ok(_)) = body.frame().await {} };
     // A caller that keeps sending beyond the time limit may lose its response.
     let _ = timeout(DRAIN_TIMEOUT, rest).await;
