Stop only when callers have their responses

Around a stop, callers lost responses that had been generated: whole bodies and streams broke off as soon as the host had handed them over, kept connections were closed under a request that had just arrived, and a request whose head had been read in part was never answered.

Requests in flight were counted by the handler. It returns with a whole body as soon as that is generated, and the relay of a stream ends once the last event is queued; what the HTTP library and the socket still held was lost when the process saw zero and exited. A look at the count could also come between the end of a relay and the turn in which its connection wrote the last events.

A stop now waits for connections instead of handlers. Each connection on which anything of a request has been read counts until its response is written and flushed, its sending direction is closed, and the caller has closed it too. Bytes that cross this close are left unread, so that their sender may know that the request did not run. The wait for the caller's close is limited to two seconds, unless the response is larger than what the caller's socket surely holds; the whole stop is limited by the grace period as before. New connections without a request do not hold the stop up. A connection is closed under a stop only after what had arrived on it has been read, and while no part of a head is waiting for its rest; others are closed by the header of their next response. The stop no longer polls.

--- a/crates/hickoryhall-edge/src/caller_stream.rs
+++ b/crates/hickoryhall-edge/src/caller_stream.rs
@@ -3,19 +3,22 @@
 use std::io;
 use std::pin::Pin;
 use std::rc::Rc;
-use std::task::{Context, Poll, ready};
+use std::task::{Context, Poll, Waker, ready};
 use std::time::Duration;
 
-use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
+use tokio::io::{AsyncRead, AsyncWrite, Interest, ReadBuf};
 use tokio::net::TcpStream;
 use tokio::time::{Sleep, sleep};
 
-use crate::CallerConnection;
+use crate::{CallerConnection, ShutdownSignal};
 
 /// Time without progress after which a response that the caller does not read is given up.
 const WRITE_STALL_TIMEOUT: Duration = Duration::from_secs(30);
 /// Time for which a closed connection waits for its caller to close it too.
 const LINGER_TIMEOUT: Duration = Duration::from_secs(2);
+/// Largest response that a caller's socket certainly holds; a stopping host waits longer than
+/// [`LINGER_TIMEOUT`] only for larger ones.
+const MAX_BUFFERED_RESPONSE_BYTES: u64 = 65_536;
 /// Size of the buffer for bytes that are read to be discarded.
 const DISCARD_BUFFER_BYTES: usize = 2_048;
 
@@ -27,6 +30,10 @@
     /// The sending direction is closed; the rest of a request that was answered before it was read
     /// is discarded, because closing a socket with unread bytes resets the connection.
     Discarding(Pin<Box<Sleep>>),
+    /// The sending direction is closed. Nothing is read, so that the caller of a request that
+    /// crosses the close may know that it did not run. Without a timer, only the end of the process
+    /// limits the wait.
+    Waiting(Option<Pin<Box<Sleep>>>),
     /// The socket may be dropped.
     Closed,
 }
@@ -36,6 +43,7 @@
 pub(crate) struct CallerStream {
     stream: TcpStream,
     connection: Rc<CallerConnection>,
+    shutdown: ShutdownSignal,
     closing: Closing,
     /// Runs while the socket accepts no bytes.
     write_stall: Option<Pin<Box<Sleep>>>,
@@ -43,10 +51,15 @@
 }
 
 impl CallerStream {
-    pub(crate) fn new(stream: TcpStream, connection: Rc<CallerConnection>) -> Self {
+    pub(crate) fn new(
+        stream: TcpStream,
+        connection: Rc<CallerConnection>,
+        shutdown: ShutdownSignal,
+    ) -> Self {
         Self {
             stream,
             connection,
+            shutdown,
             closing: Closing::Open,
             write_stall: None,
             has_caller_closed: false,
@@ -80,8 +93,12 @@
             Closing::Closed
         } else if !self.connection.has_read_request() {
             Closing::Discarding(linger())
-        } else {
+        } else if !*self.shutdown.borrow() {
             Closing::Closed
+        } else if self.connection.written_bytes() > MAX_BUFFERED_RESPONSE_BYTES {
+            Closing::Waiting(None)
+        } else {
+            Closing::Waiting(Some(linger()))
         }
     }
 
@@ -96,6 +113,36 @@
             }
         }
     }
+
+    /// Waits until the caller closes the connection, without reading anything.
+    fn poll_caller_closed(&mut self, cx: &mut Context<'_>) -> Poll<()> {
+        loop {
+            let mut byte = [0];
+            let mut buffer = ReadBuf::new(&mut byte);
+            match ready!(self.stream.poll_peek(cx, &mut buffer)) {
+                Ok(0) | Err(_) => return Poll::Ready(()),
+                Ok(_) => {}
+            }
+            // Returns the state at once, because the socket is readable.
+            let mut readiness = std::pin::pin!(self.stream.ready(Interest::READABLE));
+            match readiness
+                .as_mut()
+                .poll(&mut Context::from_waker(Waker::noop()))
+            {
+                Poll::Ready(Ok(ready)) if !ready.is_read_closed() => {}
+                Poll::Ready(_) => return Poll::Ready(()),
+                Poll::Pending => {}
+            }
+            // Waits for the next change instead of the bytes that stay unread.
+            let cleared = self.stream.try_io(Interest::READABLE, || {
+                Err::<(), _>(io::ErrorKind::WouldBlock.into())
+            });
+            debug_assert!(cleared.is_err());
+            if ready!(self.stream.poll_read_ready(cx)).is_err() {
+                return Poll::Ready(());
+            }
+        }
+    }
 }
 
 impl AsyncRead for CallerStream {
@@ -160,6 +207,12 @@
                 Closing::Discarding(limit) => {
                     limit.as_mut().poll(cx).is_ready() || self.poll_discard(cx).is_ready()
                 }
+                Closing::Waiting(limit) => {
+                    let is_late = limit
+                        .as_mut()
+                        .is_some_and(|limit| limit.as_mut().poll(cx).is_ready());
+                    is_late || self.poll_caller_closed(cx).is_ready()
+                }
                 Closing::Closed => true,
             };
             if is_over {
--- a/crates/hickoryhall-edge/src/connections.rs
+++ b/crates/hickoryhall-edge/src/connections.rs
@@ -1,4 +1,4 @@
-//! What is known of the open connections of callers.
+//! What is known of the open connections of callers, which decides when a stopping process may end.
 
 use std::cell::{Cell, RefCell};
 use std::net::SocketAddr;
@@ -6,6 +6,7 @@
 use std::sync::Arc;
 
 use slab::Slab;
+use tokio::sync::Notify;
 
 /// How far a connection has got with its current request.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
@@ -28,6 +29,7 @@
     phase: Cell<Phase>,
     /// Id of the last request.
     request_id: RefCell<Option<Arc<str>>>,
+    has_begun_request: Cell<bool>,
     has_read_request: Cell<bool>,
     has_ended_response: Cell<bool>,
     /// Size of the current response, as far as it has been generated.
@@ -53,6 +55,8 @@
 #[derive(Debug, Default)]
 pub struct Connections {
     open: RefCell<Slab<Rc<CallerConnection>>>,
+    /// Notified when a connection has ended.
+    ended: Notify,
     closed_unsent: Cell<u64>,
 }
 
@@ -69,6 +73,7 @@
             address,
             phase: Cell::default(),
             request_id: RefCell::default(),
+            has_begun_request: Cell::default(),
             has_read_request: Cell::new(true),
             has_ended_response: Cell::default(),
             response_bytes: Cell::default(),
@@ -93,16 +98,31 @@
         self.request_id.borrow().clone()
     }
 
+    /// Returns whether nothing of a request has been read since the last response.
+    pub(crate) fn is_idle(&self) -> bool {
+        self.phase.get() == Phase::Idle
+    }
+
     /// Returns whether a request head has been read whose response is not yet sent in full.
     pub(crate) fn is_responding(&self) -> bool {
         self.phase.get() == Phase::Responding
     }
 
+    /// Returns whether anything of any request has ever been read.
+    pub(crate) fn has_begun_request(&self) -> bool {
+        self.has_begun_request.get()
+    }
+
     /// Returns whether the last request was read in full.
     pub(crate) fn has_read_request(&self) -> bool {
         self.has_read_request.get() && self.phase.get() != Phase::Reading
     }
 
+    /// Returns the bytes that were written to the socket since the last response began.
+    pub(crate) fn written_bytes(&self) -> u64 {
+        self.written_bytes.get()
+    }
+
     /// Returns the bytes of the current response that have not been written to the socket. The size
     /// of heads is not counted.
     #[must_use]
@@ -114,6 +134,7 @@
     pub(crate) fn on_read(&self) {
         if self.phase.get() == Phase::Idle {
             self.phase.set(Phase::Reading);
+            self.has_begun_request.set(true);
             self.has_read_request.set(false);
         }
     }
@@ -122,6 +143,7 @@
     pub(crate) fn on_request(&self, has_body: bool) {
         self.phase.set(Phase::Responding);
         self.request_id.replace(None);
+        self.has_begun_request.set(true);
         self.has_read_request.set(!has_body);
         self.has_ended_response.set(false);
         self.response_bytes.set(0);
@@ -155,6 +177,12 @@
         }
     }
 
+    /// Records that the connection is kept open after a response, with nothing left to read of its
+    /// request.
+    pub(crate) fn on_kept(&self) {
+        self.has_read_request.set(true);
+    }
+
     /// Records that the sending direction was closed after everything was written.
     pub(crate) fn on_closing(&self) {
         self.phase.set(Phase::Closing);
@@ -207,6 +235,19 @@
     pub fn closed_unsent(&self) -> u64 {
         self.closed_unsent.get()
     }
+
+    /// Waits until no connection has an unanswered request or waits for its caller to close it.
+    ///
+    /// Connections that a caller has opened without sending anything are not waited for.
+    pub async fn drained(&self) {
+        loop {
+            let counts = self.counts();
+            if counts.unanswered + counts.closing == 0 {
+                return;
+            }
+            self.ended.notified().await;
+        }
+    }
 }
 
 impl Drop for OpenConnection {
@@ -217,5 +258,6 @@
             let count = connections.closed_unsent.get();
             connections.closed_unsent.set(count + 1);
         }
+        connections.ended.notify_one();
     }
 }
--- a/crates/hickoryhall-edge/src/server.rs
+++ b/crates/hickoryhall-edge/src/server.rs
@@ -14,7 +14,7 @@
 use slog::{Logger, debug, warn};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::watch;
-use tokio::task::spawn_local;
+use tokio::task::{spawn_local, yield_now};
 
 use crate::body::TrackedBody;
 use crate::caller_stream::CallerStream;
@@ -109,7 +109,7 @@
             debug!(logger, "edge: Failed to set socket options.";
                 "caller" => %caller.address(), "error" => %error);
         }
-        let stream = CallerStream::new(stream, Rc::clone(caller));
+        let stream = CallerStream::new(stream, Rc::clone(caller), self.shutdown.clone());
         let service = service_fn(|request| {
             respond(
                 Rc::clone(&self.handler),
@@ -127,11 +127,24 @@
         let mut shutdown = self.shutdown.clone();
         let was_shutting_down = *shutdown.borrow();
         let result = tokio::select! {
+            biased;
             result = connection.as_mut() => result,
-            // Closes an idle connection at once, and a busy one after its response.
-            _ = shutdown.changed(), if !was_shutting_down => {
-                connection.as_mut().graceful_shutdown();
-                connection.await
+            () = shutdown_of_read_connection(&mut shutdown), if !was_shutting_down => {
+                // Reads what has arrived, so that it is answered.
+                let result = tokio::select! {
+                    biased;
+                    result = connection.as_mut() => Some(result),
+                    () = std::future::ready(()) => None,
+                };
+                match result {
+                    Some(result) => result,
+                    None => {
+                        if closes_after_response(caller) {
+                            connection.as_mut().graceful_shutdown();
+                        }
+                        connection.await
+                    }
+                }
             }
         };
         if let Err(error) = result {
@@ -143,6 +156,27 @@
     }
 }
 
+/// Waits for the shutdown, and until the bytes that have arrived by then can be read.
+async fn shutdown_of_read_connection(shutdown: &mut ShutdownSignal) {
+    // An error means that the process ends without a shutdown.
+    if shutdown.changed().await.is_err() {
+        std::future::pending::<()>().await;
+    }
+    yield_now().await;
+}
+
+/// Returns whether the HTTP library shall close a connection, at once or after its response.
+///
+/// It would also cut off a request head that has arrived in part. Such a connection, and one whose
+/// first request is on its way, is closed by the header of the next response.
+fn closes_after_response(caller: &CallerConnection) -> bool {
+    if caller.is_idle() && caller.has_begun_request() {
+        caller.on_kept();
+        return true;
+    }
+    caller.is_responding()
+}
+
 /// Responds to a request.
 ///
 /// The connection is closed after the response if the process is shutting down. It is also closed
--- a/crates/hickoryhall-gateway/src/host.rs
+++ b/crates/hickoryhall-gateway/src/host.rs
@@ -21,7 +21,7 @@
 use tokio::signal::unix::{Signal, SignalKind, signal};
 use tokio::sync::watch;
 use tokio::task::spawn_local;
-use tokio::time::sleep;
+use tokio::time::{sleep, timeout};
 
 use crate::core::{CoreConfig, CoreHandle};
 use crate::exchange::Gateway;
@@ -37,8 +37,6 @@
 const STOP_ACCEPT_TIME: Duration = Duration::from_millis(2_600);
 /// Time before the process is killed at which a stopping host exits by itself.
 const STOP_MARGIN: Duration = Duration::from_millis(350);
-/// Interval at which a stopping host checks for requests in flight.
-const STOP_POLL_INTERVAL: Duration = Duration::from_millis(25);
 /// Maximum number of request ids in the log line of the requests that a stop cuts off.
 const MAX_LOGGED_REQUESTS: usize = 16;
 /// Interval at which expired idle connections are closed, and connection limits and gauges updated.
@@ -240,8 +238,8 @@
         }
     }
 
-    /// Completes the requests in flight, and accepts new ones until the load balancer has noticed
-    /// the stop.
+    /// Accepts requests until the load balancer has noticed the stop, and waits until the callers of
+    /// all requests have got their responses.
     async fn drain(&self, grace: Duration) {
         let started = Instant::now();
         let counts = self.connections.counts();
@@ -253,17 +251,12 @@
         // Sending fails only without receivers; the tasks that hold them outlive this function.
         let _ = self.stop.send(true);
         let max_drain_time = grace.saturating_sub(STOP_MARGIN);
-        while started.elapsed() < max_drain_time {
-            sleep(STOP_POLL_INTERVAL).await;
-            if started.elapsed() >= STOP_ACCEPT_TIME {
-                self.gateway.close();
-            }
-            if self.gateway.in_flight() == 0 && started.elapsed() >= STOP_ACCEPT_TIME {
-                break;
-            }
-        }
+        sleep(STOP_ACCEPT_TIME.min(max_drain_time)).await;
+        self.gateway.close();
+        let time_left = max_drain_time.saturating_sub(started.elapsed());
+        let is_drained = timeout(time_left, self.connections.drained()).await.is_ok();
         let counts = self.connections.counts();
-        if counts.unanswered > 0 {
+        if !is_drained && counts.unanswered > 0 {
             let requests = self.connections.unanswered_ids(MAX_LOGGED_REQUESTS);
             warn!(
                 self.logger, "host: Requests cut off by the stop."; "count" => counts.unanswered,
