--- a/crates/hickoryhall-edge/src/lib.rs
+++ b/crates/hickoryhall-edge/src/lib.rs
@@ -13,7 +13,7 @@
 mod server;
 mod sockets;
 
-pub use body::{BodyReceiver, BodySender, ResponseBody, StreamAborted};
+pub use body::{BodyReceiver, BodySender, RequestBody, ResponseBody, StreamAborted};
 pub use connections::{CallerConnection, ConnectionCounts, Connections};
 pub use pool::{ConnectError, Connection, Pool, PoolConfig, SendError, SendErrorCause};
 pub use read::{BodyReader, ReadBodyError};
--- a/crates/hickoryhall-edge/src/server.rs
+++ b/crates/hickoryhall-edge/src/server.rs
@@ -5,7 +5,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use hyper::body::Incoming;
+use hyper::body::{Body, Incoming};
 use hyper::header::{CONNECTION, HeaderValue, TRANSFER_ENCODING};
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
@@ -14,13 +14,13 @@
 use slog::{Logger, debug, warn};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::watch;
-use tokio::task::spawn_local;
+use tokio::task::{spawn_local, yield_now};
 
 use crate::body::TrackedBody;
 use crate::caller_stream::CallerStream;
 use crate::connections::OpenConnection;
 use crate::sockets::set_caller_socket_options;
-use crate::{CallerConnection, Connections, ResponseBody, StreamAborted};
+use crate::{CallerConnection, Connections, RequestBody, ResponseBody, StreamAborted};
 
 /// Pause after a failed accept, for example if the process has run out of file descriptors.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(20);
@@ -36,7 +36,7 @@
     /// Returns an error if the connection must be closed without a response.
     fn handle(
         self: Rc<Self>,
-        request: Request<Incoming>,
+        request: Request<RequestBody>,
         caller: Rc<CallerConnection>,
     ) -> impl Future<Output = Result<Response<ResponseBody>, StreamAborted>>;
 }
@@ -109,7 +109,7 @@
             debug!(logger, "edge: Failed to set socket options.";
                 "caller" => %caller.address(), "error" => %error);
         }
-        let stream = CallerStream::new(stream, Rc::clone(caller));
+        let stream = CallerStream::new(stream, Rc::clone(caller), self.shutdown.clone());
         let service = service_fn(|request| {
             respond(
                 Rc::clone(&self.handler),
@@ -127,11 +127,24 @@
         let mut shutdown = self.shutdown.clone();
         let was_shutting_down = *shutdown.borrow();
         let result = tokio::select! {
+            biased;
             result = connection.as_mut() => result,
-            // Closes an idle connection at once, and a busy one after its response.
-            _ = shutdown.changed(), if !was_shutting_down => {
-                connection.as_mut().graceful_shutdown();
-                connection.await
+            () = shutdown_of_read_connection(&mut shutdown), if !was_shutting_down => {
+                // Reads what has arrived, so that it is answered.
+                let result = tokio::select! {
+                    biased;
+                    result = connection.as_mut() => Some(result),
+                    () = std::future::ready(()) => None,
+                };
+                match result {
+                    Some(result) => result,
+                    None => {
+                        if closes_after_response(caller) {
+                            connection.as_mut().graceful_shutdown();
+                        }
+                        connection.await
+                    }
+                }
             }
         };
         if let Err(error) = result {
@@ -143,6 +156,27 @@
     }
 }
 
+/// Waits for the shutdown, and until the bytes that have arrived by then can be read.
+async fn shutdown_of_read_connection(shutdown: &mut ShutdownSignal) {
+    // An error means that the process ends without a shutdown.
+    if shutdown.changed().await.is_err() {
+        std::future::pending::<()>().await;
+    }
+    yield_now().await;
+}
+
+/// Returns whether the HTTP library shall close a connection, at once or after its response.
+///
+/// It would also cut off a request head that has arrived in part. Such a connection, and one whose
+/// first request is on its way, is closed by the header of the next response.
+fn closes_after_response(caller: &CallerConnection) -> bool {
+    if caller.is_idle() && caller.has_begun_request() {
+        caller.on_kept();
+        return true;
+    }
+    caller.is_responding()
+}
+
 /// Responds to a request.
 ///
 /// The connection is closed after the response if the process is shutting down. It is also closed
@@ -155,7 +189,8 @@
     shutdown: ShutdownSignal,
 ) -> Result<Response<TrackedBody>, StreamAborted> {
     let is_chunked = request.headers().contains_key(TRANSFER_ENCODING);
-    caller.on_request();
+    caller.on_request(!request.body().is_end_stream());
+    let request = request.map(|body| RequestBody::new(body, Rc::clone(&caller)));
     let mut response = handler.handle(request, Rc::clone(&caller)).await?;
     if is_chunked || *shutdown.borrow() {
         response
