Tell desired versions of known age from those found in the store

A host that started took every desired version for new and went on to send requests to runners with replaced weights for 6.8 s, however long ago the version had been written. Digests of peers corrected the age only where a peer was older than the host: after a restart of all hosts each one believed each version to be new, and a request could begin on old weights long after the 8 s within which a version is to be in force.

The store tells no time, so a version that is read in a listing, or in the first changes after an outage, has an age of which only a lower bound is known. Ages now say whether they are exact, in digests too (those of older hosts count as exact, as before). Weights before a version of unknown age are used for 2 s after it was found; a peer that saw it being written tells its age within that time. Refusing such requests afterwards is a choice for the promise and against a share of answers: without any evidence of the age, the weights may have been replaced long before.

Before the change the test on the scheduler failed: panicked at crates/hickoryhall-gateway/tests/version_ages.rs:64:5: assertion failed: !is_placed(&mut scheduler, now + 3 * SECOND, 2)

--- a/crates/hickoryhall-gateway/src/core.rs
+++ b/crates/hickoryhall-gateway/src/core.rs
@@ -23,8 +23,8 @@
 use crate::peers::{PromptUpdate, SuspectUpdate};
 use crate::registry::{BackendServer, Registry, RegistryEvent};
 use crate::scheduler::{
-    AttemptEnd, AttemptId, HostHash, Placement, PlacementRequest, ReportedState, RunnerView,
-    Scheduler, SchedulerConfig, WeightsChange,
+    AttemptEnd, AttemptId, DesiredVersionAge, HostHash, Placement, PlacementRequest, ReportedState,
+    RunnerView, Scheduler, SchedulerConfig, WeightsChange,
 };
 use crate::table::RouteTable;
 
@@ -50,7 +50,7 @@
 /// Where this host learned of a desired version.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum DesiredVersionSource {
-    /// The operators' record in the store, which does not tell its age.
+    /// The operators' record in the store.
     Store,
     /// A digest of a peer.
     Peer,
@@ -131,20 +131,23 @@
         true
     }
 
-    /// Records a desired version of a model that has been known for `age`.
+    /// Records a desired version of a model and its age.
     pub fn set_desired_version(
         &mut self,
         now: Instant,
         model: TargetId,
         version: WeightsVersion,
-        age: Duration,
+        age: DesiredVersionAge,
         source: DesiredVersionSource,
     ) {
+        let had_exact_age = self.scheduler.has_exact_age(&model, version);
         let is_newest = self
             .scheduler
             .record_desired_version(now, model.clone(), version, age);
-        if is_newest {
-            info!(self.logger, "core: New desired version of a model."; "model" => &*model, "version" => version, "age_ms" => age.as_millis(), "source" => source.as_str());
+        let has_learned_age = age.is_exact() && !had_exact_age;
+        if is_newest || has_learned_age {
+            let age_ms = age.lower_bound().as_millis();
+            info!(self.logger, "core: New desired version of a model."; "model" => &*model, "version" => version, "age_ms" => age_ms, "is_exact" => age.is_exact(), "source" => source.as_str());
         }
     }
 
--- a/crates/hickoryhall-gateway/src/feeds.rs
+++ b/crates/hickoryhall-gateway/src/feeds.rs
@@ -19,6 +19,7 @@
     OperatorRecord, Platform, StoreChange, StoreError, StoreItem, StoreRevision, WithRevision,
 };
 use crate::peers::{StoreRecords, StoreSnapshot};
+use crate::scheduler::DesiredVersionAge;
 use relay::{RegistryRelay, RegistryRole, RelayLog, RelayMonitor};
 
 /// Longest time for which one watch waits for changes; keep-alive probes detect dead connections
@@ -170,7 +171,8 @@
                 .with(|core, now| core.set_registry_available(now, true));
         }
         for change in changes {
-            self.apply_change(FeedKind::Registry, change);
+            let age = DesiredVersionAge::AtLeast(Duration::ZERO);
+            self.apply_change(FeedKind::Registry, change, age);
         }
         self.advance_revision(FeedKind::Registry, relay.until);
     }
@@ -224,6 +226,12 @@
                 );
                 return;
             }
+            // Changes that are read after an outage may be as old as the outage.
+            let age = if link.is_up() {
+                DesiredVersionAge::Exact(Duration::ZERO)
+            } else {
+                DesiredVersionAge::AtLeast(Duration::ZERO)
+            };
             let Some(changes) = self.track_result(link, watched).await else {
                 continue;
             };
@@ -234,7 +242,7 @@
                 log.record_changes(Instant::now(), after, changes.content.iter().cloned());
             }
             for change in changes.content {
-                self.apply_change(link.kind, change);
+                self.apply_change(link.kind, change, age);
             }
             self.advance_revision(link.kind, after);
             if is_changed && is_reader {
@@ -290,10 +298,12 @@
     /// Replaces all records of one kind.
     fn apply_list(&self, kind: FeedKind, records: StoreRecords) {
         match kind {
-            FeedKind::Operator => records
-                .items
-                .iter()
-                .for_each(|item| self.apply_operator_record(item)),
+            FeedKind::Operator => {
+                let age = DesiredVersionAge::AtLeast(Duration::ZERO);
+                for item in &records.items {
+                    self.apply_operator_record(item, age);
+                }
+            }
             FeedKind::Registry => {
                 let servers = records
                     .items
@@ -308,9 +318,10 @@
         *self.cached(kind).borrow_mut() = CachedRecords::from(records);
     }
 
-    fn apply_change(&self, kind: FeedKind, change: StoreChange) {
+    /// Applies one change; `age` is that of a desired version in it.
+    fn apply_change(&self, kind: FeedKind, change: StoreChange, age: DesiredVersionAge) {
         match (kind, &change) {
-            (FeedKind::Operator, StoreChange::Put(item)) => self.apply_operator_record(item),
+            (FeedKind::Operator, StoreChange::Put(item)) => self.apply_operator_record(item, age),
             // The table or desired version of a removed record remains in force.
             (FeedKind::Operator, StoreChange::Removed { .. }) => {}
             (FeedKind::Registry, StoreChange::Put(item)) => {
@@ -331,8 +342,8 @@
         }
     }
 
-    /// Applies a record of the operators.
-    fn apply_operator_record(&self, item: &StoreItem) {
+    /// Applies a record of the operators; `age` is that of a desired version.
+    fn apply_operator_record(&self, item: &StoreItem, age: DesiredVersionAge) {
         match self.platform.operator_record(item) {
             Ok(Some(OperatorRecord::Table(table))) => {
                 self.core.with(|core, _| core.set_table(*table));
@@ -340,7 +351,7 @@
             Ok(Some(OperatorRecord::DesiredVersion { model, version })) => {
                 self.core.with(|core, now| {
                     let source = DesiredVersionSource::Store;
-                    core.set_desired_version(now, model, version, Duration::ZERO, source);
+                    core.set_desired_version(now, model, version, age, source);
                 });
             }
             Ok(None) => {}
--- a/crates/hickoryhall-gateway/src/peers/message.rs
+++ b/crates/hickoryhall-gateway/src/peers/message.rs
@@ -10,7 +10,7 @@
 
 use crate::feeds::relay::RegistryRelay;
 use crate::interface::{StoreChange, StoreItem, StoreRevision};
-use crate::scheduler::{GroupHash, HostHash, HostLoad};
+use crate::scheduler::{DesiredVersionAge, GroupHash, HostHash, HostLoad};
 
 /// State of a host or of a group, sent to peers several times a second.
 #[derive(Clone, Debug, Default, PartialEq)]
@@ -94,7 +94,7 @@
     /// Version that the model's runners shall have unless a newer one is known.
     pub version: WeightsVersion,
     /// Time since the version became known to any host, as far as the sender knows.
-    pub age: Duration,
+    pub age: DesiredVersionAge,
 }
 
 /// Update about a request during which backend servers failed.
@@ -228,6 +228,9 @@
     version: u64,
     #[prost(uint64, tag = "3")]
     age_ms: u64,
+    /// Whether the version may be older.
+    #[prost(bool, tag = "4")]
+    is_at_least: bool,
 }
 
 #[derive(Clone, PartialEq, Message)]
@@ -474,17 +477,23 @@
         Self {
             model: update.model.as_ref().to_owned(),
             version: update.version,
-            age_ms: u64::try_from(update.age.as_millis()).unwrap_or(u64::MAX),
+            age_ms: u64::try_from(update.age.lower_bound().as_millis()).unwrap_or(u64::MAX),
+            is_at_least: !update.age.is_exact(),
         }
     }
 }
 
 impl From<WireWanted> for DesiredVersionUpdate {
     fn from(wire: WireWanted) -> Self {
+        let age = Duration::from_millis(wire.age_ms);
         Self {
             model: wire.model.into(),
             version: wire.version,
-            age: Duration::from_millis(wire.age_ms),
+            age: if wire.is_at_least {
+                DesiredVersionAge::AtLeast(age)
+            } else {
+                DesiredVersionAge::Exact(age)
+            },
         }
     }
 }
--- a/crates/hickoryhall-gateway/src/scheduler.rs
+++ b/crates/hickoryhall-gateway/src/scheduler.rs
@@ -30,7 +30,7 @@
 use candidate::{Candidate, millis};
 pub use config::SchedulerConfig;
 use demand::FamilyDemand;
-pub use desired_versions::DesiredVersionHistory;
+pub use desired_versions::{DesiredVersionAge, DesiredVersionHistory};
 pub use placement::{
     Assignment, AttemptEnd, Placement, PlacementRefusal, PlacementRequest, PromptInfo,
     RefusalReason, RunnerView,
@@ -200,7 +200,7 @@
         }
     }
 
-    /// Records a desired version of a model that has been known for `age`.
+    /// Records a desired version of a model and its age.
     ///
     /// Returns whether it is the newest desired version of the model.
     pub fn record_desired_version(
@@ -208,7 +208,7 @@
         now: Instant,
         model: TargetId,
         version: WeightsVersion,
-        age: Duration,
+        age: DesiredVersionAge,
     ) -> bool {
         self.desired_versions
             .entry(model)
@@ -216,6 +216,13 @@
             .record(now, version, age)
     }
 
+    /// Returns whether the exact age of a desired version is known.
+    #[must_use]
+    pub fn has_exact_age(&self, model: &TargetId, version: WeightsVersion) -> bool {
+        let history = self.desired_versions.get(model);
+        history.is_some_and(|history| history.has_exact_age(version))
+    }
+
     /// Returns the desired versions of each model.
     pub fn desired_versions(&self) -> impl Iterator<Item = (&TargetId, &DesiredVersionHistory)> {
         self.desired_versions.iter()
--- a/crates/hickoryhall-gateway/src/scheduler/candidate.rs
+++ b/crates/hickoryhall-gateway/src/scheduler/candidate.rs
@@ -299,8 +299,12 @@
         estimate_ms: f64,
     ) -> Result<f64, RefusalReason> {
         let history = self.desired_versions.get(model);
+        let unknown_age = self
+            .config
+            .old_weights_limit
+            .saturating_sub(self.config.unknown_age_limit);
         let superseded_for =
-            history.and_then(|history| history.superseded_for(now, state.weights()));
+            history.and_then(|history| history.superseded_for(now, state.weights(), unknown_age));
         let Some(superseded_for) = superseded_for else {
             return Ok(0.0);
         };
--- a/crates/hickoryhall-gateway/src/scheduler/config.rs
+++ b/crates/hickoryhall-gateway/src/scheduler/config.rs
@@ -51,6 +51,9 @@
     pub old_weights_grace: Duration,
     /// Time after a newer desired version from which old weights take no requests.
     pub old_weights_limit: Duration,
+    /// The same time after a version was found in the store that may be older; peers that saw it
+    /// being written tell its age much sooner.
+    pub unknown_age_limit: Duration,
     /// Attention time per million token pairs; each token attends to all tokens before it.
     pub attention_ms_per_million_pairs: f64,
     /// Queued work at a runner up to which a request that will miss its target latency goes there.
@@ -97,6 +100,7 @@
             old_weights_cost: Duration::from_millis(120),
             old_weights_grace: Duration::from_millis(1_300),
             old_weights_limit: Duration::from_millis(7_000),
+            unknown_age_limit: Duration::from_millis(2_000),
             attention_ms_per_million_pairs: 0.65,
             late_queue_limit: Duration::from_millis(60),
             late_long_queue_limit: Duration::from_millis(200),
--- a/crates/hickoryhall-gateway/tests/desired_versions.rs
+++ b/crates/hickoryhall-gateway/tests/desired_versions.rs
@@ -2,7 +2,7 @@
 
 use std::time::{Duration, Instant};
 
-use hickoryhall_gateway::scheduler::DesiredVersionHistory;
+use hickoryhall_gateway::scheduler::{DesiredVersionAge, DesiredVersionHistory};
 
 const SECOND: Duration = Duration::from_secs(1);
 
@@ -10,22 +10,31 @@
 fn a_newer_version_does_not_hide_how_long_an_old_one_is_replaced() {
     let start = Instant::now();
     let mut history = DesiredVersionHistory::default();
-    history.record(start, 3, Duration::ZERO);
+    history.record(start, 3, DesiredVersionAge::Exact(Duration::ZERO));
     let later = start + 4 * SECOND;
-    assert!(history.record(later, 4, Duration::ZERO));
-    assert_eq!(history.superseded_for(later, 2), Some(4 * SECOND));
-    assert_eq!(history.superseded_for(later, 3), Some(Duration::ZERO));
-    assert_eq!(history.superseded_for(later, 4), None);
+    assert!(history.record(later, 4, DesiredVersionAge::Exact(Duration::ZERO)));
+    assert_eq!(
+        history.superseded_for(later, 2, Duration::ZERO),
+        Some(4 * SECOND)
+    );
+    assert_eq!(
+        history.superseded_for(later, 3, Duration::ZERO),
+        Some(Duration::ZERO)
+    );
+    assert_eq!(history.superseded_for(later, 4, Duration::ZERO), None);
 }
 
 #[test]
 fn a_host_that_starts_later_takes_the_age_that_others_know() {
     let start = Instant::now() + 100 * SECOND;
     let mut history = DesiredVersionHistory::default();
-    assert!(history.record(start, 3, Duration::ZERO));
-    assert!(!history.record(start, 3, 5 * SECOND));
-    assert!(!history.record(start, 3, 2 * SECOND));
-    assert_eq!(history.superseded_for(start, 2), Some(5 * SECOND));
+    assert!(history.record(start, 3, DesiredVersionAge::Exact(Duration::ZERO)));
+    assert!(!history.record(start, 3, DesiredVersionAge::Exact(5 * SECOND)));
+    assert!(!history.record(start, 3, DesiredVersionAge::Exact(2 * SECOND)));
+    assert_eq!(
+        history.superseded_for(start, 2, Duration::ZERO),
+        Some(5 * SECOND)
+    );
 }
 
 #[test]
@@ -33,7 +42,7 @@
     let now = Instant::now();
     let mut history = DesiredVersionHistory::default();
     for version in 1..100 {
-        history.record(now, version, Duration::ZERO);
+        history.record(now, version, DesiredVersionAge::Exact(Duration::ZERO));
     }
     assert_eq!(history.newest(), Some(99));
     assert!(history.iter(now).count() <= 8);
--- a/crates/hickoryhall-gateway/tests/messages.rs
+++ b/crates/hickoryhall-gateway/tests/messages.rs
@@ -10,7 +10,7 @@
     DesiredVersionUpdate, Digest, PromptUpdate, Scope, ServerUpdate, StoreRecords, StoreSnapshot,
     SuspectUpdate,
 };
-use hickoryhall_gateway::scheduler::HostLoad;
+use hickoryhall_gateway::scheduler::{DesiredVersionAge, HostLoad};
 use hickoryhall_routing::Level;
 use proptest::prelude::*;
 
@@ -47,7 +47,11 @@
         desired_versions: vec![DesiredVersionUpdate {
             model: "m".into(),
             version: number(1),
-            age: Duration::from_millis(u64::from(small(2))),
+            age: if number(2).is_multiple_of(2) {
+                DesiredVersionAge::Exact(Duration::from_millis(u64::from(small(2))))
+            } else {
+                DesiredVersionAge::AtLeast(Duration::from_millis(u64::from(small(2))))
+            },
         }],
         suspects: vec![SuspectUpdate {
             fingerprint: number(3),
--- a/crates/hickoryhall-gateway/tests/scheduler.rs
+++ b/crates/hickoryhall-gateway/tests/scheduler.rs
@@ -28,8 +28,8 @@
 use hickoryhall_gateway::peers::PromptUpdate;
 use hickoryhall_gateway::registry::{BackendServer, RegistryEvent};
 use hickoryhall_gateway::scheduler::{
-    AnnouncedState, AttemptEnd, HostLoad, LoadSource, Placement, PlacementRequest, PromptInfo,
-    Scheduler, SchedulerConfig,
+    AnnouncedState, AttemptEnd, DesiredVersionAge, HostLoad, LoadSource, Placement,
+    PlacementRequest, PromptInfo, Scheduler, SchedulerConfig,
 };
 use hickoryhall_gateway::table::{PromptCacheStoreInfo, RouteTable, ServiceInfo};
 use hickoryhall_routing::{Level, PrefixChain};
@@ -197,6 +197,7 @@
         let mut args = command.consume_args();
         let version = args.next_pos().ok_or("missing version")?.parse()?;
         let age = Duration::from_millis(optional_arg(&mut args, "age")?.unwrap_or(0));
+        let age = DesiredVersionAge::Exact(age);
         args.reject_next()?;
         self.scheduler
             .record_desired_version(self.now, "m".into(), version, age);
--- /dev/null
+++ b/crates/hickoryhall-gateway/tests/version_ages.rs
@@ -0,0 +1,115 @@
+//! Ages of desired versions that a host did not see being written.
+
+mod support;
+
+use std::time::{Duration, Instant};
+
+use hickoryhall_gateway::core::{Core, CoreConfig, DesiredVersionSource};
+use hickoryhall_gateway::peers::Digest;
+use hickoryhall_gateway::registry::RegistryEvent;
+use hickoryhall_gateway::scheduler::{
+    DesiredVersionAge, PlacementRequest, PromptInfo, Scheduler, SchedulerConfig,
+};
+use hickoryhall_limits::FleetRetryLimit;
+use hickoryhall_routing::{Level, PrefixChain};
+use hickoryhall_types::hash_name;
+use support::{model_service, runner, table_of};
+
+const SECOND: Duration = Duration::from_secs(1);
+
+fn config(host: &str) -> SchedulerConfig {
+    SchedulerConfig::new(hash_name(host), "a".into())
+}
+
+/// Returns a scheduler with one runner, which has version 1.
+fn scheduler() -> Scheduler {
+    let mut scheduler = Scheduler::new(config("me"));
+    scheduler.set_table(&table_of([("models", model_service(8, 90_000))]));
+    scheduler.on_registry(RegistryEvent::Upsert(runner(1, 8)));
+    scheduler
+}
+
+/// Returns whether a request is placed at the runner.
+fn is_placed(scheduler: &mut Scheduler, now: Instant, attempt_id: u64) -> bool {
+    let request = PlacementRequest {
+        attempt_id,
+        service: "models".into(),
+        priority: (0, 0),
+        prompt: Some(PromptInfo {
+            model: "m".into(),
+            chain: PrefixChain::from_levels(vec![Level {
+                key: attempt_id,
+                tokens: 100,
+            }]),
+            input_tokens: 100,
+            output_tokens: 10,
+        }),
+        is_resumable: true,
+        arrived_at: now,
+        target_latency: SECOND,
+        deadline: now + 5 * SECOND,
+        excluded_servers: Vec::new(),
+        is_suspect: false,
+    };
+    let placement = scheduler.place(now, request);
+    placement.is_some_and(|placement| placement.is_ok())
+}
+
+/// Guards against a host that started, took an old version for a new one and used the weights before
+/// it for seconds longer than the others.
+#[test]
+fn weights_before_a_version_of_unknown_age_are_used_only_shortly() {
+    let now = Instant::now() + 1_000 * SECOND;
+    let mut scheduler = scheduler();
+    let age = DesiredVersionAge::AtLeast(Duration::ZERO);
+    scheduler.record_desired_version(now, "m".into(), 2, age);
+    assert!(is_placed(&mut scheduler, now + SECOND, 1));
+    assert!(!is_placed(&mut scheduler, now + 3 * SECOND, 2));
+}
+
+#[test]
+fn weights_are_used_as_long_as_the_age_that_a_peer_knows_allows() {
+    let now = Instant::now() + 1_000 * SECOND;
+    let mut scheduler = scheduler();
+    let age = DesiredVersionAge::AtLeast(Duration::ZERO);
+    scheduler.record_desired_version(now, "m".into(), 2, age);
+    scheduler.record_desired_version(now, "m".into(), 2, DesiredVersionAge::Exact(SECOND));
+    assert!(is_placed(&mut scheduler, now + 3 * SECOND, 1));
+    assert!(!is_placed(&mut scheduler, now + 7 * SECOND, 2));
+}
+
+#[test]
+fn a_version_of_unknown_age_is_not_hidden_by_a_newer_one() {
+    let now = Instant::now() + 1_000 * SECOND;
+    let mut scheduler = scheduler();
+    let age = DesiredVersionAge::AtLeast(Duration::ZERO);
+    scheduler.record_desired_version(now, "m".into(), 2, age);
+    let age = DesiredVersionAge::Exact(Duration::ZERO);
+    scheduler.record_desired_version(now, "m".into(), 3, age);
+    assert!(!is_placed(&mut scheduler, now + 3 * SECOND, 1));
+}
+
+/// A host that does not know the age of a version must not make its peers believe that it does.
+#[test]
+fn peers_tell_whether_they_know_an_age() {
+    let now = Instant::now() + 1_000 * SECOND;
+    for age in [
+        DesiredVersionAge::AtLeast(SECOND),
+        DesiredVersionAge::Exact(SECOND),
+    ] {
+        let config = CoreConfig {
+            host: 1,
+            scheduler: config("peer"),
+            retry_limit: FleetRetryLimit {
+                ratio: 0.2,
+                extra_retries: 50.0,
+                window: 10 * SECOND,
+            },
+        };
+        let mut core = Core::new(config, slog::Logger::root(slog::Discard, slog::o!()));
+        core.set_desired_version(now, "m".into(), 2, age, DesiredVersionSource::Store);
+        let digest = core.digest(now, 1).encode(&[]);
+        let (digest, _) = Digest::decode(&digest).expect("a digest");
+        assert_eq!(digest.desired_versions[0].age, age);
+    }
+}
