Send no more work to a server that says in an answer that it leaves

A server may say in any of its answers that it is shutting down, while its registry entry still says that it is ready or was only removed. Callers' requests went on to such a server until the entry changed, and could arrive later than it serves.

The header is read in every kind of answer that belongs to the request, stream heads and refusals included, and in reports of runners. The server takes no new work from then on, neither requests that wait nor retries. It holds for the process: an entry that says ready, or one that goes and comes back, does not undo it, a new incarnation does. Digests and heartbeats pass it on, so that hosts learn of it without an answer of their own.

--- a/crates/hickoryhall-gateway/src/core.rs
+++ b/crates/hickoryhall-gateway/src/core.rs
@@ -257,10 +257,14 @@
         server: &BackendServer,
         response_meta: &ResponseMeta,
     ) {
+        let was_leaving = self.scheduler.has_said_that_it_leaves(&server.id);
         let change = self
             .scheduler
             .record_response_head(now, server, response_meta);
         self.log_weights(change);
+        if !was_leaving && self.scheduler.has_said_that_it_leaves(&server.id) {
+            info!(self.logger, "core: Server said that it leaves."; "server" => &*server.id, "incarnation" => server.incarnation);
+        }
     }
 
     /// Counts a request to a service, which adds to the retry budget of that service.
--- a/crates/hickoryhall-gateway/src/core/digests.rs
+++ b/crates/hickoryhall-gateway/src/core/digests.rs
@@ -28,10 +28,11 @@
     }
 
     /// Returns the heartbeat for hosts of other groups, which also lists urgent updates: suspects,
-    /// desired versions, and runners whose weights this host changes as the lease holder.
+    /// desired versions, servers that said that they leave, and runners whose weights this host
+    /// changes as the lease holder.
     pub fn heartbeat(&mut self, now: Instant, group: GroupHash) -> Digest {
         let mut servers = self.server_updates(self.scheduler.own_loads());
-        servers.retain(|update| update.is_changing.is_some());
+        servers.retain(ServerUpdate::is_urgent);
         Digest {
             servers,
             ..self.base_digest(now, group, Scope::Heartbeat)
@@ -88,25 +89,23 @@
         }
     }
 
-    /// Returns updates about servers that have load or whose weights this host changes as the lease
-    /// holder.
+    /// Returns updates about servers that have load, that said that they leave, or whose weights this
+    /// host changes as the lease holder.
     ///
-    /// Where they exceed [`MAX_SERVERS_PER_DIGEST`], those with a weight change come first, then
-    /// those with the most pending work; the rest are left out.
+    /// Where they exceed [`MAX_SERVERS_PER_DIGEST`], the last two kinds come first, then those with
+    /// the most pending work; the rest are left out.
     fn server_updates(&self, loads: impl Iterator<Item = ServerUpdate>) -> Vec<ServerUpdate> {
         let updates = loads.filter_map(|update| {
             let is_changing = self.weight_changes.get(&update.server).copied();
-            let is_reported = update.load.requests > 0 || is_changing.is_some();
-            is_reported.then_some(ServerUpdate {
+            let update = ServerUpdate {
                 is_changing,
                 ..update
-            })
+            };
+            (update.load.requests > 0 || update.is_urgent()).then_some(update)
         });
         let mut updates = updates.collect::<Vec<_>>();
         if updates.len() > MAX_SERVERS_PER_DIGEST {
-            updates.sort_by_key(|update| {
-                Reverse((update.is_changing.is_some(), update.load.pending_ms))
-            });
+            updates.sort_by_key(|update| Reverse((update.is_urgent(), update.load.pending_ms)));
             updates.truncate(MAX_SERVERS_PER_DIGEST);
         }
         updates
@@ -149,6 +148,9 @@
                 self.log_weights(change);
             }
         }
+        for update in digest.servers.iter().filter(|update| update.is_leaving) {
+            self.scheduler.record_leaving(update);
+        }
         for prompt in &digest.prompts {
             self.scheduler.on_peer_prompt(now, prompt);
         }
--- a/crates/hickoryhall-gateway/src/exchange.rs
+++ b/crates/hickoryhall-gateway/src/exchange.rs
@@ -119,6 +119,7 @@
                 incarnation: report.incarnation,
                 weights,
                 is_busy: report.is_busy,
+                is_leaving: report.is_leaving,
             };
             core.with(|core, now| core.record_report(now, hash, &state));
         });
--- a/crates/hickoryhall-gateway/src/interface.rs
+++ b/crates/hickoryhall-gateway/src/interface.rs
@@ -131,6 +131,8 @@
     pub closes_connection: bool,
     /// Time for which the server keeps the idle connection open, where the response reports it.
     pub keep_alive: Option<Duration>,
+    /// Whether the server says that it is shutting down and wants no new requests.
+    pub is_leaving: bool,
 }
 
 /// A failure response that this host generates itself.
@@ -348,6 +350,8 @@
     pub orders_accepted: u64,
     /// Process that reports; `None` if the report does not tell.
     pub incarnation: Option<Incarnation>,
+    /// Whether the runner says that it is shutting down.
+    pub is_leaving: bool,
 }
 
 /// What happens to running requests when the weights change.
--- a/crates/hickoryhall-gateway/src/orders/weight_changes.rs
+++ b/crates/hickoryhall-gateway/src/orders/weight_changes.rs
@@ -318,6 +318,7 @@
                     incarnation: report.incarnation,
                     weights: report.find_weights(model),
                     is_busy: report.is_busy,
+                    is_leaving: report.is_leaving,
                 };
                 let hash = hash_name(&server.id);
                 self.core
--- a/crates/hickoryhall-gateway/src/peers/message.rs
+++ b/crates/hickoryhall-gateway/src/peers/message.rs
@@ -84,6 +84,16 @@
     /// Whether the runner is changing its weights; `None` unless the sender orders it to, as
     /// the lease holder.
     pub is_changing: Option<bool>,
+    /// Whether the server said in a response that it is shutting down.
+    pub is_leaving: bool,
+}
+
+impl ServerUpdate {
+    /// Returns whether hosts need the update to place requests correctly, not only well.
+    #[must_use]
+    pub fn is_urgent(&self) -> bool {
+        self.is_changing.is_some() || self.is_leaving
+    }
 }
 
 /// Update about a desired version of a model.
@@ -217,6 +227,8 @@
     output_tokens: u32,
     #[prost(uint64, optional, tag = "9")]
     incarnation: Option<u64>,
+    #[prost(bool, tag = "10")]
+    is_leaving: bool,
 }
 
 /// Desired version of a model.
@@ -450,6 +462,7 @@
             bound: update.load.non_resumable,
             output_tokens: update.load.output_tokens,
             incarnation: update.incarnation,
+            is_leaving: update.is_leaving,
         }
     }
 }
@@ -468,6 +481,7 @@
             },
             weights: wire.weights,
             is_changing: wire.is_changing,
+            is_leaving: wire.is_leaving,
         }
     }
 }
--- a/crates/hickoryhall-gateway/src/scheduler.rs
+++ b/crates/hickoryhall-gateway/src/scheduler.rs
@@ -15,6 +15,7 @@
 mod placement;
 mod search;
 mod server;
+mod statements;
 mod updates;
 mod weights;
 
@@ -37,6 +38,7 @@
 };
 pub use server::{HostLoad, LoadSource};
 use server::{RequestLoad, ServerState};
+use statements::RemovedStatements;
 pub use weights::{AnnouncedState, ReportedState, WeightsChange, WeightsSource};
 
 use crate::peers::PromptUpdate;
@@ -88,6 +90,7 @@
     by_id: HashMap<ServerId, ServerKey>,
     /// Servers by the hash of their id, under which peers report about them.
     by_hash: HashMap<u64, ServerKey>,
+    removed_statements: RemovedStatements,
     /// Servers of each service in the order of the hashes of their ids, which is the same on every
     /// host.
     by_service: HashMap<TargetId, Vec<ServerKey>>,
@@ -122,6 +125,7 @@
             servers: SlotMap::with_key(),
             by_id: HashMap::new(),
             by_hash: HashMap::new(),
+            removed_statements: RemovedStatements::default(),
             by_service: HashMap::new(),
             runner_capacities: HashMap::new(),
             waiting: BTreeMap::new(),
@@ -178,8 +182,11 @@
     fn insert(&mut self, server: BackendServer) {
         let capacity = self.runner_capacities.get(&server.service).cloned();
         let (id, service) = (server.id.clone(), server.service.clone());
-        let state = ServerState::new(server, capacity);
+        let mut state = ServerState::new(server, capacity);
         let name_hash = state.name_hash;
+        state.statements = self
+            .removed_statements
+            .get(name_hash, state.server.incarnation);
         let key = self.servers.insert(state);
         self.by_id.insert(id, key);
         self.by_hash.insert(name_hash, key);
@@ -194,6 +201,8 @@
         };
         if let Some(state) = self.servers.remove(key) {
             self.by_hash.remove(&state.name_hash);
+            self.removed_statements
+                .insert(state.name_hash, state.statements);
             if let Some(keys) = self.by_service.get_mut(&state.server.service) {
                 keys.retain(|&other| other != key);
             }
--- a/crates/hickoryhall-gateway/src/scheduler/candidate.rs
+++ b/crates/hickoryhall-gateway/src/scheduler/candidate.rs
@@ -97,7 +97,7 @@
         index: usize,
     ) -> Result<Candidate, RefusalReason> {
         let state = &self.servers[key];
-        let is_unavailable = state.server.is_leaving
+        let is_unavailable = state.is_leaving()
             || state.ejection.is_ejected(now)
             || state.is_changing_weights(now)
             || request.excluded_servers.contains(&state.server.id)
@@ -225,7 +225,7 @@
         let receiver = &self.servers[to.key];
         let sources = affinities.iter().filter(|from| {
             let state = &self.servers[from.key];
-            let is_up = !state.server.is_leaving && !state.ejection.is_ejected(now);
+            let is_up = !state.is_leaving() && !state.ejection.is_ejected(now);
             is_up && state.weights() == receiver.weights() && !state.is_changing_weights(now)
         });
         let is_same_domain =
--- a/crates/hickoryhall-gateway/src/scheduler/server.rs
+++ b/crates/hickoryhall-gateway/src/scheduler/server.rs
@@ -6,6 +6,7 @@
 use hickoryhall_routing::{CacheEstimate, Ejection};
 use hickoryhall_types::{Incarnation, TokenCount, WeightsVersion, hash_name};
 
+use super::statements::Statements;
 use super::weights::{AnnouncedState, ReportedState, WeightsBelief, WeightsChange, WeightsSource};
 use super::{AttemptId, GroupHash, HostHash};
 use crate::interface::ReportedLoad;
@@ -98,6 +99,8 @@
     /// Version that the process is believed to have; 0 if the server has no model.
     weights: WeightsBelief,
     change: Option<ChangeInProgress>,
+    /// What the process said about new work.
+    pub statements: Statements,
     /// Incarnation and weights version in the last registry entry.
     entry: (Incarnation, WeightsVersion),
     /// Incarnation before this one. Starts are numbered by clocks, so it may be the higher one.
@@ -123,6 +126,7 @@
             reported_load: None,
             weights: WeightsBelief::new(newest_weights(&server)),
             change: None,
+            statements: Statements::new(server.incarnation),
             entry: (server.incarnation, newest_weights(&server)),
             replaced: None,
             announced: None,
@@ -164,6 +168,7 @@
         self.own_total = HostLoad::default();
         self.peer_loads.clear();
         self.reported_load = None;
+        self.statements = Statements::new(incarnation);
         self.on_new_weights();
     }
 
@@ -220,6 +225,9 @@
                 }
             }
         }
+        if report.is_leaving {
+            self.statements.is_leaving = true;
+        }
         match self.change {
             None if report.is_busy => self.begin_change(now, false),
             // The lease holder also announces a change while the runner is still being drained.
@@ -257,6 +265,24 @@
         self.weights_change(before, WeightsSource::LeaseHolder)
     }
 
+    /// Records that a process of the server said that it leaves, as a peer heard.
+    pub fn record_leaving(&mut self, update: &ServerUpdate) {
+        if self.is_outdated(update.incarnation) {
+            return;
+        }
+        if let Some(incarnation) = update.incarnation
+            && incarnation != self.server.incarnation
+        {
+            self.start_incarnation(incarnation, update.weights);
+        }
+        self.statements.is_leaving = true;
+    }
+
+    /// Returns whether the server takes no new work because it is shutting down.
+    pub fn is_leaving(&self) -> bool {
+        self.server.is_leaving || self.statements.is_leaving
+    }
+
     /// Records whether the lease holder changes the runner's weights; repeated calls keep the first
     /// time.
     pub fn set_announced_change(&mut self, now: Instant, is_changing: bool) {
@@ -349,6 +375,7 @@
             load,
             weights: self.weights(),
             is_changing: None,
+            is_leaving: self.statements.is_leaving,
         }
     }
 
--- /dev/null
+++ b/crates/hickoryhall-gateway/src/scheduler/statements.rs
@@ -0,0 +1,57 @@
+//! What servers say about new work for this host.
+
+use std::collections::{HashMap, VecDeque};
+
+use hickoryhall_types::Incarnation;
+
+/// Maximum number of removed servers whose statements are kept; the oldest are dropped.
+const MAX_REMOVED: usize = 8_192;
+
+/// What one process of a server said about new work; it holds until the process ends.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub(super) struct Statements {
+    pub incarnation: Incarnation,
+    /// Whether the process is shutting down, whatever its registry entry says.
+    pub is_leaving: bool,
+}
+
+impl Statements {
+    pub fn new(incarnation: Incarnation) -> Self {
+        Self {
+            incarnation,
+            ..Self::default()
+        }
+    }
+}
+
+/// Statements of servers that are not registered, by the hash of their ids. An entry that expires
+/// and comes back is about the same process.
+#[derive(Debug, Default)]
+pub(super) struct RemovedStatements {
+    by_hash: HashMap<u64, Statements>,
+    /// Hashes in the order in which they were added.
+    order: VecDeque<u64>,
+}
+
+impl RemovedStatements {
+    pub fn insert(&mut self, server: u64, statements: Statements) {
+        if statements == Statements::new(statements.incarnation) {
+            return;
+        }
+        if self.by_hash.insert(server, statements).is_none() {
+            self.order.push_back(server);
+        }
+        if self.order.len() > MAX_REMOVED
+            && let Some(oldest) = self.order.pop_front()
+        {
+            self.by_hash.remove(&oldest);
+        }
+    }
+
+    /// Returns the statements of a process of a server.
+    pub fn get(&self, server: u64, incarnation: Incarnation) -> Statements {
+        let kept = self.by_hash.get(&server).copied();
+        let kept = kept.filter(|kept| kept.incarnation == incarnation);
+        kept.unwrap_or_else(|| Statements::new(incarnation))
+    }
+}
--- a/crates/hickoryhall-gateway/src/scheduler/updates.rs
+++ b/crates/hickoryhall-gateway/src/scheduler/updates.rs
@@ -6,9 +6,10 @@
 use hickoryhall_types::Incarnation;
 
 use super::server::ServerState;
+use super::statements::Statements;
 use super::weights::{AnnouncedState, ReportedState, WeightsChange};
 use super::{HostLoad, LoadSource, RunnerView, Scheduler};
-use crate::interface::ResponseMeta;
+use crate::interface::{ResponseKind, ResponseMeta};
 use crate::peers::{PromptUpdate, ServerUpdate};
 use crate::registry::BackendServer;
 
@@ -31,6 +32,9 @@
         if let Some(load) = response_meta.load {
             state.set_reported_load(now, load);
         }
+        if response_meta.is_leaving && response_meta.kind != ResponseKind::Invalid {
+            state.statements.is_leaving = true;
+        }
         state.record_response_weights(response_meta.weights?)
     }
 
@@ -65,6 +69,27 @@
         }
     }
 
+    /// Records that a server said that it leaves, as a peer heard. The server may not be registered
+    /// here yet.
+    pub fn record_leaving(&mut self, update: &ServerUpdate) {
+        if let Some(state) = self.state_mut(update.server) {
+            state.record_leaving(update);
+        } else if let Some(incarnation) = update.incarnation {
+            let statements = Statements {
+                is_leaving: true,
+                ..Statements::new(incarnation)
+            };
+            self.removed_statements.insert(update.server, statements);
+        }
+    }
+
+    /// Returns whether a server said that it is shutting down.
+    #[must_use]
+    pub fn has_said_that_it_leaves(&self, id: &str) -> bool {
+        let state = self.by_id.get(id).map(|&key| &self.servers[key]);
+        state.is_some_and(|state| state.statements.is_leaving)
+    }
+
     fn state_mut(&mut self, server: u64) -> Option<&mut ServerState> {
         let key = *self.by_hash.get(&server)?;
         self.servers.get_mut(key)
@@ -117,7 +142,10 @@
             .values()
             .filter(|state| state.runner_capacity.is_some());
         let views = runners.map(|state| RunnerView {
-            server: state.server.clone(),
+            server: BackendServer {
+                is_leaving: state.is_leaving(),
+                ..state.server.clone()
+            },
             weights: state.weights(),
             load: state.load(now),
             is_ejected: state.ejection.is_ejected(now),
--- a/crates/hickoryhall-gateway/src/scheduler/weights.rs
+++ b/crates/hickoryhall-gateway/src/scheduler/weights.rs
@@ -67,6 +67,8 @@
     pub weights: Option<WeightsVersion>,
     /// Whether it is carrying out an order.
     pub is_busy: bool,
+    /// Whether it said that it is shutting down.
+    pub is_leaving: bool,
 }
 
 /// State of a runner that the lease holder announced.
--- a/crates/hickoryhall-gateway/tests/incarnations.rs
+++ b/crates/hickoryhall-gateway/tests/incarnations.rs
@@ -62,6 +62,7 @@
             incarnation,
             weights: Some(weights),
             is_busy: false,
+            is_leaving: false,
         };
         self.scheduler.record_report(self.now, hash(), &report);
     }
@@ -73,6 +74,7 @@
             weights: Some(weights),
             closes_connection: false,
             keep_alive: None,
+            is_leaving: false,
         };
         let server = entry(incarnation, 1);
         self.scheduler
--- a/crates/hickoryhall-gateway/tests/messages.rs
+++ b/crates/hickoryhall-gateway/tests/messages.rs
@@ -43,6 +43,7 @@
             },
             weights: number(8),
             is_changing: [None, Some(false), Some(true)][number(9) as usize % 3],
+            is_leaving: number(5).is_multiple_of(2),
         }],
         desired_versions: vec![DesiredVersionUpdate {
             model: "m".into(),
