--- a/crates/hickoryhall-gateway/src/core.rs
+++ b/crates/hickoryhall-gateway/src/core.rs
@@ -20,11 +20,12 @@
 
 use crate::fleet::Fleet;
 use crate::interface::ResponseMeta;
+use crate::outcome::ResponseKind;
 use crate::peers::{PromptUpdate, SuspectUpdate};
 use crate::registry::{BackendServer, Registry, RegistryEvent};
 use crate::scheduler::{
-    AttemptEnd, AttemptId, HostHash, Placement, PlacementRequest, ReportedState, RunnerView,
-    Scheduler, SchedulerConfig, WeightsChange,
+    AttemptEnd, AttemptId, DesiredVersionAge, HostHash, Placement, PlacementRequest, ReportedState,
+    RunnerView, Scheduler, SchedulerConfig, WeightsChange,
 };
 use crate::table::RouteTable;
 
@@ -50,7 +51,7 @@
 /// Where this host learned of a desired version.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum DesiredVersionSource {
-    /// The operators' record in the store, which does not tell its age.
+    /// The operators' record in the store.
     Store,
     /// A digest of a peer.
     Peer,
@@ -131,20 +132,23 @@
         true
     }
 
-    /// Records a desired version of a model that has been known for `age`.
+    /// Records a desired version of a model and its age.
     pub fn set_desired_version(
         &mut self,
         now: Instant,
         model: TargetId,
         version: WeightsVersion,
-        age: Duration,
+        age: DesiredVersionAge,
         source: DesiredVersionSource,
     ) {
+        let had_exact_age = self.scheduler.has_exact_age(&model, version);
         let is_newest = self
             .scheduler
             .record_desired_version(now, model.clone(), version, age);
-        if is_newest {
-            info!(self.logger, "core: New desired version of a model."; "model" => &*model, "version" => version, "age_ms" => age.as_millis(), "source" => source.as_str());
+        let has_learned_age = age.is_exact() && !had_exact_age;
+        if is_newest || has_learned_age {
+            let age_ms = age.lower_bound().as_millis();
+            info!(self.logger, "core: New desired version of a model."; "model" => &*model, "version" => version, "age_ms" => age_ms, "is_exact" => age.is_exact(), "source" => source.as_str());
         }
     }
 
@@ -246,18 +250,26 @@
         self.place_waiting(now);
     }
 
-    /// Records the load and weights that a response head reports about its server, as its registry
-    /// entry was when the request was sent.
+    /// Records what the head of a response reports about its server, as its registry entry was when
+    /// the request was sent; ignores a response that another server may have sent.
     pub fn on_response_head(
         &mut self,
         now: Instant,
         server: &BackendServer,
+        kind: ResponseKind,
         response_meta: &ResponseMeta,
     ) {
+        if !kind.is_from_server() {
+            return;
+        }
+        let was_leaving = self.scheduler.has_said_that_it_leaves(&server.id);
         let change = self
             .scheduler
             .record_response_head(now, server, response_meta);
         self.log_weights(change);
+        if !was_leaving && self.scheduler.has_said_that_it_leaves(&server.id) {
+            info!(self.logger, "core: Server said that it leaves."; "server" => &*server.id, "incarnation" => server.incarnation);
+        }
     }
 
     /// Counts a request to a service, which adds to the retry budget of that service.
--- a/crates/hickoryhall-gateway/src/exchange/attempt.rs
+++ b/crates/hickoryhall-gateway/src/exchange/attempt.rs
@@ -154,7 +154,7 @@
         let server = &assignment.server;
         self.gateway
             .core
-            .with(|core, now| core.on_response_head(now, server, &response_meta));
+            .with(|core, now| core.on_response_head(now, server, kind, &response_meta));
         if kind == ResponseKind::Success && self.request.route.kind.is_stream() {
             return AttemptResult::Stream(Box::new(OpenStream {
                 head,
--- a/crates/hickoryhall-gateway/src/feeds.rs
+++ b/crates/hickoryhall-gateway/src/feeds.rs
@@ -17,6 +17,7 @@
 use crate::core::{CoreHandle, DesiredVersionSource};
 use crate::interface::{OperatorRecord, Platform, StoreChange, StoreEra, StoreError, StoreItem};
 use crate::peers::{StoreRecords, StoreSnapshot};
+use crate::scheduler::DesiredVersionAge;
 use crate::store_client::{StoreClient, WithPosition};
 use crate::store_position::StorePosition;
 use records::{OperatorRecords, RegistryRecords};
@@ -169,7 +170,8 @@
                 .with(|core, now| core.set_registry_available(now, true));
         }
         for change in changes {
-            self.apply_change(FeedKind::Registry, change);
+            let age = DesiredVersionAge::AtLeast(Duration::ZERO);
+            self.apply_change(FeedKind::Registry, change, age);
         }
         self.advance(FeedKind::Registry, relay.position());
     }
@@ -246,6 +248,12 @@
                 );
                 return;
             }
+            // Changes that are read after an outage may be as old as the outage.
+            let age = if link.is_up() {
+                DesiredVersionAge::Exact(Duration::ZERO)
+            } else {
+                DesiredVersionAge::AtLeast(Duration::ZERO)
+            };
             let Some(changes) = self.track_result(link, watched).await else {
                 continue;
             };
@@ -257,7 +265,7 @@
                 log.record_changes(Instant::now(), after.revision, content);
             }
             for change in changes.content {
-                self.apply_change(link.kind, change);
+                self.apply_change(link.kind, change, age);
             }
             self.advance(link.kind, after);
             if is_changed && is_reader {
@@ -332,8 +340,9 @@
         }
         match kind {
             FeedKind::Operator => {
+                let age = DesiredVersionAge::AtLeast(Duration::ZERO);
                 for item in &records.items {
-                    self.apply_operator_record(item);
+                    self.apply_operator_record(item, age);
                 }
                 self.advance(kind, records.position);
             }
@@ -353,9 +362,10 @@
         }
     }
 
-    fn apply_change(&self, kind: FeedKind, change: StoreChange) {
+    /// Applies one change; `age` is that of a desired version in it.
+    fn apply_change(&self, kind: FeedKind, change: StoreChange, age: DesiredVersionAge) {
         match (kind, &change) {
-            (FeedKind::Operator, StoreChange::Put(item)) => self.apply_operator_record(item),
+            (FeedKind::Operator, StoreChange::Put(item)) => self.apply_operator_record(item, age),
             // The table or desired version of a removed record remains in force.
             (FeedKind::Operator, StoreChange::Removed { .. }) => {}
             (FeedKind::Registry, StoreChange::Put(item)) => {
@@ -373,8 +383,9 @@
         }
     }
 
-    /// Applies a record of the operators, unless a newer one is in force.
-    fn apply_operator_record(&self, item: &StoreItem) {
+    /// Applies a record of the operators, unless a newer one is in force; `age` is that of a desired
+    /// version.
+    fn apply_operator_record(&self, item: &StoreItem, age: DesiredVersionAge) {
         let version = match self.platform.operator_record(item) {
             Ok(Some(OperatorRecord::Table(table))) => {
                 let revision = table.revision();
@@ -384,7 +395,7 @@
             Ok(Some(OperatorRecord::DesiredVersion { model, version })) => {
                 self.core.with(|core, now| {
                     let source = DesiredVersionSource::Store;
-                    core.set_desired_version(now, model, version, Duration::ZERO, source);
+                    core.set_desired_version(now, model, version, age, source);
                 });
                 version
             }
--- a/crates/hickoryhall-gateway/src/peers/message.rs
+++ b/crates/hickoryhall-gateway/src/peers/message.rs
@@ -10,7 +10,7 @@
 
 use crate::feeds::relay::RegistryRelay;
 use crate::interface::{StoreChange, StoreEra, StoreItem};
-use crate::scheduler::{GroupHash, HostHash, HostLoad};
+use crate::scheduler::{DesiredVersionAge, GroupHash, HostHash, HostLoad};
 use crate::store_position::StorePosition;
 
 /// State of a host or of a group, sent to peers several times a second.
@@ -87,6 +87,16 @@
     /// Whether the runner is changing its weights; `None` unless the sender orders it to, as
     /// the lease holder.
     pub is_changing: Option<bool>,
+    /// Whether the server said in a response that it is shutting down.
+    pub is_leaving: bool,
+}
+
+impl ServerUpdate {
+    /// Returns whether hosts need the update to place requests correctly, not only well.
+    #[must_use]
+    pub fn is_urgent(&self) -> bool {
+        self.is_changing.is_some() || self.is_leaving
+    }
 }
 
 /// Update about a desired version of a model.
@@ -97,7 +107,7 @@
     /// Version that the model's runners shall have unless a newer one is known.
     pub version: WeightsVersion,
     /// Time since the version became known to any host, as far as the sender knows.
-    pub age: Duration,
+    pub age: DesiredVersionAge,
 }
 
 /// Update about a request during which backend servers failed.
@@ -224,6 +234,8 @@
     output_tokens: u32,
     #[prost(uint64, optional, tag = "9")]
     incarnation: Option<u64>,
+    #[prost(bool, tag = "10")]
+    is_leaving: bool,
 }
 
 /// Desired version of a model.
@@ -235,6 +247,9 @@
     version: u64,
     #[prost(uint64, tag = "3")]
     age_ms: u64,
+    /// Whether the version may be older.
+    #[prost(bool, tag = "4")]
+    is_at_least: bool,
 }
 
 #[derive(Clone, PartialEq, Message)]
@@ -462,6 +477,7 @@
             bound: update.load.non_resumable,
             output_tokens: update.load.output_tokens,
             incarnation: update.incarnation,
+            is_leaving: update.is_leaving,
         }
     }
 }
@@ -480,6 +496,7 @@
             },
             weights: wire.weights,
             is_changing: wire.is_changing,
+            is_leaving: wire.is_leaving,
         }
     }
 }
@@ -489,17 +506,23 @@
         Self {
             model: update.model.as_ref().to_owned(),
             version: update.version,
-            age_ms: u64::try_from(update.age.as_millis()).unwrap_or(u64::MAX),
+            age_ms: u64::try_from(update.age.lower_bound().as_millis()).unwrap_or(u64::MAX),
+            is_at_least: !update.age.is_exact(),
         }
     }
 }
 
 impl From<WireWanted> for DesiredVersionUpdate {
     fn from(wire: WireWanted) -> Self {
+        let age = Duration::from_millis(wire.age_ms);
         Self {
             model: wire.model.into(),
             version: wire.version,
-            age: Duration::from_millis(wire.age_ms),
+            age: if wire.is_at_least {
+                DesiredVersionAge::AtLeast(age)
+            } else {
+                DesiredVersionAge::Exact(age)
+            },
         }
     }
 }
--- a/crates/hickoryhall-gateway/src/scheduler/candidate.rs
+++ b/crates/hickoryhall-gateway/src/scheduler/candidate.rs
@@ -97,7 +97,7 @@
         index: usize,
     ) -> Result<Candidate, RefusalReason> {
         let state = &self.servers[key];
-        let is_unavailable = state.server.is_leaving
+        let is_unavailable = state.is_leaving()
             || state.ejection.is_ejected(now)
             || state.is_changing_weights(now)
             || request.excluded_servers.contains(&state.server.id)
@@ -225,7 +225,7 @@
         let receiver = &self.servers[to.key];
         let sources = affinities.iter().filter(|from| {
             let state = &self.servers[from.key];
-            let is_up = !state.server.is_leaving && !state.ejection.is_ejected(now);
+            let is_up = !state.is_leaving() && !state.ejection.is_ejected(now);
             is_up && state.weights() == receiver.weights() && !state.is_changing_weights(now)
         });
         let is_same_domain =
@@ -299,8 +299,12 @@
         estimate_ms: f64,
     ) -> Result<f64, RefusalReason> {
         let history = self.desired_versions.get(model);
+        let unknown_age = self
+            .config
+            .old_weights_limit
+            .saturating_sub(self.config.unknown_age_limit);
         let superseded_for =
-            history.and_then(|history| history.superseded_for(now, state.weights()));
+            history.and_then(|history| history.superseded_for(now, state.weights(), unknown_age));
         let Some(superseded_for) = superseded_for else {
             return Ok(0.0);
         };
