Keep what is known of backend servers when the store comes back from an older copy

What callers saw: requests went to a server that had said it leaves, or was gone, because the older copy called it ready; servers that had registered after the copy was made were dropped at once, with what was known of their caches, where no call of the host had failed while the store was away.

A newer era now counts as an outage of the store, so entries that the copy lacks stay in use until two seconds after the return. For six seconds, lists of the store do not undo what is known: an entry of an older incarnation, with fewer heartbeats, or one that calls a leaving incarnation ready is not applied. A server that was gone is held back until it writes its entry again; one that the store still lists after six seconds is alive, because the store removes entries after three silent heartbeat intervals, and is used then. It is kept out rather than used at once because a host that has learned of a server's leaving is bound by it whatever the store says, and a request to a dead server costs its caller an attempt. Entries that arrive by a watch of the new era were written after the copy and are always applied. Records for peers keep the newer entries, too.

Heartbeats (`sequence`) are parsed and change no event: an entry in which nothing else changed is not passed on to the scheduler. While servers register again, the pause between reads is shorter in small fleets.

--- a/crates/hickoryhall-gateway/src/core.rs
+++ b/crates/hickoryhall-gateway/src/core.rs
@@ -20,7 +20,7 @@
 use crate::fleet::Fleet;
 use crate::interface::ResponseMeta;
 use crate::peers::{PromptUpdate, SuspectUpdate};
-use crate::registry::{BackendServer, Registry, RegistryEvent};
+use crate::registry::{Registry, RegistryEntry, RegistryEvent, ServerId};
 use crate::scheduler::{
     AttemptEnd, AttemptId, HostHash, Placement, PlacementRequest, RunnerView, Scheduler,
     SchedulerConfig,
@@ -128,18 +128,43 @@
         }
     }
 
-    /// Applies a full listing of the registry.
-    pub fn on_registry_list(&mut self, now: Instant, servers: Vec<BackendServer>) {
-        let events = self.registry.on_list(now, servers);
+    /// Applies a full listing of the registry, and returns the ids of the servers whose entries were
+    /// not applied because something newer is known of them.
+    pub fn on_registry_list(&mut self, now: Instant, entries: Vec<RegistryEntry>) -> Vec<ServerId> {
+        let outdated = entries
+            .iter()
+            .filter(|entry| self.registry.is_outdated(now, entry));
+        let outdated = outdated.cloned().collect::<Vec<_>>();
+        let events = self.registry.on_list(now, entries);
         self.apply_registry_events(events);
+        for RegistryEntry { server, heartbeats } in &outdated {
+            info!(
+                self.logger, "core: Registry entry of an older copy not applied.";
+                "server" => &*server.id, "incarnation" => server.incarnation,
+                "heartbeats" => heartbeats, "leaving" => server.is_leaving,
+                "in_use" => self.registry.get(&server.id).is_some()
+            );
+        }
+        outdated.into_iter().map(|entry| entry.server.id).collect()
     }
 
     /// Applies a new or changed registry entry.
-    pub fn on_registry_entry(&mut self, server: BackendServer) {
-        let event = self.registry.on_entry(server);
+    pub fn on_registry_entry(&mut self, entry: impl Into<RegistryEntry>) {
+        let event = self.registry.on_entry(entry);
         self.apply_registry_events(event);
     }
 
+    /// Records that the store has come back from an older copy of its contents.
+    pub fn on_store_restored(&mut self, now: Instant) {
+        self.registry.on_store_restored(now);
+    }
+
+    /// Returns whether registry entries may be missing because of an outage of the store.
+    #[must_use]
+    pub fn may_miss_registry_entries(&self, now: Instant) -> bool {
+        self.registry.may_be_outage(now)
+    }
+
     /// Handles the removal of a registry entry.
     ///
     /// The server stays in use where a store outage may have removed the entry.
--- a/crates/hickoryhall-gateway/src/feeds.rs
+++ b/crates/hickoryhall-gateway/src/feeds.rs
@@ -7,6 +7,7 @@
 pub mod relay;
 
 use std::cell::{Cell, RefCell};
+use std::collections::BTreeSet;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
@@ -17,6 +18,7 @@
 use crate::core::CoreHandle;
 use crate::interface::{OperatorRecord, Platform, StoreChange, StoreEra, StoreError, StoreItem};
 use crate::peers::{StoreRecords, StoreSnapshot};
+use crate::registry::RegistryEntry;
 use crate::store_client::{StoreClient, WithPosition};
 use crate::store_position::StorePosition;
 use records::{OperatorRecords, RegistryRecords};
@@ -39,6 +41,8 @@
 /// at most two seconds.
 const REGISTRY_PAUSE_RANGE: std::ops::RangeInclusive<Duration> =
     Duration::from_millis(400)..=Duration::from_millis(1_200);
+/// Shortest pause soon after an outage, when servers register again in time or count as gone.
+const REGISTRY_PAUSE_AFTER_OUTAGE: Duration = Duration::from_millis(100);
 /// Longest delay before all records are read again in a newer era, per host of the fleet and in
 /// total.
 const RELIST_DELAY_PER_HOST: Duration = Duration::from_millis(2);
@@ -270,9 +274,16 @@
 
     /// Returns the pause after changes of the registry, by the number of live hosts.
     fn registry_pause(&self) -> Duration {
-        let hosts = self.core.with(crate::core::Core::host_count);
+        let (hosts, may_miss_entries) = self
+            .core
+            .with(|core, now| (core.host_count(now), core.may_miss_registry_entries(now)));
         let pause = REGISTRY_PAUSE_PER_HOST * u32::try_from(hosts).unwrap_or(u32::MAX);
-        pause.clamp(*REGISTRY_PAUSE_RANGE.start(), *REGISTRY_PAUSE_RANGE.end())
+        let shortest = if may_miss_entries {
+            REGISTRY_PAUSE_AFTER_OUTAGE
+        } else {
+            *REGISTRY_PAUSE_RANGE.start()
+        };
+        pause.clamp(shortest, *REGISTRY_PAUSE_RANGE.end())
     }
 
     fn position(&self, kind: FeedKind) -> StorePosition {
@@ -338,17 +349,22 @@
                 self.advance(kind, records.position);
             }
             FeedKind::Registry => {
-                let servers = records
-                    .items
-                    .iter()
-                    .filter_map(|item| self.parse_server(item));
-                let servers = servers.collect();
-                self.core
-                    .with(|core, now| core.on_registry_list(now, servers));
+                let is_restored = !before.is_unread() && records.position.era > before.era;
+                let entries = records.items.iter();
+                let entries = entries.filter_map(|item| self.parse_entry(item)).collect();
+                let outdated = self.core.with(|core, now| {
+                    if is_restored {
+                        core.on_store_restored(now);
+                    }
+                    core.on_registry_list(now, entries)
+                });
                 self.relay_log
                     .borrow_mut()
                     .record_list(Instant::now(), records.position);
-                self.registry.borrow_mut().replace(records);
+                let outdated = outdated.into_iter().collect::<BTreeSet<_>>();
+                self.registry.borrow_mut().replace(records, |item| {
+                    outdated.contains(self.platform.server_id(&item.key))
+                });
             }
         }
     }
@@ -359,8 +375,8 @@
             // The table or desired version of a removed record remains in force.
             (FeedKind::Operator, StoreChange::Removed { .. }) => {}
             (FeedKind::Registry, StoreChange::Put(item)) => {
-                if let Some(server) = self.parse_server(item) {
-                    self.core.with(|core, _| core.on_registry_entry(server));
+                if let Some(entry) = self.parse_entry(item) {
+                    self.core.with(|core, _| core.on_registry_entry(entry));
                 }
                 self.registry.borrow_mut().apply(change);
             }
@@ -400,9 +416,9 @@
     }
 
     /// Reads a registry entry; logs one that cannot be used and returns `None`.
-    fn parse_server(&self, item: &StoreItem) -> Option<crate::registry::BackendServer> {
+    fn parse_entry(&self, item: &StoreItem) -> Option<RegistryEntry> {
         match self.platform.registry_entry(item) {
-            Ok(server) => Some(server),
+            Ok(entry) => Some(entry),
             Err(error) => {
                 warn!(
                     self.logger, "feeds: Registry entry skipped.";
--- a/crates/hickoryhall-gateway/src/feeds/records.rs
+++ b/crates/hickoryhall-gateway/src/feeds/records.rs
@@ -26,11 +26,20 @@
         self.position = self.position.max(position);
     }
 
-    /// Replaces all records, also by those of a lower position.
-    pub fn replace(&mut self, records: StoreRecords) {
-        let items = records.items.into_iter();
+    /// Replaces all records, also by those of a lower position, except the outdated ones among them:
+    /// these leave the known record as it is, or absent.
+    pub fn replace(&mut self, records: StoreRecords, is_outdated: impl Fn(&StoreItem) -> bool) {
+        let mut known = std::mem::take(&mut self.items);
+        let items = records.items.into_iter().filter_map(|item| {
+            let item = if is_outdated(&item) {
+                known.remove(&item.key)?
+            } else {
+                item
+            };
+            Some((item.key.clone(), item))
+        });
+        self.items = items.collect();
         self.position = records.position;
-        self.items = items.map(|item| (item.key.clone(), item)).collect();
     }
 
     /// Applies one change.
--- a/crates/hickoryhall-gateway/src/interface.rs
+++ b/crates/hickoryhall-gateway/src/interface.rs
@@ -13,7 +13,7 @@
 use hyper::header::HeaderMap;
 use hyper::{Request, Response, StatusCode};
 
-use crate::registry::BackendServer;
+use crate::registry::{BackendServer, RegistryEntry};
 use crate::table::RouteTable;
 
 /// Part of a prompt that several requests may have in common.
@@ -353,7 +353,7 @@
     /// # Errors
     ///
     /// Returns an error if the entry is invalid or describes no usable server.
-    fn registry_entry(&self, item: &StoreItem) -> Result<BackendServer, InvalidRecord>;
+    fn registry_entry(&self, item: &StoreItem) -> Result<RegistryEntry, InvalidRecord>;
 
     /// Returns the server id in the key of a registry entry.
     fn server_id<'a>(&self, key: &'a str) -> &'a str;
