Ask a store that failed for an answer at once

After a failed call a host watched the store again for its whole 20 s. While nothing changed under the watch's prefix, it did not learn that the store was back, so it took entries that had expired for the effect of an outage all the while, nor in which era the store was: a record written at a revision below the watch's, before the host was connected again, was missed until another call or a peer told the era.

The first watch after a failure now waits 1 ms, and the next ones as before.

--- a/crates/hickoryhall-gateway/src/feeds.rs
+++ b/crates/hickoryhall-gateway/src/feeds.rs
@@ -30,6 +30,8 @@
 /// The same time at a host that passes changes of the registry on: others rely on the store's
 /// answers that it gets.
 const READER_WATCH_TIMEOUT: Duration = Duration::from_millis(800);
+/// The same time after a failed call: the answer shows that the store is back, and its era.
+const RETURN_WATCH_TIMEOUT: Duration = Duration::from_millis(1);
 /// Pause after changes of the registry at a host that passes them on.
 const READER_PAUSE: Duration = Duration::from_millis(300);
 /// Interval at which a host checks whether its records are still kept up to date by others.
@@ -234,7 +236,9 @@
             after = after.max(self.position(link.kind));
             let is_reader =
                 link.kind == FeedKind::Registry && self.role.get() == RegistryRole::Reader;
-            let wait = if is_reader {
+            let wait = if !link.is_up() {
+                RETURN_WATCH_TIMEOUT
+            } else if is_reader {
                 READER_WATCH_TIMEOUT
             } else {
                 WATCH_TIMEOUT
