--- a/crates/hickoryhall-gateway/src/feeds.rs
+++ b/crates/hickoryhall-gateway/src/feeds.rs
@@ -158,15 +158,17 @@
     pub fn on_registry_relay(&self, now: Instant, relay: &RegistryRelay) {
         self.observe_peer_era(relay.era);
         let known = self.registry.borrow().position();
-        if known.is_unread() || relay.era < known.era {
+        if known.is_unread() {
             return;
         }
         let changes = self.relay_monitor.borrow_mut().on_relay(now, known, relay);
+        if relay.era != known.era {
+            return;
+        }
         let Some(changes) = changes else {
             info!(
                 self.logger, "feeds: Changes of the registry are missing in a relay. The store is read.";
-                "known" => known.revision, "after" => relay.after,
-                "era" => known.era, "relay_era" => relay.era
+                "known" => known.revision, "after" => relay.after, "era" => known.era
             );
             return;
         };
