Spread the hosts of a large fleet when they read a store again after a restore

All hosts learn of a newer era within a digest interval. Each now waits for a random part of 1 ms (operators' records) or 5 ms (registry) per host before it reads them again, 2.5 s at most. Relays and removals of servers wait for that long anyway.

--- a/crates/hickoryhall-gateway/src/feeds.rs
+++ b/crates/hickoryhall-gateway/src/feeds.rs
@@ -3,6 +3,7 @@
 //!
 //! In a large fleet only some hosts read the registry; see [`relay`].
 
+mod link;
 pub mod records;
 pub mod relay;
 
@@ -21,6 +22,7 @@
 use crate::registry::RegistryEntry;
 use crate::store_client::{StoreClient, WithPosition};
 use crate::store_position::StorePosition;
+use link::LinkState;
 use records::{OperatorRecords, RegistryRecords};
 use relay::{RegistryRelay, RegistryRole, RelayLog, RelayMonitor};
 
@@ -45,16 +47,12 @@
     Duration::from_millis(400)..=Duration::from_millis(1_200);
 /// Shortest pause soon after an outage, when servers register again in time or count as gone.
 const REGISTRY_PAUSE_AFTER_OUTAGE: Duration = Duration::from_millis(100);
-/// Longest delay before all records are read again in a newer era, per host of the fleet and in
-/// total.
-const RELIST_DELAY_PER_HOST: Duration = Duration::from_millis(2);
-const MAX_RELIST_DELAY: Duration = Duration::from_secs(1);
-/// Pause after the first failed call to the store.
-const FIRST_RETRY_PAUSE: Duration = Duration::from_millis(100);
-/// Longest pause between two calls while the store fails: changes must be in force within two
-/// seconds after it is available again.
-const MAX_RETRY_PAUSE: Duration = Duration::from_millis(600);
-
+/// Longest delay before all records are read again in a newer era, per host of the fleet: all hosts
+/// learn of it at the same time, and the registry of a large fleet takes several calls to read.
+const OPERATOR_RELIST_PER_HOST: Duration = Duration::from_millis(1);
+const REGISTRY_RELIST_PER_HOST: Duration = Duration::from_millis(5);
+/// Longest such delay in a fleet of any size.
+const MAX_RELIST_DELAY: Duration = Duration::from_millis(2_500);
 /// Identifies a set of records in the store.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum FeedKind {
@@ -212,19 +210,23 @@
             self.apply_list(kind, StoreRecords { position, items });
             tokio::select! {
                 biased;
-                () = self.store.wait_for_newer_era(position.era) => {
-                    sleep(self.relist_delay()).await;
-                }
+                () = self.store.wait_for_newer_era(position.era) => {}
                 () = self.watch(&mut link, position) => {}
             }
+            if self.store.era() > position.era {
+                sleep(self.relist_delay(kind)).await;
+            }
         }
     }
 
-    /// Returns the delay before all records are read again: the hosts of a large fleet learn of a
-    /// newer era at the same time.
-    fn relist_delay(&self) -> Duration {
+    /// Returns the delay before all records are read again in a newer era.
+    fn relist_delay(&self, kind: FeedKind) -> Duration {
         let hosts = self.core.with(crate::core::Core::host_count);
-        let longest = RELIST_DELAY_PER_HOST * u32::try_from(hosts).unwrap_or(u32::MAX);
+        let per_host = match kind {
+            FeedKind::Operator => OPERATOR_RELIST_PER_HOST,
+            FeedKind::Registry => REGISTRY_RELIST_PER_HOST,
+        };
+        let longest = per_host * u32::try_from(hosts).unwrap_or(u32::MAX);
         longest
             .min(MAX_RELIST_DELAY)
             .mul_f64(rand::rng().random_range(0.0..1.0))
@@ -339,9 +341,9 @@
     /// Applies all records of one kind, as of a position of the store.
     fn apply_list(&self, kind: FeedKind, records: StoreRecords) {
         let before = self.position(kind);
-        if before.era != records.position.era && !before.is_unread() {
+        if records.position.era > before.era && !before.is_unread() {
             info!(
-                self.logger, "feeds: Records of another era of the store read.";
+                self.logger, "feeds: Records of a newer era of the store read.";
                 "source" => kind.name(), "records" => records.items.len(),
                 "era" => records.position.era, "revision" => records.position.revision,
                 "era_before" => before.era, "revision_before" => before.revision
@@ -442,50 +444,3 @@
         FeedKind::Registry => P::REGISTRY_PREFIX,
     }
 }
-
-/// Tracks whether a set of records can be read from the store and logs each change.
-struct LinkState {
-    kind: FeedKind,
-    /// Failed calls since the last one that succeeded.
-    failures: u32,
-    logger: Logger,
-}
-
-impl LinkState {
-    fn new(kind: FeedKind, logger: Logger) -> Self {
-        Self {
-            kind,
-            failures: 0,
-            logger,
-        }
-    }
-
-    fn is_up(&self) -> bool {
-        self.failures == 0
-    }
-
-    fn on_success(&mut self) {
-        if self.failures > 0 {
-            info!(
-                self.logger, "feeds: Store answers again.";
-                "source" => self.kind.name(), "failures" => self.failures
-            );
-            self.failures = 0;
-        }
-    }
-
-    /// Returns the pause before the next call, with jitter so that hosts do not call all at once.
-    fn on_failure(&mut self, error: &StoreError) -> Duration {
-        if self.failures == 0 {
-            warn!(
-                self.logger, "feeds: Store lost.";
-                "source" => self.kind.name(), "error" => %error
-            );
-        }
-        self.failures += 1;
-        let pause = FIRST_RETRY_PAUSE * 2_u32.saturating_pow(self.failures.min(8) - 1);
-        pause
-            .min(MAX_RETRY_PAUSE)
-            .mul_f64(rand::rng().random_range(0.7..1.3))
-    }
-}
--- a/crates/hickoryhall-gateway/src/store_client.rs
+++ b/crates/hickoryhall-gateway/src/store_client.rs
@@ -13,7 +13,7 @@
 use tokio::sync::watch;
 
 use crate::interface::{
-    ConditionalPut, LeaseId, Platform, StoreAnswer, StoreChange, StoreEra, StoreError, StoreItem,
+    ConditionalPut, LeaseId, Store, StoreAnswer, StoreChange, StoreEra, StoreError, StoreItem,
     StoreRevision, WithRevision,
 };
 use crate::store_position::{EraObservation, EraTracker, StorePosition};
@@ -47,7 +47,7 @@
     logger: Logger,
 }
 
-impl<P: Platform> StoreClient<P> {
+impl<P: Store> StoreClient<P> {
     /// Creates a client that has not observed any era.
     #[must_use]
     pub fn new(platform: Rc<P>, logger: Logger) -> Self {
