--- a/crates/hickoryhall-gateway/src/feeds.rs
+++ b/crates/hickoryhall-gateway/src/feeds.rs
@@ -3,10 +3,12 @@
 //!
 //! In a large fleet only some hosts read the registry; see [`relay`].
 
+mod link;
 pub mod records;
 pub mod relay;
 
 use std::cell::{Cell, RefCell};
+use std::collections::BTreeSet;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
@@ -17,9 +19,11 @@
 use crate::core::{CoreHandle, DesiredVersionSource};
 use crate::interface::{OperatorRecord, Platform, StoreChange, StoreEra, StoreError, StoreItem};
 use crate::peers::{StoreRecords, StoreSnapshot};
+use crate::registry::RegistryEntry;
 use crate::scheduler::DesiredVersionAge;
 use crate::store_client::{StoreClient, WithPosition};
 use crate::store_position::StorePosition;
+use link::LinkState;
 use records::{OperatorRecords, RegistryRecords};
 use relay::{RegistryRelay, RegistryRole, RelayLog, RelayMonitor};
 
@@ -29,6 +33,8 @@
 /// The same time at a host that passes changes of the registry on: others rely on the store's
 /// answers that it gets.
 const READER_WATCH_TIMEOUT: Duration = Duration::from_millis(800);
+/// The same time after a failed call: the answer shows that the store is back, and its era.
+const RETURN_WATCH_TIMEOUT: Duration = Duration::from_millis(1);
 /// Pause after changes of the registry at a host that passes them on.
 const READER_PAUSE: Duration = Duration::from_millis(300);
 /// Interval at which a host checks whether its records are still kept up to date by others.
@@ -40,16 +46,14 @@
 /// at most two seconds.
 const REGISTRY_PAUSE_RANGE: std::ops::RangeInclusive<Duration> =
     Duration::from_millis(400)..=Duration::from_millis(1_200);
-/// Longest delay before all records are read again in a newer era, per host of the fleet and in
-/// total.
-const RELIST_DELAY_PER_HOST: Duration = Duration::from_millis(2);
-const MAX_RELIST_DELAY: Duration = Duration::from_secs(1);
-/// Pause after the first failed call to the store.
-const FIRST_RETRY_PAUSE: Duration = Duration::from_millis(100);
-/// Longest pause between two calls while the store fails: changes must be in force within two
-/// seconds after it is available again.
-const MAX_RETRY_PAUSE: Duration = Duration::from_millis(600);
-
+/// Shortest pause soon after an outage, when servers register again in time or count as gone.
+const REGISTRY_PAUSE_AFTER_OUTAGE: Duration = Duration::from_millis(100);
+/// Longest delay before all records are read again in a newer era, per host of the fleet: all hosts
+/// learn of it at the same time, and the registry of a large fleet takes several calls to read.
+const OPERATOR_RELIST_PER_HOST: Duration = Duration::from_millis(1);
+const REGISTRY_RELIST_PER_HOST: Duration = Duration::from_millis(5);
+/// Longest such delay in a fleet of any size.
+const MAX_RELIST_DELAY: Duration = Duration::from_millis(2_500);
 /// Identifies a set of records in the store.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum FeedKind {
@@ -153,15 +157,17 @@
     pub fn on_registry_relay(&self, now: Instant, relay: &RegistryRelay) {
         self.observe_peer_era(relay.era);
         let known = self.registry.borrow().position();
-        if known.is_unread() || relay.era < known.era {
+        if known.is_unread() {
             return;
         }
         let changes = self.relay_monitor.borrow_mut().on_relay(now, known, relay);
+        if relay.era != known.era {
+            return;
+        }
         let Some(changes) = changes else {
             info!(
                 self.logger, "feeds: Changes of the registry are missing in a relay. The store is read.";
-                "known" => known.revision, "after" => relay.after,
-                "era" => known.era, "relay_era" => relay.era
+                "known" => known.revision, "after" => relay.after, "era" => known.era
             );
             return;
         };
@@ -206,19 +212,23 @@
             self.apply_list(kind, StoreRecords { position, items });
             tokio::select! {
                 biased;
-                () = self.store.wait_for_newer_era(position.era) => {
-                    sleep(self.relist_delay()).await;
-                }
+                () = self.store.wait_for_newer_era(position.era) => {}
                 () = self.watch(&mut link, position) => {}
             }
+            if self.store.era() > position.era {
+                sleep(self.relist_delay(kind)).await;
+            }
         }
     }
 
-    /// Returns the delay before all records are read again: the hosts of a large fleet learn of a
-    /// newer era at the same time.
-    fn relist_delay(&self) -> Duration {
+    /// Returns the delay before all records are read again in a newer era.
+    fn relist_delay(&self, kind: FeedKind) -> Duration {
         let hosts = self.core.with(crate::core::Core::host_count);
-        let longest = RELIST_DELAY_PER_HOST * u32::try_from(hosts).unwrap_or(u32::MAX);
+        let per_host = match kind {
+            FeedKind::Operator => OPERATOR_RELIST_PER_HOST,
+            FeedKind::Registry => REGISTRY_RELIST_PER_HOST,
+        };
+        let longest = per_host * u32::try_from(hosts).unwrap_or(u32::MAX);
         longest
             .min(MAX_RELIST_DELAY)
             .mul_f64(rand::rng().random_range(0.0..1.0))
@@ -232,7 +242,9 @@
             after = after.max(self.position(link.kind));
             let is_reader =
                 link.kind == FeedKind::Registry && self.role.get() == RegistryRole::Reader;
-            let wait = if is_reader {
+            let wait = if !link.is_up() {
+                RETURN_WATCH_TIMEOUT
+            } else if is_reader {
                 READER_WATCH_TIMEOUT
             } else {
                 WATCH_TIMEOUT
@@ -278,9 +290,16 @@
 
     /// Returns the pause after changes of the registry, by the number of live hosts.
     fn registry_pause(&self) -> Duration {
-        let hosts = self.core.with(crate::core::Core::host_count);
+        let (hosts, may_miss_entries) = self
+            .core
+            .with(|core, now| (core.host_count(now), core.may_miss_registry_entries(now)));
         let pause = REGISTRY_PAUSE_PER_HOST * u32::try_from(hosts).unwrap_or(u32::MAX);
-        pause.clamp(*REGISTRY_PAUSE_RANGE.start(), *REGISTRY_PAUSE_RANGE.end())
+        let shortest = if may_miss_entries {
+            REGISTRY_PAUSE_AFTER_OUTAGE
+        } else {
+            *REGISTRY_PAUSE_RANGE.start()
+        };
+        pause.clamp(shortest, *REGISTRY_PAUSE_RANGE.end())
     }
 
     fn position(&self, kind: FeedKind) -> StorePosition {
@@ -330,9 +349,9 @@
     /// Applies all records of one kind, as of a position of the store.
     fn apply_list(&self, kind: FeedKind, records: StoreRecords) {
         let before = self.position(kind);
-        if before.era != records.position.era && !before.is_unread() {
+        if records.position.era > before.era && !before.is_unread() {
             info!(
-                self.logger, "feeds: Records of another era of the store read.";
+                self.logger, "feeds: Records of a newer era of the store read.";
                 "source" => kind.name(), "records" => records.items.len(),
                 "era" => records.position.era, "revision" => records.position.revision,
                 "era_before" => before.era, "revision_before" => before.revision
@@ -347,17 +366,22 @@
                 self.advance(kind, records.position);
             }
             FeedKind::Registry => {
-                let servers = records
-                    .items
-                    .iter()
-                    .filter_map(|item| self.parse_server(item));
-                let servers = servers.collect();
-                self.core
-                    .with(|core, now| core.on_registry_list(now, servers));
+                let is_restored = !before.is_unread() && records.position.era > before.era;
+                let entries = records.items.iter();
+                let entries = entries.filter_map(|item| self.parse_entry(item)).collect();
+                let outdated = self.core.with(|core, now| {
+                    if is_restored {
+                        core.on_store_restored(now);
+                    }
+                    core.on_registry_list(now, entries)
+                });
                 self.relay_log
                     .borrow_mut()
                     .record_list(Instant::now(), records.position);
-                self.registry.borrow_mut().replace(records);
+                let outdated = outdated.into_iter().collect::<BTreeSet<_>>();
+                self.registry.borrow_mut().replace(records, |item| {
+                    outdated.contains(self.platform.server_id(&item.key))
+                });
             }
         }
     }
@@ -369,8 +393,8 @@
             // The table or desired version of a removed record remains in force.
             (FeedKind::Operator, StoreChange::Removed { .. }) => {}
             (FeedKind::Registry, StoreChange::Put(item)) => {
-                if let Some(server) = self.parse_server(item) {
-                    self.core.with(|core, _| core.on_registry_entry(server));
+                if let Some(entry) = self.parse_entry(item) {
+                    self.core.with(|core, _| core.on_registry_entry(entry));
                 }
                 self.registry.borrow_mut().apply(change);
             }
@@ -412,9 +436,9 @@
     }
 
     /// Reads a registry entry; logs one that cannot be used and returns `None`.
-    fn parse_server(&self, item: &StoreItem) -> Option<crate::registry::BackendServer> {
+    fn parse_entry(&self, item: &StoreItem) -> Option<RegistryEntry> {
         match self.platform.registry_entry(item) {
-            Ok(server) => Some(server),
+            Ok(entry) => Some(entry),
             Err(error) => {
                 warn!(
                     self.logger, "feeds: Registry entry skipped.";
@@ -432,50 +456,3 @@
         FeedKind::Registry => P::REGISTRY_PREFIX,
     }
 }
-
-/// Tracks whether a set of records can be read from the store and logs each change.
-struct LinkState {
-    kind: FeedKind,
-    /// Failed calls since the last one that succeeded.
-    failures: u32,
-    logger: Logger,
-}
-
-impl LinkState {
-    fn new(kind: FeedKind, logger: Logger) -> Self {
-        Self {
-            kind,
-            failures: 0,
-            logger,
-        }
-    }
-
-    fn is_up(&self) -> bool {
-        self.failures == 0
-    }
-
-    fn on_success(&mut self) {
-        if self.failures > 0 {
-            info!(
-                self.logger, "feeds: Store answers again.";
-                "source" => self.kind.name(), "failures" => self.failures
-            );
-            self.failures = 0;
-        }
-    }
-
-    /// Returns the pause before the next call, with jitter so that hosts do not call all at once.
-    fn on_failure(&mut self, error: &StoreError) -> Duration {
-        if self.failures == 0 {
-            warn!(
-                self.logger, "feeds: Store lost.";
-                "source" => self.kind.name(), "error" => %error
-            );
-        }
-        self.failures += 1;
-        let pause = FIRST_RETRY_PAUSE * 2_u32.saturating_pow(self.failures.min(8) - 1);
-        pause
-            .min(MAX_RETRY_PAUSE)
-            .mul_f64(rand::rng().random_range(0.7..1.3))
-    }
-}
