--- a/crates/hickoryhall-gateway/tests/incarnations.rs
+++ b/crates/hickoryhall-gateway/tests/incarnations.rs
@@ -5,7 +5,7 @@
 
 use std::time::{Duration, Instant};
 
-use hickoryhall_gateway::interface::{ResponseKind, ResponseMeta};
+use hickoryhall_gateway::interface::{ResponseId, ResponseMeta};
 use hickoryhall_gateway::registry::{BackendServer, RegistryEvent};
 use hickoryhall_gateway::scheduler::{
     AnnouncedState, AttemptEnd, HostLoad, LoadSource, PlacementRequest, PromptInfo, ReportedState,
@@ -68,7 +68,10 @@
 
     fn respond(&mut self, incarnation: Incarnation, weights: WeightsVersion) {
         let response_meta = ResponseMeta {
-            kind: ResponseKind::Success,
+            id: ResponseId::Matching,
+            is_sealed: true,
+            says_not_run: false,
+            is_encoded: false,
             load: None,
             weights: Some(weights),
             closes_connection: false,
