--- a/crates/hickoryhall-gateway/tests/store_client.rs
+++ b/crates/hickoryhall-gateway/tests/store_client.rs
@@ -84,6 +84,10 @@
     async fn renew(&self, _: LeaseId) -> StoreAnswer<()> {
         self.next(|_| ())
     }
+
+    async fn end_lease(&self, _: LeaseId) -> StoreAnswer<()> {
+        self.next(|_| ())
+    }
 }
 
 fn client(answers: &[Answer]) -> (Rc<Script>, StoreClient<Script>) {
