--- a/crates/hickoryhall-edge/src/server.rs
+++ b/crates/hickoryhall-edge/src/server.rs
@@ -1,12 +1,11 @@
 //! HTTP server for callers.
 
 use std::cell::Cell;
-use std::net::SocketAddr;
 use std::pin::pin;
 use std::rc::Rc;
 use std::time::Duration;
 
-use hyper::body::Incoming;
+use hyper::body::{Body, Incoming};
 use hyper::header::{CONNECTION, HeaderValue, TRANSFER_ENCODING};
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
@@ -15,9 +14,13 @@
 use slog::{Logger, debug, warn};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::watch;
-use tokio::task::spawn_local;
+use tokio::task::{spawn_local, yield_now};
 
-use crate::{ResponseBody, StreamAborted, set_socket_options};
+use crate::body::TrackedBody;
+use crate::caller_stream::CallerStream;
+use crate::connections::OpenConnection;
+use crate::sockets::set_caller_socket_options;
+use crate::{CallerConnection, Connections, RequestBody, ResponseBody, StreamAborted};
 
 /// Pause after a failed accept, for example if the process has run out of file descriptors.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(20);
@@ -33,8 +36,8 @@
     /// Returns an error if the connection must be closed without a response.
     fn handle(
         self: Rc<Self>,
-        request: Request<Incoming>,
-        caller: SocketAddr,
+        request: Request<RequestBody>,
+        caller: Rc<CallerConnection>,
     ) -> impl Future<Output = Result<Response<ResponseBody>, StreamAborted>>;
 }
 
@@ -59,24 +62,28 @@
 /// Signal that the process shuts down, after which each connection is closed after its response.
 pub type ShutdownSignal = watch::Receiver<bool>;
 
-/// Accepts connections until the task is dropped; each new connection uses the current `config`.
+/// Accepts connections until the task is dropped; each new connection uses the current `config` and
+/// is listed in `connections` while it is open.
 pub async fn serve<H: Handler>(
     listener: TcpListener,
     handler: Rc<H>,
     config: Rc<Cell<ServerConfig>>,
     shutdown: ShutdownSignal,
+    connections: Rc<Connections>,
     logger: Logger,
 ) {
     loop {
         match listener.accept().await {
             Ok((stream, caller)) => {
-                let connection = CallerConnection {
+                let (connection, guard) = connections.open(caller);
+                let server = ConnectionServer {
                     handler: Rc::clone(&handler),
                     config: config.get(),
                     shutdown: shutdown.clone(),
-                    caller,
+                    connection,
+                    _guard: guard,
                 };
-                spawn_local(connection.run(stream, logger.clone()));
+                spawn_local(server.run(stream, logger.clone()));
             }
             Err(error) => {
                 warn!(logger, "edge: Failed to accept a connection."; "error" => %error);
@@ -86,52 +93,90 @@
     }
 }
 
-struct CallerConnection<H> {
+/// Serves one connection.
+struct ConnectionServer<H> {
     handler: Rc<H>,
     config: ServerConfig,
     shutdown: ShutdownSignal,
-    caller: SocketAddr,
+    connection: Rc<CallerConnection>,
+    _guard: OpenConnection,
 }
 
-impl<H: Handler> CallerConnection<H> {
+impl<H: Handler> ConnectionServer<H> {
     async fn run(self, stream: TcpStream, logger: Logger) {
-        if let Err(error) = set_socket_options(&stream) {
+        let caller = &self.connection;
+        if let Err(error) = set_caller_socket_options(&stream) {
             debug!(logger, "edge: Failed to set socket options.";
-                "caller" => %self.caller, "error" => %error);
+                "caller" => %caller.address(), "error" => %error);
         }
-        let caller = self.caller;
-        let config = self.config;
-        let mut shutdown = self.shutdown.clone();
-        let service = service_fn(move |request| {
+        let stream = CallerStream::new(stream, Rc::clone(caller), self.shutdown.clone());
+        let service = service_fn(|request| {
             respond(
                 Rc::clone(&self.handler),
                 request,
-                caller,
+                Rc::clone(caller),
                 self.shutdown.clone(),
             )
         });
         let connection = http1::Builder::new()
             .timer(TokioTimer::new())
-            .header_read_timeout(config.idle_timeout)
-            .max_buf_size(config.max_head_bytes.max(MIN_BUFFER_BYTES))
+            .header_read_timeout(self.config.idle_timeout)
+            .max_buf_size(self.config.max_head_bytes.max(MIN_BUFFER_BYTES))
             .serve_connection(TokioIo::new(stream), service);
         let mut connection = pin!(connection);
+        let mut shutdown = self.shutdown.clone();
         let was_shutting_down = *shutdown.borrow();
         let result = tokio::select! {
+            biased;
             result = connection.as_mut() => result,
-            // Closes an idle connection at once, and a busy one after its response.
-            _ = shutdown.changed(), if !was_shutting_down => {
-                connection.as_mut().graceful_shutdown();
-                connection.await
+            () = shutdown_of_read_connection(&mut shutdown), if !was_shutting_down => {
+                // Reads what has arrived, so that it is answered.
+                let result = tokio::select! {
+                    biased;
+                    result = connection.as_mut() => Some(result),
+                    () = std::future::ready(()) => None,
+                };
+                match result {
+                    Some(result) => result,
+                    None => {
+                        if closes_after_response(caller) {
+                            connection.as_mut().graceful_shutdown();
+                        }
+                        connection.await
+                    }
+                }
             }
         };
         if let Err(error) = result {
             debug!(logger, "edge: Caller connection closed with an error.";
-                "caller" => %caller, "error" => %error);
+                "caller" => %caller.address(), "error" => %error,
+                "request" => caller.request_id().as_deref(),
+                "unsent_bytes" => caller.unsent_bytes());
         }
     }
 }
 
+/// Waits for the shutdown, and until the bytes that have arrived by then can be read.
+async fn shutdown_of_read_connection(shutdown: &mut ShutdownSignal) {
+    // An error means that the process ends without a shutdown.
+    if shutdown.changed().await.is_err() {
+        std::future::pending::<()>().await;
+    }
+    yield_now().await;
+}
+
+/// Returns whether the HTTP library shall close a connection, at once or after its response.
+///
+/// It would also cut off a request head that has arrived in part. Such a connection, and one whose
+/// first request is on its way, is closed by the header of the next response.
+fn closes_after_response(caller: &CallerConnection) -> bool {
+    if caller.is_idle() && caller.has_begun_request() {
+        caller.on_kept();
+        return true;
+    }
+    caller.is_responding()
+}
+
 /// Responds to a request.
 ///
 /// The connection is closed after the response if the process is shutting down. It is also closed
@@ -140,15 +185,17 @@
 async fn respond<H: Handler>(
     handler: Rc<H>,
     request: Request<Incoming>,
-    caller: SocketAddr,
+    caller: Rc<CallerConnection>,
     shutdown: ShutdownSignal,
-) -> Result<Response<ResponseBody>, StreamAborted> {
+) -> Result<Response<TrackedBody>, StreamAborted> {
     let is_chunked = request.headers().contains_key(TRANSFER_ENCODING);
-    let mut response = handler.handle(request, caller).await?;
+    caller.on_request(!request.body().is_end_stream());
+    let request = request.map(|body| RequestBody::new(body, Rc::clone(&caller)));
+    let mut response = handler.handle(request, Rc::clone(&caller)).await?;
     if is_chunked || *shutdown.borrow() {
         response
             .headers_mut()
             .insert(CONNECTION, HeaderValue::from_static("close"));
     }
-    Ok(response)
+    Ok(response.map(|body| TrackedBody::new(body, caller)))
 }
--- a/crates/hickoryhall-gateway/src/core.rs
+++ b/crates/hickoryhall-gateway/src/core.rs
@@ -11,6 +11,7 @@
 use hickoryhall_limits::{FleetRetryBudget, FleetRetryLimit};
 use hickoryhall_routing::{Fingerprint, SuspectDecision, Suspects};
 use hickoryhall_types::{TargetId, WeightsVersion, rendezvous_score};
+use metrics::counter;
 use slog::{Logger, info};
 use stakker::CX;
 use tokio::sync::oneshot;
@@ -19,11 +20,12 @@
 
 use crate::fleet::Fleet;
 use crate::interface::ResponseMeta;
+use crate::outcome::ResponseKind;
 use crate::peers::{PromptUpdate, SuspectUpdate};
-use crate::registry::{BackendServer, Registry, RegistryEvent};
+use crate::registry::{Registry, RegistryEntry, RegistryEvent, ServerId};
 use crate::scheduler::{
-    AttemptEnd, AttemptId, HostHash, Placement, PlacementRequest, RunnerView, Scheduler,
-    SchedulerConfig,
+    AttemptEnd, AttemptId, DesiredVersionAge, HostHash, Placement, PlacementRequest, ReportedState,
+    RunnerView, Scheduler, SchedulerConfig, WeightsChange,
 };
 use crate::table::RouteTable;
 
@@ -46,6 +48,24 @@
     pub retry_limit: FleetRetryLimit,
 }
 
+/// Where this host learned of a desired version.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum DesiredVersionSource {
+    /// The operators' record in the store.
+    Store,
+    /// A digest of a peer.
+    Peer,
+}
+
+impl DesiredVersionSource {
+    fn as_str(self) -> &'static str {
+        match self {
+            Self::Store => "store",
+            Self::Peer => "peer",
+        }
+    }
+}
+
 /// State and decision logic of one host: placement, retries, suspects and digests.
 pub struct Core {
     config: CoreConfig,
@@ -112,34 +132,63 @@
         true
     }
 
-    /// Records a desired version of a model that has been known for `age`.
+    /// Records a desired version of a model and its age.
     pub fn set_desired_version(
         &mut self,
         now: Instant,
         model: TargetId,
         version: WeightsVersion,
-        age: Duration,
+        age: DesiredVersionAge,
+        source: DesiredVersionSource,
     ) {
+        let had_exact_age = self.scheduler.has_exact_age(&model, version);
         let is_newest = self
             .scheduler
             .record_desired_version(now, model.clone(), version, age);
-        if is_newest {
-            info!(self.logger, "core: New desired version of a model."; "model" => &*model, "version" => version, "age_ms" => age.as_millis());
+        let has_learned_age = age.is_exact() && !had_exact_age;
+        if is_newest || has_learned_age {
+            let age_ms = age.lower_bound().as_millis();
+            info!(self.logger, "core: New desired version of a model."; "model" => &*model, "version" => version, "age_ms" => age_ms, "is_exact" => age.is_exact(), "source" => source.as_str());
         }
     }
 
-    /// Applies a full listing of the registry.
-    pub fn on_registry_list(&mut self, now: Instant, servers: Vec<BackendServer>) {
-        let events = self.registry.on_list(now, servers);
+    /// Applies a full listing of the registry, and returns the ids of the servers whose entries were
+    /// not applied because something newer is known of them.
+    pub fn on_registry_list(&mut self, now: Instant, entries: Vec<RegistryEntry>) -> Vec<ServerId> {
+        let outdated = entries
+            .iter()
+            .filter(|entry| self.registry.is_outdated(now, entry));
+        let outdated = outdated.cloned().collect::<Vec<_>>();
+        let events = self.registry.on_list(now, entries);
         self.apply_registry_events(events);
+        for RegistryEntry { server, heartbeats } in &outdated {
+            info!(
+                self.logger, "core: Registry entry of an older copy not applied.";
+                "server" => &*server.id, "incarnation" => server.incarnation,
+                "heartbeats" => heartbeats, "leaving" => server.is_leaving,
+                "in_use" => self.registry.get(&server.id).is_some()
+            );
+        }
+        outdated.into_iter().map(|entry| entry.server.id).collect()
     }
 
     /// Applies a new or changed registry entry.
-    pub fn on_registry_entry(&mut self, server: BackendServer) {
-        let event = self.registry.on_entry(server);
+    pub fn on_registry_entry(&mut self, entry: impl Into<RegistryEntry>) {
+        let event = self.registry.on_entry(entry);
         self.apply_registry_events(event);
     }
 
+    /// Records that the store has come back from an older copy of its contents.
+    pub fn on_store_restored(&mut self, now: Instant) {
+        self.registry.on_store_restored(now);
+    }
+
+    /// Returns whether registry entries may be missing because of an outage of the store.
+    #[must_use]
+    pub fn may_miss_registry_entries(&self, now: Instant) -> bool {
+        self.registry.may_be_outage(now)
+    }
+
     /// Handles the removal of a registry entry.
     ///
     /// The server stays in use where a store outage may have removed the entry.
@@ -173,8 +222,27 @@
                     info!(self.logger, "core: Backend server gone."; "server" => &**id);
                 }
             }
-            self.scheduler.on_registry(event);
+            let change = self.scheduler.on_registry(event);
+            self.log_weights(change);
+        }
+    }
+
+    /// Logs a changed belief about a runner's weights, and counts one that became lower.
+    fn log_weights(&self, change: Option<WeightsChange>) {
+        let Some(change) = change else {
+            return;
+        };
+        let source = change.source.as_str();
+        let is_lower = change.weights < change.before;
+        if is_lower {
+            counter!("weights_corrected_total", "source" => source).increment(1);
         }
+        info!(
+            self.logger, "core: Weights of a runner changed.";
+            "server" => &*change.server, "incarnation" => change.incarnation,
+            "weights" => change.weights, "before" => change.before,
+            "source" => source, "is_lower" => is_lower
+        );
     }
 
     /// Places an attempt, at once or after it has waited in the queue, and sends the result through
@@ -207,10 +275,26 @@
         self.place_waiting(now);
     }
 
-    /// Records the load and weights that a response head reports about its server.
-    pub fn on_response_head(&mut self, now: Instant, server: &str, response_meta: &ResponseMeta) {
-        self.scheduler
+    /// Records what the head of a response reports about its server, as its registry entry was when
+    /// the request was sent; ignores a response that another server may have sent.
+    pub fn on_response_head(
+        &mut self,
+        now: Instant,
+        server: &BackendServer,
+        kind: ResponseKind,
+        response_meta: &ResponseMeta,
+    ) {
+        if !kind.is_from_server() {
+            return;
+        }
+        let was_leaving = self.scheduler.has_said_that_it_leaves(&server.id);
+        let change = self
+            .scheduler
             .record_response_head(now, server, response_meta);
+        self.log_weights(change);
+        if !was_leaving && self.scheduler.has_said_that_it_leaves(&server.id) {
+            info!(self.logger, "core: Server said that it leaves."; "server" => &*server.id, "incarnation" => server.incarnation);
+        }
     }
 
     /// Counts a request to a service, which adds to the retry budget of that service.
@@ -265,30 +349,19 @@
         }
     }
 
-    /// Records the state of a runner, as the lease holder, and includes it in the next digests.
-    pub fn announce_runner(
-        &mut self,
-        now: Instant,
-        server: u64,
-        weights: WeightsVersion,
-        is_changing: bool,
-    ) {
+    /// Records, as the lease holder, whether a runner is changing its weights, and includes its
+    /// state in the next digests.
+    pub fn announce_runner(&mut self, now: Instant, server: u64, is_changing: bool) {
         self.weight_changes.insert(server, is_changing);
         self.scheduler
-            .record_runner_update(now, server, weights, is_changing);
+            .set_announced_change(now, server, is_changing);
         self.place_waiting(now);
     }
 
-    /// Records the state that a runner reports, without including it in digests.
-    pub fn record_runner_report(
-        &mut self,
-        now: Instant,
-        server: u64,
-        weights: WeightsVersion,
-        is_changing: bool,
-    ) {
-        self.scheduler
-            .record_runner_update(now, server, weights, is_changing);
+    /// Records the state that a runner reported about itself.
+    pub fn record_report(&mut self, now: Instant, server: u64, report: &ReportedState) {
+        let change = self.scheduler.record_report(now, server, report);
+        self.log_weights(change);
         self.place_waiting(now);
     }
 
--- a/crates/hickoryhall-gateway/src/core/digests.rs
+++ b/crates/hickoryhall-gateway/src/core/digests.rs
@@ -3,11 +3,11 @@
 use std::cmp::Reverse;
 use std::time::Instant;
 
-use hickoryhall_types::{WeightsVersion, hash_name};
+use hickoryhall_types::hash_name;
 
-use super::Core;
+use super::{Core, DesiredVersionSource};
 use crate::peers::{DesiredVersionUpdate, Digest, PromptUpdate, Scope, ServerUpdate};
-use crate::scheduler::{GroupHash, HostHash, HostLoad, LoadSource};
+use crate::scheduler::{AnnouncedState, GroupHash, HostHash, LoadSource};
 
 /// Maximum number of servers listed in one digest, so that it fits into a datagram.
 const MAX_SERVERS_PER_DIGEST: usize = 300;
@@ -28,10 +28,11 @@
     }
 
     /// Returns the heartbeat for hosts of other groups, which also lists urgent updates: suspects,
-    /// desired versions, and runners whose weights this host changes as the lease holder.
+    /// desired versions, servers that said that they leave, and runners whose weights this host
+    /// changes as the lease holder.
     pub fn heartbeat(&mut self, now: Instant, group: GroupHash) -> Digest {
         let mut servers = self.server_updates(self.scheduler.own_loads());
-        servers.retain(|update| update.is_changing.is_some());
+        servers.retain(ServerUpdate::is_urgent);
         Digest {
             servers,
             ..self.base_digest(now, group, Scope::Heartbeat)
@@ -88,30 +89,23 @@
         }
     }
 
-    /// Returns updates about servers that have load or whose weights this host changes as the lease
-    /// holder.
+    /// Returns updates about servers that have load, that said that they leave, or whose weights this
+    /// host changes as the lease holder.
     ///
-    /// Where they exceed [`MAX_SERVERS_PER_DIGEST`], those with a weight change come first, then
-    /// those with the most pending work; the rest are left out.
-    fn server_updates(
-        &self,
-        loads: impl Iterator<Item = (u64, HostLoad, WeightsVersion)>,
-    ) -> Vec<ServerUpdate> {
-        let updates = loads.filter_map(|(server, load, weights)| {
-            let is_changing = self.weight_changes.get(&server).copied();
-            let is_reported = load.requests > 0 || is_changing.is_some();
-            is_reported.then_some(ServerUpdate {
-                server,
-                load,
-                weights,
+    /// Where they exceed [`MAX_SERVERS_PER_DIGEST`], the last two kinds come first, then those with
+    /// the most pending work; the rest are left out.
+    fn server_updates(&self, loads: impl Iterator<Item = ServerUpdate>) -> Vec<ServerUpdate> {
+        let updates = loads.filter_map(|update| {
+            let is_changing = self.weight_changes.get(&update.server).copied();
+            let update = ServerUpdate {
                 is_changing,
-            })
+                ..update
+            };
+            (update.load.requests > 0 || update.is_urgent()).then_some(update)
         });
         let mut updates = updates.collect::<Vec<_>>();
         if updates.len() > MAX_SERVERS_PER_DIGEST {
-            updates.sort_by_key(|update| {
-                Reverse((update.is_changing.is_some(), update.load.pending_ms))
-            });
+            updates.sort_by_key(|update| Reverse((update.is_urgent(), update.load.pending_ms)));
             updates.truncate(MAX_SERVERS_PER_DIGEST);
         }
         updates
@@ -143,19 +137,31 @@
         }
         for update in &digest.servers {
             if let Some(is_changing) = update.is_changing {
-                self.scheduler.record_runner_update(
-                    now,
-                    update.server,
-                    update.weights,
+                let announced = AnnouncedState {
+                    incarnation: update.incarnation,
+                    weights: update.weights,
                     is_changing,
-                );
+                };
+                let change = self
+                    .scheduler
+                    .record_announcement(now, update.server, &announced);
+                self.log_weights(change);
             }
         }
+        for update in digest.servers.iter().filter(|update| update.is_leaving) {
+            self.scheduler.record_leaving(update);
+        }
         for prompt in &digest.prompts {
             self.scheduler.on_peer_prompt(now, prompt);
         }
         for update in &digest.desired_versions {
-            self.set_desired_version(now, update.model.clone(), update.version, update.age);
+            self.set_desired_version(
+                now,
+                update.model.clone(),
+                update.version,
+                update.age,
+                DesiredVersionSource::Peer,
+            );
         }
         for &update in &digest.suspects {
             if self.suspects.merge(now, update.fingerprint, update.deaths) {
@@ -172,8 +178,13 @@
             .collect::<Vec<_>>();
         self.scheduler.retain_peer_loads(source, &listed);
         for update in servers {
-            self.scheduler
-                .set_peer_load(now, source, update.server, update.load);
+            self.scheduler.set_peer_load(
+                now,
+                source,
+                update.server,
+                update.incarnation,
+                update.load,
+            );
         }
     }
 }
--- a/crates/hickoryhall-gateway/src/exchange.rs
+++ b/crates/hickoryhall-gateway/src/exchange.rs
@@ -11,14 +11,14 @@
 mod relay;
 
 use std::cell::Cell;
-use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
-use hickoryhall_edge::{BodyReader, Handler, Pool, ResponseBody, StreamAborted};
+use hickoryhall_edge::{
+    BodyReader, CallerConnection, Handler, Pool, RequestBody, ResponseBody, StreamAborted,
+};
 use hickoryhall_routing::SuspectDecision;
 use hickoryhall_types::Ran;
-use hyper::body::Incoming;
 use hyper::{Request, Response, StatusCode};
 use slog::{Logger, debug, info};
 use tokio::sync::oneshot;
@@ -27,7 +27,7 @@
 use crate::interface::{LocalFailure, Platform};
 use crate::outcome::{Ending, NextStep, RequestOutcome, TimeLeft};
 use crate::registry::ServerId;
-use crate::scheduler::{Assignment, AttemptId, PlacementRefusal, PlacementRequest};
+use crate::scheduler::{Assignment, AttemptId, PlacementRefusal, PlacementRequest, ReportedState};
 
 use attempt::{AttemptFailure, AttemptGuard, AttemptResult, BufferedResponse};
 use intake::{PreparedRequest, Rejection};
@@ -90,7 +90,8 @@
         &self.core
     }
 
-    /// Returns the number of requests in progress, streams included.
+    /// Returns the number of requests in progress, streams included. Their callers may not have got
+    /// the whole response when they end.
     #[must_use]
     pub fn in_flight(&self) -> usize {
         self.in_flight.get()
@@ -107,6 +108,7 @@
         let (platform, core) = (Rc::clone(&self.platform), self.core.clone());
         let (server, logger) = (assignment.server.clone(), self.logger.clone());
         tokio::task::spawn_local(async move {
+            let requested_at = Instant::now();
             let report = match platform.report(&server).await {
                 Ok(report) => report,
                 Err(error) => {
@@ -119,9 +121,14 @@
             };
             let hash = hickoryhall_types::hash_name(&server.id);
             let weights = report.models.iter().map(|(_, version)| *version).max();
-            core.with(|core, now| {
-                core.record_runner_report(now, hash, weights.unwrap_or(0), report.is_busy);
-            });
+            let state = ReportedState {
+                requested_at,
+                incarnation: report.incarnation,
+                weights,
+                is_busy: report.is_busy,
+                is_leaving: report.is_leaving,
+            };
+            core.with(|core, now| core.record_report(now, hash, &state));
         });
     }
 
@@ -150,13 +157,16 @@
 impl<P: Platform> Handler for Gateway<P> {
     async fn handle(
         self: Rc<Self>,
-        request: Request<Incoming>,
-        _caller: SocketAddr,
+        request: Request<RequestBody>,
+        caller: Rc<CallerConnection>,
     ) -> Result<Response<ResponseBody>, StreamAborted> {
         let in_flight = self.track_in_flight();
         let arrived_at = Instant::now();
         match self.intake(request, arrived_at).await {
-            Ok(request) => Ok(Exchange::new(self, request, in_flight).run().await),
+            Ok(request) => {
+                caller.set_request_id(request.meta.request_id.clone());
+                Ok(Exchange::new(self, request, in_flight).run().await)
+            }
             Err(Rejection {
                 request_id,
                 failure,
--- a/crates/hickoryhall-gateway/src/exchange/attempt.rs
+++ b/crates/hickoryhall-gateway/src/exchange/attempt.rs
@@ -151,10 +151,10 @@
             is_sealed: response_meta.is_sealed,
             is_kept,
         });
-        let server = &assignment.server.id;
+        let server = &assignment.server;
         self.gateway
             .core
-            .with(|core, now| core.on_response_head(now, server, &response_meta));
+            .with(|core, now| core.on_response_head(now, server, kind, &response_meta));
         if kind == ResponseKind::Success && self.request.route.kind.is_stream() {
             return AttemptResult::Stream(Box::new(OpenStream {
                 head,
--- a/crates/hickoryhall-gateway/src/feeds.rs
+++ b/crates/hickoryhall-gateway/src/feeds.rs
@@ -3,10 +3,12 @@
 //!
 //! In a large fleet only some hosts read the registry; see [`relay`].
 
+mod link;
+pub mod records;
 pub mod relay;
 
 use std::cell::{Cell, RefCell};
-use std::collections::BTreeMap;
+use std::collections::BTreeSet;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
@@ -14,11 +16,15 @@
 use slog::{Logger, info, warn};
 use tokio::time::sleep;
 
-use crate::core::CoreHandle;
-use crate::interface::{
-    OperatorRecord, Platform, StoreChange, StoreError, StoreItem, StoreRevision, WithRevision,
-};
+use crate::core::{CoreHandle, DesiredVersionSource};
+use crate::interface::{OperatorRecord, Platform, StoreChange, StoreEra, StoreError, StoreItem};
 use crate::peers::{StoreRecords, StoreSnapshot};
+use crate::registry::RegistryEntry;
+use crate::scheduler::DesiredVersionAge;
+use crate::store_client::{StoreClient, WithPosition};
+use crate::store_position::StorePosition;
+use link::LinkState;
+use records::{OperatorRecords, RegistryRecords};
 use relay::{RegistryRelay, RegistryRole, RelayLog, RelayMonitor};
 
 /// Longest time for which one watch waits for changes; keep-alive probes detect dead connections
@@ -27,6 +33,8 @@
 /// The same time at a host that passes changes of the registry on: others rely on the store's
 /// answers that it gets.
 const READER_WATCH_TIMEOUT: Duration = Duration::from_millis(800);
+/// The same time after a failed call: the answer shows that the store is back, and its era.
+const RETURN_WATCH_TIMEOUT: Duration = Duration::from_millis(1);
 /// Pause after changes of the registry at a host that passes them on.
 const READER_PAUSE: Duration = Duration::from_millis(300);
 /// Interval at which a host checks whether its records are still kept up to date by others.
@@ -38,12 +46,14 @@
 /// at most two seconds.
 const REGISTRY_PAUSE_RANGE: std::ops::RangeInclusive<Duration> =
     Duration::from_millis(400)..=Duration::from_millis(1_200);
-/// Pause after the first failed call to the store.
-const FIRST_RETRY_PAUSE: Duration = Duration::from_millis(100);
-/// Longest pause between two calls while the store fails: changes must be in force within two
-/// seconds after it is available again.
-const MAX_RETRY_PAUSE: Duration = Duration::from_millis(600);
-
+/// Shortest pause soon after an outage, when servers register again in time or count as gone.
+const REGISTRY_PAUSE_AFTER_OUTAGE: Duration = Duration::from_millis(100);
+/// Longest delay before all records are read again in a newer era, per host of the fleet: all hosts
+/// learn of it at the same time, and the registry of a large fleet takes several calls to read.
+const OPERATOR_RELIST_PER_HOST: Duration = Duration::from_millis(1);
+const REGISTRY_RELIST_PER_HOST: Duration = Duration::from_millis(5);
+/// Longest such delay in a fleet of any size.
+const MAX_RELIST_DELAY: Duration = Duration::from_millis(2_500);
 /// Identifies a set of records in the store.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum FeedKind {
@@ -62,38 +72,13 @@
     }
 }
 
-/// Unparsed records by key, as of a store revision; the revision is 0 until any were read.
-#[derive(Debug, Default)]
-struct CachedRecords {
-    revision: StoreRevision,
-    items: BTreeMap<String, StoreItem>,
-}
-
-impl From<&CachedRecords> for StoreRecords {
-    fn from(cached: &CachedRecords) -> Self {
-        Self {
-            revision: cached.revision,
-            items: cached.items.values().cloned().collect(),
-        }
-    }
-}
-
-impl From<StoreRecords> for CachedRecords {
-    fn from(records: StoreRecords) -> Self {
-        let items = records.items.into_iter();
-        Self {
-            revision: records.revision,
-            items: items.map(|item| (item.key.clone(), item)).collect(),
-        }
-    }
-}
-
 /// Holds the records that this host has read, keeps them up to date and applies them to the core.
 pub struct Feeds<P> {
     platform: Rc<P>,
+    store: Rc<StoreClient<P>>,
     core: CoreHandle,
-    operator: RefCell<CachedRecords>,
-    registry: RefCell<CachedRecords>,
+    operator: RefCell<OperatorRecords>,
+    registry: RefCell<RegistryRecords>,
     role: Cell<RegistryRole>,
     relay_log: RefCell<RelayLog>,
     relay_monitor: RefCell<RelayMonitor>,
@@ -103,9 +88,15 @@
 impl<P: Platform> Feeds<P> {
     /// Creates feeds without any records.
     #[must_use]
-    pub fn new(platform: Rc<P>, core: CoreHandle, logger: Logger) -> Self {
+    pub fn new(
+        platform: Rc<P>,
+        store: Rc<StoreClient<P>>,
+        core: CoreHandle,
+        logger: Logger,
+    ) -> Self {
         Self {
             platform,
+            store,
             core,
             operator: RefCell::default(),
             registry: RefCell::default(),
@@ -120,21 +111,32 @@
     #[must_use]
     pub fn snapshot(&self) -> StoreSnapshot {
         StoreSnapshot {
-            operator: StoreRecords::from(&*self.operator.borrow()),
-            registry: StoreRecords::from(&*self.registry.borrow()),
+            operator: self.operator.borrow().snapshot(),
+            registry: self.registry.borrow().snapshot(),
         }
     }
 
-    /// Applies the records of a peer that are newer than this host's.
+    /// Applies the records of a peer that are newer than this host's. Operators' records are
+    /// compared by their own versions, because a peer may have newer ones than the store after it
+    /// came back from an older copy.
     pub fn apply_snapshot(&self, snapshot: StoreSnapshot) {
-        self.apply_newer(FeedKind::Operator, snapshot.operator);
-        self.apply_newer(FeedKind::Registry, snapshot.registry);
+        let (operator, registry) = (snapshot.operator, snapshot.registry);
+        self.observe_peer_era(operator.position.era.max(registry.position.era));
+        self.apply_list(FeedKind::Operator, operator);
+        if registry.position > self.position(FeedKind::Registry) {
+            self.apply_list(FeedKind::Registry, registry);
+        }
     }
 
-    fn apply_newer(&self, kind: FeedKind, records: StoreRecords) {
-        if records.revision > self.cached(kind).borrow().revision {
-            self.apply_list(kind, records);
-        }
+    /// Returns the newest era of the store that this host knows, for its peers.
+    #[must_use]
+    pub fn store_era(&self) -> StoreEra {
+        self.store.era()
+    }
+
+    /// Records the era that a peer has observed; a newer one makes this host read all records again.
+    pub fn observe_peer_era(&self, era: StoreEra) {
+        self.store.observe_peer_era(era);
     }
 
     /// Sets how this host gets changes of the registry.
@@ -153,15 +155,19 @@
 
     /// Applies the changes of the registry that a reader of this host's group passes on.
     pub fn on_registry_relay(&self, now: Instant, relay: &RegistryRelay) {
-        let known = self.registry.borrow().revision;
-        if known == 0 {
+        self.observe_peer_era(relay.era);
+        let known = self.registry.borrow().position();
+        if known.is_unread() {
             return;
         }
         let changes = self.relay_monitor.borrow_mut().on_relay(now, known, relay);
+        if relay.era != known.era {
+            return;
+        }
         let Some(changes) = changes else {
             info!(
                 self.logger, "feeds: Changes of the registry are missing in a relay. The store is read.";
-                "known" => known, "after" => relay.after
+                "known" => known.revision, "after" => relay.after, "era" => known.era
             );
             return;
         };
@@ -170,9 +176,10 @@
                 .with(|core, now| core.set_registry_available(now, true));
         }
         for change in changes {
-            self.apply_change(FeedKind::Registry, change);
+            let age = DesiredVersionAge::AtLeast(Duration::ZERO);
+            self.apply_change(FeedKind::Registry, change, age);
         }
-        self.advance_revision(FeedKind::Registry, relay.until);
+        self.advance(FeedKind::Registry, relay.position());
     }
 
     /// Returns whether other hosts keep this host's registry up to date.
@@ -187,56 +194,92 @@
         }
     }
 
-    /// Reads and watches one set of records until the task is dropped.
+    /// Reads and watches one set of records until the task is dropped. In a newer era of the store
+    /// all records are read again.
     pub async fn follow(&self, kind: FeedKind) {
         let mut link = LinkState::new(kind, self.logger.clone());
         loop {
-            let listed = self.platform.range(prefix::<P>(kind)).await;
-            let Some(WithRevision { content, revision }) =
+            let listed = self.store.range(prefix::<P>(kind)).await;
+            if matches!(listed, Err(StoreError::EraChanged)) {
+                continue;
+            }
+            let Some(WithPosition { content, position }) =
                 self.track_result(&mut link, listed).await
             else {
                 continue;
             };
             let items = content;
-            self.apply_list(kind, StoreRecords { revision, items });
-            self.watch(&mut link, revision).await;
+            self.apply_list(kind, StoreRecords { position, items });
+            tokio::select! {
+                biased;
+                () = self.store.wait_for_newer_era(position.era) => {}
+                () = self.watch(&mut link, position) => {}
+            }
+            if self.store.era() > position.era {
+                sleep(self.relist_delay(kind)).await;
+            }
         }
     }
 
-    /// Applies the changes after a revision until the store no longer has the history since then.
-    async fn watch(&self, link: &mut LinkState, mut after: StoreRevision) {
+    /// Returns the delay before all records are read again in a newer era.
+    fn relist_delay(&self, kind: FeedKind) -> Duration {
+        let hosts = self.core.with(crate::core::Core::host_count);
+        let per_host = match kind {
+            FeedKind::Operator => OPERATOR_RELIST_PER_HOST,
+            FeedKind::Registry => REGISTRY_RELIST_PER_HOST,
+        };
+        let longest = per_host * u32::try_from(hosts).unwrap_or(u32::MAX);
+        longest
+            .min(MAX_RELIST_DELAY)
+            .mul_f64(rand::rng().random_range(0.0..1.0))
+    }
+
+    /// Applies the changes after a position until the store no longer has the history since then.
+    async fn watch(&self, link: &mut LinkState, mut after: StorePosition) {
         let prefix = prefix::<P>(link.kind);
         loop {
             self.wait_while_relayed(link.kind).await;
-            after = after.max(self.cached(link.kind).borrow().revision);
+            after = after.max(self.position(link.kind));
             let is_reader =
                 link.kind == FeedKind::Registry && self.role.get() == RegistryRole::Reader;
-            let wait = if is_reader {
+            let wait = if !link.is_up() {
+                RETURN_WATCH_TIMEOUT
+            } else if is_reader {
                 READER_WATCH_TIMEOUT
             } else {
                 WATCH_TIMEOUT
             };
-            let watched = self.platform.watch(prefix, after, wait).await;
+            let watched = self.store.watch(prefix, after, wait).await;
+            if let Err(StoreError::EraChanged) = watched {
+                return;
+            }
             if let Err(StoreError::Compacted) = watched {
                 info!(
                     self.logger, "feeds: Store compacted its history. All records are read again.";
-                    "source" => link.kind.name(), "after" => after
+                    "source" => link.kind.name(), "after" => after.revision
                 );
                 return;
             }
+            // Changes that are read after an outage may be as old as the outage.
+            let age = if link.is_up() {
+                DesiredVersionAge::Exact(Duration::ZERO)
+            } else {
+                DesiredVersionAge::AtLeast(Duration::ZERO)
+            };
             let Some(changes) = self.track_result(link, watched).await else {
                 continue;
             };
             let is_changed = !changes.content.is_empty();
-            after = after.max(changes.revision);
+            after = after.max(changes.position);
             if link.kind == FeedKind::Registry {
                 let mut log = self.relay_log.borrow_mut();
-                log.record_changes(Instant::now(), after, changes.content.iter().cloned());
+                let content = changes.content.iter().cloned();
+                log.record_changes(Instant::now(), after.revision, content);
             }
             for change in changes.content {
-                self.apply_change(link.kind, change);
+                self.apply_change(link.kind, change, age);
             }
-            self.advance_revision(link.kind, after);
+            self.advance(link.kind, after);
             if is_changed && is_reader {
                 sleep(READER_PAUSE).await;
             } else if is_changed && link.kind == FeedKind::Registry {
@@ -247,14 +290,30 @@
 
     /// Returns the pause after changes of the registry, by the number of live hosts.
     fn registry_pause(&self) -> Duration {
-        let hosts = self.core.with(crate::core::Core::host_count);
+        let (hosts, may_miss_entries) = self
+            .core
+            .with(|core, now| (core.host_count(now), core.may_miss_registry_entries(now)));
         let pause = REGISTRY_PAUSE_PER_HOST * u32::try_from(hosts).unwrap_or(u32::MAX);
-        pause.clamp(*REGISTRY_PAUSE_RANGE.start(), *REGISTRY_PAUSE_RANGE.end())
+        let shortest = if may_miss_entries {
+            REGISTRY_PAUSE_AFTER_OUTAGE
+        } else {
+            *REGISTRY_PAUSE_RANGE.start()
+        };
+        pause.clamp(shortest, *REGISTRY_PAUSE_RANGE.end())
+    }
+
+    fn position(&self, kind: FeedKind) -> StorePosition {
+        match kind {
+            FeedKind::Operator => self.operator.borrow().position(),
+            FeedKind::Registry => self.registry.borrow().position(),
+        }
     }
 
-    fn advance_revision(&self, kind: FeedKind, revision: StoreRevision) {
-        let mut cached = self.cached(kind).borrow_mut();
-        cached.revision = cached.revision.max(revision);
+    fn advance(&self, kind: FeedKind, position: StorePosition) {
+        match kind {
+            FeedKind::Operator => self.operator.borrow_mut().advance(position),
+            FeedKind::Registry => self.registry.borrow_mut().advance(position),
+        }
     }
 
     /// Records whether a call to the store succeeded and returns its value; after a failure, pauses
@@ -287,75 +346,99 @@
         }
     }
 
-    /// Replaces all records of one kind.
+    /// Applies all records of one kind, as of a position of the store.
     fn apply_list(&self, kind: FeedKind, records: StoreRecords) {
+        let before = self.position(kind);
+        if records.position.era > before.era && !before.is_unread() {
+            info!(
+                self.logger, "feeds: Records of a newer era of the store read.";
+                "source" => kind.name(), "records" => records.items.len(),
+                "era" => records.position.era, "revision" => records.position.revision,
+                "era_before" => before.era, "revision_before" => before.revision
+            );
+        }
         match kind {
-            FeedKind::Operator => records
-                .items
-                .iter()
-                .for_each(|item| self.apply_operator_record(item)),
+            FeedKind::Operator => {
+                let age = DesiredVersionAge::AtLeast(Duration::ZERO);
+                for item in &records.items {
+                    self.apply_operator_record(item, age);
+                }
+                self.advance(kind, records.position);
+            }
             FeedKind::Registry => {
-                let servers = records
-                    .items
-                    .iter()
-                    .filter_map(|item| self.parse_server(item));
-                let servers = servers.collect();
-                self.core
-                    .with(|core, now| core.on_registry_list(now, servers));
-                self.relay_log.borrow_mut().record_list(records.revision);
+                let is_restored = !before.is_unread() && records.position.era > before.era;
+                let entries = records.items.iter();
+                let entries = entries.filter_map(|item| self.parse_entry(item)).collect();
+                let outdated = self.core.with(|core, now| {
+                    if is_restored {
+                        core.on_store_restored(now);
+                    }
+                    core.on_registry_list(now, entries)
+                });
+                self.relay_log
+                    .borrow_mut()
+                    .record_list(Instant::now(), records.position);
+                let outdated = outdated.into_iter().collect::<BTreeSet<_>>();
+                self.registry.borrow_mut().replace(records, |item| {
+                    outdated.contains(self.platform.server_id(&item.key))
+                });
             }
         }
-        *self.cached(kind).borrow_mut() = CachedRecords::from(records);
     }
 
-    fn apply_change(&self, kind: FeedKind, change: StoreChange) {
+    /// Applies one change; `age` is that of a desired version in it.
+    fn apply_change(&self, kind: FeedKind, change: StoreChange, age: DesiredVersionAge) {
         match (kind, &change) {
-            (FeedKind::Operator, StoreChange::Put(item)) => self.apply_operator_record(item),
+            (FeedKind::Operator, StoreChange::Put(item)) => self.apply_operator_record(item, age),
             // The table or desired version of a removed record remains in force.
             (FeedKind::Operator, StoreChange::Removed { .. }) => {}
             (FeedKind::Registry, StoreChange::Put(item)) => {
-                if let Some(server) = self.parse_server(item) {
-                    self.core.with(|core, _| core.on_registry_entry(server));
+                if let Some(entry) = self.parse_entry(item) {
+                    self.core.with(|core, _| core.on_registry_entry(entry));
                 }
+                self.registry.borrow_mut().apply(change);
             }
             (FeedKind::Registry, StoreChange::Removed { key, .. }) => {
                 let id = self.platform.server_id(key);
                 self.core
                     .with(|core, now| core.on_registry_removed(now, id));
+                self.registry.borrow_mut().apply(change);
             }
         }
-        let mut cached = self.cached(kind).borrow_mut();
-        match change {
-            StoreChange::Put(item) => drop(cached.items.insert(item.key.clone(), item)),
-            StoreChange::Removed { key, .. } => drop(cached.items.remove(&key)),
-        }
     }
 
-    /// Applies a record of the operators.
-    fn apply_operator_record(&self, item: &StoreItem) {
-        match self.platform.operator_record(item) {
+    /// Applies a record of the operators, unless a newer one is in force; `age` is that of a desired
+    /// version.
+    fn apply_operator_record(&self, item: &StoreItem, age: DesiredVersionAge) {
+        let version = match self.platform.operator_record(item) {
             Ok(Some(OperatorRecord::Table(table))) => {
+                let revision = table.revision();
                 self.core.with(|core, _| core.set_table(*table));
+                revision
             }
             Ok(Some(OperatorRecord::DesiredVersion { model, version })) => {
                 self.core.with(|core, now| {
-                    core.set_desired_version(now, model, version, Duration::ZERO);
+                    let source = DesiredVersionSource::Store;
+                    core.set_desired_version(now, model, version, age, source);
                 });
+                version
             }
-            Ok(None) => {}
+            Ok(None) => return,
             Err(error) => {
                 warn!(
                     self.logger, "feeds: Operator record skipped.";
                     "error" => %error, "revision" => item.revision
                 );
+                return;
             }
-        }
+        };
+        self.operator.borrow_mut().record(version, item);
     }
 
     /// Reads a registry entry; logs one that cannot be used and returns `None`.
-    fn parse_server(&self, item: &StoreItem) -> Option<crate::registry::BackendServer> {
+    fn parse_entry(&self, item: &StoreItem) -> Option<RegistryEntry> {
         match self.platform.registry_entry(item) {
-            Ok(server) => Some(server),
+            Ok(entry) => Some(entry),
             Err(error) => {
                 warn!(
                     self.logger, "feeds: Registry entry skipped.";
@@ -365,13 +448,6 @@
             }
         }
     }
-
-    fn cached(&self, kind: FeedKind) -> &RefCell<CachedRecords> {
-        match kind {
-            FeedKind::Operator => &self.operator,
-            FeedKind::Registry => &self.registry,
-        }
-    }
 }
 
 fn prefix<P: Platform>(kind: FeedKind) -> &'static str {
@@ -380,50 +456,3 @@
         FeedKind::Registry => P::REGISTRY_PREFIX,
     }
 }
-
-/// Tracks whether a set of records can be read from the store and logs each change.
-struct LinkState {
-    kind: FeedKind,
-    /// Failed calls since the last one that succeeded.
-    failures: u32,
-    logger: Logger,
-}
-
-impl LinkState {
-    fn new(kind: FeedKind, logger: Logger) -> Self {
-        Self {
-            kind,
-            failures: 0,
-            logger,
-        }
-    }
-
-    fn is_up(&self) -> bool {
-        self.failures == 0
-    }
-
-    fn on_success(&mut self) {
-        if self.failures > 0 {
-            info!(
-                self.logger, "feeds: Store answers again.";
-                "source" => self.kind.name(), "failures" => self.failures
-            );
-            self.failures = 0;
-        }
-    }
-
-    /// Returns the pause before the next call, with jitter so that hosts do not call all at once.
-    fn on_failure(&mut self, error: &StoreError) -> Duration {
-        if self.failures == 0 {
-            warn!(
-                self.logger, "feeds: Store lost.";
-                "source" => self.kind.name(), "error" => %error
-            );
-        }
-        self.failures += 1;
-        let pause = FIRST_RETRY_PAUSE * 2_u32.saturating_pow(self.failures.min(8) - 1);
-        pause
-            .min(MAX_RETRY_PAUSE)
-            .mul_f64(rand::rng().random_range(0.7..1.3))
-    }
-}
--- a/crates/hickoryhall-gateway/src/host.rs
+++ b/crates/hickoryhall-gateway/src/host.rs
@@ -9,19 +9,19 @@
 
 use bytes::Bytes;
 use hickoryhall_edge::{
-    Handler, Pool, PoolConfig, ResponseBody, ServerConfig, StreamAborted, serve,
+    CallerConnection, Connections, Handler, Pool, PoolConfig, RequestBody, ResponseBody,
+    ServerConfig, StreamAborted, serve,
 };
 use hickoryhall_telemetry::{MetricsError, MetricsPage};
 use hickoryhall_types::hash_name;
-use hyper::body::Incoming;
 use hyper::{Request, Response, StatusCode};
-use metrics::gauge;
+use metrics::{counter, gauge};
 use slog::{Logger, error, info, o, warn};
 use tokio::net::TcpListener;
 use tokio::signal::unix::{Signal, SignalKind, signal};
 use tokio::sync::watch;
 use tokio::task::spawn_local;
-use tokio::time::sleep;
+use tokio::time::{sleep, timeout};
 
 use crate::core::{CoreConfig, CoreHandle};
 use crate::exchange::Gateway;
@@ -31,14 +31,15 @@
 use crate::peers::{LocalHost, Peers, PeersConfig};
 use crate::scheduler::SchedulerConfig;
 use crate::settings::{Settings, SettingsError};
+use crate::store_client::StoreClient;
 
 /// Time for which a stopping host still accepts requests: the load balancer stops sending
 /// connections only after two failed readiness checks, one second apart.
 const STOP_ACCEPT_TIME: Duration = Duration::from_millis(2_600);
 /// Time before the process is killed at which a stopping host exits by itself.
 const STOP_MARGIN: Duration = Duration::from_millis(350);
-/// Interval at which a stopping host checks for requests in flight.
-const STOP_POLL_INTERVAL: Duration = Duration::from_millis(25);
+/// Maximum number of request ids in the log line of the requests that a stop cuts off.
+const MAX_LOGGED_REQUESTS: usize = 16;
 /// Interval at which expired idle connections are closed, and connection limits and gauges updated.
 const SWEEP_INTERVAL: Duration = Duration::from_millis(500);
 /// Shortest lease of the lease holder that gives orders: it must outlast a few lost renewals.
@@ -73,15 +74,14 @@
 ///
 /// # Errors
 ///
-/// Returns an error if an address cannot be bound, or signal handlers or metrics cannot be set up.
+/// Returns an error if an address cannot be bound or metrics cannot be set up.
 pub async fn run<P: Platform>(
+    signals: Signals,
     settings_path: PathBuf,
     settings: Settings,
     platform: P,
     logger: Logger,
 ) -> Result<(), StartError> {
-    // Must come first: once the process listens, every stop signal must lead to a graceful stop.
-    let signals = Signals::install().map_err(StartError::Signals)?;
     let host = Host::start(&settings, platform, &logger).await?;
     info!(
         logger, "host: Host started.";
@@ -95,18 +95,32 @@
 }
 
 /// Signals that a host handles: `SIGTERM` and `SIGINT` stop it, `SIGHUP` reloads the settings.
-struct Signals {
+///
+/// Signals that arrive before [`run`] wait for it.
+#[derive(Debug)]
+pub struct Signals {
     terminate: Signal,
     interrupt: Signal,
     hangup: Signal,
 }
 
 impl Signals {
-    fn install() -> io::Result<Self> {
+    /// Installs the signal handlers; a process must do this before anything else, because it is
+    /// killed by signals without a handler.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the operating system refuses a handler.
+    ///
+    /// # Panics
+    ///
+    /// Panics if it is called outside a tokio runtime.
+    pub fn install() -> Result<Self, StartError> {
+        let install = |kind| signal(kind).map_err(StartError::Signals);
         Ok(Self {
-            terminate: signal(SignalKind::terminate())?,
-            interrupt: signal(SignalKind::interrupt())?,
-            hangup: signal(SignalKind::hangup())?,
+            terminate: install(SignalKind::terminate())?,
+            interrupt: install(SignalKind::interrupt())?,
+            hangup: install(SignalKind::hangup())?,
         })
     }
 }
@@ -114,6 +128,7 @@
 /// A host whose tasks are running.
 struct Host<P> {
     gateway: Rc<Gateway<P>>,
+    connections: Rc<Connections>,
     stop: watch::Sender<bool>,
     logger: Logger,
 }
@@ -124,7 +139,13 @@
         let platform = Rc::new(platform);
         let part = |name: &'static str| logger.new(o!("part" => name));
         let core = CoreHandle::start(core_config(settings), part("core"));
-        let feeds = Feeds::new(Rc::clone(&platform), core.clone(), part("feeds"));
+        let store = Rc::new(StoreClient::new(Rc::clone(&platform), part("store")));
+        let feeds = Feeds::new(
+            Rc::clone(&platform),
+            Rc::clone(&store),
+            core.clone(),
+            part("feeds"),
+        );
         let feeds = Rc::new(feeds);
         let callers = listen("callers", settings.callers).await?;
         let readiness = listen("readiness", settings.readiness).await?;
@@ -139,14 +160,17 @@
         let gateway = Rc::new(gateway);
         let (stop, stopping) = watch::channel(false);
         let config = Rc::new(Cell::new(ServerConfig::default()));
-        spawn_core(&core, &config, &pool, &gateway);
+        let connections = Rc::<Connections>::default();
+        spawn_core(&core, &config, &pool, &gateway, &connections);
         spawn_feeds(&feeds);
         spawn_peers(&peers, records_listener);
         let orders = OrderTask::new(
             order_task_config(settings),
             platform,
+            store,
             core.clone(),
             peers,
+            stopping.clone(),
             part("orders"),
         );
         spawn_local(async move { orders.run().await });
@@ -160,6 +184,7 @@
             Rc::new(ready),
             Rc::default(),
             stopping.clone(),
+            Rc::clone(&connections),
             edge.clone(),
         ));
         if let Some(port) = settings.metrics_port {
@@ -170,12 +195,21 @@
                 page,
                 Rc::default(),
                 stopping.clone(),
+                Rc::clone(&connections),
                 edge.clone(),
             ));
         }
-        spawn_local(serve(callers, Rc::clone(&gateway), config, stopping, edge));
+        spawn_local(serve(
+            callers,
+            Rc::clone(&gateway),
+            config,
+            stopping,
+            Rc::clone(&connections),
+            edge,
+        ));
         Ok(Self {
             gateway,
+            connections,
             stop,
             logger: part("host"),
         })
@@ -213,28 +247,36 @@
         }
     }
 
-    /// Completes the requests in flight, and accepts new ones until the load balancer has noticed
-    /// the stop.
+    /// Accepts requests until the load balancer has noticed the stop, and waits until the callers of
+    /// all requests have got their responses.
     async fn drain(&self, grace: Duration) {
         let started = Instant::now();
-        info!(self.logger, "host: Host stops."; "in_flight" => self.gateway.in_flight());
+        let counts = self.connections.counts();
+        info!(
+            self.logger, "host: Host stops."; "in_flight" => self.gateway.in_flight(),
+            "connections" => counts.open, "unanswered" => counts.unanswered,
+            "unsent_bytes" => counts.unsent_bytes
+        );
         // Sending fails only without receivers; the tasks that hold them outlive this function.
         let _ = self.stop.send(true);
         let max_drain_time = grace.saturating_sub(STOP_MARGIN);
-        while started.elapsed() < max_drain_time {
-            sleep(STOP_POLL_INTERVAL).await;
-            if started.elapsed() >= STOP_ACCEPT_TIME {
-                self.gateway.close();
-            }
-            if self.gateway.in_flight() == 0 && started.elapsed() >= STOP_ACCEPT_TIME {
-                break;
-            }
-        }
-        let aborted = self.gateway.in_flight();
-        if aborted > 0 {
-            warn!(self.logger, "host: Requests aborted by the stop."; "count" => aborted);
+        sleep(STOP_ACCEPT_TIME.min(max_drain_time)).await;
+        self.gateway.close();
+        let time_left = max_drain_time.saturating_sub(started.elapsed());
+        let is_drained = timeout(time_left, self.connections.drained()).await.is_ok();
+        let counts = self.connections.counts();
+        if !is_drained && counts.unanswered > 0 {
+            let requests = self.connections.unanswered_ids(MAX_LOGGED_REQUESTS);
+            warn!(
+                self.logger, "host: Requests cut off by the stop."; "count" => counts.unanswered,
+                "unsent_bytes" => counts.unsent_bytes, "requests" => requests.join(" ")
+            );
         }
-        info!(self.logger, "host: Host stopped."; "after_ms" => started.elapsed().as_millis());
+        info!(
+            self.logger, "host: Host stopped."; "after_ms" => started.elapsed().as_millis(),
+            "connections" => counts.open, "unclosed" => counts.closing,
+            "closed_unsent" => self.connections.closed_unsent()
+        );
     }
 }
 
@@ -294,11 +336,13 @@
     config: &Rc<Cell<ServerConfig>>,
     pool: &Pool,
     gateway: &Rc<Gateway<P>>,
+    connections: &Rc<Connections>,
 ) {
     let actor = core.clone();
     spawn_local(async move { actor.run().await });
     let (core, config) = (core.clone(), Rc::clone(config));
     let (pool, gateway) = (pool.clone(), Rc::clone(gateway));
+    let connections = Rc::clone(connections);
     spawn_local(async move {
         loop {
             sleep(SWEEP_INTERVAL).await;
@@ -312,6 +356,7 @@
                 gauge!("table_revision").set(table.revision() as f64);
             }
             gauge!("requests_in_flight").set(gateway.in_flight() as f64);
+            counter!("connections_closed_unsent_total").absolute(connections.closed_unsent());
         }
     });
 }
@@ -345,8 +390,8 @@
 impl Handler for Readiness {
     async fn handle(
         self: Rc<Self>,
-        _request: Request<Incoming>,
-        _caller: SocketAddr,
+        _request: Request<RequestBody>,
+        _caller: Rc<CallerConnection>,
     ) -> Result<Response<ResponseBody>, StreamAborted> {
         let has_table = self.core.with(|core, _| core.table().is_some());
         let (status, text) = match (has_table, *self.stopping.borrow()) {
@@ -366,8 +411,8 @@
 impl Handler for MetricsHandler {
     async fn handle(
         self: Rc<Self>,
-        _request: Request<Incoming>,
-        _caller: SocketAddr,
+        _request: Request<RequestBody>,
+        _caller: Rc<CallerConnection>,
     ) -> Result<Response<ResponseBody>, StreamAborted> {
         let page = Bytes::from(self.0.render());
         Ok(Response::new(ResponseBody::full(page)))
--- a/crates/hickoryhall-gateway/src/interface.rs
+++ b/crates/hickoryhall-gateway/src/interface.rs
@@ -8,12 +8,14 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use hickoryhall_types::{FencingNumber, Ran, TargetId, TokenCount, WeightsVersion, WorkspaceId};
+use hickoryhall_types::{
+    FencingNumber, Incarnation, Ran, TargetId, TokenCount, WeightsVersion, WorkspaceId,
+};
 use http::{request, response};
 use hyper::header::HeaderMap;
 use hyper::{Request, Response, StatusCode};
 
-use crate::registry::BackendServer;
+use crate::registry::{BackendServer, RegistryEntry};
 use crate::table::RouteTable;
 
 /// Part of a prompt that several requests may have in common.
@@ -143,6 +145,8 @@
     pub closes_connection: bool,
     /// Time for which the server keeps the idle connection open, where the response reports it.
     pub keep_alive: Option<Duration>,
+    /// Whether the server says that it is shutting down and wants no new requests.
+    pub is_leaving: bool,
 }
 
 /// A failure response that this host generates itself.
@@ -181,7 +185,10 @@
     fn error_response(&self, request_id: Option<&str>, failure: &LocalFailure) -> Response<Bytes>;
 }
 
-/// Revision of the store, which grows with each change.
+/// Number of times that the store came back from an older copy of its contents; 0 for a store that
+/// has none.
+pub type StoreEra = u64;
+/// Revision of the store, which grows with each change within an era.
 pub type StoreRevision = u64;
 /// Id of a lease that the store granted.
 pub type LeaseId = u64;
@@ -212,6 +219,15 @@
 }
 
 impl StoreChange {
+    /// Returns the key that changed.
+    #[must_use]
+    pub fn key(&self) -> &str {
+        match self {
+            Self::Put(item) => &item.key,
+            Self::Removed { key, .. } => key,
+        }
+    }
+
     /// Returns the revision of the change.
     #[must_use]
     pub fn revision(&self) -> StoreRevision {
@@ -231,6 +247,15 @@
     pub revision: StoreRevision,
 }
 
+/// Result of a call to the store, with the era that the store answered in.
+#[derive(Debug)]
+pub struct StoreAnswer<T> {
+    /// Era that the response states, 0 if it states none; `None` if no response arrived.
+    pub era: Option<StoreEra>,
+    /// Result of the call.
+    pub result: Result<T, StoreError>,
+}
+
 /// A write that happens only if the key is at an expected revision.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct ConditionalPut {
@@ -259,6 +284,13 @@
     /// The store refused the call; nothing was changed.
     #[error("the store refused the call with status {0}")]
     Refused(StatusCode),
+    /// The store answered in a newer era than the one that the call belongs to: what the caller
+    /// knows of revisions and leases no longer holds. A write may have been carried out.
+    #[error("the store is in a newer era")]
+    EraChanged,
+    /// A response of an older era arrived late; a write may have been carried out.
+    #[error("the response is from an older era of the store")]
+    OlderEra,
     /// No response arrived; a write may have been carried out.
     #[error("no response from the store: {0}")]
     NoAnswer(String),
@@ -268,12 +300,14 @@
 }
 
 /// Calls to the store, which holds the operators' records, the registry and leases.
+///
+/// Implementations report the era of each response, also of one with an error status.
 pub trait Store {
     /// Returns all items under a prefix.
     fn range(
         &self,
         prefix: &str,
-    ) -> impl Future<Output = Result<WithRevision<Vec<StoreItem>>, StoreError>>;
+    ) -> impl Future<Output = StoreAnswer<WithRevision<Vec<StoreItem>>>>;
 
     /// Returns the changes under a prefix after a revision; waits for the first one at most for
     /// `wait` and returns none if none occurs.
@@ -282,22 +316,19 @@
         prefix: &str,
         after: StoreRevision,
         wait: Duration,
-    ) -> impl Future<Output = Result<WithRevision<Vec<StoreChange>>, StoreError>>;
+    ) -> impl Future<Output = StoreAnswer<WithRevision<Vec<StoreChange>>>>;
 
     /// Writes an item if its key is at the expected revision and returns its new revision.
-    fn put_if(
-        &self,
-        put: &ConditionalPut,
-    ) -> impl Future<Output = Result<StoreRevision, StoreError>>;
+    fn put_if(&self, put: &ConditionalPut) -> impl Future<Output = StoreAnswer<StoreRevision>>;
 
     /// Requests a lease, which lapses unless it is renewed within `ttl`.
-    fn grant(&self, ttl: Duration) -> impl Future<Output = Result<LeaseId, StoreError>>;
+    fn grant(&self, ttl: Duration) -> impl Future<Output = StoreAnswer<LeaseId>>;
 
     /// Renews a lease for another period of the `ttl` that it was granted for.
-    fn renew(&self, lease: LeaseId) -> impl Future<Output = Result<(), StoreError>>;
+    fn renew(&self, lease: LeaseId) -> impl Future<Output = StoreAnswer<()>>;
 
     /// Ends a lease, which removes its items.
-    fn end_lease(&self, lease: LeaseId) -> impl Future<Output = Result<(), StoreError>>;
+    fn end_lease(&self, lease: LeaseId) -> impl Future<Output = StoreAnswer<()>>;
 }
 
 /// A record that operators write.
@@ -343,7 +374,7 @@
     /// # Errors
     ///
     /// Returns an error if the entry is invalid or describes no usable server.
-    fn registry_entry(&self, item: &StoreItem) -> Result<BackendServer, InvalidRecord>;
+    fn registry_entry(&self, item: &StoreItem) -> Result<RegistryEntry, InvalidRecord>;
 
     /// Returns the server id in the key of a registry entry.
     fn server_id<'a>(&self, key: &'a str) -> &'a str;
@@ -358,6 +389,10 @@
     pub is_busy: bool,
     /// Number of orders that the runner has accepted since its start.
     pub orders_accepted: u64,
+    /// Process that reports; `None` if the report does not tell.
+    pub incarnation: Option<Incarnation>,
+    /// Whether the runner says that it is shutting down.
+    pub is_leaving: bool,
 }
 
 /// What happens to running requests when the weights change.
--- a/crates/hickoryhall-gateway/src/orders/weight_changes.rs
+++ b/crates/hickoryhall-gateway/src/orders/weight_changes.rs
@@ -6,7 +6,7 @@
 
 use futures_util::future::join_all;
 use hickoryhall_control::{DesiredVersions, OrderPlanner, PlannedOrder, RunnerStatus};
-use hickoryhall_types::{FencingNumber, TargetId, WeightsVersion, hash_name};
+use hickoryhall_types::{FencingNumber, Incarnation, TargetId, WeightsVersion, hash_name};
 use slog::{info, warn};
 use tokio::time::{sleep, timeout};
 
@@ -15,12 +15,14 @@
     ControlError, OrderOutcome, Platform, RunnerReport, SwitchMode, WeightsOrder,
 };
 use crate::registry::{BackendServer, ServerId};
-use crate::scheduler::{HostLoad, RunnerView};
+use crate::scheduler::{HostLoad, ReportedState, RunnerView};
 
 /// Time between two planning rounds.
 const PLAN_INTERVAL: Duration = Duration::from_millis(60);
 /// Time between two report requests to a runner that is changing its weights.
 const REPORT_INTERVAL: Duration = Duration::from_millis(100);
+/// Time by which the content of a report may be older than the request for it.
+const MAX_REPORT_AGE: Duration = Duration::from_secs(1);
 /// Timeout of an order; a runner answers before it carries the order out.
 const ORDER_TIMEOUT: Duration = Duration::from_millis(300);
 /// Time within which peers learn that a runner is about to change its weights, and this host learns
@@ -45,7 +47,8 @@
 const BUSY_PENDING_MS: f64 = 60.0;
 
 impl<P: Platform> OrderTask<P> {
-    /// Plans and carries out weight changes until the task is dropped.
+    /// Plans and carries out weight changes until the host stops and all runners that are being
+    /// drained have their orders.
     pub(super) async fn issue_orders(&self, planner: &RefCell<OrderPlanner>) {
         let mut changes = HashMap::<ServerId, WeightChange>::new();
         loop {
@@ -58,12 +61,21 @@
                 Some(async move { (runner, self.advance(runner, change, planner).await) })
             });
             let steps = steps.collect::<Vec<_>>();
-            changes.clear();
+            for (id, _) in changes.drain() {
+                info!(self.logger, "orders: Weight change given up, its runner is gone."; "server" => &*id);
+                self.announce(&id, false);
+            }
             for (runner, change) in join_all(steps).await {
                 if let Some(change) = change {
                     changes.insert(runner.server.id.clone(), change);
                 }
             }
+            if self.is_stopping() {
+                if changes.values().any(WeightChange::is_draining) {
+                    continue;
+                }
+                return;
+            }
 
             let runners = self.core.with(|core, now| core.runners(now));
             planner
@@ -96,9 +108,10 @@
     /// `None` if the runner has no model.
     fn start_draining(&self, runner: &RunnerView, order: &PlannedOrder) -> Option<WeightChange> {
         let (model, _) = runner.server.models.first()?;
-        self.publish_state(runner, runner.weights, true);
+        self.announce(&runner.server.id, true);
         Some(WeightChange {
             model: model.clone(),
+            incarnation: runner.server.incarnation,
             version: order.weights,
             fencing: order.fencing,
             started_at: Instant::now(),
@@ -114,6 +127,9 @@
         change: WeightChange,
         planner: &RefCell<OrderPlanner>,
     ) -> Option<WeightChange> {
+        if runner.server.incarnation != change.incarnation {
+            return self.give_up_after_restart(runner, &change, planner);
+        }
         match change.stage {
             Stage::Draining if !change.is_drained(runner) => Some(change),
             Stage::Draining => self.issue_order(runner, change, planner).await,
@@ -122,6 +138,26 @@
         }
     }
 
+    /// Ends a weight change at a runner that started again, so that it is planned anew: the order
+    /// went to the process before.
+    fn give_up_after_restart(
+        &self,
+        runner: &RunnerView,
+        change: &WeightChange,
+        planner: &RefCell<OrderPlanner>,
+    ) -> Option<WeightChange> {
+        let id = &runner.server.id;
+        info!(
+            self.logger, "orders: Weight change given up, its runner started again.";
+            "server" => &**id, "incarnation" => runner.server.incarnation,
+            "before" => change.incarnation, "wanted" => change.version,
+            "took_ms" => change.started_at.elapsed().as_millis()
+        );
+        self.announce(id, false);
+        planner.borrow_mut().remove_pending(id);
+        None
+    }
+
     /// Sends the order unless the runner already has the weights or the lease may expire.
     async fn issue_order(
         &self,
@@ -131,21 +167,24 @@
     ) -> Option<WeightChange> {
         let server = &runner.server;
         let change = self.with_newest_version(change);
-        let Some(report) = self.fetch_report(server).await else {
-            self.publish_state(runner, runner.weights, false);
+        let Some(report) = self.fetch_report(server, &change.model).await else {
+            self.announce(&server.id, false);
             planner.borrow_mut().remove_pending(&server.id);
             return None;
         };
+        if report.is_of_other_process(change.incarnation) {
+            return self.give_up_after_restart(runner, &change, planner);
+        }
         let weights = report.weights(&change.model);
         if weights >= change.version {
-            self.publish_state(runner, weights, false);
+            self.announce(&server.id, false);
             return None;
         }
         // The lease may have expired while the report was fetched.
         let lease = planner.borrow().lease(self.clock.now() + CALL_TIMEOUT);
         let lease = lease.filter(|lease| lease.fencing == change.fencing);
         if lease.is_none() {
-            self.publish_state(runner, weights, false);
+            self.announce(&server.id, false);
             return None;
         }
         let mode = self.switch_mode(runner, &change);
@@ -166,7 +205,7 @@
             "emptied_ms" => change.started_at.elapsed().as_millis(),
             "requests" => runner.load.requests, "bound" => runner.load.non_resumable
         );
-        let is_accepted = outcome.is_ok_and(OrderOutcome::is_in_effect);
+        let is_accepted = outcome.as_ref().is_ok_and(|outcome| outcome.is_in_effect());
         let wait = if is_accepted {
             self.load_times.borrow().earliest_end()
         } else {
@@ -178,6 +217,8 @@
                 sent_at: now,
                 next_report: now + wait.max(REPORT_INTERVAL),
                 is_accepted,
+                min_orders: order.expected_orders
+                    + u64::from(outcome == Ok(OrderOutcome::Accepted)),
                 waits_for_requests: mode == SwitchMode::Wait && runner.load.requests > 0,
             }),
             ..change
@@ -216,7 +257,14 @@
         order: SentOrder,
         planner: &RefCell<OrderPlanner>,
     ) -> Option<WeightChange> {
-        let report = self.fetch_report(&runner.server).await;
+        let requested_at = Instant::now();
+        let report = self.fetch_report(&runner.server, &change.model).await;
+        let is_restarted = report.as_ref().is_some_and(|report| {
+            report.is_of_other_process(change.incarnation) || order.is_lost(requested_at, report)
+        });
+        if is_restarted {
+            return self.give_up_after_restart(runner, &change, planner);
+        }
         let weights = report
             .as_ref()
             .map_or(runner.weights, |report| report.weights(&change.model));
@@ -249,7 +297,7 @@
             "server" => &*runner.server.id, "weights" => weights, "wanted" => change.version,
             "busy" => is_busy, "took_ms" => change.started_at.elapsed().as_millis()
         );
-        self.publish_state(runner, weights, false);
+        self.announce(&runner.server.id, false);
         if is_done && order.is_accepted && !order.waits_for_requests {
             self.load_times.borrow_mut().record(order.sent_at.elapsed());
         }
@@ -259,10 +307,24 @@
         None
     }
 
-    async fn fetch_report(&self, server: &BackendServer) -> Option<RunnerReport> {
+    /// Gets a report of a runner and records what it says about the weights of a model.
+    async fn fetch_report(&self, server: &BackendServer, model: &str) -> Option<RunnerReport> {
+        let requested_at = Instant::now();
         let report = timeout(CALL_TIMEOUT, self.platform.report(server)).await;
         match report.unwrap_or_else(|_| Err(timeout_error(CALL_TIMEOUT))) {
-            Ok(report) => Some(report),
+            Ok(report) => {
+                let state = ReportedState {
+                    requested_at,
+                    incarnation: report.incarnation,
+                    weights: report.find_weights(model),
+                    is_busy: report.is_busy,
+                    is_leaving: report.is_leaving,
+                };
+                let hash = hash_name(&server.id);
+                self.core
+                    .with(|core, now| core.record_report(now, hash, &state));
+                Some(report)
+            }
             Err(error) => {
                 warn!(self.logger, "orders: Failed to get a report from runner."; "server" => &*server.id, "error" => %error);
                 None
@@ -279,11 +341,11 @@
         outcome.unwrap_or_else(|_| Err(timeout_error(ORDER_TIMEOUT)))
     }
 
-    /// Records the state of a runner on this host, and sends it to all peers at once.
-    fn publish_state(&self, runner: &RunnerView, weights: WeightsVersion, is_changing: bool) {
-        let hash = hash_name(&runner.server.id);
+    /// Records whether a runner is changing its weights, and sends its state to all peers at once.
+    fn announce(&self, server: &str, is_changing: bool) {
+        let hash = hash_name(server);
         self.core
-            .with(|core, now| core.announce_runner(now, hash, weights, is_changing));
+            .with(|core, now| core.announce_runner(now, hash, is_changing));
         self.peers.push_digests();
     }
 }
@@ -292,6 +354,8 @@
 #[derive(Clone)]
 struct WeightChange {
     model: TargetId,
+    /// Process of the runner when the change began.
+    incarnation: Incarnation,
     version: WeightsVersion,
     fencing: FencingNumber,
     started_at: Instant,
@@ -315,11 +379,17 @@
     next_report: Instant,
     /// Whether the runner accepted the order.
     is_accepted: bool,
+    /// Number of orders that the process has accepted since, at least.
+    min_orders: u64,
     /// Whether the runner completes requests before it loads.
     waits_for_requests: bool,
 }
 
 impl WeightChange {
+    fn is_draining(&self) -> bool {
+        matches!(self.stage, Stage::Draining)
+    }
+
     /// Returns whether the order may be sent: the runner is drained, or draining took too long.
     fn is_drained(&self, runner: &RunnerView) -> bool {
         let age = self.started_at.elapsed();
@@ -328,12 +398,33 @@
     }
 }
 
+impl SentOrder {
+    /// Returns whether the runner accepted the order and no longer knows of it, which only a
+    /// restart can cause.
+    fn is_lost(&self, requested_at: Instant, report: &RunnerReport) -> bool {
+        let is_up_to_date = requested_at.saturating_duration_since(self.sent_at) >= MAX_REPORT_AGE;
+        self.is_accepted && is_up_to_date && report.orders_accepted < self.min_orders
+    }
+}
+
 impl RunnerReport {
+    /// Returns whether the report is known to come from another process of the runner.
+    #[must_use]
+    pub fn is_of_other_process(&self, incarnation: Incarnation) -> bool {
+        self.incarnation.is_some_and(|other| other != incarnation)
+    }
+
     /// Returns the version of a model's weights, 0 if the runner does not have the model.
     #[must_use]
     pub fn weights(&self, model: &str) -> WeightsVersion {
+        self.find_weights(model).unwrap_or(0)
+    }
+
+    /// Returns the version of a model's weights, `None` if the runner does not have the model.
+    #[must_use]
+    pub fn find_weights(&self, model: &str) -> Option<WeightsVersion> {
         let model = self.models.iter().find(|(name, _)| name.as_ref() == model);
-        model.map_or(0, |(_, version)| *version)
+        model.map(|(_, version)| *version)
     }
 }
 
--- a/crates/hickoryhall-gateway/src/outcome.rs
+++ b/crates/hickoryhall-gateway/src/outcome.rs
@@ -63,6 +63,13 @@
             Self::Failure
         }
     }
+
+    /// Returns whether the response certainly comes from the server that the request was sent to,
+    /// so that what it says of a server is about that one.
+    #[must_use]
+    pub fn is_from_server(self) -> bool {
+        matches!(self, Self::Success | Self::Failure | Self::NotRun)
+    }
 }
 
 /// Returns whether a status promises that the request did not run and never will.
--- a/crates/hickoryhall-gateway/src/peers/message.rs
+++ b/crates/hickoryhall-gateway/src/peers/message.rs
@@ -5,12 +5,13 @@
 
 use bytes::Bytes;
 use hickoryhall_routing::Level;
-use hickoryhall_types::{Revision, TargetId, WeightsVersion};
+use hickoryhall_types::{Incarnation, Revision, TargetId, WeightsVersion};
 use prost::Message;
 
 use crate::feeds::relay::RegistryRelay;
-use crate::interface::{StoreChange, StoreItem, StoreRevision};
-use crate::scheduler::{GroupHash, HostHash, HostLoad};
+use crate::interface::{StoreChange, StoreEra, StoreItem};
+use crate::scheduler::{DesiredVersionAge, GroupHash, HostHash, HostLoad};
+use crate::store_position::StorePosition;
 
 /// State of a host or of a group, sent to peers several times a second.
 #[derive(Clone, Debug, Default, PartialEq)]
@@ -27,6 +28,8 @@
     pub is_forwarded: bool,
     /// Revision of the sender's route table, 0 for none.
     pub table_revision: Revision,
+    /// Newest era of the store that the sender knows.
+    pub store_era: StoreEra,
     /// Load at backend servers, and runners that receive orders from the sender.
     pub servers: Vec<ServerUpdate>,
     /// Desired versions of models that the sender knows.
@@ -60,6 +63,8 @@
 pub struct PromptUpdate {
     /// Hash of the runner's id, or of the prompt cache store's address.
     pub server: u64,
+    /// Process of the runner; `None` for a prompt cache store, or if the sender does not tell.
+    pub incarnation: Option<Incarnation>,
     /// Version of the weights with which the prompt was prefilled; its cached levels are useless to
     /// other versions.
     pub weights: WeightsVersion,
@@ -73,6 +78,8 @@
 pub struct ServerUpdate {
     /// Hash of the server's id.
     pub server: u64,
+    /// Process of the server that the update is about; `None` if the sender does not tell.
+    pub incarnation: Option<Incarnation>,
     /// Load on the server, counted over the hosts of the digest's scope.
     pub load: HostLoad,
     /// Version of the weights that the server has.
@@ -80,6 +87,16 @@
     /// Whether the runner is changing its weights; `None` unless the sender orders it to, as
     /// the lease holder.
     pub is_changing: Option<bool>,
+    /// Whether the server said in a response that it is shutting down.
+    pub is_leaving: bool,
+}
+
+impl ServerUpdate {
+    /// Returns whether hosts need the update to place requests correctly, not only well.
+    #[must_use]
+    pub fn is_urgent(&self) -> bool {
+        self.is_changing.is_some() || self.is_leaving
+    }
 }
 
 /// Update about a desired version of a model.
@@ -90,7 +107,7 @@
     /// Version that the model's runners shall have unless a newer one is known.
     pub version: WeightsVersion,
     /// Time since the version became known to any host, as far as the sender knows.
-    pub age: Duration,
+    pub age: DesiredVersionAge,
 }
 
 /// Update about a request during which backend servers failed.
@@ -111,11 +128,11 @@
     pub registry: StoreRecords,
 }
 
-/// Records under one prefix of the store, as of one revision.
+/// Records under one prefix of the store, as of one position.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct StoreRecords {
-    /// Revision of the store as of which the records are current, 0 if none were read.
-    pub revision: StoreRevision,
+    /// Position of the store as of which the records are current, 0 if none were read.
+    pub position: StorePosition,
     /// Records with their full keys.
     pub items: Vec<StoreItem>,
 }
@@ -156,6 +173,8 @@
     is_forwarded: bool,
     #[prost(message, optional, tag = "13")]
     registry: Option<WireRelay>,
+    #[prost(uint64, tag = "14")]
+    store_era: u64,
 }
 
 #[derive(Clone, PartialEq, Message)]
@@ -166,6 +185,8 @@
     until: u64,
     #[prost(message, repeated, tag = "3")]
     changes: Vec<WireChange>,
+    #[prost(uint64, tag = "4")]
+    era: u64,
 }
 
 #[derive(Clone, PartialEq, Message)]
@@ -188,6 +209,8 @@
     keys: Vec<u64>,
     #[prost(uint32, repeated, tag = "4")]
     tokens: Vec<u32>,
+    #[prost(uint64, optional, tag = "5")]
+    incarnation: Option<u64>,
 }
 
 #[derive(Clone, PartialEq, Message)]
@@ -209,6 +232,10 @@
     bound: u32,
     #[prost(uint32, tag = "8")]
     output_tokens: u32,
+    #[prost(uint64, optional, tag = "9")]
+    incarnation: Option<u64>,
+    #[prost(bool, tag = "10")]
+    is_leaving: bool,
 }
 
 /// Desired version of a model.
@@ -220,6 +247,9 @@
     version: u64,
     #[prost(uint64, tag = "3")]
     age_ms: u64,
+    /// Whether the version may be older.
+    #[prost(bool, tag = "4")]
+    is_at_least: bool,
 }
 
 #[derive(Clone, PartialEq, Message)]
@@ -250,6 +280,10 @@
     registry_revision: u64,
     #[prost(message, repeated, tag = "4")]
     registry: Vec<WireItem>,
+    #[prost(uint64, tag = "5")]
+    operator_era: u64,
+    #[prost(uint64, tag = "6")]
+    registry_era: u64,
 }
 
 impl Digest {
@@ -314,6 +348,7 @@
             },
             is_forwarded: digest.is_forwarded,
             registry: digest.registry.as_ref().map(WireRelay::from),
+            store_era: digest.store_era,
         }
     }
 }
@@ -336,6 +371,7 @@
             scope,
             is_forwarded: wire.is_forwarded,
             table_revision: wire.table_revision,
+            store_era: wire.store_era,
             servers: wire.servers.iter().map(ServerUpdate::from).collect(),
             desired_versions: wire
                 .wanted
@@ -355,6 +391,7 @@
             after: relay.after,
             until: relay.until,
             changes: relay.changes.iter().map(WireChange::from).collect(),
+            era: relay.era,
         }
     }
 }
@@ -362,6 +399,7 @@
 impl From<WireRelay> for RegistryRelay {
     fn from(wire: WireRelay) -> Self {
         Self {
+            era: wire.era,
             after: wire.after,
             until: wire.until,
             changes: wire.changes.into_iter().map(StoreChange::from).collect(),
@@ -408,6 +446,7 @@
             weights: update.weights,
             keys: update.levels.iter().map(|level| level.key).collect(),
             tokens: update.levels.iter().map(|level| level.tokens).collect(),
+            incarnation: update.incarnation,
         }
     }
 }
@@ -417,6 +456,7 @@
         let levels = wire.keys.iter().zip(&wire.tokens);
         Self {
             server: wire.server,
+            incarnation: wire.incarnation,
             weights: wire.weights,
             levels: levels
                 .map(|(&key, &tokens)| Level { key, tokens })
@@ -436,6 +476,8 @@
             is_changing: update.is_changing,
             bound: update.load.non_resumable,
             output_tokens: update.load.output_tokens,
+            incarnation: update.incarnation,
+            is_leaving: update.is_leaving,
         }
     }
 }
@@ -444,6 +486,7 @@
     fn from(wire: &WireServer) -> Self {
         Self {
             server: wire.server,
+            incarnation: wire.incarnation,
             load: HostLoad {
                 requests: wire.requests,
                 pending_ms: wire.pending_ms,
@@ -453,6 +496,7 @@
             },
             weights: wire.weights,
             is_changing: wire.is_changing,
+            is_leaving: wire.is_leaving,
         }
     }
 }
@@ -462,17 +506,23 @@
         Self {
             model: update.model.as_ref().to_owned(),
             version: update.version,
-            age_ms: u64::try_from(update.age.as_millis()).unwrap_or(u64::MAX),
+            age_ms: u64::try_from(update.age.lower_bound().as_millis()).unwrap_or(u64::MAX),
+            is_at_least: !update.age.is_exact(),
         }
     }
 }
 
 impl From<WireWanted> for DesiredVersionUpdate {
     fn from(wire: WireWanted) -> Self {
+        let age = Duration::from_millis(wire.age_ms);
         Self {
             model: wire.model.into(),
             version: wire.version,
-            age: Duration::from_millis(wire.age_ms),
+            age: if wire.is_at_least {
+                DesiredVersionAge::AtLeast(age)
+            } else {
+                DesiredVersionAge::Exact(age)
+            },
         }
     }
 }
@@ -518,9 +568,11 @@
 impl From<&StoreSnapshot> for WireSnapshot {
     fn from(snapshot: &StoreSnapshot) -> Self {
         Self {
-            operator_revision: snapshot.operator.revision,
+            operator_era: snapshot.operator.position.era,
+            operator_revision: snapshot.operator.position.revision,
             operator: snapshot.operator.items.iter().map(WireItem::from).collect(),
-            registry_revision: snapshot.registry.revision,
+            registry_era: snapshot.registry.position.era,
+            registry_revision: snapshot.registry.position.revision,
             registry: snapshot.registry.items.iter().map(WireItem::from).collect(),
         }
     }
@@ -528,13 +580,13 @@
 
 impl From<WireSnapshot> for StoreSnapshot {
     fn from(wire: WireSnapshot) -> Self {
-        let records = |revision, items: Vec<WireItem>| StoreRecords {
-            revision,
+        let records = |era, revision, items: Vec<WireItem>| StoreRecords {
+            position: StorePosition { era, revision },
             items: items.into_iter().map(StoreItem::from).collect(),
         };
         Self {
-            operator: records(wire.operator_revision, wire.operator),
-            registry: records(wire.registry_revision, wire.registry),
+            operator: records(wire.operator_era, wire.operator_revision, wire.operator),
+            registry: records(wire.registry_era, wire.registry_revision, wire.registry),
         }
     }
 }
--- a/crates/hickoryhall-gateway/src/scheduler.rs
+++ b/crates/hickoryhall-gateway/src/scheduler.rs
@@ -15,27 +15,31 @@
 mod placement;
 mod search;
 mod server;
+mod statements;
 mod updates;
+mod weights;
 
 use std::collections::{BTreeMap, HashMap};
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
 use hickoryhall_routing::PrefixChain;
-use hickoryhall_types::{FailureDomainId, TargetId, WeightsVersion};
+use hickoryhall_types::{FailureDomainId, Incarnation, TargetId, WeightsVersion};
 use slotmap::{SlotMap, new_key_type};
 
 use cache_store::CacheStoreState;
 use candidate::{Candidate, millis};
 pub use config::SchedulerConfig;
 use demand::FamilyDemand;
-pub use desired_versions::DesiredVersionHistory;
+pub use desired_versions::{DesiredVersionAge, DesiredVersionHistory};
 pub use placement::{
     Assignment, AttemptEnd, Placement, PlacementRefusal, PlacementRequest, PromptInfo,
     RefusalReason, RunnerView,
 };
 pub use server::{HostLoad, LoadSource};
 use server::{RequestLoad, ServerState};
+use statements::RemovedStatements;
+pub use weights::{AnnouncedState, ReportedState, WeightsChange, WeightsSource};
 
 use crate::peers::PromptUpdate;
 use crate::registry::{BackendServer, RegistryEvent, ServerId};
@@ -62,6 +66,8 @@
 
 struct ActiveAttempt {
     key: ServerKey,
+    /// Process of the server that the attempt was placed on.
+    incarnation: Incarnation,
     /// Prompt that the runner has not prefilled yet; `None` after the first event.
     pending_prompt: Option<PrefixChain>,
     placed_at: Instant,
@@ -84,6 +90,7 @@
     by_id: HashMap<ServerId, ServerKey>,
     /// Servers by the hash of their id, under which peers report about them.
     by_hash: HashMap<u64, ServerKey>,
+    removed_statements: RemovedStatements,
     /// Servers of each service in the order of the hashes of their ids, which is the same on every
     /// host.
     by_service: HashMap<TargetId, Vec<ServerKey>>,
@@ -118,6 +125,7 @@
             servers: SlotMap::with_key(),
             by_id: HashMap::new(),
             by_hash: HashMap::new(),
+            removed_statements: RemovedStatements::default(),
             by_service: HashMap::new(),
             runner_capacities: HashMap::new(),
             waiting: BTreeMap::new(),
@@ -153,12 +161,14 @@
     }
 
     /// Applies a registry event.
-    pub fn on_registry(&mut self, event: RegistryEvent) {
+    ///
+    /// Returns the change of the belief about a known server's weights, if there is one.
+    pub fn on_registry(&mut self, event: RegistryEvent) -> Option<WeightsChange> {
         match event {
             RegistryEvent::Removed(id) => self.remove(&id),
             RegistryEvent::Upsert(server) => match self.by_id.get(&server.id) {
                 Some(&key) if self.servers[key].server.service == server.service => {
-                    self.servers[key].update(server);
+                    return self.servers[key].update(server);
                 }
                 _ => {
                     self.remove(&server.id);
@@ -166,13 +176,17 @@
                 }
             },
         }
+        None
     }
 
     fn insert(&mut self, server: BackendServer) {
         let capacity = self.runner_capacities.get(&server.service).cloned();
         let (id, service) = (server.id.clone(), server.service.clone());
-        let state = ServerState::new(server, capacity);
+        let mut state = ServerState::new(server, capacity);
         let name_hash = state.name_hash;
+        state.statements = self
+            .removed_statements
+            .get(name_hash, state.server.incarnation);
         let key = self.servers.insert(state);
         self.by_id.insert(id, key);
         self.by_hash.insert(name_hash, key);
@@ -187,13 +201,15 @@
         };
         if let Some(state) = self.servers.remove(key) {
             self.by_hash.remove(&state.name_hash);
+            self.removed_statements
+                .insert(state.name_hash, state.statements);
             if let Some(keys) = self.by_service.get_mut(&state.server.service) {
                 keys.retain(|&other| other != key);
             }
         }
     }
 
-    /// Records a desired version of a model that has been known for `age`.
+    /// Records a desired version of a model and its age.
     ///
     /// Returns whether it is the newest desired version of the model.
     pub fn record_desired_version(
@@ -201,7 +217,7 @@
         now: Instant,
         model: TargetId,
         version: WeightsVersion,
-        age: Duration,
+        age: DesiredVersionAge,
     ) -> bool {
         self.desired_versions
             .entry(model)
@@ -209,6 +225,13 @@
             .record(now, version, age)
     }
 
+    /// Returns whether the exact age of a desired version is known.
+    #[must_use]
+    pub fn has_exact_age(&self, model: &TargetId, version: WeightsVersion) -> bool {
+        let history = self.desired_versions.get(model);
+        history.is_some_and(|history| history.has_exact_age(version))
+    }
+
     /// Returns the desired versions of each model.
     pub fn desired_versions(&self) -> impl Iterator<Item = (&TargetId, &DesiredVersionHistory)> {
         self.desired_versions.iter()
@@ -286,13 +309,16 @@
             store.record_first_event(now, took, active.estimate);
         }
         let pending_prompt = active.pending_prompt.take();
-        if let Some(state) = self.servers.get_mut(active.key) {
+        if let Some(state) = self.servers.get_mut(active.key)
+            && state.is_current(Some(active.incarnation))
+        {
             state.record_first_event(attempt_id);
             state.ejection.record_success();
             if let Some(chain) = pending_prompt {
                 state.current_cache.insert(now, &chain);
                 self.prompt_updates.push(PromptUpdate {
                     server: state.name_hash,
+                    incarnation: Some(active.incarnation),
                     weights: state.weights(),
                     levels: chain.levels().to_vec(),
                 });
@@ -310,6 +336,9 @@
         let Some(state) = self.servers.get_mut(active.key) else {
             return;
         };
+        if !state.is_current(Some(active.incarnation)) {
+            return;
+        }
         state.remove_request(attempt_id);
         match end {
             AttemptEnd::Answered => state.ejection.record_success(),
@@ -404,6 +433,7 @@
         }
         let active = ActiveAttempt {
             key: candidate.key,
+            incarnation: state.server.incarnation,
             pending_prompt: prompt.map(|prompt| prompt.chain.clone()),
             placed_at: now,
             estimate: candidate.estimate,
--- a/crates/hickoryhall-gateway/tests/messages.rs
+++ b/crates/hickoryhall-gateway/tests/messages.rs
@@ -10,7 +10,8 @@
     DesiredVersionUpdate, Digest, PromptUpdate, Scope, ServerUpdate, StoreRecords, StoreSnapshot,
     SuspectUpdate,
 };
-use hickoryhall_gateway::scheduler::HostLoad;
+use hickoryhall_gateway::scheduler::{DesiredVersionAge, HostLoad};
+use hickoryhall_gateway::store_position::StorePosition;
 use hickoryhall_routing::Level;
 use proptest::prelude::*;
 
@@ -31,8 +32,10 @@
             .clone(),
         is_forwarded: number(9).is_multiple_of(2),
         table_revision: number(1),
+        store_era: number(5),
         servers: vec![ServerUpdate {
             server: number(2),
+            incarnation: [None, Some(number(3))][number(4) as usize % 2],
             load: HostLoad {
                 requests: small(3),
                 pending_ms: small(4),
@@ -42,11 +45,16 @@
             },
             weights: number(8),
             is_changing: [None, Some(false), Some(true)][number(9) as usize % 3],
+            is_leaving: number(5).is_multiple_of(2),
         }],
         desired_versions: vec![DesiredVersionUpdate {
             model: "m".into(),
             version: number(1),
-            age: Duration::from_millis(u64::from(small(2))),
+            age: if number(2).is_multiple_of(2) {
+                DesiredVersionAge::Exact(Duration::from_millis(u64::from(small(2))))
+            } else {
+                DesiredVersionAge::AtLeast(Duration::from_millis(u64::from(small(2))))
+            },
         }],
         suspects: vec![SuspectUpdate {
             fingerprint: number(3),
@@ -54,6 +62,7 @@
         }],
         prompts: vec![PromptUpdate {
             server: number(5),
+            incarnation: [None, Some(number(6))][number(7) as usize % 2],
             weights: number(6),
             levels: vec![Level {
                 key: number(7),
@@ -61,6 +70,7 @@
             }],
         }],
         registry: number(3).is_multiple_of(2).then(|| RegistryRelay {
+            era: number(6),
             after: number(1),
             until: number(2),
             changes: vec![
@@ -97,8 +107,8 @@
 
 #[test]
 fn a_snapshot_is_read_as_written() {
-    let records = |revision, key: &str| StoreRecords {
-        revision,
+    let records = |era, revision, key: &str| StoreRecords {
+        position: StorePosition { era, revision },
         items: vec![StoreItem {
             key: key.to_owned(),
             value: Bytes::from_static(b"{}"),
@@ -106,8 +116,8 @@
         }],
     };
     let snapshot = StoreSnapshot {
-        operator: records(4, "table"),
-        registry: records(9, "registry/a"),
+        operator: records(2, 4, "table"),
+        registry: records(3, 9, "registry/a"),
     };
     let read = StoreSnapshot::decode(snapshot.encode()).expect("own bytes");
     assert_eq!(read, snapshot);
