--- a/crates/hickoryhall-gateway/src/core.rs
+++ b/crates/hickoryhall-gateway/src/core.rs
@@ -22,7 +22,7 @@
 use crate::interface::ResponseMeta;
 use crate::outcome::ResponseKind;
 use crate::peers::{PromptUpdate, SuspectUpdate};
-use crate::registry::{Registry, RegistryEntry, RegistryEvent, ServerId};
+use crate::registry::{BackendServer, Registry, RegistryEntry, RegistryEvent, ServerId};
 use crate::scheduler::{
     AttemptEnd, AttemptId, DesiredVersionAge, HostHash, Placement, PlacementRequest, ReportedState,
     RunnerView, Scheduler, SchedulerConfig, WeightsChange,
