End a stop although new connections keep coming

With callers that come back at once, a stop lasted until the grace period was over: at any moment some new connection was open, if only to be refused, and the stop waited for a moment without any.

It now waits first for the connections that were open when it began to refuse requests, then closes the listener and waits for those that were opened meanwhile, a number that no longer grows. The system resets connections that were not accepted, so that their requests count as unread.

--- a/crates/hickoryhall-edge/src/connections.rs
+++ b/crates/hickoryhall-edge/src/connections.rs
@@ -26,6 +26,8 @@
 #[derive(Debug)]
 pub struct CallerConnection {
     address: SocketAddr,
+    /// Number of connections that were opened before.
+    number: u64,
     phase: Cell<Phase>,
     /// Id of the last request.
     request_id: RefCell<Option<Arc<str>>>,
@@ -55,6 +57,7 @@
 #[derive(Debug, Default)]
 pub struct Connections {
     open: RefCell<Slab<Rc<CallerConnection>>>,
+    opened: Cell<u64>,
     /// Notified when a connection has ended.
     ended: Notify,
     closed_unsent: Cell<u64>,
@@ -68,9 +71,10 @@
 }
 
 impl CallerConnection {
-    fn new(address: SocketAddr) -> Self {
+    fn new(address: SocketAddr, number: u64) -> Self {
         Self {
             address,
+            number,
             phase: Cell::default(),
             request_id: RefCell::default(),
             has_begun_request: Cell::default(),
@@ -195,7 +199,9 @@
         self: &Rc<Self>,
         address: SocketAddr,
     ) -> (Rc<CallerConnection>, OpenConnection) {
-        let connection = Rc::new(CallerConnection::new(address));
+        let number = self.opened.get();
+        self.opened.set(number + 1);
+        let connection = Rc::new(CallerConnection::new(address, number));
         let key = self.open.borrow_mut().insert(Rc::clone(&connection));
         let connections = Rc::clone(self);
         (connection, OpenConnection { connections, key })
@@ -236,18 +242,23 @@
         self.closed_unsent.get()
     }
 
-    /// Waits until no connection has an unanswered request or waits for its caller to close it.
+    /// Waits until none of the connections that are open now has an unanswered request or waits for
+    /// its caller to close it.
     ///
     /// Connections that a caller has opened without sending anything are not waited for.
     pub async fn drained(&self) {
-        loop {
-            let counts = self.counts();
-            if counts.unanswered + counts.closing == 0 {
-                return;
-            }
+        let opened = self.opened.get();
+        while self.has_work(opened) {
             self.ended.notified().await;
         }
     }
+
+    /// Returns whether a process must not end yet because of one of the first `opened` connections.
+    fn has_work(&self, opened: u64) -> bool {
+        let open = self.open.borrow();
+        let mut connections = open.iter().map(|(_, connection)| connection);
+        connections.any(|connection| connection.number < opened && !connection.is_idle())
+    }
 }
 
 impl Drop for OpenConnection {
--- a/crates/hickoryhall-gateway/src/host.rs
+++ b/crates/hickoryhall-gateway/src/host.rs
@@ -20,7 +20,7 @@
 use tokio::net::TcpListener;
 use tokio::signal::unix::{Signal, SignalKind, signal};
 use tokio::sync::watch;
-use tokio::task::spawn_local;
+use tokio::task::{JoinHandle, spawn_local};
 use tokio::time::{sleep, timeout};
 
 use crate::core::{CoreConfig, CoreHandle};
@@ -128,6 +128,8 @@
 struct Host<P> {
     gateway: Rc<Gateway<P>>,
     connections: Rc<Connections>,
+    /// Accepts callers' connections until it is aborted.
+    callers: JoinHandle<()>,
     stop: watch::Sender<bool>,
     logger: Logger,
 }
@@ -190,7 +192,7 @@
                 edge.clone(),
             ));
         }
-        spawn_local(serve(
+        let callers = spawn_local(serve(
             callers,
             Rc::clone(&gateway),
             config,
@@ -201,6 +203,7 @@
         Ok(Self {
             gateway,
             connections,
+            callers,
             stop,
             logger: part("host"),
         })
@@ -238,6 +241,15 @@
         }
     }
 
+    /// Waits until the callers of all requests that were read have got their responses.
+    async fn drain_connections(&self) {
+        self.connections.drained().await;
+        // Only refusals are left to send. New connections could go on forever, so they end here; the
+        // system resets those that have not been accepted, so that their requests count as unread.
+        self.callers.abort();
+        self.connections.drained().await;
+    }
+
     /// Accepts requests until the load balancer has noticed the stop, and waits until the callers of
     /// all requests have got their responses.
     async fn drain(&self, grace: Duration) {
@@ -254,7 +266,7 @@
         sleep(STOP_ACCEPT_TIME.min(max_drain_time)).await;
         self.gateway.close();
         let time_left = max_drain_time.saturating_sub(started.elapsed());
-        let is_drained = timeout(time_left, self.connections.drained()).await.is_ok();
+        let is_drained = timeout(time_left, self.drain_connections()).await.is_ok();
         let counts = self.connections.counts();
         if !is_drained && counts.unanswered > 0 {
             let requests = self.connections.unanswered_ids(MAX_LOGGED_REQUESTS);
