Reset broken streams that would look complete

A caller that speaks HTTP/1.0 gets a stream without chunks, and only the end of the connection marks the end of the body. A stream that broke off ended like a complete one.

The connection of such a response is now reset when it ends before the response is complete, also where the process ends first. Other responses tell their own end by a length or a last chunk and are closed as before.

--- a/crates/hickoryhall-edge/src/caller_stream.rs
+++ b/crates/hickoryhall-edge/src/caller_stream.rs
@@ -6,6 +6,7 @@
 use std::task::{Context, Poll, Waker, ready};
 use std::time::Duration;
 
+use socket2::SockRef;
 use tokio::io::{AsyncRead, AsyncWrite, Interest, ReadBuf};
 use tokio::net::TcpStream;
 use tokio::time::{Sleep, sleep};
@@ -145,6 +146,15 @@
     }
 }
 
+impl Drop for CallerStream {
+    fn drop(&mut self) {
+        if self.connection.would_look_complete() {
+            // Makes the close a reset. If that fails, the socket is no longer connected.
+            let _ = SockRef::from(&self.stream).set_linger(Some(Duration::ZERO));
+        }
+    }
+}
+
 impl AsyncRead for CallerStream {
     fn poll_read(
         mut self: Pin<&mut Self>,
--- a/crates/hickoryhall-edge/src/connections.rs
+++ b/crates/hickoryhall-edge/src/connections.rs
@@ -34,6 +34,8 @@
     has_begun_request: Cell<bool>,
     has_read_request: Cell<bool>,
     has_ended_response: Cell<bool>,
+    /// Whether the caller may know the end of the response only by the end of the connection.
+    needs_close: Cell<bool>,
     /// Size of the current response, as far as it has been generated.
     response_bytes: Cell<u64>,
     /// Bytes that were written to the socket since the current response began.
@@ -80,6 +82,7 @@
             has_begun_request: Cell::default(),
             has_read_request: Cell::new(true),
             has_ended_response: Cell::default(),
+            needs_close: Cell::default(),
             response_bytes: Cell::default(),
             written_bytes: Cell::default(),
         }
@@ -143,13 +146,20 @@
         }
     }
 
-    /// Records that the head of a request was read.
-    pub(crate) fn on_request(&self, has_body: bool) {
+    /// Returns whether the end of the connection would make an incomplete response look complete.
+    pub(crate) fn would_look_complete(&self) -> bool {
+        self.is_responding() && self.needs_close.get()
+    }
+
+    /// Records that the head of a request was read. `can_chunk` tells whether the caller understands
+    /// chunked responses.
+    pub(crate) fn on_request(&self, has_body: bool, can_chunk: bool) {
         self.phase.set(Phase::Responding);
         self.request_id.replace(None);
         self.has_begun_request.set(true);
         self.has_read_request.set(!has_body);
         self.has_ended_response.set(false);
+        self.needs_close.set(!can_chunk);
         self.response_bytes.set(0);
         self.written_bytes.set(0);
     }
--- a/crates/hickoryhall-edge/src/server.rs
+++ b/crates/hickoryhall-edge/src/server.rs
@@ -9,7 +9,7 @@
 use hyper::header::{CONNECTION, HeaderValue, TRANSFER_ENCODING};
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
-use hyper::{Request, Response};
+use hyper::{Request, Response, Version};
 use hyper_util::rt::{TokioIo, TokioTimer};
 use slog::{Logger, debug, warn};
 use tokio::net::{TcpListener, TcpStream};
@@ -189,7 +189,8 @@
     shutdown: ShutdownSignal,
 ) -> Result<Response<TrackedBody>, StreamAborted> {
     let is_chunked = request.headers().contains_key(TRANSFER_ENCODING);
-    caller.on_request(!request.body().is_end_stream());
+    let can_chunk = request.version() >= Version::HTTP_11;
+    caller.on_request(!request.body().is_end_stream(), can_chunk);
     let request = request.map(|body| RequestBody::new(body, Rc::clone(&caller)));
     let mut response = handler.handle(request, Rc::clone(&caller)).await?;
     if is_chunked || *shutdown.borrow() {
