--- a/crates/hickoryhall-edge/src/connections.rs
+++ b/crates/hickoryhall-edge/src/connections.rs
@@ -26,12 +26,16 @@
 #[derive(Debug)]
 pub struct CallerConnection {
     address: SocketAddr,
+    /// Number of connections that were opened before.
+    number: u64,
     phase: Cell<Phase>,
     /// Id of the last request.
     request_id: RefCell<Option<Arc<str>>>,
     has_begun_request: Cell<bool>,
     has_read_request: Cell<bool>,
     has_ended_response: Cell<bool>,
+    /// Whether the caller may know the end of the response only by the end of the connection.
+    needs_close: Cell<bool>,
     /// Size of the current response, as far as it has been generated.
     response_bytes: Cell<u64>,
     /// Bytes that were written to the socket since the current response began.
@@ -55,6 +59,7 @@
 #[derive(Debug, Default)]
 pub struct Connections {
     open: RefCell<Slab<Rc<CallerConnection>>>,
+    opened: Cell<u64>,
     /// Notified when a connection has ended.
     ended: Notify,
     closed_unsent: Cell<u64>,
@@ -68,14 +73,16 @@
 }
 
 impl CallerConnection {
-    fn new(address: SocketAddr) -> Self {
+    fn new(address: SocketAddr, number: u64) -> Self {
         Self {
             address,
+            number,
             phase: Cell::default(),
             request_id: RefCell::default(),
             has_begun_request: Cell::default(),
             has_read_request: Cell::new(true),
             has_ended_response: Cell::default(),
+            needs_close: Cell::default(),
             response_bytes: Cell::default(),
             written_bytes: Cell::default(),
         }
@@ -139,13 +146,20 @@
         }
     }
 
-    /// Records that the head of a request was read.
-    pub(crate) fn on_request(&self, has_body: bool) {
+    /// Returns whether the end of the connection would make an incomplete response look complete.
+    pub(crate) fn would_look_complete(&self) -> bool {
+        self.is_responding() && self.needs_close.get()
+    }
+
+    /// Records that the head of a request was read. `can_chunk` tells whether the caller understands
+    /// chunked responses.
+    pub(crate) fn on_request(&self, has_body: bool, can_chunk: bool) {
         self.phase.set(Phase::Responding);
         self.request_id.replace(None);
         self.has_begun_request.set(true);
         self.has_read_request.set(!has_body);
         self.has_ended_response.set(false);
+        self.needs_close.set(!can_chunk);
         self.response_bytes.set(0);
         self.written_bytes.set(0);
     }
@@ -195,7 +209,9 @@
         self: &Rc<Self>,
         address: SocketAddr,
     ) -> (Rc<CallerConnection>, OpenConnection) {
-        let connection = Rc::new(CallerConnection::new(address));
+        let number = self.opened.get();
+        self.opened.set(number + 1);
+        let connection = Rc::new(CallerConnection::new(address, number));
         let key = self.open.borrow_mut().insert(Rc::clone(&connection));
         let connections = Rc::clone(self);
         (connection, OpenConnection { connections, key })
@@ -236,18 +252,23 @@
         self.closed_unsent.get()
     }
 
-    /// Waits until no connection has an unanswered request or waits for its caller to close it.
+    /// Waits until none of the connections that are open now has an unanswered request or waits for
+    /// its caller to close it.
     ///
     /// Connections that a caller has opened without sending anything are not waited for.
     pub async fn drained(&self) {
-        loop {
-            let counts = self.counts();
-            if counts.unanswered + counts.closing == 0 {
-                return;
-            }
+        let opened = self.opened.get();
+        while self.has_work(opened) {
             self.ended.notified().await;
         }
     }
+
+    /// Returns whether a process must not end yet because of one of the first `opened` connections.
+    fn has_work(&self, opened: u64) -> bool {
+        let open = self.open.borrow();
+        let mut connections = open.iter().map(|(_, connection)| connection);
+        connections.any(|connection| connection.number < opened && !connection.is_idle())
+    }
 }
 
 impl Drop for OpenConnection {
