Leave a server alone for the pause that it asks for

A server that turns a request away with 503 may say in Retry-After for how long it wants no other from this host. The header was not read: further requests, also those that another server had refused before, were sent there to be refused again, each at the cost of a retry.

Such a server takes no request of this host until then. Where all servers that could take a request have asked for a pause, the request waits for the earliest end if its deadline allows it, and is refused at once otherwise, with that end as the time to come back. Where a server is merely ejected or changing its weights, the usual wait applies.

--- a/crates/hickoryhall-gateway/src/interface.rs
+++ b/crates/hickoryhall-gateway/src/interface.rs
@@ -133,6 +133,8 @@
     pub keep_alive: Option<Duration>,
     /// Whether the server says that it is shutting down and wants no new requests.
     pub is_leaving: bool,
+    /// Time for which the server, which turned the request away, wants no others from this host.
+    pub pause: Option<Duration>,
 }
 
 /// A failure response that this host generates itself.
--- a/crates/hickoryhall-gateway/src/scheduler.rs
+++ b/crates/hickoryhall-gateway/src/scheduler.rs
@@ -17,6 +17,7 @@
 mod server;
 mod statements;
 mod updates;
+mod waiting;
 mod weights;
 
 use std::collections::{BTreeMap, HashMap};
@@ -39,6 +40,7 @@
 pub use server::{HostLoad, LoadSource};
 use server::{RequestLoad, ServerState};
 use statements::RemovedStatements;
+use waiting::{RETRY_AFTER, Wait};
 pub use weights::{AnnouncedState, ReportedState, WeightsChange, WeightsSource};
 
 use crate::peers::PromptUpdate;
@@ -78,9 +80,8 @@
 
 enum Decision {
     Placed(Box<Assignment>),
-    /// No server can take the request now: the reason, and the retry delay to suggest if the
-    /// request is refused for it.
-    Wait(RefusalReason, Duration),
+    /// No server can take the request now.
+    Wait(Wait),
 }
 
 /// Assigns requests to backend servers and queues those that no server can take.
@@ -110,12 +111,6 @@
 /// Time for which a failure domain counts as unreachable after one of its servers was.
 const UNREACHABLE_DOMAIN_TTL: Duration = Duration::from_secs(1);
 
-/// Bounds of the retry delay that a refusal suggests.
-const RETRY_AFTER: std::ops::RangeInclusive<Duration> =
-    Duration::from_millis(100)..=Duration::from_secs(2);
-/// Suggested retry delay when no server takes work: roughly the time to load new weights.
-const RETRY_AFTER_NO_SERVER: Duration = Duration::from_millis(500);
-
 impl Scheduler {
     /// Creates a scheduler without servers.
     #[must_use]
@@ -244,13 +239,10 @@
         }
         match self.try_place(now, &request) {
             Decision::Placed(assignment) => Some(Ok(assignment)),
-            Decision::Wait(reason, retry_after) => {
-                let until = self.wait_until(&request);
+            Decision::Wait(wait) => {
+                let until = wait.until.unwrap_or_else(|| self.wait_until(&request));
                 if until <= now {
-                    return Some(Err(PlacementRefusal {
-                        reason,
-                        retry_after,
-                    }));
+                    return Some(Err(wait.refusal));
                 }
                 self.waiting.insert(
                     (request.priority, request.attempt_id),
@@ -271,17 +263,13 @@
             };
             match self.try_place(now, &request) {
                 Decision::Placed(assignment) => outcomes.push((request.attempt_id, Ok(assignment))),
-                Decision::Wait(reason, retry_after) if until <= now => {
-                    outcomes.push((
-                        request.attempt_id,
-                        Err(PlacementRefusal {
-                            reason,
-                            retry_after,
-                        }),
-                    ));
-                }
-                Decision::Wait(..) => {
-                    self.waiting.insert(key, WaitingRequest { request, until });
+                Decision::Wait(wait) => {
+                    let until = wait.until.unwrap_or(until);
+                    if until <= now {
+                        outcomes.push((request.attempt_id, Err(wait.refusal)));
+                    } else {
+                        self.waiting.insert(key, WaitingRequest { request, until });
+                    }
                 }
             }
         }
@@ -353,34 +341,20 @@
         }
     }
 
-    fn wait_until(&self, request: &PlacementRequest) -> Instant {
-        let fraction = if request.prompt.is_some() {
-            self.config.model_wait_fraction
-        } else {
-            self.config.wait_fraction
-        };
-        let wait_end = request.arrived_at + request.target_latency.mul_f64(fraction);
-        wait_end.min(request.deadline)
-    }
-
     fn try_place(&mut self, now: Instant, request: &PlacementRequest) -> Decision {
         let search = self.search(now, request);
         let Some(best) = search.best else {
-            let reason = search.refusal_reason();
-            let retry_after = match reason {
-                RefusalReason::Full => *RETRY_AFTER.start(),
-                _ => RETRY_AFTER_NO_SERVER,
-            };
-            return Decision::Wait(reason, retry_after);
+            return Decision::Wait(self.wait_without_server(now, request, &search));
         };
         if self.is_worth_placing(now, request, &best) {
             return Decision::Placed(self.assign(now, request, &best, search.candidates));
         }
         let retry_after = best.estimate;
-        Decision::Wait(
-            RefusalReason::TooLate,
-            retry_after.clamp(*RETRY_AFTER.start(), *RETRY_AFTER.end()),
-        )
+        let refusal = PlacementRefusal {
+            reason: RefusalReason::TooLate,
+            retry_after: retry_after.clamp(*RETRY_AFTER.start(), *RETRY_AFTER.end()),
+        };
+        Decision::Wait(refusal.into())
     }
 
     /// Returns whether the request can meet its target latency, or is late but goes to a server
--- a/crates/hickoryhall-gateway/src/scheduler/candidate.rs
+++ b/crates/hickoryhall-gateway/src/scheduler/candidate.rs
@@ -105,11 +105,16 @@
         if is_unavailable {
             return Err(RefusalReason::NoServer);
         }
-        match (&request.prompt, &state.runner_capacity, affinities) {
+        let compared = match (&request.prompt, &state.runner_capacity, affinities) {
             (Some(prompt), Some(capacity), Some(affinities)) => {
                 self.model_candidate(now, prompt, capacity, affinities, index)
             }
             _ => self.plain_candidate(now, key),
+        };
+        match compared {
+            Err(RefusalReason::NoServer) => compared,
+            _ if state.statements.pause_end(now).is_some() => Err(RefusalReason::Paused),
+            _ => compared,
         }
     }
 
--- a/crates/hickoryhall-gateway/src/scheduler/placement.rs
+++ b/crates/hickoryhall-gateway/src/scheduler/placement.rs
@@ -91,6 +91,8 @@
     NoServer,
     /// Every server that accepts work is at its limit.
     Full,
+    /// Every server that would accept work asked this host for a pause.
+    Paused,
     /// The best server would answer later than the target latency, and has too much queued work to
     /// take a late request.
     TooLate,
@@ -103,6 +105,7 @@
         match self {
             Self::NoServer => "no_server",
             Self::Full => "full",
+            Self::Paused => "paused",
             Self::TooLate => "too_late",
         }
     }
--- a/crates/hickoryhall-gateway/src/scheduler/search.rs
+++ b/crates/hickoryhall-gateway/src/scheduler/search.rs
@@ -31,6 +31,12 @@
     pub candidates: u32,
     /// Whether a server cannot take the request only because it is at its limit.
     has_full: bool,
+    /// Whether a server cannot take the request now for a reason that may end at any time.
+    pub has_unavailable: bool,
+    /// Earliest end of a pause of a server that could take the request otherwise.
+    pub pause_end: Option<Instant>,
+    /// Earliest end of a pause of a server that is excluded for this request.
+    pub excluded_pause_end: Option<Instant>,
 }
 
 impl Search {
@@ -53,6 +59,8 @@
     pub fn refusal_reason(&self) -> RefusalReason {
         if self.has_full {
             RefusalReason::Full
+        } else if self.pause_end.is_some() {
+            RefusalReason::Paused
         } else {
             RefusalReason::NoServer
         }
@@ -84,7 +92,21 @@
             if search.candidates == limit {
                 break;
             }
-            search.record(self.candidate(now, keys[index], request, affinities, index));
+            let compared = self.candidate(now, keys[index], request, affinities, index);
+            let state = &self.servers[keys[index]];
+            let pause_end = state.statements.pause_end(now);
+            let is_excluded = request.excluded_servers.contains(&state.server.id);
+            match compared {
+                Err(RefusalReason::Paused) => {
+                    search.pause_end = earlier(search.pause_end, pause_end);
+                }
+                Err(RefusalReason::NoServer) if is_excluded => {
+                    search.excluded_pause_end = earlier(search.excluded_pause_end, pause_end);
+                }
+                Err(RefusalReason::NoServer) => search.has_unavailable |= !state.is_leaving(),
+                _ => {}
+            }
+            search.record(compared);
         }
         search
     }
@@ -131,3 +153,8 @@
         self.demand.record(now, family, work_ms);
     }
 }
+
+/// Returns the earlier one of two times that may be unknown.
+fn earlier(one: Option<Instant>, other: Option<Instant>) -> Option<Instant> {
+    one.into_iter().chain(other).min()
+}
--- a/crates/hickoryhall-gateway/src/scheduler/statements.rs
+++ b/crates/hickoryhall-gateway/src/scheduler/statements.rs
@@ -1,11 +1,14 @@
 //! What servers say about new work for this host.
 
 use std::collections::{HashMap, VecDeque};
+use std::time::{Duration, Instant};
 
 use hickoryhall_types::Incarnation;
 
 /// Maximum number of removed servers whose statements are kept; the oldest are dropped.
 const MAX_REMOVED: usize = 8_192;
+/// Longest pause that is observed; a longer one is more likely a mistake of the server.
+const MAX_PAUSE: Duration = Duration::from_secs(600);
 
 /// What one process of a server said about new work; it holds until the process ends.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
@@ -13,6 +16,8 @@
     pub incarnation: Incarnation,
     /// Whether the process is shutting down, whatever its registry entry says.
     pub is_leaving: bool,
+    /// Time until which the process wants no requests from this host.
+    pub paused_until: Option<Instant>,
 }
 
 impl Statements {
@@ -22,6 +27,16 @@
             ..Self::default()
         }
     }
+
+    /// Records that the process wants no requests from this host for a while.
+    pub fn pause(&mut self, now: Instant, duration: Duration) {
+        self.paused_until = self.paused_until.max(Some(now + duration.min(MAX_PAUSE)));
+    }
+
+    /// Returns the end of a pause in progress.
+    pub fn pause_end(&self, now: Instant) -> Option<Instant> {
+        self.paused_until.filter(|&until| now < until)
+    }
 }
 
 /// Statements of servers that are not registered, by the hash of their ids. An entry that expires
--- a/crates/hickoryhall-gateway/src/scheduler/updates.rs
+++ b/crates/hickoryhall-gateway/src/scheduler/updates.rs
@@ -35,6 +35,11 @@
         if response_meta.is_leaving && response_meta.kind != ResponseKind::Invalid {
             state.statements.is_leaving = true;
         }
+        if let Some(pause) = response_meta.pause
+            && response_meta.kind != ResponseKind::Invalid
+        {
+            state.statements.pause(now, pause);
+        }
         state.record_response_weights(response_meta.weights?)
     }
 
--- a/crates/hickoryhall-gateway/tests/incarnations.rs
+++ b/crates/hickoryhall-gateway/tests/incarnations.rs
@@ -75,6 +75,7 @@
             closes_connection: false,
             keep_alive: None,
             is_leaving: false,
+            pause: None,
         };
         let server = entry(incarnation, 1);
         self.scheduler
