--- a/crates/hickoryhall-gateway/src/core.rs
+++ b/crates/hickoryhall-gateway/src/core.rs
@@ -276,7 +276,7 @@
     }
 
     /// Records what the head of a response reports about its server, as its registry entry was when
-    /// the request was sent; ignores a response that another server may have sent.
+    /// the request was sent.
     pub fn on_response_head(
         &mut self,
         now: Instant,
@@ -284,13 +284,10 @@
         kind: ResponseKind,
         response_meta: &ResponseMeta,
     ) {
-        if !kind.is_from_server() {
-            return;
-        }
         let was_leaving = self.scheduler.has_said_that_it_leaves(&server.id);
         let change = self
             .scheduler
-            .record_response_head(now, server, response_meta);
+            .record_response_head(now, server, kind, response_meta);
         self.log_weights(change);
         if !was_leaving && self.scheduler.has_said_that_it_leaves(&server.id) {
             info!(self.logger, "core: Server said that it leaves."; "server" => &*server.id, "incarnation" => server.incarnation);
--- a/crates/hickoryhall-gateway/src/scheduler/updates.rs
+++ b/crates/hickoryhall-gateway/src/scheduler/updates.rs
@@ -10,18 +10,21 @@
 use super::weights::{AnnouncedState, ReportedState, WeightsChange};
 use super::{HostLoad, LoadSource, RunnerView, Scheduler};
 use crate::interface::ResponseMeta;
+use crate::outcome::ResponseKind;
 use crate::peers::{PromptUpdate, ServerUpdate};
 use crate::registry::BackendServer;
 
 impl Scheduler {
     /// Records what the head of a response reports about the server that it comes from, as the
-    /// server's registry entry was when the request was sent.
+    /// server's registry entry was when the request was sent; ignores what another server may have
+    /// sent.
     ///
     /// Returns the change of the belief about the server's weights, if there is one.
     pub fn record_response_head(
         &mut self,
         now: Instant,
         server: &BackendServer,
+        kind: ResponseKind,
         response_meta: &ResponseMeta,
     ) -> Option<WeightsChange> {
         let key = self.by_id.get(&server.id)?;
@@ -29,17 +32,21 @@
         if !state.is_current(Some(server.incarnation)) {
             return None;
         }
+        // A late refusal of another request asks for the same pause.
+        if let Some(pause) = response_meta.pause
+            && (kind.is_from_server() || kind == ResponseKind::Unproven)
+        {
+            state.statements.pause(now, pause);
+        }
+        if !kind.is_from_server() {
+            return None;
+        }
         if let Some(load) = response_meta.load {
             state.set_reported_load(now, load);
         }
         if response_meta.is_leaving {
             state.statements.is_leaving = true;
         }
-        if let Some(pause) = response_meta.pause
-            && response_meta.kind != ResponseKind::Invalid
-        {
-            state.statements.pause(now, pause);
-        }
         state.record_response_weights(response_meta.weights?)
     }
 
--- a/crates/hickoryhall-gateway/tests/incarnations.rs
+++ b/crates/hickoryhall-gateway/tests/incarnations.rs
@@ -6,6 +6,7 @@
 use std::time::{Duration, Instant};
 
 use hickoryhall_gateway::interface::{ResponseId, ResponseMeta};
+use hickoryhall_gateway::outcome::ResponseKind;
 use hickoryhall_gateway::registry::{BackendServer, RegistryEvent};
 use hickoryhall_gateway::scheduler::{
     AnnouncedState, AttemptEnd, HostLoad, LoadSource, PlacementRequest, PromptInfo, ReportedState,
@@ -81,8 +82,12 @@
             pause: None,
         };
         let server = entry(incarnation, 1);
-        self.scheduler
-            .record_response_head(self.now, &server, &response_meta);
+        self.scheduler.record_response_head(
+            self.now,
+            &server,
+            ResponseKind::Success,
+            &response_meta,
+        );
     }
 
     fn view(&self) -> RunnerView {
--- a/crates/hickoryhall-gateway/tests/outcome.rs
+++ b/crates/hickoryhall-gateway/tests/outcome.rs
@@ -31,6 +31,7 @@
 fn meta(id: ResponseId, is_sealed: bool, says_not_run: bool, is_encoded: bool) -> ResponseMeta {
     ResponseMeta {
         is_leaving: false,
+        pause: None,
         is_encoded,
         id,
         is_sealed,
--- a/crates/hickoryhall-gateway/tests/turned_away.rs
+++ b/crates/hickoryhall-gateway/tests/turned_away.rs
@@ -122,10 +122,14 @@
         let response_meta = ResponseMeta {
             is_leaving: false,
             pause: Some(pause),
-            ..response_meta(ResponseKind::NotRun)
+            ..response_meta()
         };
-        self.scheduler
-            .record_response_head(self.now, &runner(number, 8), &response_meta);
+        self.scheduler.record_response_head(
+            self.now,
+            &runner(number, 8),
+            ResponseKind::NotRun,
+            &response_meta,
+        );
     }
 
     /// Places a request with a deadline in 5 s; `None` if it waits.
