Write the last log lines before the process ends

The lines of a stop that matter most, which requests it cut off and that it ended, were missing from the logs of about a third of the stopped hosts. The logger writes from a thread of its own, and only writes its queue at the end when the last logger is dropped; one is still held somewhere when main returns.

--- a/crates/hickoryhall-telemetry/src/lib.rs
+++ b/crates/hickoryhall-telemetry/src/lib.rs
@@ -14,6 +14,6 @@
 mod trace;
 
 pub use decisions::{CandidateRecord, DecisionLog, DecisionRecord};
-pub use logs::{LogFormat, root_logger};
+pub use logs::{LogFormat, LogGuard, root_logger, root_logger_with_guard};
 pub use metrics_page::{MetricsError, MetricsPage};
 pub use trace::{Span, SpanLog, SpanRecord, TraceContext};
