--- a/crates/hickoryhall-gateway/src/feeds.rs
+++ b/crates/hickoryhall-gateway/src/feeds.rs
@@ -360,12 +360,14 @@
                 let is_restored = !before.is_unread() && records.position.era > before.era;
                 let entries = records.items.iter();
                 let entries = entries.filter_map(|item| self.parse_entry(item)).collect();
-                let outdated = self.core.with(|core, now| {
-                    if is_restored {
-                        core.on_store_restored(now);
-                    }
-                    core.on_registry_list(now, entries)
-                });
+                if is_restored {
+                    self.core.with(crate::core::Core::on_store_restored);
+                    // What readers said of the older era does not keep this host up to date.
+                    *self.relay_monitor.borrow_mut() = RelayMonitor::default();
+                }
+                let outdated = self
+                    .core
+                    .with(|core, now| core.on_registry_list(now, entries));
                 self.relay_log
                     .borrow_mut()
                     .record_list(Instant::now(), records.position);
