--- /dev/null
+++ b/crates/hickoryhall-gateway/src/peers/message/wire.rs
@@ -0,0 +1,427 @@
+//! Protocol Buffers encoding of the messages between hosts.
+//!
+//! Field numbers and types stay: hosts of earlier builds read and send them.
+
+use std::time::Duration;
+
+use bytes::Bytes;
+use hickoryhall_routing::Level;
+use prost::Message;
+
+use super::{
+    DesiredVersionUpdate, Digest, PromptUpdate, Scope, ServerUpdate, StoreRecords, StoreSnapshot,
+    SuspectUpdate,
+};
+use crate::feeds::relay::RegistryRelay;
+use crate::interface::{StoreChange, StoreItem};
+use crate::scheduler::{DesiredVersionAge, HostLoad};
+use crate::store_position::StorePosition;
+
+#[derive(Clone, PartialEq, Message)]
+pub(super) struct WireDigest {
+    #[prost(fixed64, tag = "1")]
+    pub(super) host: u64,
+    #[prost(uint64, tag = "2")]
+    pub(super) table_revision: u64,
+    #[prost(message, repeated, tag = "3")]
+    pub(super) servers: Vec<WireServer>,
+    /// Desired versions.
+    #[prost(message, repeated, tag = "4")]
+    pub(super) wanted: Vec<WireWanted>,
+    #[prost(message, repeated, tag = "5")]
+    pub(super) suspects: Vec<WireSuspect>,
+    #[prost(fixed32, repeated, tag = "6")]
+    pub(super) known_hosts: Vec<u32>,
+    #[prost(message, repeated, tag = "7")]
+    pub(super) prompts: Vec<WirePrompt>,
+    #[prost(fixed64, tag = "8")]
+    pub(super) domain: u64,
+    #[prost(fixed64, tag = "9")]
+    pub(super) group: u64,
+    /// Whether the digest is a heartbeat.
+    #[prost(bool, tag = "10")]
+    pub(super) is_presence: bool,
+    /// Empty unless the load is that of a group.
+    #[prost(fixed64, repeated, tag = "11")]
+    pub(super) group_hosts: Vec<u64>,
+    #[prost(bool, tag = "12")]
+    pub(super) is_forwarded: bool,
+    #[prost(message, optional, tag = "13")]
+    pub(super) registry: Option<WireRelay>,
+    #[prost(uint64, tag = "14")]
+    pub(super) store_era: u64,
+}
+
+#[derive(Clone, PartialEq, Message)]
+pub(super) struct WireRelay {
+    #[prost(uint64, tag = "1")]
+    pub(super) after: u64,
+    #[prost(uint64, tag = "2")]
+    pub(super) until: u64,
+    #[prost(message, repeated, tag = "3")]
+    pub(super) changes: Vec<WireChange>,
+    #[prost(uint64, tag = "4")]
+    pub(super) era: u64,
+}
+
+#[derive(Clone, PartialEq, Message)]
+pub(super) struct WireChange {
+    #[prost(message, required, tag = "1")]
+    pub(super) item: WireItem,
+    /// Whether the item was removed; its value is empty then.
+    #[prost(bool, tag = "2")]
+    pub(super) is_removed: bool,
+}
+
+/// Keys and tokens of the levels are two lists of equal length.
+#[derive(Clone, PartialEq, Message)]
+pub(super) struct WirePrompt {
+    #[prost(fixed64, tag = "1")]
+    pub(super) server: u64,
+    #[prost(uint64, tag = "2")]
+    pub(super) weights: u64,
+    #[prost(fixed64, repeated, tag = "3")]
+    pub(super) keys: Vec<u64>,
+    #[prost(uint32, repeated, tag = "4")]
+    pub(super) tokens: Vec<u32>,
+    #[prost(uint64, optional, tag = "5")]
+    pub(super) incarnation: Option<u64>,
+}
+
+#[derive(Clone, PartialEq, Message)]
+pub(super) struct WireServer {
+    #[prost(fixed64, tag = "1")]
+    pub(super) server: u64,
+    #[prost(uint32, tag = "2")]
+    pub(super) requests: u32,
+    #[prost(uint32, tag = "3")]
+    pub(super) pending_ms: u32,
+    #[prost(uint32, tag = "4")]
+    pub(super) own_tokens: u32,
+    #[prost(uint64, tag = "5")]
+    pub(super) weights: u64,
+    #[prost(bool, optional, tag = "6")]
+    pub(super) is_changing: Option<bool>,
+    /// Number of requests that no other server can resume.
+    #[prost(uint32, tag = "7")]
+    pub(super) bound: u32,
+    #[prost(uint32, tag = "8")]
+    pub(super) output_tokens: u32,
+    #[prost(uint64, optional, tag = "9")]
+    pub(super) incarnation: Option<u64>,
+    #[prost(bool, tag = "10")]
+    pub(super) is_leaving: bool,
+}
+
+/// Desired version of a model.
+#[derive(Clone, PartialEq, Message)]
+pub(super) struct WireWanted {
+    #[prost(string, tag = "1")]
+    pub(super) model: String,
+    #[prost(uint64, tag = "2")]
+    pub(super) version: u64,
+    #[prost(uint64, tag = "3")]
+    pub(super) age_ms: u64,
+    /// Whether the version may be older.
+    #[prost(bool, tag = "4")]
+    pub(super) is_at_least: bool,
+}
+
+#[derive(Clone, PartialEq, Message)]
+pub(super) struct WireSuspect {
+    #[prost(fixed64, tag = "1")]
+    pub(super) fingerprint: u64,
+    #[prost(uint32, tag = "2")]
+    pub(super) deaths: u32,
+}
+
+#[derive(Clone, PartialEq, Message)]
+pub(super) struct WireItem {
+    #[prost(string, tag = "1")]
+    pub(super) key: String,
+    #[prost(bytes = "bytes", tag = "2")]
+    pub(super) value: Bytes,
+    #[prost(uint64, tag = "3")]
+    pub(super) revision: u64,
+}
+
+#[derive(Clone, PartialEq, Message)]
+pub(super) struct WireSnapshot {
+    #[prost(uint64, tag = "1")]
+    pub(super) operator_revision: u64,
+    #[prost(message, repeated, tag = "2")]
+    pub(super) operator: Vec<WireItem>,
+    #[prost(uint64, tag = "3")]
+    pub(super) registry_revision: u64,
+    #[prost(message, repeated, tag = "4")]
+    pub(super) registry: Vec<WireItem>,
+    #[prost(uint64, tag = "5")]
+    pub(super) operator_era: u64,
+    #[prost(uint64, tag = "6")]
+    pub(super) registry_era: u64,
+}
+impl From<&Digest> for WireDigest {
+    fn from(digest: &Digest) -> Self {
+        Self {
+            host: digest.host,
+            table_revision: digest.table_revision,
+            servers: digest.servers.iter().map(WireServer::from).collect(),
+            wanted: digest
+                .desired_versions
+                .iter()
+                .map(WireWanted::from)
+                .collect(),
+            suspects: digest.suspects.iter().map(WireSuspect::from).collect(),
+            known_hosts: Vec::new(),
+            prompts: digest.prompts.iter().map(WirePrompt::from).collect(),
+            domain: digest.domain,
+            group: digest.group,
+            is_presence: digest.scope == Scope::Heartbeat,
+            group_hosts: match &digest.scope {
+                Scope::Group { hosts } => hosts.clone(),
+                Scope::Host | Scope::Heartbeat => Vec::new(),
+            },
+            is_forwarded: digest.is_forwarded,
+            registry: digest.registry.as_ref().map(WireRelay::from),
+            store_era: digest.store_era,
+        }
+    }
+}
+
+impl From<WireDigest> for Digest {
+    fn from(wire: WireDigest) -> Self {
+        let scope = if wire.is_presence {
+            Scope::Heartbeat
+        } else if wire.group_hosts.is_empty() {
+            Scope::Host
+        } else {
+            Scope::Group {
+                hosts: wire.group_hosts,
+            }
+        };
+        Self {
+            host: wire.host,
+            domain: wire.domain,
+            group: wire.group,
+            scope,
+            is_forwarded: wire.is_forwarded,
+            table_revision: wire.table_revision,
+            store_era: wire.store_era,
+            servers: wire.servers.iter().map(ServerUpdate::from).collect(),
+            desired_versions: wire
+                .wanted
+                .into_iter()
+                .map(DesiredVersionUpdate::from)
+                .collect(),
+            suspects: wire.suspects.iter().map(SuspectUpdate::from).collect(),
+            prompts: wire.prompts.iter().map(PromptUpdate::from).collect(),
+            registry: wire.registry.map(RegistryRelay::from),
+        }
+    }
+}
+
+impl From<&RegistryRelay> for WireRelay {
+    fn from(relay: &RegistryRelay) -> Self {
+        Self {
+            after: relay.after,
+            until: relay.until,
+            changes: relay.changes.iter().map(WireChange::from).collect(),
+            era: relay.era,
+        }
+    }
+}
+
+impl From<WireRelay> for RegistryRelay {
+    fn from(wire: WireRelay) -> Self {
+        Self {
+            era: wire.era,
+            after: wire.after,
+            until: wire.until,
+            changes: wire.changes.into_iter().map(StoreChange::from).collect(),
+        }
+    }
+}
+
+impl From<&StoreChange> for WireChange {
+    fn from(change: &StoreChange) -> Self {
+        match change {
+            StoreChange::Put(item) => Self {
+                item: item.into(),
+                is_removed: false,
+            },
+            StoreChange::Removed { key, revision } => Self {
+                item: WireItem {
+                    key: key.clone(),
+                    value: Bytes::new(),
+                    revision: *revision,
+                },
+                is_removed: true,
+            },
+        }
+    }
+}
+
+impl From<WireChange> for StoreChange {
+    fn from(wire: WireChange) -> Self {
+        if wire.is_removed {
+            Self::Removed {
+                key: wire.item.key,
+                revision: wire.item.revision,
+            }
+        } else {
+            Self::Put(wire.item.into())
+        }
+    }
+}
+
+impl From<&PromptUpdate> for WirePrompt {
+    fn from(update: &PromptUpdate) -> Self {
+        Self {
+            server: update.server,
+            weights: update.weights,
+            keys: update.levels.iter().map(|level| level.key).collect(),
+            tokens: update.levels.iter().map(|level| level.tokens).collect(),
+            incarnation: update.incarnation,
+        }
+    }
+}
+
+impl From<&WirePrompt> for PromptUpdate {
+    fn from(wire: &WirePrompt) -> Self {
+        let levels = wire.keys.iter().zip(&wire.tokens);
+        Self {
+            server: wire.server,
+            incarnation: wire.incarnation,
+            weights: wire.weights,
+            levels: levels
+                .map(|(&key, &tokens)| Level { key, tokens })
+                .collect(),
+        }
+    }
+}
+
+impl From<&ServerUpdate> for WireServer {
+    fn from(update: &ServerUpdate) -> Self {
+        Self {
+            server: update.server,
+            requests: update.load.requests,
+            pending_ms: update.load.pending_ms,
+            own_tokens: update.load.unshared_tokens,
+            weights: update.weights,
+            is_changing: update.is_changing,
+            bound: update.load.non_resumable,
+            output_tokens: update.load.output_tokens,
+            incarnation: update.incarnation,
+            is_leaving: update.is_leaving,
+        }
+    }
+}
+
+impl From<&WireServer> for ServerUpdate {
+    fn from(wire: &WireServer) -> Self {
+        Self {
+            server: wire.server,
+            incarnation: wire.incarnation,
+            load: HostLoad {
+                requests: wire.requests,
+                pending_ms: wire.pending_ms,
+                unshared_tokens: wire.own_tokens,
+                non_resumable: wire.bound,
+                output_tokens: wire.output_tokens,
+            },
+            weights: wire.weights,
+            is_changing: wire.is_changing,
+            is_leaving: wire.is_leaving,
+        }
+    }
+}
+
+impl From<&DesiredVersionUpdate> for WireWanted {
+    fn from(update: &DesiredVersionUpdate) -> Self {
+        Self {
+            model: update.model.as_ref().to_owned(),
+            version: update.version,
+            age_ms: u64::try_from(update.age.lower_bound().as_millis()).unwrap_or(u64::MAX),
+            is_at_least: !update.age.is_exact(),
+        }
+    }
+}
+
+impl From<WireWanted> for DesiredVersionUpdate {
+    fn from(wire: WireWanted) -> Self {
+        let age = Duration::from_millis(wire.age_ms);
+        Self {
+            model: wire.model.into(),
+            version: wire.version,
+            age: if wire.is_at_least {
+                DesiredVersionAge::AtLeast(age)
+            } else {
+                DesiredVersionAge::Exact(age)
+            },
+        }
+    }
+}
+
+impl From<&SuspectUpdate> for WireSuspect {
+    fn from(update: &SuspectUpdate) -> Self {
+        Self {
+            fingerprint: update.fingerprint,
+            deaths: update.deaths,
+        }
+    }
+}
+
+impl From<&WireSuspect> for SuspectUpdate {
+    fn from(wire: &WireSuspect) -> Self {
+        Self {
+            fingerprint: wire.fingerprint,
+            deaths: wire.deaths,
+        }
+    }
+}
+
+impl From<&StoreItem> for WireItem {
+    fn from(item: &StoreItem) -> Self {
+        Self {
+            key: item.key.clone(),
+            value: item.value.clone(),
+            revision: item.revision,
+        }
+    }
+}
+
+impl From<WireItem> for StoreItem {
+    fn from(wire: WireItem) -> Self {
+        Self {
+            key: wire.key,
+            value: wire.value,
+            revision: wire.revision,
+        }
+    }
+}
+
+impl From<&StoreSnapshot> for WireSnapshot {
+    fn from(snapshot: &StoreSnapshot) -> Self {
+        Self {
+            operator_era: snapshot.operator.position.era,
+            operator_revision: snapshot.operator.position.revision,
+            operator: snapshot.operator.items.iter().map(WireItem::from).collect(),
+            registry_era: snapshot.registry.position.era,
+            registry_revision: snapshot.registry.position.revision,
+            registry: snapshot.registry.items.iter().map(WireItem::from).collect(),
+        }
+    }
+}
+
+impl From<WireSnapshot> for StoreSnapshot {
+    fn from(wire: WireSnapshot) -> Self {
+        let records = |era, revision, items: Vec<WireItem>| StoreRecords {
+            position: StorePosition { era, revision },
+            items: items.into_iter().map(StoreItem::from).collect(),
+        };
+        Self {
+            operator: records(wire.operator_era, wire.operator_revision, wire.operator),
+            registry: records(wire.registry_era, wire.registry_revision, wire.registry),
+        }
+    }
+}
