Apply no change of the store that is older than what a peer passed on

Its answer, read late or after a freeze, was applied all the same: an entry that a server had marked as leaving became ready again, and as the position stayed ahead, the newer change was not read again. Found by reading. Changes at or below the known position of the same era, and those of older eras, are now left out.

--- a/crates/hickoryhall-gateway/src/feeds.rs
+++ b/crates/hickoryhall-gateway/src/feeds.rs
@@ -24,7 +24,7 @@
 use crate::store_client::{StoreClient, WithPosition};
 use crate::store_position::StorePosition;
 use link::LinkState;
-use records::{OperatorRecords, RegistryRecords};
+use records::{OperatorRecords, RegistryRecords, missing_changes};
 use relay::{RegistryRelay, RegistryRole, RelayLog, RelayMonitor};
 
 /// Longest time for which one watch waits for changes; keep-alive probes detect dead connections
@@ -276,7 +276,9 @@
                 let content = changes.content.iter().cloned();
                 log.record_changes(Instant::now(), after.revision, content);
             }
-            for change in changes.content {
+            let known = self.position(link.kind);
+            let era = changes.position.era;
+            for change in missing_changes(known, era, changes.content) {
                 self.apply_change(link.kind, change, age);
             }
             self.advance(link.kind, after);
