Take no version for new that was named while the host was frozen

Callers of a host that thawed could run on replaced weights past the bound: a watch's answer that waited during the freeze was read as if the version had just been named. A reviewer's run on the code before: SIGSTOP, version 2 named, SIGCONT 9 s later, log line with age_ms 0 and is_exact true, and a request ran on version 1 3.2 s after the thaw, 12.2 s after the version.

A beat every 250 ms, by the clock that counts suspensions, shows a stall of a second or more; what is read during one, or within a second after it, gives a version of unknown age, so that old weights take new work for two seconds only. With peers that were not frozen the exact age comes with their digests.

--- a/crates/hickoryhall-gateway/src/orders/clock.rs
+++ b/crates/hickoryhall-gateway/src/clock.rs
@@ -1,11 +1,11 @@
-//! Clock by which the validity of a lease is judged.
+//! Clock that shows how long a host was suspended.
 
 use std::time::{Duration, Instant};
 
 use rustix::time::{ClockId, clock_gettime};
 
 /// Clock that, unlike [`Instant::now`], keeps counting while the host is suspended.
-pub(super) struct SuspendAwareClock {
+pub(crate) struct SuspendAwareClock {
     origin: Instant,
     boot_origin: Duration,
 }
--- a/crates/hickoryhall-gateway/src/feeds.rs
+++ b/crates/hickoryhall-gateway/src/feeds.rs
@@ -16,11 +16,13 @@
 use slog::{Logger, info, warn};
 use tokio::time::sleep;
 
+use crate::clock::SuspendAwareClock;
 use crate::core::{CoreHandle, DesiredVersionSource};
 use crate::interface::{OperatorRecord, Platform, StoreChange, StoreEra, StoreError, StoreItem};
 use crate::peers::{StoreRecords, StoreSnapshot};
 use crate::registry::RegistryEntry;
 use crate::scheduler::DesiredVersionAge;
+use crate::stalls::{BEAT_INTERVAL, StallMonitor};
 use crate::store_client::{StoreClient, WithPosition};
 use crate::store_position::StorePosition;
 use link::LinkState;
@@ -82,6 +84,8 @@
     role: Cell<RegistryRole>,
     relay_log: RefCell<RelayLog>,
     relay_monitor: RefCell<RelayMonitor>,
+    clock: SuspendAwareClock,
+    stalls: Cell<StallMonitor>,
     logger: Logger,
 }
 
@@ -94,7 +98,10 @@
         core: CoreHandle,
         logger: Logger,
     ) -> Self {
+        let clock = SuspendAwareClock::new();
         Self {
+            stalls: Cell::new(StallMonitor::new(clock.now())),
+            clock,
             platform,
             store,
             core,
@@ -107,6 +114,16 @@
         }
     }
 
+    /// Watches for stalls of the process until the task is dropped.
+    pub async fn watch_for_stalls(&self) {
+        loop {
+            let mut stalls = self.stalls.get();
+            stalls.on_beat(self.clock.now());
+            self.stalls.set(stalls);
+            sleep(BEAT_INTERVAL).await;
+        }
+    }
+
     /// Returns all records, for peers that cannot read the store.
     #[must_use]
     pub fn snapshot(&self) -> StoreSnapshot {
@@ -260,8 +277,9 @@
                 );
                 return;
             }
-            // Changes that are read after an outage may be as old as the outage.
-            let age = if link.is_up() {
+            // Changes that are read after an outage or a stall may be as old as that.
+            let is_late = self.stalls.get().may_be_late(self.clock.now());
+            let age = if link.is_up() && !is_late {
                 DesiredVersionAge::Exact(Duration::ZERO)
             } else {
                 DesiredVersionAge::AtLeast(Duration::ZERO)
--- a/crates/hickoryhall-gateway/src/host.rs
+++ b/crates/hickoryhall-gateway/src/host.rs
@@ -378,6 +378,8 @@
         let feeds = Rc::clone(feeds);
         spawn_local(async move { feeds.follow(kind).await });
     }
+    let feeds = Rc::clone(feeds);
+    spawn_local(async move { feeds.watch_for_stalls().await });
 }
 
 fn spawn_peers<P: Platform>(peers: &Rc<Peers<P>>, records_listener: TcpListener) {
--- a/crates/hickoryhall-gateway/src/lib.rs
+++ b/crates/hickoryhall-gateway/src/lib.rs
@@ -7,6 +7,7 @@
 //! give orders to runners ([`orders`]). An implementation of [`interface::Platform`] defines the
 //! protocols that are spoken with callers, backend servers and the store.
 
+mod clock;
 pub mod core;
 pub mod events;
 pub mod exchange;
@@ -20,6 +21,7 @@
 pub mod registry;
 pub mod scheduler;
 pub mod settings;
+pub mod stalls;
 pub mod store_client;
 pub mod store_position;
 pub mod table;
--- a/crates/hickoryhall-gateway/src/orders.rs
+++ b/crates/hickoryhall-gateway/src/orders.rs
@@ -9,7 +9,6 @@
 //! its id and the key's revision out again: the holder gives no further order, and the wait of the
 //! next one covers the lease that the store forgot.
 
-mod clock;
 mod weight_changes;
 
 pub use weight_changes::switch_mode;
@@ -26,8 +25,7 @@
 use tokio::sync::watch;
 use tokio::time::sleep;
 
-use clock::SuspendAwareClock;
-
+use crate::clock::SuspendAwareClock;
 use crate::core::CoreHandle;
 use crate::interface::{
     ConditionalPut, Platform, StoreChange, StoreError, StoreItem, StoreRevision,
