Let a stopped server wait until callers have their responses

A caller that reads slowly lost its response when the host stopped: 3.9 of 16 MiB arrived. The shutdown counted only running handlers, which end when the response is given to the server; the server then ended 200 ms after the stop, whatever was unsent. The open connections were listed, but nothing waited for them.

`HttpServer::run` now ends when its connections are drained, or at the deadline that `StopHandle::stop` is given. A later stop can only bring the deadline forward. `EntryHost::shut_down` gives callers 30 s after the last handler, cuts them off at once when `abort` says so, and counts responses that were not sent in full as cut off, so that the exit code shows them. Stand-ins keep their 200 ms.

--- a/crates/hickoryhall-entry/src/host.rs
+++ b/crates/hickoryhall-entry/src/host.rs
@@ -28,6 +28,8 @@
 ///
 /// This lets the load balancer see that the host is no longer ready.
 const MIN_DRAIN_TIME: Duration = Duration::from_millis(500);
+/// Longest time that callers may take to read their responses after the last request has ended.
+const MAX_SEND_TIME: Duration = Duration::from_secs(30);
 
 /// Error from starting a host.
 #[derive(Debug, thiserror::Error)]
@@ -58,6 +60,7 @@
     http_address: SocketAddr,
     peer_address: SocketAddr,
     http_stop: StopHandle,
+    http_thread: Option<JoinHandle<()>>,
     threads: Vec<JoinHandle<()>>,
     logger: Logger,
 }
@@ -121,6 +124,7 @@
             http_address,
             peer_address: sockets.address,
             http_stop,
+            http_thread: None,
             threads: Vec::new(),
             logger,
         };
@@ -184,7 +188,8 @@
     /// Shuts the host down and returns the number of requests that were cut off.
     ///
     /// New requests are refused. The host ends when every request in flight has ended, but not
-    /// before `MIN_DRAIN_TIME`; it ends at once when `abort` returns true.
+    /// before `MIN_DRAIN_TIME`, and the callers have read the responses or `MAX_SEND_TIME` has
+    /// passed; it ends at once when `abort` returns true.
     pub fn shut_down(mut self, abort: impl Fn() -> bool) -> usize {
         info!(self.logger, "host: Host stops."; "in_flight" => self.in_flight());
         self.context.lifecycle.stop();
@@ -194,24 +199,41 @@
             thread::sleep(DRAIN_POLL_INTERVAL);
             waited += DRAIN_POLL_INTERVAL;
         }
-        let cut_off = self.in_flight();
+        let in_flight = self.in_flight();
+        if in_flight == 0 {
+            self.http_stop.stop(MAX_SEND_TIME);
+            while self.is_sending() && !abort() {
+                thread::sleep(DRAIN_POLL_INTERVAL);
+            }
+        }
+        self.end();
+        let cut_off = in_flight.max(self.http_stop.cut_off());
         if cut_off > 0 {
             warn!(self.logger, "host: Requests cut off."; "count" => cut_off);
         }
-        self.end();
         cut_off
     }
 
+    fn is_sending(&self) -> bool {
+        let thread = self.http_thread.as_ref();
+        thread.is_some_and(|thread| !thread.is_finished())
+    }
+
     fn end(&mut self) {
         self.context.lifecycle.end();
-        self.http_stop.stop();
+        self.http_stop.stop(Duration::ZERO);
         // The accept loop for peers checks for the end only after a connection, so make one.
         drop(std::net::TcpStream::connect_timeout(
             &self.peer_address,
             Duration::from_secs(1),
         ));
         self.context.core.send(CoreMsg::Stop);
-        for thread in self.threads.drain(..) {
+        for thread in self
+            .http_thread
+            .take()
+            .into_iter()
+            .chain(self.threads.drain(..))
+        {
             // The panic hook has already printed a panic of the thread.
             let _ = thread.join();
         }
@@ -220,12 +242,15 @@
     fn start_http_thread(&mut self, server: HttpServer) -> Result<(), StartError> {
         let context = Arc::clone(&self.context);
         let logger = self.part_logger("edge");
-        self.spawn("edge", move || {
+        let thread = thread::Builder::new().name("edge".to_owned());
+        let thread = thread.spawn(move || {
             let handler = move |request, caller| edge::handle(&context, request, caller);
             if let Err(error) = server.run(handler) {
                 warn!(logger, "host: HTTP server failed."; "error" => %error);
             }
-        })
+        });
+        self.http_thread = Some(thread.map_err(StartError::Thread)?);
+        Ok(())
     }
 
     fn start_peer_threads(
--- a/crates/hickoryhall-http/src/server.rs
+++ b/crates/hickoryhall-http/src/server.rs
@@ -5,15 +5,16 @@
 use std::net::{SocketAddr, TcpListener};
 use std::rc::Rc;
 use std::sync::Arc;
-use std::time::Duration;
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::time::{Duration, Instant};
 
-use hickoryhall_edge::{ServerConfig, serve};
-use slog::{Discard, Logger, o};
+use hickoryhall_edge::{Connections, ServerConfig, serve};
+use slog::{Discard, Logger, o, warn};
 use socket2::{Domain, Protocol, Socket, Type};
 use tokio::runtime::Builder;
 use tokio::sync::watch;
 use tokio::task::{LocalSet, spawn_local};
-use tokio::time::timeout;
+use tokio::time::sleep_until;
 
 use crate::bridge::Bridge;
 use crate::{Caller, Request, WorkerPool};
@@ -22,8 +23,6 @@
 const BACKLOG: i32 = 1_024;
 /// Largest request head that is read. A handler may enforce a lower limit with its own response.
 const MAX_HEAD_BYTES: usize = 64 << 10;
-/// Time for responses that are already being sent to leave after the server was stopped.
-const FLUSH_TIMEOUT: Duration = Duration::from_millis(200);
 
 /// Limits of an [`HttpServer`].
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -70,14 +69,30 @@
 }
 
 /// Stops a server from another thread.
-#[derive(Clone, Debug)]
-pub struct StopHandle(Arc<watch::Sender<bool>>);
+#[derive(Clone, Debug, Default)]
+pub struct StopHandle(Arc<Stop>);
+
+#[derive(Debug, Default)]
+struct Stop {
+    /// Time at which a stopping server closes the connections that are still open.
+    deadline: watch::Sender<Option<Instant>>,
+    cut_off: AtomicUsize,
+}
 
 impl StopHandle {
-    /// Makes the server accept no further requests. Responses that workers have already given are
-    /// still sent, for a short time.
-    pub fn stop(&self) {
-        self.0.send_replace(true);
+    /// Makes the server accept no further requests, and end when the callers of all requests have
+    /// got their responses, at the latest after `time_limit`. A later call can only shorten the time.
+    pub fn stop(&self, time_limit: Duration) {
+        let new = Instant::now() + time_limit;
+        self.0.deadline.send_modify(|deadline| {
+            *deadline = Some(deadline.map_or(new, |earlier| earlier.min(new)));
+        });
+    }
+
+    /// Returns the number of requests whose responses were not sent in full when the server ended.
+    #[must_use]
+    pub fn cut_off(&self) -> usize {
+        self.0.cut_off.load(Ordering::SeqCst)
     }
 }
 
@@ -95,7 +110,7 @@
             listener,
             address,
             limits,
-            stop: StopHandle(Arc::new(watch::Sender::new(false))),
+            stop: StopHandle::default(),
             logger: Logger::root(Discard, o!()),
         })
     }
@@ -119,7 +134,7 @@
         self.stop.clone()
     }
 
-    /// Handles requests until the server is stopped. `handler` runs on a worker thread and may
+    /// Handles requests until the server is stopped and has sent its responses. `handler` runs on a worker thread and may
     /// block.
     ///
     /// # Errors
@@ -130,7 +145,9 @@
         let runtime = Builder::new_current_thread().enable_all().build()?;
         let _entered = runtime.enter();
         let listener = tokio::net::TcpListener::from_std(self.listener)?;
-        let mut stopping = self.stop.0.subscribe();
+        let mut deadline = self.stop.0.deadline.subscribe();
+        let (stop, stopping) = watch::channel(false);
+        let connections = Rc::<Connections>::default();
         let bridge = Rc::new(Bridge {
             handler: Arc::new(handler),
             pool: WorkerPool::new("http-worker", self.limits.workers),
@@ -144,23 +161,50 @@
             listener,
             bridge,
             config,
-            stopping.clone(),
-            Rc::default(),
-            self.logger,
+            stopping,
+            Rc::clone(&connections),
+            self.logger.clone(),
         );
-        let connections = LocalSet::new();
-        connections.block_on(&runtime, async {
+        LocalSet::new().block_on(&runtime, async {
             let serving = spawn_local(serving);
             // `self.stop` keeps the sender alive, so only a stop ends the wait.
-            let _ = stopping.wait_for(|stopped| *stopped).await;
+            let _ = deadline.wait_for(Option::is_some).await;
+            stop.send_replace(true);
             serving.abort();
+            tokio::select! {
+                biased;
+                () = connections.drained() => {}
+                () = passed(&mut deadline) => {
+                    let counts = connections.counts();
+                    self.stop.0.cut_off.store(counts.unanswered, Ordering::SeqCst);
+                    if counts.unanswered > 0 {
+                        warn!(
+                            self.logger, "edge: Responses cut off by the stop.";
+                            "count" => counts.unanswered, "unsent_bytes" => counts.unsent_bytes
+                        );
+                    }
+                }
+            }
         });
-        // Responses that are unsent after the time limit belong to callers that do not read.
-        let _ = runtime.block_on(async { timeout(FLUSH_TIMEOUT, connections).await });
         Ok(())
     }
 }
 
+/// Waits until a deadline, which may become earlier during the wait, has passed.
+async fn passed(deadline: &mut watch::Receiver<Option<Instant>>) {
+    loop {
+        let Some(time) = *deadline.borrow_and_update() else {
+            return;
+        };
+        tokio::select! {
+            () = sleep_until(time.into()) => return,
+            changed = deadline.changed() => if changed.is_err() {
+                return;
+            },
+        }
+    }
+}
+
 fn listen(address: SocketAddr) -> io::Result<TcpListener> {
     let socket = Socket::new(
         Domain::for_address(address),
--- a/crates/hickoryhall-http/tests/support/mod.rs
+++ b/crates/hickoryhall-http/tests/support/mod.rs
@@ -2,9 +2,13 @@
 
 use std::net::SocketAddr;
 use std::thread::JoinHandle;
+use std::time::Duration;
 
 use hickoryhall_http::{Caller, HttpServer, Request, ServerLimits, StopHandle};
 
+/// Time for callers to read their responses after a stop.
+const STOP_TIME_LIMIT: Duration = Duration::from_secs(30);
+
 /// A running server; dropping it stops the server and joins its thread.
 pub struct RunningServer {
     pub address: SocketAddr,
@@ -14,7 +18,7 @@
 
 impl Drop for RunningServer {
     fn drop(&mut self) {
-        self.stop.stop();
+        self.stop.stop(STOP_TIME_LIMIT);
         drop(self.thread.take().map(JoinHandle::join));
     }
 }
--- a/crates/hickoryhall-standins/src/server_thread.rs
+++ b/crates/hickoryhall-standins/src/server_thread.rs
@@ -2,9 +2,13 @@
 
 use std::net::SocketAddr;
 use std::thread::{self, JoinHandle};
+use std::time::Duration;
 
 use hickoryhall_http::{BindError, HttpServer, Request, ServerLimits, StopHandle};
 
+/// Time for callers to read responses that have already been given when the server is stopped.
+const STOP_TIME_LIMIT: Duration = Duration::from_millis(200);
+
 /// A running HTTP server; dropping it stops the server and waits for its thread.
 pub struct ServerThread {
     address: SocketAddr,
@@ -22,7 +26,7 @@
 
 impl Drop for ServerThread {
     fn drop(&mut self) {
-        self.stop.stop();
+        self.stop.stop(STOP_TIME_LIMIT);
         if let Some(thread) = self.thread.take() {
             // The panic hook has already reported a panic of the server thread.
             let _ = thread.join();
