Never refuse a request as not run after an attempt that may have run it

A repeatable call that lost its answer at both servers was retried, found no server left and was refused as `NoBackend`.

Cause: each refusal was built from its own step only. The result of earlier attempts was lost when a later step refused: no server left, the time to send over, or a last attempt that did not run. Model requests had the same pattern, found by reading: a placement refused after earlier attempts, and a hedge that was rejected after the first attempt had failed.

Both loops now keep whether a failed attempt may have run, and one function corrects the refusal on the way out: `ran: unknown`, no retry advice and `BackendFailed`, or the code of a passed deadline (504), which promises nothing. Model attempts are noted where each attempt of a group ends, so that hedges count; an attempt whose stream was resumed counts as well.

The new test makes the row repeatable through the operator. Before the fix:

a_repeatable_call_that_lost_its_answer_at_every_server_is_not_refused_as_not_run panicked at tests/once.rs:171 (`ran` must be "unknown"); 0 passed, 1 failed

It passes with the fix (once: 8 passed), as do all tests of entry, clients and testsuite. The changes for model requests, and the passed time to send, have no regression test of their own.

Open: the client of plain services passes a service's own 408, 421 and 429 to the caller even if the service ran the call.

--- a/crates/hickoryhall-entry/src/attempts/attempt_group.rs
+++ b/crates/hickoryhall-entry/src/attempts/attempt_group.rs
@@ -290,6 +290,10 @@
             ..
         } = self.live.swap_remove(index);
         span.end(&error.to_string());
+        // A stream that was resumed had been opened before, whatever ended the last connection.
+        if resumes > 0 || error.ran() != Ran::No {
+            self.run.may_have_run.set(true);
+        }
         let refusal = match &error.kind {
             ClientErrorKind::Status { not_run, .. } if resumes == 0 => *not_run,
             _ => None,
--- a/crates/hickoryhall-entry/src/attempts/call.rs
+++ b/crates/hickoryhall-entry/src/attempts/call.rs
@@ -9,6 +9,7 @@
 use hickoryhall_telemetry::TraceContext;
 use hickoryhall_types::{Ran, Refusal, RefusalCode, Step};
 
+use super::after_attempts;
 use super::claimed::run_claimed;
 use crate::actors::{CoreMsg, stopped_refusal};
 use crate::context::Context;
@@ -71,6 +72,18 @@
     context: &Context,
     request: &ServiceRequest,
     send_by: Instant,
+) -> Result<ServiceResponse, Box<Refusal>> {
+    let mut may_have_run = false;
+    run_attempts(context, request, send_by, &mut may_have_run)
+        .map_err(|refusal| after_attempts(refusal, may_have_run))
+}
+
+/// Runs the attempts of [`send`]; sets `may_have_run` once a failed attempt may have run.
+fn run_attempts(
+    context: &Context,
+    request: &ServiceRequest,
+    send_by: Instant,
+    may_have_run: &mut bool,
 ) -> Result<ServiceResponse, Box<Refusal>> {
     let mut excluded_servers = Vec::new();
     let policy = RetryPolicy {
@@ -102,6 +115,7 @@
             Ok(answer) => return Ok(answer),
             Err(error) => error,
         };
+        *may_have_run |= error.ran() != Ran::No;
         excluded_servers.push(server);
         let attempts = u32::try_from(excluded_servers.len()).unwrap_or(u32::MAX);
         let outcome = AttemptOutcome {
--- a/crates/hickoryhall-entry/src/attempts/model.rs
+++ b/crates/hickoryhall-entry/src/attempts/model.rs
@@ -1,5 +1,6 @@
 //! Model requests: places attempts on runners and retries until the answer is complete.
 
+use std::cell::Cell;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
@@ -14,7 +15,7 @@
 use metrics::counter;
 
 use super::attempt_group::{AttemptGroup, GroupEnd};
-use super::{Answer, ModelRequest};
+use super::{Answer, ModelRequest, after_attempts};
 use crate::actors::{CoreMsg, stopped_refusal};
 use crate::context::Context;
 use crate::dispatch::{AttemptEnd, AttemptId, Placed, PlacementRequest};
@@ -62,6 +63,8 @@
     excluded_runners: Vec<RunnerId>,
     /// Attempts started so far, without hedges.
     attempts: u32,
+    /// Whether a failed attempt may have run the request.
+    pub may_have_run: Cell<bool>,
     /// Whether the request may have killed a runner; it then runs apart from other suspects.
     is_suspect: bool,
 }
@@ -89,12 +92,18 @@
             chain,
             excluded_runners: Vec::new(),
             attempts: 0,
+            may_have_run: Cell::new(false),
             is_suspect,
         })
     }
 
     /// Runs attempts until the answer is complete; returns false where the caller has hung up.
     fn run_attempts(&mut self, answer: &mut Answer) -> Result<bool, Box<Refusal>> {
+        self.run_until_refused(answer)
+            .map_err(|refusal| after_attempts(refusal, self.may_have_run.get()))
+    }
+
+    fn run_until_refused(&mut self, answer: &mut Answer) -> Result<bool, Box<Refusal>> {
         loop {
             let attempt_id = self.context.next_id();
             let placed = match self.place(attempt_id, answer) {
--- a/crates/hickoryhall-testsuite/tests/once.rs
+++ b/crates/hickoryhall-testsuite/tests/once.rs
@@ -2,7 +2,9 @@
 
 use hickoryhall_standins::service::ServiceFaults;
 use hickoryhall_standins::store::StoreFaults;
-use hickoryhall_testsuite::{book, run_count, small_fleet};
+use hickoryhall_table::Row;
+use hickoryhall_testsuite::{WAIT_TIMEOUT, book, run_count, small_fleet};
+use hickoryhall_tools::caller::CallResult;
 use hickoryhall_tools::fleet::Fleet;
 
 fn set_service_faults(fleet: &Fleet, faults: ServiceFaults) {
@@ -135,3 +137,45 @@
         "{results:?}"
     );
 }
+
+#[test]
+fn a_repeatable_call_that_lost_its_answer_at_every_server_is_not_refused_as_not_run() {
+    let fleet = small_fleet();
+    let operator = fleet.operator(0);
+    let base = operator.table().expect("failed to read the table").table;
+    let mut edited = base.clone();
+    let row = base.row("*", "service:booking").expect("no such row");
+    edited.insert(Row {
+        repeatable: Some(true),
+        ..row.clone()
+    });
+    let revision = operator
+        .apply("repeatable", "operator", &base, &edited)
+        .expect("the change was refused");
+    let is_in_force = |fleet: &Fleet| {
+        let mut hosts = fleet.hosts.iter().flatten();
+        hosts.all(|host| host.table_revision() >= revision)
+    };
+    fleet
+        .wait_until("the change is in force", WAIT_TIMEOUT, is_in_force)
+        .expect("the change did not reach every host");
+    set_service_faults(
+        &fleet,
+        ServiceFaults {
+            lose_answers: 9,
+            ..ServiceFaults::default()
+        },
+    );
+    let result = book(fleet.address(0), "booking-repeatable");
+    assert_eq!(run_count(&fleet, "booking-repeatable"), 2);
+    assert_eq!(result.refusal_field("ran"), Some("unknown"), "{result:?}");
+    let CallResult::Refused {
+        status,
+        retry_after_s,
+        ..
+    } = result
+    else {
+        panic!("{result:?}");
+    };
+    assert_eq!((status, retry_after_s), (502, None));
+}
