Bound large responses by bytes until their callers have them

One budget in bytes replaces the count. A body takes room as its bytes arrive, beyond the small size, and the room belongs to the bytes: it is free once the last clone is dropped, also the one in the queue of the caller's connection. The room for one body of the largest size is kept apart for the first body that finds no other, so that bodies that are each read in part do not wait for each other. The wait for room ends with the attempt's deadline, as before. Callers that take their responses slowly and hold the whole budget still make other large responses wait.

--- a/crates/hickoryhall-edge/src/read.rs
+++ b/crates/hickoryhall-edge/src/read.rs
@@ -1,13 +1,13 @@
 //! Reads whole bodies into a bounded amount of memory.
 
-use std::rc::Rc;
+use std::sync::Arc;
 
 use bytes::{Bytes, BytesMut};
 use http_body_util::BodyExt;
 use hyper::body::Body;
-use tokio::sync::Semaphore;
+use tokio::sync::{OwnedSemaphorePermit, Semaphore};
 
-/// Size up to which a body needs no share of the memory for large ones, in bytes.
+/// Size up to which a body needs no room in the budget for large ones, in bytes.
 const SMALL_BODY_BYTES: usize = 256 << 10;
 
 /// Maximum number of pieces in which a body may arrive: more than the largest body has in packets of
@@ -28,25 +28,81 @@
     Incomplete(E),
 }
 
-/// Reads bodies of at most a given size; a few large ones at a time, the others wait.
+/// Reads bodies of at most a given size into a budget of bytes, which they hold until they are
+/// dropped. While it is used up, large bodies wait.
+///
+/// A body takes room as its bytes arrive, so that a stalled one holds little. Room for one body of
+/// the largest size is kept apart for the first body that finds no other: it can end, and so bodies
+/// that are each read in part do not wait for each other.
 #[derive(Clone, Debug)]
 pub struct BodyReader {
     limit_bytes: usize,
-    large_bodies: Rc<Semaphore>,
+    /// One permit a byte.
+    shared: Arc<Semaphore>,
+    /// A single permit, for a body of any size.
+    reserve: Arc<Semaphore>,
+}
+
+/// Room in the budget.
+#[derive(Default)]
+struct Room {
+    shared: Option<OwnedSemaphorePermit>,
+    reserve: Option<OwnedSemaphorePermit>,
+}
+
+/// A body with the room that it takes.
+struct LargeBody {
+    bytes: Bytes,
+    _room: Room,
+}
+
+impl AsRef<[u8]> for LargeBody {
+    fn as_ref(&self) -> &[u8] {
+        &self.bytes
+    }
+}
+
+impl Room {
+    /// Waits for room for `length` bytes in total.
+    async fn grow_to(&mut self, length: usize, reader: &BodyReader) {
+        let held = self
+            .shared
+            .as_ref()
+            .map_or(0, OwnedSemaphorePermit::num_permits);
+        if length <= held || self.reserve.is_some() {
+            return;
+        }
+        let wanted = u32::try_from(length - held).unwrap_or(u32::MAX);
+        tokio::select! {
+            biased;
+            permit = Arc::clone(&reader.shared).acquire_many_owned(wanted) => {
+                let permit = permit.expect("the semaphore is not closed");
+                match &mut self.shared {
+                    Some(held) => held.merge(permit),
+                    None => self.shared = Some(permit),
+                }
+            }
+            permit = Arc::clone(&reader.reserve).acquire_owned() => {
+                self.reserve = Some(permit.expect("the semaphore is not closed"));
+            }
+        }
+    }
 }
 
 impl BodyReader {
-    /// Creates a reader of bodies with at most `limit_bytes`, of which at most `large_bodies` are
-    /// read at a time if they are large. It buffers at most their product, besides small bodies.
+    /// Creates a reader of bodies with at most `limit_bytes`, which buffers at most `budget_bytes`
+    /// of them, or one body if that is less. Small bodies and the start of large ones do not count.
     #[must_use]
-    pub fn new(limit_bytes: usize, large_bodies: usize) -> Self {
+    pub fn new(limit_bytes: usize, budget_bytes: usize) -> Self {
         Self {
             limit_bytes,
-            large_bodies: Rc::new(Semaphore::new(large_bodies)),
+            shared: Arc::new(Semaphore::new(budget_bytes.saturating_sub(limit_bytes))),
+            reserve: Arc::new(Semaphore::new(1)),
         }
     }
 
-    /// Reads a body to its end.
+    /// Reads a body to its end. Its room is free again once the bytes and all their clones are dropped.
+    /// The wait for room has no limit of its own.
     ///
     /// # Errors
     ///
@@ -55,7 +111,7 @@
     ///
     /// # Panics
     ///
-    /// Never: the semaphore is not closed.
+    /// Never: the semaphores are not closed.
     pub async fn read<B>(&self, mut body: B) -> Result<Bytes, ReadBodyError<B::Error>>
     where
         B: Body<Data = Bytes> + Unpin,
@@ -67,7 +123,8 @@
         if stated_bytes > self.limit_bytes {
             return Err(too_large());
         }
-        let mut large_body = None;
+        let mut room = Room::default();
+        let mut is_large = false;
         let mut bytes = BytesMut::new();
         let mut pieces = 0;
         while let Some(frame) = body.frame().await {
@@ -80,14 +137,21 @@
             if length > self.limit_bytes || pieces > MAX_PIECES {
                 return Err(too_large());
             }
-            if length > SMALL_BODY_BYTES && large_body.is_none() {
-                let permit = self.large_bodies.acquire().await;
-                large_body = Some(permit.expect("the semaphore is not closed"));
-                // Doubling the buffer would need more than the limit.
-                bytes.reserve(self.limit_bytes - bytes.len());
+            if length > SMALL_BODY_BYTES {
+                room.grow_to(length - SMALL_BODY_BYTES, self).await;
+                if !is_large {
+                    is_large = true;
+                    // Doubling the buffer would need more than the limit.
+                    bytes.reserve(self.limit_bytes - bytes.len());
+                }
             }
             bytes.extend_from_slice(&data);
         }
-        Ok(bytes.freeze())
+        let bytes = bytes.freeze();
+        if !is_large {
+            return Ok(bytes);
+        }
+        // The bytes outlive the response's body in the queue of the caller's connection.
+        Ok(Bytes::from_owner(LargeBody { bytes, _room: room }))
     }
 }
--- a/crates/hickoryhall-gateway/src/exchange.rs
+++ b/crates/hickoryhall-gateway/src/exchange.rs
@@ -35,8 +35,8 @@
 
 /// Maximum size of a response that is not a stream, in bytes.
 const MAX_RESPONSE_BYTES: usize = 8 << 20;
-/// Maximum number of large responses that are read at a time; more would fill the host's memory.
-const MAX_LARGE_RESPONSES: usize = 3;
+/// Memory for large responses from their first byte to the last one sent to the caller, in bytes.
+const LARGE_RESPONSES_BUDGET_BYTES: usize = 32 << 20;
 /// Maximum size of a refusal, in bytes.
 const MAX_REFUSAL_BYTES: usize = 64 << 10;
 /// Time that must remain before the deadline for another attempt to be worthwhile.
@@ -75,8 +75,8 @@
             platform,
             core,
             pool,
-            responses: BodyReader::new(MAX_RESPONSE_BYTES, MAX_LARGE_RESPONSES),
-            refusals: BodyReader::new(MAX_REFUSAL_BYTES, MAX_LARGE_RESPONSES),
+            responses: BodyReader::new(MAX_RESPONSE_BYTES, LARGE_RESPONSES_BUDGET_BYTES),
+            refusals: BodyReader::new(MAX_REFUSAL_BYTES, MAX_REFUSAL_BYTES),
             next_attempt_id: Cell::new(1),
             in_flight: Rc::default(),
             is_closed: Cell::new(false),
