Join pushes of digests that follow each other within milliseconds

The lease holder of a service with 90 runners orders many of them within some milliseconds and announced each to all hosts in a round of its own. With 67 peers and digests that grew by the incarnations of runners, such a burst filled the link of its host: its connections to runners timed out for two seconds (orders NoAnswer, requests unsent, at that host alone), and no order was given.

Pushes now wait 20 ms, in which further ones join the same round. It stays below the time that a runner is drained before its order.

--- a/crates/hickoryhall-gateway/src/peers.rs
+++ b/crates/hickoryhall-gateway/src/peers.rs
@@ -39,6 +39,9 @@
 /// Maximum number of digests that one host sends to its group per second; in a large group the
 /// interval grows instead.
 const MAX_DIGESTS_PER_S: f64 = 150.0;
+/// Delay of a push, in which further ones join it: a lease holder changes many runners within
+/// milliseconds, and a round to all hosts for each would fill the link of its host.
+const PUSH_DELAY: Duration = Duration::from_millis(20);
 /// Time between two group digests.
 const GROUP_DIGEST_INTERVAL: Duration = Duration::from_millis(150);
 /// Size of the receive buffer, and so the largest digest accepted.
@@ -146,6 +149,9 @@
             is_pushed = timeout(interval, self.push_requested.notified())
                 .await
                 .is_ok();
+            if is_pushed {
+                tokio::time::sleep(PUSH_DELAY).await;
+            }
         }
     }
 
