--- a/crates/hickoryhall-gateway/tests/late_changes.rs
+++ b/crates/hickoryhall-gateway/tests/late_changes.rs
@@ -7,14 +7,14 @@
 
 fn put(revision: u64) -> StoreChange {
     StoreChange::Put(StoreItem {
-        key: "servers/s-1".to_owned(),
+        key: "s-1".to_owned(),
         value: Bytes::from(format!("as of {revision}")),
         revision,
     })
 }
 
 fn removed(revision: u64) -> StoreChange {
-    let key = "servers/s-1".to_owned();
+    let key = "s-1".to_owned();
     StoreChange::Removed { key, revision }
 }
 
