Apply changes of the store again that are as old as a known position

Suspected, not traced: a position that a relay advanced past changes that its sender did not have itself; the answer of a watch under way brings them, and dropping it loses them. The check that dropped it, found by reading only, is taken back.

--- a/crates/hickoryhall-gateway/src/feeds.rs
+++ b/crates/hickoryhall-gateway/src/feeds.rs
@@ -26,7 +26,7 @@
 use crate::store_client::{StoreClient, WithPosition};
 use crate::store_position::StorePosition;
 use link::LinkState;
-use records::{OperatorRecords, RegistryRecords, missing_changes};
+use records::{OperatorRecords, RegistryRecords};
 use relay::{RegistryRelay, RegistryRole, RelayLog, RelayMonitor};
 
 /// Longest time for which one watch waits for changes; keep-alive probes detect dead connections
@@ -294,9 +294,7 @@
                 let content = changes.content.iter().cloned();
                 log.record_changes(Instant::now(), after.revision, content);
             }
-            let known = self.position(link.kind);
-            let era = changes.position.era;
-            for change in missing_changes(known, era, changes.content) {
+            for change in changes.content {
                 self.apply_change(link.kind, change, age);
             }
             self.advance(link.kind, after);
--- a/crates/hickoryhall-gateway/src/feeds/records.rs
+++ b/crates/hickoryhall-gateway/src/feeds/records.rs
@@ -2,27 +2,10 @@
 
 use std::collections::BTreeMap;
 
-use crate::interface::{StoreChange, StoreEra, StoreItem};
+use crate::interface::{StoreChange, StoreItem};
 use crate::peers::StoreRecords;
 use crate::store_position::StorePosition;
 
-/// Returns those changes, read in an era of the store, that records complete up to `known` lack.
-///
-/// While a watch waits for its answer, a peer may pass on newer changes; an older one of the same
-/// record must not undo them.
-#[must_use]
-pub fn missing_changes(
-    known: StorePosition,
-    era: StoreEra,
-    changes: Vec<StoreChange>,
-) -> Vec<StoreChange> {
-    let is_missing = |change: &StoreChange| {
-        let revision = change.revision();
-        StorePosition { era, revision } > known
-    };
-    changes.into_iter().filter(is_missing).collect()
-}
-
 /// Unparsed registry entries by key, as of a position of the store; the position is 0 until any
 /// were read.
 #[derive(Debug, Default)]
