Log how a response tells its end, and events that a stream ends inside of

A caller that got a short stream as complete left no trace: the request's line said answered. It now names the framing of the response and the bytes of an unfinished event, which tell the hypotheses of the incident apart; a counter shows how often that happens.

--- a/crates/hickoryhall-gateway/src/exchange/attempt.rs
+++ b/crates/hickoryhall-gateway/src/exchange/attempt.rs
@@ -16,6 +16,7 @@
 use super::Exchange;
 use super::record::ResponseRecord;
 use crate::core::CoreHandle;
+use crate::framing::BodyFraming;
 use crate::interface::{AttemptPlan, Platform, ResponseMeta};
 use crate::outcome::{self, ResponseKind};
 use crate::registry::BackendServer;
@@ -147,6 +148,7 @@
         let kind = ResponseKind::of(head.status, &response_meta, is_kept);
         self.record.response_head(ResponseRecord {
             status: head.status,
+            framing: BodyFraming::of(&head.headers),
             id: response_meta.id,
             is_sealed: response_meta.is_sealed,
             is_kept,
--- a/crates/hickoryhall-gateway/src/exchange/record.rs
+++ b/crates/hickoryhall-gateway/src/exchange/record.rs
@@ -9,6 +9,7 @@
 use slog::{Logger, info};
 
 use super::intake::PreparedRequest;
+use crate::framing::BodyFraming;
 use crate::interface::{LocalFailure, ResponseId};
 use crate::outcome::is_promise;
 use crate::scheduler::Assignment;
@@ -31,6 +32,10 @@
     response: Option<ResponseRecord>,
     /// Last status that a server gave.
     server_status: Option<u16>,
+    /// Framing of the last response.
+    framing: Option<BodyFraming>,
+    /// Bytes of an incomplete event that streams ended with.
+    incomplete_bytes: usize,
     placed: Option<PlacementRecord>,
     first_event_ms: Option<u128>,
     /// Bytes of the events passed on.
@@ -41,6 +46,7 @@
 /// The head of a server's response, as it is logged.
 pub(super) struct ResponseRecord {
     pub status: StatusCode,
+    pub framing: BodyFraming,
     pub id: ResponseId,
     pub is_sealed: bool,
     /// Whether the connection had carried a request before.
@@ -86,6 +92,8 @@
             responses: Vec::new(),
             response: None,
             server_status: None,
+            framing: None,
+            incomplete_bytes: 0,
             placed: None,
             first_event_ms: None,
             bytes: 0,
@@ -115,6 +123,7 @@
     /// Records the head of the response to the current attempt.
     pub fn response_head(&mut self, response: ResponseRecord) {
         self.server_status = Some(response.status.as_u16());
+        self.framing = Some(response.framing);
         self.response = Some(response);
     }
 
@@ -143,6 +152,13 @@
         self.bytes += bytes;
     }
 
+    /// Records the size of an incomplete event at the end of a stream.
+    pub fn incomplete_event(&mut self, bytes: usize) {
+        let framing = self.framing.map_or("", BodyFraming::as_str);
+        counter!("streams_cut_inside_event_total", "framing" => framing).increment(1);
+        self.incomplete_bytes += bytes;
+    }
+
     /// Logs the end of a request that a server answered.
     pub fn answered(&mut self, status: StatusCode) {
         self.log_end("answered", status.as_u16(), "", "yes");
@@ -190,7 +206,9 @@
             "candidates" => placed.map(|placed| placed.candidates),
             "waited_ms" => placed.map(|placed| placed.waited_ms),
             "tried" => self.tried.join(" "), "responses" => self.responses.join(" "),
-            "server_status" => self.server_status, "bytes" => self.bytes
+            "server_status" => self.server_status, "bytes" => self.bytes,
+            "framing" => self.framing.map_or("", BodyFraming::as_str),
+            "incomplete_bytes" => self.incomplete_bytes
         );
     }
 }
--- a/crates/hickoryhall-gateway/src/exchange/relay.rs
+++ b/crates/hickoryhall-gateway/src/exchange/relay.rs
@@ -188,6 +188,7 @@
                 }
                 StreamItem::End => {
                     if let Some(rest) = self.upstream.framer.finish() {
+                        self.exchange.record.incomplete_event(rest.len());
                         sender.send(rest).await;
                     }
                     return RelayOutcome::Complete;
