Take a stream that ends inside an event for broken off

Callers got streams as complete whose runner had crashed in the middle: status 200, the runner's seal, an orderly end, a short body. A runner that states no length and sends no chunks ends its stream with its connection, and the system closes the connections of a crashed process in order too. The relay sent on what was left of the unfinished event and ended the caller's response.

A stream is now complete only behind an event: the framer follows lines, and the end of a body inside an event, whatever the framing says, is a break like a reset. Before the first event the request may begin elsewhere, after it a resumable stream goes on after its last whole event, and every other one is broken off for its caller. A stream without any event that ends with its connection is a break too: nothing tells it from a crash. Comments and empty lines after the last event are no part of one.

--- a/crates/hickoryhall-gateway/src/exchange/record.rs
+++ b/crates/hickoryhall-gateway/src/exchange/record.rs
@@ -152,8 +152,11 @@
         self.bytes += bytes;
     }
 
-    /// Records the size of an incomplete event at the end of a stream.
+    /// Records the size of an incomplete event at the end of a stream, 0 if there is none.
     pub fn incomplete_event(&mut self, bytes: usize) {
+        if bytes == 0 {
+            return;
+        }
         let framing = self.framing.map_or("", BodyFraming::as_str);
         counter!("streams_cut_inside_event_total", "framing" => framing).increment(1);
         self.incomplete_bytes += bytes;
--- a/crates/hickoryhall-gateway/src/exchange/relay.rs
+++ b/crates/hickoryhall-gateway/src/exchange/relay.rs
@@ -13,13 +13,16 @@
 
 use super::Exchange;
 use super::attempt::{AttemptFailure, AttemptResult, OpenStream, attempt_end};
-use crate::events::EventFramer;
+use crate::events::{EventFramer, IncompleteEvent};
+use crate::framing::BodyFraming;
 use crate::interface::Platform;
 use crate::scheduler::AttemptEnd;
 
 /// Time without an event after which a resumable stream is resumed at another runner: well above
 /// the longest step of a busy runner, and below the time after which callers leave.
 const RESUME_IDLE_TIMEOUT: Duration = Duration::from_millis(1_200);
+/// Reason for a stream that its runner broke off.
+const BROKEN_OFF: &str = "broken_off";
 /// Reason for a stream without an event within the limit.
 const SILENT: &str = "silent";
 /// Reason for a stream with an event that is larger than any that a runner sends.
@@ -33,8 +36,8 @@
 enum StreamItem {
     /// One or more whole events.
     Events(Bytes),
-    /// The end of the response body.
-    End,
+    /// The end of the stream, with what followed its last event.
+    End(Option<Bytes>),
     /// The runner broke off, sent nothing in time or sent an oversize event; holds the reason.
     Broken(&'static str),
 }
@@ -43,9 +46,22 @@
 struct Upstream {
     stream: Box<OpenStream>,
     framer: EventFramer,
+    has_events: bool,
+    /// Bytes of the event that the stream ended inside of.
+    incomplete_bytes: usize,
 }
 
 impl Upstream {
+    /// Creates a reader of a stream that continues after the event with the given id.
+    fn new(stream: Box<OpenStream>, last_id: Option<Box<str>>) -> Self {
+        Self {
+            stream,
+            framer: EventFramer::resuming_after(last_id),
+            has_events: false,
+            incomplete_bytes: 0,
+        }
+    }
+
     async fn next(&mut self, limit: Duration) -> StreamItem {
         match timeout(limit, self.read()).await {
             Ok(item) => item,
@@ -56,21 +72,40 @@
     async fn read(&mut self) -> StreamItem {
         for _ in 0..MAX_EVENT_PIECES {
             let frame = match self.stream.body.frame().await {
-                None => return StreamItem::End,
-                Some(Err(_)) => return StreamItem::Broken("broken_off"),
+                None => return self.end(),
+                Some(Err(_)) => return StreamItem::Broken(BROKEN_OFF),
                 Some(Ok(frame)) => frame,
             };
             let Ok(data) = frame.into_data() else {
                 continue;
             };
             match self.framer.push(&data) {
-                Ok(Some(events)) => return StreamItem::Events(events),
+                Ok(Some(events)) => {
+                    self.has_events = true;
+                    return StreamItem::Events(events);
+                }
                 Ok(None) => {}
                 Err(_) => return StreamItem::Broken(OVERSIZE_EVENT),
             }
         }
         StreamItem::Broken(OVERSIZE_EVENT)
     }
+
+    /// Decides whether the stream is complete at the end of its body. The connection of a runner that
+    /// crashes may end like that of one that is done.
+    fn end(&mut self) -> StreamItem {
+        let framing = BodyFraming::of(&self.stream.head.headers);
+        match self.framer.finish() {
+            Err(IncompleteEvent { bytes }) => {
+                self.incomplete_bytes = bytes;
+                StreamItem::Broken(BROKEN_OFF)
+            }
+            Ok(_) if framing == BodyFraming::Connection && !self.has_events => {
+                StreamItem::Broken(BROKEN_OFF)
+            }
+            Ok(rest) => StreamItem::End(rest),
+        }
+    }
 }
 
 /// A stream that is being passed on to the caller.
@@ -89,19 +124,17 @@
     ///
     /// Returns the exchange and why the attempt failed if it broke before the first event.
     pub(super) async fn start_stream(
-        self,
+        mut self,
         stream: Box<OpenStream>,
     ) -> Result<Response<ResponseBody>, (Box<Self>, AttemptFailure)> {
         let limit = stream
             .first_event_by
             .saturating_duration_since(Instant::now());
         let last_id = self.request.meta.last_event_id.clone();
-        let mut upstream = Upstream {
-            stream,
-            framer: EventFramer::resuming_after(last_id),
-        };
+        let mut upstream = Upstream::new(stream, last_id);
         let first = match upstream.next(limit).await {
             StreamItem::Broken(reason) => {
+                self.record.incomplete_event(upstream.incomplete_bytes);
                 let failure = match reason {
                     SILENT => AttemptFailure::TimedOut,
                     OVERSIZE_EVENT => AttemptFailure::Invalid,
@@ -186,14 +219,15 @@
                         return RelayOutcome::CallerLeft;
                     }
                 }
-                StreamItem::End => {
-                    if let Some(rest) = self.upstream.framer.finish() {
-                        self.exchange.record.incomplete_event(rest.len());
+                StreamItem::End(rest) => {
+                    if let Some(rest) = rest {
                         sender.send(rest).await;
                     }
                     return RelayOutcome::Complete;
                 }
                 StreamItem::Broken(reason) => {
+                    let incomplete_bytes = self.upstream.incomplete_bytes;
+                    self.exchange.record.incomplete_event(incomplete_bytes);
                     if self.resume(reason).await {
                         self.is_waited_for = false;
                     } else if reason == SILENT && !self.is_waited_for {
@@ -251,8 +285,7 @@
                 .await;
             let failure = match attempted {
                 AttemptResult::Stream(stream) => {
-                    let framer = EventFramer::resuming_after(last_id);
-                    self.upstream = Upstream { stream, framer };
+                    self.upstream = Upstream::new(stream, last_id);
                     return true;
                 }
                 AttemptResult::Failed(failure) => failure,
--- a/crates/hickoryhall-gateway/tests/events.rs
+++ b/crates/hickoryhall-gateway/tests/events.rs
@@ -1,7 +1,8 @@
 //! Tests the splitting of streams into whole events.
 
-use hickoryhall_gateway::events::EventFramer;
+use hickoryhall_gateway::events::{EventFramer, IncompleteEvent};
 use proptest::prelude::*;
+use rstest::rstest;
 
 fn stream(count: u32, newline: &str) -> String {
     let event = |id| format!("id: {id}{newline}data: piece {id}{newline}{newline}");
@@ -14,9 +15,9 @@
     let events = framer.push(b"id: 1\ndata: a\n\nid: 2\nda").expect("small");
     assert_eq!(events.as_deref(), Some(&b"id: 1\ndata: a\n\n"[..]));
     assert_eq!(framer.last_id(), Some("1"));
-    assert!(framer.has_partial());
+    assert!(framer.is_inside_event());
     framer.drop_partial();
-    assert_eq!(framer.finish(), None);
+    assert_eq!(framer.finish(), Ok(None));
 }
 
 #[test]
@@ -33,7 +34,62 @@
     assert!(framer.push(&chunk).is_err());
 }
 
+/// What is left at the end of a stream is no part of an event.
+#[rstest]
+#[case::empty("", Some(""))]
+#[case::comment(": ping\n", Some(": ping\n"))]
+#[case::empty_lines("\n\r\n", Some(""))]
+#[case::field("id: 3\n", None)]
+#[case::field_after_comment(": ping\ndata: x\n", None)]
+#[case::part_of_a_line("da", None)]
+#[case::part_of_a_comment(": pi", None)]
+#[case::half_of_a_line_end("id: 3\r\n\r", None)]
+fn a_stream_ends_inside_an_event_unless_its_last_line_is_empty(
+    #[case] rest: &str,
+    #[case] left: Option<&str>,
+) {
+    let mut framer = EventFramer::default();
+    let text = format!("id: 2\ndata: a\n\n{rest}");
+    framer.push(text.as_bytes()).expect("small");
+    let end = framer.finish();
+    match left {
+        Some(left) => assert_eq!(end, Ok((!left.is_empty()).then(|| left.to_owned().into()))),
+        None => assert!(matches!(end, Err(IncompleteEvent { bytes }) if bytes == rest.len())),
+    }
+    assert_eq!(framer.last_id(), Some("2"));
+}
+
+#[test]
+fn lines_may_end_with_a_carriage_return_alone() {
+    let mut framer = EventFramer::default();
+    let events = framer.push(b"id: 1\rdata: a\r\rid: 2\rdata: b\r\r");
+    let events = events.expect("small").expect("a whole event");
+    assert_eq!(events, &b"id: 1\rdata: a\r\r"[..]);
+    let rest = framer.finish().expect("a whole event");
+    assert_eq!(rest.as_deref(), Some(&b"id: 2\rdata: b\r\r"[..]));
+    assert_eq!(framer.last_id(), Some("2"));
+}
+
 proptest! {
+    /// A stream that ends at any byte is complete only behind an event, in whatever pieces it came.
+    #[test]
+    fn a_stream_is_complete_only_behind_an_event(
+        at in 0_usize..400,
+        cut in 1_usize..40,
+        crlf in any::<bool>(),
+    ) {
+        let newline = if crlf { "\r\n" } else { "\n" };
+        let text = stream(12, newline);
+        let part = &text[..at.min(text.len())];
+        let mut framer = EventFramer::default();
+        for chunk in part.as_bytes().chunks(cut) {
+            framer.push(chunk).expect("small");
+        }
+        let is_whole = part.is_empty() || part.ends_with(&format!("{newline}{newline}"));
+        prop_assert_eq!(framer.finish().is_ok(), is_whole);
+    }
+
+
     /// However a stream is split into chunks, all of it is passed on in order, and each part passed
     /// on ends at the end of an event.
     #[test]
@@ -60,6 +116,6 @@
         }
         prop_assert_eq!(passed, text.as_bytes());
         prop_assert_eq!(framer.last_id(), Some("12"));
-        prop_assert!(!framer.has_partial());
+        prop_assert_eq!(framer.finish(), Ok(None));
     }
 }
