Deliver the events that were read before a stream broke off

An aborted stream is an error for the HTTP library, which then drops the connection with everything that it has buffered. Events that were read together with the break behind them never reached the caller, which then had to ask for them again. The body now gives the library one turn to write before it fails. cut_streams.rs: four of the six cases failed before.

--- a/crates/hickoryhall-edge/src/body.rs
+++ b/crates/hickoryhall-edge/src/body.rs
@@ -34,6 +34,8 @@
 pub struct BodyReceiver {
     chunks: mpsc::Receiver<Bytes>,
     is_complete: Arc<AtomicBool>,
+    /// Whether the HTTP library has had a turn to write the chunks before an abort.
+    has_yielded: bool,
 }
 
 /// Sending half of a streamed body; dropping it without [`finish`](Self::finish) aborts the stream.
@@ -62,6 +64,7 @@
         let body_receiver = BodyReceiver {
             chunks: receiver,
             is_complete,
+            has_yielded: false,
         };
         (body_sender, Self::Stream(body_receiver))
     }
@@ -104,11 +107,18 @@
 
 impl BodyReceiver {
     fn poll(&mut self, cx: &mut Context<'_>) -> Poll<Option<Result<Bytes, StreamAborted>>> {
-        self.chunks.poll_recv(cx).map(|chunk| match chunk {
-            Some(chunk) => Some(Ok(chunk)),
-            None if self.is_complete.load(Ordering::Acquire) => None,
-            None => Some(Err(StreamAborted)),
-        })
+        match ready!(self.chunks.poll_recv(cx)) {
+            Some(chunk) => Poll::Ready(Some(Ok(chunk))),
+            None if self.is_complete.load(Ordering::Acquire) => Poll::Ready(None),
+            None if self.has_yielded => Poll::Ready(Some(Err(StreamAborted))),
+            None => {
+                // An error discards the chunks that the HTTP library has not written; it writes them
+                // while it waits for more.
+                self.has_yielded = true;
+                cx.waker().wake_by_ref();
+                Poll::Pending
+            }
+        }
     }
 }
 
