Log the software of servers and what a caller takes up

Streams went on at another software version, and no line told which version a runner had. No decision depends on it.

--- a/crates/hickoryhall-gateway/src/core.rs
+++ b/crates/hickoryhall-gateway/src/core.rs
@@ -216,7 +216,8 @@
                     self.logger, "core: Backend server registered or updated.";
                     "server" => &*server.id, "service" => &*server.service,
                     "address" => %server.address, "leaving" => server.is_leaving,
-                    "weights" => ?server.models, "incarnation" => server.incarnation
+                    "weights" => ?server.models, "incarnation" => server.incarnation,
+                    "software" => &*server.software
                 ),
                 RegistryEvent::Removed(id) => {
                     info!(self.logger, "core: Backend server gone."; "server" => &**id);
--- a/crates/hickoryhall-gateway/src/exchange/record.rs
+++ b/crates/hickoryhall-gateway/src/exchange/record.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 use std::time::Instant;
 
-use hickoryhall_types::Ran;
+use hickoryhall_types::{Ran, SoftwareVersion};
 use hyper::StatusCode;
 use metrics::{counter, histogram};
 use slog::{Logger, info};
@@ -37,6 +37,10 @@
     /// Bytes of an incomplete event that streams ended with.
     incomplete_bytes: usize,
     placed: Option<PlacementRecord>,
+    /// Request that the caller says it takes up.
+    resumes: Arc<str>,
+    /// Software of the servers that sent events, in order.
+    event_software: Vec<SoftwareVersion>,
     first_event_ms: Option<u128>,
     /// Bytes of the events passed on.
     bytes: usize,
@@ -80,9 +84,10 @@
 impl RequestRecord {
     pub fn new(request: &PreparedRequest, logger: Logger) -> Self {
         let workspace = request.workspace.as_ref();
+        let meta = &request.meta;
         Self {
             logger,
-            request_id: request.meta.request_id.clone(),
+            request_id: meta.request_id.clone(),
             route: request.route.name.clone(),
             service: request.service.clone(),
             workspace: workspace.map_or_else(|| "".into(), |workspace| workspace.id.clone()),
@@ -95,6 +100,8 @@
             framing: None,
             incomplete_bytes: 0,
             placed: None,
+            resumes: meta.resumed_request_id.clone().unwrap_or_else(|| "".into()),
+            event_software: Vec::new(),
             first_event_ms: None,
             bytes: 0,
             is_ended: false,
@@ -147,9 +154,15 @@
         self.first_event_ms = Some(elapsed.as_millis());
     }
 
-    /// Records the size of events passed on to the caller.
-    pub fn events(&mut self, bytes: usize) {
+    /// Records the size of events passed on to the caller, and the software of their server.
+    pub fn events(&mut self, bytes: usize, software: &SoftwareVersion) {
         self.bytes += bytes;
+        if self.event_software.last() != Some(software) {
+            self.event_software.push(software.clone());
+            if self.event_software.len() == 2 {
+                counter!("streams_of_two_versions_total").increment(1);
+            }
+        }
     }
 
     /// Records the size of an incomplete event at the end of a stream, 0 if there is none.
@@ -211,7 +224,8 @@
             "tried" => self.tried.join(" "), "responses" => self.responses.join(" "),
             "server_status" => self.server_status, "bytes" => self.bytes,
             "framing" => self.framing.map_or("", BodyFraming::as_str),
-            "incomplete_bytes" => self.incomplete_bytes
+            "incomplete_bytes" => self.incomplete_bytes, "resumes" => &*self.resumes,
+            "event_software" => self.event_software.join(" ")
         );
     }
 }
--- a/crates/hickoryhall-gateway/src/exchange/relay.rs
+++ b/crates/hickoryhall-gateway/src/exchange/relay.rs
@@ -214,7 +214,8 @@
         loop {
             match item {
                 StreamItem::Events(events) => {
-                    self.exchange.record.events(events.len());
+                    let software = &self.upstream.stream.server.software;
+                    self.exchange.record.events(events.len(), software);
                     if !sender.send(events).await {
                         return RelayOutcome::CallerLeft;
                     }
@@ -277,7 +278,8 @@
                 "exchange: Stream is being resumed at another runner.";
                 "request" => &*self.exchange.request.meta.request_id, "reason" => reason,
                 "after" => last_id.as_deref().unwrap_or_default(),
-                "server" => &*assignment.server.id
+                "server" => &*assignment.server.id, "software" => &*assignment.server.software,
+                "software_before" => &*self.upstream.stream.server.software
             );
             let attempted = self
                 .exchange
--- a/crates/hickoryhall-gateway/src/interface.rs
+++ b/crates/hickoryhall-gateway/src/interface.rs
@@ -55,6 +55,8 @@
     pub prompt: Option<Prompt>,
     /// Id of the last event that the caller received of a broken stream which it resumes.
     pub last_event_id: Option<Box<str>>,
+    /// Id of the request that brought the first event of that stream, where the caller names it.
+    pub resumed_request_id: Option<Arc<str>>,
 }
 
 /// The head of a caller's request is invalid.
--- a/crates/hickoryhall-gateway/src/registry.rs
+++ b/crates/hickoryhall-gateway/src/registry.rs
@@ -5,7 +5,7 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use hickoryhall_types::{FailureDomainId, Incarnation, TargetId, WeightsVersion};
+use hickoryhall_types::{FailureDomainId, Incarnation, SoftwareVersion, TargetId, WeightsVersion};
 
 /// Id of a backend server, unique across services.
 pub type ServerId = Arc<str>;
@@ -37,6 +37,8 @@
     pub is_leaving: bool,
     /// Models that it serves, with their weights versions; empty if it serves none.
     pub models: Vec<(TargetId, WeightsVersion)>,
+    /// Version of its software.
+    pub software: SoftwareVersion,
     /// Identifies the process start; state recorded for an older incarnation is invalid.
     pub incarnation: Incarnation,
 }
--- a/crates/hickoryhall-gateway/tests/groups.rs
+++ b/crates/hickoryhall-gateway/tests/groups.rs
@@ -166,6 +166,7 @@
         slots: 10_000,
         is_leaving: false,
         models: vec![("m".into(), 1)],
+        software: "v1".into(),
         incarnation: 1,
     }
 }
--- a/crates/hickoryhall-gateway/tests/registry.rs
+++ b/crates/hickoryhall-gateway/tests/registry.rs
@@ -13,6 +13,7 @@
         slots: 6,
         is_leaving: false,
         models: Vec::new(),
+        software: "v1".into(),
         incarnation: 1,
     }
 }
@@ -78,6 +79,7 @@
     assert!(registry.on_entry(server("s1")).is_some());
     assert!(registry.on_entry(server("s1")).is_none());
     let restarted = BackendServer {
+        software: "v1".into(),
         incarnation: 2,
         ..server("s1")
     };
--- a/crates/hickoryhall-gateway/tests/registry_eras.rs
+++ b/crates/hickoryhall-gateway/tests/registry_eras.rs
@@ -15,6 +15,7 @@
         slots: 6,
         is_leaving: false,
         models: Vec::new(),
+        software: "v1".into(),
         incarnation,
     };
     RegistryEntry { server, heartbeats }
--- a/crates/hickoryhall-gateway/tests/scheduler.rs
+++ b/crates/hickoryhall-gateway/tests/scheduler.rs
@@ -79,6 +79,7 @@
             slots,
             is_leaving,
             models: vec![("m".into(), weights)],
+            software: "v1".into(),
             incarnation: 1,
         };
         self.scheduler.on_registry(RegistryEvent::Upsert(server));
--- a/crates/hickoryhall-gateway/tests/support/mod.rs
+++ b/crates/hickoryhall-gateway/tests/support/mod.rs
@@ -52,6 +52,7 @@
         slots,
         is_leaving: false,
         models: vec![("m".into(), 1)],
+        software: "v1".into(),
         incarnation: 1,
     }
 }
--- a/crates/hickoryhall-gateway/tests/turned_away.rs
+++ b/crates/hickoryhall-gateway/tests/turned_away.rs
@@ -90,6 +90,7 @@
         assert!(is_leaving(&not_registered, now));
         // A digest that was sent before the server started again.
         let restarted = BackendServer {
+            software: "v1".into(),
             incarnation: 2,
             ..runner(1, 8)
         };
@@ -240,6 +241,7 @@
     fixture.scheduler.on_registry(returned);
     assert_eq!(fixture.server_of(1), None);
     let restarted = BackendServer {
+        software: "v1".into(),
         incarnation: 2,
         ..runner(0, 8)
     };
--- a/crates/hickoryhall-types/src/ids.rs
+++ b/crates/hickoryhall-types/src/ids.rs
@@ -18,6 +18,8 @@
 pub type Revision = u64;
 /// Version number of a model's weights.
 pub type WeightsVersion = u64;
+/// Version of the software of a backend server; versions are equal or not, without an order.
+pub type SoftwareVersion = Arc<str>;
 /// Number that is issued with a lease; a backend server that checks it refuses an order whose
 /// number is lower than one it has seen.
 pub type FencingNumber = u64;
