Log a peer's first digest also if its address was known

Also names the event after which a caller takes its stream up in the request's line. The record of a peer that the settings list is made before its first digest, so that nothing told when a host had heard of another.

--- a/crates/hickoryhall-gateway/src/exchange/record.rs
+++ b/crates/hickoryhall-gateway/src/exchange/record.rs
@@ -37,8 +37,9 @@
     /// Bytes of an incomplete event that streams ended with.
     incomplete_bytes: usize,
     placed: Option<PlacementRecord>,
-    /// Request that the caller says it takes up.
+    /// Request that the caller says it takes up, and the last event that it has.
     resumes: Arc<str>,
+    resumes_after: Box<str>,
     /// Software of the servers that sent events, in order.
     event_software: Vec<SoftwareVersion>,
     first_event_ms: Option<u128>,
@@ -101,6 +102,7 @@
             incomplete_bytes: 0,
             placed: None,
             resumes: meta.resumed_request_id.clone().unwrap_or_else(|| "".into()),
+            resumes_after: meta.last_event_id.clone().unwrap_or_default(),
             event_software: Vec::new(),
             first_event_ms: None,
             bytes: 0,
@@ -225,6 +227,7 @@
             "server_status" => self.server_status, "bytes" => self.bytes,
             "framing" => self.framing.map_or("", BodyFraming::as_str),
             "incomplete_bytes" => self.incomplete_bytes, "resumes" => &*self.resumes,
+            "resumes_after" => &*self.resumes_after,
             "event_software" => self.event_software.join(" ")
         );
     }
--- a/crates/hickoryhall-gateway/src/peers/known_peers.rs
+++ b/crates/hickoryhall-gateway/src/peers/known_peers.rs
@@ -96,7 +96,7 @@
 
     /// Records a digest received directly from its sender.
     ///
-    /// Returns whether the sender's address was unknown.
+    /// Returns whether it is the first one of its sender.
     pub fn record_digest(&mut self, now: Instant, ip: Ipv4Addr, digest: &Digest) -> bool {
         let peer = KnownPeer {
             last_seen_at: now,
@@ -107,7 +107,8 @@
                 group: digest.group,
             }),
         };
-        self.peers.insert(ip, peer).is_none()
+        let before = self.peers.insert(ip, peer);
+        before.is_none_or(|before| before.identity.is_none())
     }
 
     /// Adds addresses that another host listed.
