--- a/crates/hickoryhall-gateway/src/core.rs
+++ b/crates/hickoryhall-gateway/src/core.rs
@@ -3,6 +3,7 @@
 
 mod digests;
 mod handle;
+mod streams;
 
 use std::collections::HashMap;
 use std::sync::Arc;
@@ -28,6 +29,8 @@
     RunnerView, Scheduler, SchedulerConfig, WeightsChange,
 };
 use crate::table::RouteTable;
+use streams::StreamState;
+pub use streams::{StreamMessages, TakeUpReply};
 
 /// Time between two ticks while requests are queued for a server.
 const WAITING_TICK_INTERVAL: Duration = Duration::from_millis(10);
@@ -46,6 +49,8 @@
     /// Limit on the retries of the whole fleet, applied to each service; every host uses an equal
     /// share of it.
     pub retry_limit: FleetRetryLimit,
+    /// Whether the whole fleet starts for the first time.
+    pub is_first_start: bool,
 }
 
 /// Where this host learned of a desired version.
@@ -83,6 +88,7 @@
     /// Prompts that runners prefilled for this host's group since its last group digest; `None`
     /// while another member sends the group digests.
     collected_prompts: Option<Vec<PromptUpdate>>,
+    streams: StreamState,
     /// Reply channels of the attempts that wait for a placement.
     pending_replies: HashMap<AttemptId, oneshot::Sender<Placement>>,
     logger: Logger,
@@ -98,6 +104,7 @@
     pub fn new(config: CoreConfig, logger: Logger) -> Self {
         Self {
             scheduler: Scheduler::new(config.scheduler.clone()),
+            streams: StreamState::new(config.is_first_start),
             config,
             registry: Registry::default(),
             table: None,
@@ -128,6 +135,9 @@
         }
         info!(self.logger, "core: Table in force."; "revision" => table.revision(), "before" => current);
         self.scheduler.set_table(&table);
+        self.streams
+            .versions
+            .set_longest_timeout(table.longest_timeout());
         self.table = Some(Arc::new(table));
         true
     }
@@ -161,6 +171,7 @@
         let outdated = outdated.cloned().collect::<Vec<_>>();
         let events = self.registry.on_list(now, entries);
         self.apply_registry_events(events);
+        self.streams.versions.on_registry_list(now);
         for RegistryEntry { server, heartbeats } in &outdated {
             info!(
                 self.logger, "core: Registry entry of an older copy not applied.";
@@ -212,14 +223,18 @@
     fn apply_registry_events(&mut self, events: impl IntoIterator<Item = RegistryEvent>) {
         for event in events {
             match &event {
-                RegistryEvent::Upsert(server) => info!(
-                    self.logger, "core: Backend server registered or updated.";
-                    "server" => &*server.id, "service" => &*server.service,
-                    "address" => %server.address, "leaving" => server.is_leaving,
-                    "weights" => ?server.models, "incarnation" => server.incarnation,
-                    "software" => &*server.software
-                ),
+                RegistryEvent::Upsert(server) => {
+                    self.streams.versions.on_server(server);
+                    info!(
+                        self.logger, "core: Backend server registered or updated.";
+                        "server" => &*server.id, "service" => &*server.service,
+                        "address" => %server.address, "leaving" => server.is_leaving,
+                        "weights" => ?server.models, "incarnation" => server.incarnation,
+                        "software" => &*server.software
+                    );
+                }
                 RegistryEvent::Removed(id) => {
+                    self.streams.versions.on_server_gone(id);
                     info!(self.logger, "core: Backend server gone."; "server" => &**id);
                 }
             }
@@ -411,6 +426,7 @@
     pub fn tick(&mut self, now: Instant) -> Duration {
         let events = self.registry.expire(now);
         self.apply_registry_events(events);
+        self.streams.versions.expire(now);
         self.place_waiting(now);
         if self.scheduler.waiting_count() > 0 {
             WAITING_TICK_INTERVAL
--- a/crates/hickoryhall-gateway/src/core/digests.rs
+++ b/crates/hickoryhall-gateway/src/core/digests.rs
@@ -5,7 +5,7 @@
 
 use hickoryhall_types::hash_name;
 
-use super::{Core, DesiredVersionSource};
+use super::{Core, DesiredVersionSource, StreamMessages};
 use crate::peers::{DesiredVersionUpdate, Digest, PromptUpdate, Scope, ServerUpdate};
 use crate::scheduler::{AnnouncedState, GroupHash, HostHash, LoadSource};
 
@@ -39,6 +39,20 @@
         }
     }
 
+    /// Returns a heartbeat that carries messages about streams and nothing else.
+    #[must_use]
+    pub fn stream_digest(&self, group: GroupHash, streams: StreamMessages) -> Digest {
+        Digest {
+            host: self.config.host,
+            domain: hash_name(&self.config.scheduler.domain),
+            group,
+            scope: Scope::Heartbeat,
+            table_revision: self.table.as_ref().map_or(0, |table| table.revision()),
+            streams,
+            ..Digest::default()
+        }
+    }
+
     /// Returns the digest for other groups with the summed load of this host's group.
     ///
     /// `hosts` are the other members. The first call starts the collection of prompts.
--- a/crates/hickoryhall-gateway/src/core/handle.rs
+++ b/crates/hickoryhall-gateway/src/core/handle.rs
@@ -21,6 +21,10 @@
     actor: ActorOwn<Core>,
     /// Notified after each call that leaves attempts waiting, so that the next tick comes early.
     wake: Notify,
+    /// Notified after each call that leaves streams of which peers have to be told.
+    untold: Notify,
+    /// Notified after each call that leaves questions to peers.
+    unasked: Notify,
 }
 
 impl CoreHandle {
@@ -35,6 +39,8 @@
             stakker: RefCell::new(stakker),
             actor,
             wake: Notify::new(),
+            untold: Notify::new(),
+            unasked: Notify::new(),
         };
         Self {
             shared: Rc::new(shared),
@@ -52,6 +58,12 @@
         let now = Instant::now();
         let result = self.shared.actor.query(&mut stakker, |core, _cx| {
             let result = act(core, now);
+            if core.has_untold_streams() {
+                self.shared.untold.notify_one();
+            }
+            if core.has_unasked_questions() {
+                self.shared.unasked.notify_one();
+            }
             (result, core.scheduler.waiting_count() > 0)
         });
         let (result, is_waiting) =
@@ -62,6 +74,16 @@
         result
     }
 
+    /// Waits until peers have to be told of streams.
+    pub async fn has_untold_streams(&self) {
+        self.shared.untold.notified().await;
+    }
+
+    /// Waits until peers have to be asked about streams.
+    pub async fn has_unasked_questions(&self) {
+        self.shared.unasked.notified().await;
+    }
+
     /// Runs the actor's ticks until the task is dropped.
     pub async fn run(&self) {
         let mut wait = IDLE_TICK_INTERVAL;
--- /dev/null
+++ b/crates/hickoryhall-gateway/src/core/streams.rs
@@ -0,0 +1,223 @@
+//! Software versions of streams: what is told to peers, and what they are asked.
+
+use std::collections::HashMap;
+use std::net::Ipv4Addr;
+use std::time::{Instant, SystemTime, UNIX_EPOCH};
+
+use hickoryhall_types::hash_name;
+use slog::{debug, info};
+use tokio::sync::oneshot;
+
+use super::Core;
+use crate::registry::BackendServer;
+use crate::stream_versions::{
+    Inquiry, Moment, SoftwareHash, StreamHash, StreamKnowledge, StreamOrigin, StreamQuestion,
+    StreamVersions, TakeUp,
+};
+
+/// Receives the version at which a stream goes on, `None` if nobody knows.
+pub type TakeUpReply = oneshot::Sender<Option<SoftwareHash>>;
+
+/// State of the streams of this host and of those that callers take up here.
+pub(super) struct StreamState {
+    pub versions: StreamVersions,
+    /// Streams that peers have not been told of.
+    untold: Vec<StreamOrigin>,
+    inquiries: HashMap<StreamQuestion, OpenInquiry>,
+    /// Questions that no peer has been asked.
+    unasked: Vec<StreamQuestion>,
+}
+
+/// An inquiry with the requests that wait for it.
+struct OpenInquiry {
+    inquiry: Inquiry,
+    replies: Vec<TakeUpReply>,
+}
+
+/// What hosts tell and ask each other about streams.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct StreamMessages {
+    /// Streams that the sender began.
+    pub told: Vec<StreamOrigin>,
+    /// Streams that callers take up at the sender.
+    pub asked: Vec<StreamQuestion>,
+    /// Answers to questions of the recipient.
+    pub answers: Vec<(StreamQuestion, StreamKnowledge)>,
+}
+
+impl StreamMessages {
+    /// Returns whether there is nothing to say.
+    #[must_use]
+    pub fn is_empty(&self) -> bool {
+        self.told.is_empty() && self.asked.is_empty() && self.answers.is_empty()
+    }
+}
+
+impl StreamState {
+    pub fn new(is_first_start: bool) -> Self {
+        Self {
+            versions: StreamVersions::new(is_first_start),
+            untold: Vec::new(),
+            inquiries: HashMap::new(),
+            unasked: Vec::new(),
+        }
+    }
+}
+
+impl Core {
+    fn moment(&self, now: Instant) -> Moment {
+        let unix = SystemTime::now().duration_since(UNIX_EPOCH);
+        let unix_ms = unix.unwrap_or_default().as_millis();
+        Moment {
+            now,
+            unix_ms: u64::try_from(unix_ms).unwrap_or(u64::MAX),
+            is_registry_read: self.registry.is_store_reachable(),
+        }
+    }
+
+    /// Returns the software of the process that a request was sent to, `None` if it is uncertain.
+    #[must_use]
+    pub fn software_of(&self, server: &BackendServer) -> Option<SoftwareHash> {
+        self.streams.versions.software_of(server)
+    }
+
+    /// Records that a stream has its first event; `stream` is the request that brought it.
+    pub fn record_stream(&mut self, now: Instant, stream: StreamHash, server: &BackendServer) {
+        let Some(software) = self.software_of(server) else {
+            return;
+        };
+        let origin = StreamOrigin {
+            stream,
+            service: hash_name(&server.service),
+            software,
+        };
+        let moment = self.moment(now);
+        let is_told = self.streams.versions.must_tell(moment, origin.service);
+        self.streams.versions.record(now, &origin);
+        if is_told {
+            self.streams.untold.push(origin);
+        }
+    }
+
+    /// Decides at which software version a stream that a caller takes up goes on, and sends it
+    /// through `reply`, at once or when peers have answered.
+    pub fn take_up(&mut self, now: Instant, question: StreamQuestion, reply: TakeUpReply) {
+        let moment = self.moment(now);
+        match self.streams.versions.take_up(moment, &question) {
+            TakeUp::At(software) => {
+                // Fails only if the caller has left.
+                let _ = reply.send(Some(software));
+            }
+            TakeUp::Ask => {
+                let own = self.streams.versions.knowledge(moment, &question);
+                let open = self.streams.inquiries.entry(question);
+                let open = open.or_insert_with(|| {
+                    self.streams.unasked.push(question);
+                    OpenInquiry {
+                        inquiry: Inquiry::new(own),
+                        replies: Vec::new(),
+                    }
+                });
+                open.replies.push(reply);
+            }
+        }
+    }
+
+    /// Returns the questions of open inquiries, which these peers are asked now. Without peers the
+    /// inquiries end.
+    pub fn ask_peers(&mut self, now: Instant, peers: &[Ipv4Addr]) -> Vec<StreamQuestion> {
+        self.streams.unasked.clear();
+        for open in self.streams.inquiries.values_mut() {
+            open.inquiry.ask(peers.iter().copied());
+        }
+        let questions = self.streams.inquiries.keys().copied().collect::<Vec<_>>();
+        if peers.is_empty() {
+            for question in &questions {
+                self.end_inquiry(now, question);
+            }
+        }
+        questions
+    }
+
+    /// Returns whether an inquiry is open.
+    #[must_use]
+    pub fn has_open_inquiries(&self) -> bool {
+        !self.streams.inquiries.is_empty()
+    }
+
+    /// Ends an inquiry with what is known by then.
+    pub fn end_inquiry(&mut self, now: Instant, question: &StreamQuestion) {
+        let open = self.streams.inquiries.get(question);
+        let software = open.and_then(|open| open.inquiry.finish());
+        self.resolve(now, question, software);
+    }
+
+    fn resolve(&mut self, now: Instant, question: &StreamQuestion, software: Option<SoftwareHash>) {
+        let Some(open) = self.streams.inquiries.remove(question) else {
+            return;
+        };
+        self.streams.unasked.retain(|other| other != question);
+        info!(
+            self.logger, "core: Peers were asked for the software version of a stream.";
+            "stream" => question.stream, "is_known" => software.is_some(),
+            "inquiry" => ?open.inquiry
+        );
+        if let (Some(stream), Some(software)) = (question.stream, software) {
+            let origin = StreamOrigin {
+                stream,
+                service: question.service,
+                software,
+            };
+            self.streams.versions.record(now, &origin);
+        }
+        for reply in open.replies {
+            // Fails only if the caller has left.
+            let _ = reply.send(software);
+        }
+    }
+
+    /// Applies what a peer tells and answers, and returns the answers to its questions.
+    pub fn on_stream_messages(
+        &mut self,
+        now: Instant,
+        from: Ipv4Addr,
+        messages: &StreamMessages,
+    ) -> Vec<(StreamQuestion, StreamKnowledge)> {
+        for origin in &messages.told {
+            self.streams.versions.record(now, origin);
+        }
+        for (question, answer) in &messages.answers {
+            debug!(self.logger, "core: Answer about the software version of a stream."; "host" => %from, "stream" => question.stream, "answer" => ?answer);
+            let Some(open) = self.streams.inquiries.get_mut(question) else {
+                continue;
+            };
+            let inquiry = &mut open.inquiry;
+            let software = inquiry.on_answer(from, *answer);
+            if software.is_some() {
+                self.resolve(now, question, software);
+            } else if inquiry.is_complete() {
+                self.end_inquiry(now, question);
+            }
+        }
+        let moment = self.moment(now);
+        let asked = messages.asked.iter();
+        let answers = asked.map(|question| {
+            let knowledge = self.streams.versions.knowledge(moment, question);
+            (*question, knowledge)
+        });
+        answers.collect()
+    }
+
+    pub(super) fn has_untold_streams(&self) -> bool {
+        !self.streams.untold.is_empty()
+    }
+
+    pub(super) fn has_unasked_questions(&self) -> bool {
+        !self.streams.unasked.is_empty()
+    }
+
+    /// Takes the streams that peers have not been told of.
+    pub fn take_untold_streams(&mut self) -> Vec<StreamOrigin> {
+        std::mem::take(&mut self.streams.untold)
+    }
+}
--- a/crates/hickoryhall-gateway/src/exchange.rs
+++ b/crates/hickoryhall-gateway/src/exchange.rs
@@ -9,6 +9,7 @@
 mod intake;
 mod record;
 mod relay;
+mod take_up;
 
 use std::cell::Cell;
 use std::rc::Rc;
@@ -27,7 +28,10 @@
 use crate::interface::{LocalFailure, Platform};
 use crate::outcome::{Ending, NextStep, RequestOutcome, TimeLeft};
 use crate::registry::ServerId;
-use crate::scheduler::{Assignment, AttemptId, PlacementRefusal, PlacementRequest, ReportedState};
+use crate::scheduler::{
+    Assignment, AttemptId, PlacementRefusal, PlacementRequest, RefusalReason, ReportedState,
+};
+use crate::stream_versions::SoftwareHash;
 
 use attempt::{AttemptFailure, AttemptGuard, AttemptResult, BufferedResponse};
 use intake::{PreparedRequest, Rejection};
@@ -192,6 +196,8 @@
     /// Servers that failed this request or did not run it; it is not placed there again.
     excluded: Vec<ServerId>,
     outcome: RequestOutcome<BufferedResponse>,
+    /// Software version at which the stream must go on, once it has begun.
+    software: Option<SoftwareHash>,
     /// Whether a server broke the request off before, so that it may crash servers.
     is_suspect: bool,
     record: RequestRecord,
@@ -210,6 +216,7 @@
             request,
             excluded: Vec::new(),
             outcome,
+            software: None,
             is_suspect: false,
             record,
             _in_flight: in_flight,
@@ -220,6 +227,9 @@
         if let Some(failure) = self.refuse_suspect() {
             return self.respond_failure(failure);
         }
+        if let Some(failure) = self.find_software().await {
+            return self.respond_failure(failure);
+        }
         loop {
             let (assignment, guard) = match self.place().await {
                 Ok(placed) => placed,
@@ -273,6 +283,7 @@
             target_latency: self.request.route.target_latency,
             deadline: self.request.deadline,
             excluded_servers: self.excluded.clone(),
+            software: self.software,
             is_suspect: self.is_suspect,
         };
         let (reply, placement) = oneshot::channel();
@@ -342,7 +353,11 @@
     fn respond_refused(mut self, refusal: PlacementRefusal) -> Response<ResponseBody> {
         let time_left = self.time_left();
         let reason = refusal.reason.as_str();
-        let ending = self.outcome.end(time_left, refusal.retry_after, reason);
+        let mut ending = self.outcome.end(time_left, refusal.retry_after, reason);
+        if let (RefusalReason::VersionGone, Ending::Fail(failure)) = (refusal.reason, &mut ending) {
+            // It does not come back: the caller has to begin anew.
+            failure.retry_after = None;
+        }
         self.respond_ending(ending)
     }
 
--- a/crates/hickoryhall-gateway/src/exchange/intake.rs
+++ b/crates/hickoryhall-gateway/src/exchange/intake.rs
@@ -140,7 +140,9 @@
         let deadline = deadline(arrived_at, &meta, &route);
         let body = read_body(body, table.limits(), deadline, &meta).await?;
         let fingerprint = fingerprint(&head, &meta, &body);
-        let hash = hickoryhall_types::hash_name(&meta.request_id);
+        // A stream that is taken up goes on at the service that began it.
+        let first_request_id = meta.resumed_request_id.as_ref().unwrap_or(&meta.request_id);
+        let hash = hickoryhall_types::hash_name(first_request_id);
         let service = route.target(hash).cloned().ok_or_else(|| {
             Rejection::new(Some(&meta), StatusCode::SERVICE_UNAVAILABLE, "no_service")
         })?;
--- a/crates/hickoryhall-gateway/src/exchange/relay.rs
+++ b/crates/hickoryhall-gateway/src/exchange/relay.rs
@@ -167,6 +167,9 @@
     async fn run(mut self, first: StreamItem, sender: BodySender) {
         self.exchange.record.first_event();
         self.upstream.stream.guard.first_event();
+        if matches!(first, StreamItem::Events(_)) {
+            self.exchange.stream_began(&self.upstream.stream.server);
+        }
         let outcome = tokio::select! {
             biased;
             () = sender.closed() => RelayOutcome::CallerLeft,
@@ -262,7 +265,7 @@
         self.exchange
             .attempt_failed(&self.upstream.stream.server.id.clone(), reason);
         self.exchange.outcome.record_possible_run();
-        if !self.exchange.may_run_again() {
+        if self.exchange.software.is_none() || !self.exchange.may_run_again() {
             return false;
         }
         if reason != SILENT {
--- a/crates/hickoryhall-gateway/src/host.rs
+++ b/crates/hickoryhall-gateway/src/host.rs
@@ -87,7 +87,8 @@
         logger, "host: Host started.";
         "failure_domain" => &settings.failure_domain, "callers" => %settings.callers,
         "readiness" => %settings.readiness, "peer_port" => settings.peer_port,
-        "version" => env!("CARGO_PKG_VERSION")
+        "version" => env!("CARGO_PKG_VERSION"),
+        "first_start" => settings.is_first_start
     );
     host.run_until_stopped(signals, &settings_path, settings.bounds.grace_period())
         .await;
@@ -300,6 +301,7 @@
         host,
         scheduler,
         retry_limit: settings.bounds.retry_limit(),
+        is_first_start: settings.is_first_start,
     }
 }
 
@@ -385,6 +387,10 @@
 fn spawn_peers<P: Platform>(peers: &Rc<Peers<P>>, records_listener: TcpListener) {
     let sender = Rc::clone(peers);
     spawn_local(async move { sender.send_digests().await });
+    let teller = Rc::clone(peers);
+    spawn_local(async move { teller.tell_streams().await });
+    let asker = Rc::clone(peers);
+    spawn_local(async move { asker.ask_about_streams().await });
     let group_digest_sender = Rc::clone(peers);
     spawn_local(async move { group_digest_sender.send_group_digests().await });
     let receiver = Rc::clone(peers);
--- a/crates/hickoryhall-gateway/src/lib.rs
+++ b/crates/hickoryhall-gateway/src/lib.rs
@@ -25,4 +25,5 @@
 pub mod stalls;
 pub mod store_client;
 pub mod store_position;
+pub mod stream_versions;
 pub mod table;
--- a/crates/hickoryhall-gateway/src/peers.rs
+++ b/crates/hickoryhall-gateway/src/peers.rs
@@ -7,6 +7,7 @@
 
 mod known_peers;
 mod message;
+mod streams;
 
 use std::cell::RefCell;
 use std::io;
@@ -211,7 +212,12 @@
             Ok((digest, _)) if matches!(digest.scope, Scope::Group { .. }) => {
                 self.receive_group_digest(digest).await;
             }
-            Ok((digest, addresses)) => self.receive_digest(&digest, addresses, from),
+            Ok((digest, addresses)) => {
+                self.receive_digest(&digest, addresses, from);
+                if !digest.streams.is_empty() {
+                    self.receive_about_streams(from, &digest.streams).await;
+                }
+            }
             Err(error) => {
                 warn!(self.logger, "peers: Received a digest that cannot be decoded."; "host" => %from, "error" => %error);
             }
--- a/crates/hickoryhall-gateway/src/peers/known_peers.rs
+++ b/crates/hickoryhall-gateway/src/peers/known_peers.rs
@@ -7,7 +7,8 @@
 //! number of groups, not on the size of the fleet. Each host states its own group in its digests;
 //! while hosts disagree on the groups, their updates only arrive later.
 
-use std::collections::HashMap;
+use std::cmp::Reverse;
+use std::collections::{HashMap, HashSet};
 use std::net::Ipv4Addr;
 use std::time::{Duration, Instant};
 
@@ -42,6 +43,8 @@
 const FORGET_AFTER: Duration = Duration::from_secs(60);
 /// Number of known hosts above which no further address is added.
 const MAX_KNOWN_HOSTS: usize = 1_024;
+/// Number of peers that are told of a host's streams.
+const STREAM_KEEPERS: usize = 3;
 /// Maximum number of addresses listed in one digest.
 const MAX_ADDRESSES_PER_DIGEST: usize = 16;
 
@@ -148,6 +151,40 @@
         self.live_members(now).map(|(ip, _)| ip).collect()
     }
 
+    /// Returns the few peers that are told of the streams that this host begins: one in its own failure domain and the others in different ones, so that a
+    /// cut leaves some, as far as there are as many domains.
+    #[must_use]
+    pub fn stream_keepers(&self, now: Instant) -> Vec<Ipv4Addr> {
+        let local_host = self.local_host;
+        let peers = self.live_peers(now).map(|(ip, identity)| {
+            let score = rendezvous_score(local_host.host, identity.host);
+            (identity.domain, score, ip)
+        });
+        let mut peers = peers.collect::<Vec<_>>();
+        peers.sort_unstable_by_key(|&(domain, score, _)| {
+            (domain != local_host.domain, Reverse(score))
+        });
+        let mut domains = HashSet::new();
+        let (mut first, rest) = peers
+            .into_iter()
+            .partition::<Vec<_>, _>(|(domain, _, _)| domains.insert(*domain));
+        first.extend(rest);
+        let keepers = first.into_iter().take(STREAM_KEEPERS);
+        keepers.map(|(_, _, ip)| ip).collect()
+    }
+
+    /// Returns all known peers, also those that are not heard of now.
+    #[must_use]
+    pub fn all(&self) -> Vec<Ipv4Addr> {
+        self.peers.keys().copied().collect()
+    }
+
+    /// Returns the number of known peers.
+    #[must_use]
+    pub fn count(&self) -> usize {
+        self.peers.len()
+    }
+
     /// Returns the name hashes of the other live members of this host's group.
     #[must_use]
     pub fn member_hashes(&self, now: Instant) -> Vec<HostHash> {
--- a/crates/hickoryhall-gateway/src/peers/message.rs
+++ b/crates/hickoryhall-gateway/src/peers/message.rs
@@ -10,6 +10,7 @@
 use prost::Message;
 use wire::{WireDigest, WireSnapshot};
 
+use crate::core::StreamMessages;
 use crate::feeds::relay::RegistryRelay;
 use crate::interface::{StoreEra, StoreItem};
 use crate::scheduler::{DesiredVersionAge, GroupHash, HostHash, HostLoad};
@@ -42,6 +43,8 @@
     pub prompts: Vec<PromptUpdate>,
     /// Changes of the registry, from a host that reads it for its group.
     pub registry: Option<RegistryRelay>,
+    /// What the sender tells and asks the recipient about streams.
+    pub streams: StreamMessages,
 }
 
 /// Whose load a digest lists.
--- a/crates/hickoryhall-gateway/src/peers/message/wire.rs
+++ b/crates/hickoryhall-gateway/src/peers/message/wire.rs
@@ -12,10 +12,12 @@
     DesiredVersionUpdate, Digest, PromptUpdate, Scope, ServerUpdate, StoreRecords, StoreSnapshot,
     SuspectUpdate,
 };
+use crate::core::StreamMessages;
 use crate::feeds::relay::RegistryRelay;
 use crate::interface::{StoreChange, StoreItem};
 use crate::scheduler::{DesiredVersionAge, HostLoad};
 use crate::store_position::StorePosition;
+use crate::stream_versions::{StreamKnowledge, StreamOrigin, StreamQuestion};
 
 #[derive(Clone, PartialEq, Message)]
 pub(super) struct WireDigest {
@@ -50,6 +52,53 @@
     pub(super) registry: Option<WireRelay>,
     #[prost(uint64, tag = "14")]
     pub(super) store_era: u64,
+    /// Streams that the sender began.
+    #[prost(message, repeated, tag = "15")]
+    pub(super) streams: Vec<WireStreams>,
+    #[prost(message, repeated, tag = "16")]
+    pub(super) stream_questions: Vec<WireStreamQuestion>,
+    #[prost(message, repeated, tag = "17")]
+    pub(super) stream_answers: Vec<WireStreamAnswer>,
+}
+
+/// Streams of one service that began at one software version.
+#[derive(Clone, PartialEq, Message)]
+pub(super) struct WireStreams {
+    #[prost(fixed64, tag = "1")]
+    pub(super) service: u64,
+    #[prost(fixed64, tag = "2")]
+    pub(super) software: u64,
+    #[prost(fixed64, repeated, tag = "3")]
+    pub(super) streams: Vec<u64>,
+}
+
+#[derive(Clone, PartialEq, Message)]
+pub(super) struct WireStreamQuestion {
+    #[prost(fixed64, optional, tag = "1")]
+    pub(super) stream: Option<u64>,
+    #[prost(fixed64, tag = "2")]
+    pub(super) service: u64,
+}
+
+#[derive(Clone, PartialEq, Message)]
+pub(super) struct WireStreamAnswer {
+    #[prost(message, required, tag = "1")]
+    pub(super) question: WireStreamQuestion,
+    #[prost(enumeration = "WireKnowledge", tag = "2")]
+    pub(super) knowledge: i32,
+    /// Software version, unless several or none are known.
+    #[prost(fixed64, tag = "3")]
+    pub(super) software: u64,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq, prost::Enumeration)]
+#[repr(i32)]
+pub(super) enum WireKnowledge {
+    Unknown = 0,
+    Began = 1,
+    OnlyCurrent = 2,
+    OnlyOutdated = 3,
+    Several = 4,
 }
 
 #[derive(Clone, PartialEq, Message)]
@@ -184,10 +233,98 @@
             is_forwarded: digest.is_forwarded,
             registry: digest.registry.as_ref().map(WireRelay::from),
             store_era: digest.store_era,
+            streams: wire_streams(&digest.streams.told),
+            stream_questions: digest.streams.asked.iter().map(From::from).collect(),
+            stream_answers: digest.streams.answers.iter().map(From::from).collect(),
         }
     }
 }
 
+/// Groups streams by service and software version.
+fn wire_streams(origins: &[StreamOrigin]) -> Vec<WireStreams> {
+    let mut groups = Vec::<WireStreams>::new();
+    for origin in origins {
+        let (service, software) = (origin.service, origin.software);
+        let is_own =
+            |group: &&mut WireStreams| (group.service, group.software) == (service, software);
+        match groups.iter_mut().find(is_own) {
+            Some(group) => group.streams.push(origin.stream),
+            None => groups.push(WireStreams {
+                service,
+                software,
+                streams: vec![origin.stream],
+            }),
+        }
+    }
+    groups
+}
+
+fn stream_origins(group: &WireStreams) -> impl Iterator<Item = StreamOrigin> {
+    group.streams.iter().map(|&stream| StreamOrigin {
+        stream,
+        service: group.service,
+        software: group.software,
+    })
+}
+
+impl From<&StreamQuestion> for WireStreamQuestion {
+    fn from(question: &StreamQuestion) -> Self {
+        Self {
+            stream: question.stream,
+            service: question.service,
+        }
+    }
+}
+
+impl From<&WireStreamQuestion> for StreamQuestion {
+    fn from(wire: &WireStreamQuestion) -> Self {
+        Self {
+            stream: wire.stream,
+            service: wire.service,
+        }
+    }
+}
+
+impl From<&(StreamQuestion, StreamKnowledge)> for WireStreamAnswer {
+    fn from((question, knowledge): &(StreamQuestion, StreamKnowledge)) -> Self {
+        let (knowledge, software) = match *knowledge {
+            StreamKnowledge::Began(software) => (WireKnowledge::Began, software),
+            StreamKnowledge::Only {
+                software,
+                is_current: true,
+            } => (WireKnowledge::OnlyCurrent, software),
+            StreamKnowledge::Only { software, .. } => (WireKnowledge::OnlyOutdated, software),
+            StreamKnowledge::Several => (WireKnowledge::Several, 0),
+            StreamKnowledge::Unknown => (WireKnowledge::Unknown, 0),
+        };
+        Self {
+            question: question.into(),
+            knowledge: knowledge.into(),
+            software,
+        }
+    }
+}
+
+impl From<&WireStreamAnswer> for (StreamQuestion, StreamKnowledge) {
+    fn from(wire: &WireStreamAnswer) -> Self {
+        let software = wire.software;
+        let knowledge = match wire.knowledge() {
+            WireKnowledge::Unknown => StreamKnowledge::Unknown,
+            WireKnowledge::Began => StreamKnowledge::Began(software),
+            WireKnowledge::OnlyCurrent => StreamKnowledge::Only {
+                software,
+                is_current: true,
+            },
+            WireKnowledge::OnlyOutdated => StreamKnowledge::Only {
+                software,
+                is_current: false,
+            },
+            WireKnowledge::Several => StreamKnowledge::Several,
+        };
+        ((&wire.question).into(), knowledge)
+    }
+}
+
 impl From<WireDigest> for Digest {
     fn from(wire: WireDigest) -> Self {
         let scope = if wire.is_presence {
@@ -216,6 +353,11 @@
             suspects: wire.suspects.iter().map(SuspectUpdate::from).collect(),
             prompts: wire.prompts.iter().map(PromptUpdate::from).collect(),
             registry: wire.registry.map(RegistryRelay::from),
+            streams: StreamMessages {
+                told: wire.streams.iter().flat_map(stream_origins).collect(),
+                asked: wire.stream_questions.iter().map(From::from).collect(),
+                answers: wire.stream_answers.iter().map(From::from).collect(),
+            },
         }
     }
 }
--- /dev/null
+++ b/crates/hickoryhall-gateway/src/peers/streams.rs
@@ -0,0 +1,83 @@
+//! Tells and asks peers about the software versions of streams.
+
+use std::net::Ipv4Addr;
+use std::time::{Duration, Instant};
+
+use tokio::time::timeout;
+
+use super::Peers;
+use crate::core::StreamMessages;
+use crate::interface::Platform;
+
+/// Time between two messages about streams that this host began, for each host of the fleet: streams
+/// that begin meanwhile join, so that the messages of a host at the planned size fit its budget.
+const TELL_INTERVAL_PER_HOST: Duration = Duration::from_micros(200);
+/// Time after which peers are asked again, because a message may be lost and a host that has just
+/// started does not know its peers.
+const ASK_INTERVAL: Duration = Duration::from_millis(40);
+/// Maximum number of streams in a message, so that it fits into a datagram.
+const MAX_STREAMS_PER_MESSAGE: usize = 120;
+
+impl<P: Platform> Peers<P> {
+    /// Tells some peers of the streams that this host began, until the task is dropped.
+    pub async fn tell_streams(&self) {
+        loop {
+            self.core.has_untold_streams().await;
+            let streams = self.core.with(|core, _| core.take_untold_streams());
+            let keepers = self.known_peers.borrow().stream_keepers(Instant::now());
+            for told in streams.chunks(MAX_STREAMS_PER_MESSAGE) {
+                let messages = StreamMessages {
+                    told: told.to_vec(),
+                    ..StreamMessages::default()
+                };
+                self.send_about_streams(&keepers, messages).await;
+            }
+            let hosts = u32::try_from(self.known_peers.borrow().count()).unwrap_or(u32::MAX);
+            tokio::time::sleep(TELL_INTERVAL_PER_HOST * hosts).await;
+        }
+    }
+
+    /// Asks all peers about the streams that callers take up here, again until they have answered or
+    /// the inquiry ends, until the task is dropped.
+    pub async fn ask_about_streams(&self) {
+        loop {
+            if self.core.with(|core, _| core.has_open_inquiries()) {
+                // A new question is asked at once, together with those that are asked again.
+                let unasked = self.core.has_unasked_questions();
+                let _ = timeout(ASK_INTERVAL, unasked).await;
+            } else {
+                self.core.has_unasked_questions().await;
+            }
+            let peers = self.known_peers.borrow().all();
+            let questions = self.core.with(|core, now| core.ask_peers(now, &peers));
+            for asked in questions.chunks(MAX_STREAMS_PER_MESSAGE / 2) {
+                let messages = StreamMessages {
+                    asked: asked.to_vec(),
+                    ..StreamMessages::default()
+                };
+                self.send_about_streams(&peers, messages).await;
+            }
+        }
+    }
+
+    /// Applies what a peer says about streams, and answers its questions.
+    pub(super) async fn receive_about_streams(&self, from: Ipv4Addr, messages: &StreamMessages) {
+        let answers = self
+            .core
+            .with(|core, now| core.on_stream_messages(now, from, messages));
+        if !answers.is_empty() {
+            let messages = StreamMessages {
+                answers,
+                ..StreamMessages::default()
+            };
+            self.send_about_streams(&[from], messages).await;
+        }
+    }
+
+    async fn send_about_streams(&self, recipients: &[Ipv4Addr], streams: StreamMessages) {
+        let group = self.known_peers.borrow().group(Instant::now());
+        let mut digest = self.core.with(|core, _| core.stream_digest(group, streams));
+        digest.store_era = self.feeds.store_era();
+        self.send_all(recipients, &digest.encode(&[])).await;
+    }
+}
--- a/crates/hickoryhall-gateway/src/registry.rs
+++ b/crates/hickoryhall-gateway/src/registry.rs
@@ -278,6 +278,12 @@
         self.is_store_unreachable || self.returned_at.is_some_and(is_fresh)
     }
 
+    /// Returns whether the store can be read.
+    #[must_use]
+    pub fn is_store_reachable(&self) -> bool {
+        !self.is_store_unreachable
+    }
+
     fn is_settling(&self, now: Instant) -> bool {
         let is_fresh = |at| now.saturating_duration_since(at) < COPY_SETTLING;
         self.restored_at.is_some_and(is_fresh)
--- a/crates/hickoryhall-gateway/src/scheduler/placement.rs
+++ b/crates/hickoryhall-gateway/src/scheduler/placement.rs
@@ -8,6 +8,7 @@
 
 use super::{AttemptId, HostLoad, Priority};
 use crate::registry::{BackendServer, ServerId};
+use crate::stream_versions::SoftwareHash;
 
 /// Properties of a prompt that placement depends on.
 #[derive(Clone, Debug, PartialEq)]
@@ -43,6 +44,8 @@
     pub deadline: Instant,
     /// Servers that already failed this request or did not run it.
     pub excluded_servers: Vec<ServerId>,
+    /// Software version that the server must have, for a stream that goes on.
+    pub software: Option<SoftwareHash>,
     /// Whether the request may crash its server; it is kept apart from other such requests.
     pub is_suspect: bool,
 }
@@ -93,6 +96,8 @@
     Full,
     /// Every server that would accept work asked this host for a pause.
     Paused,
+    /// No server has the software version at which the stream goes on, or none that stays.
+    VersionGone,
     /// The best server would answer later than the target latency, and has too much queued work to
     /// take a late request.
     TooLate,
@@ -106,6 +111,7 @@
             Self::NoServer => "no_server",
             Self::Full => "full",
             Self::Paused => "paused",
+            Self::VersionGone => "version_gone",
             Self::TooLate => "too_late",
         }
     }
--- a/crates/hickoryhall-gateway/src/scheduler/search.rs
+++ b/crates/hickoryhall-gateway/src/scheduler/search.rs
@@ -7,12 +7,15 @@
 //! loads more uneven still. So the search compares only as many owners of the prompt as the demand
 //! for its family requires.
 
+use std::borrow::Cow;
 use std::time::Instant;
 
 use hickoryhall_routing::Level;
 use hickoryhall_types::rendezvous_score;
 
 use super::candidate::{Candidate, PromptAffinity};
+use crate::stream_versions::SoftwareHash;
+
 use super::{PlacementRequest, PromptInfo, RefusalReason, Scheduler, ServerKey};
 
 /// Least number of owners of a prompt that are compared in a large service: with a second one, a
@@ -33,6 +36,8 @@
     has_full: bool,
     /// Whether a server cannot take the request now for a reason that may end at any time.
     pub has_unavailable: bool,
+    /// Whether no server that stays has the software version that the request needs.
+    pub is_version_gone: bool,
     /// Earliest end of a pause of a server that could take the request otherwise.
     pub pause_end: Option<Instant>,
     /// Earliest end of a pause of a server that is excluded for this request.
@@ -57,7 +62,9 @@
 
     /// Returns why no server takes the request, if none can.
     pub fn refusal_reason(&self) -> RefusalReason {
-        if self.has_full {
+        if self.is_version_gone {
+            RefusalReason::VersionGone
+        } else if self.has_full {
             RefusalReason::Full
         } else if self.pause_end.is_some() {
             RefusalReason::Paused
@@ -75,6 +82,7 @@
     pub(super) fn search(&self, now: Instant, request: &PlacementRequest) -> Search {
         let keys = self.by_service.get(&request.service);
         let keys = keys.map(Vec::as_slice).unwrap_or_default();
+        let keys = &*self.with_software(keys, request.software);
         let prompt = request.prompt.as_ref();
         let affinities = prompt.map(|prompt| self.affinities(keys, prompt));
         let affinities = affinities.as_deref();
@@ -87,7 +95,11 @@
             ),
             _ => (self.sample(keys, request), u32::MAX),
         };
-        let mut search = Search::default();
+        let is_there = |key: &ServerKey| !self.servers[*key].is_leaving();
+        let mut search = Search {
+            is_version_gone: request.software.is_some() && !keys.iter().any(is_there),
+            ..Search::default()
+        };
         for index in indices {
             if search.candidates == limit {
                 break;
@@ -111,6 +123,20 @@
         search
     }
 
+    /// Returns the servers that have a software version, all of them if it does not matter.
+    fn with_software<'a>(
+        &self,
+        keys: &'a [ServerKey],
+        software: Option<SoftwareHash>,
+    ) -> Cow<'a, [ServerKey]> {
+        let Some(software) = software else {
+            return Cow::Borrowed(keys);
+        };
+        let keys = keys.iter().copied();
+        keys.filter(|&key| self.servers[key].has_software(software))
+            .collect()
+    }
+
     /// Returns the indices of all runners, the first owners of the prompt first; those of the
     /// prompt's length class come before the others, so that long prompts seldom stall the answers
     /// to short ones.
--- a/crates/hickoryhall-gateway/src/scheduler/server.rs
+++ b/crates/hickoryhall-gateway/src/scheduler/server.rs
@@ -12,6 +12,7 @@
 use crate::interface::ReportedLoad;
 use crate::peers::ServerUpdate;
 use crate::registry::BackendServer;
+use crate::stream_versions::SoftwareHash;
 use crate::table::RunnerCapacity;
 
 /// Time after which a load reported by a peer expires, because the peer may be gone.
@@ -81,6 +82,8 @@
     /// Registry entry; its incarnation is that of the newest known process, for which the entry may
     /// not have arrived yet.
     pub server: BackendServer,
+    /// Hash of the software version in the entry.
+    software: SoftwareHash,
     /// Hash of the server's id, under which hosts refer to it in updates.
     pub name_hash: u64,
     pub ejection: Ejection,
@@ -115,6 +118,7 @@
             .as_ref()
             .map_or(0, |capacity| capacity.kv_cache_tokens);
         Self {
+            software: hash_name(&server.software),
             name_hash: hash_name(&server.id),
             ejection: Ejection::default(),
             expected_cache: CacheEstimate::new(memory.into(), CACHE_ESTIMATE_LEVELS),
@@ -154,10 +158,17 @@
         } else {
             self.start_incarnation(server.incarnation, weights);
         }
+        self.software = hash_name(&server.software);
         self.server = server;
         self.weights_change(before, WeightsSource::Entry)
     }
 
+    /// Returns whether the process has a software version. That of a process whose entry has not
+    /// arrived is unknown.
+    pub fn has_software(&self, software: SoftwareHash) -> bool {
+        self.software == software && self.entry.0 == self.server.incarnation
+    }
+
     /// Forgets what is known of the process before, all of which ended with it.
     fn start_incarnation(&mut self, incarnation: Incarnation, weights: WeightsVersion) {
         self.replaced = Some(self.server.incarnation);
--- a/crates/hickoryhall-gateway/src/scheduler/waiting.rs
+++ b/crates/hickoryhall-gateway/src/scheduler/waiting.rs
@@ -71,6 +71,7 @@
             },
             until: match reason {
                 RefusalReason::Paused => self.pause_wait_until(now, request, search),
+                RefusalReason::VersionGone => Some(now),
                 _ => None,
             },
         }
--- a/crates/hickoryhall-gateway/src/settings.rs
+++ b/crates/hickoryhall-gateway/src/settings.rs
@@ -71,6 +71,9 @@
     pub seeds: Vec<SocketAddr>,
     /// Address of the store.
     pub store: SocketAddr,
+    /// Whether the whole fleet starts for the first time, so that there are no earlier streams.
+    #[serde(default)]
+    pub is_first_start: bool,
     /// Output format of the log.
     #[serde(default)]
     pub log_format: LogFormat,
--- a/crates/hickoryhall-gateway/src/table.rs
+++ b/crates/hickoryhall-gateway/src/table.rs
@@ -229,6 +229,13 @@
         self.services.iter()
     }
 
+    /// Returns the longest timeout of a route.
+    #[must_use]
+    pub fn longest_timeout(&self) -> Duration {
+        let timeouts = self.routes.iter().map(|route| route.timeout);
+        timeouts.max().unwrap_or_default()
+    }
+
     /// Returns the limits on callers' requests.
     #[must_use]
     pub fn limits(&self) -> CallerLimits {
--- a/crates/hickoryhall-gateway/tests/agreement.rs
+++ b/crates/hickoryhall-gateway/tests/agreement.rs
@@ -43,6 +43,7 @@
         target_latency: Duration::from_millis(600),
         deadline: now + Duration::from_secs(5),
         excluded_servers: Vec::new(),
+        software: None,
         is_suspect: false,
     };
     let placement = scheduler.place(now, request);
--- a/crates/hickoryhall-gateway/tests/groups.rs
+++ b/crates/hickoryhall-gateway/tests/groups.rs
@@ -145,6 +145,7 @@
             extra_retries: 10.0,
             window: Duration::from_secs(10),
         },
+        is_first_start: false,
     };
     let mut core = Core::new(config, Logger::root(Discard, o!()));
     core.set_table(table_of([("models", model_service(10_000, 100_000_000))]));
@@ -190,6 +191,7 @@
         target_latency: Duration::from_secs(10),
         deadline: network.now + Duration::from_secs(20),
         excluded_servers: Vec::new(),
+        software: None,
         is_suspect: false,
     };
     let (reply, mut placed) = oneshot::channel();
--- a/crates/hickoryhall-gateway/tests/herd.rs
+++ b/crates/hickoryhall-gateway/tests/herd.rs
@@ -88,6 +88,7 @@
         target_latency: Duration::from_millis(400),
         deadline: now + Duration::from_secs(15),
         excluded_servers: Vec::new(),
+        software: None,
         is_suspect: false,
     }
 }
--- a/crates/hickoryhall-gateway/tests/incarnations.rs
+++ b/crates/hickoryhall-gateway/tests/incarnations.rs
@@ -120,6 +120,7 @@
             target_latency: SECOND,
             deadline: self.now + 5 * SECOND,
             excluded_servers: Vec::new(),
+            software: None,
             is_suspect: false,
         };
         let placement = self.scheduler.place(self.now, request);
--- a/crates/hickoryhall-gateway/tests/many_hosts.rs
+++ b/crates/hickoryhall-gateway/tests/many_hosts.rs
@@ -422,6 +422,7 @@
         target_latency: kind.target_latency,
         deadline: now + Duration::from_secs(5),
         excluded_servers: Vec::new(),
+        software: None,
         is_suspect: false,
     }
 }
--- a/crates/hickoryhall-gateway/tests/messages.rs
+++ b/crates/hickoryhall-gateway/tests/messages.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use hickoryhall_gateway::core::StreamMessages;
 use hickoryhall_gateway::feeds::relay::RegistryRelay;
 use hickoryhall_gateway::interface::{StoreChange, StoreItem};
 use hickoryhall_gateway::peers::{
@@ -12,6 +13,7 @@
 };
 use hickoryhall_gateway::scheduler::{DesiredVersionAge, HostLoad};
 use hickoryhall_gateway::store_position::StorePosition;
+use hickoryhall_gateway::stream_versions::{StreamKnowledge, StreamOrigin, StreamQuestion};
 use hickoryhall_routing::Level;
 use proptest::prelude::*;
 
@@ -85,6 +87,39 @@
                 },
             ],
         }),
+        streams: stream_messages(numbers),
+    }
+}
+
+fn stream_messages(numbers: &[u64]) -> StreamMessages {
+    let question = |index: usize| StreamQuestion {
+        stream: [None, Some(numbers[index])][index % 2],
+        service: numbers[9],
+    };
+    let answers = [
+        StreamKnowledge::Began(numbers[2]),
+        StreamKnowledge::Only {
+            software: numbers[3],
+            is_current: numbers[4].is_multiple_of(2),
+        },
+        StreamKnowledge::Several,
+        StreamKnowledge::Unknown,
+    ];
+    StreamMessages {
+        told: numbers[..3]
+            .iter()
+            .map(|&stream| StreamOrigin {
+                stream,
+                service: numbers[8],
+                software: numbers[7],
+            })
+            .collect(),
+        asked: (0..3).map(question).collect(),
+        answers: answers
+            .into_iter()
+            .enumerate()
+            .map(|(index, answer)| (question(index), answer))
+            .collect(),
     }
 }
 
--- a/crates/hickoryhall-gateway/tests/scheduler.rs
+++ b/crates/hickoryhall-gateway/tests/scheduler.rs
@@ -107,6 +107,7 @@
             target_latency: Duration::from_millis(target_latency),
             deadline: self.now + Duration::from_millis(deadline),
             excluded_servers: excluded.iter().map(|name| name.as_str().into()).collect(),
+            software: None,
             is_suspect,
         };
         Ok(match self.scheduler.place(self.now, request) {
--- /dev/null
+++ b/crates/hickoryhall-gateway/tests/stream_versions.rs
@@ -0,0 +1,267 @@
+//! Tests what a host concludes about the software version of a stream.
+
+mod support;
+
+use std::net::Ipv4Addr;
+use std::time::{Duration, Instant};
+
+use hickoryhall_gateway::registry::BackendServer;
+use hickoryhall_gateway::stream_versions::{
+    Inquiry, Moment, StreamKnowledge, StreamOrigin, StreamQuestion, StreamVersions, TakeUp,
+};
+use hickoryhall_types::hash_name;
+use rstest::rstest;
+use support::runner;
+
+/// Longest timeout of a route in these tests; streams are taken up for two seconds more.
+const TIMEOUT: Duration = Duration::from_secs(15);
+/// Unix time of the tests in milliseconds.
+const UNIX_MS: u64 = 1_000_000_000;
+
+fn server(number: usize, software: &str) -> BackendServer {
+    BackendServer {
+        software: software.into(),
+        incarnation: UNIX_MS - 1_000,
+        ..runner(number, 8)
+    }
+}
+
+/// A host, and the time that has passed for it.
+struct Host {
+    versions: StreamVersions,
+    start: Instant,
+    elapsed: Duration,
+}
+
+impl Host {
+    /// Creates a host that has just read a registry of servers that have just started.
+    fn new(software: &[&str]) -> Self {
+        let start = Instant::now();
+        let mut versions = StreamVersions::new(false);
+        versions.set_longest_timeout(TIMEOUT);
+        for (number, software) in software.iter().enumerate() {
+            versions.on_server(&server(number, software));
+        }
+        versions.on_registry_list(start);
+        Self {
+            versions,
+            start,
+            elapsed: Duration::ZERO,
+        }
+    }
+
+    fn wait(mut self, seconds: u64) -> Self {
+        self.elapsed += Duration::from_secs(seconds);
+        self.versions.expire(self.start + self.elapsed);
+        self
+    }
+
+    fn moment(&self) -> Moment {
+        Moment {
+            now: self.start + self.elapsed,
+            unix_ms: UNIX_MS + self.elapsed.as_millis() as u64,
+            is_registry_read: true,
+        }
+    }
+
+    fn knowledge(&mut self, stream: u64) -> StreamKnowledge {
+        let moment = self.moment();
+        self.versions.knowledge(moment, &question(stream))
+    }
+}
+
+fn question(stream: u64) -> StreamQuestion {
+    StreamQuestion {
+        stream: Some(stream),
+        service: hash_name("models"),
+    }
+}
+
+fn origin(stream: u64, software: &str) -> StreamOrigin {
+    StreamOrigin {
+        stream,
+        service: hash_name("models"),
+        software: hash_name(software),
+    }
+}
+
+fn only(software: &str, is_current: bool) -> StreamKnowledge {
+    StreamKnowledge::Only {
+        software: hash_name(software),
+        is_current,
+    }
+}
+
+#[test]
+fn one_version_is_certain_once_no_stream_can_be_older() {
+    let mut host = Host::new(&["v1", "v1"]);
+    assert_eq!(host.knowledge(1), StreamKnowledge::Unknown);
+    let mut host = host.wait(17);
+    assert_eq!(host.knowledge(1), StreamKnowledge::Unknown);
+    let mut host = host.wait(1);
+    assert_eq!(host.knowledge(1), only("v1", true));
+    let moment = Moment {
+        is_registry_read: false,
+        ..host.moment()
+    };
+    assert_eq!(
+        host.versions.take_up(moment, &question(1)),
+        TakeUp::Ask,
+        "another version may serve unseen"
+    );
+}
+
+#[test]
+fn one_version_is_certain_if_no_server_has_replaced_another_lately() {
+    let mut host = Host::new(&["v1"]);
+    let old = Moment {
+        unix_ms: UNIX_MS + 20_000,
+        ..host.moment()
+    };
+    let knowledge = host.versions.knowledge(old, &question(1));
+    assert_eq!(knowledge, only("v1", true));
+}
+
+#[test]
+fn one_version_is_certain_when_the_fleet_starts_for_the_first_time() {
+    let mut versions = StreamVersions::new(true);
+    versions.on_server(&server(1, "v1"));
+    versions.on_registry_list(Instant::now());
+    let mut host = Host {
+        versions,
+        ..Host::new(&[])
+    };
+    assert_eq!(host.knowledge(1), only("v1", true));
+}
+
+#[rstest]
+#[case::gone(|host: &mut StreamVersions| host.on_server_gone("runner-1"))]
+#[case::replaced_under_its_id(|host: &mut StreamVersions| {
+    let restarted = BackendServer { incarnation: UNIX_MS, ..server(1, "v1") };
+    host.on_server(&restarted);
+})]
+fn a_version_counts_for_as_long_as_its_streams_may_be_taken_up(
+    #[case] leave: fn(&mut StreamVersions),
+) {
+    let mut host = Host::new(&["v1", "v1.1"]).wait(30);
+    assert_eq!(host.knowledge(1), StreamKnowledge::Several);
+    leave(&mut host.versions);
+    let mut host = host.wait(0).wait(16);
+    assert_eq!(host.knowledge(1), StreamKnowledge::Several);
+    let mut host = host.wait(2);
+    assert_eq!(host.knowledge(1), only("v1", true));
+}
+
+#[test]
+fn a_stream_is_remembered_for_as_long_as_it_may_be_taken_up() {
+    let mut host = Host::new(&["v1", "v1.1"]);
+    let now = host.moment().now;
+    host.versions.record(now, &origin(1, "v1"));
+    let began = StreamKnowledge::Began(hash_name("v1"));
+    let mut host = host.wait(16);
+    assert_eq!(host.knowledge(1), began);
+    // Taken up: it may be taken up again.
+    let now = host.moment().now;
+    host.versions.record(now, &origin(1, "v1"));
+    let mut host = host.wait(16);
+    assert_eq!(host.knowledge(1), began);
+    let mut host = host.wait(2);
+    assert_eq!(host.knowledge(1), StreamKnowledge::Several);
+}
+
+/// A peer that tells of a stream may know a version that this host does not.
+#[test]
+fn a_version_that_a_peer_tells_of_counts() {
+    let mut host = Host::new(&["v1"]).wait(30);
+    let now = host.moment().now;
+    host.versions.record(now, &origin(1, "v1.1"));
+    assert_eq!(host.knowledge(2), StreamKnowledge::Several);
+}
+
+#[test]
+fn a_stream_of_another_service_does_not_go_on() {
+    let mut host = Host::new(&["v1"]).wait(30);
+    let elsewhere = StreamOrigin {
+        service: hash_name("other"),
+        ..origin(1, "v1")
+    };
+    let now = host.moment().now;
+    host.versions.record(now, &elsewhere);
+    assert_eq!(host.knowledge(1), StreamKnowledge::Several);
+}
+
+#[test]
+fn the_software_of_a_process_that_may_have_restarted_is_uncertain() {
+    let mut host = Host::new(&["v1", "v1"]);
+    let sent_to = server(1, "v1");
+    assert_eq!(host.versions.software_of(&sent_to), Some(hash_name("v1")));
+    let restarted = BackendServer {
+        incarnation: UNIX_MS,
+        ..server(1, "v1.1")
+    };
+    host.versions.on_server(&restarted);
+    assert_eq!(host.versions.software_of(&sent_to), None);
+    host.versions.on_server_gone("runner-1");
+    assert_eq!(host.versions.software_of(&sent_to), Some(hash_name("v1")));
+}
+
+#[test]
+fn memory_is_bounded() {
+    let mut host = Host::new(&["v1", "v1.1"]);
+    let now = host.moment().now;
+    for stream in 0..100_000 {
+        let at = now + Duration::from_micros(stream);
+        host.versions.record(at, &origin(stream, "v1"));
+    }
+    assert_eq!(host.knowledge(0), StreamKnowledge::Several);
+    let newest = host.knowledge(99_999);
+    assert_eq!(newest, StreamKnowledge::Began(hash_name("v1")));
+}
+
+const BEGAN: StreamKnowledge = StreamKnowledge::Began(7);
+const CURRENT: StreamKnowledge = StreamKnowledge::Only {
+    software: 7,
+    is_current: true,
+};
+const OUTDATED: StreamKnowledge = StreamKnowledge::Only {
+    software: 7,
+    is_current: false,
+};
+const OTHER: StreamKnowledge = StreamKnowledge::Only {
+    software: 8,
+    is_current: false,
+};
+const SEVERAL: StreamKnowledge = StreamKnowledge::Several;
+const UNKNOWN: StreamKnowledge = StreamKnowledge::Unknown;
+
+#[rstest]
+#[case::one_remembers(SEVERAL, &[UNKNOWN, SEVERAL, BEGAN], true)]
+#[case::one_knows_for_long(UNKNOWN, &[UNKNOWN, CURRENT], true)]
+#[case::nobody_remembers(SEVERAL, &[SEVERAL, UNKNOWN], false)]
+#[case::this_host_knows_several(SEVERAL, &[CURRENT], false)]
+#[case::another_knows_several(OUTDATED, &[OUTDATED, SEVERAL], false)]
+#[case::nobody_reads_the_registry(OUTDATED, &[OUTDATED, UNKNOWN], true)]
+#[case::nobody_knows_for_long(UNKNOWN, &[UNKNOWN, UNKNOWN], false)]
+#[case::they_disagree(OUTDATED, &[OTHER], false)]
+#[case::cut_off_from_all(OUTDATED, &[], false)]
+fn an_inquiry_finds_a_version_only_if_it_is_certain(
+    #[case] own: StreamKnowledge,
+    #[case] answers: &[StreamKnowledge],
+    #[case] is_found: bool,
+) {
+    let peers = (0..4).map(|number| Ipv4Addr::new(10, 0, 0, number));
+    let mut inquiry = Inquiry::new(own);
+    inquiry.ask(peers.clone());
+    let mut answers = peers.zip(answers);
+    let found = answers.find_map(|(peer, answer)| inquiry.on_answer(peer, *answer));
+    assert!(!inquiry.is_complete());
+    let found = found.or_else(|| inquiry.finish());
+    assert_eq!(found, is_found.then_some(7));
+}
+
+#[test]
+fn a_host_without_peers_relies_on_itself() {
+    assert_eq!(Inquiry::new(OUTDATED).finish(), Some(7));
+    assert_eq!(Inquiry::new(UNKNOWN).finish(), None);
+    assert!(Inquiry::new(UNKNOWN).is_complete());
+}
--- a/crates/hickoryhall-gateway/tests/turned_away.rs
+++ b/crates/hickoryhall-gateway/tests/turned_away.rs
@@ -27,6 +27,7 @@
             extra_retries: 50.0,
             window: Duration::from_secs(10),
         },
+        is_first_start: false,
     };
     let mut core = Core::new(config, slog::Logger::root(slog::Discard, slog::o!()));
     core.set_table(table_of([("models", model_service(8, 90_000))]));
@@ -146,6 +147,7 @@
             target_latency: SECOND / 10,
             deadline: self.now + 5 * SECOND,
             excluded_servers: excluded.collect(),
+            software: None,
             is_suspect: false,
         };
         self.scheduler.place(self.now, request)
--- a/crates/hickoryhall-gateway/tests/version_ages.rs
+++ b/crates/hickoryhall-gateway/tests/version_ages.rs
@@ -49,6 +49,7 @@
         target_latency,
         deadline: now + 15 * SECOND,
         excluded_servers: Vec::new(),
+        software: None,
         is_suspect: false,
     }
 }
@@ -109,6 +110,7 @@
                 extra_retries: 50.0,
                 window: 10 * SECOND,
             },
+            is_first_start: false,
         };
         let mut core = Core::new(config, slog::Logger::root(slog::Discard, slog::o!()));
         core.set_desired_version(now, "m".into(), 2, age, DesiredVersionSource::Store);
