Place streams that go on by what their own version's servers can take

A stream that goes on at its version was compared with the target latency of its request as if another server could be had: with some work waiting at the servers of its version it was refused, and broken off, while new streams began at the others; a resumption within an answer always counted as late. It may now wait behind a second of work, below the pause after which callers leave, and its waits count from the break. A new stream that may be resumed begins rather at a version that more than one server has, unless waits there are 60 ms longer.

--- a/crates/hickoryhall-gateway/src/exchange.rs
+++ b/crates/hickoryhall-gateway/src/exchange.rs
@@ -198,6 +198,8 @@
     outcome: RequestOutcome<BufferedResponse>,
     /// Software version at which the stream must go on, once it has begun.
     software: Option<SoftwareHash>,
+    /// Time from which waits for a server count: the arrival, or the last break of the stream.
+    waits_since: Instant,
     /// Whether a server broke the request off before, so that it may crash servers.
     is_suspect: bool,
     record: RequestRecord,
@@ -213,6 +215,7 @@
             .with(|core, now| core.record_request(now, &request.service));
         Self {
             gateway,
+            waits_since: request.arrived_at,
             request,
             excluded: Vec::new(),
             outcome,
@@ -279,7 +282,7 @@
             priority: self.request.priority(),
             prompt: self.request.prompt.clone(),
             is_resumable: self.request.route.kind.may_repeat(),
-            arrived_at: self.request.arrived_at,
+            arrived_at: self.waits_since,
             target_latency: self.request.route.target_latency,
             deadline: self.request.deadline,
             excluded_servers: self.excluded.clone(),
--- a/crates/hickoryhall-gateway/src/exchange/relay.rs
+++ b/crates/hickoryhall-gateway/src/exchange/relay.rs
@@ -272,6 +272,7 @@
             self.upstream.framer.drop_partial();
         }
         let last_id = self.upstream.framer.last_id().map(Box::<str>::from);
+        self.exchange.waits_since = Instant::now();
         for _ in 0..MAX_RESUME_ATTEMPTS {
             let Ok((assignment, guard)) = self.exchange.place().await else {
                 return false;
--- a/crates/hickoryhall-gateway/src/scheduler.rs
+++ b/crates/hickoryhall-gateway/src/scheduler.rs
@@ -368,7 +368,9 @@
         }
         let exceeds_target_latency_alone =
             best.own_work_ms + millis(self.config.slack) > millis(request.target_latency);
-        let limit = if exceeds_target_latency_alone {
+        let limit = if request.software.is_some() {
+            self.config.bound_queue_limit
+        } else if exceeds_target_latency_alone {
             self.config.late_long_queue_limit
         } else {
             self.config.late_queue_limit
--- a/crates/hickoryhall-gateway/src/scheduler/config.rs
+++ b/crates/hickoryhall-gateway/src/scheduler/config.rs
@@ -62,6 +62,12 @@
     /// The same limit for a prompt whose own work exceeds its target latency, so that such prompts
     /// are served at all.
     pub late_long_queue_limit: Duration,
+    /// Queued work at a runner up to which a stream goes on there that no other software version can
+    /// take: below the pause after which callers leave.
+    pub bound_queue_limit: Duration,
+    /// Cost of the only server with its software version for a stream that may be resumed, because it
+    /// could go on nowhere else.
+    pub lone_version_cost: Duration,
     /// Margin between estimate and target latency that a request needs to count as on time.
     pub slack: Duration,
     /// Fraction of the target latency for which a request may be queued.
@@ -104,6 +110,8 @@
             attention_ms_per_million_pairs: 0.65,
             late_queue_limit: Duration::from_millis(60),
             late_long_queue_limit: Duration::from_millis(200),
+            bound_queue_limit: Duration::from_millis(1_000),
+            lone_version_cost: Duration::from_millis(60),
             slack: Duration::from_millis(30),
             wait_fraction: 0.6,
             model_wait_fraction: 0.25,
--- a/crates/hickoryhall-gateway/src/scheduler/placement.rs
+++ b/crates/hickoryhall-gateway/src/scheduler/placement.rs
@@ -36,7 +36,7 @@
     pub prompt: Option<PromptInfo>,
     /// Whether another server can resume its answer.
     pub is_resumable: bool,
-    /// Time at which the request arrived at this host.
+    /// Time at which the request arrived at this host, or at which the stream broke that goes on.
     pub arrived_at: Instant,
     /// Target latency, counted from `arrived_at`; a later answer is less useful.
     pub target_latency: Duration,
--- a/crates/hickoryhall-gateway/src/scheduler/search.rs
+++ b/crates/hickoryhall-gateway/src/scheduler/search.rs
@@ -13,10 +13,10 @@
 use hickoryhall_routing::Level;
 use hickoryhall_types::rendezvous_score;
 
-use super::candidate::{Candidate, PromptAffinity};
+use super::candidate::{Candidate, PromptAffinity, millis};
 use crate::stream_versions::SoftwareHash;
 
-use super::{PlacementRequest, PromptInfo, RefusalReason, Scheduler, ServerKey};
+use super::{PlacementRequest, PromptInfo, RefusalReason, Scheduler, ServerKey, ServerState};
 
 /// Least number of owners of a prompt that are compared in a large service: with a second one, a
 /// queue at the first can be avoided.
@@ -96,6 +96,7 @@
             _ => (self.sample(keys, request), u32::MAX),
         };
         let is_there = |key: &ServerKey| !self.servers[*key].is_leaving();
+        let lone_versions = self.lone_versions(keys, request);
         let mut search = Search {
             is_version_gone: request.software.is_some() && !keys.iter().any(is_there),
             ..Search::default()
@@ -104,8 +105,13 @@
             if search.candidates == limit {
                 break;
             }
-            let compared = self.candidate(now, keys[index], request, affinities, index);
+            let mut compared = self.candidate(now, keys[index], request, affinities, index);
             let state = &self.servers[keys[index]];
+            if lone_versions.contains(&state.software())
+                && let Ok(candidate) = &mut compared
+            {
+                candidate.cost_ms += millis(self.config.lone_version_cost);
+            }
             let pause_end = state.statements.pause_end(now);
             let is_excluded = request.excluded_servers.contains(&state.server.id);
             match compared {
@@ -137,6 +143,28 @@
             .collect()
     }
 
+    /// Returns the software versions that only one of the servers has, if there are several and the
+    /// request is a new stream that may be resumed.
+    fn lone_versions(&self, keys: &[ServerKey], request: &PlacementRequest) -> Vec<SoftwareHash> {
+        if request.software.is_some() || !request.is_resumable {
+            return Vec::new();
+        }
+        let states = keys.iter().map(|&key| &self.servers[key]);
+        let staying = states.filter(|state| !state.is_leaving());
+        let mut versions = Vec::<(SoftwareHash, usize)>::new();
+        for software in staying.map(ServerState::software) {
+            match versions.iter_mut().find(|(other, _)| *other == software) {
+                Some((_, count)) => *count += 1,
+                None => versions.push((software, 1)),
+            }
+        }
+        let is_mixed = versions.len() > 1;
+        let lone = versions.into_iter().filter(|(_, count)| *count == 1);
+        lone.filter(|_| is_mixed)
+            .map(|(software, _)| software)
+            .collect()
+    }
+
     /// Returns the indices of all runners, the first owners of the prompt first; those of the
     /// prompt's length class come before the others, so that long prompts seldom stall the answers
     /// to short ones.
--- a/crates/hickoryhall-gateway/src/scheduler/server.rs
+++ b/crates/hickoryhall-gateway/src/scheduler/server.rs
@@ -163,6 +163,11 @@
         self.weights_change(before, WeightsSource::Entry)
     }
 
+    /// Returns the hash of the software version in the entry.
+    pub fn software(&self) -> SoftwareHash {
+        self.software
+    }
+
     /// Returns whether the process has a software version. That of a process whose entry has not
     /// arrived is unknown.
     pub fn has_software(&self, software: SoftwareHash) -> bool {
