--- a/crates/hickoryhall-gateway/tests/messages.rs
+++ b/crates/hickoryhall-gateway/tests/messages.rs
@@ -157,3 +157,46 @@
     let read = StoreSnapshot::decode(snapshot.encode()).expect("own bytes");
     assert_eq!(read, snapshot);
 }
+
+/// The formula in `docs/CAPACITY.md` for what hosts tell and ask about streams.
+#[test]
+fn messages_about_streams_are_small() {
+    let digest = |streams| Digest {
+        host: u64::MAX,
+        domain: u64::MAX,
+        group: u64::MAX,
+        scope: Scope::Heartbeat,
+        table_revision: 1_000,
+        store_era: 1,
+        streams,
+        ..Digest::default()
+    };
+    let origin = |stream| StreamOrigin {
+        stream,
+        service: u64::MAX,
+        software: u64::MAX,
+    };
+    let told = |count: u64| {
+        let told = (1..=count).map(origin).collect();
+        let streams = StreamMessages {
+            told,
+            ..StreamMessages::default()
+        };
+        digest(streams).encode(&[]).len()
+    };
+    let question = StreamQuestion {
+        stream: Some(u64::MAX),
+        service: u64::MAX,
+    };
+    let asked = StreamMessages {
+        asked: vec![question],
+        ..StreamMessages::default()
+    };
+    let answered = StreamMessages {
+        answers: vec![(question, StreamKnowledge::Began(u64::MAX))],
+        ..StreamMessages::default()
+    };
+    assert_eq!((told(1), told(2) - told(1), told(100)), (64, 8, 858));
+    assert_eq!(digest(asked).encode(&[]).len(), 55);
+    assert_eq!(digest(answered).encode(&[]).len(), 68);
+}
