Pass on all changes of the registry that a reader has, and none twice

A host that reads the registry for its group also gets the relays of the other reader, which advance its position; its next watch begins behind them. Its own relays then claimed the whole span as complete, without the changes that had come by relay, and a follower that had missed the other reader's digest never saw them. Besides, the answer of a watch that was under way could undo a newer change that a relay had brought: a leaving server was ready again until its next entry, a removed one stayed in use for good.

A reader now records what relays bring, speaks only for spans that it has recorded, and each change is applied unless a newer one of the same record is known, in the era that both belong to.

--- a/crates/hickoryhall-gateway/src/feeds.rs
+++ b/crates/hickoryhall-gateway/src/feeds.rs
@@ -13,7 +13,7 @@
 use std::time::{Duration, Instant};
 
 use rand::RngExt;
-use slog::{Logger, info, warn};
+use slog::{Logger, debug, info, warn};
 use tokio::time::sleep;
 
 use crate::clock::SuspendAwareClock;
@@ -192,6 +192,10 @@
             self.core
                 .with(|core, now| core.set_registry_available(now, true));
         }
+        let new = changes.iter().cloned();
+        self.relay_log
+            .borrow_mut()
+            .record_changes(now, known.revision, relay.until, new);
         for change in changes {
             let age = DesiredVersionAge::AtLeast(Duration::ZERO);
             self.apply_change(FeedKind::Registry, change, age);
@@ -288,11 +292,12 @@
                 continue;
             };
             let is_changed = !changes.content.is_empty();
+            let from = after;
             after = after.max(changes.position);
             if link.kind == FeedKind::Registry {
                 let mut log = self.relay_log.borrow_mut();
                 let content = changes.content.iter().cloned();
-                log.record_changes(Instant::now(), after.revision, content);
+                log.record_changes(Instant::now(), from.revision, after.revision, content);
             }
             for change in changes.content {
                 self.apply_change(link.kind, change, age);
@@ -412,17 +417,21 @@
             (FeedKind::Operator, StoreChange::Put(item)) => self.apply_operator_record(item, age),
             // The table or desired version of a removed record remains in force.
             (FeedKind::Operator, StoreChange::Removed { .. }) => {}
+            (FeedKind::Registry, _) if !self.registry.borrow_mut().apply(change.clone()) => {
+                debug!(
+                    self.logger, "feeds: Change of the registry not applied, as a newer one is known.";
+                    "key" => change.key(), "revision" => change.revision()
+                );
+            }
             (FeedKind::Registry, StoreChange::Put(item)) => {
                 if let Some(entry) = self.parse_entry(item) {
                     self.core.with(|core, _| core.on_registry_entry(entry));
                 }
-                self.registry.borrow_mut().apply(change);
             }
             (FeedKind::Registry, StoreChange::Removed { key, .. }) => {
                 let id = self.platform.server_id(key);
                 self.core
                     .with(|core, now| core.on_registry_removed(now, id));
-                self.registry.borrow_mut().apply(change);
             }
         }
     }
--- a/crates/hickoryhall-gateway/src/feeds/records.rs
+++ b/crates/hickoryhall-gateway/src/feeds/records.rs
@@ -2,7 +2,7 @@
 
 use std::collections::BTreeMap;
 
-use crate::interface::{StoreChange, StoreItem};
+use crate::interface::{StoreChange, StoreItem, StoreRevision};
 use crate::peers::StoreRecords;
 use crate::store_position::StorePosition;
 
@@ -12,8 +12,14 @@
 pub struct RegistryRecords {
     position: StorePosition,
     items: BTreeMap<String, StoreItem>,
+    /// Revision of the last change of each record in the present era, removals included.
+    revisions: BTreeMap<String, StoreRevision>,
 }
 
+/// Number of removed records whose revisions are kept: far more than are removed while a watch waits
+/// for its answer.
+const MAX_REMOVED: usize = 1_024;
+
 impl RegistryRecords {
     /// Returns the position up to which the records are complete.
     #[must_use]
@@ -30,6 +36,12 @@
     /// these leave the known record as it is, or absent.
     pub fn replace(&mut self, records: StoreRecords, is_outdated: impl Fn(&StoreItem) -> bool) {
         let mut known = std::mem::take(&mut self.items);
+        self.revisions.clear();
+        for item in &records.items {
+            if !is_outdated(item) {
+                self.revisions.insert(item.key.clone(), item.revision);
+            }
+        }
         let items = records.items.into_iter().filter_map(|item| {
             let item = if is_outdated(&item) {
                 known.remove(&item.key)?
@@ -42,12 +54,36 @@
         self.position = records.position;
     }
 
-    /// Applies one change.
-    pub fn apply(&mut self, change: StoreChange) {
+    /// Applies one change unless a newer one of its record was applied: while a watch waits for its
+    /// answer, a peer may bring newer changes. Returns whether it was applied.
+    ///
+    /// The position does not tell: it may be beyond a change that only the watch brings.
+    pub fn apply(&mut self, change: StoreChange) -> bool {
+        let known = self.revisions.get(change.key()).copied();
+        if known.is_some_and(|known| known >= change.revision()) {
+            return false;
+        }
+        let (key, revision) = (change.key().to_owned(), change.revision());
+        self.revisions.insert(key, revision);
+        self.forget_removed();
         match change {
             StoreChange::Put(item) => drop(self.items.insert(item.key.clone(), item)),
             StoreChange::Removed { key, .. } => drop(self.items.remove(&key)),
         }
+        true
+    }
+
+    /// Forgets the revisions of the records that were removed first, if there are too many.
+    fn forget_removed(&mut self) {
+        if self.revisions.len() <= self.items.len() + MAX_REMOVED {
+            return;
+        }
+        let removed = self.revisions.iter();
+        let removed = removed.filter(|(key, _)| !self.items.contains_key(*key));
+        let oldest = removed.min_by_key(|(_, revision)| **revision);
+        if let Some(key) = oldest.map(|(key, _)| key.clone()) {
+            self.revisions.remove(&key);
+        }
     }
 
     /// Returns all records.
--- a/crates/hickoryhall-gateway/src/feeds/relay.rs
+++ b/crates/hickoryhall-gateway/src/feeds/relay.rs
@@ -85,15 +85,25 @@
         self.until = position.revision;
     }
 
-    /// Records the changes after the last revision up to `until`.
+    /// Records all changes after the revision `from` up to `until`, as a watch or another reader
+    /// brought them. Those that are recorded already are left out.
     pub fn record_changes(
         &mut self,
         now: Instant,
+        from: StoreRevision,
         until: StoreRevision,
         changes: impl IntoIterator<Item = StoreChange>,
     ) {
-        let changes = changes.into_iter().map(|change| (now, change));
-        self.changes.extend(changes);
+        if from > self.until {
+            // Changes before it are not known here, so that this host does not speak for them.
+            self.changes.clear();
+            self.after = from;
+            self.until = from;
+        }
+        let recorded = self.until;
+        let new = changes.into_iter();
+        let new = new.filter(|change| change.revision() > recorded);
+        self.changes.extend(new.map(|change| (now, change)));
         self.until = self.until.max(until);
         self.trim(now);
     }
--- a/crates/hickoryhall-gateway/tests/relay.rs
+++ b/crates/hickoryhall-gateway/tests/relay.rs
@@ -42,9 +42,10 @@
         for (changes, is_lost, pause_ms) in steps {
             now += ms(pause_ms);
             log.record_answer(now, true);
+            let from = revision;
             let changes = (0..changes).map(|_| { revision += 1; put(revision) }).collect::<Vec<_>>();
             apply(&mut reader, &changes);
-            log.record_changes(now, revision, changes);
+            log.record_changes(now, from, revision, changes);
             let relay = log.relay(now).expect("the store answers");
             if is_lost {
                 continue;
@@ -123,3 +124,53 @@
     assert!(monitor.is_current(start + ms(500)));
     assert!(!monitor.is_current(start + ms(1_000)));
 }
+
+/// Guards against a reader that passes a span on as complete without the changes that another reader
+/// brought it: its own next watch begins behind them.
+#[test]
+fn a_reader_passes_on_what_another_reader_brought_it() {
+    let now = Instant::now();
+    let mut log = RelayLog::default();
+    log.record_list(now, at(100));
+    log.record_answer(now, true);
+    let brought = (101..=105).map(put).collect::<Vec<_>>();
+    log.record_changes(now, 100, 105, brought);
+    log.record_changes(now, 105, 107, [put(106), put(107)]);
+    let relay = log.relay(now).expect("the store answers");
+    let revisions = relay.changes.iter().map(StoreChange::revision);
+    assert_eq!(
+        revisions.collect::<Vec<_>>(),
+        (101..=107).collect::<Vec<_>>()
+    );
+    assert_eq!((relay.after, relay.until), (100, 107));
+}
+
+#[test]
+fn a_reader_does_not_speak_for_a_span_that_it_has_not_recorded() {
+    let now = Instant::now();
+    let mut log = RelayLog::default();
+    log.record_list(now, at(100));
+    log.record_answer(now, true);
+    log.record_changes(now, 100, 101, [put(101)]);
+    log.record_changes(now, 105, 107, [put(106), put(107)]);
+    let relay = log.relay(now).expect("the store answers");
+    assert_eq!((relay.after, relay.until), (105, 107));
+    assert_eq!(relay.changes.len(), 2);
+    let mut monitor = RelayMonitor::default();
+    assert_eq!(monitor.on_relay(now, at(101), &relay), None);
+}
+
+/// Guards against a change that is known already and is passed on once more out of order.
+#[test]
+fn a_reader_records_each_change_once() {
+    let now = Instant::now();
+    let mut log = RelayLog::default();
+    log.record_list(now, at(100));
+    log.record_answer(now, true);
+    log.record_changes(now, 100, 103, [put(101), put(103)]);
+    // The answer of a watch that was under way when another reader's relay arrived.
+    log.record_changes(now, 100, 104, [put(101), put(103), put(104)]);
+    let relay = log.relay(now).expect("the store answers");
+    let revisions = relay.changes.iter().map(StoreChange::revision);
+    assert_eq!(revisions.collect::<Vec<_>>(), [101, 103, 104]);
+}
--- a/crates/hickoryhall-gateway/tests/relay_eras.rs
+++ b/crates/hickoryhall-gateway/tests/relay_eras.rs
@@ -121,7 +121,8 @@
                     if reader.position.era == store.position.era {
                         let changes = store.changes.iter();
                         let new = changes.filter(|change| change.revision() > reader.position.revision);
-                        log.record_changes(now, store.position.revision, new.cloned());
+                        let (from, until) = (reader.position.revision, store.position.revision);
+                        log.record_changes(now, from, until, new.cloned());
                     } else {
                         log.record_list(now, store.position);
                     }
