Answer requests that wait for a server before the process ends

A stopping host now refuses what still waits 0.4 s before it ends, and queues nothing after that: the caller gets the last failure that it may be told, 502, or 503 if nothing ran.

--- a/crates/hickoryhall-gateway/src/core.rs
+++ b/crates/hickoryhall-gateway/src/core.rs
@@ -278,6 +278,16 @@
         }
     }
 
+    /// Refuses all waiting attempts, and from now on those that would have to wait, because the host
+    /// ends.
+    pub fn stop_waiting(&mut self, now: Instant) {
+        for (attempt_id, placement) in self.scheduler.stop_waiting() {
+            if let Some(reply) = self.pending_replies.remove(&attempt_id) {
+                self.send_placement(now, attempt_id, reply, placement);
+            }
+        }
+    }
+
     /// Records the first response event of an attempt, and places waiting attempts.
     pub fn record_first_event(&mut self, now: Instant, attempt_id: AttemptId) {
         self.scheduler.record_first_event(now, attempt_id);
--- a/crates/hickoryhall-gateway/src/host.rs
+++ b/crates/hickoryhall-gateway/src/host.rs
@@ -4,6 +4,7 @@
 use std::io;
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
+use std::pin::pin;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
@@ -23,7 +24,7 @@
 use tokio::task::{JoinHandle, spawn_local};
 use tokio::time::{sleep, timeout};
 
-use crate::core::{CoreConfig, CoreHandle};
+use crate::core::{Core, CoreConfig, CoreHandle};
 use crate::exchange::Gateway;
 use crate::feeds::{FeedKind, Feeds};
 use crate::interface::Platform;
@@ -38,6 +39,8 @@
 const STOP_ACCEPT_TIME: Duration = Duration::from_millis(2_600);
 /// Time before the process is killed at which a stopping host exits by itself.
 const STOP_MARGIN: Duration = Duration::from_millis(350);
+/// Time before that at which requests that wait for a server are refused.
+const LAST_ANSWERS_TIME: Duration = Duration::from_millis(400);
 /// Maximum number of request ids in the log line of the requests that a stop cuts off.
 const MAX_LOGGED_REQUESTS: usize = 16;
 /// Interval at which expired idle connections are closed, and connection limits and gauges updated.
@@ -275,8 +278,18 @@
         let max_drain_time = grace.saturating_sub(STOP_MARGIN);
         sleep(STOP_ACCEPT_TIME.min(max_drain_time)).await;
         self.gateway.close();
-        let time_left = max_drain_time.saturating_sub(started.elapsed());
-        let is_drained = timeout(time_left, self.drain_connections()).await.is_ok();
+        let mut drained = pin!(self.drain_connections());
+        let time_left = |limit: Duration| limit.saturating_sub(started.elapsed());
+        let time_to_wait = time_left(max_drain_time.saturating_sub(LAST_ANSWERS_TIME));
+        let is_drained = match timeout(time_to_wait, drained.as_mut()).await {
+            Ok(()) => true,
+            Err(_) => {
+                // Requests that wait for a server get none in time.
+                let core = self.gateway.core();
+                core.with(Core::stop_waiting);
+                timeout(time_left(max_drain_time), drained).await.is_ok()
+            }
+        };
         let counts = self.connections.counts();
         if !is_drained && counts.unanswered > 0 {
             let requests = self.connections.unanswered_ids(MAX_LOGGED_REQUESTS);
--- a/crates/hickoryhall-gateway/src/scheduler.rs
+++ b/crates/hickoryhall-gateway/src/scheduler.rs
@@ -98,6 +98,8 @@
     /// Capacity of one runner of each model service.
     runner_capacities: HashMap<TargetId, RunnerCapacity>,
     waiting: BTreeMap<(Priority, AttemptId), WaitingRequest>,
+    /// Whether requests are not queued any more, because the host ends.
+    is_stopping: bool,
     active: HashMap<AttemptId, ActiveAttempt>,
     desired_versions: HashMap<TargetId, DesiredVersionHistory>,
     /// Updates for the next digest.
@@ -108,6 +110,11 @@
     unreachable_domains: HashMap<FailureDomainId, Instant>,
 }
 
+/// Refusal of a request whose host ends; another host takes it at once.
+const STOPPING: PlacementRefusal = PlacementRefusal {
+    reason: RefusalReason::Stopping,
+    retry_after: Duration::from_millis(20),
+};
 /// Time for which a failure domain counts as unreachable after one of its servers was.
 const UNREACHABLE_DOMAIN_TTL: Duration = Duration::from_secs(1);
 
@@ -124,6 +131,7 @@
             by_service: HashMap::new(),
             runner_capacities: HashMap::new(),
             waiting: BTreeMap::new(),
+            is_stopping: false,
             active: HashMap::new(),
             desired_versions: HashMap::new(),
             prompt_updates: Vec::new(),
@@ -244,6 +252,9 @@
                 if until <= now {
                     return Some(Err(wait.refusal));
                 }
+                if self.is_stopping {
+                    return Some(Err(STOPPING));
+                }
                 self.waiting.insert(
                     (request.priority, request.attempt_id),
                     WaitingRequest { request, until },
@@ -276,6 +287,14 @@
         outcomes
     }
 
+    /// Refuses all queued requests, and from now on those that no server can take at once.
+    pub fn stop_waiting(&mut self) -> Vec<(AttemptId, Placement)> {
+        self.is_stopping = true;
+        let waiting = std::mem::take(&mut self.waiting).into_values();
+        let refused = waiting.map(|waiting| (waiting.request.attempt_id, Err(STOPPING)));
+        refused.collect()
+    }
+
     /// Returns the number of queued requests.
     #[must_use]
     pub fn waiting_count(&self) -> usize {
--- a/crates/hickoryhall-gateway/src/scheduler/placement.rs
+++ b/crates/hickoryhall-gateway/src/scheduler/placement.rs
@@ -98,6 +98,8 @@
     Paused,
     /// No server has the software version at which the stream goes on, or none that stays.
     VersionGone,
+    /// The host ends before a server could take the request.
+    Stopping,
     /// The best server would answer later than the target latency, and has too much queued work to
     /// take a late request.
     TooLate,
@@ -112,6 +114,7 @@
             Self::Full => "full",
             Self::Paused => "paused",
             Self::VersionGone => "version_gone",
+            Self::Stopping => "stopping",
             Self::TooLate => "too_late",
         }
     }
