Tell peers of a version that has just appeared, and wait for live peers only

Hosts read the registry up to 1.2 s apart. One that did not know the first server of a new version yet took the old one for the only one, and let a stream that had begun at the new one, at a host that had since ended, go on at the old one. A host now tells its group of a version when it finds it, which is before it uses it.

A host that cannot read the registry asked all known peers and waited for each, for the whole 250 ms where one of them was down. It still asks all, but waits for those that it has heard of lately. Found by reading; the new cases of stream_versions.rs do not compile or fail on the code before.

--- a/crates/hickoryhall-gateway/src/core/streams.rs
+++ b/crates/hickoryhall-gateway/src/core/streams.rs
@@ -11,8 +11,8 @@
 use super::Core;
 use crate::registry::BackendServer;
 use crate::stream_versions::{
-    Inquiry, Moment, SoftwareHash, StreamHash, StreamKnowledge, StreamOrigin, StreamQuestion,
-    StreamVersions, TakeUp,
+    Inquiry, Moment, ServiceVersion, SoftwareHash, StreamHash, StreamKnowledge, StreamOrigin,
+    StreamQuestion, StreamVersions, TakeUp,
 };
 
 /// Receives the version at which a stream goes on, `None` if nobody knows.
@@ -37,6 +37,8 @@
 /// What hosts tell and ask each other about streams.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct StreamMessages {
+    /// Versions that the sender uses from now on.
+    pub in_use: Vec<ServiceVersion>,
     /// Streams that the sender began.
     pub told: Vec<StreamOrigin>,
     /// Streams that callers take up at the sender.
@@ -49,7 +51,7 @@
     /// Returns whether there is nothing to say.
     #[must_use]
     pub fn is_empty(&self) -> bool {
-        self.told.is_empty() && self.asked.is_empty() && self.answers.is_empty()
+        self == &Self::default()
     }
 }
 
@@ -123,18 +125,24 @@
         }
     }
 
-    /// Returns the questions of open inquiries, which these peers are asked now. Without peers the
-    /// inquiries end.
-    pub fn ask_peers(&mut self, now: Instant, peers: &[Ipv4Addr]) -> Vec<StreamQuestion> {
+    /// Returns the questions of open inquiries, which all known peers are asked now; `live` are those
+    /// that were heard of lately. Without any peers the inquiries end.
+    pub fn ask_peers(
+        &mut self,
+        now: Instant,
+        has_peers: bool,
+        live: &[Ipv4Addr],
+    ) -> Vec<StreamQuestion> {
         self.streams.unasked.clear();
-        for open in self.streams.inquiries.values_mut() {
-            open.inquiry.ask(peers.iter().copied());
-        }
         let questions = self.streams.inquiries.keys().copied().collect::<Vec<_>>();
-        if peers.is_empty() {
+        if !has_peers {
             for question in &questions {
                 self.end_inquiry(now, question);
             }
+            return Vec::new();
+        }
+        for open in self.streams.inquiries.values_mut() {
+            open.inquiry.ask(live.iter().copied());
         }
         questions
     }
@@ -183,6 +191,9 @@
         from: Ipv4Addr,
         messages: &StreamMessages,
     ) -> Vec<(StreamQuestion, StreamKnowledge)> {
+        for &version in &messages.in_use {
+            self.streams.versions.record_in_use(now, version);
+        }
         for origin in &messages.told {
             self.streams.versions.record(now, origin);
         }
@@ -209,13 +220,18 @@
     }
 
     pub(super) fn has_untold_streams(&self) -> bool {
-        !self.streams.untold.is_empty()
+        !self.streams.untold.is_empty() || self.streams.versions.has_new()
     }
 
     pub(super) fn has_unasked_questions(&self) -> bool {
         !self.streams.unasked.is_empty()
     }
 
+    /// Takes the software versions of which peers have not been told.
+    pub fn take_new_versions(&mut self) -> Vec<ServiceVersion> {
+        self.streams.versions.take_new()
+    }
+
     /// Takes the streams that peers have not been told of.
     pub fn take_untold_streams(&mut self) -> Vec<StreamOrigin> {
         std::mem::take(&mut self.streams.untold)
--- a/crates/hickoryhall-gateway/src/peers/known_peers.rs
+++ b/crates/hickoryhall-gateway/src/peers/known_peers.rs
@@ -179,6 +179,12 @@
         self.peers.keys().copied().collect()
     }
 
+    /// Returns the peers that were heard of lately.
+    #[must_use]
+    pub fn live(&self, now: Instant) -> Vec<Ipv4Addr> {
+        self.live_peers(now).map(|(ip, _)| ip).collect()
+    }
+
     /// Returns the number of known peers.
     #[must_use]
     pub fn count(&self) -> usize {
--- a/crates/hickoryhall-gateway/src/peers/message/wire.rs
+++ b/crates/hickoryhall-gateway/src/peers/message/wire.rs
@@ -17,7 +17,7 @@
 use crate::interface::{StoreChange, StoreItem};
 use crate::scheduler::{DesiredVersionAge, HostLoad};
 use crate::store_position::StorePosition;
-use crate::stream_versions::{StreamKnowledge, StreamOrigin, StreamQuestion};
+use crate::stream_versions::{ServiceVersion, StreamKnowledge, StreamOrigin, StreamQuestion};
 
 #[derive(Clone, PartialEq, Message)]
 pub(super) struct WireDigest {
@@ -61,7 +61,8 @@
     pub(super) stream_answers: Vec<WireStreamAnswer>,
 }
 
-/// Streams of one service that began at one software version.
+/// Streams of one service that began at one software version; without streams, a version that the
+/// sender uses.
 #[derive(Clone, PartialEq, Message)]
 pub(super) struct WireStreams {
     #[prost(fixed64, tag = "1")]
@@ -233,17 +234,23 @@
             is_forwarded: digest.is_forwarded,
             registry: digest.registry.as_ref().map(WireRelay::from),
             store_era: digest.store_era,
-            streams: wire_streams(&digest.streams.told),
+            streams: wire_streams(&digest.streams),
             stream_questions: digest.streams.asked.iter().map(From::from).collect(),
             stream_answers: digest.streams.answers.iter().map(From::from).collect(),
         }
     }
 }
 
-/// Groups streams by service and software version.
-fn wire_streams(origins: &[StreamOrigin]) -> Vec<WireStreams> {
+/// Groups streams by service and software version; a group without streams is a version in use.
+fn wire_streams(messages: &StreamMessages) -> Vec<WireStreams> {
+    let in_use = messages.in_use.iter().map(|version| WireStreams {
+        service: version.service,
+        software: version.software,
+        streams: Vec::new(),
+    });
+    let in_use = in_use.collect::<Vec<_>>();
     let mut groups = Vec::<WireStreams>::new();
-    for origin in origins {
+    for origin in &messages.told {
         let (service, software) = (origin.service, origin.software);
         let is_own =
             |group: &&mut WireStreams| (group.service, group.software) == (service, software);
@@ -256,7 +263,14 @@
             }),
         }
     }
-    groups
+    in_use.into_iter().chain(groups).collect()
+}
+
+fn version_in_use(group: &WireStreams) -> Option<ServiceVersion> {
+    group.streams.is_empty().then_some(ServiceVersion {
+        service: group.service,
+        software: group.software,
+    })
 }
 
 fn stream_origins(group: &WireStreams) -> impl Iterator<Item = StreamOrigin> {
@@ -354,6 +368,7 @@
             prompts: wire.prompts.iter().map(PromptUpdate::from).collect(),
             registry: wire.registry.map(RegistryRelay::from),
             streams: StreamMessages {
+                in_use: wire.streams.iter().filter_map(version_in_use).collect(),
                 told: wire.streams.iter().flat_map(stream_origins).collect(),
                 asked: wire.stream_questions.iter().map(From::from).collect(),
                 answers: wire.stream_answers.iter().map(From::from).collect(),
--- a/crates/hickoryhall-gateway/src/peers/streams.rs
+++ b/crates/hickoryhall-gateway/src/peers/streams.rs
@@ -23,6 +23,7 @@
     pub async fn tell_streams(&self) {
         loop {
             self.core.has_untold_streams().await;
+            self.tell_new_versions().await;
             let streams = self.core.with(|core, _| core.take_untold_streams());
             let keepers = self.known_peers.borrow().stream_keepers(Instant::now());
             for told in streams.chunks(MAX_STREAMS_PER_MESSAGE) {
@@ -37,6 +38,21 @@
         }
     }
 
+    /// Tells the members of the group of versions that appeared in the registry: other members may
+    /// read it later, and take one that they know for the only one.
+    async fn tell_new_versions(&self) {
+        let in_use = self.core.with(|core, _| core.take_new_versions());
+        if in_use.is_empty() {
+            return;
+        }
+        let members = self.known_peers.borrow().members(Instant::now());
+        let messages = StreamMessages {
+            in_use,
+            ..StreamMessages::default()
+        };
+        self.send_about_streams(&members, messages).await;
+    }
+
     /// Asks all peers about the streams that callers take up here, again until they have answered or
     /// the inquiry ends, until the task is dropped.
     pub async fn ask_about_streams(&self) {
@@ -48,8 +64,13 @@
             } else {
                 self.core.has_unasked_questions().await;
             }
-            let peers = self.known_peers.borrow().all();
-            let questions = self.core.with(|core, now| core.ask_peers(now, &peers));
+            let (peers, live) = {
+                let known_peers = self.known_peers.borrow();
+                (known_peers.all(), known_peers.live(Instant::now()))
+            };
+            let questions = self
+                .core
+                .with(|core, now| core.ask_peers(now, !peers.is_empty(), &live));
             for asked in questions.chunks(MAX_STREAMS_PER_MESSAGE / 2) {
                 let messages = StreamMessages {
                     asked: asked.to_vec(),
--- a/crates/hickoryhall-gateway/src/stream_versions.rs
+++ b/crates/hickoryhall-gateway/src/stream_versions.rs
@@ -33,6 +33,15 @@
 /// Maximum number of streams that are remembered; the oldest are forgotten first.
 const MAX_STREAMS: usize = 65_536;
 
+/// A software version that servers of a service have.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub struct ServiceVersion {
+    /// Service of the servers.
+    pub service: ServiceHash,
+    /// Their software version.
+    pub software: SoftwareHash,
+}
+
 /// A stream and the software version that began it.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct StreamOrigin {
@@ -94,8 +103,7 @@
 /// What a registered server runs.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 struct ServerSoftware {
-    service: ServiceHash,
-    software: SoftwareHash,
+    version: ServiceVersion,
     incarnation: Incarnation,
 }
 
@@ -110,9 +118,11 @@
     by_age: VecDeque<(Instant, StreamHash)>,
     servers: HashMap<ServerId, ServerSoftware>,
     /// Versions that were in use and may be no more, with the last time at which they were.
-    earlier: HashMap<(ServiceHash, SoftwareHash), Instant>,
+    earlier: HashMap<ServiceVersion, Instant>,
     /// Versions whose last server has changed or gone since the last call that tells the time.
-    left: Vec<(ServiceHash, SoftwareHash)>,
+    left: Vec<ServiceVersion>,
+    /// Versions that appeared in the registry, of which peers have not been told.
+    new: Vec<ServiceVersion>,
     /// Time since which all servers are known; `None` before the first list of the registry.
     known_since: Option<Instant>,
     lifetime: Duration,
@@ -130,6 +140,7 @@
             servers: HashMap::new(),
             earlier: HashMap::new(),
             left: Vec::new(),
+            new: Vec::new(),
             known_since: None,
             lifetime: MIN_STREAM_LIFETIME,
         }
@@ -145,21 +156,48 @@
     /// Records a registered server, or a change of it.
     pub fn on_server(&mut self, server: &BackendServer) {
         let known = ServerSoftware {
-            service: hash_name(&server.service),
-            software: hash_name(&server.software),
+            version: ServiceVersion {
+                service: hash_name(&server.service),
+                software: hash_name(&server.software),
+            },
             incarnation: server.incarnation,
         };
+        if self.known_since.is_some() && !self.is_in_use(known.version) {
+            self.new.push(known.version);
+        }
         if let Some(before) = self.servers.insert(server.id.clone(), known)
             && before != known
         {
-            self.left.push((before.service, before.software));
+            self.left.push(before.version);
         }
     }
 
+    fn is_in_use(&self, version: ServiceVersion) -> bool {
+        let mut servers = self.servers.values();
+        servers.any(|server| server.version == version) || self.earlier.contains_key(&version)
+    }
+
+    /// Takes the versions that appeared in the registry since the last call. Peers may read it a
+    /// second later than this host, which uses them now.
+    pub fn take_new(&mut self) -> Vec<ServiceVersion> {
+        std::mem::take(&mut self.new)
+    }
+
+    /// Returns whether versions have appeared since the last call of [`take_new`](Self::take_new).
+    #[must_use]
+    pub fn has_new(&self) -> bool {
+        !self.new.is_empty()
+    }
+
+    /// Records that a peer uses a version.
+    pub fn record_in_use(&mut self, now: Instant, version: ServiceVersion) {
+        self.earlier.insert(version, now);
+    }
+
     /// Records that a server is no longer registered.
     pub fn on_server_gone(&mut self, id: &str) {
         if let Some(before) = self.servers.remove(id) {
-            self.left.push((before.service, before.software));
+            self.left.push(before.version);
         }
     }
 
@@ -198,7 +236,7 @@
         let software = hash_name(&server.software);
         let known = self.servers.get(&server.id);
         let is_certain = known.is_none_or(|known| {
-            known.incarnation == server.incarnation || known.software == software
+            known.incarnation == server.incarnation || known.version.software == software
         });
         is_certain.then_some(software)
     }
@@ -210,7 +248,11 @@
         if before.is_none_or(|(_, at)| at != now) {
             self.by_age.push_back((now, origin.stream));
         }
-        self.earlier.insert((origin.service, origin.software), now);
+        let version = ServiceVersion {
+            service: origin.service,
+            software: origin.software,
+        };
+        self.record_in_use(now, version);
         self.expire(now);
     }
 
@@ -252,16 +294,16 @@
     fn knowledge_of_service(&mut self, moment: Moment, service: ServiceHash) -> StreamKnowledge {
         self.expire(moment.now);
         let registered = self.servers.values();
-        let registered = registered.filter(|server| server.service == service);
+        let registered = registered.filter(|server| server.version.service == service);
         let mut youngest = 0;
         let mut versions = BTreeSet::new();
         for server in registered {
             youngest = youngest.max(server.incarnation);
-            versions.insert(server.software);
+            versions.insert(server.version.software);
         }
         let earlier = self.earlier.keys();
-        let earlier = earlier.filter(|(other, _)| *other == service);
-        versions.extend(earlier.map(|(_, software)| *software));
+        let earlier = earlier.filter(|version| version.service == service);
+        versions.extend(earlier.map(|version| version.software));
         let mut versions = versions.into_iter();
         match (versions.next(), versions.next()) {
             (Some(_), Some(_)) => StreamKnowledge::Several,
@@ -292,8 +334,10 @@
 /// What peers answer about one stream.
 #[derive(Debug)]
 pub struct Inquiry {
-    /// Peers that were asked.
-    asked: HashSet<Ipv4Addr>,
+    /// Whether there are any peers to ask.
+    has_peers: bool,
+    /// Peers that were asked and are likely to answer.
+    awaited: HashSet<Ipv4Addr>,
     answered: HashSet<Ipv4Addr>,
     /// Versions that hosts which do not read the registry know as the only one.
     outdated: BTreeSet<SoftwareHash>,
@@ -306,7 +350,8 @@
     #[must_use]
     pub fn new(own: StreamKnowledge) -> Self {
         let mut inquiry = Self {
-            asked: HashSet::new(),
+            has_peers: false,
+            awaited: HashSet::new(),
             answered: HashSet::new(),
             outdated: BTreeSet::new(),
             is_ruled_out: false,
@@ -315,9 +360,11 @@
         inquiry
     }
 
-    /// Adds peers that are asked now, some of them perhaps again.
-    pub fn ask(&mut self, peers: impl IntoIterator<Item = Ipv4Addr>) {
-        self.asked.extend(peers);
+    /// Records that all known peers are asked now, perhaps again; `live` are those of them that were
+    /// heard of lately.
+    pub fn ask(&mut self, live: impl IntoIterator<Item = Ipv4Addr>) {
+        self.has_peers = true;
+        self.awaited.extend(live);
     }
 
     /// Takes an answer; returns the version if it is certain now.
@@ -344,20 +391,24 @@
         }
     }
 
-    /// Returns whether all peers have answered.
+    /// Returns whether all peers have answered that are likely to, and at least one if there are any:
+    /// a host that has just started, or was cut off, hears of none.
     #[must_use]
     pub fn is_complete(&self) -> bool {
-        self.asked.is_subset(&self.answered)
+        self.has_answers() && self.awaited.is_subset(&self.answered)
+    }
+
+    fn has_answers(&self) -> bool {
+        !self.answered.is_empty() || !self.has_peers
     }
 
     /// Ends the inquiry: returns the version if hosts that cannot read the registry agree on it and
     /// nobody knows of another one. A host that no peer answers may be cut off from those that know.
     #[must_use]
     pub fn finish(&self) -> Option<SoftwareHash> {
-        let has_answers = !self.answered.is_empty() || self.asked.is_empty();
         let agreed = self.outdated.first().filter(|_| self.outdated.len() == 1);
         agreed
             .copied()
-            .filter(|_| has_answers && !self.is_ruled_out)
+            .filter(|_| self.has_answers() && !self.is_ruled_out)
     }
 }
--- a/crates/hickoryhall-gateway/tests/messages.rs
+++ b/crates/hickoryhall-gateway/tests/messages.rs
@@ -13,7 +13,9 @@
 };
 use hickoryhall_gateway::scheduler::{DesiredVersionAge, HostLoad};
 use hickoryhall_gateway::store_position::StorePosition;
-use hickoryhall_gateway::stream_versions::{StreamKnowledge, StreamOrigin, StreamQuestion};
+use hickoryhall_gateway::stream_versions::{
+    ServiceVersion, StreamKnowledge, StreamOrigin, StreamQuestion,
+};
 use hickoryhall_routing::Level;
 use proptest::prelude::*;
 
@@ -106,6 +108,10 @@
         StreamKnowledge::Unknown,
     ];
     StreamMessages {
+        in_use: vec![ServiceVersion {
+            service: numbers[1],
+            software: numbers[2],
+        }],
         told: numbers[..3]
             .iter()
             .map(|&stream| StreamOrigin {
--- a/crates/hickoryhall-gateway/tests/stream_versions.rs
+++ b/crates/hickoryhall-gateway/tests/stream_versions.rs
@@ -178,6 +178,28 @@
     assert_eq!(host.knowledge(2), StreamKnowledge::Several);
 }
 
+/// Guards against a host that reads the registry a second after another one, and takes the version
+/// that it knows for the only one while streams begin at the new one.
+#[test]
+fn a_version_that_a_peer_has_just_found_counts() {
+    let (mut first, mut second) = (Host::new(&["v1"]).wait(30), Host::new(&["v1"]).wait(30));
+    assert!(!first.versions.has_new(), "the first list holds no news");
+    first.versions.on_server(&server(5, "v1"));
+    assert!(
+        !first.versions.has_new(),
+        "another server of a known version"
+    );
+    first.versions.on_server(&server(6, "v2"));
+    let news = first.versions.take_new();
+    assert_eq!(news.len(), 1);
+    assert!(!first.versions.has_new());
+    let now = second.moment().now;
+    second.versions.record_in_use(now, news[0]);
+    assert_eq!(second.knowledge(1), StreamKnowledge::Several);
+    let mut second = second.wait(18);
+    assert_eq!(second.knowledge(1), only("v1", true));
+}
+
 #[test]
 fn a_stream_of_another_service_does_not_go_on() {
     let mut host = Host::new(&["v1"]).wait(30);
@@ -254,11 +276,32 @@
     inquiry.ask(peers.clone());
     let mut answers = peers.zip(answers);
     let found = answers.find_map(|(peer, answer)| inquiry.on_answer(peer, *answer));
-    assert!(!inquiry.is_complete());
+    assert!(!inquiry.is_complete(), "one peer is silent");
     let found = found.or_else(|| inquiry.finish());
     assert_eq!(found, is_found.then_some(7));
 }
 
+/// Peers that are down do not delay a stream that the others know where to continue.
+#[test]
+fn an_inquiry_waits_only_for_peers_that_were_heard_of_lately() {
+    let live = Ipv4Addr::new(10, 0, 0, 1);
+    let mut inquiry = Inquiry::new(OUTDATED);
+    inquiry.ask([live]);
+    assert!(!inquiry.is_complete());
+    assert_eq!(inquiry.on_answer(live, OUTDATED), None);
+    assert!(inquiry.is_complete());
+    assert_eq!(inquiry.finish(), Some(7));
+}
+
+/// Guards against a host that was cut off from all others and trusts its own view.
+#[test]
+fn an_inquiry_without_live_peers_is_not_complete() {
+    let mut inquiry = Inquiry::new(OUTDATED);
+    inquiry.ask([]);
+    assert!(!inquiry.is_complete());
+    assert_eq!(inquiry.finish(), None);
+}
+
 #[test]
 fn a_host_without_peers_relies_on_itself() {
     assert_eq!(Inquiry::new(OUTDATED).finish(), Some(7));
