Let the extra retries of a host that starts again grow over a window

Each of them had its whole share of the fleet's extra retries anew, of which its process before may have used all; besides, one that has just started takes the fleet for the smallest, and has too large a share in a large one. The share now grows with the time since the start, unless the whole fleet starts for the first time. The new case of fleet_retries.rs does not compile on the code before; its numbers would be 8, 0 and 9 retries there instead of 4, 4 and 9.

Hosts of the tests state whether their fleet starts for the first time.

--- a/crates/hickoryhall-gateway/src/core.rs
+++ b/crates/hickoryhall-gateway/src/core.rs
@@ -49,8 +49,8 @@
     /// Limit on the retries of the whole fleet, applied to each service; every host uses an equal
     /// share of it.
     pub retry_limit: FleetRetryLimit,
-    /// Whether the whole fleet starts for the first time.
-    pub is_first_start: bool,
+    /// Start of this host, unless the whole fleet starts for the first time.
+    pub restarted_at: Option<Instant>,
 }
 
 /// Where this host learned of a desired version.
@@ -104,7 +104,7 @@
     pub fn new(config: CoreConfig, logger: Logger) -> Self {
         Self {
             scheduler: Scheduler::new(config.scheduler.clone()),
-            streams: StreamState::new(config.is_first_start),
+            streams: StreamState::new(config.restarted_at.is_none()),
             config,
             registry: Registry::default(),
             table: None,
@@ -323,9 +323,10 @@
     /// Counts a request to a service, which adds to the retry budget of that service.
     pub fn record_request(&mut self, now: Instant, service: &TargetId) {
         let limit = self.config.retry_limit;
+        let restarted_at = self.config.restarted_at;
         let budget = self.retry_budgets.entry(service.clone());
         budget
-            .or_insert_with(|| FleetRetryBudget::new(limit))
+            .or_insert_with(|| FleetRetryBudget::new(limit, restarted_at))
             .record_request(now);
     }
 
--- a/crates/hickoryhall-gateway/src/host.rs
+++ b/crates/hickoryhall-gateway/src/host.rs
@@ -314,7 +314,7 @@
         host,
         scheduler,
         retry_limit: settings.bounds.retry_limit(),
-        is_first_start: settings.is_first_start,
+        restarted_at: (!settings.is_first_start).then(Instant::now),
     }
 }
 
--- a/crates/hickoryhall-gateway/tests/groups.rs
+++ b/crates/hickoryhall-gateway/tests/groups.rs
@@ -145,7 +145,7 @@
             extra_retries: 10.0,
             window: Duration::from_secs(10),
         },
-        is_first_start: false,
+        restarted_at: None,
     };
     let mut core = Core::new(config, Logger::root(Discard, o!()));
     core.set_table(table_of([("models", model_service(10_000, 100_000_000))]));
--- a/crates/hickoryhall-gateway/tests/turned_away.rs
+++ b/crates/hickoryhall-gateway/tests/turned_away.rs
@@ -27,7 +27,7 @@
             extra_retries: 50.0,
             window: Duration::from_secs(10),
         },
-        is_first_start: false,
+        restarted_at: None,
     };
     let mut core = Core::new(config, slog::Logger::root(slog::Discard, slog::o!()));
     core.set_table(table_of([("models", model_service(8, 90_000))]));
--- a/crates/hickoryhall-gateway/tests/version_ages.rs
+++ b/crates/hickoryhall-gateway/tests/version_ages.rs
@@ -110,7 +110,7 @@
                 extra_retries: 50.0,
                 window: 10 * SECOND,
             },
-            is_first_start: false,
+            restarted_at: None,
         };
         let mut core = Core::new(config, slog::Logger::root(slog::Discard, slog::o!()));
         core.set_desired_version(now, "m".into(), 2, age, DesiredVersionSource::Store);
--- a/crates/hickoryhall-limits/tests/fleet_retries.rs
+++ b/crates/hickoryhall-limits/tests/fleet_retries.rs
@@ -14,7 +14,7 @@
 #[test]
 fn a_host_without_requests_has_its_part_of_the_extra_retries() {
     let now = Instant::now();
-    let mut budget = FleetRetryBudget::new(LIMIT);
+    let mut budget = FleetRetryBudget::new(LIMIT, None);
     let taken = (0..100).filter(|_| budget.take(now, 6)).count();
     assert_eq!(taken, 8, "nine tenths of 54 / 6");
 }
@@ -22,7 +22,7 @@
 #[test]
 fn retries_come_back_after_the_window() {
     let now = Instant::now();
-    let mut budget = FleetRetryBudget::new(LIMIT);
+    let mut budget = FleetRetryBudget::new(LIMIT, None);
     while budget.take(now, 6) {}
     assert!(!budget.take(now + Duration::from_millis(9_999), 6));
     assert!(budget.take(now + Duration::from_secs(10), 6));
@@ -31,12 +31,29 @@
 #[test]
 fn the_part_left_falls_to_nothing() {
     let now = Instant::now();
-    let mut budget = FleetRetryBudget::new(LIMIT);
+    let mut budget = FleetRetryBudget::new(LIMIT, None);
     assert!((budget.fraction_left(now, 6) - 1.0).abs() < f64::EPSILON);
     while budget.take(now, 6) {}
     assert!(budget.fraction_left(now, 6) < f64::EPSILON);
 }
 
+/// Guards against hosts that are stopped and started in turn and each have their whole share twice
+/// (soak, seed 9,006).
+#[test]
+fn a_host_that_starts_again_gets_its_extra_retries_over_a_window() {
+    let start = Instant::now();
+    let mut budget = FleetRetryBudget::new(LIMIT, Some(start));
+    assert!(!budget.take(start, 6));
+    let half = start + Duration::from_secs(5);
+    assert_eq!((0..100).filter(|_| budget.take(half, 6)).count(), 4);
+    let whole = start + Duration::from_secs(10);
+    assert_eq!((0..100).filter(|_| budget.take(whole, 6)).count(), 4);
+    for _ in 0..50 {
+        budget.record_request(whole);
+    }
+    assert_eq!((0..100).filter(|_| budget.take(whole, 6)).count(), 9);
+}
+
 proptest! {
     /// For any sequence of requests and retries on the hosts, the fleet stays within its budget in
     /// every window, counting the requests of that window and of the one before it.
@@ -47,7 +64,7 @@
         let start = Instant::now();
         let mut events = events;
         events.sort_by_key(|&(_, at_ms, _)| at_ms);
-        let mut hosts = vec![FleetRetryBudget::new(LIMIT); 7];
+        let mut hosts = vec![FleetRetryBudget::new(LIMIT, None); 7];
         let (mut requests, mut retries) = (Vec::new(), Vec::new());
         for (host, at_ms, is_request) in events {
             let now = start + Duration::from_millis(at_ms);
