Take a request for a continuation only if it says after which event

A request that names an earlier one but no event begins anew: it may go to another service and version, and is remembered as a stream of its own. A stream that is known keeps its version, whoever tells of it. A coding of the transfer that is not chunked last does not tell the end of a body.

--- a/crates/hickoryhall-gateway/src/exchange/intake.rs
+++ b/crates/hickoryhall-gateway/src/exchange/intake.rs
@@ -141,8 +141,7 @@
         let body = read_body(body, table.limits(), deadline, &meta).await?;
         let fingerprint = fingerprint(&head, &meta, &body);
         // A stream that is taken up goes on at the service that began it.
-        let first_request_id = meta.resumed_request_id.as_ref().unwrap_or(&meta.request_id);
-        let hash = hickoryhall_types::hash_name(first_request_id);
+        let hash = hickoryhall_types::hash_name(meta.first_request_id());
         let service = route.target(hash).cloned().ok_or_else(|| {
             Rejection::new(Some(&meta), StatusCode::SERVICE_UNAVAILABLE, "no_service")
         })?;
--- a/crates/hickoryhall-gateway/src/exchange/take_up.rs
+++ b/crates/hickoryhall-gateway/src/exchange/take_up.rs
@@ -10,19 +10,13 @@
 use super::Exchange;
 use crate::interface::{LocalFailure, Platform};
 use crate::registry::BackendServer;
-use crate::stream_versions::{StreamHash, StreamQuestion};
+use crate::stream_versions::StreamQuestion;
 
 /// Time within which peers answer, a lost message and the first digest to a host that has just
 /// started included.
 const INQUIRY_TIMEOUT: Duration = Duration::from_millis(250);
 
 impl<P: Platform> Exchange<P> {
-    /// Returns the hash of the request that brought the first event of the stream.
-    fn stream(&self) -> StreamHash {
-        let meta = &self.request.meta;
-        hash_name(meta.resumed_request_id.as_ref().unwrap_or(&meta.request_id))
-    }
-
     /// Finds out at which software version the stream goes on, if the caller takes one up. Returns
     /// the failure if nobody knows: the caller has to begin anew.
     pub(super) async fn find_software(&mut self) -> Option<LocalFailure> {
@@ -56,7 +50,7 @@
     /// Records which server sends the first event of the stream; from now on it goes on at the same
     /// software version only.
     pub(super) fn stream_began(&mut self, server: &BackendServer) {
-        let stream = self.stream();
+        let stream = hash_name(self.request.meta.first_request_id());
         let is_resumable = self.request.route.kind.may_repeat();
         let began = self.gateway.core.with(|core, now| {
             if is_resumable {
--- a/crates/hickoryhall-gateway/src/framing.rs
+++ b/crates/hickoryhall-gateway/src/framing.rs
@@ -17,12 +17,12 @@
     /// Returns the framing that the headers of a response state.
     #[must_use]
     pub fn of(headers: &HeaderMap) -> Self {
-        if headers.contains_key(TRANSFER_ENCODING) {
-            Self::Chunks
-        } else if headers.contains_key(CONTENT_LENGTH) {
-            Self::Length
-        } else {
-            Self::Connection
+        let last_coding = headers.get_all(TRANSFER_ENCODING).iter().next_back();
+        match last_coding.map(|value| value.as_bytes().to_ascii_lowercase()) {
+            Some(codings) if codings.trim_ascii_end().ends_with(b"chunked") => Self::Chunks,
+            Some(_) => Self::Connection,
+            None if headers.contains_key(CONTENT_LENGTH) => Self::Length,
+            None => Self::Connection,
         }
     }
 
--- a/crates/hickoryhall-gateway/src/interface.rs
+++ b/crates/hickoryhall-gateway/src/interface.rs
@@ -59,6 +59,17 @@
     pub resumed_request_id: Option<Arc<str>>,
 }
 
+impl RequestMeta {
+    /// Returns the id of the request that brought, or will bring, the first event of the stream: an
+    /// earlier one only if the caller takes its stream up.
+    #[must_use]
+    pub fn first_request_id(&self) -> &Arc<str> {
+        let resumed = self.resumed_request_id.as_ref();
+        let resumed = resumed.filter(|_| self.last_event_id.is_some());
+        resumed.unwrap_or(&self.request_id)
+    }
+}
+
 /// The head of a caller's request is invalid.
 #[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
 pub enum InvalidHead {
--- a/crates/hickoryhall-gateway/src/stream_versions.rs
+++ b/crates/hickoryhall-gateway/src/stream_versions.rs
@@ -241,9 +241,12 @@
         is_certain.then_some(software)
     }
 
-    /// Records the version that began a stream, of this host or as a peer told it.
+    /// Records the version that began a stream, of this host or as a peer told it. A stream that is
+    /// known keeps its version, and is remembered for longer.
     pub fn record(&mut self, now: Instant, origin: &StreamOrigin) {
-        let before = self.streams.insert(origin.stream, (*origin, now));
+        let known = self.streams.get(&origin.stream);
+        let kept = known.map_or(*origin, |(known, _)| *known);
+        let before = self.streams.insert(origin.stream, (kept, now));
         // One that was recorded just before needs no second place.
         if before.is_none_or(|(_, at)| at != now) {
             self.by_age.push_back((now, origin.stream));
--- a/crates/hickoryhall-gateway/tests/stream_versions.rs
+++ b/crates/hickoryhall-gateway/tests/stream_versions.rs
@@ -169,6 +169,17 @@
     assert_eq!(host.knowledge(1), StreamKnowledge::Several);
 }
 
+/// Guards against a request that names another one's stream and changes its version.
+#[test]
+fn a_known_stream_keeps_its_version() {
+    let mut host = Host::new(&["v1", "v1.1"]);
+    let now = host.moment().now;
+    host.versions.record(now, &origin(1, "v1"));
+    host.versions.record(now, &origin(1, "v1.1"));
+    let began = StreamKnowledge::Began(hash_name("v1"));
+    assert_eq!(host.knowledge(1), began);
+}
+
 /// A peer that tells of a stream may know a version that this host does not.
 #[test]
 fn a_version_that_a_peer_tells_of_counts() {
