Answer requests whose servers are silent before the process ends

In the last 0.2 s a stopping host now answers every request without a response with 502, which promises nothing, and names it in the log.

--- a/crates/hickoryhall-gateway/src/exchange.rs
+++ b/crates/hickoryhall-gateway/src/exchange.rs
@@ -21,8 +21,8 @@
 use hickoryhall_routing::SuspectDecision;
 use hickoryhall_types::Ran;
 use hyper::{Request, Response, StatusCode};
-use slog::{Logger, debug, info};
-use tokio::sync::oneshot;
+use slog::{Logger, debug, info, warn};
+use tokio::sync::{Notify, oneshot};
 
 use crate::core::CoreHandle;
 use crate::interface::{LocalFailure, Platform};
@@ -48,6 +48,14 @@
 /// `Retry-After` of a request suspected of crashing servers: longer than its caller waits.
 const RETRY_AFTER_SUSPECT: Duration = Duration::from_secs(30);
 
+/// Failure of a request whose process ends first; it may have run.
+const ENDING: LocalFailure = LocalFailure {
+    status: StatusCode::BAD_GATEWAY,
+    ran: Ran::Unknown,
+    retry_after: None,
+    reason: "stopped",
+};
+
 /// Handles callers' requests: places each on a backend server, forwards it and passes the response
 /// back.
 pub struct Gateway<P> {
@@ -59,6 +67,8 @@
     next_attempt_id: Cell<AttemptId>,
     in_flight: Rc<Cell<usize>>,
     is_closed: Cell<bool>,
+    /// Notified when the process ends before the requests in progress do.
+    ending: Notify,
     logger: Logger,
 }
 
@@ -84,6 +94,7 @@
             next_attempt_id: Cell::new(1),
             in_flight: Rc::default(),
             is_closed: Cell::new(false),
+            ending: Notify::new(),
             logger,
         }
     }
@@ -106,6 +117,11 @@
         self.is_closed.set(true);
     }
 
+    /// Answers all requests without a response, because the process ends before their servers answer.
+    pub fn end_requests(&self) {
+        self.ending.notify_waiters();
+    }
+
     /// Queries a runner for the version of its weights after it refused a request that expected
     /// another one.
     fn refresh_weights(&self, assignment: &Assignment) {
@@ -168,8 +184,21 @@
         let arrived_at = Instant::now();
         match self.intake(request, arrived_at).await {
             Ok(request) => {
-                caller.set_request_id(request.meta.request_id.clone());
-                Ok(Exchange::new(self, request, in_flight).run().await)
+                let id = request.meta.request_id.clone();
+                caller.set_request_id(id.clone());
+                let gateway = Rc::clone(&self);
+                let exchange = Exchange::new(self, request, in_flight);
+                tokio::select! {
+                    biased;
+                    response = exchange.run() => Ok(response),
+                    () = gateway.ending.notified() => {
+                        warn!(
+                            gateway.logger, "exchange: Request answered before its server, as the process ends.";
+                            "request" => &*id, "status" => ENDING.status.as_u16(), "reason" => ENDING.reason
+                        );
+                        Ok(gateway.error_response(Some(&id), &ENDING))
+                    }
+                }
             }
             Err(Rejection {
                 request_id,
--- a/crates/hickoryhall-gateway/src/host.rs
+++ b/crates/hickoryhall-gateway/src/host.rs
@@ -4,7 +4,7 @@
 use std::io;
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
-use std::pin::pin;
+use std::pin::{Pin, pin};
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
@@ -39,7 +39,7 @@
 const STOP_ACCEPT_TIME: Duration = Duration::from_millis(2_600);
 /// Time before the process is killed at which a stopping host exits by itself.
 const STOP_MARGIN: Duration = Duration::from_millis(350);
-/// Time before that at which requests that wait for a server are refused.
+/// Time before that in which all requests are answered that have no response yet.
 const LAST_ANSWERS_TIME: Duration = Duration::from_millis(400);
 /// Maximum number of request ids in the log line of the requests that a stop cuts off.
 const MAX_LOGGED_REQUESTS: usize = 16;
@@ -263,6 +263,21 @@
         self.connections.drained().await;
     }
 
+    /// Answers what is left in the little time before the end: requests that wait for a server first,
+    /// then those whose servers have not answered. Returns whether all callers got their responses.
+    async fn answer_all(
+        &self,
+        time_left: Duration,
+        mut drained: Pin<&mut impl Future<Output = ()>>,
+    ) -> bool {
+        self.gateway.core().with(Core::stop_waiting);
+        if timeout(time_left / 2, drained.as_mut()).await.is_ok() {
+            return true;
+        }
+        self.gateway.end_requests();
+        timeout(time_left / 2, drained).await.is_ok()
+    }
+
     /// Accepts requests until the load balancer has noticed the stop, and waits until the callers of
     /// all requests have got their responses.
     async fn drain(&self, grace: Duration) {
@@ -284,10 +299,8 @@
         let is_drained = match timeout(time_to_wait, drained.as_mut()).await {
             Ok(()) => true,
             Err(_) => {
-                // Requests that wait for a server get none in time.
-                let core = self.gateway.core();
-                core.with(Core::stop_waiting);
-                timeout(time_left(max_drain_time), drained).await.is_ok()
+                self.answer_all(max_drain_time.saturating_sub(started.elapsed()), drained)
+                    .await
             }
         };
         let counts = self.connections.counts();
