--- a/crates/hickoryhall-gateway/src/core/streams.rs
+++ b/crates/hickoryhall-gateway/src/core/streams.rs
@@ -198,7 +198,10 @@
             self.streams.versions.record(now, origin);
         }
         for (question, answer) in &messages.answers {
-            debug!(self.logger, "core: Answer about the software version of a stream."; "host" => %from, "stream" => question.stream, "answer" => ?answer);
+            debug!(
+                self.logger, "core: Answer about the software version of a stream.";
+                "host" => %from, "stream" => question.stream, "answer" => ?answer
+            );
             let Some(open) = self.streams.inquiries.get_mut(question) else {
                 continue;
             };
--- a/crates/hickoryhall-gateway/src/scheduler/search.rs
+++ b/crates/hickoryhall-gateway/src/scheduler/search.rs
@@ -14,9 +14,8 @@
 use hickoryhall_types::rendezvous_score;
 
 use super::candidate::{Candidate, PromptAffinity, millis};
-use crate::stream_versions::SoftwareHash;
-
 use super::{PlacementRequest, PromptInfo, RefusalReason, Scheduler, ServerKey, ServerState};
+use crate::stream_versions::SoftwareHash;
 
 /// Least number of owners of a prompt that are compared in a large service: with a second one, a
 /// queue at the first can be avoided.
