Leave followers of large fleets their long watches

Only hosts of small fleets and the two readers of a group ask that often now; followers hear of newer weights in digests.

--- a/crates/hickoryhall-gateway/src/feeds.rs
+++ b/crates/hickoryhall-gateway/src/feeds.rs
@@ -32,6 +32,9 @@
 /// Longest time for which one watch waits for changes: a connection on which an answer was lost
 /// returns nothing further, and what changed is known only through the next watch.
 const WATCH_TIMEOUT: Duration = Duration::from_secs(5);
+/// The same time at the followers of a large fleet, where each call of every host is charged for:
+/// they hear of newer weights in the digests of hosts that ask more often.
+const FOLLOWER_WATCH_TIMEOUT: Duration = Duration::from_secs(20);
 /// The same time at a host that passes changes of the registry on: others rely on the store's
 /// answers that it gets.
 const READER_WATCH_TIMEOUT: Duration = Duration::from_millis(800);
@@ -261,14 +264,13 @@
         loop {
             self.wait_while_relayed(link.kind).await;
             after = after.max(self.position(link.kind));
-            let is_reader =
-                link.kind == FeedKind::Registry && self.role.get() == RegistryRole::Reader;
-            let wait = if !link.is_up() {
-                RETURN_WATCH_TIMEOUT
-            } else if is_reader {
-                READER_WATCH_TIMEOUT
-            } else {
-                WATCH_TIMEOUT
+            let role = self.role.get();
+            let is_reader = link.kind == FeedKind::Registry && role == RegistryRole::Reader;
+            let wait = match (link.kind, role) {
+                _ if !link.is_up() => RETURN_WATCH_TIMEOUT,
+                (FeedKind::Registry, RegistryRole::Reader) => READER_WATCH_TIMEOUT,
+                (FeedKind::Operator, RegistryRole::Follower) => FOLLOWER_WATCH_TIMEOUT,
+                _ => WATCH_TIMEOUT,
             };
             let watched = self.store.watch(prefix, after, wait).await;
             if let Err(StoreError::EraChanged) = watched {
