--- a/crates/hickoryhall-gateway/tests/herd.rs
+++ b/crates/hickoryhall-gateway/tests/herd.rs
@@ -3,16 +3,16 @@
 
 mod support;
 
-use std::time::{Duration, Instant};
+use std::time::Instant;
 
 use hickoryhall_gateway::registry::RegistryEvent;
 use hickoryhall_gateway::scheduler::{
-    HostLoad, LoadSource, PlacementRequest, PromptInfo, Scheduler, SchedulerConfig,
+    HostLoad, LoadSource, PlacementRequest, Scheduler, SchedulerConfig,
 };
-use hickoryhall_routing::{Level, PrefixChain};
+use hickoryhall_routing::Level;
 use hickoryhall_types::hash_name;
 use rstest::rstest;
-use support::{model_service, table_of};
+use support::{model_service, placement_request, table_of};
 
 const HOSTS: u64 = 70;
 const RUNNERS: usize = 60;
@@ -73,22 +73,5 @@
             tokens: 600,
         },
     ];
-    PlacementRequest {
-        attempt_id: 1_000 + host,
-        service: "models".into(),
-        priority: (1, 0),
-        prompt: Some(PromptInfo {
-            model: "m".into(),
-            input_tokens: 800,
-            chain: PrefixChain::from_levels(levels),
-            output_tokens: 50,
-        }),
-        is_resumable: true,
-        arrived_at: now,
-        target_latency: Duration::from_millis(400),
-        deadline: now + Duration::from_secs(15),
-        excluded_servers: Vec::new(),
-        software: None,
-        is_suspect: false,
-    }
+    placement_request(1_000 + host, levels, now)
 }
--- a/crates/hickoryhall-gateway/tests/software_placement.rs
+++ b/crates/hickoryhall-gateway/tests/software_placement.rs
@@ -2,17 +2,17 @@
 
 mod support;
 
-use std::time::{Duration, Instant};
+use std::time::Instant;
 
 use hickoryhall_gateway::registry::{BackendServer, RegistryEvent};
 use hickoryhall_gateway::scheduler::{
-    HostLoad, LoadSource, Placement, PlacementRequest, PromptInfo, RefusalReason, ReportedState,
-    Scheduler, SchedulerConfig,
+    HostLoad, LoadSource, Placement, PlacementRequest, RefusalReason, ReportedState, Scheduler,
+    SchedulerConfig,
 };
-use hickoryhall_routing::{Level, PrefixChain};
+use hickoryhall_routing::Level;
 use hickoryhall_types::hash_name;
 use rstest::rstest;
-use support::{model_service, runner, table_of};
+use support::{model_service, placement_request, runner, table_of};
 
 /// A fleet with runners of two versions.
 struct Fleet {
@@ -71,22 +71,8 @@
             },
         ];
         let request = PlacementRequest {
-            attempt_id: self.requests,
-            service: "models".into(),
-            priority: (1, 0),
-            prompt: Some(PromptInfo {
-                model: "m".into(),
-                input_tokens: 800,
-                chain: PrefixChain::from_levels(levels),
-                output_tokens: 50,
-            }),
-            is_resumable: true,
-            arrived_at: self.now,
-            target_latency: Duration::from_millis(400),
-            deadline: self.now + Duration::from_secs(15),
-            excluded_servers: Vec::new(),
             software: software.map(hash_name),
-            is_suspect: false,
+            ..placement_request(self.requests, levels, self.now)
         };
         self.scheduler.place(self.now, request)
     }
--- a/crates/hickoryhall-gateway/tests/support/mod.rs
+++ b/crates/hickoryhall-gateway/tests/support/mod.rs
@@ -3,12 +3,14 @@
 #![allow(dead_code, reason = "each test file uses its own part")]
 
 use std::collections::HashMap;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use hickoryhall_gateway::registry::BackendServer;
+use hickoryhall_gateway::scheduler::{PlacementRequest, PromptInfo};
 use hickoryhall_gateway::table::{
     CallerLimits, RouteTable, RunnerCapacity, ServiceInfo, TableParts,
 };
+use hickoryhall_routing::{Level, PrefixChain};
 
 /// Returns a model service with the given capacity per runner.
 pub fn model_service(slots: u32, kv_cache_tokens: u32) -> ServiceInfo {
@@ -23,6 +25,28 @@
     }
 }
 
+/// Returns a model request of 800 tokens that the service `models` gets.
+pub fn placement_request(attempt_id: u64, levels: Vec<Level>, now: Instant) -> PlacementRequest {
+    PlacementRequest {
+        attempt_id,
+        service: "models".into(),
+        priority: (1, 0),
+        prompt: Some(PromptInfo {
+            model: "m".into(),
+            input_tokens: 800,
+            chain: PrefixChain::from_levels(levels),
+            output_tokens: 50,
+        }),
+        is_resumable: true,
+        arrived_at: now,
+        target_latency: Duration::from_millis(400),
+        deadline: now + Duration::from_secs(15),
+        excluded_servers: Vec::new(),
+        software: None,
+        is_suspect: false,
+    }
+}
+
 /// Returns a route table that has only services.
 pub fn table_of(services: impl IntoIterator<Item = (&'static str, ServiceInfo)>) -> RouteTable {
     let services = services.into_iter();
