--- a/crates/hickoryhall-edge/src/pool.rs
+++ b/crates/hickoryhall-edge/src/pool.rs
@@ -72,6 +72,17 @@
     },
 }
 
+impl ConnectError {
+    /// Returns whether nothing listens at the address.
+    #[must_use]
+    pub fn is_refused(&self) -> bool {
+        match self {
+            Self::Io { source, .. } => source.kind() == io::ErrorKind::ConnectionRefused,
+            Self::Timeout(_) | Self::Http { .. } => false,
+        }
+    }
+}
+
 /// Error of a request that failed before its response head arrived.
 #[derive(Debug, thiserror::Error)]
 #[error("failed to send a request to {address}: {source}")]
--- a/crates/hickoryhall-gateway/src/exchange.rs
+++ b/crates/hickoryhall-gateway/src/exchange.rs
@@ -6,6 +6,7 @@
 //! sent again, within the retry budget; every other request fails with `ran` unknown.
 
 mod attempt;
+mod crash;
 mod intake;
 mod record;
 mod relay;
--- a/crates/hickoryhall-gateway/src/exchange/attempt.rs
+++ b/crates/hickoryhall-gateway/src/exchange/attempt.rs
@@ -1,6 +1,5 @@
 //! Sends a request to one backend server and reads the response.
 
-use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
@@ -130,11 +129,10 @@
     ) -> AttemptResult {
         self.record.attempt_begins();
         let until = self.attempt_deadline(assignment);
-        let address = assignment.server.address;
         let received = match self.send(assignment, resume_after, until).await {
             Ok(received) => received,
             Err(failure) => {
-                self.record_failure(&failure, address);
+                self.record_failure(&failure, &assignment.server);
                 guard.end(attempt_end(&failure));
                 return AttemptResult::Failed(failure);
             }
@@ -190,7 +188,7 @@
                 AttemptResult::Response(response)
             }
             Err(failure) => {
-                self.record_failure(&failure, address);
+                self.record_failure(&failure, &assignment.server);
                 guard.end(attempt_end(&failure));
                 AttemptResult::Failed(failure)
             }
@@ -365,7 +363,8 @@
 
     /// Drops the idle connections to a server that broke off, timed out or was unreachable. If it
     /// broke off, also counts that against the request, which may have crashed the server.
-    pub(super) fn record_failure(&self, failure: &AttemptFailure, address: SocketAddr) {
+    pub(super) fn record_failure(&self, failure: &AttemptFailure, server: &BackendServer) {
+        let address = server.address;
         match failure {
             AttemptFailure::Broken => {
                 let fingerprint = self.request.fingerprint;
@@ -373,11 +372,11 @@
                     .gateway
                     .core
                     .with(|core, now| core.record_death(now, fingerprint));
-                slog::info!(
-                    self.gateway.logger, "exchange: Server broke off a request.";
-                    "request" => &*self.request.meta.request_id, "peer" => %address,
-                    "fingerprint" => self.request.fingerprint, "deaths" => deaths
+                debug!(
+                    self.gateway.logger, "exchange: Request counted as a suspect.";
+                    "request" => &*self.request.meta.request_id, "deaths" => deaths
                 );
+                self.record_break(server, false);
                 self.gateway.pool.close_idle(address);
             }
             AttemptFailure::Unsent | AttemptFailure::Invalid | AttemptFailure::TimedOut => {
--- a/crates/hickoryhall-gateway/src/exchange/intake.rs
+++ b/crates/hickoryhall-gateway/src/exchange/intake.rs
@@ -5,7 +5,7 @@
 
 use bytes::Bytes;
 use hickoryhall_edge::RequestBody;
-use hickoryhall_routing::{Fingerprint, Level, PrefixChain};
+use hickoryhall_routing::{Fingerprint, Level, PartHash, PrefixChain};
 use hickoryhall_types::{Ran, Revision, TargetId};
 use http::request;
 use http_body_util::{BodyExt, Limited};
@@ -44,6 +44,8 @@
     /// cache salt.
     pub cache_partition: Option<String>,
     pub fingerprint: Fingerprint,
+    /// Parts of the prompt that other requests can share: all but the last.
+    pub parts: Vec<PartHash>,
     pub arrived_at: Instant,
     pub deadline: Instant,
     pub table_revision: Revision,
@@ -149,6 +151,7 @@
             .prompt
             .as_ref()
             .map(|_| cache_partition(workspace.as_deref()));
+        let parts = meta.prompt.as_ref().map(shared_parts).unwrap_or_default();
         let prompt = meta.prompt.as_ref().zip(cache_partition.as_ref());
         Ok(PreparedRequest {
             prompt: prompt.map(|(prompt, partition)| prompt_info(prompt, partition)),
@@ -160,6 +163,7 @@
             service,
             workspace,
             fingerprint,
+            parts,
             arrived_at,
             deadline,
             table_revision: table.revision(),
@@ -248,6 +252,15 @@
     }
 }
 
+/// Returns the parts of a prompt that other requests can share, in any place of their prompts.
+fn shared_parts(prompt: &Prompt) -> Vec<PartHash> {
+    let shared = prompt.parts.len().saturating_sub(1);
+    let parts = prompt.parts.iter().take(shared);
+    parts
+        .map(|part| hickoryhall_types::hash_name(&part.id))
+        .collect()
+}
+
 /// Returns what placement needs of a prompt. The key of each level is a hash over the cache
 /// partition and all parts up to that level.
 fn prompt_info(prompt: &Prompt, partition: &str) -> PromptInfo {
--- a/crates/hickoryhall-gateway/src/exchange/record.rs
+++ b/crates/hickoryhall-gateway/src/exchange/record.rs
@@ -10,7 +10,7 @@
 
 use super::intake::PreparedRequest;
 use crate::framing::BodyFraming;
-use crate::interface::{LocalFailure, ResponseId};
+use crate::interface::{LocalFailure, RequestMeta, ResponseId};
 use crate::outcome::is_promise;
 use crate::scheduler::Assignment;
 
@@ -22,6 +22,8 @@
     route: Arc<str>,
     service: Arc<str>,
     workspace: Arc<str>,
+    /// Ids of the prompt's parts, in order.
+    parts: String,
     table_revision: u64,
     arrived_at: Instant,
     /// Failed attempts, each as `SERVER:OUTCOME`.
@@ -92,6 +94,7 @@
             route: request.route.name.clone(),
             service: request.service.clone(),
             workspace: workspace.map_or_else(|| "".into(), |workspace| workspace.id.clone()),
+            parts: part_ids(meta),
             table_revision: request.table_revision,
             arrived_at: request.arrived_at,
             tried: Vec::new(),
@@ -228,11 +231,17 @@
             "framing" => self.framing.map_or("", BodyFraming::as_str),
             "incomplete_bytes" => self.incomplete_bytes, "resumes" => &*self.resumes,
             "resumes_after" => &*self.resumes_after,
-            "event_software" => self.event_software.join(" ")
+            "event_software" => self.event_software.join(" "), "parts" => &*self.parts
         );
     }
 }
 
+/// Returns the ids of the parts of a request's prompt, in order.
+fn part_ids(meta: &RequestMeta) -> String {
+    let parts = meta.prompt.iter().flat_map(|prompt| &prompt.parts);
+    parts.map(|part| &*part.id).collect::<Vec<_>>().join(" ")
+}
+
 impl Drop for RequestRecord {
     fn drop(&mut self) {
         if !self.is_ended {
--- a/crates/hickoryhall-gateway/src/exchange/relay.rs
+++ b/crates/hickoryhall-gateway/src/exchange/relay.rs
@@ -140,7 +140,7 @@
                     OVERSIZE_EVENT => AttemptFailure::Invalid,
                     _ => AttemptFailure::Broken,
                 };
-                self.record_failure(&failure, upstream.stream.server.address);
+                self.record_failure(&failure, &upstream.stream.server);
                 upstream.stream.guard.end(attempt_end(&failure));
                 return Err((Box::new(self), failure));
             }
@@ -232,6 +232,10 @@
                 StreamItem::Broken(reason) => {
                     let incomplete_bytes = self.upstream.incomplete_bytes;
                     self.exchange.record.incomplete_event(incomplete_bytes);
+                    if reason == BROKEN_OFF {
+                        let server = &self.upstream.stream.server;
+                        self.exchange.record_break(server, true);
+                    }
                     if self.resume(reason).await {
                         self.is_waited_for = false;
                     } else if reason == SILENT && !self.is_waited_for {
--- a/crates/hickoryhall-routing/src/lib.rs
+++ b/crates/hickoryhall-routing/src/lib.rs
@@ -32,4 +32,4 @@
 pub use prefix::{Level, LevelKey, PrefixChain, PrefixSeed};
 pub use retry::{AttemptOutcome, RetryDecision, RetryPolicy};
 pub use runner::{LoadReport, RunnerInfo, RunnerKey, Runners};
-pub use suspects::{Fingerprint, SuspectDecision, Suspects};
+pub use suspects::{Fingerprint, PartHash, SuspectDecision, Suspects};
--- a/crates/hickoryhall-routing/src/suspects.rs
+++ b/crates/hickoryhall-routing/src/suspects.rs
@@ -6,6 +6,9 @@
 /// Hash of a request's workspace, target and body, the same on every host.
 pub type Fingerprint = u64;
 
+/// Hash of the id of a prompt part, the same on every host.
+pub type PartHash = u64;
+
 /// Maximum number of recorded deaths, and so of suspects; the oldest is dropped first.
 const MAX_RECORDED_DEATHS: usize = 4_096;
 /// Time after the last recorded death at which a suspect is dropped.
