--- a/crates/hickoryhall-gateway/src/core.rs
+++ b/crates/hickoryhall-gateway/src/core.rs
@@ -10,8 +10,10 @@
 use std::time::{Duration, Instant};
 
 use hickoryhall_limits::{FleetRetryBudget, FleetRetryLimit};
-use hickoryhall_routing::{Fingerprint, SuspectDecision, Suspects};
-use hickoryhall_types::{TargetId, WeightsVersion, rendezvous_score};
+use hickoryhall_routing::{
+    BreakStep, Breaks, CrashId, CrashReport, Fingerprint, PartHash, SuspectDecision, Suspects,
+};
+use hickoryhall_types::{TargetId, WeightsVersion, hash_name, rendezvous_score};
 use metrics::counter;
 use slog::{Logger, info};
 use stakker::CX;
@@ -39,6 +41,9 @@
 /// Maximum number of suspects listed in one digest; the oldest are left out.
 const MAX_SUSPECTS_PER_DIGEST: usize = 16;
 
+/// Ranks hosts for the trial of prompt parts that crashed servers long ago.
+const TRIAL_DUTY: u64 = 0x7375_7370_6563_7473;
+
 /// Configuration of [`Core`].
 #[derive(Clone, Debug)]
 pub struct CoreConfig {
@@ -79,6 +84,7 @@
     table: Option<Arc<RouteTable>>,
     retry_budgets: HashMap<TargetId, FleetRetryBudget>,
     suspects: Suspects,
+    breaks: Breaks,
     /// Suspects to list in the next digests, oldest first.
     suspect_updates: Vec<SuspectUpdate>,
     fleet: Fleet,
@@ -110,6 +116,7 @@
             table: None,
             retry_budgets: HashMap::new(),
             suspects: Suspects::default(),
+            breaks: Breaks::default(),
             suspect_updates: Vec::new(),
             fleet: Fleet::default(),
             weight_changes: HashMap::new(),
@@ -347,10 +354,93 @@
         }
     }
 
-    /// Returns whether a request runs normally, runs isolated or is refused, by the number of
-    /// backend servers that failed while they ran it.
-    pub fn suspect_decision(&mut self, now: Instant, fingerprint: Fingerprint) -> SuspectDecision {
-        self.suspects.decide(now, fingerprint)
+    /// Returns whether a request runs normally, runs isolated or is refused, by the backend servers
+    /// that failed while they ran it, if its fingerprint is given, or others with a part of its prompt.
+    pub fn suspect_decision(
+        &mut self,
+        now: Instant,
+        fingerprint: Option<Fingerprint>,
+        parts: &[PartHash],
+    ) -> SuspectDecision {
+        let (fleet, host) = (&self.fleet, self.config.host);
+        let may_try = || duty_rank(fleet, host, now, TRIAL_DUTY) == 0;
+        self.suspects
+            .decide_prompt(now, fingerprint, parts, may_try)
+    }
+
+    /// Records that a server broke off a request that it had for `run_time`; returns whether its
+    /// process has to be checked.
+    pub fn record_break(
+        &mut self,
+        now: Instant,
+        server: &BackendServer,
+        parts: &[PartHash],
+        run_time: Duration,
+    ) -> bool {
+        let step = self
+            .breaks
+            .record_break(now, process_id(server), parts, run_time);
+        match step {
+            BreakStep::Check => return true,
+            BreakStep::Crashed(report) => self.record_crash(now, &server.id, &report),
+            BreakStep::Nothing => {}
+        }
+        false
+    }
+
+    /// Records whether the address of a server refused a connection after a break, and returns
+    /// whether its process has crashed.
+    pub fn record_check(
+        &mut self,
+        now: Instant,
+        server: &BackendServer,
+        is_refusing: bool,
+    ) -> bool {
+        let process = process_id(server);
+        let Some(broke_at) = self.breaks.broke_at(process) else {
+            return false;
+        };
+        let open = self.scheduler.open_attempts(server, broke_at);
+        let report = self.breaks.record_check(now, process, is_refusing, open);
+        let has_crashed = report.is_some();
+        // A server that leaves ends on purpose.
+        if let Some(report) = report.filter(|_| !self.scheduler.is_leaving(&server.id)) {
+            self.record_crash(now, &server.id, &report);
+        }
+        has_crashed
+    }
+
+    fn record_crash(&mut self, now: Instant, server: &str, report: &CrashReport) {
+        if self.suspects.record_crash(now, report) {
+            counter!("crash_reports_total").increment(1);
+            info!(
+                self.logger, "core: Server crashed while it ran prompts.";
+                "server" => server, "crash" => format!("{:016x}", report.crash),
+                "parts" => report.parts.len()
+            );
+        }
+    }
+
+    /// Refuses the prompt parts whose guilt for crashes is certain.
+    fn review_crashes(&mut self, now: Instant) {
+        for (part, crashes) in self.suspects.review(now) {
+            counter!("prompt_parts_refused_total", "source" => "crashes").increment(1);
+            info!(
+                self.logger, "core: Prompt part is refused, as servers crash under it.";
+                "part" => format!("{part:016x}"), "crashes" => crashes
+            );
+        }
+    }
+
+    /// Records that one server wrote a whole answer to a request, which clears its prompt's parts
+    /// from suspicion.
+    pub fn record_whole_answer(&mut self, now: Instant, parts: &[PartHash]) {
+        for part in self.suspects.record_completion(now, parts) {
+            info!(
+                self.logger, "core: Prompt part cleared by a whole answer.";
+                "part" => format!("{part:016x}")
+            );
+        }
     }
 
     /// Records that a server failed while it ran a request, and returns the failures counted for
@@ -426,11 +516,7 @@
     /// perform, by rendezvous hashing on the hash of the duty's name; 0 is first.
     #[must_use]
     pub fn duty_rank(&self, now: Instant, duty: u64) -> usize {
-        let own = rendezvous_score(duty, self.config.host);
-        let hosts = self.fleet.live(now).into_iter();
-        hosts
-            .filter(|&host| rendezvous_score(duty, host) > own)
-            .count()
+        duty_rank(&self.fleet, self.config.host, now, duty)
     }
 
     /// Expires registry entries, places waiting attempts, and returns the time until the next tick.
@@ -438,6 +524,7 @@
         let events = self.registry.expire(now);
         self.apply_registry_events(events);
         self.streams.versions.expire(now);
+        self.review_crashes(now);
         self.place_waiting(now);
         if self.scheduler.waiting_count() > 0 {
             WAITING_TICK_INTERVAL
@@ -479,3 +566,16 @@
         }
     }
 }
+
+fn duty_rank(fleet: &Fleet, own: HostHash, now: Instant, duty: u64) -> usize {
+    let own = rendezvous_score(duty, own);
+    let hosts = fleet.live(now).into_iter();
+    hosts
+        .filter(|&host| rendezvous_score(duty, host) > own)
+        .count()
+}
+
+/// Returns the id of a server's process, the same on every host.
+fn process_id(server: &BackendServer) -> CrashId {
+    rendezvous_score(hash_name(&server.id), server.incarnation)
+}
--- a/crates/hickoryhall-gateway/src/core/digests.rs
+++ b/crates/hickoryhall-gateway/src/core/digests.rs
@@ -4,6 +4,8 @@
 use std::time::Instant;
 
 use hickoryhall_types::hash_name;
+use metrics::counter;
+use slog::info;
 
 use super::{Core, DesiredVersionSource, StreamMessages};
 use crate::peers::{DesiredVersionUpdate, Digest, PromptUpdate, Scope, ServerUpdate};
@@ -78,7 +80,7 @@
     }
 
     /// Returns a digest with the fields that all scopes share, without servers and prompts.
-    fn base_digest(&self, now: Instant, group: GroupHash, scope: Scope) -> Digest {
+    fn base_digest(&mut self, now: Instant, group: GroupHash, scope: Scope) -> Digest {
         let desired_versions = self
             .scheduler
             .desired_versions()
@@ -99,6 +101,7 @@
             table_revision: self.table.as_ref().map_or(0, |table| table.revision()),
             desired_versions: desired_versions.collect(),
             suspects: self.suspect_updates.clone(),
+            crashes: self.suspects.crash_news(now),
             ..Digest::default()
         }
     }
@@ -182,6 +185,13 @@
                 self.queue_suspect_update(update);
             }
         }
+        for part in self.suspects.merge_crash_news(now, &digest.crashes) {
+            counter!("prompt_parts_refused_total", "source" => "peer").increment(1);
+            info!(
+                self.logger, "core: Prompt part is refused, as a peer says that servers crash under it.";
+                "part" => format!("{part:016x}")
+            );
+        }
         self.place_waiting(now);
     }
 
--- a/crates/hickoryhall-gateway/src/exchange.rs
+++ b/crates/hickoryhall-gateway/src/exchange.rs
@@ -19,7 +19,7 @@
 use hickoryhall_edge::{
     BodyReader, CallerConnection, Handler, Pool, RequestBody, ResponseBody, StreamAborted,
 };
-use hickoryhall_routing::SuspectDecision;
+use hickoryhall_routing::{Fingerprint, SuspectDecision};
 use hickoryhall_types::Ran;
 use hyper::{Request, Response, StatusCode};
 use slog::{Logger, debug, info, warn};
@@ -31,6 +31,7 @@
 use crate::registry::ServerId;
 use crate::scheduler::{
     Assignment, AttemptId, PlacementRefusal, PlacementRequest, RefusalReason, ReportedState,
+    Suspect,
 };
 use crate::stream_versions::SoftwareHash;
 
@@ -46,9 +47,6 @@
 const MAX_REFUSAL_BYTES: usize = 64 << 10;
 /// Time that must remain before the deadline for another attempt to be worthwhile.
 const MIN_ATTEMPT_TIME: Duration = Duration::from_millis(30);
-/// `Retry-After` of a request suspected of crashing servers: longer than its caller waits.
-const RETRY_AFTER_SUSPECT: Duration = Duration::from_secs(30);
-
 /// Failure of a request whose process ends first; it may have run.
 const ENDING: LocalFailure = LocalFailure {
     status: StatusCode::BAD_GATEWAY,
@@ -230,8 +228,10 @@
     software: Option<SoftwareHash>,
     /// Time from which waits for a server count: the arrival, or the last break of the stream.
     waits_since: Instant,
-    /// Whether a server broke the request off before, so that it may crash servers.
-    is_suspect: bool,
+    /// What may crash the server that runs the request.
+    suspect: Option<Suspect>,
+    /// Whether the request is the one that tries whether it still does.
+    is_trial: bool,
     record: RequestRecord,
     _in_flight: InFlight,
 }
@@ -250,15 +250,16 @@
             excluded: Vec::new(),
             outcome,
             software: None,
-            is_suspect: false,
+            suspect: None,
+            is_trial: false,
             record,
             _in_flight: in_flight,
         }
     }
 
     async fn run(mut self) -> Response<ResponseBody> {
-        if let Some(failure) = self.refuse_suspect() {
-            return self.respond_failure(failure);
+        if let Err(refusal) = self.check_suspect(Some(self.request.fingerprint)) {
+            return self.respond_refused(refusal);
         }
         if let Some(failure) = self.find_software().await {
             return self.respond_failure(failure);
@@ -286,24 +287,41 @@
         }
     }
 
-    /// Returns the refusal of a request that several servers broke off, as it may crash them. One
-    /// that a single server broke off is placed apart from other such requests.
-    fn refuse_suspect(&mut self) -> Option<LocalFailure> {
-        let fingerprint = self.request.fingerprint;
+    /// Checks whether servers crashed while they ran others with a part of its prompt, or the request
+    /// itself if its fingerprint is given. A request that may have caused it runs once, at the server
+    /// for its suspect.
+    ///
+    /// # Errors
+    ///
+    /// Returns the refusal of a request that would crash another server.
+    fn check_suspect(&mut self, fingerprint: Option<Fingerprint>) -> Result<(), PlacementRefusal> {
+        if self.is_trial {
+            return Ok(());
+        }
+        let parts = &self.request.parts;
         let decision = self
             .gateway
             .core
-            .with(|core, now| core.suspect_decision(now, fingerprint));
-        self.is_suspect = decision == SuspectDecision::Isolate;
-        matches!(decision, SuspectDecision::Refuse(_)).then(|| LocalFailure {
-            status: StatusCode::SERVICE_UNAVAILABLE,
-            ran: Ran::No,
-            retry_after: Some(RETRY_AFTER_SUSPECT),
-            reason: "suspect",
-        })
+            .with(|core, now| core.suspect_decision(now, fingerprint, parts));
+        match decision {
+            SuspectDecision::Clear => {}
+            SuspectDecision::Isolate(suspect) | SuspectDecision::Try(suspect) => {
+                self.suspect = Some(suspect);
+                self.is_trial = matches!(decision, SuspectDecision::Try(_));
+                self.outcome.limit_to_one_run();
+            }
+            SuspectDecision::Refuse(retry_after) => {
+                return Err(PlacementRefusal {
+                    reason: RefusalReason::Suspect,
+                    retry_after,
+                });
+            }
+        }
+        Ok(())
     }
 
     async fn place(&mut self) -> Result<(Box<Assignment>, AttemptGuard), PlacementRefusal> {
+        self.check_suspect(None)?;
         let attempt_id = self.gateway.new_attempt_id();
         let guard = AttemptGuard::new(self.gateway.core.clone(), attempt_id);
         let request = PlacementRequest {
@@ -317,7 +335,7 @@
             deadline: self.request.deadline,
             excluded_servers: self.excluded.clone(),
             software: self.software,
-            is_suspect: self.is_suspect,
+            suspect: self.suspect,
         };
         let (reply, placement) = oneshot::channel();
         self.gateway
@@ -325,6 +343,8 @@
             .with(|core, now| core.place(now, request, reply));
         let placement = placement.await;
         let assignment = placement.expect("the core answers every placement request")?;
+        // Servers may have crashed while the request waited.
+        self.check_suspect(None)?;
         self.record.placed(&assignment);
         Ok((assignment, guard))
     }
@@ -401,6 +421,15 @@
         }
     }
 
+    /// Clears the request, and the parts of its prompt, which one server answered.
+    fn record_whole_answer(&self) {
+        let (fingerprint, parts) = (self.request.fingerprint, &self.request.parts);
+        self.gateway.core.with(|core, now| {
+            core.clear_suspect(fingerprint);
+            core.record_whole_answer(now, parts);
+        });
+    }
+
     fn respond_failure(mut self, failure: LocalFailure) -> Response<ResponseBody> {
         self.record.failed(&failure);
         self.gateway
@@ -409,10 +438,7 @@
 
     fn respond(mut self, response: BufferedResponse) -> Response<ResponseBody> {
         if response.status.is_success() {
-            let fingerprint = self.request.fingerprint;
-            self.gateway
-                .core
-                .with(|core, _| core.clear_suspect(fingerprint));
+            self.record_whole_answer();
         }
         self.record.answered(response.status);
         response.into_response()
--- a/crates/hickoryhall-gateway/src/exchange/attempt.rs
+++ b/crates/hickoryhall-gateway/src/exchange/attempt.rs
@@ -86,6 +86,7 @@
     pub response_meta: ResponseMeta,
     pub server: BackendServer,
     pub guard: AttemptGuard,
+    pub sent_at: Instant,
     /// Deadline of the first event.
     pub first_event_by: Instant,
 }
@@ -128,11 +129,12 @@
         resume_after: Option<&str>,
     ) -> AttemptResult {
         self.record.attempt_begins();
+        let sent_at = Instant::now();
         let until = self.attempt_deadline(assignment);
         let received = match self.send(assignment, resume_after, until).await {
             Ok(received) => received,
             Err(failure) => {
-                self.record_failure(&failure, &assignment.server);
+                self.record_failure(&failure, &assignment.server, sent_at);
                 guard.end(attempt_end(&failure));
                 return AttemptResult::Failed(failure);
             }
@@ -163,6 +165,7 @@
                 response_meta,
                 server: assignment.server.clone(),
                 guard,
+                sent_at,
                 first_event_by: until,
             }));
         }
@@ -188,7 +191,7 @@
                 AttemptResult::Response(response)
             }
             Err(failure) => {
-                self.record_failure(&failure, &assignment.server);
+                self.record_failure(&failure, &assignment.server, sent_at);
                 guard.end(attempt_end(&failure));
                 AttemptResult::Failed(failure)
             }
@@ -363,7 +366,12 @@
 
     /// Drops the idle connections to a server that broke off, timed out or was unreachable. If it
     /// broke off, also counts that against the request, which may have crashed the server.
-    pub(super) fn record_failure(&self, failure: &AttemptFailure, server: &BackendServer) {
+    pub(super) fn record_failure(
+        &self,
+        failure: &AttemptFailure,
+        server: &BackendServer,
+        sent_at: Instant,
+    ) {
         let address = server.address;
         match failure {
             AttemptFailure::Broken => {
@@ -376,7 +384,7 @@
                     self.gateway.logger, "exchange: Request counted as a suspect.";
                     "request" => &*self.request.meta.request_id, "deaths" => deaths
                 );
-                self.record_break(server, false);
+                self.record_break(server, sent_at, false);
                 self.gateway.pool.close_idle(address);
             }
             AttemptFailure::Unsent | AttemptFailure::Invalid | AttemptFailure::TimedOut => {
--- a/crates/hickoryhall-gateway/src/exchange/crash.rs
+++ b/crates/hickoryhall-gateway/src/exchange/crash.rs
@@ -17,7 +17,7 @@
 
 impl<P: Platform> Exchange<P> {
     /// Records that a server broke off the request, before or after its first event.
-    pub(super) fn record_break(&self, server: &BackendServer, has_begun: bool) {
+    pub(super) fn record_break(&self, server: &BackendServer, sent_at: Instant, has_begun: bool) {
         let parts = describe_parts(&self.request.parts);
         counter!("servers_broke_off_total", "has_begun" => has_begun.to_string()).increment(1);
         info!(
@@ -27,29 +27,34 @@
             "has_begun" => has_begun, "fingerprint" => self.request.fingerprint,
             "parts" => parts
         );
-        let (gateway, server) = (Rc::clone(&self.gateway), server.clone());
-        spawn_local(async move { check_process(&gateway, &server, Instant::now()).await });
+        let needs_check = self.gateway.core.with(|core, now| {
+            let run_time = now.saturating_duration_since(sent_at);
+            core.record_break(now, server, &self.request.parts, run_time)
+        });
+        if needs_check {
+            let (gateway, server) = (Rc::clone(&self.gateway), server.clone());
+            spawn_local(async move { check_process(&gateway, &server).await });
+        }
     }
 }
 
 /// Connects to a server that broke off a request. A process that has ended refuses connections.
-async fn check_process<P: Platform>(
-    gateway: &Gateway<P>,
-    server: &BackendServer,
-    broke_at: Instant,
-) {
+async fn check_process<P: Platform>(gateway: &Gateway<P>, server: &BackendServer) {
     tokio::time::sleep(CHECK_DELAY).await;
-    let is_gone = match gateway.pool.connect(server.address).await {
+    let is_refusing = match gateway.pool.connect(server.address).await {
         Ok(connection) => {
             gateway.pool.release(connection, None);
             false
         }
         Err(error) => error.is_refused(),
     };
+    let is_gone = gateway
+        .core
+        .with(|core, now| core.record_check(now, server, is_refusing));
     info!(
         gateway.logger, "exchange: Server checked after a break.";
-        "server" => &*server.id, "incarnation" => server.incarnation, "is_gone" => is_gone,
-        "after_ms" => broke_at.elapsed().as_millis()
+        "server" => &*server.id, "incarnation" => server.incarnation,
+        "is_refusing" => is_refusing, "is_gone" => is_gone
     );
 }
 
--- a/crates/hickoryhall-gateway/src/exchange/relay.rs
+++ b/crates/hickoryhall-gateway/src/exchange/relay.rs
@@ -115,6 +115,8 @@
     /// Whether the stream was silent and no other runner resumed it; it then has as long as the
     /// request.
     is_waited_for: bool,
+    /// Whether the same server sent the stream from its first event on.
+    is_from_one_server: bool,
 }
 
 impl<P: Platform> Exchange<P> {
@@ -140,7 +142,10 @@
                     OVERSIZE_EVENT => AttemptFailure::Invalid,
                     _ => AttemptFailure::Broken,
                 };
-                self.record_failure(&failure, &upstream.stream.server);
+                let OpenStream {
+                    server, sent_at, ..
+                } = &*upstream.stream;
+                self.record_failure(&failure, server, *sent_at);
                 upstream.stream.guard.end(attempt_end(&failure));
                 return Err((Box::new(self), failure));
             }
@@ -153,10 +158,12 @@
             .gateway
             .platform
             .response_headers(&upstream.stream.head.headers);
+        let is_from_one_server = self.request.meta.last_event_id.is_none();
         let relay = Relay {
             exchange: self,
             upstream,
             is_waited_for: false,
+            is_from_one_server,
         };
         spawn_local(relay.run(first, sender));
         Ok(response)
@@ -178,6 +185,7 @@
         let Self {
             mut exchange,
             upstream,
+            is_from_one_server,
             ..
         } = self;
         let Upstream { stream, .. } = upstream;
@@ -192,11 +200,9 @@
             RelayOutcome::Complete => {
                 guard.end(AttemptEnd::Answered);
                 exchange.return_to_pool(connection, &response_meta);
-                let fingerprint = exchange.request.fingerprint;
-                exchange
-                    .gateway
-                    .core
-                    .with(|core, _| core.clear_suspect(fingerprint));
+                if is_from_one_server {
+                    exchange.record_whole_answer();
+                }
                 exchange.record.answered(head.status);
                 sender.finish();
             }
@@ -234,10 +240,12 @@
                     self.exchange.record.incomplete_event(incomplete_bytes);
                     if reason == BROKEN_OFF {
                         let server = &self.upstream.stream.server;
-                        self.exchange.record_break(server, true);
+                        let sent_at = self.upstream.stream.sent_at;
+                        self.exchange.record_break(server, sent_at, true);
                     }
                     if self.resume(reason).await {
                         self.is_waited_for = false;
+                        self.is_from_one_server = false;
                     } else if reason == SILENT && !self.is_waited_for {
                         // The runner may still work on the request, and a late answer is better
                         // than none. Its run goes on and counts once.
--- a/crates/hickoryhall-gateway/src/outcome.rs
+++ b/crates/hickoryhall-gateway/src/outcome.rs
@@ -204,6 +204,11 @@
         !self.may_repeat || self.possible_runs + 1 >= self.max_runs
     }
 
+    /// Lets at most one more attempt run the request.
+    pub fn limit_to_one_run(&mut self) {
+        self.max_runs = self.max_runs.min(self.possible_runs + 1);
+    }
+
     /// Counts an attempt that may have run the request.
     pub fn record_possible_run(&mut self) {
         self.possible_runs += 1;
--- a/crates/hickoryhall-gateway/src/peers/message.rs
+++ b/crates/hickoryhall-gateway/src/peers/message.rs
@@ -5,7 +5,7 @@
 use std::net::Ipv4Addr;
 
 use bytes::Bytes;
-use hickoryhall_routing::Level;
+use hickoryhall_routing::{CrashNews, Level};
 use hickoryhall_types::{Incarnation, Revision, TargetId, WeightsVersion};
 use prost::Message;
 use wire::{WireDigest, WireSnapshot};
@@ -39,6 +39,8 @@
     pub desired_versions: Vec<DesiredVersionUpdate>,
     /// Requests during which backend servers failed.
     pub suspects: Vec<SuspectUpdate>,
+    /// Crashes of servers and the prompt parts that may have caused them.
+    pub crashes: CrashNews,
     /// Prompts that runners prefilled, or saved to a prompt cache store, since the last digest.
     pub prompts: Vec<PromptUpdate>,
     /// Changes of the registry, from a host that reads it for its group.
--- a/crates/hickoryhall-gateway/src/peers/message/wire.rs
+++ b/crates/hickoryhall-gateway/src/peers/message/wire.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use hickoryhall_routing::Level;
+use hickoryhall_routing::{CrashNews, CrashReport, CrashedPart, Level, PartAge};
 use prost::Message;
 
 use super::{
@@ -59,6 +59,35 @@
     pub(super) stream_questions: Vec<WireStreamQuestion>,
     #[prost(message, repeated, tag = "17")]
     pub(super) stream_answers: Vec<WireStreamAnswer>,
+    #[prost(message, repeated, tag = "18")]
+    pub(super) crashes: Vec<WireCrash>,
+    /// Prompt parts that were answered in full after they had been accused.
+    #[prost(message, repeated, tag = "19")]
+    pub(super) completed_parts: Vec<WirePartAge>,
+    /// Prompt parts that are refused, by the age of their last crash.
+    #[prost(message, repeated, tag = "20")]
+    pub(super) refused_parts: Vec<WirePartAge>,
+}
+
+/// Parts and run times are two lists of equal length.
+#[derive(Clone, PartialEq, Message)]
+pub(super) struct WireCrash {
+    #[prost(fixed64, tag = "1")]
+    pub(super) crash: u64,
+    #[prost(uint64, tag = "2")]
+    pub(super) age_ms: u64,
+    #[prost(fixed64, repeated, tag = "3")]
+    pub(super) parts: Vec<u64>,
+    #[prost(uint64, repeated, tag = "4")]
+    pub(super) run_times_ms: Vec<u64>,
+}
+
+#[derive(Clone, PartialEq, Message)]
+pub(super) struct WirePartAge {
+    #[prost(fixed64, tag = "1")]
+    pub(super) part: u64,
+    #[prost(uint64, tag = "2")]
+    pub(super) age_ms: u64,
 }
 
 /// Streams of one service that began at one software version; without streams, a version that the
@@ -237,6 +266,9 @@
             streams: wire_streams(&digest.streams),
             stream_questions: digest.streams.asked.iter().map(From::from).collect(),
             stream_answers: digest.streams.answers.iter().map(From::from).collect(),
+            crashes: digest.crashes.crashes.iter().map(From::from).collect(),
+            completed_parts: digest.crashes.completed.iter().map(From::from).collect(),
+            refused_parts: digest.crashes.condemned.iter().map(From::from).collect(),
         }
     }
 }
@@ -365,6 +397,11 @@
                 .map(DesiredVersionUpdate::from)
                 .collect(),
             suspects: wire.suspects.iter().map(SuspectUpdate::from).collect(),
+            crashes: CrashNews {
+                crashes: wire.crashes.iter().map(From::from).collect(),
+                completed: wire.completed_parts.iter().map(From::from).collect(),
+                condemned: wire.refused_parts.iter().map(From::from).collect(),
+            },
             prompts: wire.prompts.iter().map(PromptUpdate::from).collect(),
             registry: wire.registry.map(RegistryRelay::from),
             streams: StreamMessages {
@@ -377,6 +414,59 @@
     }
 }
 
+impl From<&CrashReport> for WireCrash {
+    fn from(report: &CrashReport) -> Self {
+        let parts = &report.parts;
+        Self {
+            crash: report.crash,
+            age_ms: whole_ms(report.age),
+            parts: parts.iter().map(|accused| accused.part).collect(),
+            run_times_ms: parts
+                .iter()
+                .map(|accused| whole_ms(accused.run_time))
+                .collect(),
+        }
+    }
+}
+
+impl From<&WireCrash> for CrashReport {
+    fn from(wire: &WireCrash) -> Self {
+        let parts = wire.parts.iter().zip(&wire.run_times_ms);
+        Self {
+            crash: wire.crash,
+            age: Duration::from_millis(wire.age_ms),
+            parts: parts
+                .map(|(&part, &run_time_ms)| CrashedPart {
+                    part,
+                    run_time: Duration::from_millis(run_time_ms),
+                })
+                .collect(),
+        }
+    }
+}
+
+impl From<&PartAge> for WirePartAge {
+    fn from(age: &PartAge) -> Self {
+        Self {
+            part: age.part,
+            age_ms: whole_ms(age.age),
+        }
+    }
+}
+
+impl From<&WirePartAge> for PartAge {
+    fn from(wire: &WirePartAge) -> Self {
+        Self {
+            part: wire.part,
+            age: Duration::from_millis(wire.age_ms),
+        }
+    }
+}
+
+fn whole_ms(duration: Duration) -> u64 {
+    u64::try_from(duration.as_millis()).unwrap_or(u64::MAX)
+}
+
 impl From<&RegistryRelay> for WireRelay {
     fn from(relay: &RegistryRelay) -> Self {
         Self {
--- a/crates/hickoryhall-gateway/src/scheduler.rs
+++ b/crates/hickoryhall-gateway/src/scheduler.rs
@@ -35,7 +35,7 @@
 pub use desired_versions::{DesiredVersionAge, DesiredVersionHistory};
 pub use placement::{
     Assignment, AttemptEnd, Placement, PlacementRefusal, PlacementRequest, PromptInfo,
-    RefusalReason, RunnerView,
+    RefusalReason, RunnerView, Suspect,
 };
 pub use server::{HostLoad, LoadSource};
 use server::{RequestLoad, ServerState};
@@ -360,6 +360,21 @@
         }
     }
 
+    /// Returns the number of attempts at a process of a server that were placed before a time and
+    /// have not ended.
+    #[must_use]
+    pub fn open_attempts(&self, server: &BackendServer, before: Instant) -> usize {
+        let Some(&key) = self.by_id.get(&server.id) else {
+            return 0;
+        };
+        let open = self.active.values().filter(|active| {
+            active.key == key
+                && active.incarnation == server.incarnation
+                && active.placed_at < before
+        });
+        open.count()
+    }
+
     fn try_place(&mut self, now: Instant, request: &PlacementRequest) -> Decision {
         let search = self.search(now, request);
         let Some(best) = search.best else {
@@ -419,7 +434,7 @@
             unshared_tokens: prompt.map_or(0, PromptInfo::unshared_tokens),
             output_tokens: prompt.map_or(0, |prompt| prompt.output_tokens),
             is_non_resumable: !request.is_resumable,
-            is_suspect: request.is_suspect,
+            suspect: request.suspect,
         };
         state.add_request(request.attempt_id, load);
         if let Some(prompt) = prompt {
--- a/crates/hickoryhall-gateway/src/scheduler/candidate.rs
+++ b/crates/hickoryhall-gateway/src/scheduler/candidate.rs
@@ -105,7 +105,9 @@
             || state.ejection.is_ejected(now)
             || state.is_changing_weights(now)
             || request.excluded_servers.contains(&state.server.id)
-            || (request.is_suspect && state.runs_suspect());
+            || request
+                .suspect
+                .is_some_and(|suspect| state.runs_other_suspect(suspect));
         if is_unavailable {
             return Err(RefusalReason::NoServer);
         }
--- a/crates/hickoryhall-gateway/src/scheduler/placement.rs
+++ b/crates/hickoryhall-gateway/src/scheduler/placement.rs
@@ -23,6 +23,9 @@
     pub output_tokens: TokenCount,
 }
 
+/// Fingerprint of a request or hash of a prompt part that may crash servers.
+pub type Suspect = u64;
+
 /// A request to be placed on a backend server.
 #[derive(Clone, Debug, PartialEq)]
 pub struct PlacementRequest {
@@ -46,8 +49,9 @@
     pub excluded_servers: Vec<ServerId>,
     /// Software version that the server must have, for a stream that goes on.
     pub software: Option<SoftwareHash>,
-    /// Whether the request may crash its server; it is kept apart from other such requests.
-    pub is_suspect: bool,
+    /// What may crash the server, if anything. All requests with the same suspect go to the same
+    /// server, and are kept apart from other ones.
+    pub suspect: Option<Suspect>,
 }
 
 /// The server chosen for a request, with the values behind the choice.
@@ -100,6 +104,8 @@
     VersionGone,
     /// The host ends before a server could take the request.
     Stopping,
+    /// Servers crashed while they ran the request, or others with a part of its prompt.
+    Suspect,
     /// The best server would answer later than the target latency, and has too much queued work to
     /// take a late request.
     TooLate,
@@ -115,6 +121,7 @@
             Self::Paused => "paused",
             Self::VersionGone => "version_gone",
             Self::Stopping => "stopping",
+            Self::Suspect => "suspect",
             Self::TooLate => "too_late",
         }
     }
--- a/crates/hickoryhall-gateway/src/scheduler/search.rs
+++ b/crates/hickoryhall-gateway/src/scheduler/search.rs
@@ -8,6 +8,7 @@
 //! for its family requires.
 
 use std::borrow::Cow;
+use std::cmp::Reverse;
 use std::time::Instant;
 
 use hickoryhall_routing::Level;
@@ -87,6 +88,7 @@
         let affinities = affinities.as_deref();
         let is_small = keys.len() <= self.config.full_scan_limit;
         let (indices, limit) = match (prompt, affinities) {
+            _ if request.suspect.is_some() => (self.suspect_order(keys, request), 1),
             _ if is_small => ((0..keys.len()).collect(), u32::MAX),
             (Some(prompt), Some(affinities)) => (
                 self.owners(prompt, affinities),
@@ -182,6 +184,21 @@
         ((busy / MAX_FAMILY_UTILIZATION).ceil() as u32).max(MIN_OWNERS)
     }
 
+    /// Returns the indices of all servers in the order in which the request's suspect is placed. It is
+    /// the same on every host, so that one server at a time runs the suspect, and it does not depend
+    /// on loads, which change the order from one host to the next.
+    fn suspect_order(&self, keys: &[ServerKey], request: &PlacementRequest) -> Vec<usize> {
+        let suspect = request.suspect.unwrap_or_default();
+        let mut order = (0..keys.len()).collect::<Vec<_>>();
+        order.sort_by_key(|&index| {
+            Reverse(rendezvous_score(
+                suspect,
+                self.servers[keys[index]].name_hash,
+            ))
+        });
+        order
+    }
+
     /// Returns the indices of some servers that differ by host and request. All hosts know equally
     /// outdated loads; without the difference all of them would choose the one server that was idle.
     fn sample(&self, keys: &[ServerKey], request: &PlacementRequest) -> Vec<usize> {
--- a/crates/hickoryhall-gateway/src/scheduler/server.rs
+++ b/crates/hickoryhall-gateway/src/scheduler/server.rs
@@ -8,7 +8,7 @@
 
 use super::statements::Statements;
 use super::weights::{AnnouncedState, ReportedState, WeightsBelief, WeightsChange, WeightsSource};
-use super::{AttemptId, GroupHash, HostHash};
+use super::{AttemptId, GroupHash, HostHash, Suspect};
 use crate::interface::ReportedLoad;
 use crate::peers::ServerUpdate;
 use crate::registry::BackendServer;
@@ -34,8 +34,8 @@
     pub output_tokens: TokenCount,
     /// Whether no other server can resume the answer.
     pub is_non_resumable: bool,
-    /// Whether the request may crash the server.
-    pub is_suspect: bool,
+    /// What may crash the server.
+    pub suspect: Option<Suspect>,
 }
 
 /// Load that a host, or several hosts together, put on a server.
@@ -374,9 +374,10 @@
         }
     }
 
-    /// Returns whether the server runs a request of this host that may crash it.
-    pub fn runs_suspect(&self) -> bool {
-        self.own_requests.values().any(|load| load.is_suspect)
+    /// Returns whether the server runs a request of this host that may crash it for another reason.
+    pub fn runs_other_suspect(&self, suspect: Suspect) -> bool {
+        let mut running = self.own_requests.values().filter_map(|load| load.suspect);
+        running.any(|other| other != suspect)
     }
 
     pub fn own_load(&self) -> HostLoad {
--- a/crates/hickoryhall-gateway/src/scheduler/updates.rs
+++ b/crates/hickoryhall-gateway/src/scheduler/updates.rs
@@ -95,6 +95,13 @@
         }
     }
 
+    /// Returns whether a server is shutting down, by its entry or its responses.
+    #[must_use]
+    pub fn is_leaving(&self, id: &str) -> bool {
+        let state = self.by_id.get(id).map(|&key| &self.servers[key]);
+        state.is_some_and(ServerState::is_leaving)
+    }
+
     /// Returns whether a server said that it is shutting down.
     #[must_use]
     pub fn has_said_that_it_leaves(&self, id: &str) -> bool {
--- a/crates/hickoryhall-gateway/tests/agreement.rs
+++ b/crates/hickoryhall-gateway/tests/agreement.rs
@@ -44,7 +44,7 @@
         deadline: now + Duration::from_secs(5),
         excluded_servers: Vec::new(),
         software: None,
-        is_suspect: false,
+        suspect: None,
     };
     let placement = scheduler.place(now, request);
     let assignment = placement.expect("decided at once").expect("not refused");
--- a/crates/hickoryhall-gateway/tests/groups.rs
+++ b/crates/hickoryhall-gateway/tests/groups.rs
@@ -192,7 +192,7 @@
         deadline: network.now + Duration::from_secs(20),
         excluded_servers: Vec::new(),
         software: None,
-        is_suspect: false,
+        suspect: None,
     };
     let (reply, mut placed) = oneshot::channel();
     network.hosts[index].core.place(network.now, request, reply);
--- a/crates/hickoryhall-gateway/tests/incarnations.rs
+++ b/crates/hickoryhall-gateway/tests/incarnations.rs
@@ -121,7 +121,7 @@
             deadline: self.now + 5 * SECOND,
             excluded_servers: Vec::new(),
             software: None,
-            is_suspect: false,
+            suspect: None,
         };
         let placement = self.scheduler.place(self.now, request);
         placement.is_some_and(|placement| placement.is_ok())
--- a/crates/hickoryhall-gateway/tests/many_hosts.rs
+++ b/crates/hickoryhall-gateway/tests/many_hosts.rs
@@ -423,7 +423,7 @@
         deadline: now + Duration::from_secs(5),
         excluded_servers: Vec::new(),
         software: None,
-        is_suspect: false,
+        suspect: None,
     }
 }
 
--- a/crates/hickoryhall-gateway/tests/messages.rs
+++ b/crates/hickoryhall-gateway/tests/messages.rs
@@ -16,7 +16,7 @@
 use hickoryhall_gateway::stream_versions::{
     ServiceVersion, StreamKnowledge, StreamOrigin, StreamQuestion,
 };
-use hickoryhall_routing::Level;
+use hickoryhall_routing::{CrashNews, CrashReport, CrashedPart, Level, PartAge};
 use proptest::prelude::*;
 
 fn digest(numbers: &[u64]) -> Digest {
@@ -64,6 +64,24 @@
             fingerprint: number(3),
             deaths: small(4),
         }],
+        crashes: CrashNews {
+            crashes: vec![CrashReport {
+                crash: number(1),
+                age: Duration::from_millis(number(2)),
+                parts: vec![CrashedPart {
+                    part: number(3),
+                    run_time: Duration::from_millis(number(4)),
+                }],
+            }],
+            completed: vec![PartAge {
+                part: number(5),
+                age: Duration::from_millis(number(6)),
+            }],
+            condemned: vec![PartAge {
+                part: number(7),
+                age: Duration::from_millis(number(8)),
+            }],
+        },
         prompts: vec![PromptUpdate {
             server: number(5),
             incarnation: [None, Some(number(6))][number(7) as usize % 2],
--- a/crates/hickoryhall-gateway/tests/scheduler.rs
+++ b/crates/hickoryhall-gateway/tests/scheduler.rs
@@ -7,7 +7,7 @@
 //! - `plain NAME [slots=N]`: adds or changes a plain server's registry entry
 //! - `gone NAME`: removes a registry entry
 //! - `place ID prompt=PART@TOKENS/PART@TOKENS [target=MS] [deadline=MS] [rank=N] [exclude=NAME]
-//!   [suspect=true]`: places a model request; `rank` is the priority of its route
+//!   [suspect=NUMBER]`: places a model request; `rank` is the priority of its route
 //! - `call ID`: places a request to the plain service
 //! - `first ID`, `end ID HOW`: reports the first event or the end of an attempt
 //! - `peer HOST NAME [requests=N] [pending=MS]`: sets the load of another host at a server
@@ -94,7 +94,7 @@
         let deadline = optional_arg(&mut args, "deadline")?.unwrap_or(5_000);
         let priority = optional_arg(&mut args, "rank")?.unwrap_or(0);
         let excluded: Option<String> = optional_arg(&mut args, "exclude")?;
-        let is_suspect = optional_arg(&mut args, "suspect")?.unwrap_or(false);
+        let suspect: Option<u64> = optional_arg(&mut args, "suspect")?;
         args.reject_next()?;
         self.arrived.insert(attempt_id, self.now);
         let request = PlacementRequest {
@@ -108,7 +108,7 @@
             deadline: self.now + Duration::from_millis(deadline),
             excluded_servers: excluded.iter().map(|name| name.as_str().into()).collect(),
             software: None,
-            is_suspect,
+            suspect,
         };
         Ok(match self.scheduler.place(self.now, request) {
             Some(placement) => self.describe(attempt_id, placement),
--- a/crates/hickoryhall-gateway/tests/support/mod.rs
+++ b/crates/hickoryhall-gateway/tests/support/mod.rs
@@ -43,7 +43,7 @@
         deadline: now + Duration::from_secs(15),
         excluded_servers: Vec::new(),
         software: None,
-        is_suspect: false,
+        suspect: None,
     }
 }
 
--- a/crates/hickoryhall-gateway/tests/turned_away.rs
+++ b/crates/hickoryhall-gateway/tests/turned_away.rs
@@ -148,7 +148,7 @@
             deadline: self.now + 5 * SECOND,
             excluded_servers: excluded.collect(),
             software: None,
-            is_suspect: false,
+            suspect: None,
         };
         self.scheduler.place(self.now, request)
     }
--- a/crates/hickoryhall-gateway/tests/version_ages.rs
+++ b/crates/hickoryhall-gateway/tests/version_ages.rs
@@ -50,7 +50,7 @@
         deadline: now + 15 * SECOND,
         excluded_servers: Vec::new(),
         software: None,
-        is_suspect: false,
+        suspect: None,
     }
 }
 
--- a/crates/hickoryhall-routing/src/lib.rs
+++ b/crates/hickoryhall-routing/src/lib.rs
@@ -32,4 +32,7 @@
 pub use prefix::{Level, LevelKey, PrefixChain, PrefixSeed};
 pub use retry::{AttemptOutcome, RetryDecision, RetryPolicy};
 pub use runner::{LoadReport, RunnerInfo, RunnerKey, Runners};
-pub use suspects::{Fingerprint, PartHash, SuspectDecision, Suspects};
+pub use suspects::{
+    BreakStep, Breaks, CrashId, CrashNews, CrashReport, CrashedPart, Fingerprint, PartAge,
+    PartHash, SuspectDecision, Suspects,
+};
--- a/crates/hickoryhall-routing/src/suspects.rs
+++ b/crates/hickoryhall-routing/src/suspects.rs
@@ -1,14 +1,18 @@
-//! Suspects: requests that were in flight when a runner died and may have killed it.
+//! Suspects: requests and prompt parts that were in flight when a runner died and may have killed it.
+
+mod breaks;
+mod parts;
 
 use std::collections::{HashMap, VecDeque};
 use std::time::{Duration, Instant};
 
+pub use breaks::{BreakStep, Breaks};
+use parts::PartSuspects;
+pub use parts::{CrashId, CrashNews, CrashReport, CrashedPart, PartAge, PartHash};
+
 /// Hash of a request's workspace, target and body, the same on every host.
 pub type Fingerprint = u64;
 
-/// Hash of the id of a prompt part, the same on every host.
-pub type PartHash = u64;
-
 /// Maximum number of recorded deaths, and so of suspects; the oldest is dropped first.
 const MAX_RECORDED_DEATHS: usize = 4_096;
 /// Time after the last recorded death at which a suspect is dropped.
@@ -21,8 +25,11 @@
 pub enum SuspectDecision {
     /// The request is no suspect and may run on any runner.
     Clear,
-    /// Run the request on a runner that runs no other suspect.
-    Isolate,
+    /// Run the request on a runner that runs no other suspect, and send it there only once; holds
+    /// what is suspect about it, which is the same for all requests that have it.
+    Isolate(u64),
+    /// Run the request as the only one of those with a part of its prompt that have been refused.
+    Try(u64),
     /// Refuse the request; this is the time until it is no longer a suspect.
     Refuse(Duration),
 }
@@ -34,8 +41,12 @@
 }
 
 /// Bounded set of suspects with the number of runner deaths of each.
+///
+/// A request is suspect for itself, by the number of servers that broke it off, or for a part of its
+/// prompt, by the crashes of servers that ran the part.
 #[derive(Clone, Debug, Default)]
 pub struct Suspects {
+    parts: PartSuspects,
     entries: HashMap<Fingerprint, Suspect>,
     order: VecDeque<(Instant, Fingerprint)>,
 }
@@ -85,13 +96,70 @@
         self.expire(now);
         match self.entries.get(&fingerprint) {
             None => SuspectDecision::Clear,
-            Some(suspect) if suspect.deaths < DEATHS_TO_REFUSE => SuspectDecision::Isolate,
+            Some(suspect) if suspect.deaths < DEATHS_TO_REFUSE => {
+                SuspectDecision::Isolate(fingerprint)
+            }
             Some(suspect) => SuspectDecision::Refuse(
                 SUSPECT_TTL.saturating_sub(now.duration_since(suspect.updated_at)),
             ),
         }
     }
 
+    /// Decides whether and how a request with a prompt may run; without a fingerprint, by its prompt
+    /// alone. `may_try` tells whether this host is
+    /// the one that tries refused parts again.
+    pub fn decide_prompt(
+        &mut self,
+        now: Instant,
+        fingerprint: Option<Fingerprint>,
+        parts: &[PartHash],
+        may_try: impl Fn() -> bool,
+    ) -> SuspectDecision {
+        let request = fingerprint.map_or(SuspectDecision::Clear, |fingerprint| {
+            self.decide(now, fingerprint)
+        });
+        if matches!(request, SuspectDecision::Refuse(_)) {
+            return request;
+        }
+        match self.parts.decide(now, parts, may_try) {
+            SuspectDecision::Clear => request,
+            decision => decision,
+        }
+    }
+
+    /// Records a crash of a server with the parts of the prompts that it ran, or another report on
+    /// it; returns whether that was new.
+    pub fn record_crash(&mut self, now: Instant, report: &CrashReport) -> bool {
+        self.parts.record_crash(now, report)
+    }
+
+    /// Records that one server wrote a whole answer on some parts; returns those that were suspect.
+    pub fn record_completion(&mut self, now: Instant, parts: &[PartHash]) -> Vec<PartHash> {
+        self.parts.record_completion(now, parts)
+    }
+
+    /// Condemns parts whose guilt the reports on crashes leave no doubt of; returns them with the
+    /// number of their crashes.
+    pub fn review(&mut self, now: Instant) -> Vec<(PartHash, u32)> {
+        self.parts.review(now)
+    }
+
+    /// Returns what peers have to learn of crashes with the next digest.
+    pub fn crash_news(&mut self, now: Instant) -> CrashNews {
+        self.parts.news(now)
+    }
+
+    /// Merges what a peer tells of crashes; returns the parts that are refused from now on.
+    pub fn merge_crash_news(&mut self, now: Instant, news: &CrashNews) -> Vec<PartHash> {
+        self.parts.merge(now, news)
+    }
+
+    /// Returns the number of recorded crashes, answered parts and refused parts.
+    #[must_use]
+    pub fn part_record_count(&self) -> usize {
+        self.parts.len()
+    }
+
     /// Returns the number of suspects.
     #[must_use]
     pub fn len(&self) -> usize {
--- /dev/null
+++ b/crates/hickoryhall-routing/tests/crashing_parts.rs
@@ -0,0 +1,378 @@
+//! Plays fleets whose servers crash under a part of a prompt, and checks what the hosts decide.
+//!
+//! Each host knows of the others' crashes and answers only by digests, some of which are lost. The
+//! load: requests of many families with parts that they share, of which some have a part that
+//! crashes each server that runs it for a while.
+
+use std::cmp::Reverse;
+use std::collections::BinaryHeap;
+use std::time::{Duration, Instant};
+
+use hickoryhall_routing::{BreakStep, Breaks, CrashNews, PartHash, SuspectDecision, Suspects};
+use hickoryhall_types::rendezvous_score;
+use rstest::rstest;
+
+const CONTACT: Duration = Duration::from_secs(3);
+const AWAY_TIME: Duration = Duration::from_millis(1_500);
+const DIGEST_INTERVAL: Duration = Duration::from_millis(100);
+const DIGEST_DELAY: Duration = Duration::from_millis(3);
+/// Hosts that get a digest of a host in each interval in a large fleet.
+const PEERS_PER_ROUND: u64 = 5;
+const GUILTY: PartHash = 1_000_000;
+
+/// A fleet and its load.
+#[derive(Clone, Copy)]
+struct Setup {
+    hosts: usize,
+    servers: usize,
+    requests_per_s: u64,
+    /// Every so many requests, one has a guilty part.
+    culprit_interval: u64,
+    guilty_parts: u64,
+    families: u64,
+    /// Time from the start of a culprit's run to the crash.
+    crash_delay: Duration,
+    /// Interval of crashes for other reasons, each of a tenth of the servers.
+    other_crashes: Option<Duration>,
+    day: Duration,
+}
+
+const SMALL: Setup = Setup {
+    hosts: 7,
+    servers: 9,
+    requests_per_s: 60,
+    culprit_interval: 8,
+    guilty_parts: 1,
+    families: 20,
+    crash_delay: Duration::from_millis(120),
+    other_crashes: None,
+    day: Duration::from_secs(20),
+};
+const LARGE: Setup = Setup {
+    hosts: 95,
+    servers: 53,
+    requests_per_s: 430,
+    culprit_interval: 40,
+    families: 350,
+    ..SMALL
+};
+
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
+enum Event {
+    Arrival(u64),
+    End(u64),
+    Crash(usize),
+    Restart(usize),
+    Check(usize, u64),
+    Digests,
+    OtherCrashes,
+}
+
+struct Run {
+    host: usize,
+    site: usize,
+    process: u64,
+    parts: Vec<PartHash>,
+    began_at: Instant,
+    may_retry: bool,
+}
+
+/// The news of a host on its way to others.
+struct Digest {
+    arrives_at: Instant,
+    to: usize,
+    news: CrashNews,
+}
+
+#[derive(Debug, Default)]
+struct Outcome {
+    crashes: Vec<Instant>,
+    culprits_sent: Vec<Instant>,
+    sound: Vec<(Instant, bool)>,
+    sound_refused: u32,
+}
+
+struct Fleet {
+    setup: Setup,
+    now: Instant,
+    hosts: Vec<(Suspects, Breaks)>,
+    /// Process at each address, and whether it is up.
+    sites: Vec<(u64, bool)>,
+    runs: std::collections::HashMap<u64, Run>,
+    events: BinaryHeap<Reverse<(Instant, u64, Event)>>,
+    digests: Vec<Digest>,
+    sequence: u64,
+    outcome: Outcome,
+}
+
+fn random(seed: u64, salt: u64, below: u64) -> u64 {
+    rendezvous_score(seed, salt) % below
+}
+
+impl Fleet {
+    fn play(setup: Setup) -> Outcome {
+        let start = Instant::now() + Duration::from_secs(1_000);
+        let mut fleet = Self {
+            setup,
+            now: start,
+            hosts: (0..setup.hosts).map(|_| Default::default()).collect(),
+            sites: (0..setup.servers).map(|site| (site as u64, true)).collect(),
+            runs: Default::default(),
+            events: BinaryHeap::new(),
+            digests: Vec::new(),
+            sequence: setup.servers as u64,
+            outcome: Outcome::default(),
+        };
+        for id in 0..setup.day.as_secs() * setup.requests_per_s {
+            let at = Duration::from_micros(id * 1_000_000 / setup.requests_per_s);
+            fleet.schedule(start + at, Event::Arrival(id));
+        }
+        fleet.schedule(start, Event::Digests);
+        if let Some(interval) = setup.other_crashes {
+            fleet.schedule(start + interval, Event::OtherCrashes);
+        }
+        while let Some(Reverse((at, _, event))) = fleet.events.pop() {
+            if at > start + setup.day {
+                break;
+            }
+            fleet.now = at;
+            fleet.handle(event);
+        }
+        fleet.outcome
+    }
+
+    fn schedule(&mut self, at: Instant, event: Event) {
+        self.sequence += 1;
+        self.events.push(Reverse((at, self.sequence, event)));
+    }
+
+    fn handle(&mut self, event: Event) {
+        match event {
+            Event::Arrival(id) => self.arrive(id),
+            Event::End(id) => self.end(id),
+            Event::Crash(site) => self.crash(site),
+            Event::Restart(site) => {
+                self.sequence += 1;
+                self.sites[site] = (self.sequence, true);
+            }
+            Event::Check(host, process) => {
+                let (suspects, breaks) = &mut self.hosts[host];
+                let report = breaks.record_check(self.now, process, true, 0);
+                suspects.record_crash(self.now, &report.expect("the process crashed"));
+            }
+            Event::Digests => self.exchange_digests(),
+            Event::OtherCrashes => {
+                let first = random(self.sequence, 7, self.sites.len() as u64) as usize;
+                for site in 0..(self.sites.len() / 10).max(1) {
+                    self.crash((first + site) % self.sites.len());
+                }
+                let interval = self.setup.other_crashes.expect("it is set");
+                self.schedule(self.now + interval, Event::OtherCrashes);
+            }
+        }
+    }
+
+    /// Each host sends its news to some others; a hundredth is lost.
+    fn exchange_digests(&mut self) {
+        let count = self.hosts.len();
+        let (due, rest) = std::mem::take(&mut self.digests)
+            .into_iter()
+            .partition::<Vec<_>, _>(|digest| digest.arrives_at <= self.now);
+        self.digests = rest;
+        for digest in due {
+            self.hosts[digest.to]
+                .0
+                .merge_crash_news(self.now, &digest.news);
+        }
+        for host in 0..count {
+            self.hosts[host].0.review(self.now);
+            let news = self.hosts[host].0.crash_news(self.now);
+            if news.is_empty() {
+                continue;
+            }
+            let peers = if count <= 24 {
+                (0..count)
+                    .filter(|&other| other != host)
+                    .collect::<Vec<_>>()
+            } else {
+                let peers = 0..PEERS_PER_ROUND;
+                peers
+                    .map(|n| random(self.sequence + n, host as u64, count as u64) as usize)
+                    .collect()
+            };
+            for to in peers {
+                self.sequence += 1;
+                if random(self.sequence, 5, 100) > 0 {
+                    self.digests.push(Digest {
+                        arrives_at: self.now + DIGEST_DELAY,
+                        to,
+                        news: news.clone(),
+                    });
+                }
+            }
+        }
+        self.schedule(self.now + DIGEST_INTERVAL, Event::Digests);
+    }
+
+    fn arrive(&mut self, id: u64) {
+        let setup = self.setup;
+        let host = random(id, 1, setup.hosts as u64) as usize;
+        let family = 10_000 + random(id, 2, setup.families);
+        let shared = 100 + family % 4;
+        let is_culprit = id.is_multiple_of(setup.culprit_interval);
+        let guilty = GUILTY + random(id, 3, setup.guilty_parts);
+        let parts = match (is_culprit, guilty % 2) {
+            (false, _) => vec![shared, family],
+            (true, 0) => vec![guilty, family],
+            (true, _) => vec![shared, guilty],
+        };
+        self.send(id, host, parts, true);
+    }
+
+    fn send(&mut self, id: u64, host: usize, parts: Vec<PartHash>, is_first: bool) {
+        let is_culprit = parts.iter().any(|&part| part >= GUILTY);
+        let decision = self.hosts[host]
+            .0
+            .decide_prompt(self.now, None, &parts, || false);
+        let up = (0..self.sites.len()).filter(|&site| self.sites[site].1);
+        let site = match decision {
+            SuspectDecision::Clear => up.max_by_key(|&site| rendezvous_score(id, site as u64)),
+            SuspectDecision::Isolate(suspect) | SuspectDecision::Try(suspect) => {
+                up.max_by_key(|&site| rendezvous_score(suspect, self.sites[site].0))
+            }
+            SuspectDecision::Refuse(_) => {
+                self.outcome.sound_refused += u32::from(!is_culprit);
+                None
+            }
+        };
+        let Some(site) = site else {
+            if !is_culprit {
+                self.outcome.sound.push((self.now, false));
+            }
+            return;
+        };
+        if is_culprit {
+            self.outcome.culprits_sent.push(self.now);
+            self.schedule(self.now + self.setup.crash_delay, Event::Crash(site));
+        }
+        self.sequence += 1;
+        let run = self.sequence;
+        if !is_culprit {
+            let answer = Duration::from_millis(200 + random(id, 4, 1_000));
+            self.schedule(self.now + answer, Event::End(run));
+        }
+        self.runs.insert(
+            run,
+            Run {
+                host,
+                site,
+                process: self.sites[site].0,
+                parts,
+                began_at: self.now,
+                may_retry: is_first && decision == SuspectDecision::Clear,
+            },
+        );
+    }
+
+    fn end(&mut self, id: u64) {
+        let Some(run) = self.runs.remove(&id) else {
+            return;
+        };
+        self.hosts[run.host]
+            .0
+            .record_completion(self.now, &run.parts);
+        self.outcome.sound.push((run.began_at, true));
+    }
+
+    fn crash(&mut self, site: usize) {
+        let (process, is_up) = self.sites[site];
+        if !is_up {
+            return;
+        }
+        let is_broken = |run: &Run| run.site == site && run.process == process;
+        let mut broken = self
+            .runs
+            .iter()
+            .filter(|(_, run)| is_broken(run))
+            .map(|(&id, _)| id)
+            .collect::<Vec<_>>();
+        broken.sort_unstable();
+        let is_by_culprit = self
+            .runs
+            .values()
+            .any(|run| is_broken(run) && run.parts.iter().any(|&part| part >= GUILTY));
+        self.sites[site].1 = false;
+        self.schedule(self.now + AWAY_TIME, Event::Restart(site));
+        if is_by_culprit {
+            self.outcome.crashes.push(self.now);
+        }
+        for id in broken {
+            let run = self.runs.remove(&id).expect("the run exists");
+            let run_time = self.now - run.began_at;
+            let breaks = &mut self.hosts[run.host].1;
+            if breaks.record_break(self.now, process, &run.parts, run_time) == BreakStep::Check {
+                let at = self.now + Duration::from_millis(25);
+                self.schedule(at, Event::Check(run.host, process));
+            }
+            if run.may_retry {
+                self.send(id, run.host, run.parts, false);
+            } else if run.parts.iter().all(|&part| part < GUILTY) {
+                self.outcome.sound.push((run.began_at, false));
+            }
+        }
+    }
+}
+
+#[rstest]
+#[case::small(SMALL)]
+#[case::slow_crashes(Setup { crash_delay: Duration::from_millis(700), ..SMALL })]
+#[case::fast_crashes(Setup { crash_delay: Duration::from_millis(5), ..SMALL })]
+#[case::few_culprits(Setup { culprit_interval: 150, day: Duration::from_secs(60), ..SMALL })]
+#[case::many_culprits(Setup { culprit_interval: 3, ..SMALL })]
+#[case::two_parts(Setup { guilty_parts: 2, ..SMALL })]
+#[case::rare_families(Setup { families: 500, ..SMALL })]
+#[case::other_crashes(Setup { other_crashes: Some(Duration::from_secs(2)), ..SMALL })]
+#[case::large(LARGE)]
+#[case::large_with_other_crashes(Setup { other_crashes: Some(Duration::from_secs(2)), ..LARGE })]
+fn a_part_that_crashes_servers_is_refused_by_all_hosts(#[case] setup: Setup) {
+    let outcome = Fleet::play(setup);
+    let known = 5 * setup.guilty_parts as usize;
+    let known = outcome.crashes.get(known - 1).or(outcome.crashes.last());
+    let known = *known.expect("the part crashed servers");
+    let late = outcome.culprits_sent.iter();
+    let late = late.filter(|&&at| at > known + CONTACT).count();
+    assert!(
+        late <= 3,
+        "{late} sent late; {} crashes",
+        outcome.crashes.len()
+    );
+    let after = outcome
+        .sound
+        .iter()
+        .filter(|(at, _)| *at > known + 2 * CONTACT);
+    let (served, all) = after.fold((0, 0), |(served, all), (_, is_served)| {
+        (served + u32::from(*is_served), all + 1)
+    });
+    assert!(all >= 20, "{all} sound requests");
+    assert!(served * 10 >= all * 9, "{served} of {all} served");
+    assert_eq!(
+        outcome.sound_refused,
+        0,
+        "{} crashes",
+        outcome.crashes.len()
+    );
+}
+
+#[rstest]
+#[case(SMALL)]
+#[case(Setup { families: 500, ..SMALL })]
+#[case(LARGE)]
+fn crashes_for_other_reasons_condemn_no_part(#[case] setup: Setup) {
+    let outcome = Fleet::play(Setup {
+        culprit_interval: u64::MAX,
+        other_crashes: Some(Duration::from_millis(500)),
+        day: Duration::from_secs(60),
+        ..setup
+    });
+    assert_eq!(outcome.sound_refused, 0);
+}
--- a/crates/hickoryhall-routing/tests/faults.rs
+++ b/crates/hickoryhall-routing/tests/faults.rs
@@ -13,7 +13,7 @@
     let mut suspects = Suspects::default();
     assert_eq!(suspects.decide(now, 7), SuspectDecision::Clear);
     suspects.record_death(now, 7);
-    assert_eq!(suspects.decide(now, 7), SuspectDecision::Isolate);
+    assert_eq!(suspects.decide(now, 7), SuspectDecision::Isolate(7));
     suspects.record_death(now, 7);
     assert!(matches!(
         suspects.decide(now, 7),
