End the attempt of a broken stream before another server takes it over

Cause: the attempt at the server that broke off stayed open until another server had sent the head of its response.

--- a/crates/hickoryhall-gateway/src/exchange/attempt.rs
+++ b/crates/hickoryhall-gateway/src/exchange/attempt.rs
@@ -52,6 +52,11 @@
             .with(|core, now| core.record_first_event(now, attempt_id));
     }
 
+    /// Reports that the server broke off, before another attempt takes over.
+    pub fn fail(&mut self) {
+        self.close(AttemptEnd::Failed);
+    }
+
     pub fn end(mut self, end: AttemptEnd) {
         self.close(end);
     }
--- a/crates/hickoryhall-gateway/src/exchange/relay.rs
+++ b/crates/hickoryhall-gateway/src/exchange/relay.rs
@@ -285,6 +285,9 @@
         }
         let last_id = self.upstream.framer.last_id().map(Box::<str>::from);
         self.exchange.waits_since = Instant::now();
+        if reason != SILENT {
+            self.upstream.stream.guard.fail();
+        }
         for _ in 0..MAX_RESUME_ATTEMPTS {
             let Ok((assignment, guard)) = self.exchange.place().await else {
                 return false;
