Condemn no part that was answered in full as fast as one that never was, and try again soon

Callers of sound requests would have been refused for ten minutes, as a part that many requests share ran at the crashes of two guilty parts and was condemned before either of them; and a sound part with as many crashes as the guilty one went to the same server and crashed with it.

A part that any host saw answered in full needs five crashes instead of three, comes after an unanswered one with as many, and keeps its own server. Hosts tell each other such answers when a crash accuses the part, also if they are older than five seconds. One host tries a refused part ten seconds after its last crash; if that crashes a server, all hosts refuse it for ten minutes.

--- a/crates/hickoryhall-gateway/src/core.rs
+++ b/crates/hickoryhall-gateway/src/core.rs
@@ -41,6 +41,8 @@
 /// Maximum number of suspects listed in one digest; the oldest are left out.
 const MAX_SUSPECTS_PER_DIGEST: usize = 16;
 
+/// Time after its start from which a host may try such a part.
+const TRIAL_START_DELAY: Duration = Duration::from_secs(10);
 /// Ranks hosts for the trial of prompt parts that crashed servers long ago.
 const TRIAL_DUTY: u64 = 0x7375_7370_6563_7473;
 
@@ -363,7 +365,10 @@
         parts: &[PartHash],
     ) -> SuspectDecision {
         let (fleet, host) = (&self.fleet, self.config.host);
-        let may_try = || duty_rank(fleet, host, now, TRIAL_DUTY) == 0;
+        let restarted_at = self.config.restarted_at;
+        // A host that has just started does not know its peers yet.
+        let is_settled = restarted_at.is_none_or(|at| now >= at + TRIAL_START_DELAY);
+        let may_try = || is_settled && duty_rank(fleet, host, now, TRIAL_DUTY) == 0;
         self.suspects
             .decide_prompt(now, fingerprint, parts, may_try)
     }
--- a/crates/hickoryhall-gateway/src/peers/message/wire.rs
+++ b/crates/hickoryhall-gateway/src/peers/message/wire.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use hickoryhall_routing::{CrashNews, CrashReport, CrashedPart, Level, PartAge};
+use hickoryhall_routing::{CondemnedPart, CrashNews, CrashReport, CrashedPart, Level, PartAge};
 use prost::Message;
 
 use super::{
@@ -66,7 +66,7 @@
     pub(super) completed_parts: Vec<WirePartAge>,
     /// Prompt parts that are refused, by the age of their last crash.
     #[prost(message, repeated, tag = "20")]
-    pub(super) refused_parts: Vec<WirePartAge>,
+    pub(super) refused_parts: Vec<WireCondemnedPart>,
 }
 
 /// Parts and run times are two lists of equal length.
@@ -82,6 +82,16 @@
     pub(super) run_times_ms: Vec<u64>,
 }
 
+#[derive(Clone, PartialEq, Message)]
+pub(super) struct WireCondemnedPart {
+    #[prost(fixed64, tag = "1")]
+    pub(super) part: u64,
+    #[prost(uint64, tag = "2")]
+    pub(super) age_ms: u64,
+    #[prost(bool, tag = "3")]
+    pub(super) has_failed_trial: bool,
+}
+
 #[derive(Clone, PartialEq, Message)]
 pub(super) struct WirePartAge {
     #[prost(fixed64, tag = "1")]
@@ -454,6 +464,26 @@
     }
 }
 
+impl From<&CondemnedPart> for WireCondemnedPart {
+    fn from(condemned: &CondemnedPart) -> Self {
+        Self {
+            part: condemned.part,
+            age_ms: whole_ms(condemned.age),
+            has_failed_trial: condemned.has_failed_trial,
+        }
+    }
+}
+
+impl From<&WireCondemnedPart> for CondemnedPart {
+    fn from(wire: &WireCondemnedPart) -> Self {
+        Self {
+            part: wire.part,
+            age: Duration::from_millis(wire.age_ms),
+            has_failed_trial: wire.has_failed_trial,
+        }
+    }
+}
+
 impl From<&WirePartAge> for PartAge {
     fn from(wire: &WirePartAge) -> Self {
         Self {
--- a/crates/hickoryhall-routing/src/suspects.rs
+++ b/crates/hickoryhall-routing/src/suspects.rs
@@ -8,7 +8,7 @@
 
 pub use breaks::{BreakStep, Breaks};
 use parts::PartSuspects;
-pub use parts::{CrashId, CrashNews, CrashReport, CrashedPart, PartAge, PartHash};
+pub use parts::{CondemnedPart, CrashId, CrashNews, CrashReport, CrashedPart, PartAge, PartHash};
 
 /// Hash of a request's workspace, target and body, the same on every host.
 pub type Fingerprint = u64;
--- a/crates/hickoryhall-routing/src/suspects/parts.rs
+++ b/crates/hickoryhall-routing/src/suspects/parts.rs
@@ -24,12 +24,17 @@
 /// Time after a whole answer for which a part is not accused. A release of the runners' software may
 /// change what crashes them.
 const COMPLETION_TTL: Duration = Duration::from_secs(5);
-/// Time after the last crash for which a condemned part is refused.
+/// Time after the last crash for which a condemned part is refused at first, so that a part which was
+/// condemned for the crashes of another one is not refused for long.
+const FIRST_REFUSAL_TIME: Duration = Duration::from_secs(10);
+/// Time after the last crash for which a condemned part is refused once a trial has crashed a server.
 const REFUSAL_TIME: Duration = Duration::from_secs(600);
+/// Time after the verdict from which a crash is that of a trial, and not of a run that began before.
+const TRIAL_DELAY: Duration = Duration::from_secs(5);
 /// Time after which the trial of a condemned part may be repeated if it had no result.
 const TRIAL_INTERVAL: Duration = Duration::from_secs(30);
 /// Suggested retry delay of requests that wait for the result of a trial.
-const RETRY_AFTER_TRIAL: Duration = Duration::from_secs(30);
+const RETRY_AFTER_TRIAL: Duration = Duration::from_secs(5);
 /// Time after the last crash at which a condemned part is forgotten.
 const CONDEMNED_TTL: Duration = Duration::from_secs(24 * 3_600);
 /// Time after which a crash accuses no part any more.
@@ -47,6 +52,7 @@
 const MAX_PARTS_PER_CRASH: usize = 32;
 const MAX_CONDEMNED: usize = 256;
 const MAX_COMPLETIONS: usize = 4_096;
+const MAX_TOLD_COMPLETIONS: usize = 256;
 /// Maximum number of entries of each kind in one digest.
 const MAX_NEWS: usize = 8;
 
@@ -79,6 +85,17 @@
     pub age: Duration,
 }
 
+/// A part of a prompt that is refused.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct CondemnedPart {
+    /// Part of the prompt.
+    pub part: PartHash,
+    /// Time since the last crash under it.
+    pub age: Duration,
+    /// Whether a server crashed when the part was tried again.
+    pub has_failed_trial: bool,
+}
+
 /// What a host tells its peers about crashes.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct CrashNews {
@@ -86,8 +103,8 @@
     pub crashes: Vec<CrashReport>,
     /// Accused parts that a server has since written a whole answer on, by the age of that.
     pub completed: Vec<PartAge>,
-    /// Condemned parts, by the age of the last crash.
-    pub condemned: Vec<PartAge>,
+    /// Condemned parts.
+    pub condemned: Vec<CondemnedPart>,
 }
 
 impl CrashNews {
@@ -128,9 +145,20 @@
     }
 }
 
+/// A completion that peers have to learn of.
+#[derive(Clone, Copy, Debug)]
+struct ToldCompletion {
+    part: PartHash,
+    at: Instant,
+    /// Time from which peers are told.
+    since: Instant,
+}
+
 #[derive(Clone, Copy, Debug)]
 struct Condemned {
+    condemned_at: Instant,
     last_crash_at: Instant,
+    has_failed_trial: bool,
     /// Last time at which this host learned something new of it.
     changed_at: Instant,
     tried_at: Option<Instant>,
@@ -155,7 +183,7 @@
     completions: HashMap<PartHash, Instant>,
     completion_order: VecDeque<(Instant, PartHash)>,
     /// Completions of accused parts that peers have to learn of.
-    cleared: VecDeque<(PartHash, Instant)>,
+    told_completions: VecDeque<ToldCompletion>,
     /// Whether a part may have to be condemned.
     needs_review: bool,
     /// Number of digests so far.
@@ -193,14 +221,7 @@
         if is_lifted {
             self.condemned.remove(&part);
         }
-        self.cleared.push_back((part, at));
-        while self
-            .cleared
-            .front()
-            .is_some_and(|&(_, at)| now.saturating_duration_since(at) > NEWS_TTL)
-        {
-            self.cleared.pop_front();
-        }
+        self.tell_completion(now, part);
         self.count_rounds();
         true
     }
@@ -243,6 +264,7 @@
                 && at > condemned.last_crash_at + AGE_TOLERANCE
             {
                 condemned.last_crash_at = at;
+                condemned.has_failed_trial |= at >= condemned.condemned_at + TRIAL_DELAY;
                 condemned.changed_at = now;
             }
         }
@@ -361,8 +383,10 @@
         let open = self.accusations(is_settled).into_iter();
         let open = open.filter(|(part, accusation)| {
             let is_proven = accusation.rounds >= ROUNDS_WITHOUT_DOUBT;
-            let is_likely =
-                accusation.rounds >= ROUNDS_TO_CONDEMN && accusation.accounts_for_most();
+            // A part that was ever answered in full is the less likely cause.
+            let is_likely = accusation.rounds >= ROUNDS_TO_CONDEMN
+                && accusation.accounts_for_most()
+                && !self.completions.contains_key(part);
             !self.condemned.contains_key(part) && (is_proven || is_likely)
         });
         let open = open.map(|(part, accusation)| (part, accusation.rounds));
@@ -370,12 +394,20 @@
         let most = open.iter().map(|&(_, rounds)| rounds).max().unwrap_or(0);
         let worst = open.into_iter().filter(|&(_, rounds)| rounds == most);
         let worst = worst.collect::<Vec<_>>();
+        let is_unanswered = |(part, _): &(PartHash, u32)| !self.completions.contains_key(part);
+        let unanswered = worst.iter().copied().filter(is_unanswered);
+        let unanswered = unanswered.collect::<Vec<_>>();
+        let worst = if unanswered.is_empty() {
+            worst
+        } else {
+            unanswered
+        };
         if worst.is_empty() || (worst.len() > 1 && most < ROUNDS_WITHOUT_DOUBT) {
             return Vec::new();
         }
         for &(part, _) in &worst {
             let last_crash_at = self.last_crash_at(part).unwrap_or(now);
-            self.condemn(now, part, last_crash_at);
+            self.condemn(now, part, last_crash_at, false);
         }
         // Another part may be left that caused other crashes.
         self.needs_review = true;
@@ -391,11 +423,19 @@
         with_part.map(|crash| crash.at).max()
     }
 
-    fn condemn(&mut self, now: Instant, part: PartHash, last_crash_at: Instant) {
+    fn condemn(
+        &mut self,
+        now: Instant,
+        part: PartHash,
+        last_crash_at: Instant,
+        has_failed_trial: bool,
+    ) {
         self.condemned.insert(
             part,
             Condemned {
+                condemned_at: now,
                 last_crash_at,
+                has_failed_trial,
                 changed_at: now,
                 tried_at: None,
             },
@@ -444,20 +484,30 @@
         }
         let accused = parts.iter().copied();
         let accused = accused.filter(|part| self.rounds.contains_key(part));
-        let most = accused.max_by_key(|&part| (self.rounds_of(part), part));
+        // The part that was ever answered in full keeps its own server, where it can be answered again.
+        let weight = |part| {
+            (
+                self.rounds_of(part),
+                !self.completions.contains_key(&part),
+                part,
+            )
+        };
+        let most = accused.max_by_key(|&part| weight(part));
         most.map_or(SuspectDecision::Clear, SuspectDecision::Isolate)
     }
 
     /// Returns what peers have to learn with the next digest.
     pub fn news(&mut self, now: Instant) -> CrashNews {
         self.digests += 1;
-        if self.crashes.is_empty() && self.cleared.is_empty() && self.condemned.is_empty() {
+        if self.crashes.is_empty() && self.told_completions.is_empty() && self.condemned.is_empty()
+        {
             return CrashNews::default();
         }
         let age = |at: Instant| now.saturating_duration_since(at);
         self.condemned
             .retain(|_, condemned| age(condemned.last_crash_at) < CONDEMNED_TTL);
-        self.cleared.retain(|&(_, at)| age(at) <= NEWS_TTL);
+        self.told_completions
+            .retain(|told| age(told.since) <= NEWS_TTL);
         let is_rotation = self.digests.is_multiple_of(CONDEMNED_ROTATION);
         let fresh = self.crashes.iter().rev();
         let fresh = fresh.filter(|crash| age(crash.changed_at) <= NEWS_TTL);
@@ -466,7 +516,7 @@
             age: age(crash.at),
             parts: crash.parts.clone(),
         });
-        let cleared = self.cleared.iter().rev().take(MAX_NEWS);
+        let completed = self.told_completions.iter().rev().take(MAX_NEWS);
         let mut condemned = self.condemned.iter().collect::<Vec<_>>();
         condemned.retain(|(_, condemned)| is_rotation || age(condemned.changed_at) <= NEWS_TTL);
         condemned.sort_by_key(|(_, condemned)| age(condemned.changed_at));
@@ -477,15 +527,19 @@
         }
         CrashNews {
             crashes: crashes.collect(),
-            completed: cleared
-                .map(|&(part, at)| PartAge { part, age: age(at) })
+            completed: completed
+                .map(|told| PartAge {
+                    part: told.part,
+                    age: age(told.at),
+                })
                 .collect(),
             condemned: condemned
                 .into_iter()
                 .take(MAX_NEWS)
-                .map(|(&part, condemned)| PartAge {
+                .map(|(&part, condemned)| CondemnedPart {
                     part,
                     age: age(condemned.last_crash_at),
+                    has_failed_trial: condemned.has_failed_trial,
                 })
                 .collect(),
         }
@@ -512,17 +566,22 @@
                 continue;
             };
             if self.is_cleared(condemned.part, at) {
-                self.tell_completion(condemned.part);
+                self.tell_completion(now, condemned.part);
                 continue;
             }
             match self.condemned.get_mut(&condemned.part) {
-                Some(known) if at > known.last_crash_at + AGE_TOLERANCE => {
-                    known.last_crash_at = at;
-                    known.changed_at = now;
+                Some(known) => {
+                    if at > known.last_crash_at + AGE_TOLERANCE {
+                        known.last_crash_at = at;
+                        known.changed_at = now;
+                    }
+                    if condemned.has_failed_trial && !known.has_failed_trial {
+                        known.has_failed_trial = true;
+                        known.changed_at = now;
+                    }
                 }
-                Some(_) => {}
                 None => {
-                    self.condemn(now, condemned.part, at);
+                    self.condemn(now, condemned.part, at, condemned.has_failed_trial);
                     added.push(condemned.part);
                 }
             }
@@ -535,22 +594,28 @@
 
     /// Tells peers of the completions of parts that another host accuses.
     fn tell_completions(&mut self, now: Instant, report: &CrashReport) {
-        let Some(crashed_at) = time_of(now, report.age, CRASH_TTL) else {
-            return;
-        };
         for accused in &report.parts {
-            if self.is_cleared(accused.part, crashed_at) {
-                self.tell_completion(accused.part);
-            }
+            self.tell_completion(now, accused.part);
         }
     }
 
-    fn tell_completion(&mut self, part: PartHash) {
+    /// Tells peers of the last completion of a part, if there is one that they were not told of.
+    fn tell_completion(&mut self, now: Instant, part: PartHash) {
         let Some(&at) = self.completions.get(&part) else {
             return;
         };
-        if !self.cleared.iter().any(|&(other, _)| other == part) {
-            self.cleared.push_back((part, at));
+        let mut told = self.told_completions.iter();
+        if told.any(|told| told.part == part && at <= told.at + AGE_TOLERANCE) {
+            return;
+        }
+        self.told_completions.retain(|told| told.part != part);
+        self.told_completions.push_back(ToldCompletion {
+            part,
+            at,
+            since: now,
+        });
+        if self.told_completions.len() > MAX_TOLD_COMPLETIONS {
+            self.told_completions.pop_front();
         }
     }
 }
@@ -585,7 +650,12 @@
 impl Condemned {
     /// Returns the time until a request with the part may run; `None` if it may run now.
     fn wait(&self, now: Instant, may_try: impl Fn() -> bool) -> Option<Duration> {
-        let left = (self.last_crash_at + REFUSAL_TIME).saturating_duration_since(now);
+        let refusal_time = if self.has_failed_trial {
+            REFUSAL_TIME
+        } else {
+            FIRST_REFUSAL_TIME
+        };
+        let left = (self.last_crash_at + refusal_time).saturating_duration_since(now);
         if left > Duration::ZERO {
             return Some(left);
         }
