Notice crashes of servers whose answers end with their connection

An answer that ends with its connection now counts as whole for the prompt's parts only once the server has accepted another connection, which then serves the next request; if its address refuses, the answer is evidence like a break. A break after a check that found the server alive is checked again; it was not within three seconds. A request with an accused part that two servers may have run goes to no third one.

Test: a_part_that_crashes_servers_is_kept_from_them::case_2_unframed failed before.

--- a/crates/hickoryhall-gateway/src/exchange.rs
+++ b/crates/hickoryhall-gateway/src/exchange.rs
@@ -269,8 +269,13 @@
                 Ok(placed) => placed,
                 Err(refusal) => return self.respond_refused(refusal),
             };
+            let sent_at = Instant::now();
             let failure = match self.attempt(&assignment, guard, None).await {
-                AttemptResult::Response(response) => return self.respond(response),
+                AttemptResult::Response(response) => {
+                    let framing = self.record.framing();
+                    self.record_whole_answer(&assignment.server, sent_at, framing);
+                    return self.respond(response);
+                }
                 AttemptResult::Failed(failure) => failure,
                 AttemptResult::Stream(stream) => match self.start_stream(stream).await {
                     Ok(response) => return response,
@@ -303,21 +308,22 @@
             .gateway
             .core
             .with(|core, now| core.suspect_decision(now, fingerprint, parts));
-        match decision {
-            SuspectDecision::Clear => {}
+        let retry_after = match decision {
+            SuspectDecision::Clear => return Ok(()),
             SuspectDecision::Isolate(suspect) | SuspectDecision::Try(suspect) => {
                 self.suspect = Some(suspect);
                 self.is_trial = matches!(decision, SuspectDecision::Try(_));
-                self.outcome.limit_to_one_run();
-            }
-            SuspectDecision::Refuse(retry_after) => {
-                return Err(PlacementRefusal {
-                    reason: RefusalReason::Suspect,
-                    retry_after,
-                });
+                if self.outcome.limit_to_one_run() {
+                    return Ok(());
+                }
+                Duration::ZERO
             }
-        }
-        Ok(())
+            SuspectDecision::Refuse(retry_after) => retry_after,
+        };
+        Err(PlacementRefusal {
+            reason: RefusalReason::Suspect,
+            retry_after,
+        })
     }
 
     async fn place(&mut self) -> Result<(Box<Assignment>, AttemptGuard), PlacementRefusal> {
@@ -421,13 +427,11 @@
         }
     }
 
-    /// Clears the request, and the parts of its prompt, which one server answered.
-    fn record_whole_answer(&self) {
-        let (fingerprint, parts) = (self.request.fingerprint, &self.request.parts);
-        self.gateway.core.with(|core, now| {
-            core.clear_suspect(fingerprint);
-            core.record_whole_answer(now, parts);
-        });
+    /// Clears the request from suspicion, as it was answered in full.
+    fn clear_suspect(&self) {
+        let fingerprint = self.request.fingerprint;
+        let core = &self.gateway.core;
+        core.with(|core, _| core.clear_suspect(fingerprint));
     }
 
     fn respond_failure(mut self, failure: LocalFailure) -> Response<ResponseBody> {
@@ -438,7 +442,7 @@
 
     fn respond(mut self, response: BufferedResponse) -> Response<ResponseBody> {
         if response.status.is_success() {
-            self.record_whole_answer();
+            self.clear_suspect();
         }
         self.record.answered(response.status);
         response.into_response()
--- a/crates/hickoryhall-gateway/src/exchange/crash.rs
+++ b/crates/hickoryhall-gateway/src/exchange/crash.rs
@@ -9,6 +9,7 @@
 use tokio::task::spawn_local;
 
 use super::{Exchange, Gateway};
+use crate::framing::BodyFraming;
 use crate::interface::Platform;
 use crate::registry::BackendServer;
 
@@ -27,35 +28,84 @@
             "has_begun" => has_begun, "fingerprint" => self.request.fingerprint,
             "parts" => parts
         );
-        let needs_check = self.gateway.core.with(|core, now| {
-            let run_time = now.saturating_duration_since(sent_at);
-            core.record_break(now, server, &self.request.parts, run_time)
-        });
-        if needs_check {
+        if self.needs_check(server, sent_at) {
             let (gateway, server) = (Rc::clone(&self.gateway), server.clone());
-            spawn_local(async move { check_process(&gateway, &server).await });
+            spawn_local(async move {
+                check_process(&gateway, &server).await;
+            });
         }
     }
+
+    /// Records that a server has sent its whole answer, as far as its framing tells, which clears the
+    /// parts of the prompt from suspicion. An answer that ends with its connection ends the same way if
+    /// the server crashes, so that the process is checked first.
+    pub(super) fn record_whole_answer(
+        &self,
+        server: &BackendServer,
+        sent_at: Instant,
+        framing: BodyFraming,
+    ) {
+        if self.request.parts.is_empty() {
+            return;
+        }
+        let parts = self.request.parts.clone();
+        if framing != BodyFraming::Connection {
+            let core = &self.gateway.core;
+            core.with(|core, now| core.record_whole_answer(now, &parts));
+        } else if self.needs_check(server, sent_at) {
+            let (gateway, server) = (Rc::clone(&self.gateway), server.clone());
+            spawn_local(async move {
+                if check_process(&gateway, &server).await == ProcessState::Alive {
+                    let core = &gateway.core;
+                    core.with(|core, now| core.record_whole_answer(now, &parts));
+                }
+            });
+        }
+    }
+
+    fn needs_check(&self, server: &BackendServer, sent_at: Instant) -> bool {
+        self.gateway.core.with(|core, now| {
+            let run_time = now.saturating_duration_since(sent_at);
+            core.record_break(now, server, &self.request.parts, run_time)
+        })
+    }
+}
+
+/// Result of a check of a process.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum ProcessState {
+    /// It accepts connections.
+    Alive,
+    /// Its address refuses connections, or cannot be reached.
+    Unknown,
+    Crashed,
 }
 
 /// Connects to a server that broke off a request. A process that has ended refuses connections.
-async fn check_process<P: Platform>(gateway: &Gateway<P>, server: &BackendServer) {
+async fn check_process<P: Platform>(gateway: &Gateway<P>, server: &BackendServer) -> ProcessState {
     tokio::time::sleep(CHECK_DELAY).await;
-    let is_refusing = match gateway.pool.connect(server.address).await {
+    let (is_alive, is_refusing) = match gateway.pool.connect(server.address).await {
         Ok(connection) => {
             gateway.pool.release(connection, None);
-            false
+            (true, false)
         }
-        Err(error) => error.is_refused(),
+        Err(error) => (false, error.is_refused()),
     };
     let is_gone = gateway
         .core
         .with(|core, now| core.record_check(now, server, is_refusing));
-    info!(
-        gateway.logger, "exchange: Server checked after a break.";
-        "server" => &*server.id, "incarnation" => server.incarnation,
-        "is_refusing" => is_refusing, "is_gone" => is_gone
-    );
+    if !is_alive {
+        info!(
+            gateway.logger, "exchange: Server checked after a break.";
+            "server" => &*server.id, "incarnation" => server.incarnation,
+            "is_refusing" => is_refusing, "is_gone" => is_gone
+        );
+    }
+    match (is_alive, is_gone) {
+        (true, _) => ProcessState::Alive,
+        (false, true) => ProcessState::Crashed,
+        (false, false) => ProcessState::Unknown,
+    }
 }
 
 /// Returns the text of prompt parts in logs.
--- a/crates/hickoryhall-gateway/src/exchange/record.rs
+++ b/crates/hickoryhall-gateway/src/exchange/record.rs
@@ -139,6 +139,11 @@
         self.response = Some(response);
     }
 
+    /// Returns how the last response told its end.
+    pub fn framing(&self) -> BodyFraming {
+        self.framing.unwrap_or(BodyFraming::Connection)
+    }
+
     /// Records a failed attempt.
     pub fn attempt_failed(&mut self, server: &str, outcome: &str) {
         counter!("attempts_without_answer_total", "outcome" => outcome.to_owned()).increment(1);
--- a/crates/hickoryhall-gateway/src/exchange/relay.rs
+++ b/crates/hickoryhall-gateway/src/exchange/relay.rs
@@ -194,14 +194,18 @@
             response_meta,
             guard,
             head,
+            server,
+            sent_at,
             ..
         } = *stream;
         match outcome {
             RelayOutcome::Complete => {
                 guard.end(AttemptEnd::Answered);
                 exchange.return_to_pool(connection, &response_meta);
+                exchange.clear_suspect();
                 if is_from_one_server {
-                    exchange.record_whole_answer();
+                    let framing = BodyFraming::of(&head.headers);
+                    exchange.record_whole_answer(&server, sent_at, framing);
                 }
                 exchange.record.answered(head.status);
                 sender.finish();
--- a/crates/hickoryhall-gateway/src/outcome.rs
+++ b/crates/hickoryhall-gateway/src/outcome.rs
@@ -14,6 +14,9 @@
 
 /// Number of attempts that fail before anything is sent, after which a request is given up.
 const MAX_UNSENT_ATTEMPTS: u32 = 3;
+/// Number of servers that may have run a request, from which it goes to no other one if it may have
+/// crashed them.
+const MAX_RUNS_OF_SUSPECT: u32 = 2;
 /// `Retry-After` of a request that was not run: about the time after which a server that refused
 /// a request accepts new work again.
 const RETRY_AFTER_REFUSED: Duration = Duration::from_millis(200);
@@ -204,9 +207,11 @@
         !self.may_repeat || self.possible_runs + 1 >= self.max_runs
     }
 
-    /// Lets at most one more attempt run the request.
-    pub fn limit_to_one_run(&mut self) {
+    /// Lets at most one more attempt run the request, and none if two may have run it; returns whether
+    /// another one may.
+    pub fn limit_to_one_run(&mut self) -> bool {
         self.max_runs = self.max_runs.min(self.possible_runs + 1);
+        self.possible_runs < MAX_RUNS_OF_SUSPECT
     }
 
     /// Counts an attempt that may have run the request.
--- a/crates/hickoryhall-routing/src/suspects/breaks.rs
+++ b/crates/hickoryhall-routing/src/suspects/breaks.rs
@@ -15,23 +15,16 @@
 pub enum BreakStep {
     /// The process has to be checked.
     Check,
-    /// The process is being checked, or has been found alive.
+    /// The process is being checked.
     Nothing,
     /// The process has crashed.
     Crashed(CrashReport),
 }
 
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-enum ProcessState {
-    Unchecked,
-    Alive,
-    Crashed,
-}
-
 #[derive(Clone, Debug)]
 struct BrokenProcess {
     broke_at: Instant,
-    state: ProcessState,
+    has_crashed: bool,
     parts: Vec<CrashedPart>,
 }
 
@@ -65,15 +58,17 @@
             .entry(process)
             .or_insert_with(|| BrokenProcess {
                 broke_at: now,
-                state: ProcessState::Unchecked,
+                has_crashed: false,
                 parts: Vec::new(),
             });
         let parts = parts.iter().map(|&part| CrashedPart { part, run_time });
         broken.parts.extend(parts);
-        match broken.state {
-            _ if !is_known => BreakStep::Check,
-            ProcessState::Crashed => BreakStep::Crashed(broken.report(now, process)),
-            ProcessState::Unchecked | ProcessState::Alive => BreakStep::Nothing,
+        if !is_known {
+            BreakStep::Check
+        } else if broken.has_crashed {
+            BreakStep::Crashed(broken.report(now, process))
+        } else {
+            BreakStep::Nothing
         }
     }
 
@@ -94,10 +89,11 @@
     ) -> Option<CrashReport> {
         let broken = self.processes.get_mut(&process)?;
         if is_refusing && open_requests == 0 {
-            broken.state = ProcessState::Crashed;
+            broken.has_crashed = true;
             return Some(broken.report(now, process));
         }
-        broken.state = ProcessState::Alive;
+        // A later break is checked again.
+        self.processes.remove(&process);
         None
     }
 }
