Read the limits that servers name, log them, and tell peers of them

No code knew the header with which a server in need names the requests a second that it takes from all hosts together, and no line or metric told whether one had. Each change of a limit has a line now, with server, process, limit and whether a response or a peer told it, and counts as server_limits_changed_total; a limit that cannot be read is logged once a process and changes nothing. Placement does not use the limits yet.

--- a/crates/hickoryhall-gateway/src/core.rs
+++ b/crates/hickoryhall-gateway/src/core.rs
@@ -13,16 +13,16 @@
 use hickoryhall_routing::{
     BreakStep, Breaks, CrashId, CrashReport, Fingerprint, PartHash, SuspectDecision, Suspects,
 };
-use hickoryhall_types::{TargetId, WeightsVersion, hash_name, rendezvous_score};
+use hickoryhall_types::{Incarnation, TargetId, WeightsVersion, hash_name, rendezvous_score};
 use metrics::counter;
-use slog::{Logger, info};
+use slog::{Logger, info, warn};
 use stakker::CX;
 use tokio::sync::oneshot;
 
 pub use handle::CoreHandle;
 
 use crate::fleet::Fleet;
-use crate::interface::ResponseMeta;
+use crate::interface::{ResponseMeta, StatedLimit};
 use crate::outcome::ResponseKind;
 use crate::peers::{PromptUpdate, SuspectUpdate};
 use crate::registry::{BackendServer, Registry, RegistryEntry, RegistryEvent, ServerId};
@@ -87,6 +87,8 @@
     retry_budgets: HashMap<TargetId, FleetRetryBudget>,
     suspects: Suspects,
     breaks: Breaks,
+    /// Processes of servers that named a limit which cannot be read, by the hash of the server's id.
+    unreadable_limits: HashMap<u64, Incarnation>,
     /// Suspects to list in the next digests, oldest first.
     suspect_updates: Vec<SuspectUpdate>,
     fleet: Fleet,
@@ -119,6 +121,7 @@
             retry_budgets: HashMap::new(),
             suspects: Suspects::default(),
             breaks: Breaks::default(),
+            unreadable_limits: HashMap::new(),
             suspect_updates: Vec::new(),
             fleet: Fleet::default(),
             weight_changes: HashMap::new(),
@@ -243,6 +246,7 @@
                     );
                 }
                 RegistryEvent::Removed(id) => {
+                    self.unreadable_limits.remove(&hash_name(id));
                     self.streams.versions.on_server_gone(id);
                     info!(self.logger, "core: Backend server gone."; "server" => &**id);
                 }
@@ -329,6 +333,62 @@
         }
     }
 
+    /// Records what a response says about the limit of its server, as the registry entry was when the
+    /// request was sent.
+    pub fn on_stated_limit(
+        &mut self,
+        now: Instant,
+        server: &BackendServer,
+        limit: StatedLimit,
+        sent_at: Instant,
+    ) {
+        let (hash, process) = (hash_name(&server.id), server.incarnation);
+        let limit_per_s = match limit {
+            StatedLimit::None => None,
+            StatedLimit::PerSecond(limit_per_s) => Some(limit_per_s),
+            StatedLimit::Unreadable => {
+                if self.unreadable_limits.insert(hash, process) != Some(process) {
+                    warn!(self.logger, "core: Limit of a server cannot be read."; "server" => &*server.id, "incarnation" => process);
+                }
+                return;
+            }
+        };
+        let limits = self.scheduler.limits_mut();
+        if limits.record(now, hash, process, limit_per_s, sent_at) {
+            self.limit_changed(now, &server.id, process, limit_per_s, "response");
+        }
+    }
+
+    /// Logs a changed limit, and divides the limits among the hosts again.
+    fn limit_changed(
+        &mut self,
+        now: Instant,
+        server: &str,
+        process: Incarnation,
+        limit_per_s: Option<f64>,
+        source: &'static str,
+    ) {
+        counter!("server_limits_changed_total", "source" => source).increment(1);
+        info!(
+            self.logger, "core: Limit of a server changed.";
+            "server" => server, "incarnation" => process, "limit_per_s" => limit_per_s,
+            "source" => source
+        );
+        self.divide_limits(now);
+    }
+
+    /// Divides the limits that servers name among the live hosts.
+    fn divide_limits(&mut self, now: Instant) {
+        if self.scheduler.limits_mut().is_empty() {
+            return;
+        }
+        let (fleet, host) = (&self.fleet, self.config.host);
+        let hosts = fleet.live(now).len() + 1;
+        self.scheduler
+            .limits_mut()
+            .divide(now, hosts, |server| duty_rank(fleet, host, now, server));
+    }
+
     /// Counts a request to a service, which adds to the retry budget of that service.
     pub fn record_request(&mut self, now: Instant, service: &TargetId) {
         let limit = self.config.retry_limit;
@@ -530,6 +590,7 @@
         self.apply_registry_events(events);
         self.streams.versions.expire(now);
         self.review_crashes(now);
+        self.divide_limits(now);
         self.place_waiting(now);
         if self.scheduler.waiting_count() > 0 {
             WAITING_TICK_INTERVAL
--- a/crates/hickoryhall-gateway/src/core/digests.rs
+++ b/crates/hickoryhall-gateway/src/core/digests.rs
@@ -102,6 +102,7 @@
             desired_versions: desired_versions.collect(),
             suspects: self.suspect_updates.clone(),
             crashes: self.suspects.crash_news(now),
+            limits: self.scheduler.limits_mut().news(now),
             ..Digest::default()
         }
     }
@@ -185,6 +186,14 @@
                 self.queue_suspect_update(update);
             }
         }
+        for statement in &digest.limits {
+            if self.scheduler.limits_mut().merge(now, statement) {
+                let name = self.scheduler.server_name(statement.server);
+                let name = name.unwrap_or_else(|| format!("{:016x}", statement.server).into());
+                let (process, limit) = (statement.process, statement.limit_per_s);
+                self.limit_changed(now, &name, process, limit, "peer");
+            }
+        }
         for part in self.suspects.merge_crash_news(now, &digest.crashes) {
             counter!("prompt_parts_refused_total", "source" => "peer").increment(1);
             info!(
--- a/crates/hickoryhall-gateway/src/exchange/attempt.rs
+++ b/crates/hickoryhall-gateway/src/exchange/attempt.rs
@@ -159,9 +159,12 @@
             is_kept,
         });
         let server = &assignment.server;
-        self.gateway
-            .core
-            .with(|core, now| core.on_response_head(now, server, kind, &response_meta));
+        self.gateway.core.with(|core, now| {
+            core.on_response_head(now, server, kind, &response_meta);
+            if kind.is_from_server() {
+                core.on_stated_limit(now, server, response_meta.limit, sent_at);
+            }
+        });
         if kind == ResponseKind::Success && self.request.route.kind.is_stream() {
             return AttemptResult::Stream(Box::new(OpenStream {
                 head,
--- a/crates/hickoryhall-gateway/src/interface.rs
+++ b/crates/hickoryhall-gateway/src/interface.rs
@@ -139,7 +139,7 @@
 }
 
 /// Contents of the head of a backend server's response.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq)]
 pub struct ResponseMeta {
     /// Id of the request that the response belongs to.
     pub id: ResponseId,
@@ -162,6 +162,20 @@
     pub is_leaving: bool,
     /// Time for which the server, which turned the request away, wants no others from this host.
     pub pause: Option<Duration>,
+    /// Number of requests that the server takes from all hosts together.
+    pub limit: StatedLimit,
+}
+
+/// What a response says about the number of requests that its server takes from all hosts together.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub enum StatedLimit {
+    /// The server takes as many as it can.
+    #[default]
+    None,
+    /// Requests a second; a finite number, 0 or higher.
+    PerSecond(f64),
+    /// The response has a limit that is no such number.
+    Unreadable,
 }
 
 /// A failure response that this host generates itself.
--- a/crates/hickoryhall-gateway/src/peers/message.rs
+++ b/crates/hickoryhall-gateway/src/peers/message.rs
@@ -5,6 +5,7 @@
 use std::net::Ipv4Addr;
 
 use bytes::Bytes;
+use hickoryhall_limits::LimitStatement;
 use hickoryhall_routing::{CrashNews, Level};
 use hickoryhall_types::{Incarnation, Revision, TargetId, WeightsVersion};
 use prost::Message;
@@ -41,6 +42,8 @@
     pub suspects: Vec<SuspectUpdate>,
     /// Crashes of servers and the prompt parts that may have caused them.
     pub crashes: CrashNews,
+    /// Limits that servers name.
+    pub limits: Vec<LimitStatement>,
     /// Prompts that runners prefilled, or saved to a prompt cache store, since the last digest.
     pub prompts: Vec<PromptUpdate>,
     /// Changes of the registry, from a host that reads it for its group.
--- a/crates/hickoryhall-gateway/src/peers/message/wire.rs
+++ b/crates/hickoryhall-gateway/src/peers/message/wire.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use hickoryhall_limits::LimitStatement;
 use hickoryhall_routing::{CondemnedPart, CrashNews, CrashReport, CrashedPart, Level, PartAge};
 use prost::Message;
 
@@ -67,6 +68,22 @@
     /// Prompt parts that are refused, by the age of their last crash.
     #[prost(message, repeated, tag = "20")]
     pub(super) refused_parts: Vec<WireCondemnedPart>,
+    #[prost(message, repeated, tag = "21")]
+    pub(super) limits: Vec<WireLimit>,
+}
+
+/// Limit that a process of a server names.
+#[derive(Clone, PartialEq, Message)]
+pub(super) struct WireLimit {
+    #[prost(fixed64, tag = "1")]
+    pub(super) server: u64,
+    #[prost(uint64, tag = "2")]
+    pub(super) process: u64,
+    /// Requests a second; missing if the server names none any more.
+    #[prost(double, optional, tag = "3")]
+    pub(super) limit_per_s: Option<f64>,
+    #[prost(uint64, tag = "4")]
+    pub(super) age_ms: u64,
 }
 
 /// Parts and run times are two lists of equal length.
@@ -279,6 +296,7 @@
             crashes: digest.crashes.crashes.iter().map(From::from).collect(),
             completed_parts: digest.crashes.completed.iter().map(From::from).collect(),
             refused_parts: digest.crashes.condemned.iter().map(From::from).collect(),
+            limits: digest.limits.iter().map(From::from).collect(),
         }
     }
 }
@@ -412,6 +430,7 @@
                 completed: wire.completed_parts.iter().map(From::from).collect(),
                 condemned: wire.refused_parts.iter().map(From::from).collect(),
             },
+            limits: wire.limits.iter().map(From::from).collect(),
             prompts: wire.prompts.iter().map(PromptUpdate::from).collect(),
             registry: wire.registry.map(RegistryRelay::from),
             streams: StreamMessages {
@@ -493,6 +512,28 @@
     }
 }
 
+impl From<&LimitStatement> for WireLimit {
+    fn from(statement: &LimitStatement) -> Self {
+        Self {
+            server: statement.server,
+            process: statement.process,
+            limit_per_s: statement.limit_per_s,
+            age_ms: whole_ms(statement.age),
+        }
+    }
+}
+
+impl From<&WireLimit> for LimitStatement {
+    fn from(wire: &WireLimit) -> Self {
+        Self {
+            server: wire.server,
+            process: wire.process,
+            limit_per_s: wire.limit_per_s,
+            age: Duration::from_millis(wire.age_ms),
+        }
+    }
+}
+
 fn whole_ms(duration: Duration) -> u64 {
     u64::try_from(duration.as_millis()).unwrap_or(u64::MAX)
 }
--- a/crates/hickoryhall-gateway/src/scheduler.rs
+++ b/crates/hickoryhall-gateway/src/scheduler.rs
@@ -24,6 +24,7 @@
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
+use hickoryhall_limits::ServerLimits;
 use hickoryhall_routing::PrefixChain;
 use hickoryhall_types::{FailureDomainId, Incarnation, TargetId, WeightsVersion};
 use slotmap::{SlotMap, new_key_type};
@@ -106,6 +107,7 @@
     prompt_updates: Vec<PromptUpdate>,
     cache_stores: Vec<CacheStoreState>,
     demand: FamilyDemand,
+    limits: ServerLimits,
     /// Failure domains with a recently unreachable server, and when each entry expires.
     unreachable_domains: HashMap<FailureDomainId, Instant>,
 }
@@ -137,6 +139,7 @@
             prompt_updates: Vec::new(),
             cache_stores: Vec::new(),
             demand: FamilyDemand::default(),
+            limits: ServerLimits::default(),
             unreachable_domains: HashMap::new(),
         }
     }
@@ -360,6 +363,11 @@
         }
     }
 
+    /// Returns the limits that servers name, to record statements and divide them among the hosts.
+    pub fn limits_mut(&mut self) -> &mut ServerLimits {
+        &mut self.limits
+    }
+
     /// Returns the number of attempts at a process of a server that were placed before a time and
     /// have not ended.
     #[must_use]
--- a/crates/hickoryhall-gateway/src/scheduler/updates.rs
+++ b/crates/hickoryhall-gateway/src/scheduler/updates.rs
@@ -12,7 +12,7 @@
 use crate::interface::ResponseMeta;
 use crate::outcome::ResponseKind;
 use crate::peers::{PromptUpdate, ServerUpdate};
-use crate::registry::BackendServer;
+use crate::registry::{BackendServer, ServerId};
 
 impl Scheduler {
     /// Records what the head of a response reports about the server that it comes from, as the
@@ -95,6 +95,13 @@
         }
     }
 
+    /// Returns the id of a server by its hash; `None` if it is not registered.
+    #[must_use]
+    pub fn server_name(&self, server: u64) -> Option<ServerId> {
+        let state = self.by_hash.get(&server).map(|&key| &self.servers[key]);
+        state.map(|state| state.server.id.clone())
+    }
+
     /// Returns whether a server is shutting down, by its entry or its responses.
     #[must_use]
     pub fn is_leaving(&self, id: &str) -> bool {
--- a/crates/hickoryhall-gateway/tests/incarnations.rs
+++ b/crates/hickoryhall-gateway/tests/incarnations.rs
@@ -5,7 +5,7 @@
 
 use std::time::{Duration, Instant};
 
-use hickoryhall_gateway::interface::{ResponseId, ResponseMeta};
+use hickoryhall_gateway::interface::{ResponseId, ResponseMeta, StatedLimit};
 use hickoryhall_gateway::outcome::ResponseKind;
 use hickoryhall_gateway::registry::{BackendServer, RegistryEvent};
 use hickoryhall_gateway::scheduler::{
@@ -80,6 +80,7 @@
             keep_alive: None,
             is_leaving: false,
             pause: None,
+            limit: StatedLimit::None,
         };
         let server = entry(incarnation, 1);
         self.scheduler.record_response_head(
--- a/crates/hickoryhall-gateway/tests/messages.rs
+++ b/crates/hickoryhall-gateway/tests/messages.rs
@@ -16,6 +16,7 @@
 use hickoryhall_gateway::stream_versions::{
     ServiceVersion, StreamKnowledge, StreamOrigin, StreamQuestion,
 };
+use hickoryhall_limits::LimitStatement;
 use hickoryhall_routing::{CondemnedPart, CrashNews, CrashReport, CrashedPart, Level, PartAge};
 use proptest::prelude::*;
 
@@ -83,6 +84,12 @@
                 has_failed_trial: number(9).is_multiple_of(2),
             }],
         },
+        limits: vec![LimitStatement {
+            server: number(1),
+            process: number(2),
+            limit_per_s: [None, Some(f64::from(small(3)) / 8.0)][number(4) as usize % 2],
+            age: Duration::from_millis(number(5)),
+        }],
         prompts: vec![PromptUpdate {
             server: number(5),
             incarnation: [None, Some(number(6))][number(7) as usize % 2],
--- a/crates/hickoryhall-gateway/tests/outcome.rs
+++ b/crates/hickoryhall-gateway/tests/outcome.rs
@@ -3,7 +3,7 @@
 
 use std::time::Duration;
 
-use hickoryhall_gateway::interface::{ResponseId, ResponseMeta};
+use hickoryhall_gateway::interface::{ResponseId, ResponseMeta, StatedLimit};
 use hickoryhall_gateway::outcome::{
     AttemptFailure, Ending, NextStep, RequestOutcome, ResponseKind, TimeLeft, is_promise,
 };
@@ -32,6 +32,7 @@
     ResponseMeta {
         is_leaving: false,
         pause: None,
+        limit: StatedLimit::None,
         is_encoded,
         id,
         is_sealed,
--- a/crates/hickoryhall-gateway/tests/turned_away.rs
+++ b/crates/hickoryhall-gateway/tests/turned_away.rs
@@ -5,7 +5,7 @@
 use std::time::{Duration, Instant};
 
 use hickoryhall_gateway::core::{Core, CoreConfig};
-use hickoryhall_gateway::interface::{ResponseId, ResponseMeta};
+use hickoryhall_gateway::interface::{ResponseId, ResponseMeta, StatedLimit};
 use hickoryhall_gateway::outcome::ResponseKind;
 use hickoryhall_gateway::peers::Digest;
 use hickoryhall_gateway::registry::{BackendServer, RegistryEvent};
@@ -46,6 +46,7 @@
         keep_alive: None,
         is_leaving: true,
         pause: None,
+        limit: StatedLimit::None,
     }
 }
 
--- a/crates/hickoryhall-limits/src/lib.rs
+++ b/crates/hickoryhall-limits/src/lib.rs
@@ -17,6 +17,7 @@
 mod fleet;
 mod fleet_retries;
 mod retry_budget;
+mod server_limits;
 mod shares;
 
 pub use bucket::TokenBucket;
@@ -28,4 +29,7 @@
 };
 pub use fleet_retries::{FleetRetryBudget, FleetRetryLimit};
 pub use retry_budget::RetryBudget;
+pub use server_limits::{
+    LimitDecision, LimitStatement, ProcessNumber, ServerHash, ServerLimits, is_valid,
+};
 pub use shares::WorkspaceUsage;
