Keep to the limits that servers name, all hosts together

Callers noticed nothing, but servers in need that named 3.8 and 3.1 requests a second got 39 and 35 in four seconds from hosts that they had told; 28 and 24 are allowed.

Cause: nothing used the limit. The class is a bound that a server sets for the fleet, of which no host alone can tell whether it is kept.

Hosts rank themselves for each limited server by the same rule over the live hosts; as many as the limit has whole requests a second, or one, send to it, each an equal part at even intervals. A limit belongs to one process, the answer to the newest request counts, and an answer without one ends it; peers tell each other with each digest while it is new. Retries, resumptions and requests that wait count like all others, as the part is taken when a request is placed. A request that only limited servers could take waits if this host may send within its usual wait, and is refused at once otherwise. A server that names 0 gets a request every four seconds, so that it can say that it takes more again.

--- a/crates/hickoryhall-gateway/src/scheduler.rs
+++ b/crates/hickoryhall-gateway/src/scheduler.rs
@@ -445,6 +445,8 @@
             suspect: request.suspect,
         };
         state.add_request(request.attempt_id, load);
+        let (name_hash, process) = (state.name_hash, state.server.incarnation);
+        self.limits.take(now, name_hash, process);
         if let Some(prompt) = prompt {
             state.update_cache_budgets(now);
             state.expected_cache.insert(now, &prompt.chain);
--- a/crates/hickoryhall-gateway/src/scheduler/candidate.rs
+++ b/crates/hickoryhall-gateway/src/scheduler/candidate.rs
@@ -3,6 +3,7 @@
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
+use hickoryhall_limits::LimitDecision;
 use hickoryhall_types::{TokenCount, rendezvous_score};
 
 use super::{PlacementRequest, PromptInfo, RefusalReason, Scheduler, ServerKey, ServerState};
@@ -120,10 +121,19 @@
         match compared {
             Err(RefusalReason::NoServer) => compared,
             _ if state.statements.pause_end(now).is_some() => Err(RefusalReason::Paused),
+            Ok(_) if self.limit_decision(now, state) != LimitDecision::Allowed => {
+                Err(RefusalReason::Limited)
+            }
             _ => compared,
         }
     }
 
+    /// Returns whether this host may send a request to a server, by the limit that the server names.
+    pub(super) fn limit_decision(&self, now: Instant, state: &ServerState) -> LimitDecision {
+        let process = state.server.incarnation;
+        self.limits.decide(now, state.name_hash, process)
+    }
+
     fn plain_candidate(&self, now: Instant, key: ServerKey) -> Result<Candidate, RefusalReason> {
         let state = &self.servers[key];
         let requests = f64::from(state.request_count(now, self.config.reported_load_ttl));
--- a/crates/hickoryhall-gateway/src/scheduler/placement.rs
+++ b/crates/hickoryhall-gateway/src/scheduler/placement.rs
@@ -100,6 +100,8 @@
     Full,
     /// Every server that would accept work asked this host for a pause.
     Paused,
+    /// Every server that would accept work takes no more requests now from all hosts together.
+    Limited,
     /// No server has the software version at which the stream goes on, or none that stays.
     VersionGone,
     /// The host ends before a server could take the request.
@@ -119,6 +121,7 @@
             Self::NoServer => "no_server",
             Self::Full => "full",
             Self::Paused => "paused",
+            Self::Limited => "limited",
             Self::VersionGone => "version_gone",
             Self::Stopping => "stopping",
             Self::Suspect => "suspect",
--- a/crates/hickoryhall-gateway/src/scheduler/search.rs
+++ b/crates/hickoryhall-gateway/src/scheduler/search.rs
@@ -11,6 +11,7 @@
 use std::cmp::Reverse;
 use std::time::Instant;
 
+use hickoryhall_limits::LimitDecision;
 use hickoryhall_routing::Level;
 use hickoryhall_types::rendezvous_score;
 
@@ -40,6 +41,10 @@
     pub is_version_gone: bool,
     /// Earliest end of a pause of a server that could take the request otherwise.
     pub pause_end: Option<Instant>,
+    /// Whether a server that names a limit could take the request otherwise.
+    has_limited: bool,
+    /// Earliest time at which this host may send a request to such a server.
+    pub limit_end: Option<Instant>,
     /// Earliest end of a pause of a server that is excluded for this request.
     pub excluded_pause_end: Option<Instant>,
 }
@@ -66,6 +71,8 @@
             RefusalReason::VersionGone
         } else if self.has_full {
             RefusalReason::Full
+        } else if self.has_limited {
+            RefusalReason::Limited
         } else if self.pause_end.is_some() {
             RefusalReason::Paused
         } else {
@@ -119,6 +126,12 @@
                 Err(RefusalReason::Paused) => {
                     search.pause_end = earlier(search.pause_end, pause_end);
                 }
+                Err(RefusalReason::Limited) => {
+                    search.has_limited = true;
+                    if let LimitDecision::From(at) = self.limit_decision(now, state) {
+                        search.limit_end = earlier(search.limit_end, Some(at));
+                    }
+                }
                 Err(RefusalReason::NoServer) if is_excluded => {
                     search.excluded_pause_end = earlier(search.excluded_pause_end, pause_end);
                 }
--- a/crates/hickoryhall-gateway/src/scheduler/waiting.rs
+++ b/crates/hickoryhall-gateway/src/scheduler/waiting.rs
@@ -56,6 +56,7 @@
         let reason = search.refusal_reason();
         let known_end = match reason {
             RefusalReason::Paused => search.pause_end,
+            RefusalReason::Limited => search.limit_end,
             _ => search.excluded_pause_end,
         };
         let known_end = known_end.filter(|_| !search.has_unavailable);
@@ -71,12 +72,28 @@
             },
             until: match reason {
                 RefusalReason::Paused => self.pause_wait_until(now, request, search),
+                RefusalReason::Limited => self.limit_wait_until(now, request, search),
                 RefusalReason::VersionGone => Some(now),
                 _ => None,
             },
         }
     }
 
+    /// Returns the end of the wait for a server that names a limit; `None` for the usual one. A request
+    /// that this host cannot send within its wait is refused at once.
+    fn limit_wait_until(
+        &self,
+        now: Instant,
+        request: &PlacementRequest,
+        search: &Search,
+    ) -> Option<Instant> {
+        let may_wait = search.has_unavailable
+            || search
+                .limit_end
+                .is_some_and(|end| end <= self.wait_until(request));
+        (!may_wait).then_some(now)
+    }
+
     /// Returns the end of the wait for a server that asked for a pause; `None` for the usual one.
     fn pause_wait_until(
         &self,
--- a/crates/hickoryhall-limits/src/server_limits.rs
+++ b/crates/hickoryhall-limits/src/server_limits.rs
@@ -16,7 +16,7 @@
 
 /// Lowest rate at which a server gets requests, whatever limit it names: it needs them to say that it
 /// takes more again.
-const MIN_RATE_PER_S: f64 = 0.1;
+const MIN_RATE_PER_S: f64 = 0.25;
 /// Time after the end of a limit for which peers are told of it.
 const NEWS_TTL: Duration = Duration::from_secs(5);
 /// Time without a statement after which a server is forgotten.
