Name the decisions on crashing parts by the field's terms, and split them by concern

Blocked parts, answers and what hosts tell each other have modules of their own; so have the crashes and limits of a host's core, and their encoding. Blocked, suspected and probe are the terms of circuit breakers. Behaviour and checks are the same.

--- a/crates/hickoryhall-entry/src/attempts/model.rs
+++ b/crates/hickoryhall-entry/src/attempts/model.rs
@@ -80,7 +80,7 @@
             .ask(|reply| CoreMsg::SuspectDecision { fingerprint, reply });
         let is_suspect = match decision.ok_or_else(stopped_refusal)? {
             SuspectDecision::Clear => false,
-            SuspectDecision::Isolate(_) | SuspectDecision::Try(_) => true,
+            SuspectDecision::Isolate(_) | SuspectDecision::Probe(_) => true,
             SuspectDecision::Refuse(wait) => return Err(suspect_refusal(wait)),
         };
         let (weights_version, seed, chain) = choose_weights_version(context, request)?;
--- a/crates/hickoryhall-gateway/src/core.rs
+++ b/crates/hickoryhall-gateway/src/core.rs
@@ -1,8 +1,10 @@
 //! Actor that owns the state behind a host's decisions, and the handle that tasks on the same
 //! thread use to call it.
 
+mod crashes;
 mod digests;
 mod handle;
+mod limits;
 mod streams;
 
 use std::collections::HashMap;
@@ -10,19 +12,17 @@
 use std::time::{Duration, Instant};
 
 use hickoryhall_limits::{FleetRetryBudget, FleetRetryLimit};
-use hickoryhall_routing::{
-    BreakStep, Breaks, CrashId, CrashReport, Fingerprint, PartHash, SuspectDecision, Suspects,
-};
+use hickoryhall_routing::{Breaks, Fingerprint, Suspects};
 use hickoryhall_types::{Incarnation, TargetId, WeightsVersion, hash_name, rendezvous_score};
 use metrics::counter;
-use slog::{Logger, info, warn};
+use slog::{Logger, info};
 use stakker::CX;
 use tokio::sync::oneshot;
 
 pub use handle::CoreHandle;
 
 use crate::fleet::Fleet;
-use crate::interface::{ResponseMeta, StatedLimit};
+use crate::interface::ResponseMeta;
 use crate::outcome::ResponseKind;
 use crate::peers::{PromptUpdate, SuspectUpdate};
 use crate::registry::{BackendServer, Registry, RegistryEntry, RegistryEvent, ServerId};
@@ -41,11 +41,6 @@
 /// Maximum number of suspects listed in one digest; the oldest are left out.
 const MAX_SUSPECTS_PER_DIGEST: usize = 16;
 
-/// Time after its start from which a host may try such a part.
-const TRIAL_START_DELAY: Duration = Duration::from_secs(10);
-/// Ranks hosts for the trial of prompt parts that crashed servers long ago.
-const TRIAL_DUTY: u64 = 0x7375_7370_6563_7473;
-
 /// Configuration of [`Core`].
 #[derive(Clone, Debug)]
 pub struct CoreConfig {
@@ -333,62 +328,6 @@
         }
     }
 
-    /// Records what a response says about the limit of its server, as the registry entry was when the
-    /// request was sent.
-    pub fn on_stated_limit(
-        &mut self,
-        now: Instant,
-        server: &BackendServer,
-        limit: StatedLimit,
-        sent_at: Instant,
-    ) {
-        let (hash, process) = (hash_name(&server.id), server.incarnation);
-        let limit_per_s = match limit {
-            StatedLimit::None => None,
-            StatedLimit::PerSecond(limit_per_s) => Some(limit_per_s),
-            StatedLimit::Unreadable => {
-                if self.unreadable_limits.insert(hash, process) != Some(process) {
-                    warn!(self.logger, "core: Limit of a server cannot be read."; "server" => &*server.id, "incarnation" => process);
-                }
-                return;
-            }
-        };
-        let limits = self.scheduler.limits_mut();
-        if limits.record(now, hash, process, limit_per_s, sent_at) {
-            self.limit_changed(now, &server.id, process, limit_per_s, "response");
-        }
-    }
-
-    /// Logs a changed limit, and divides the limits among the hosts again.
-    fn limit_changed(
-        &mut self,
-        now: Instant,
-        server: &str,
-        process: Incarnation,
-        limit_per_s: Option<f64>,
-        source: &'static str,
-    ) {
-        counter!("server_limits_changed_total", "source" => source).increment(1);
-        info!(
-            self.logger, "core: Limit of a server changed.";
-            "server" => server, "incarnation" => process, "limit_per_s" => limit_per_s,
-            "source" => source
-        );
-        self.divide_limits(now);
-    }
-
-    /// Divides the limits that servers name among the live hosts.
-    fn divide_limits(&mut self, now: Instant) {
-        if self.scheduler.limits_mut().is_empty() {
-            return;
-        }
-        let (fleet, host) = (&self.fleet, self.config.host);
-        let hosts = fleet.live(now).len() + 1;
-        self.scheduler
-            .limits_mut()
-            .divide(now, hosts, |server| duty_rank(fleet, host, now, server));
-    }
-
     /// Counts a request to a service, which adds to the retry budget of that service.
     pub fn record_request(&mut self, now: Instant, service: &TargetId) {
         let limit = self.config.retry_limit;
@@ -416,98 +355,6 @@
         }
     }
 
-    /// Returns whether a request runs normally, runs isolated or is refused, by the backend servers
-    /// that failed while they ran it, if its fingerprint is given, or others with a part of its prompt.
-    pub fn suspect_decision(
-        &mut self,
-        now: Instant,
-        fingerprint: Option<Fingerprint>,
-        parts: &[PartHash],
-    ) -> SuspectDecision {
-        let (fleet, host) = (&self.fleet, self.config.host);
-        let restarted_at = self.config.restarted_at;
-        // A host that has just started does not know its peers yet.
-        let is_settled = restarted_at.is_none_or(|at| now >= at + TRIAL_START_DELAY);
-        let may_try = || is_settled && duty_rank(fleet, host, now, TRIAL_DUTY) == 0;
-        self.suspects
-            .decide_prompt(now, fingerprint, parts, may_try)
-    }
-
-    /// Records that a server broke off a request that it had for `run_time`; returns whether its
-    /// process has to be checked.
-    pub fn record_break(
-        &mut self,
-        now: Instant,
-        server: &BackendServer,
-        parts: &[PartHash],
-        run_time: Duration,
-    ) -> bool {
-        let step = self
-            .breaks
-            .record_break(now, process_id(server), parts, run_time);
-        match step {
-            BreakStep::Check => return true,
-            BreakStep::Crashed(report) => self.record_crash(now, &server.id, &report),
-            BreakStep::Nothing => {}
-        }
-        false
-    }
-
-    /// Records whether the address of a server refused a connection after a break, and returns
-    /// whether its process has crashed.
-    pub fn record_check(
-        &mut self,
-        now: Instant,
-        server: &BackendServer,
-        is_refusing: bool,
-    ) -> bool {
-        let process = process_id(server);
-        let Some(broke_at) = self.breaks.broke_at(process) else {
-            return false;
-        };
-        let open = self.scheduler.open_attempts(server, broke_at);
-        let report = self.breaks.record_check(now, process, is_refusing, open);
-        let has_crashed = report.is_some();
-        // A server that leaves ends on purpose.
-        if let Some(report) = report.filter(|_| !self.scheduler.is_leaving(&server.id)) {
-            self.record_crash(now, &server.id, &report);
-        }
-        has_crashed
-    }
-
-    fn record_crash(&mut self, now: Instant, server: &str, report: &CrashReport) {
-        if self.suspects.record_crash(now, report) {
-            counter!("crash_reports_total").increment(1);
-            info!(
-                self.logger, "core: Server crashed while it ran prompts.";
-                "server" => server, "crash" => format!("{:016x}", report.crash),
-                "parts" => report.parts.len()
-            );
-        }
-    }
-
-    /// Refuses the prompt parts whose guilt for crashes is certain.
-    fn review_crashes(&mut self, now: Instant) {
-        for (part, crashes) in self.suspects.review(now) {
-            counter!("prompt_parts_refused_total", "source" => "crashes").increment(1);
-            info!(
-                self.logger, "core: Prompt part is refused, as servers crash under it.";
-                "part" => format!("{part:016x}"), "crashes" => crashes
-            );
-        }
-    }
-
-    /// Records that one server wrote a whole answer to a request, which clears its prompt's parts
-    /// from suspicion.
-    pub fn record_whole_answer(&mut self, now: Instant, parts: &[PartHash]) {
-        for part in self.suspects.record_completion(now, parts) {
-            info!(
-                self.logger, "core: Prompt part cleared by a whole answer.";
-                "part" => format!("{part:016x}")
-            );
-        }
-    }
-
     /// Records that a server failed while it ran a request, and returns the failures counted for
     /// that request so far.
     pub fn record_death(&mut self, now: Instant, fingerprint: Fingerprint) -> u32 {
@@ -640,8 +487,3 @@
         .filter(|&host| rendezvous_score(duty, host) > own)
         .count()
 }
-
-/// Returns the id of a server's process, the same on every host.
-fn process_id(server: &BackendServer) -> CrashId {
-    rendezvous_score(hash_name(&server.id), server.incarnation)
-}
--- a/crates/hickoryhall-gateway/src/exchange.rs
+++ b/crates/hickoryhall-gateway/src/exchange.rs
@@ -230,8 +230,8 @@
     waits_since: Instant,
     /// What may crash the server that runs the request.
     suspect: Option<Suspect>,
-    /// Whether the request is the one that tries whether it still does.
-    is_trial: bool,
+    /// Whether the request probes whether a refused prompt part still does.
+    is_probe: bool,
     record: RequestRecord,
     _in_flight: InFlight,
 }
@@ -251,7 +251,7 @@
             outcome,
             software: None,
             suspect: None,
-            is_trial: false,
+            is_probe: false,
             record,
             _in_flight: in_flight,
         }
@@ -300,7 +300,7 @@
     ///
     /// Returns the refusal of a request that would crash another server.
     fn check_suspect(&mut self, fingerprint: Option<Fingerprint>) -> Result<(), PlacementRefusal> {
-        if self.is_trial {
+        if self.is_probe {
             return Ok(());
         }
         let parts = &self.request.parts;
@@ -310,9 +310,9 @@
             .with(|core, now| core.suspect_decision(now, fingerprint, parts));
         let retry_after = match decision {
             SuspectDecision::Clear => return Ok(()),
-            SuspectDecision::Isolate(suspect) | SuspectDecision::Try(suspect) => {
+            SuspectDecision::Isolate(suspect) | SuspectDecision::Probe(suspect) => {
                 self.suspect = Some(suspect);
-                self.is_trial = matches!(decision, SuspectDecision::Try(_));
+                self.is_probe = matches!(decision, SuspectDecision::Probe(_));
                 if self.outcome.limit_to_one_run() {
                     return Ok(());
                 }
--- a/crates/hickoryhall-gateway/src/peers/message.rs
+++ b/crates/hickoryhall-gateway/src/peers/message.rs
@@ -1,6 +1,7 @@
 //! Messages between hosts.
 
 mod wire;
+mod wire_news;
 
 use std::net::Ipv4Addr;
 
--- a/crates/hickoryhall-gateway/src/peers/message/wire.rs
+++ b/crates/hickoryhall-gateway/src/peers/message/wire.rs
@@ -5,10 +5,10 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use hickoryhall_limits::LimitStatement;
-use hickoryhall_routing::{CondemnedPart, CrashNews, CrashReport, CrashedPart, Level, PartAge};
+use hickoryhall_routing::{CrashNews, Level};
 use prost::Message;
 
+use super::wire_news::{WireAnsweredPart, WireBlockedPart, WireCrash, WireLimit};
 use super::{
     DesiredVersionUpdate, Digest, PromptUpdate, Scope, ServerUpdate, StoreRecords, StoreSnapshot,
     SuspectUpdate,
@@ -62,61 +62,16 @@
     pub(super) stream_answers: Vec<WireStreamAnswer>,
     #[prost(message, repeated, tag = "18")]
     pub(super) crashes: Vec<WireCrash>,
-    /// Prompt parts that were answered in full after they had been accused.
+    /// Prompt parts that were answered in full after they had been suspected.
     #[prost(message, repeated, tag = "19")]
-    pub(super) completed_parts: Vec<WirePartAge>,
+    pub(super) answered_parts: Vec<WireAnsweredPart>,
     /// Prompt parts that are refused, by the age of their last crash.
     #[prost(message, repeated, tag = "20")]
-    pub(super) refused_parts: Vec<WireCondemnedPart>,
+    pub(super) blocked_parts: Vec<WireBlockedPart>,
     #[prost(message, repeated, tag = "21")]
     pub(super) limits: Vec<WireLimit>,
 }
 
-/// Limit that a process of a server names.
-#[derive(Clone, PartialEq, Message)]
-pub(super) struct WireLimit {
-    #[prost(fixed64, tag = "1")]
-    pub(super) server: u64,
-    #[prost(uint64, tag = "2")]
-    pub(super) process: u64,
-    /// Requests a second; missing if the server names none any more.
-    #[prost(double, optional, tag = "3")]
-    pub(super) limit_per_s: Option<f64>,
-    #[prost(uint64, tag = "4")]
-    pub(super) age_ms: u64,
-}
-
-/// Parts and run times are two lists of equal length.
-#[derive(Clone, PartialEq, Message)]
-pub(super) struct WireCrash {
-    #[prost(fixed64, tag = "1")]
-    pub(super) crash: u64,
-    #[prost(uint64, tag = "2")]
-    pub(super) age_ms: u64,
-    #[prost(fixed64, repeated, tag = "3")]
-    pub(super) parts: Vec<u64>,
-    #[prost(uint64, repeated, tag = "4")]
-    pub(super) run_times_ms: Vec<u64>,
-}
-
-#[derive(Clone, PartialEq, Message)]
-pub(super) struct WireCondemnedPart {
-    #[prost(fixed64, tag = "1")]
-    pub(super) part: u64,
-    #[prost(uint64, tag = "2")]
-    pub(super) age_ms: u64,
-    #[prost(bool, tag = "3")]
-    pub(super) has_failed_trial: bool,
-}
-
-#[derive(Clone, PartialEq, Message)]
-pub(super) struct WirePartAge {
-    #[prost(fixed64, tag = "1")]
-    pub(super) part: u64,
-    #[prost(uint64, tag = "2")]
-    pub(super) age_ms: u64,
-}
-
 /// Streams of one service that began at one software version; without streams, a version that the
 /// sender uses.
 #[derive(Clone, PartialEq, Message)]
@@ -294,8 +249,8 @@
             stream_questions: digest.streams.asked.iter().map(From::from).collect(),
             stream_answers: digest.streams.answers.iter().map(From::from).collect(),
             crashes: digest.crashes.crashes.iter().map(From::from).collect(),
-            completed_parts: digest.crashes.completed.iter().map(From::from).collect(),
-            refused_parts: digest.crashes.condemned.iter().map(From::from).collect(),
+            answered_parts: digest.crashes.answered.iter().map(From::from).collect(),
+            blocked_parts: digest.crashes.blocked.iter().map(From::from).collect(),
             limits: digest.limits.iter().map(From::from).collect(),
         }
     }
@@ -427,8 +382,8 @@
             suspects: wire.suspects.iter().map(SuspectUpdate::from).collect(),
             crashes: CrashNews {
                 crashes: wire.crashes.iter().map(From::from).collect(),
-                completed: wire.completed_parts.iter().map(From::from).collect(),
-                condemned: wire.refused_parts.iter().map(From::from).collect(),
+                answered: wire.answered_parts.iter().map(From::from).collect(),
+                blocked: wire.blocked_parts.iter().map(From::from).collect(),
             },
             limits: wire.limits.iter().map(From::from).collect(),
             prompts: wire.prompts.iter().map(PromptUpdate::from).collect(),
@@ -443,101 +398,6 @@
     }
 }
 
-impl From<&CrashReport> for WireCrash {
-    fn from(report: &CrashReport) -> Self {
-        let parts = &report.parts;
-        Self {
-            crash: report.crash,
-            age_ms: whole_ms(report.age),
-            parts: parts.iter().map(|accused| accused.part).collect(),
-            run_times_ms: parts
-                .iter()
-                .map(|accused| whole_ms(accused.run_time))
-                .collect(),
-        }
-    }
-}
-
-impl From<&WireCrash> for CrashReport {
-    fn from(wire: &WireCrash) -> Self {
-        let parts = wire.parts.iter().zip(&wire.run_times_ms);
-        Self {
-            crash: wire.crash,
-            age: Duration::from_millis(wire.age_ms),
-            parts: parts
-                .map(|(&part, &run_time_ms)| CrashedPart {
-                    part,
-                    run_time: Duration::from_millis(run_time_ms),
-                })
-                .collect(),
-        }
-    }
-}
-
-impl From<&PartAge> for WirePartAge {
-    fn from(age: &PartAge) -> Self {
-        Self {
-            part: age.part,
-            age_ms: whole_ms(age.age),
-        }
-    }
-}
-
-impl From<&CondemnedPart> for WireCondemnedPart {
-    fn from(condemned: &CondemnedPart) -> Self {
-        Self {
-            part: condemned.part,
-            age_ms: whole_ms(condemned.age),
-            has_failed_trial: condemned.has_failed_trial,
-        }
-    }
-}
-
-impl From<&WireCondemnedPart> for CondemnedPart {
-    fn from(wire: &WireCondemnedPart) -> Self {
-        Self {
-            part: wire.part,
-            age: Duration::from_millis(wire.age_ms),
-            has_failed_trial: wire.has_failed_trial,
-        }
-    }
-}
-
-impl From<&WirePartAge> for PartAge {
-    fn from(wire: &WirePartAge) -> Self {
-        Self {
-            part: wire.part,
-            age: Duration::from_millis(wire.age_ms),
-        }
-    }
-}
-
-impl From<&LimitStatement> for WireLimit {
-    fn from(statement: &LimitStatement) -> Self {
-        Self {
-            server: statement.server,
-            process: statement.process,
-            limit_per_s: statement.limit_per_s,
-            age_ms: whole_ms(statement.age),
-        }
-    }
-}
-
-impl From<&WireLimit> for LimitStatement {
-    fn from(wire: &WireLimit) -> Self {
-        Self {
-            server: wire.server,
-            process: wire.process,
-            limit_per_s: wire.limit_per_s,
-            age: Duration::from_millis(wire.age_ms),
-        }
-    }
-}
-
-fn whole_ms(duration: Duration) -> u64 {
-    u64::try_from(duration.as_millis()).unwrap_or(u64::MAX)
-}
-
 impl From<&RegistryRelay> for WireRelay {
     fn from(relay: &RegistryRelay) -> Self {
         Self {
--- a/crates/hickoryhall-gateway/tests/messages.rs
+++ b/crates/hickoryhall-gateway/tests/messages.rs
@@ -17,7 +17,7 @@
     ServiceVersion, StreamKnowledge, StreamOrigin, StreamQuestion,
 };
 use hickoryhall_limits::LimitStatement;
-use hickoryhall_routing::{CondemnedPart, CrashNews, CrashReport, CrashedPart, Level, PartAge};
+use hickoryhall_routing::{AnsweredPart, BlockedPart, CrashNews, CrashReport, CrashedPart, Level};
 use proptest::prelude::*;
 
 fn digest(numbers: &[u64]) -> Digest {
@@ -74,14 +74,14 @@
                     run_time: Duration::from_millis(number(4)),
                 }],
             }],
-            completed: vec![PartAge {
+            answered: vec![AnsweredPart {
                 part: number(5),
                 age: Duration::from_millis(number(6)),
             }],
-            condemned: vec![CondemnedPart {
+            blocked: vec![BlockedPart {
                 part: number(7),
                 age: Duration::from_millis(number(8)),
-                has_failed_trial: number(9).is_multiple_of(2),
+                has_failed_probe: number(9).is_multiple_of(2),
             }],
         },
         limits: vec![LimitStatement {
--- a/crates/hickoryhall-routing/src/lib.rs
+++ b/crates/hickoryhall-routing/src/lib.rs
@@ -33,6 +33,6 @@
 pub use retry::{AttemptOutcome, RetryDecision, RetryPolicy};
 pub use runner::{LoadReport, RunnerInfo, RunnerKey, Runners};
 pub use suspects::{
-    BreakStep, Breaks, CondemnedPart, CrashId, CrashNews, CrashReport, CrashedPart, Fingerprint,
-    PartAge, PartHash, SuspectDecision, Suspects,
+    AnsweredPart, BlockedPart, BreakStep, Breaks, CrashId, CrashNews, CrashReport, CrashedPart,
+    Fingerprint, PartHash, SuspectDecision, Suspects,
 };
--- a/crates/hickoryhall-routing/src/suspects.rs
+++ b/crates/hickoryhall-routing/src/suspects.rs
@@ -1,14 +1,17 @@
 //! Suspects: requests and prompt parts that were in flight when a runner died and may have killed it.
 
+mod answers;
+mod blocked;
 mod breaks;
+mod news;
 mod parts;
 
 use std::collections::{HashMap, VecDeque};
 use std::time::{Duration, Instant};
 
 pub use breaks::{BreakStep, Breaks};
+pub use news::{AnsweredPart, BlockedPart, CrashId, CrashNews, CrashReport, CrashedPart, PartHash};
 use parts::PartSuspects;
-pub use parts::{CondemnedPart, CrashId, CrashNews, CrashReport, CrashedPart, PartAge, PartHash};
 
 /// Hash of a request's workspace, target and body, the same on every host.
 pub type Fingerprint = u64;
@@ -29,7 +32,7 @@
     /// what is suspect about it, which is the same for all requests that have it.
     Isolate(u64),
     /// Run the request as the only one of those with a part of its prompt that have been refused.
-    Try(u64),
+    Probe(u64),
     /// Refuse the request; this is the time until it is no longer a suspect.
     Refuse(Duration),
 }
@@ -106,14 +109,14 @@
     }
 
     /// Decides whether and how a request with a prompt may run; without a fingerprint, by its prompt
-    /// alone. `may_try` tells whether this host is
-    /// the one that tries refused parts again.
+    /// alone. `may_probe` tells whether this host is
+    /// the one that probes refused parts.
     pub fn decide_prompt(
         &mut self,
         now: Instant,
         fingerprint: Option<Fingerprint>,
         parts: &[PartHash],
-        may_try: impl Fn() -> bool,
+        may_probe: impl Fn() -> bool,
     ) -> SuspectDecision {
         let request = fingerprint.map_or(SuspectDecision::Clear, |fingerprint| {
             self.decide(now, fingerprint)
@@ -121,7 +124,7 @@
         if matches!(request, SuspectDecision::Refuse(_)) {
             return request;
         }
-        match self.parts.decide(now, parts, may_try) {
+        match self.parts.decide(now, parts, may_probe) {
             SuspectDecision::Clear => request,
             decision => decision,
         }
@@ -134,12 +137,12 @@
     }
 
     /// Records that one server wrote a whole answer on some parts; returns those that were suspect.
-    pub fn record_completion(&mut self, now: Instant, parts: &[PartHash]) -> Vec<PartHash> {
-        self.parts.record_completion(now, parts)
+    pub fn record_answer(&mut self, now: Instant, parts: &[PartHash]) -> Vec<PartHash> {
+        self.parts.record_answer(now, parts)
     }
 
-    /// Condemns parts whose guilt the reports on crashes leave no doubt of; returns them with the
-    /// number of their crashes.
+    /// Refuses from now on the parts that crash servers beyond doubt; returns them with the number of
+    /// crashes of each.
     pub fn review(&mut self, now: Instant) -> Vec<(PartHash, u32)> {
         self.parts.review(now)
     }
--- a/crates/hickoryhall-routing/src/suspects/breaks.rs
+++ b/crates/hickoryhall-routing/src/suspects/breaks.rs
@@ -3,7 +3,7 @@
 use std::collections::HashMap;
 use std::time::{Duration, Instant};
 
-use super::parts::{CrashId, CrashReport, CrashedPart, PartHash};
+use super::news::{CrashId, CrashReport, CrashedPart, PartHash};
 
 /// Time after a break in which further ones of the same process belong to it.
 const BREAK_TTL: Duration = Duration::from_secs(3);
--- a/crates/hickoryhall-routing/tests/crashing_parts.rs
+++ b/crates/hickoryhall-routing/tests/crashing_parts.rs
@@ -20,7 +20,7 @@
 const DIGEST_DELAY: Duration = Duration::from_millis(3);
 /// Hosts that get a digest of a host in each interval in a large fleet.
 const PEERS_PER_ROUND: u64 = 5;
-const GUILTY: std::ops::Range<PartHash> = 1..10;
+const CRASHING: std::ops::Range<PartHash> = 1..10;
 
 /// A fleet and its load.
 #[derive(Clone, Copy)]
@@ -28,11 +28,11 @@
     hosts: usize,
     servers: usize,
     requests_per_s: u64,
-    /// Every so many requests, one has a guilty part.
-    culprit_interval: u64,
-    guilty_parts: u64,
+    /// Every so many requests, one has a crashing part.
+    crashing_interval: u64,
+    crashing_parts: u64,
     families: u64,
-    /// Time from the start of a culprit's run to the crash.
+    /// Time from the start of a run to the crash.
     crash_delay: Duration,
     /// Interval of crashes for other reasons, each of a tenth of the servers.
     other_crashes: Option<Duration>,
@@ -43,8 +43,8 @@
     hosts: 7,
     servers: 9,
     requests_per_s: 60,
-    culprit_interval: 8,
-    guilty_parts: 1,
+    crashing_interval: 8,
+    crashing_parts: 1,
     families: 20,
     crash_delay: Duration::from_millis(120),
     other_crashes: None,
@@ -54,7 +54,7 @@
     hosts: 95,
     servers: 53,
     requests_per_s: 430,
-    culprit_interval: 40,
+    crashing_interval: 40,
     families: 350,
     ..SMALL
 };
@@ -89,9 +89,9 @@
 #[derive(Debug, Default)]
 struct Outcome {
     crashes: Vec<Instant>,
-    culprits_sent: Vec<Instant>,
-    sound: Vec<(Instant, bool)>,
-    sound_refused: u32,
+    crashing_sent: Vec<Instant>,
+    others: Vec<(Instant, bool)>,
+    others_refused: u32,
 }
 
 struct Fleet {
@@ -223,45 +223,45 @@
         let shared = 100 + family % 4;
         // Hosts have answered requests before.
         let has_begun = id > 2 * setup.requests_per_s;
-        let is_culprit = has_begun && id.is_multiple_of(setup.culprit_interval);
-        let guilty = GUILTY.start + random(id, 3, setup.guilty_parts);
-        let parts = match (is_culprit, guilty % 2) {
+        let is_crashing = has_begun && id.is_multiple_of(setup.crashing_interval);
+        let crashing = CRASHING.start + random(id, 3, setup.crashing_parts);
+        let parts = match (is_crashing, crashing % 2) {
             (false, _) => vec![shared, family],
-            (true, 1) => vec![guilty, family],
-            (true, _) => vec![shared, guilty],
+            (true, 1) => vec![crashing, family],
+            (true, _) => vec![shared, crashing],
         };
         self.send(id, host, parts, true);
     }
 
     fn send(&mut self, id: u64, host: usize, parts: Vec<PartHash>, is_first: bool) {
-        let is_culprit = parts.iter().any(|&part| GUILTY.contains(&part));
+        let is_crashing = parts.iter().any(|&part| CRASHING.contains(&part));
         let decision = self.hosts[host]
             .0
             .decide_prompt(self.now, None, &parts, || host == 0);
         let up = (0..self.sites.len()).filter(|&site| self.sites[site].1);
         let site = match decision {
             SuspectDecision::Clear => up.max_by_key(|&site| rendezvous_score(id, site as u64)),
-            SuspectDecision::Isolate(suspect) | SuspectDecision::Try(suspect) => {
+            SuspectDecision::Isolate(suspect) | SuspectDecision::Probe(suspect) => {
                 up.max_by_key(|&site| rendezvous_score(suspect, self.sites[site].0))
             }
             SuspectDecision::Refuse(_) => {
-                self.outcome.sound_refused += u32::from(!is_culprit);
+                self.outcome.others_refused += u32::from(!is_crashing);
                 None
             }
         };
         let Some(site) = site else {
-            if !is_culprit {
-                self.outcome.sound.push((self.now, false));
+            if !is_crashing {
+                self.outcome.others.push((self.now, false));
             }
             return;
         };
-        if is_culprit {
-            self.outcome.culprits_sent.push(self.now);
+        if is_crashing {
+            self.outcome.crashing_sent.push(self.now);
             self.schedule(self.now + self.setup.crash_delay, Event::Crash(site));
         }
         self.sequence += 1;
         let run = self.sequence;
-        if !is_culprit {
+        if !is_crashing {
             let answer = Duration::from_millis(200 + random(id, 4, 1_000));
             self.schedule(self.now + answer, Event::End(run));
         }
@@ -282,10 +282,8 @@
         let Some(run) = self.runs.remove(&id) else {
             return;
         };
-        self.hosts[run.host]
-            .0
-            .record_completion(self.now, &run.parts);
-        self.outcome.sound.push((run.began_at, true));
+        self.hosts[run.host].0.record_answer(self.now, &run.parts);
+        self.outcome.others.push((run.began_at, true));
     }
 
     fn crash(&mut self, site: usize) {
@@ -301,13 +299,13 @@
             .map(|(&id, _)| id)
             .collect::<Vec<_>>();
         broken.sort_unstable();
-        let is_by_culprit = self
+        let is_by_part = self
             .runs
             .values()
-            .any(|run| is_broken(run) && run.parts.iter().any(|&part| GUILTY.contains(&part)));
+            .any(|run| is_broken(run) && run.parts.iter().any(|&part| CRASHING.contains(&part)));
         self.sites[site].1 = false;
         self.schedule(self.now + AWAY_TIME, Event::Restart(site));
-        if is_by_culprit {
+        if is_by_part {
             self.outcome.crashes.push(self.now);
         }
         for id in broken {
@@ -320,8 +318,8 @@
             }
             if run.may_retry {
                 self.send(id, run.host, run.parts, false);
-            } else if run.parts.iter().all(|&part| !GUILTY.contains(&part)) {
-                self.outcome.sound.push((run.began_at, false));
+            } else if run.parts.iter().all(|&part| !CRASHING.contains(&part)) {
+                self.outcome.others.push((run.began_at, false));
             }
         }
     }
@@ -331,19 +329,19 @@
 #[case::small(SMALL)]
 #[case::slow_crashes(Setup { crash_delay: Duration::from_millis(700), ..SMALL })]
 #[case::fast_crashes(Setup { crash_delay: Duration::from_millis(5), ..SMALL })]
-#[case::few_culprits(Setup { culprit_interval: 150, day: Duration::from_secs(60), ..SMALL })]
-#[case::many_culprits(Setup { culprit_interval: 3, ..SMALL })]
-#[case::two_parts(Setup { guilty_parts: 2, day: Duration::from_secs(40), ..SMALL })]
+#[case::few_requests(Setup { crashing_interval: 150, day: Duration::from_secs(60), ..SMALL })]
+#[case::many_requests(Setup { crashing_interval: 3, ..SMALL })]
+#[case::two_parts(Setup { crashing_parts: 2, day: Duration::from_secs(40), ..SMALL })]
 #[case::rare_families(Setup { families: 500, ..SMALL })]
 #[case::other_crashes(Setup { other_crashes: Some(Duration::from_secs(2)), ..SMALL })]
 #[case::large(LARGE)]
 #[case::large_with_other_crashes(Setup { other_crashes: Some(Duration::from_secs(2)), ..LARGE })]
 fn a_part_that_crashes_servers_is_refused_by_all_hosts(#[case] setup: Setup) {
     let outcome = Fleet::play(setup);
-    let known = 5 * setup.guilty_parts as usize;
+    let known = 5 * setup.crashing_parts as usize;
     let known = outcome.crashes.get(known - 1).or(outcome.crashes.last());
     let known = *known.expect("the part crashed servers");
-    let late = outcome.culprits_sent.iter();
+    let late = outcome.crashing_sent.iter();
     let late = late.filter(|&&at| at > known + CONTACT).count();
     assert!(
         late <= 3,
@@ -351,16 +349,16 @@
         outcome.crashes.len()
     );
     let after = outcome
-        .sound
+        .others
         .iter()
         .filter(|(at, _)| *at > known + 2 * CONTACT);
     let (served, all) = after.fold((0, 0), |(served, all), (_, is_served)| {
         (served + u32::from(*is_served), all + 1)
     });
-    assert!(all >= 20, "{all} sound requests");
+    assert!(all >= 20, "{all} other requests");
     assert!(served * 10 >= all * 9, "{served} of {all} served");
     assert_eq!(
-        outcome.sound_refused,
+        outcome.others_refused,
         0,
         "{} crashes",
         outcome.crashes.len()
@@ -371,17 +369,17 @@
 #[case(SMALL)]
 #[case(Setup { families: 500, ..SMALL })]
 #[case(LARGE)]
-fn crashes_for_other_reasons_condemn_no_part(#[case] setup: Setup) {
+fn crashes_for_other_reasons_block_no_part(#[case] setup: Setup) {
     let outcome = Fleet::play(Setup {
-        culprit_interval: u64::MAX,
+        crashing_interval: u64::MAX,
         other_crashes: Some(Duration::from_millis(500)),
         day: Duration::from_secs(60),
         ..setup
     });
-    assert_eq!(outcome.sound_refused, 0);
+    assert_eq!(outcome.others_refused, 0);
 }
 
-/// Guards against a sound part that stays refused because all runs with it ended under other crashes.
+/// Guards against a part that stays refused because all runs with it ended under other crashes.
 #[test]
 fn a_part_that_was_refused_by_mistake_is_tried_again_soon() {
     let start = Instant::now() + Duration::from_secs(1_000);
@@ -403,15 +401,15 @@
     assert_eq!(first.review(refused_at), [(7, 3)]);
     let news = first.crash_news(refused_at);
     assert_eq!(second.merge_crash_news(refused_at, &news), [7]);
-    let decide = |suspects: &mut Suspects, after_s: u64, may_try: bool| {
+    let decide = |suspects: &mut Suspects, after_s: u64, may_probe: bool| {
         let now = start + Duration::from_secs(after_s);
-        suspects.decide_prompt(now, None, &[7], || may_try)
+        suspects.decide_prompt(now, None, &[7], || may_probe)
     };
     assert!(matches!(
         decide(&mut first, 4, true),
         SuspectDecision::Refuse(_)
     ));
-    assert_eq!(decide(&mut first, 13, true), SuspectDecision::Try(7));
+    assert_eq!(decide(&mut first, 13, true), SuspectDecision::Probe(7));
     assert!(matches!(
         decide(&mut first, 14, true),
         SuspectDecision::Refuse(_)
@@ -421,16 +419,16 @@
         SuspectDecision::Refuse(_)
     ));
     let answered_at = start + Duration::from_secs(15);
-    assert_eq!(first.record_completion(answered_at, &[7]), [7]);
+    assert_eq!(first.record_answer(answered_at, &[7]), [7]);
     let news = first.crash_news(answered_at);
     second.merge_crash_news(answered_at, &news);
     assert_eq!(decide(&mut first, 15, true), SuspectDecision::Clear);
     assert_eq!(decide(&mut second, 15, false), SuspectDecision::Clear);
 }
 
-/// Guards against trials that crash a server again and again.
+/// Guards against probes that crash a server again and again.
 #[test]
-fn a_part_whose_trial_crashes_a_server_is_refused_for_long() {
+fn a_part_whose_probe_crashes_a_server_is_refused_for_long() {
     let start = Instant::now() + Duration::from_secs(1_000);
     let (mut first, mut second) = (Suspects::default(), Suspects::default());
     let crash = |crash: u64, age: Duration| CrashReport {
@@ -446,15 +444,15 @@
         first.record_crash(at, &crash(number, Duration::ZERO));
     }
     first.review(start + Duration::from_secs(3));
-    let tried_at = start + Duration::from_secs(13);
-    let decision = first.decide_prompt(tried_at, None, &[7], || true);
-    assert_eq!(decision, SuspectDecision::Try(7));
-    first.record_crash(tried_at, &crash(9, Duration::ZERO));
+    let probed_at = start + Duration::from_secs(13);
+    let decision = first.decide_prompt(probed_at, None, &[7], || true);
+    assert_eq!(decision, SuspectDecision::Probe(7));
+    first.record_crash(probed_at, &crash(9, Duration::ZERO));
     // A host that starts now learns it too.
-    let news = first.crash_news(tried_at);
-    second.merge_crash_news(tried_at, &news);
+    let news = first.crash_news(probed_at);
+    second.merge_crash_news(probed_at, &news);
     for suspects in [&mut first, &mut second] {
-        let decision = suspects.decide_prompt(tried_at, None, &[7], || true);
+        let decision = suspects.decide_prompt(probed_at, None, &[7], || true);
         let SuspectDecision::Refuse(wait) = decision else {
             panic!("{decision:?}");
         };
@@ -470,31 +468,31 @@
     let mut parts = 0..;
     for crash in 0..2_000_u64 {
         let at = start + Duration::from_millis(50 * crash);
-        let accused = parts.by_ref().take(100).map(|part| CrashedPart {
+        let ran = parts.by_ref().take(100).map(|part| CrashedPart {
             part,
             run_time: Duration::from_millis(part % 700),
         });
-        let guilty = CrashedPart {
+        let crashing = CrashedPart {
             part: u64::MAX,
             run_time: Duration::from_millis(20),
         };
         // One part has crashed servers before all others.
-        let accused = accused.chain((crash < 10).then_some(guilty)).collect();
+        let ran = ran.chain((crash < 10).then_some(crashing)).collect();
         suspects.record_crash(
             at,
             &CrashReport {
                 crash,
                 age: Duration::ZERO,
-                parts: accused,
+                parts: ran,
             },
         );
-        suspects.record_completion(at, &[crash * 1_000_003]);
+        suspects.record_answer(at, &[crash * 1_000_003]);
         suspects.review(at);
         let news = suspects.crash_news(at);
         assert!(news.crashes.len() <= 8, "{}", news.crashes.len());
         let told = news.crashes.iter().map(|report| report.parts.len());
         assert!(told.sum::<usize>() <= 8 * 32);
-        assert!(news.completed.len() <= 8 && news.condemned.len() <= 8);
+        assert!(news.answered.len() <= 8 && news.blocked.len() <= 8);
     }
     assert!(
         suspects.part_record_count() <= 6_000,
