Log and tell a limit of a server at once only if it moves by much

A server may name another limit in each of its answers. Each host would have written a line and listed the server in each digest for every one of them. The limit is still kept to at once; changes of less than a quarter reach peers with the rotation of limits that are not new.

--- a/crates/hickoryhall-limits/src/server_limits.rs
+++ b/crates/hickoryhall-limits/src/server_limits.rs
@@ -25,6 +25,8 @@
 const AGE_TOLERANCE: Duration = Duration::from_millis(500);
 /// Digests, of which one lists the limits that are not new.
 const ROTATION: u64 = 8;
+/// Factor by which a limit may change before it is news.
+const MAX_QUIET_CHANGE: f64 = 1.25;
 const MAX_SERVERS: usize = 1_024;
 /// Maximum number of servers in one digest.
 const MAX_NEWS: usize = 16;
@@ -90,7 +92,7 @@
     /// Records what an answer says about the limit of a process; `sent_at` is the time at which the
     /// request was sent. Answers to earlier requests than the last one that counted change nothing.
     ///
-    /// Returns whether the limit changed.
+    /// Returns whether the limit changed by much.
     pub fn record(
         &mut self,
         now: Instant,
@@ -102,7 +104,7 @@
         self.apply(now, server, process, limit_per_s, sent_at, Duration::ZERO)
     }
 
-    /// Records what a peer knows; returns whether the limit changed.
+    /// Records what a peer knows; returns whether the limit changed by much.
     pub fn merge(&mut self, now: Instant, statement: &LimitStatement) -> bool {
         let stated_at = now.checked_sub(statement.age);
         let Some(stated_at) = stated_at.filter(|_| statement.age < STATEMENT_TTL) else {
@@ -132,14 +134,14 @@
             {
                 return false;
             }
+            let is_changed = !is_same_process || is_much_different(known.limit_per_s, limit_per_s);
             known.stated_at = stated_at;
-            if is_same_process && known.limit_per_s == limit_per_s {
-                return false;
-            }
             known.process = process;
             known.limit_per_s = limit_per_s;
-            known.changed_at = now;
-            return true;
+            if is_changed {
+                known.changed_at = now;
+            }
+            return is_changed;
         }
         if limit_per_s.is_none() {
             return false;
@@ -241,6 +243,19 @@
     }
 }
 
+/// Returns whether a limit differs so much from another one that peers have to learn of it at once. A
+/// server may name another limit in each answer.
+fn is_much_different(one: Option<f64>, other: Option<f64>) -> bool {
+    match (one, other) {
+        (Some(one), Some(other)) => {
+            let (lower, higher) = (one.min(other), one.max(other));
+            higher > lower.max(MIN_RATE_PER_S) * MAX_QUIET_CHANGE
+        }
+        (None, None) => false,
+        _ => true,
+    }
+}
+
 /// Returns whether a number can be a limit.
 #[must_use]
 pub fn is_valid(limit_per_s: f64) -> bool {
--- a/crates/hickoryhall-limits/tests/server_limits.rs
+++ b/crates/hickoryhall-limits/tests/server_limits.rs
@@ -373,3 +373,23 @@
     assert!(!limits.merge(now, &statement));
     assert!(limits.is_empty());
 }
+
+/// Guards against a log line and a digest entry for each answer of a server whose limit moves.
+#[test]
+fn small_moves_of_a_limit_are_kept_but_not_told_at_once() {
+    let start = Instant::now() + Duration::from_secs(1_000);
+    let at = |ms: u64| start + Duration::from_millis(ms);
+    let mut limits = ServerLimits::default();
+    assert!(limits.record(at(0), 1, 1, Some(4.0), at(0)));
+    for step in 1_u32..100 {
+        let limit = 4.0 + f64::from(step % 10) / 20.0;
+        let now = at(100 * u64::from(step));
+        assert!(!limits.record(now, 1, 1, Some(limit), now));
+    }
+    limits.divide(at(10_000), 1, |_| 0);
+    limits.take(at(10_000), 1, 1);
+    let next = at(10_000) + Duration::from_secs_f64(1.0 / 4.45);
+    assert_eq!(limits.decide(at(10_000), 1, 1), LimitDecision::From(next));
+    assert!(limits.record(at(10_001), 1, 1, Some(6.0), at(10_001)));
+    assert!(limits.record(at(10_002), 1, 1, None, at(10_002)));
+}
