Send no more requests to a server once another one answers at its address

Cause: a 421 led to a report of the server only, and its end to nothing, so that placement chose it again. Now a server whose request another one refused gets no more if a later process than its own is registered at its address, which peers learn like a server's own word that it leaves; if the other one started earlier, it is ejected like one that cannot be reached.

Test: a_dead_server_whose_address_another_one_has_gets_next_to_no_requests failed before, with 503 for the 27th request, as the retries were used up.

--- a/crates/hickoryhall-gateway/src/core.rs
+++ b/crates/hickoryhall-gateway/src/core.rs
@@ -328,6 +328,18 @@
         }
     }
 
+    /// Records that a server did not get a request that was sent to its address. If a later process
+    /// than its own is registered there, it has ended.
+    pub fn on_wrong_server(&mut self, now: Instant, server: &BackendServer) {
+        if let Some(successor) = self.scheduler.record_wrong_server(now, server) {
+            info!(
+                self.logger, "core: Server gone, as another one has its address.";
+                "server" => &*server.id, "incarnation" => server.incarnation,
+                "address" => %server.address, "successor" => &*successor
+            );
+        }
+    }
+
     /// Counts a request to a service, which adds to the retry budget of that service.
     pub fn record_request(&mut self, now: Instant, service: &TargetId) {
         let limit = self.config.retry_limit;
--- a/crates/hickoryhall-gateway/src/exchange/attempt.rs
+++ b/crates/hickoryhall-gateway/src/exchange/attempt.rs
@@ -184,6 +184,8 @@
             }
             ResponseKind::NotRun | ResponseKind::WrongServer => {
                 if kind == ResponseKind::WrongServer {
+                    let core = &self.gateway.core;
+                    core.with(|core, now| core.on_wrong_server(now, server));
                     self.gateway.refresh_weights(assignment);
                 }
                 self.drain_refusal(body, received.connection, &response_meta)
--- a/crates/hickoryhall-gateway/src/scheduler/updates.rs
+++ b/crates/hickoryhall-gateway/src/scheduler/updates.rs
@@ -95,6 +95,34 @@
         }
     }
 
+    /// Records that a server did not get a request that was sent to its address. If a server that started
+    /// later is registered there, no more requests go to the first one, and its id is returned; if
+    /// another one is, the first one is ejected.
+    pub fn record_wrong_server(
+        &mut self,
+        now: Instant,
+        server: &BackendServer,
+    ) -> Option<ServerId> {
+        let key = *self.by_id.get(&server.id)?;
+        let state = &self.servers[key];
+        if !state.is_current(Some(server.incarnation)) {
+            return None;
+        }
+        let others = self
+            .servers
+            .values()
+            .filter(|other| other.server.address == server.address && other.server.id != server.id);
+        let newest = others.max_by_key(|other| other.server.incarnation)?;
+        let (successor, started) = (newest.server.id.clone(), newest.server.incarnation);
+        let state = self.servers.get_mut(key)?;
+        if started > server.incarnation {
+            state.statements.is_leaving = true;
+            return Some(successor);
+        }
+        state.ejection.eject(now);
+        None
+    }
+
     /// Returns the id of a server by its hash; `None` if it is not registered.
     #[must_use]
     pub fn server_name(&self, server: u64) -> Option<ServerId> {
