Observe a pause that a server asks for behind a late answer

Cause: an answer to an earlier request came first on the kept connection. The host could not take it for the answer to this one, dropped the connection, and with it the refusal behind it.

The driver of a connection now hands back its socket and what it has read behind the last response; the head behind a late answer is read from there, for up to 100 ms and after the caller has its answer, and a pause in it counts. What the caller is told does not change. httparse, which the HTTP library uses too, parses the head.

--- a/crates/hickoryhall-edge/src/lib.rs
+++ b/crates/hickoryhall-edge/src/lib.rs
@@ -8,6 +8,7 @@
 mod body;
 mod caller_stream;
 mod connections;
+mod leftover;
 mod pool;
 mod read;
 mod server;
--- a/crates/hickoryhall-edge/src/pool.rs
+++ b/crates/hickoryhall-edge/src/pool.rs
@@ -13,13 +13,15 @@
 use http_body_util::Full;
 use hyper::body::Incoming;
 use hyper::client::conn::http1::{self, SendRequest};
+use hyper::http::response;
 use hyper::{Request, Response};
 use hyper_util::rt::TokioIo;
 use tokio::net::TcpStream;
-use tokio::sync::Notify;
+use tokio::sync::{Notify, oneshot};
 use tokio::task::{AbortHandle, spawn_local};
 use tokio::time::timeout;
 
+use crate::leftover::{Leftover, drive};
 use crate::set_socket_options;
 
 /// Maximum size of a response head, in bytes; also of what is read at a time.
@@ -134,6 +136,8 @@
     address: SocketAddr,
     sender: SendRequest<Full<Bytes>>,
     driver: AbortHandle,
+    /// Requests what the driver has read behind the last response.
+    leftover: Option<oneshot::Sender<oneshot::Sender<Leftover>>>,
     is_reused: bool,
 }
 
@@ -181,12 +185,13 @@
             .handshake(TokioIo::new(stream))
             .await
             .map_err(|source| ConnectError::Http { address, source })?;
-        // An error of the driver is also returned to the request on the connection.
-        let driver = spawn_local(async move { drop(driver.await) }).abort_handle();
+        let (leftover, requested) = oneshot::channel();
+        let driver = spawn_local(drive(driver, requested)).abort_handle();
         Ok(Connection {
             address,
             sender,
             driver,
+            leftover: Some(leftover),
             is_reused: false,
         })
     }
@@ -252,6 +257,15 @@
         self.is_reused
     }
 
+    /// Reads the head of the response that follows the last one, whose body has been read, and closes the
+    /// connection. Returns `None` if none arrives within `limit`.
+    pub async fn next_head(mut self, limit: Duration) -> Option<response::Parts> {
+        let (reply, leftover) = oneshot::channel();
+        self.leftover.take()?.send(reply).ok()?;
+        let next = async { leftover.await.ok()?.next_head().await };
+        timeout(limit, next).await.ok()?
+    }
+
     /// Sends a request and waits for the response head.
     ///
     /// # Errors
--- a/crates/hickoryhall-gateway/src/exchange/attempt.rs
+++ b/crates/hickoryhall-gateway/src/exchange/attempt.rs
@@ -1,5 +1,6 @@
 //! Sends a request to one backend server and reads the response.
 
+use std::rc::Rc;
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
@@ -9,14 +10,15 @@
 use hyper::body::Incoming;
 use hyper::header::HeaderMap;
 use hyper::{Request, Response, StatusCode};
-use slog::debug;
+use slog::{debug, info};
+use tokio::task::spawn_local;
 use tokio::time::{Instant as TokioInstant, timeout_at};
 
 use super::Exchange;
 use super::record::ResponseRecord;
 use crate::core::CoreHandle;
 use crate::framing::BodyFraming;
-use crate::interface::{AttemptPlan, Platform, ResponseMeta};
+use crate::interface::{AttemptPlan, Platform, ResponseId, ResponseMeta};
 use crate::outcome::{self, ResponseKind};
 use crate::registry::BackendServer;
 use crate::scheduler::{Assignment, AttemptEnd, AttemptId};
@@ -27,6 +29,8 @@
 /// Time beyond 1.5 times its estimate that a stream's first event may take if another runner may
 /// take over: several times the delay of a busy runner.
 const FIRST_EVENT_SLACK: Duration = Duration::from_millis(1_200);
+/// Time for the response behind one that belongs to an earlier request.
+const NEXT_HEAD_TIMEOUT: Duration = Duration::from_millis(100);
 /// Time to read the body of a refusal; the connection can be reused only after that.
 const REFUSAL_BODY_TIMEOUT: Duration = Duration::from_millis(50);
 
@@ -192,8 +196,16 @@
                     .await;
                 Err(AttemptFailure::NotRun)
             }
-            ResponseKind::Unproven => Err(AttemptFailure::Unproven),
-            ResponseKind::Invalid => Err(AttemptFailure::Invalid),
+            ResponseKind::Unproven => {
+                self.read_pause_behind(server, body, received.connection);
+                Err(AttemptFailure::Unproven)
+            }
+            ResponseKind::Invalid => {
+                if response_meta.id == ResponseId::Other {
+                    self.read_pause_behind(server, body, received.connection);
+                }
+                Err(AttemptFailure::Invalid)
+            }
         };
         match outcome {
             Ok(response) => {
@@ -365,6 +377,37 @@
         }
     }
 
+    /// Reads the response behind one that belongs to an earlier request. If it refuses this request and
+    /// asks for a pause, no more requests go to the server for so long.
+    fn read_pause_behind(&self, server: &BackendServer, body: Incoming, connection: Connection) {
+        let (gateway, server) = (Rc::clone(&self.gateway), server.clone());
+        let meta = self.request.meta.clone();
+        spawn_local(async move {
+            let read = gateway.refusals.read(body);
+            if !matches!(
+                tokio::time::timeout(REFUSAL_BODY_TIMEOUT, read).await,
+                Ok(Ok(_))
+            ) {
+                return;
+            }
+            let Some(head) = connection.next_head(NEXT_HEAD_TIMEOUT).await else {
+                return;
+            };
+            let next = gateway.platform.parse_response_head(&head, &meta);
+            if next.id == ResponseId::Other || next.pause.is_none() {
+                return;
+            }
+            info!(
+                gateway.logger, "exchange: Pause behind a late answer.";
+                "request" => &*meta.request_id, "server" => &*server.id,
+                "pause_ms" => next.pause.map(|pause| pause.as_millis())
+            );
+            let kind = ResponseKind::Unproven;
+            let core = &gateway.core;
+            core.with(|core, now| core.on_response_head(now, &server, kind, &next));
+        });
+    }
+
     /// Returns a connection to the pool, unless its server closes it.
     pub(super) fn return_to_pool(&self, connection: Connection, response_meta: &ResponseMeta) {
         if !response_meta.closes_connection {
