--- a/crates/hickoryhall-routing/tests/crashing_parts.rs
+++ b/crates/hickoryhall-routing/tests/crashing_parts.rs
@@ -37,6 +37,8 @@
     /// Interval of crashes for other reasons, each of a tenth of the servers.
     other_crashes: Option<Duration>,
     day: Duration,
+    /// Time in which hosts answer requests before the first one with a crashing part.
+    answered_before: Duration,
 }
 
 const SMALL: Setup = Setup {
@@ -49,6 +51,7 @@
     crash_delay: Duration::from_millis(120),
     other_crashes: None,
     day: Duration::from_secs(20),
+    answered_before: Duration::from_secs(2),
 };
 const LARGE: Setup = Setup {
     hosts: 95,
@@ -221,8 +224,7 @@
         let host = random(id, 1, setup.hosts as u64) as usize;
         let family = 10_000 + random(id, 2, setup.families);
         let shared = 100 + family % 4;
-        // Hosts have answered requests before.
-        let has_begun = id > 2 * setup.requests_per_s;
+        let has_begun = id >= setup.answered_before.as_secs() * setup.requests_per_s;
         let is_crashing = has_begun && id.is_multiple_of(setup.crashing_interval);
         let crashing = CRASHING.start + random(id, 3, setup.crashing_parts);
         let parts = match (is_crashing, crashing % 2) {
@@ -336,6 +338,7 @@
 #[case::other_crashes(Setup { other_crashes: Some(Duration::from_secs(2)), ..SMALL })]
 #[case::large(LARGE)]
 #[case::large_with_other_crashes(Setup { other_crashes: Some(Duration::from_secs(2)), ..LARGE })]
+#[case::two_parts_from_the_start(Setup { crashing_parts: 2, day: Duration::from_secs(40), answered_before: Duration::ZERO, ..SMALL })]
 fn a_part_that_crashes_servers_is_refused_by_all_hosts(#[case] setup: Setup) {
     let outcome = Fleet::play(setup);
     let known = 5 * setup.crashing_parts as usize;
