Notice and log when a host is cut off from a service, and when it reaches it again

Logs could not tell when a host began to fail at all servers of a service, nor whether that was its own cut. New connections tell: kept ones may be silent or live on. After one that fails, three other servers are connected to, in other failure domains first; if four servers fail within three seconds and none is reached, the host is cut off, and connects to one server every 0.4 s until one answers.

--- a/crates/hickoryhall-gateway/src/core.rs
+++ b/crates/hickoryhall-gateway/src/core.rs
@@ -5,14 +5,16 @@
 mod digests;
 mod handle;
 mod limits;
+mod reach;
 mod streams;
 
 use std::collections::HashMap;
+use std::net::Ipv4Addr;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
 use hickoryhall_limits::{FleetRetryBudget, FleetRetryLimit};
-use hickoryhall_routing::{Breaks, Fingerprint, Suspects};
+use hickoryhall_routing::{Breaks, Fingerprint, Reach, Suspects};
 use hickoryhall_types::{Incarnation, TargetId, WeightsVersion, hash_name, rendezvous_score};
 use metrics::counter;
 use slog::{Logger, info};
@@ -82,6 +84,7 @@
     retry_budgets: HashMap<TargetId, FleetRetryBudget>,
     suspects: Suspects,
     breaks: Breaks,
+    reach: Reach<Ipv4Addr>,
     /// Processes of servers that named a limit which cannot be read, by the hash of the server's id.
     unreadable_limits: HashMap<u64, Incarnation>,
     /// Suspects to list in the next digests, oldest first.
@@ -109,6 +112,7 @@
     pub fn new(config: CoreConfig, logger: Logger) -> Self {
         Self {
             scheduler: Scheduler::new(config.scheduler.clone()),
+            reach: Reach::new(hash_name(&config.scheduler.domain)),
             streams: StreamState::new(config.restarted_at.is_none()),
             config,
             registry: Registry::default(),
--- /dev/null
+++ b/crates/hickoryhall-gateway/src/core/reach.rs
@@ -0,0 +1,98 @@
+//! Services that this host is cut off from.
+
+use std::collections::HashSet;
+use std::net::SocketAddr;
+use std::time::Instant;
+
+use hickoryhall_routing::ReachStep;
+use hickoryhall_types::hash_name;
+use metrics::{counter, gauge};
+use slog::{info, warn};
+
+use super::Core;
+use crate::registry::BackendServer;
+
+/// Maximum number of servers that a check connects to.
+const MAX_CHECKED_SERVERS: usize = 3;
+
+impl Core {
+    /// Records a new connection to a server.
+    pub fn record_connected(&mut self, now: Instant, server: &BackendServer) {
+        let service = hash_name(&server.service);
+        let Some(lasted) = self.reach.record_connected(now, service) else {
+            return;
+        };
+        gauge!("services_cut_off").decrement(1.0);
+        info!(
+            self.logger, "core: Service reached again.";
+            "service" => &*server.service, "server" => &*server.id,
+            "cut_off_ms" => lasted.as_millis()
+        );
+    }
+
+    /// Records a new connection to a server that failed; returns what follows.
+    pub fn record_connect_failed(&mut self, now: Instant, server: &BackendServer) -> ReachStep {
+        let service = hash_name(&server.service);
+        let servers = self.scheduler.staying_servers(&server.service).count();
+        let step = self
+            .reach
+            .record_failed(now, service, hash_name(&server.id), servers);
+        if step == ReachStep::CutBegan {
+            counter!("service_cuts_total").increment(1);
+            gauge!("services_cut_off").increment(1.0);
+            warn!(
+                self.logger, "core: Host is cut off from a service.";
+                "service" => &*server.service, "servers" => servers, "server" => &*server.id
+            );
+        }
+        step
+    }
+
+    /// Returns whether a server that did not answer in time has to be connected to anew.
+    pub fn must_check_reach(&mut self, now: Instant, server: &BackendServer) -> bool {
+        self.reach.must_check(now, hash_name(&server.service))
+    }
+
+    /// Returns some other servers of a server's service, from several failure domains if there are any,
+    /// that new connections have not failed at.
+    #[must_use]
+    pub fn reach_check_targets(&self, server: &BackendServer) -> Vec<BackendServer> {
+        let service = hash_name(&server.service);
+        let others = self.scheduler.staying_servers(&server.service);
+        let others = others.filter(|other| {
+            other.id != server.id && !self.reach.has_failed(service, hash_name(&other.id))
+        });
+        let mut domains = HashSet::new();
+        let (mut first, rest) =
+            others.partition::<Vec<_>, _>(|other| domains.insert(other.domain.clone()));
+        first.extend(rest);
+        let targets = first.into_iter().take(MAX_CHECKED_SERVERS);
+        targets.cloned().collect()
+    }
+
+    /// Returns the addresses of the servers of a service that are not shutting down.
+    pub fn server_addresses(&self, service: &str) -> impl Iterator<Item = SocketAddr> {
+        let servers = self.scheduler.staying_servers(service);
+        servers.map(|server| server.address)
+    }
+
+    /// Returns the servers to connect to that show whether services are reached again.
+    pub fn due_reach_probes(&mut self, now: Instant) -> Vec<BackendServer> {
+        let mut targets = Vec::new();
+        for probe in self.reach.due_probes(now) {
+            let mut names = self.scheduler.services();
+            let name = names.find(|name| hash_name(name) == probe.service).cloned();
+            let servers = name
+                .iter()
+                .flat_map(|name| self.scheduler.staying_servers(name));
+            let servers = servers.collect::<Vec<_>>();
+            if servers.is_empty() {
+                self.reach.forget(probe.service);
+                gauge!("services_cut_off").decrement(1.0);
+                continue;
+            }
+            targets.push(servers[probe.number as usize % servers.len()].clone());
+        }
+        targets
+    }
+}
--- a/crates/hickoryhall-gateway/src/exchange.rs
+++ b/crates/hickoryhall-gateway/src/exchange.rs
@@ -8,6 +8,7 @@
 mod attempt;
 mod crash;
 mod intake;
+mod reach;
 mod record;
 mod relay;
 mod take_up;
--- a/crates/hickoryhall-gateway/src/exchange/attempt.rs
+++ b/crates/hickoryhall-gateway/src/exchange/attempt.rs
@@ -244,8 +244,7 @@
         until: Instant,
     ) -> Result<ReceivedResponse, AttemptFailure> {
         let server = &assignment.server;
-        let pool = &self.gateway.pool;
-        let mut connection = pool.acquire(server.address).await.map_err(|error| {
+        let mut connection = self.gateway.acquire(server).await.map_err(|error| {
             debug!(
                 self.gateway.logger, "exchange: Connection to server failed.";
                 "request" => &*self.request.meta.request_id,
@@ -261,8 +260,9 @@
             Ok(Err(error)) if error.is_unsent && connection.is_reused() => {
                 // The server had closed the idle connection. Whether it is reachable shows only on
                 // a new one.
-                connection = pool
-                    .connect(server.address)
+                connection = self
+                    .gateway
+                    .connect(server)
                     .await
                     .map_err(|_| AttemptFailure::Unsent)?;
                 let request = self.build_request(assignment, resume_after);
@@ -440,7 +440,11 @@
                 self.record_break(server, sent_at, false);
                 self.gateway.pool.close_idle(address);
             }
-            AttemptFailure::Unsent | AttemptFailure::Invalid | AttemptFailure::TimedOut => {
+            AttemptFailure::TimedOut => {
+                self.gateway.pool.close_idle(address);
+                self.gateway.check_silent_server(server);
+            }
+            AttemptFailure::Unsent | AttemptFailure::Invalid => {
                 self.gateway.pool.close_idle(address);
             }
             _ => {}
--- a/crates/hickoryhall-gateway/src/exchange/crash.rs
+++ b/crates/hickoryhall-gateway/src/exchange/crash.rs
@@ -82,9 +82,12 @@
 }
 
 /// Connects to a server that broke off a request. A process that has ended refuses connections.
-async fn check_process<P: Platform>(gateway: &Gateway<P>, server: &BackendServer) -> ProcessState {
+async fn check_process<P: Platform>(
+    gateway: &Rc<Gateway<P>>,
+    server: &BackendServer,
+) -> ProcessState {
     tokio::time::sleep(CHECK_DELAY).await;
-    let (is_alive, is_refusing) = match gateway.pool.connect(server.address).await {
+    let (is_alive, is_refusing) = match gateway.connect(server).await {
         Ok(connection) => {
             gateway.pool.release(connection, None);
             (true, false)
--- a/crates/hickoryhall-gateway/src/exchange/relay.rs
+++ b/crates/hickoryhall-gateway/src/exchange/relay.rs
@@ -247,6 +247,10 @@
                         let sent_at = self.upstream.stream.sent_at;
                         self.exchange.record_break(server, sent_at, true);
                     }
+                    if reason == SILENT {
+                        let server = &self.upstream.stream.server;
+                        self.exchange.gateway.check_silent_server(server);
+                    }
                     if self.resume(reason).await {
                         self.is_waited_for = false;
                         self.is_from_one_server = false;
--- a/crates/hickoryhall-gateway/src/host.rs
+++ b/crates/hickoryhall-gateway/src/host.rs
@@ -168,6 +168,8 @@
         let config = Rc::new(Cell::new(ServerConfig::default()));
         let connections = Rc::<Connections>::default();
         spawn_core(&core, &config, &pool, &gateway, &connections);
+        let prober = Rc::clone(&gateway);
+        spawn_local(async move { prober.probe_services().await });
         spawn_feeds(&feeds);
         spawn_peers(&peers, records_listener);
         let orders = OrderTask::new(
--- a/crates/hickoryhall-gateway/src/scheduler/updates.rs
+++ b/crates/hickoryhall-gateway/src/scheduler/updates.rs
@@ -3,7 +3,7 @@
 use std::time::Instant;
 
 use hickoryhall_routing::PrefixChain;
-use hickoryhall_types::Incarnation;
+use hickoryhall_types::{Incarnation, TargetId};
 
 use super::server::ServerState;
 use super::statements::Statements;
@@ -144,6 +144,30 @@
         state.is_some_and(|state| state.statements.is_leaving)
     }
 
+    /// Returns the servers of a service that are not shutting down, in an order that is the same on every
+    /// host.
+    pub fn staying_servers(&self, service: &str) -> impl Iterator<Item = &BackendServer> {
+        let keys = self.by_service.get(service).into_iter().flatten();
+        let states = keys.map(|&key| &self.servers[key]);
+        states
+            .filter(|state| !state.is_leaving())
+            .map(|state| &state.server)
+    }
+
+    /// Returns the names of the services that have servers.
+    pub fn services(&self) -> impl Iterator<Item = &TargetId> {
+        let services = self.by_service.iter();
+        services
+            .filter(|(_, keys)| !keys.is_empty())
+            .map(|(service, _)| service)
+    }
+
+    /// Returns the number of requests that wait here or are in progress at servers.
+    #[must_use]
+    pub fn request_count(&self) -> usize {
+        self.waiting.len() + self.active.len()
+    }
+
     fn state_mut(&mut self, server: u64) -> Option<&mut ServerState> {
         let key = *self.by_hash.get(&server)?;
         self.servers.get_mut(key)
--- a/crates/hickoryhall-routing/src/lib.rs
+++ b/crates/hickoryhall-routing/src/lib.rs
@@ -1,5 +1,6 @@
 //! Request routing: prefix keys, placement on runners, load and cache estimates, costs, retries,
-//! ejection of failing runners and requests suspected of killing runners.
+//! ejection of failing runners, cuts between a host and all servers, and requests suspected of
+//! killing runners.
 //!
 //! Every type is a plain data structure that takes the current time as an argument and uses no I/O,
 //! threads or hidden randomness, so that its decisions are reproducible.
@@ -19,6 +20,7 @@
 mod ledger;
 mod placement;
 mod prefix;
+mod reach;
 mod retry;
 mod runner;
 mod suspects;
@@ -30,6 +32,9 @@
 pub use ledger::{Class, Ledger, Quote, ReservationId};
 pub use placement::{Candidate, Choice, Placement, PlacementConfig, Reason};
 pub use prefix::{Level, LevelKey, PrefixChain, PrefixSeed};
+pub use reach::{
+    DomainHash, PeerEnd, Probe, Reach, ReachStatement, ReachStep, ServerHash, ServiceHash,
+};
 pub use retry::{AttemptOutcome, RetryDecision, RetryPolicy};
 pub use runner::{LoadReport, RunnerInfo, RunnerKey, Runners};
 pub use suspects::{
