Forward requests to peers while a host reaches no server of their service

A host had no way but its own.

It now hands a request to a peer once it knows that it is cut off, or after two servers could not be connected to, or where no server can be placed on. The peer gets the caller's own head on a port of the hosts' own, with the time that has passed, the attempts that may have run it, the servers to leave out and, for a stream that goes on, event and software. It authorizes, places, limits and retries the request like one of its own callers' and never forwards it further. A peer's refusal is passed on as what it is; a connection to a peer that ends after the request was sent counts as an attempt that may have run. Digests state each host's load and the services that it is cut off from, so that hosts whose peers reach no server either ask nobody.

--- a/crates/hickoryhall-edge/src/lib.rs
+++ b/crates/hickoryhall-edge/src/lib.rs
@@ -8,6 +8,7 @@
 mod body;
 mod caller_stream;
 mod connections;
+mod headers;
 mod leftover;
 mod pool;
 mod read;
@@ -16,6 +17,7 @@
 
 pub use body::{BodyReceiver, BodySender, RequestBody, ResponseBody, StreamAborted};
 pub use connections::{CallerConnection, ConnectionCounts, Connections};
+pub use headers::end_to_end_headers;
 pub use pool::{ConnectError, Connection, Pool, PoolConfig, SendError, SendErrorCause};
 pub use read::{BodyReader, ReadBodyError};
 pub use server::{Handler, ServerConfig, ShutdownSignal, serve};
--- a/crates/hickoryhall-gateway/src/core/digests.rs
+++ b/crates/hickoryhall-gateway/src/core/digests.rs
@@ -51,6 +51,7 @@
             scope: Scope::Heartbeat,
             table_revision: self.table.as_ref().map_or(0, |table| table.revision()),
             streams,
+            reach: self.reach_statement(),
             ..Digest::default()
         }
     }
@@ -103,6 +104,7 @@
             suspects: self.suspect_updates.clone(),
             crashes: self.suspects.crash_news(now),
             limits: self.scheduler.limits_mut().news(now),
+            reach: self.reach_statement(),
             ..Digest::default()
         }
     }
--- a/crates/hickoryhall-gateway/src/core/reach.rs
+++ b/crates/hickoryhall-gateway/src/core/reach.rs
@@ -1,15 +1,16 @@
 //! Services that this host is cut off from.
 
 use std::collections::HashSet;
-use std::net::SocketAddr;
+use std::net::{Ipv4Addr, SocketAddr};
 use std::time::Instant;
 
-use hickoryhall_routing::ReachStep;
+use hickoryhall_routing::{PeerEnd, ReachStatement, ReachStep};
 use hickoryhall_types::hash_name;
 use metrics::{counter, gauge};
 use slog::{info, warn};
 
 use super::Core;
+use crate::peers::Digest;
 use crate::registry::BackendServer;
 
 /// Maximum number of servers that a check connects to.
@@ -70,6 +71,55 @@
         targets.cloned().collect()
     }
 
+    /// Returns whether this host is cut off from a service.
+    #[must_use]
+    pub fn is_cut_off(&self, service: &str) -> bool {
+        self.reach.is_cut_off(hash_name(service))
+    }
+
+    pub(super) fn reach_statement(&self) -> ReachStatement {
+        let requests = self.scheduler.request_count();
+        self.reach
+            .statement(u32::try_from(requests).unwrap_or(u32::MAX))
+    }
+
+    /// Records what a peer states in its own digest about its load and the services that it reaches.
+    pub fn record_peer_statement(&mut self, now: Instant, ip: Ipv4Addr, digest: &Digest) {
+        let statement = digest.reach.clone();
+        self.reach
+            .record_statement(now, ip, digest.host, digest.domain, statement);
+    }
+
+    /// Chooses the peer that takes a request which no server of its service can be reached for from
+    /// here; `None` if no peer is known to be of use, or the service has no servers.
+    #[must_use]
+    pub fn choose_peer(
+        &self,
+        now: Instant,
+        service: &str,
+        request_id: &str,
+        excluded: &[Ipv4Addr],
+    ) -> Option<Ipv4Addr> {
+        self.scheduler.staying_servers(service).next()?;
+        let (service, seed) = (hash_name(service), hash_name(request_id));
+        self.reach.choose_peer(now, service, seed, excluded)
+    }
+
+    /// Counts a request that is sent to a peer.
+    pub fn record_forwarded(&mut self, peer: Ipv4Addr) {
+        self.reach.record_sent(peer);
+    }
+
+    /// Records the end of a request that was sent to a peer.
+    pub fn record_forwarding_end(&mut self, peer: Ipv4Addr) {
+        self.reach.record_end(peer);
+    }
+
+    /// Records what became of a request at a peer.
+    pub fn record_peer_end(&mut self, now: Instant, service: &str, peer: Ipv4Addr, end: PeerEnd) {
+        self.reach.record_peer(now, hash_name(service), peer, end);
+    }
+
     /// Returns the addresses of the servers of a service that are not shutting down.
     pub fn server_addresses(&self, service: &str) -> impl Iterator<Item = SocketAddr> {
         let servers = self.scheduler.staying_servers(service);
--- a/crates/hickoryhall-gateway/src/exchange.rs
+++ b/crates/hickoryhall-gateway/src/exchange.rs
@@ -7,6 +7,7 @@
 
 mod attempt;
 mod crash;
+mod forward;
 mod intake;
 mod reach;
 mod record;
@@ -14,6 +15,7 @@
 mod take_up;
 
 use std::cell::Cell;
+use std::net::Ipv4Addr;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
@@ -37,7 +39,9 @@
 use crate::stream_versions::SoftwareHash;
 
 use attempt::{AttemptFailure, AttemptGuard, AttemptResult, BufferedResponse};
-use intake::{PreparedRequest, Rejection};
+pub(crate) use forward::ForwardedHandler;
+use forward::Source;
+use intake::{Forwarded, PreparedRequest, Rejection};
 use record::RequestRecord;
 
 /// Maximum size of a response that is not a stream, in bytes.
@@ -64,6 +68,8 @@
     pool: Pool,
     responses: BodyReader,
     refusals: BodyReader,
+    /// Port at which peers take forwarded requests.
+    forwarding_port: u16,
     next_attempt_id: Cell<AttemptId>,
     in_flight: Rc<Cell<usize>>,
     is_closed: Cell<bool>,
@@ -82,15 +88,23 @@
 }
 
 impl<P: Platform> Gateway<P> {
-    /// Creates a gateway that accepts requests.
+    /// Creates a gateway that accepts requests; `forwarding_port` is the port at which its peers take
+    /// forwarded ones.
     #[must_use]
-    pub fn new(platform: Rc<P>, core: CoreHandle, pool: Pool, logger: Logger) -> Self {
+    pub fn new(
+        platform: Rc<P>,
+        core: CoreHandle,
+        pool: Pool,
+        forwarding_port: u16,
+        logger: Logger,
+    ) -> Self {
         Self {
             platform,
             core,
             pool,
             responses: BodyReader::new(MAX_RESPONSE_BYTES, LARGE_RESPONSES_BUDGET_BYTES),
             refusals: BodyReader::new(MAX_REFUSAL_BYTES, MAX_REFUSAL_BYTES),
+            forwarding_port,
             next_attempt_id: Cell::new(1),
             in_flight: Rc::default(),
             is_closed: Cell::new(false),
@@ -168,9 +182,10 @@
         request_id: Option<&str>,
         failure: &LocalFailure,
     ) -> Response<ResponseBody> {
-        self.platform
-            .error_response(request_id, failure)
-            .map(ResponseBody::full)
+        let response = self.platform.error_response(request_id, failure);
+        let mut response = response.map(ResponseBody::full);
+        response.extensions_mut().insert(failure.clone());
+        response
     }
 }
 
@@ -180,9 +195,21 @@
         request: Request<RequestBody>,
         caller: Rc<CallerConnection>,
     ) -> Result<Response<ResponseBody>, StreamAborted> {
+        Ok(self.respond(request, &caller, Instant::now(), None).await)
+    }
+}
+
+impl<P: Platform> Gateway<P> {
+    /// Responds to a request of a caller, or to one that a peer forwarded.
+    async fn respond(
+        self: Rc<Self>,
+        request: Request<RequestBody>,
+        caller: &CallerConnection,
+        arrived_at: Instant,
+        forwarded: Option<Forwarded>,
+    ) -> Response<ResponseBody> {
         let in_flight = self.track_in_flight();
-        let arrived_at = Instant::now();
-        match self.intake(request, arrived_at).await {
+        match self.intake(request, arrived_at, forwarded).await {
             Ok(request) => {
                 let id = request.meta.request_id.clone();
                 caller.set_request_id(id.clone());
@@ -190,13 +217,13 @@
                 let exchange = Exchange::new(self, request, in_flight);
                 tokio::select! {
                     biased;
-                    response = exchange.run() => Ok(response),
+                    response = exchange.run() => response,
                     () = gateway.ending.notified() => {
                         warn!(
                             gateway.logger, "exchange: Request answered before its server, as the process ends.";
                             "request" => &*id, "status" => ENDING.status.as_u16(), "reason" => ENDING.reason
                         );
-                        Ok(gateway.error_response(Some(&id), &ENDING))
+                        gateway.error_response(Some(&id), &ENDING)
                     }
                 }
             }
@@ -212,7 +239,7 @@
                     &detail,
                     arrived_at,
                 );
-                Ok(self.error_response(request_id.as_deref(), &failure))
+                self.error_response(request_id.as_deref(), &failure)
             }
         }
     }
@@ -231,6 +258,10 @@
     waits_since: Instant,
     /// What may crash the server that runs the request.
     suspect: Option<Suspect>,
+    /// Attempts at servers that could not be connected to.
+    unsent_attempts: u32,
+    /// Peers that got the request.
+    peers: Vec<Ipv4Addr>,
     /// Whether the request probes whether a refused prompt part still does.
     is_probe: bool,
     record: RequestRecord,
@@ -240,17 +271,26 @@
 impl<P: Platform> Exchange<P> {
     fn new(gateway: Rc<Gateway<P>>, request: PreparedRequest, in_flight: InFlight) -> Self {
         let record = RequestRecord::new(&request, gateway.logger.clone());
-        let outcome = RequestOutcome::new(request.route.kind, request.route.attempts);
-        gateway
-            .core
-            .with(|core, now| core.record_request(now, &request.service));
+        let mut outcome = RequestOutcome::new(request.route.kind, request.route.attempts);
+        let (mut excluded, mut software) = (Vec::new(), None);
+        if let Some(Forwarded { request, .. }) = &request.forwarded {
+            (0..request.possible_runs).for_each(|_| outcome.record_possible_run());
+            excluded.clone_from(&request.excluded);
+            software = request.software;
+        } else {
+            gateway
+                .core
+                .with(|core, now| core.record_request(now, &request.service));
+        }
         Self {
             gateway,
             waits_since: request.arrived_at,
             request,
-            excluded: Vec::new(),
+            excluded,
             outcome,
-            software: None,
+            software,
+            unsent_attempts: 0,
+            peers: Vec::new(),
             suspect: None,
             is_probe: false,
             record,
@@ -266,17 +306,23 @@
             return self.respond_failure(failure);
         }
         loop {
-            let (assignment, guard) = match self.place().await {
-                Ok(placed) => placed,
+            let target = match self.choose_target().await {
+                Ok(target) => target,
                 Err(refusal) => return self.respond_refused(refusal),
             };
             let sent_at = Instant::now();
-            let failure = match self.attempt(&assignment, guard, None).await {
+            let source = target.source();
+            let failure = match self.attempt_at(target, None).await {
                 AttemptResult::Response(response) => {
-                    let framing = self.record.framing();
-                    self.record_whole_answer(&assignment.server, sent_at, framing);
+                    if let Some(server) = source.server() {
+                        let framing = self.record.framing();
+                        self.record_whole_answer(server, sent_at, framing);
+                    }
                     return self.respond(response);
                 }
+                AttemptResult::PeerFailure(response, ran) => {
+                    return self.respond_peer_failure(response, ran);
+                }
                 AttemptResult::Failed(failure) => failure,
                 AttemptResult::Stream(stream) => match self.start_stream(stream).await {
                     Ok(response) => return response,
@@ -286,7 +332,7 @@
                     }
                 },
             };
-            match self.next_step(&assignment, failure) {
+            match self.next_step(&source, failure) {
                 NextStep::Retry => {}
                 NextStep::End(ending) => return self.respond_ending(ending),
             }
@@ -356,26 +402,34 @@
         Ok((assignment, guard))
     }
 
-    /// Records that a server failed the request or did not run it.
-    fn attempt_failed(&mut self, server: &ServerId, outcome: &str) {
-        self.record.attempt_failed(server, outcome);
-        self.excluded.push(server.clone());
+    /// Records that a server or a peer failed the request or did not run it.
+    fn attempt_failed(&mut self, source: &Source, outcome: &str) {
+        self.record.attempt_failed(&source.id(), outcome);
+        if let Some(server) = source.server() {
+            self.excluded.push(server.id.clone());
+        }
     }
 
     /// Decides what to do after an attempt without a success.
     fn next_step(
         &mut self,
-        assignment: &Assignment,
+        source: &Source,
         failure: AttemptFailure,
     ) -> NextStep<BufferedResponse> {
-        let server = assignment.server.id.clone();
         debug!(
             self.gateway.logger, "exchange: Attempt failed.";
-            "request" => &*self.request.meta.request_id, "server" => &*server,
+            "request" => &*self.request.meta.request_id, "server" => &*source.id(),
             "outcome" => failure.outcome()
         );
-        self.attempt_failed(&server, failure.outcome());
+        self.attempt_failed(source, failure.outcome());
         let time_left = self.time_left();
+        if matches!(failure, AttemptFailure::Unsent) {
+            if source.server().is_none() && time_left == TimeLeft::Enough {
+                // The number of peers is limited apart.
+                return NextStep::Retry;
+            }
+            self.unsent_attempts += 1;
+        }
         let (core, service) = (&self.gateway.core, &self.request.service);
         self.outcome.on_failure(failure, time_left, || {
             core.with(|core, now| core.take_retry(now, service))
@@ -435,6 +489,25 @@
         core.with(|core, _| core.clear_suspect(fingerprint));
     }
 
+    /// Passes on the failure that a peer generated, unless an earlier attempt makes its promise untrue.
+    fn respond_peer_failure(
+        mut self,
+        response: BufferedResponse,
+        ran: Ran,
+    ) -> Response<ResponseBody> {
+        let (time_left, status) = (self.time_left(), response.status);
+        match self
+            .outcome
+            .on_peer_failure(response, status, ran, time_left)
+        {
+            Ending::Relay(response) => {
+                self.record.failed_at_peer(response.status, ran);
+                response.into_response()
+            }
+            Ending::Fail(failure) => self.respond_failure(failure),
+        }
+    }
+
     fn respond_failure(mut self, failure: LocalFailure) -> Response<ResponseBody> {
         self.record.failed(&failure);
         self.gateway
--- a/crates/hickoryhall-gateway/src/exchange/attempt.rs
+++ b/crates/hickoryhall-gateway/src/exchange/attempt.rs
@@ -5,6 +5,7 @@
 
 use bytes::Bytes;
 use hickoryhall_edge::{Connection, ReadBodyError, SendError};
+use hickoryhall_types::{Ran, SoftwareVersion};
 use http::response;
 use http_body_util::Full;
 use hyper::body::Incoming;
@@ -15,6 +16,7 @@
 use tokio::time::{Instant as TokioInstant, timeout_at};
 
 use super::Exchange;
+use super::forward::{Forwarding, Source};
 use super::record::ResponseRecord;
 use crate::core::CoreHandle;
 use crate::framing::BodyFraming;
@@ -93,8 +95,12 @@
     pub body: Incoming,
     pub connection: Connection,
     pub response_meta: ResponseMeta,
-    pub server: BackendServer,
+    pub source: Source,
+    /// Software of the server that generates the stream; empty if it is uncertain.
+    pub software: SoftwareVersion,
     pub guard: AttemptGuard,
+    /// Counts the stream as in progress at the peer that passes it on.
+    pub forwarding: Option<Forwarding>,
     pub sent_at: Instant,
     /// Deadline of the first event.
     pub first_event_by: Instant,
@@ -106,6 +112,8 @@
     Response(BufferedResponse),
     /// A stream whose response head was received.
     Stream(Box<OpenStream>),
+    /// A failure that a peer generated after it has done all that it could.
+    PeerFailure(BufferedResponse, Ran),
     /// The attempt failed.
     Failed(AttemptFailure),
 }
@@ -175,8 +183,10 @@
                 body,
                 connection: received.connection,
                 response_meta,
-                server: assignment.server.clone(),
+                software: assignment.server.software.clone(),
+                source: Source::Server(assignment.server.clone()),
                 guard,
+                forwarding: None,
                 sent_at,
                 first_event_by: until,
             }));
@@ -364,7 +374,7 @@
 
     /// Reads the body of a refusal and returns the connection to the pool if it ends soon enough and
     /// is small.
-    async fn drain_refusal(
+    pub(super) async fn drain_refusal(
         &self,
         body: Incoming,
         connection: Connection,
--- a/crates/hickoryhall-gateway/src/exchange/intake.rs
+++ b/crates/hickoryhall-gateway/src/exchange/intake.rs
@@ -1,5 +1,6 @@
 //! Reads and checks a caller's request and collects what its placement needs.
 
+use std::net::IpAddr;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
@@ -13,6 +14,7 @@
 use tokio::time::timeout;
 
 use super::Gateway;
+use crate::forwarding::ForwardedRequest;
 use crate::interface::{LocalFailure, Platform, Prompt, RequestMeta};
 use crate::scheduler::{Priority, PromptInfo};
 use crate::table::{CallerLimits, Route, RouteTable, Workspace};
@@ -49,6 +51,15 @@
     pub arrived_at: Instant,
     pub deadline: Instant,
     pub table_revision: Revision,
+    /// Where the request comes from, if a peer forwarded it.
+    pub forwarded: Option<Forwarded>,
+}
+
+/// A request as a peer forwarded it.
+pub(super) struct Forwarded {
+    /// Address of the peer.
+    pub by: IpAddr,
+    pub request: ForwardedRequest,
 }
 
 impl PreparedRequest {
@@ -119,11 +130,17 @@
         &self,
         request: Request<RequestBody>,
         arrived_at: Instant,
+        forwarded: Option<Forwarded>,
     ) -> Result<PreparedRequest, Rejection> {
         let (head, body) = request.into_parts();
-        let meta = self.platform.parse_request_head(&head).map_err(|error| {
+        let mut meta = self.platform.parse_request_head(&head).map_err(|error| {
             Rejection::new(None, StatusCode::BAD_REQUEST, "bad_request").with_detail(error)
         })?;
+        if let Some(Forwarded { request, .. }) = &forwarded
+            && request.resume_after.is_some()
+        {
+            meta.last_event_id.clone_from(&request.resume_after);
+        }
         if self.is_closed.get() {
             return Err(Rejection::retry_later(
                 &meta,
@@ -167,6 +184,7 @@
             arrived_at,
             deadline,
             table_revision: table.revision(),
+            forwarded,
         })
     }
 }
--- a/crates/hickoryhall-gateway/src/exchange/record.rs
+++ b/crates/hickoryhall-gateway/src/exchange/record.rs
@@ -1,5 +1,6 @@
 //! Writes the final log line and the metrics of a request.
 
+use std::net::{IpAddr, Ipv4Addr};
 use std::sync::Arc;
 use std::time::Instant;
 
@@ -36,6 +37,10 @@
     server_status: Option<u16>,
     /// Framing of the last response.
     framing: Option<BodyFraming>,
+    /// Last peer that the request was forwarded to.
+    forwarded_to: Option<Ipv4Addr>,
+    /// Host that forwarded the request here.
+    forwarded_by: Option<IpAddr>,
     /// Bytes of an incomplete event that streams ended with.
     incomplete_bytes: usize,
     placed: Option<PlacementRecord>,
@@ -102,6 +107,8 @@
             response: None,
             server_status: None,
             framing: None,
+            forwarded_to: None,
+            forwarded_by: request.forwarded.as_ref().map(|forwarded| forwarded.by),
             incomplete_bytes: 0,
             placed: None,
             resumes: meta.resumed_request_id.clone().unwrap_or_else(|| "".into()),
@@ -127,6 +134,11 @@
         });
     }
 
+    /// Records that the request is sent to a peer.
+    pub fn forwarded(&mut self, peer: Ipv4Addr) {
+        self.forwarded_to = Some(peer);
+    }
+
     /// Forgets the response of the attempt before.
     pub fn attempt_begins(&mut self) {
         self.response = None;
@@ -192,14 +204,15 @@
 
     /// Logs the end of a request that got a failure of this host.
     pub fn failed(&mut self, failure: &LocalFailure) {
-        let ran = match failure.ran {
-            Ran::No => "no",
-            Ran::Yes => "yes",
-            Ran::Unknown => "unknown",
-        };
+        let ran = ran_text(failure.ran);
         self.log_end("failed", failure.status.as_u16(), failure.reason, ran);
     }
 
+    /// Logs the end of a request that got a failure of a peer.
+    pub fn failed_at_peer(&mut self, status: StatusCode, ran: Ran) {
+        self.log_end("failed", status.as_u16(), "failed_at_peer", ran_text(ran));
+    }
+
     /// Logs the end of a stream that broke off and could not be resumed.
     pub fn broken(&mut self, reason: &str) {
         self.log_end("broken_off", 0, reason, "yes");
@@ -233,6 +246,8 @@
             "waited_ms" => placed.map(|placed| placed.waited_ms),
             "tried" => self.tried.join(" "), "responses" => self.responses.join(" "),
             "server_status" => self.server_status, "bytes" => self.bytes,
+            "forwarded_to" => self.forwarded_to.map(|peer| peer.to_string()),
+            "forwarded_by" => self.forwarded_by.map(|host| host.to_string()),
             "framing" => self.framing.map_or("", BodyFraming::as_str),
             "incomplete_bytes" => self.incomplete_bytes, "resumes" => &*self.resumes,
             "resumes_after" => &*self.resumes_after,
@@ -241,6 +256,14 @@
     }
 }
 
+fn ran_text(ran: Ran) -> &'static str {
+    match ran {
+        Ran::No => "no",
+        Ran::Yes => "yes",
+        Ran::Unknown => "unknown",
+    }
+}
+
 /// Returns the ids of the parts of a request's prompt, in order.
 fn part_ids(meta: &RequestMeta) -> String {
     let parts = meta.prompt.iter().flat_map(|prompt| &prompt.parts);
--- a/crates/hickoryhall-gateway/src/exchange/relay.rs
+++ b/crates/hickoryhall-gateway/src/exchange/relay.rs
@@ -13,7 +13,9 @@
 
 use super::Exchange;
 use super::attempt::{AttemptFailure, AttemptResult, OpenStream, attempt_end};
+use super::forward::Source;
 use crate::events::{EventFramer, IncompleteEvent};
+use crate::forwarding::StreamSoftware;
 use crate::framing::BodyFraming;
 use crate::interface::Platform;
 use crate::scheduler::AttemptEnd;
@@ -21,6 +23,9 @@
 /// Time without an event after which a resumable stream is resumed at another runner: well above
 /// the longest step of a busy runner, and below the time after which callers leave.
 const RESUME_IDLE_TIMEOUT: Duration = Duration::from_millis(1_200);
+/// The same for a stream that a peer passes on: long enough for the peer to resume it, and below the time
+/// after which callers leave.
+const PEER_IDLE_TIMEOUT: Duration = Duration::from_millis(1_800);
 /// Reason for a stream that its runner broke off.
 const BROKEN_OFF: &str = "broken_off";
 /// Reason for a stream without an event within the limit.
@@ -143,9 +148,11 @@
                     _ => AttemptFailure::Broken,
                 };
                 let OpenStream {
-                    server, sent_at, ..
+                    source, sent_at, ..
                 } = &*upstream.stream;
-                self.record_failure(&failure, server, *sent_at);
+                if let Some(server) = source.server() {
+                    self.record_failure(&failure, server, *sent_at);
+                }
                 upstream.stream.guard.end(attempt_end(&failure));
                 return Err((Box::new(self), failure));
             }
@@ -158,6 +165,11 @@
             .gateway
             .platform
             .response_headers(&upstream.stream.head.headers);
+        let software = &upstream.stream.software;
+        if !software.is_empty() {
+            let software = StreamSoftware(software.clone());
+            response.extensions_mut().insert(software);
+        }
         let is_from_one_server = self.request.meta.last_event_id.is_none();
         let relay = Relay {
             exchange: self,
@@ -175,7 +187,7 @@
         self.exchange.record.first_event();
         self.upstream.stream.guard.first_event();
         if matches!(first, StreamItem::Events(_)) {
-            self.exchange.stream_began(&self.upstream.stream.server);
+            self.exchange.stream_began(&self.upstream.stream);
         }
         let outcome = tokio::select! {
             biased;
@@ -194,7 +206,8 @@
             response_meta,
             guard,
             head,
-            server,
+            source,
+            forwarding: _forwarding,
             sent_at,
             ..
         } = *stream;
@@ -203,9 +216,9 @@
                 guard.end(AttemptEnd::Answered);
                 exchange.return_to_pool(connection, &response_meta);
                 exchange.clear_suspect();
-                if is_from_one_server {
+                if is_from_one_server && let Some(server) = source.server() {
                     let framing = BodyFraming::of(&head.headers);
-                    exchange.record_whole_answer(&server, sent_at, framing);
+                    exchange.record_whole_answer(server, sent_at, framing);
                 }
                 exchange.record.answered(head.status);
                 sender.finish();
@@ -227,7 +240,7 @@
         loop {
             match item {
                 StreamItem::Events(events) => {
-                    let software = &self.upstream.stream.server.software;
+                    let software = &self.upstream.stream.software;
                     self.exchange.record.events(events.len(), software);
                     if !sender.send(events).await {
                         return RelayOutcome::CallerLeft;
@@ -242,15 +255,7 @@
                 StreamItem::Broken(reason) => {
                     let incomplete_bytes = self.upstream.incomplete_bytes;
                     self.exchange.record.incomplete_event(incomplete_bytes);
-                    if reason == BROKEN_OFF {
-                        let server = &self.upstream.stream.server;
-                        let sent_at = self.upstream.stream.sent_at;
-                        self.exchange.record_break(server, sent_at, true);
-                    }
-                    if reason == SILENT {
-                        let server = &self.upstream.stream.server;
-                        self.exchange.gateway.check_silent_server(server);
-                    }
+                    self.record_break(reason);
                     if self.resume(reason).await {
                         self.is_waited_for = false;
                         self.is_from_one_server = false;
@@ -268,14 +273,30 @@
         }
     }
 
+    /// Records that the server broke off or is silent.
+    fn record_break(&self, reason: &str) {
+        let stream = &self.upstream.stream;
+        let Some(server) = stream.source.server() else {
+            return;
+        };
+        match reason {
+            BROKEN_OFF => self.exchange.record_break(server, stream.sent_at, true),
+            SILENT => self.exchange.gateway.check_silent_server(server),
+            _ => {}
+        }
+    }
+
     /// Returns the time within which the next event must arrive.
     fn idle_limit(&self) -> Duration {
         let request = &self.exchange.request;
         let left = request.deadline.saturating_duration_since(Instant::now());
-        if request.route.kind.may_repeat() && !self.is_waited_for {
-            left.min(RESUME_IDLE_TIMEOUT)
-        } else {
-            left
+        if !request.route.kind.may_repeat() || self.is_waited_for {
+            return left;
+        }
+        match self.upstream.stream.source {
+            Source::Server(_) => left.min(RESUME_IDLE_TIMEOUT),
+            // The peer resumes a stream that is silent, which takes some time.
+            Source::Peer(_) => left.min(PEER_IDLE_TIMEOUT),
         }
     }
 
@@ -283,7 +304,7 @@
     /// succeeded.
     async fn resume(&mut self, reason: &'static str) -> bool {
         self.exchange
-            .attempt_failed(&self.upstream.stream.server.id.clone(), reason);
+            .attempt_failed(&self.upstream.stream.source, reason);
         self.exchange.outcome.record_possible_run();
         if self.exchange.software.is_none() || !self.exchange.may_run_again() {
             return false;
@@ -297,31 +318,29 @@
             self.upstream.stream.guard.fail();
         }
         for _ in 0..MAX_RESUME_ATTEMPTS {
-            let Ok((assignment, guard)) = self.exchange.place().await else {
+            let Ok(target) = self.exchange.choose_target().await else {
                 return false;
             };
+            let source = target.source();
             info!(
                 self.exchange.gateway.logger,
                 "exchange: Stream is being resumed at another runner.";
                 "request" => &*self.exchange.request.meta.request_id, "reason" => reason,
                 "after" => last_id.as_deref().unwrap_or_default(),
-                "server" => &*assignment.server.id, "software" => &*assignment.server.software,
-                "software_before" => &*self.upstream.stream.server.software
+                "server" => &*source.id(),
+                "software" => self.exchange.software,
+                "software_before" => &*self.upstream.stream.software
             );
-            let attempted = self
-                .exchange
-                .attempt(&assignment, guard, last_id.as_deref())
-                .await;
+            let attempted = self.exchange.attempt_at(target, last_id.as_deref()).await;
             let failure = match attempted {
                 AttemptResult::Stream(stream) => {
                     self.upstream = Upstream::new(stream, last_id);
                     return true;
                 }
                 AttemptResult::Failed(failure) => failure,
-                AttemptResult::Response(_) => return false,
+                AttemptResult::Response(_) | AttemptResult::PeerFailure(..) => return false,
             };
-            self.exchange
-                .attempt_failed(&assignment.server.id, failure.outcome());
+            self.exchange.attempt_failed(&source, failure.outcome());
             // An attempt that was never sent left the retry that was taken for it unused.
             let may_continue = match failure {
                 AttemptFailure::Unsent => self.exchange.has_time(),
--- a/crates/hickoryhall-gateway/src/exchange/take_up.rs
+++ b/crates/hickoryhall-gateway/src/exchange/take_up.rs
@@ -8,8 +8,8 @@
 use tokio::time::timeout;
 
 use super::Exchange;
+use super::attempt::OpenStream;
 use crate::interface::{LocalFailure, Platform};
-use crate::registry::BackendServer;
 use crate::stream_versions::StreamQuestion;
 
 /// Time within which peers answer, a lost message and the first digest to a host that has just
@@ -21,7 +21,8 @@
     /// the failure if nobody knows: the caller has to begin anew.
     pub(super) async fn find_software(&mut self) -> Option<LocalFailure> {
         let meta = &self.request.meta;
-        if !self.request.route.kind.is_stream() || meta.last_event_id.is_none() {
+        let is_known = self.software.is_some();
+        if is_known || !self.request.route.kind.is_stream() || meta.last_event_id.is_none() {
             return None;
         }
         let stream = meta.resumed_request_id.as_ref();
@@ -49,7 +50,15 @@
 
     /// Records which server sends the first event of the stream; from now on it goes on at the same
     /// software version only.
-    pub(super) fn stream_began(&mut self, server: &BackendServer) {
+    pub(super) fn stream_began(&mut self, began: &OpenStream) {
+        let Some(server) = began.source.server() else {
+            // The peer records it.
+            let software = Some(&began.software).filter(|software| !software.is_empty());
+            self.software = self
+                .software
+                .or(software.map(|software| hash_name(software)));
+            return;
+        };
         let stream = hash_name(self.request.meta.first_request_id());
         let is_resumable = self.request.route.kind.may_repeat();
         let began = self.gateway.core.with(|core, now| {
--- a/crates/hickoryhall-gateway/src/host.rs
+++ b/crates/hickoryhall-gateway/src/host.rs
@@ -25,7 +25,7 @@
 use tokio::time::{sleep, timeout};
 
 use crate::core::{Core, CoreConfig, CoreHandle};
-use crate::exchange::Gateway;
+use crate::exchange::{ForwardedHandler, Gateway};
 use crate::feeds::{FeedKind, Feeds};
 use crate::interface::Platform;
 use crate::orders::{OrderTask, OrderTaskConfig};
@@ -133,8 +133,8 @@
 struct Host<P> {
     gateway: Rc<Gateway<P>>,
     connections: Rc<Connections>,
-    /// Accepts callers' connections until it is aborted.
-    callers: JoinHandle<()>,
+    /// Accept connections of callers and of peers until they are aborted.
+    acceptors: [JoinHandle<()>; 2],
     stop: watch::Sender<bool>,
     logger: Logger,
 }
@@ -156,11 +156,15 @@
         let callers = listen("callers", settings.callers).await?;
         let readiness = listen("readiness", settings.readiness).await?;
         let (peers, records_listener) = bind_peers(settings, &core, &feeds, part("peers")).await?;
+        let forwarding_port = settings.forwarding_port();
+        let forwarding = SocketAddr::from((settings.ip, forwarding_port));
+        let forwarding = listen("forwarded requests", forwarding).await?;
         let pool = Pool::new(PoolConfig::default());
         let gateway = Gateway::new(
             Rc::clone(&platform),
             core.clone(),
             pool.clone(),
+            forwarding_port,
             part("exchange"),
         );
         let gateway = Rc::new(gateway);
@@ -207,6 +211,14 @@
                 edge.clone(),
             ));
         }
+        let forwarding = spawn_local(serve(
+            forwarding,
+            Rc::new(ForwardedHandler(Rc::clone(&gateway))),
+            Rc::clone(&config),
+            stopping.clone(),
+            Rc::clone(&connections),
+            edge.clone(),
+        ));
         let callers = spawn_local(serve(
             callers,
             Rc::clone(&gateway),
@@ -218,7 +230,7 @@
         Ok(Self {
             gateway,
             connections,
-            callers,
+            acceptors: [callers, forwarding],
             stop,
             logger: part("host"),
         })
@@ -261,7 +273,7 @@
         self.connections.drained().await;
         // Only refusals are left to send. New connections could go on forever, so they end here; the
         // system resets those that have not been accepted, so that their requests count as unread.
-        self.callers.abort();
+        self.acceptors.iter().for_each(JoinHandle::abort);
         self.connections.drained().await;
     }
 
--- a/crates/hickoryhall-gateway/src/lib.rs
+++ b/crates/hickoryhall-gateway/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod exchange;
 pub mod feeds;
 pub mod fleet;
+pub mod forwarding;
 pub mod framing;
 pub mod host;
 pub mod interface;
--- a/crates/hickoryhall-gateway/src/outcome.rs
+++ b/crates/hickoryhall-gateway/src/outcome.rs
@@ -214,6 +214,12 @@
         self.possible_runs < MAX_RUNS_OF_SUSPECT
     }
 
+    /// Returns the number of attempts that may have run the request.
+    #[must_use]
+    pub fn possible_runs(&self) -> u32 {
+        self.possible_runs
+    }
+
     /// Counts an attempt that may have run the request.
     pub fn record_possible_run(&mut self) {
         self.possible_runs += 1;
@@ -267,6 +273,25 @@
         NextStep::End(self.end(time_left, RETRY_AFTER_REFUSED, reason))
     }
 
+    /// Ends the request with a failure that a peer generated, which is passed on unless a server's own
+    /// failure may be, or the failure promises more than this host knows.
+    pub fn on_peer_failure(
+        &mut self,
+        response: R,
+        status: StatusCode,
+        ran: Ran,
+        time_left: TimeLeft,
+    ) -> Ending<R> {
+        if ran != Ran::No {
+            self.possible_runs += 1;
+        }
+        let is_untrue = is_promise(status) && self.possible_runs > 0;
+        if is_untrue || self.failure_response.is_some() {
+            return self.end(time_left, RETRY_AFTER_REFUSED, "failed_at_peer");
+        }
+        Ending::Relay(response)
+    }
+
     /// Ends the request without a success: with the last failure response of a server that the
     /// caller may get, else with a failure that promises that the request did not run only if no
     /// attempt may have run it. `retry_after` goes with that promise only.
--- a/crates/hickoryhall-gateway/src/peers.rs
+++ b/crates/hickoryhall-gateway/src/peers.rs
@@ -242,6 +242,7 @@
     fn receive_digest(&self, digest: &Digest, addresses: Vec<Ipv4Addr>, from: Ipv4Addr) {
         let own_revision = self.core.with(|core, now| {
             core.on_digest(now, digest);
+            core.record_peer_statement(now, from, digest);
             core.table().map_or(0, |table| table.revision())
         });
         let now = Instant::now();
--- a/crates/hickoryhall-gateway/src/peers/message.rs
+++ b/crates/hickoryhall-gateway/src/peers/message.rs
@@ -7,7 +7,7 @@
 
 use bytes::Bytes;
 use hickoryhall_limits::LimitStatement;
-use hickoryhall_routing::{CrashNews, Level};
+use hickoryhall_routing::{CrashNews, Level, ReachStatement};
 use hickoryhall_types::{Incarnation, Revision, TargetId, WeightsVersion};
 use prost::Message;
 use wire::{WireDigest, WireSnapshot};
@@ -45,6 +45,8 @@
     pub crashes: CrashNews,
     /// Limits that servers name.
     pub limits: Vec<LimitStatement>,
+    /// Load of the sender, and services that it is cut off from.
+    pub reach: ReachStatement,
     /// Prompts that runners prefilled, or saved to a prompt cache store, since the last digest.
     pub prompts: Vec<PromptUpdate>,
     /// Changes of the registry, from a host that reads it for its group.
--- a/crates/hickoryhall-gateway/src/peers/message/wire.rs
+++ b/crates/hickoryhall-gateway/src/peers/message/wire.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use hickoryhall_routing::{CrashNews, Level};
+use hickoryhall_routing::{CrashNews, Level, ReachStatement};
 use prost::Message;
 
 use super::wire_news::{WireAnsweredPart, WireBlockedPart, WireCrash, WireLimit};
@@ -70,6 +70,12 @@
     pub(super) blocked_parts: Vec<WireBlockedPart>,
     #[prost(message, repeated, tag = "21")]
     pub(super) limits: Vec<WireLimit>,
+    /// Requests in progress or waiting at the sender.
+    #[prost(uint32, tag = "22")]
+    pub(super) requests: u32,
+    /// Services that the sender is cut off from.
+    #[prost(fixed64, repeated, tag = "23")]
+    pub(super) unreached_services: Vec<u64>,
 }
 
 /// Streams of one service that began at one software version; without streams, a version that the
@@ -252,6 +258,8 @@
             answered_parts: digest.crashes.answered.iter().map(From::from).collect(),
             blocked_parts: digest.crashes.blocked.iter().map(From::from).collect(),
             limits: digest.limits.iter().map(From::from).collect(),
+            requests: digest.reach.requests,
+            unreached_services: digest.reach.unreached.clone(),
         }
     }
 }
@@ -386,6 +394,10 @@
                 blocked: wire.blocked_parts.iter().map(From::from).collect(),
             },
             limits: wire.limits.iter().map(From::from).collect(),
+            reach: ReachStatement {
+                requests: wire.requests,
+                unreached: wire.unreached_services,
+            },
             prompts: wire.prompts.iter().map(PromptUpdate::from).collect(),
             registry: wire.registry.map(RegistryRelay::from),
             streams: StreamMessages {
--- a/crates/hickoryhall-gateway/src/settings.rs
+++ b/crates/hickoryhall-gateway/src/settings.rs
@@ -61,7 +61,8 @@
     pub callers: SocketAddr,
     /// Address of the load balancer's readiness checks.
     pub readiness: SocketAddr,
-    /// First port reserved for the protocol between hosts; only this one is used, for TCP and UDP.
+    /// First port reserved for the protocol between hosts, below 65535: it is used for TCP and UDP, and the
+    /// next one for forwarded requests.
     pub peer_port: u16,
     /// Port of the metrics page at the host's address; without it, no metrics are served.
     #[serde(default)]
@@ -177,6 +178,9 @@
         if self.failure_domain.is_empty() {
             return Err(("failure_domain", "must not be empty".to_owned()));
         }
+        if self.peer_port == u16::MAX {
+            return Err(("peer_port", "must be below 65535".to_owned()));
+        }
         let bounds = &self.bounds;
         let positive = [
             ("bounds.grace_s", bounds.grace_s),
@@ -217,6 +221,12 @@
         Ok(())
     }
 
+    /// Returns the port at which hosts take requests that peers forward.
+    #[must_use]
+    pub fn forwarding_port(&self) -> u16 {
+        self.peer_port.saturating_add(1)
+    }
+
     /// Returns the IPv4 addresses of the seeds without their ports; IPv6 seeds are left out.
     #[must_use]
     pub fn seed_ips(&self) -> Vec<Ipv4Addr> {
--- a/crates/hickoryhall-gateway/tests/messages.rs
+++ b/crates/hickoryhall-gateway/tests/messages.rs
@@ -17,7 +17,9 @@
     ServiceVersion, StreamKnowledge, StreamOrigin, StreamQuestion,
 };
 use hickoryhall_limits::LimitStatement;
-use hickoryhall_routing::{AnsweredPart, BlockedPart, CrashNews, CrashReport, CrashedPart, Level};
+use hickoryhall_routing::{
+    AnsweredPart, BlockedPart, CrashNews, CrashReport, CrashedPart, Level, ReachStatement,
+};
 use proptest::prelude::*;
 
 fn digest(numbers: &[u64]) -> Digest {
@@ -90,6 +92,10 @@
             limit_per_s: [None, Some(f64::from(small(3)) / 8.0)][number(4) as usize % 2],
             age: Duration::from_millis(number(5)),
         }],
+        reach: ReachStatement {
+            requests: small(6),
+            unreached: vec![number(7); number(8) as usize % 3],
+        },
         prompts: vec![PromptUpdate {
             server: number(5),
             incarnation: [None, Some(number(6))][number(7) as usize % 2],
