--- a/crates/hickoryhall-routing/src/reach.rs
+++ b/crates/hickoryhall-routing/src/reach.rs
@@ -24,7 +24,7 @@
 const MIN_FAILED_SERVERS: usize = 4;
 /// Time for which a failed connection counts.
 const FAILURE_TTL: Duration = Duration::from_secs(3);
-/// Time after a new connection for which no check follows a failed one: a single server is gone.
+/// Time after a new connection in which failed ones show that some servers are gone, not a cut.
 const REACHED_TTL: Duration = Duration::from_secs(1);
 /// Time between two checks of the other servers of a service.
 const CHECK_INTERVAL: Duration = Duration::from_millis(300);
@@ -40,7 +40,7 @@
 const PEER_TTL_PER_PEER: Duration = Duration::from_millis(40);
 /// Peers compared in this host's failure domain, and as many in other ones.
 const COMPARED_PEERS: usize = 2;
-/// Load of a peer in another failure domain relative to that of one in this host's.
+/// Load of a peer in another failure domain relative to that of one in this host's, in the choice.
 const OTHER_DOMAIN_FACTOR: f64 = 1.25;
 const MAX_SERVICES: usize = 1_024;
 const MAX_PEERS: usize = 1_024;
@@ -168,7 +168,8 @@
         if known.cut_since.is_some() {
             return ReachStep::Nothing;
         }
-        if known.failed.len() >= MIN_FAILED_SERVERS.min(servers.max(1)) {
+        let needed = MIN_FAILED_SERVERS.min(servers.max(1));
+        if known.failed.len() >= needed && !is_recent(now, known.reached_at, REACHED_TTL) {
             known.cut_since = Some(now);
             known.probed_at = Some(now);
             return ReachStep::CutBegan;
@@ -309,9 +310,22 @@
         let (near, far) = ranked
             .into_iter()
             .partition::<Vec<_>, _>(|(_, _, peer)| peer.domain == self.domain);
+        // A cut often has a whole failure domain: a peer there that could not help is followed by one
+        // elsewhere.
+        let is_near = |address: &P| {
+            let peer = self.peers.get(address);
+            peer.is_some_and(|peer| peer.domain == self.domain)
+        };
+        let may_be_near = !excluded.iter().any(is_near);
+        let is_for_near = may_be_near && self.is_for_near(now, service, seed, near.len());
+        let near_peers = if far.is_empty() || is_for_near {
+            COMPARED_PEERS
+        } else {
+            0
+        };
         let compared = near
             .into_iter()
-            .take(COMPARED_PEERS)
+            .take(near_peers)
             .chain(far.into_iter().take(COMPARED_PEERS));
         let least = compared
             .min_by(|(_, _, one), (_, _, other)| self.cost(one).total_cmp(&self.cost(other)));
@@ -361,6 +375,19 @@
         }
     }
 
+    /// Returns whether a request may go to one of `helpers` peers in this host's failure domain. If more of
+    /// its hosts are cut off than can help, the rest of their requests goes to other domains.
+    fn is_for_near(&self, now: Instant, service: ServiceHash, seed: u64, helpers: usize) -> bool {
+        let ttl = self.peer_ttl();
+        let cut_off = self.peers.values().filter(|peer| {
+            peer.domain == self.domain
+                && now.saturating_duration_since(peer.heard_at) < ttl
+                && peer.statement.unreached.contains(&service)
+        });
+        let cut_off = cut_off.count() as u64 + 1;
+        rendezvous_score(seed, service) % cut_off < helpers as u64
+    }
+
     fn peer_ttl(&self) -> Duration {
         let peers = u32::try_from(self.peers.len()).unwrap_or(u32::MAX);
         PEER_TTL.max(PEER_TTL_PER_PEER.saturating_mul(peers))
@@ -380,10 +407,9 @@
 impl Service {
     /// Returns whether other servers have to be connected to now, which counts as done.
     fn begin_check(&mut self, now: Instant) -> bool {
-        let is_recent = |at: Option<Instant>, time: Duration| {
-            at.is_some_and(|at| now.saturating_duration_since(at) < time)
-        };
-        if is_recent(self.reached_at, REACHED_TTL) || is_recent(self.checked_at, CHECK_INTERVAL) {
+        if is_recent(now, self.reached_at, REACHED_TTL)
+            || is_recent(now, self.checked_at, CHECK_INTERVAL)
+        {
             return false;
         }
         self.checked_at = Some(now);
@@ -400,3 +426,7 @@
             && !self.statement.unreached.contains(&service)
     }
 }
+
+fn is_recent(now: Instant, at: Option<Instant>, time: Duration) -> bool {
+    at.is_some_and(|at| now.saturating_duration_since(at) < time)
+}
