Test forwarded requests: what is passed on, who leaves, stops and deaths of peers

Found by these tests, and mended: a peer refused retries of forwarded requests as it had counted no request of the service (a stream that broke there was not resumed); a request that three servers refused went to another peer and to the same servers again (6 arrivals for 3); headers between hosts reached callers of streams.

The request is still counted once in the fleet's retry budget, by the host that its caller reached.

--- a/crates/hickoryhall-gateway/src/core.rs
+++ b/crates/hickoryhall-gateway/src/core.rs
@@ -346,12 +346,19 @@
 
     /// Counts a request to a service, which adds to the retry budget of that service.
     pub fn record_request(&mut self, now: Instant, service: &TargetId) {
+        self.retry_budget(service).record_request(now);
+    }
+
+    /// Prepares the retry budget of a service for a request that another host has counted.
+    pub fn record_forwarded_request(&mut self, service: &TargetId) {
+        self.retry_budget(service);
+    }
+
+    fn retry_budget(&mut self, service: &TargetId) -> &mut FleetRetryBudget {
         let limit = self.config.retry_limit;
         let restarted_at = self.config.restarted_at;
         let budget = self.retry_budgets.entry(service.clone());
-        budget
-            .or_insert_with(|| FleetRetryBudget::new(limit, restarted_at))
-            .record_request(now);
+        budget.or_insert_with(|| FleetRetryBudget::new(limit, restarted_at))
     }
 
     /// Takes one retry from this host's share of a service's budget.
--- a/crates/hickoryhall-gateway/src/exchange.rs
+++ b/crates/hickoryhall-gateway/src/exchange.rs
@@ -29,6 +29,7 @@
 use tokio::sync::{Notify, oneshot};
 
 use crate::core::CoreHandle;
+use crate::forwarding::ReachedServer;
 use crate::interface::{LocalFailure, Platform};
 use crate::outcome::{Ending, NextStep, RequestOutcome, TimeLeft};
 use crate::registry::ServerId;
@@ -260,6 +261,8 @@
     suspect: Option<Suspect>,
     /// Attempts at servers that could not be connected to.
     unsent_attempts: u32,
+    /// Whether an attempt reached a server.
+    has_reached_server: bool,
     /// Peers that got the request.
     peers: Vec<Ipv4Addr>,
     /// Whether the request probes whether a refused prompt part still does.
@@ -273,14 +276,14 @@
         let record = RequestRecord::new(&request, gateway.logger.clone());
         let mut outcome = RequestOutcome::new(request.route.kind, request.route.attempts);
         let (mut excluded, mut software) = (Vec::new(), None);
+        let (core, service) = (&gateway.core, &request.service);
         if let Some(Forwarded { request, .. }) = &request.forwarded {
+            core.with(|core, _| core.record_forwarded_request(service));
             (0..request.possible_runs).for_each(|_| outcome.record_possible_run());
             excluded.clone_from(&request.excluded);
             software = request.software;
         } else {
-            gateway
-                .core
-                .with(|core, now| core.record_request(now, &request.service));
+            core.with(|core, now| core.record_request(now, service));
         }
         Self {
             gateway,
@@ -290,6 +293,7 @@
             outcome,
             software,
             unsent_attempts: 0,
+            has_reached_server: false,
             peers: Vec::new(),
             suspect: None,
             is_probe: false,
@@ -429,6 +433,8 @@
                 return NextStep::Retry;
             }
             self.unsent_attempts += 1;
+        } else {
+            self.has_reached_server |= source.server().is_some();
         }
         let (core, service) = (&self.gateway.core, &self.request.service);
         self.outcome.on_failure(failure, time_left, || {
@@ -510,8 +516,12 @@
 
     fn respond_failure(mut self, failure: LocalFailure) -> Response<ResponseBody> {
         self.record.failed(&failure);
-        self.gateway
-            .error_response(Some(&self.request.meta.request_id), &failure)
+        let id = &self.request.meta.request_id;
+        let mut response = self.gateway.error_response(Some(id), &failure);
+        if self.has_reached_server {
+            response.extensions_mut().insert(ReachedServer);
+        }
+        response
     }
 
     fn respond(mut self, response: BufferedResponse) -> Response<ResponseBody> {
--- a/crates/hickoryhall-gateway/src/exchange/forward.rs
+++ b/crates/hickoryhall-gateway/src/exchange/forward.rs
@@ -187,9 +187,12 @@
             Ok(sent) => sent,
             Err(failure) => return failed(PeerEnd::Gone, failure),
         };
-        let (head, body) = response.into_parts();
+        let (mut head, body) = response.into_parts();
         let outcome = match ForwardOutcome::try_from(&head.headers) {
-            Ok(outcome) => outcome,
+            Ok(outcome) => {
+                forwarding::remove_headers(&mut head.headers);
+                outcome
+            }
             Err(error) => {
                 warn!(
                     self.gateway.logger, "exchange: Response of a peer cannot be read.";
@@ -224,8 +227,7 @@
             ForwardOutcome::Served { .. } => None,
             ForwardOutcome::Failed { ran } => Some(ran),
         };
-        let mut headers = self.gateway.platform.response_headers(&head.headers);
-        forwarding::remove_headers(&mut headers);
+        let headers = self.gateway.platform.response_headers(&head.headers);
         let body = match self.read_peer_body(body, connection, &response_meta).await {
             Ok(body) => body,
             Err(failure) => return failed(PeerEnd::Gone, failure),
--- a/crates/hickoryhall-gateway/src/forwarding.rs
+++ b/crates/hickoryhall-gateway/src/forwarding.rs
@@ -90,6 +90,10 @@
 #[derive(Clone, Debug)]
 pub struct StreamSoftware(pub SoftwareVersion);
 
+/// Marks the failure response of a request that reached a server; an extension of responses.
+#[derive(Clone, Copy, Debug)]
+pub struct ReachedServer;
+
 /// Removes the headers of this module from a head.
 pub fn remove_headers(headers: &mut HeaderMap) {
     for name in &HEADERS {
@@ -156,7 +160,9 @@
         let extensions = response.extensions();
         match extensions.get::<LocalFailure>() {
             Some(failure)
-                if failure.ran == Ran::No && UNREACHED_REASONS.contains(&failure.reason) =>
+                if failure.ran == Ran::No
+                    && UNREACHED_REASONS.contains(&failure.reason)
+                    && extensions.get::<ReachedServer>().is_none() =>
             {
                 Self::Unreached
             }
--- a/crates/hickoryhall-gateway/tests/forwarding.rs
+++ b/crates/hickoryhall-gateway/tests/forwarding.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use hickoryhall_gateway::forwarding::{
-    ForwardOutcome, ForwardedRequest, StreamSoftware, remove_headers,
+    ForwardOutcome, ForwardedRequest, ReachedServer, StreamSoftware, remove_headers,
 };
 use hickoryhall_gateway::interface::LocalFailure;
 use hickoryhall_types::Ran;
@@ -83,6 +83,15 @@
     assert_eq!(ForwardOutcome::try_from(&headers), Ok(outcome));
 }
 
+/// Servers that refuse a request must not get it again from each peer.
+#[test]
+fn a_request_that_reached_servers_is_not_offered_to_other_peers() {
+    let mut response = failure("no_server", Ran::No);
+    response.extensions_mut().insert(ReachedServer);
+    let failed = ForwardOutcome::Failed { ran: Ran::No };
+    assert_eq!(ForwardOutcome::of(&response), failed);
+}
+
 #[test]
 fn the_software_of_a_stream_is_passed_on() {
     let mut response = Response::new(());
