End the ejections of a service's servers when a host reaches it again

After a cut of all hosts from all servers, 11 of 91 requests sent more than a second after its end were refused in the silent case of callers_are_served_soon_after_all_hosts_were_cut_off: each failed attempt had doubled the ejection of its server, up to half a minute, though the failure was the host's own. A host that was cut off cannot tell which of its servers also failed, so the first new connection ends all their ejections; a server that is gone costs an attempt again.

--- a/crates/hickoryhall-gateway/src/core/reach.rs
+++ b/crates/hickoryhall-gateway/src/core/reach.rs
@@ -29,6 +29,8 @@
             "service" => &*server.service, "server" => &*server.id,
             "cut_off_ms" => lasted.as_millis()
         );
+        self.scheduler.end_ejections(&server.service);
+        self.place_waiting(now);
     }
 
     /// Records a new connection to a server that failed; returns what follows.
--- a/crates/hickoryhall-gateway/src/scheduler/updates.rs
+++ b/crates/hickoryhall-gateway/src/scheduler/updates.rs
@@ -2,7 +2,7 @@
 
 use std::time::Instant;
 
-use hickoryhall_routing::PrefixChain;
+use hickoryhall_routing::{Ejection, PrefixChain};
 use hickoryhall_types::{Incarnation, TargetId};
 
 use super::server::ServerState;
@@ -144,6 +144,14 @@
         state.is_some_and(|state| state.statements.is_leaving)
     }
 
+    /// Ends the ejections of the servers of a service, which this host could not tell from its own cut.
+    pub fn end_ejections(&mut self, service: &str) {
+        for &key in self.by_service.get(service).into_iter().flatten() {
+            self.servers[key].ejection = Ejection::default();
+        }
+        self.unreachable_domains.clear();
+    }
+
     /// Returns the servers of a service that are not shutting down, in an order that is the same on every
     /// host.
     pub fn staying_servers(&self, service: &str) -> impl Iterator<Item = &BackendServer> {
