Take no cut for crashes of the servers that it cuts off

A refused connection is evidence of a crash only if another server of the service is reached, or there is no other one.

--- a/crates/hickoryhall-gateway/src/core/reach.rs
+++ b/crates/hickoryhall-gateway/src/core/reach.rs
@@ -56,6 +56,13 @@
         self.reach.must_check(now, hash_name(&server.service))
     }
 
+    /// Returns whether the service of a server has no other one.
+    #[must_use]
+    pub fn is_only_server(&self, server: &BackendServer) -> bool {
+        let mut servers = self.scheduler.staying_servers(&server.service);
+        servers.all(|other| other.id == server.id)
+    }
+
     /// Returns some other servers of a server's service, from several failure domains if there are any,
     /// that new connections have not failed at.
     #[must_use]
--- a/crates/hickoryhall-gateway/src/exchange/crash.rs
+++ b/crates/hickoryhall-gateway/src/exchange/crash.rs
@@ -92,7 +92,9 @@
             gateway.pool.release(connection, None);
             (true, false)
         }
-        Err(error) => (false, error.is_refused()),
+        // Where no other server is reached either, this host may be cut off.
+        Err(error) if error.is_refused() => (false, gateway.reaches_other_server(server).await),
+        Err(_) => (false, false),
     };
     let is_gone = gateway
         .core
--- a/crates/hickoryhall-gateway/src/exchange/reach.rs
+++ b/crates/hickoryhall-gateway/src/exchange/reach.rs
@@ -96,6 +96,17 @@
         );
     }
 
+    /// Returns whether new connections to other servers of a server's service can be opened, or there is no
+    /// other one.
+    pub(super) async fn reaches_other_server(self: &Rc<Self>, server: &BackendServer) -> bool {
+        let (is_only, targets) = self.core.with(|core, _| {
+            let is_only = core.is_only_server(server);
+            (is_only, core.reach_check_targets(server))
+        });
+        let checks = targets.iter().map(|target| self.check_server(target));
+        is_only || join_all(checks).await.contains(&true)
+    }
+
     /// Returns whether a new connection to a server can be opened.
     pub(super) async fn check_server(self: &Rc<Self>, server: &BackendServer) -> bool {
         match self.connect(server).await {
