Give the lease for orders back while a host is cut off from runners

It now gives the lease back, and only hosts that reach the runners of all models compete, ranked among those that do.

--- a/crates/hickoryhall-gateway/src/core.rs
+++ b/crates/hickoryhall-gateway/src/core.rs
@@ -504,9 +504,14 @@
 }
 
 fn duty_rank(fleet: &Fleet, own: HostHash, now: Instant, duty: u64) -> usize {
+    rank_among(&fleet.live(now), own, duty)
+}
+
+/// Returns the rank of a host among others for a duty, by rendezvous hashing; 0 is first.
+fn rank_among(others: &[HostHash], own: HostHash, duty: u64) -> usize {
     let own = rendezvous_score(duty, own);
-    let hosts = fleet.live(now).into_iter();
-    hosts
-        .filter(|&host| rendezvous_score(duty, host) > own)
+    let others = others.iter();
+    others
+        .filter(|&&host| rendezvous_score(duty, host) > own)
         .count()
 }
--- a/crates/hickoryhall-gateway/src/core/reach.rs
+++ b/crates/hickoryhall-gateway/src/core/reach.rs
@@ -5,13 +5,14 @@
 use std::time::Instant;
 
 use hickoryhall_routing::{PeerEnd, ReachStatement, ReachStep};
-use hickoryhall_types::hash_name;
+use hickoryhall_types::{TargetId, hash_name};
 use metrics::{counter, gauge};
 use slog::{info, warn};
 
-use super::Core;
+use super::{Core, rank_among};
 use crate::peers::Digest;
 use crate::registry::BackendServer;
+use crate::scheduler::HostHash;
 
 /// Maximum number of servers that a check connects to.
 const MAX_CHECKED_SERVERS: usize = 3;
@@ -86,6 +87,38 @@
         self.reach.is_cut_off(hash_name(service))
     }
 
+    /// Returns whether this host reaches the runners of all models, as far as it knows.
+    #[must_use]
+    pub fn reaches_runners(&self) -> bool {
+        let services = self.scheduler.model_services();
+        services
+            .into_iter()
+            .all(|service| !self.is_cut_off(service))
+    }
+
+    /// Returns this host's rank for a duty at the runners of all models, among the live hosts that reach
+    /// them; `None` if this host does not.
+    #[must_use]
+    pub fn duty_rank_at_runners(&self, now: Instant, duty: u64) -> Option<usize> {
+        let able = self.hosts_that_reach(now, self.scheduler.model_services());
+        self.reaches_runners()
+            .then(|| rank_among(&able, self.config.host, duty))
+    }
+
+    /// Returns the live peers that are not cut off from some services.
+    pub(super) fn hosts_that_reach<'a>(
+        &self,
+        now: Instant,
+        services: impl IntoIterator<Item = &'a TargetId>,
+    ) -> Vec<HostHash> {
+        let services = services.into_iter();
+        let cut_off = services.flat_map(|service| self.reach.cut_off_hosts(hash_name(service)));
+        let cut_off = cut_off.collect::<HashSet<_>>();
+        let mut hosts = self.fleet.live(now);
+        hosts.retain(|host| !cut_off.contains(host));
+        hosts
+    }
+
     pub(super) fn reach_statement(&self) -> ReachStatement {
         let requests = self.scheduler.request_count();
         self.reach
--- a/crates/hickoryhall-gateway/src/orders.rs
+++ b/crates/hickoryhall-gateway/src/orders.rs
@@ -43,6 +43,8 @@
 const MAX_CANDIDATES: usize = 4;
 /// Time between two checks of whether this host has become one of those that compete.
 const CANDIDATE_CHECK_INTERVAL: Duration = Duration::from_millis(700);
+/// Interval at which the holder checks whether it reaches runners.
+const CUT_CHECK_INTERVAL: Duration = Duration::from_millis(200);
 /// Base delay after a failure of the store; each host randomizes it, so that hosts do not retry at
 /// the same time.
 const STORE_RETRY_DELAY: Duration = Duration::from_millis(400);
@@ -152,8 +154,17 @@
     /// Returns whether this host is among the live hosts that compete for the lease.
     fn is_candidate(&self) -> bool {
         let duty = hash_name(LEASE_KEY);
-        self.core
-            .with(|core, now| core.duty_rank(now, duty) < MAX_CANDIDATES)
+        let rank = self
+            .core
+            .with(|core, now| core.duty_rank_at_runners(now, duty));
+        rank.is_some_and(|rank| rank < MAX_CANDIDATES)
+    }
+
+    /// Waits until this host is cut off from runners, so that its orders reach none.
+    async fn cut_off(&self) {
+        while self.core.with(|core, _| core.reaches_runners()) {
+            sleep(CUT_CHECK_INTERVAL).await;
+        }
     }
 
     /// Waits until the lease key is free and acquires the lease; `None` if another host was faster.
@@ -166,6 +177,7 @@
                 tokio::select! {
                     freed = self.wait_until_free(position) => freed?,
                     () = self.stopped() => return Ok(None),
+                    () = self.cut_off() => return Ok(None),
                 }
                 0
             }
@@ -252,6 +264,11 @@
             () = self.store.wait_for_newer_era(acquired.key.era) => "store restored",
             () = self.watch_key(acquired.key) => "key changed",
             () = self.renew(acquired.lease, &planner) => "not renewed",
+            () = self.cut_off() => {
+                let ended = self.store.end_lease(acquired.lease).await;
+                info!(self.logger, "orders: Lease given back, the host is cut off from runners."; "fencing" => acquired.fencing(), "outcome" => ?ended);
+                return;
+            }
             () = self.issue_orders(&planner) => {
                 let ended = self.store.end_lease(acquired.lease).await;
                 info!(self.logger, "orders: Lease given back, the host stops."; "fencing" => acquired.fencing(), "outcome" => ?ended);
--- a/crates/hickoryhall-gateway/src/scheduler/updates.rs
+++ b/crates/hickoryhall-gateway/src/scheduler/updates.rs
@@ -170,6 +170,18 @@
             .map(|(service, _)| service)
     }
 
+    /// Returns the service of a server, given by the hash of its id.
+    #[must_use]
+    pub fn service_of(&self, server: u64) -> Option<&TargetId> {
+        let key = self.by_hash.get(&server)?;
+        Some(&self.servers[*key].server.service)
+    }
+
+    /// Returns the names of the services whose servers have models.
+    pub fn model_services(&self) -> impl Iterator<Item = &TargetId> {
+        self.runner_capacities.keys()
+    }
+
     /// Returns the number of requests that wait here or are in progress at servers.
     #[must_use]
     pub fn request_count(&self) -> usize {
--- a/crates/hickoryhall-limits/src/server_limits.rs
+++ b/crates/hickoryhall-limits/src/server_limits.rs
@@ -89,6 +89,11 @@
         self.servers.len()
     }
 
+    /// Returns the servers that name a limit or did so lately.
+    pub fn servers(&self) -> impl Iterator<Item = ServerHash> {
+        self.servers.keys().copied()
+    }
+
     /// Records what an answer says about the limit of a process; `sent_at` is the time at which the
     /// request was sent. Answers to earlier requests than the last one that counted change nothing.
     ///
--- a/crates/hickoryhall-routing/src/reach.rs
+++ b/crates/hickoryhall-routing/src/reach.rs
@@ -244,6 +244,13 @@
         }
     }
 
+    /// Returns the hashes of the names of the peers that say that they are cut off from a service.
+    pub fn cut_off_hosts(&self, service: ServiceHash) -> impl Iterator<Item = u64> {
+        let peers = self.peers.values();
+        let cut_off = peers.filter(move |peer| peer.statement.unreached.contains(&service));
+        cut_off.map(|peer| peer.host)
+    }
+
     /// Records the statement of a peer.
     pub fn record_statement(
         &mut self,
