Leave a cut host's part of a server's limit to hosts that reach the server

Same cause elsewhere: hosts rank themselves for a server that names a limit over all live hosts. One that was cut off held its part and sent nothing, and where it was the only holder no host sent anything: a_host_that_is_cut_off_leaves_its_part_of_a_servers_limit_to_others failed before (no other host may send). Ranks now count the hosts that reach the service.

--- a/crates/hickoryhall-gateway/src/core/limits.rs
+++ b/crates/hickoryhall-gateway/src/core/limits.rs
@@ -1,14 +1,16 @@
 //! Limits that servers name for the requests of all hosts together.
 
+use std::collections::HashMap;
 use std::time::Instant;
 
-use hickoryhall_types::{Incarnation, hash_name};
+use hickoryhall_types::{Incarnation, TargetId, hash_name};
 use metrics::counter;
 use slog::{info, warn};
 
-use super::{Core, duty_rank};
+use super::{Core, rank_among};
 use crate::interface::StatedLimit;
 use crate::registry::BackendServer;
+use crate::scheduler::HostHash;
 
 impl Core {
     /// Records what a response says about the limit of its server, as the registry entry was when the
@@ -60,10 +62,28 @@
         if self.scheduler.limits_mut().is_empty() {
             return;
         }
-        let (fleet, host) = (&self.fleet, self.config.host);
-        let hosts = fleet.live(now).len() + 1;
-        self.scheduler
-            .limits_mut()
-            .divide(now, hosts, |server| duty_rank(fleet, host, now, server));
+        let hosts = self.fleet.live(now).len() + 1;
+        let ranks = self.limit_ranks(now);
+        self.scheduler.limits_mut().divide(now, hosts, |server| {
+            ranks.get(&server).copied().unwrap_or(usize::MAX)
+        });
+    }
+
+    /// Returns this host's rank for each server that names a limit, among the live hosts that reach the
+    /// service; there is none for a server that this host does not reach or know.
+    fn limit_ranks(&mut self, now: Instant) -> HashMap<u64, usize> {
+        let limited = self.scheduler.limits_mut().servers().collect::<Vec<_>>();
+        let mut able_hosts = HashMap::<TargetId, Vec<HostHash>>::new();
+        let ranks = limited.into_iter().filter_map(|server| {
+            let service = self.scheduler.service_of(server)?;
+            if self.is_cut_off(service) {
+                return None;
+            }
+            let able = able_hosts
+                .entry(service.clone())
+                .or_insert_with(|| self.hosts_that_reach(now, [service]));
+            Some((server, rank_among(able, self.config.host, server)))
+        });
+        ranks.collect()
     }
 }
--- a/crates/hickoryhall-gateway/tests/cut_hosts.rs
+++ b/crates/hickoryhall-gateway/tests/cut_hosts.rs
@@ -6,12 +6,14 @@
 use std::time::{Duration, Instant};
 
 use hickoryhall_gateway::core::{Core, CoreConfig};
+use hickoryhall_gateway::interface::StatedLimit;
 use hickoryhall_gateway::registry::BackendServer;
-use hickoryhall_gateway::scheduler::SchedulerConfig;
+use hickoryhall_gateway::scheduler::{PlacementRefusal, RefusalReason, SchedulerConfig};
 use hickoryhall_limits::FleetRetryLimit;
 use hickoryhall_types::hash_name;
 use slog::{Discard, Logger, o};
-use support::{model_service, runner, table_of};
+use support::{model_service, placement_request, runner, table_of};
+use tokio::sync::oneshot;
 
 const HOSTS: usize = 3;
 const RUNNERS: usize = 4;
@@ -85,6 +87,27 @@
             .map(|host| host.duty_rank_at_runners(self.now, DUTY))
             .collect()
     }
+
+    /// Returns which hosts may send a request now.
+    fn senders(&mut self) -> Vec<usize> {
+        let mut senders = Vec::new();
+        for (index, host) in self.hosts.iter_mut().enumerate() {
+            let request = placement_request(index as u64 + 1, Vec::new(), self.now);
+            let (reply, mut placement) = oneshot::channel();
+            host.place(self.now, request, reply);
+            match placement.try_recv() {
+                Ok(Ok(_)) => senders.push(index),
+                Ok(Err(PlacementRefusal { reason, .. })) => {
+                    assert!(matches!(
+                        reason,
+                        RefusalReason::Limited | RefusalReason::NoServer
+                    ));
+                }
+                Err(_) => {}
+            }
+        }
+        senders
+    }
 }
 
 /// Guards against orders that reach no runner while another host could give them.
@@ -104,3 +127,20 @@
     fleet.exchange();
     assert_eq!(fleet.ranks()[first], Some(0));
 }
+
+/// Guards against limits of servers that a host holds which cannot use them.
+#[test]
+fn a_host_that_is_cut_off_leaves_its_part_of_a_servers_limit_to_others() {
+    let mut fleet = Fleet::new(1);
+    let (now, limit) = (fleet.now, StatedLimit::PerSecond(1.0));
+    fleet.hosts[0].on_stated_limit(now, &runner(0, 64), limit, now);
+    fleet.exchange();
+    fleet.exchange();
+    let holders = fleet.senders();
+    assert_eq!(holders.len(), 1, "{holders:?}");
+    fleet.cut_off(holders[0]);
+    fleet.now += Duration::from_secs(2);
+    fleet.exchange();
+    let able = fleet.senders();
+    assert!(able.iter().any(|host| !holders.contains(host)), "{able:?}");
+}
