--- a/crates/hickoryhall-routing/tests/reach.rs
+++ b/crates/hickoryhall-routing/tests/reach.rs
@@ -111,7 +111,7 @@
     fn reaches(&self, host: usize, server: usize) -> bool {
         let (at_s, domain) = (self.time_s(), self.hosts[host].domain);
         !self.cuts.iter().any(|cut| {
-            let is_on = cut.flap_s <= 0.0 || (at_s / cut.flap_s) as u64 % 2 == 0;
+            let is_on = cut.flap_s <= 0.0 || ((at_s / cut.flap_s) as u64).is_multiple_of(2);
             cut.at_s.contains(&at_s) && is_on && (cut.is_cut)(host, domain, server)
         })
     }
