Divide the slots of servers that fall over under refusals among the hosts

Servers may say that they fall over when they turn away more than some requests a second for want of room, those of all hosts together.

Hosts see each other's requests a tenth of a second late and so send more than a server has room for. They now divide its slots by the rule that divides limits of servers, and share the statements in the same way. A host sends more than its part only while a quarter of the slots is free, and for so many such requests a second that half of what the server can turn away is risked; after a refusal it sends nothing there for half a second.

--- a/crates/hickoryhall-gateway/src/core/digests.rs
+++ b/crates/hickoryhall-gateway/src/core/digests.rs
@@ -104,6 +104,7 @@
             suspects: self.suspect_updates.clone(),
             crashes: self.suspects.crash_news(now),
             limits: self.scheduler.limits_mut().news(now),
+            refusal_limits: self.scheduler.brittle_mut().news(now),
             reach: self.reach_statement(),
             ..Digest::default()
         }
@@ -196,6 +197,14 @@
                 self.limit_changed(now, &name, process, limit, "peer");
             }
         }
+        for statement in &digest.refusal_limits {
+            if self.scheduler.brittle_mut().merge(now, statement) {
+                let name = self.scheduler.server_name(statement.server);
+                let name = name.unwrap_or_else(|| format!("{:016x}", statement.server).into());
+                let (process, limit) = (statement.process, statement.limit_per_s);
+                self.refusal_limit_changed(now, &name, process, limit, "peer");
+            }
+        }
         for part in self.suspects.merge_crash_news(now, &digest.crashes) {
             counter!("prompt_parts_refused_total", "source" => "peer").increment(1);
             info!(
--- a/crates/hickoryhall-gateway/src/core/limits.rs
+++ b/crates/hickoryhall-gateway/src/core/limits.rs
@@ -39,6 +39,61 @@
         }
     }
 
+    /// Records what a response says about the requests that its server can turn away.
+    pub fn on_refusal_limit(
+        &mut self,
+        now: Instant,
+        server: &BackendServer,
+        limit: StatedLimit,
+        sent_at: Instant,
+    ) {
+        let (hash, process) = (hash_name(&server.id), server.incarnation);
+        let limit_per_s = match limit {
+            StatedLimit::None => None,
+            StatedLimit::PerSecond(limit_per_s) => Some(limit_per_s),
+            StatedLimit::Unreadable => {
+                if self.unreadable_limits.insert(hash, process) != Some(process) {
+                    warn!(self.logger, "core: Refusal limit of a server cannot be read."; "server" => &*server.id, "incarnation" => process);
+                }
+                return;
+            }
+        };
+        let brittle = self.scheduler.brittle_mut();
+        if brittle.record(now, hash, process, limit_per_s, sent_at) {
+            self.refusal_limit_changed(now, &server.id, process, limit_per_s, "response");
+        }
+    }
+
+    /// Logs a changed limit of requests that a server can turn away, and divides the brittle servers
+    /// among the hosts again.
+    pub(super) fn refusal_limit_changed(
+        &mut self,
+        now: Instant,
+        server: &str,
+        process: Incarnation,
+        limit: Option<f64>,
+        source: &'static str,
+    ) {
+        counter!("refusal_limits_changed_total", "source" => source).increment(1);
+        info!(
+            self.logger, "core: Refusal limit of a server changed.";
+            "server" => server, "incarnation" => process, "refusals_per_s" => limit,
+            "source" => source
+        );
+        self.divide_brittle_servers(now);
+    }
+
+    /// Divides the slots of brittle servers among the live hosts.
+    pub(super) fn divide_brittle_servers(&mut self, now: Instant) {
+        if self.scheduler.brittle_mut().is_empty() {
+            return;
+        }
+        let hosts = self.fleet.live(now).len() + 1;
+        let servers = self.scheduler.brittle_mut().servers().collect();
+        let ranks = self.ranks(now, servers);
+        self.scheduler.divide_brittle_servers(now, hosts, &ranks);
+    }
+
     /// Logs a changed limit, and divides the limits among the hosts again.
     pub(super) fn limit_changed(
         &mut self,
@@ -63,18 +118,18 @@
             return;
         }
         let hosts = self.fleet.live(now).len() + 1;
-        let ranks = self.limit_ranks(now);
+        let servers = self.scheduler.limits_mut().servers().collect();
+        let ranks = self.ranks(now, servers);
         self.scheduler.limits_mut().divide(now, hosts, |server| {
             ranks.get(&server).copied().unwrap_or(usize::MAX)
         });
     }
 
-    /// Returns this host's rank for each server that names a limit, among the live hosts that reach the
-    /// service; there is none for a server that this host does not reach or know.
-    fn limit_ranks(&mut self, now: Instant) -> HashMap<u64, usize> {
-        let limited = self.scheduler.limits_mut().servers().collect::<Vec<_>>();
+    /// Returns this host's rank for each of some servers, among the live hosts that reach the service;
+    /// there is none for a server that this host does not reach or know.
+    fn ranks(&self, now: Instant, servers: Vec<u64>) -> HashMap<u64, usize> {
         let mut able_hosts = HashMap::<TargetId, Vec<HostHash>>::new();
-        let ranks = limited.into_iter().filter_map(|server| {
+        let ranks = servers.into_iter().filter_map(|server| {
             let service = self.scheduler.service_of(server)?;
             if self.is_cut_off(service) {
                 return None;
--- a/crates/hickoryhall-gateway/src/exchange/attempt.rs
+++ b/crates/hickoryhall-gateway/src/exchange/attempt.rs
@@ -175,6 +175,7 @@
             core.on_response_head(now, server, kind, &response_meta);
             if kind.is_from_server() {
                 core.on_stated_limit(now, server, response_meta.limit, sent_at);
+                core.on_refusal_limit(now, server, response_meta.refusal_limit, sent_at);
             }
         });
         if kind == ResponseKind::Success && self.request.route.kind.is_stream() {
--- a/crates/hickoryhall-gateway/src/interface.rs
+++ b/crates/hickoryhall-gateway/src/interface.rs
@@ -164,12 +164,15 @@
     pub pause: Option<Duration>,
     /// Number of requests that the server takes from all hosts together.
     pub limit: StatedLimit,
+    /// Number of requests that the server can turn away for want of room before it fails, from all hosts
+    /// together.
+    pub refusal_limit: StatedLimit,
 }
 
-/// What a response says about the number of requests that its server takes from all hosts together.
+/// What a response says about a number of requests at its server, those of all hosts together.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub enum StatedLimit {
-    /// The server takes as many as it can.
+    /// The server names none.
     #[default]
     None,
     /// Requests a second; a finite number, 0 or higher.
--- a/crates/hickoryhall-gateway/src/peers/message.rs
+++ b/crates/hickoryhall-gateway/src/peers/message.rs
@@ -45,6 +45,8 @@
     pub crashes: CrashNews,
     /// Limits that servers name.
     pub limits: Vec<LimitStatement>,
+    /// Requests a second that brittle servers can turn away.
+    pub refusal_limits: Vec<LimitStatement>,
     /// Load of the sender, and services that it is cut off from.
     pub reach: ReachStatement,
     /// Prompts that runners prefilled, or saved to a prompt cache store, since the last digest.
--- a/crates/hickoryhall-gateway/src/peers/message/wire.rs
+++ b/crates/hickoryhall-gateway/src/peers/message/wire.rs
@@ -76,6 +76,9 @@
     /// Services that the sender is cut off from.
     #[prost(fixed64, repeated, tag = "23")]
     pub(super) unreached_services: Vec<u64>,
+    /// Requests a second that brittle servers can turn away.
+    #[prost(message, repeated, tag = "24")]
+    pub(super) refusal_limits: Vec<WireLimit>,
 }
 
 /// Streams of one service that began at one software version; without streams, a version that the
@@ -260,6 +263,7 @@
             limits: digest.limits.iter().map(From::from).collect(),
             requests: digest.reach.requests,
             unreached_services: digest.reach.unreached.clone(),
+            refusal_limits: digest.refusal_limits.iter().map(From::from).collect(),
         }
     }
 }
@@ -394,6 +398,7 @@
                 blocked: wire.blocked_parts.iter().map(From::from).collect(),
             },
             limits: wire.limits.iter().map(From::from).collect(),
+            refusal_limits: wire.refusal_limits.iter().map(From::from).collect(),
             reach: ReachStatement {
                 requests: wire.requests,
                 unreached: wire.unreached_services,
--- a/crates/hickoryhall-gateway/src/scheduler.rs
+++ b/crates/hickoryhall-gateway/src/scheduler.rs
@@ -24,7 +24,7 @@
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
-use hickoryhall_limits::ServerLimits;
+use hickoryhall_limits::{BrittleServers, RoomDecision, ServerLimits};
 use hickoryhall_routing::PrefixChain;
 use hickoryhall_types::{FailureDomainId, Incarnation, TargetId, WeightsVersion};
 use slotmap::{SlotMap, new_key_type};
@@ -77,6 +77,8 @@
     /// Estimated time from placement to the first event.
     estimate: Duration,
     fetch_from: Option<SocketAddr>,
+    /// Whether a brittle server may have to turn the request away.
+    is_risky: bool,
 }
 
 enum Decision {
@@ -108,6 +110,7 @@
     cache_stores: Vec<CacheStoreState>,
     demand: FamilyDemand,
     limits: ServerLimits,
+    brittle: BrittleServers,
     /// Failure domains with a recently unreachable server, and when each entry expires.
     unreachable_domains: HashMap<FailureDomainId, Instant>,
 }
@@ -140,6 +143,7 @@
             cache_stores: Vec::new(),
             demand: FamilyDemand::default(),
             limits: ServerLimits::default(),
+            brittle: BrittleServers::default(),
             unreachable_domains: HashMap::new(),
         }
     }
@@ -350,6 +354,9 @@
             return;
         }
         state.remove_request(attempt_id);
+        if active.is_risky && end == AttemptEnd::Answered {
+            self.brittle.return_risk(now, state.name_hash);
+        }
         match end {
             AttemptEnd::Answered => state.ejection.record_success(),
             AttemptEnd::Released => {}
@@ -368,6 +375,24 @@
         &mut self.limits
     }
 
+    /// Returns the servers that are brittle, to record statements.
+    pub fn brittle_mut(&mut self) -> &mut BrittleServers {
+        &mut self.brittle
+    }
+
+    /// Divides the slots of brittle servers among the hosts, by this host's rank for each.
+    pub fn divide_brittle_servers(
+        &mut self,
+        now: Instant,
+        hosts: usize,
+        ranks: &HashMap<u64, usize>,
+    ) {
+        let (by_hash, servers) = (&self.by_hash, &self.servers);
+        let slots = |server| Some(servers[*by_hash.get(&server)?].slots());
+        let rank = |server| ranks.get(&server).copied().unwrap_or(usize::MAX);
+        self.brittle.divide(now, hosts, rank, slots);
+    }
+
     /// Returns the number of attempts at a process of a server that were placed before a time and
     /// have not ended.
     #[must_use]
@@ -437,6 +462,8 @@
         let state = &mut self.servers[candidate.key];
         let requests = state.request_count(now, reported_load_ttl);
         let prompt = request.prompt.as_ref();
+        let is_risky =
+            room_decision(&self.brittle, reported_load_ttl, now, state) == RoomDecision::Risky;
         let load = RequestLoad {
             pending_ms: candidate.own_work_ms.ceil() as u32,
             unshared_tokens: prompt.map_or(0, PromptInfo::unshared_tokens),
@@ -447,6 +474,9 @@
         state.add_request(request.attempt_id, load);
         let (name_hash, process) = (state.name_hash, state.server.incarnation);
         self.limits.take(now, name_hash, process);
+        if is_risky {
+            self.brittle.take_risk(now, name_hash);
+        }
         if let Some(prompt) = prompt {
             state.update_cache_budgets(now);
             state.expected_cache.insert(now, &prompt.chain);
@@ -458,6 +488,7 @@
             placed_at: now,
             estimate: candidate.estimate,
             fetch_from: candidate.fetch_from.map(|(from, _)| from),
+            is_risky,
         };
         self.active.insert(request.attempt_id, active);
         let save_to = prompt.and_then(|prompt| self.save_to(now, prompt, candidate));
@@ -475,3 +506,15 @@
         })
     }
 }
+
+/// Returns whether a server has room for another request of this host, if it is brittle.
+fn room_decision(
+    brittle: &BrittleServers,
+    reported_load_ttl: Duration,
+    now: Instant,
+    state: &ServerState,
+) -> RoomDecision {
+    let all = state.request_count(now, reported_load_ttl);
+    let load = (state.own_load().requests, all, state.slots());
+    brittle.decide(now, state.name_hash, state.server.incarnation, load)
+}
--- a/crates/hickoryhall-gateway/src/scheduler/candidate.rs
+++ b/crates/hickoryhall-gateway/src/scheduler/candidate.rs
@@ -3,10 +3,12 @@
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
-use hickoryhall_limits::LimitDecision;
+use hickoryhall_limits::{LimitDecision, RoomDecision};
 use hickoryhall_types::{TokenCount, rendezvous_score};
 
-use super::{PlacementRequest, PromptInfo, RefusalReason, Scheduler, ServerKey, ServerState};
+use super::{
+    PlacementRequest, PromptInfo, RefusalReason, Scheduler, ServerKey, ServerState, room_decision,
+};
 use crate::table::RunnerCapacity;
 
 /// Transfer time from a prompt cache store relative to that from a runner, whose link is faster.
@@ -121,6 +123,7 @@
         match compared {
             Err(RefusalReason::NoServer) => compared,
             _ if state.statements.pause_end(now).is_some() => Err(RefusalReason::Paused),
+            Ok(_) if self.room(now, state) == RoomDecision::Full => Err(RefusalReason::Full),
             Ok(_) if self.limit_decision(now, state) != LimitDecision::Allowed => {
                 Err(RefusalReason::Limited)
             }
@@ -134,6 +137,10 @@
         self.limits.decide(now, state.name_hash, process)
     }
 
+    fn room(&self, now: Instant, state: &ServerState) -> RoomDecision {
+        room_decision(&self.brittle, self.config.reported_load_ttl, now, state)
+    }
+
     fn plain_candidate(&self, now: Instant, key: ServerKey) -> Result<Candidate, RefusalReason> {
         let state = &self.servers[key];
         let requests = f64::from(state.request_count(now, self.config.reported_load_ttl));
--- a/crates/hickoryhall-gateway/src/scheduler/server.rs
+++ b/crates/hickoryhall-gateway/src/scheduler/server.rs
@@ -294,6 +294,12 @@
         self.statements.is_leaving = true;
     }
 
+    /// Returns the number of requests that the server runs at the same time.
+    pub fn slots(&self) -> u32 {
+        let capacity = self.runner_capacity.as_ref();
+        capacity.map_or(self.server.slots, |capacity| capacity.slots)
+    }
+
     /// Returns whether the server takes no new work because it is shutting down.
     pub fn is_leaving(&self) -> bool {
         self.server.is_leaving || self.statements.is_leaving
--- a/crates/hickoryhall-gateway/src/scheduler/updates.rs
+++ b/crates/hickoryhall-gateway/src/scheduler/updates.rs
@@ -41,6 +41,9 @@
         if !kind.is_from_server() {
             return None;
         }
+        if kind == ResponseKind::NotRun && response_meta.pause.is_none() {
+            self.brittle.record_refusal(now, state.name_hash);
+        }
         if let Some(load) = response_meta.load {
             state.set_reported_load(now, load);
         }
--- a/crates/hickoryhall-gateway/tests/incarnations.rs
+++ b/crates/hickoryhall-gateway/tests/incarnations.rs
@@ -81,6 +81,7 @@
             is_leaving: false,
             pause: None,
             limit: StatedLimit::None,
+            refusal_limit: StatedLimit::None,
         };
         let server = entry(incarnation, 1);
         self.scheduler.record_response_head(
--- a/crates/hickoryhall-gateway/tests/messages.rs
+++ b/crates/hickoryhall-gateway/tests/messages.rs
@@ -92,6 +92,12 @@
             limit_per_s: [None, Some(f64::from(small(3)) / 8.0)][number(4) as usize % 2],
             age: Duration::from_millis(number(5)),
         }],
+        refusal_limits: vec![LimitStatement {
+            server: number(6),
+            process: number(1),
+            limit_per_s: [None, Some(f64::from(small(2)))][number(3) as usize % 2],
+            age: Duration::from_millis(number(4)),
+        }],
         reach: ReachStatement {
             requests: small(6),
             unreached: vec![number(7); number(8) as usize % 3],
--- a/crates/hickoryhall-gateway/tests/outcome.rs
+++ b/crates/hickoryhall-gateway/tests/outcome.rs
@@ -33,6 +33,7 @@
         is_leaving: false,
         pause: None,
         limit: StatedLimit::None,
+        refusal_limit: StatedLimit::None,
         is_encoded,
         id,
         is_sealed,
--- a/crates/hickoryhall-gateway/tests/turned_away.rs
+++ b/crates/hickoryhall-gateway/tests/turned_away.rs
@@ -47,6 +47,7 @@
         is_leaving: true,
         pause: None,
         limit: StatedLimit::None,
+        refusal_limit: StatedLimit::None,
     }
 }
 
--- a/crates/hickoryhall-limits/src/lib.rs
+++ b/crates/hickoryhall-limits/src/lib.rs
@@ -11,6 +11,7 @@
 //! assert!(!bucket.take(now, 1.0));
 //! ```
 
+mod brittle_servers;
 mod bucket;
 mod concurrency;
 mod fair_queue;
@@ -20,6 +21,7 @@
 mod server_limits;
 mod shares;
 
+pub use brittle_servers::{BrittleServers, RoomDecision};
 pub use bucket::TokenBucket;
 pub use concurrency::ConcurrencyLimiter;
 pub use fair_queue::{FairQueue, Queued, Shed};
--- a/crates/hickoryhall-limits/src/server_limits.rs
+++ b/crates/hickoryhall-limits/src/server_limits.rs
@@ -169,14 +169,31 @@
         true
     }
 
-    /// Divides the limits among the hosts. `rank` returns this host's rank among the live hosts for a
-    /// server, 0 for the first; `hosts` is the number of live hosts, this one included.
-    pub fn divide(&mut self, now: Instant, hosts: usize, rank: impl Fn(ServerHash) -> usize) {
+    /// Forgets servers that have named nothing for long.
+    pub(crate) fn expire(&mut self, now: Instant) {
         self.servers.retain(|_, known| {
             let age = now.saturating_duration_since(known.stated_at);
             let changed = now.saturating_duration_since(known.changed_at);
             age < STATEMENT_TTL && (known.limit_per_s.is_some() || changed < NEWS_TTL)
         });
+    }
+
+    /// Returns the servers that name a limit, with the limits.
+    pub(crate) fn stated(&self) -> impl Iterator<Item = (ServerHash, f64)> {
+        let servers = self.servers.iter();
+        servers.filter_map(|(&server, known)| Some((server, known.limit_per_s?)))
+    }
+
+    /// Returns the limit that a process names.
+    pub(crate) fn limit(&self, server: ServerHash, process: ProcessNumber) -> Option<f64> {
+        let known = self.servers.get(&server);
+        known.filter(|known| known.process == process)?.limit_per_s
+    }
+
+    /// Divides the limits among the hosts. `rank` returns this host's rank among the live hosts for a
+    /// server, 0 for the first; `hosts` is the number of live hosts, this one included.
+    pub fn divide(&mut self, now: Instant, hosts: usize, rank: impl Fn(ServerHash) -> usize) {
+        self.expire(now);
         for (&server, known) in &mut self.servers {
             let Some(limit_per_s) = known.limit_per_s else {
                 known.rate_per_s = None;
