Keep to the rest that a server asks for in an answer that proves nothing of its request

The header was read only from answers that prove what became of the request. What an answer proves of a request says nothing about who wrote it: on a connection to the server's address only that process can.

--- a/crates/hickoryhall-gateway/src/scheduler/updates.rs
+++ b/crates/hickoryhall-gateway/src/scheduler/updates.rs
@@ -32,10 +32,8 @@
         if !state.is_current(Some(server.incarnation)) {
             return None;
         }
-        // A late refusal of another request asks for the same pause.
-        if let Some(pause) = response_meta.pause
-            && (kind.is_from_server() || kind == ResponseKind::Unproven)
-        {
+        // Whatever the response proves of a request, only the server at the address can ask for a pause.
+        if let Some(pause) = response_meta.pause {
             state.statements.pause(now, pause);
         }
         if !kind.is_from_server() {
