Read what servers say in answers that come after their attempt is over

The sending direction is still closed at once, so that the server learns as soon as before that nobody waits; the head of its answer is read for up to three seconds more, for 64 connections at most, and counts as any other for what it says of the server. It changes nothing for the request.

--- a/crates/hickoryhall-edge/src/leftover.rs
+++ b/crates/hickoryhall-edge/src/leftover.rs
@@ -9,7 +9,7 @@
 use hyper::http::response;
 use hyper::{Response, StatusCode};
 use hyper_util::rt::TokioIo;
-use tokio::io::AsyncReadExt;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
 use tokio::sync::oneshot;
 
@@ -52,6 +52,12 @@
 }
 
 impl Leftover {
+    /// Tells the server that nothing more is sent, by which it knows that nobody waits.
+    pub async fn close_sending(&mut self) {
+        // A connection that has ended needs no end.
+        let _ = self.stream.shutdown().await;
+    }
+
     /// Reads the next head; `None` if the connection ends or has something else.
     pub async fn next_head(mut self) -> Option<response::Parts> {
         let mut bytes = BytesMut::from(&*self.unread);
--- a/crates/hickoryhall-edge/src/lib.rs
+++ b/crates/hickoryhall-edge/src/lib.rs
@@ -18,7 +18,9 @@
 pub use body::{BodyReceiver, BodySender, RequestBody, ResponseBody, StreamAborted};
 pub use connections::{CallerConnection, ConnectionCounts, Connections};
 pub use headers::end_to_end_headers;
-pub use pool::{ConnectError, Connection, Pool, PoolConfig, SendError, SendErrorCause};
+pub use pool::{
+    AbandonedResponse, ConnectError, Connection, Pool, PoolConfig, SendError, SendErrorCause,
+};
 pub use read::{BodyReader, ReadBodyError};
 pub use server::{Handler, ServerConfig, ShutdownSignal, serve};
 pub use sockets::set_socket_options;
--- a/crates/hickoryhall-edge/src/pool.rs
+++ b/crates/hickoryhall-edge/src/pool.rs
@@ -141,6 +141,14 @@
     is_reused: bool,
 }
 
+/// Connection whose response nobody waits for any more.
+pub struct AbandonedResponse {
+    leftover: oneshot::Receiver<Leftover>,
+    is_reused: bool,
+    /// Ends the driver when dropped.
+    connection: Connection,
+}
+
 impl Drop for Connection {
     fn drop(&mut self) {
         self.driver.abort();
@@ -244,6 +252,30 @@
     }
 }
 
+impl AbandonedResponse {
+    /// Returns whether the connection had carried a request before.
+    #[must_use]
+    pub fn is_reused(&self) -> bool {
+        self.is_reused
+    }
+
+    /// Closes the sending direction and reads the head of the response. Returns `None` if none arrives
+    /// within `limit`.
+    pub async fn head(self, limit: Duration) -> Option<response::Parts> {
+        let Self {
+            leftover,
+            connection: _connection,
+            ..
+        } = self;
+        let head = async {
+            let mut leftover = leftover.await.ok()?;
+            leftover.close_sending().await;
+            leftover.next_head().await
+        };
+        timeout(limit, head).await.ok()?
+    }
+}
+
 impl Connection {
     /// Returns the address of the backend server.
     #[must_use]
@@ -257,6 +289,20 @@
         self.is_reused
     }
 
+    /// Gives up the response that is awaited, but not what it may say: the server learns at once that
+    /// nobody waits, and the head can still be read. Must be called before the driver runs again after the
+    /// request was dropped.
+    #[must_use]
+    pub fn abandon(mut self) -> Option<AbandonedResponse> {
+        let (reply, leftover) = oneshot::channel();
+        self.leftover.take()?.send(reply).ok()?;
+        Some(AbandonedResponse {
+            leftover,
+            is_reused: self.is_reused,
+            connection: self,
+        })
+    }
+
     /// Reads the head of the response that follows the last one, whose body has been read, and closes the
     /// connection. Returns `None` if none arrives within `limit`.
     pub async fn next_head(mut self, limit: Duration) -> Option<response::Parts> {
--- a/crates/hickoryhall-gateway/src/exchange.rs
+++ b/crates/hickoryhall-gateway/src/exchange.rs
@@ -9,6 +9,7 @@
 mod crash;
 mod forward;
 mod intake;
+mod late;
 mod reach;
 mod record;
 mod relay;
@@ -26,6 +27,7 @@
 use hickoryhall_types::Ran;
 use hyper::{Request, Response, StatusCode};
 use slog::{Logger, debug, info, warn};
+use tokio::sync::mpsc::{self, UnboundedReceiver, UnboundedSender};
 use tokio::sync::{Notify, oneshot};
 
 use crate::core::CoreHandle;
@@ -43,6 +45,7 @@
 pub(crate) use forward::ForwardedHandler;
 use forward::Source;
 use intake::{Forwarded, PreparedRequest, Rejection};
+use late::LateAnswer;
 use record::RequestRecord;
 
 /// Maximum size of a response that is not a stream, in bytes.
@@ -71,6 +74,10 @@
     refusals: BodyReader,
     /// Port at which peers take forwarded requests.
     forwarding_port: u16,
+    /// Takes the connections of answers that nobody waits for.
+    late_answers: UnboundedSender<LateAnswer>,
+    /// Receives them, until the task that reads them begins.
+    abandoned: Cell<Option<UnboundedReceiver<LateAnswer>>>,
     next_attempt_id: Cell<AttemptId>,
     in_flight: Rc<Cell<usize>>,
     is_closed: Cell<bool>,
@@ -99,7 +106,10 @@
         forwarding_port: u16,
         logger: Logger,
     ) -> Self {
+        let (late_answers, abandoned) = mpsc::unbounded_channel();
         Self {
+            late_answers,
+            abandoned: Cell::new(Some(abandoned)),
             platform,
             core,
             pool,
--- a/crates/hickoryhall-gateway/src/exchange/attempt.rs
+++ b/crates/hickoryhall-gateway/src/exchange/attempt.rs
@@ -17,6 +17,7 @@
 
 use super::Exchange;
 use super::forward::{Forwarding, Source};
+use super::late::PendingResponse;
 use super::record::ResponseRecord;
 use crate::core::CoreHandle;
 use crate::framing::BodyFraming;
@@ -255,7 +256,7 @@
         until: Instant,
     ) -> Result<ReceivedResponse, AttemptFailure> {
         let server = &assignment.server;
-        let mut connection = self.gateway.acquire(server).await.map_err(|error| {
+        let connection = self.gateway.acquire(server).await.map_err(|error| {
             debug!(
                 self.gateway.logger, "exchange: Connection to server failed.";
                 "request" => &*self.request.meta.request_id,
@@ -264,32 +265,44 @@
             AttemptFailure::Unsent
         })?;
         let request = self.build_request(assignment, resume_after);
-        let deadline = TokioInstant::from_std(until);
-        let sent = timeout_at(deadline, connection.send(request)).await;
-        let response = match sent {
-            Ok(Ok(response)) => response,
-            Ok(Err(error)) if error.is_unsent && connection.is_reused() => {
+        let (sent, connection) = self.send_on(connection, request, server, until).await?;
+        match sent {
+            Ok(response) => Ok(ReceivedResponse {
+                response,
+                connection,
+            }),
+            Err(error) if error.is_unsent && connection.is_reused() => {
                 // The server had closed the idle connection. Whether it is reachable shows only on
                 // a new one.
-                connection = self
-                    .gateway
-                    .connect(server)
-                    .await
-                    .map_err(|_| AttemptFailure::Unsent)?;
+                let connection = self.gateway.connect(server).await;
+                let connection = connection.map_err(|_| AttemptFailure::Unsent)?;
                 let request = self.build_request(assignment, resume_after);
-                match timeout_at(deadline, connection.send(request)).await {
-                    Ok(Ok(response)) => response,
-                    Ok(Err(error)) => return Err(self.send_failure(&error, server)),
-                    Err(_) => return Err(AttemptFailure::TimedOut),
-                }
+                let (sent, connection) = self.send_on(connection, request, server, until).await?;
+                let response = sent.map_err(|error| self.send_failure(&error, server))?;
+                Ok(ReceivedResponse {
+                    response,
+                    connection,
+                })
             }
-            Ok(Err(error)) => return Err(self.send_failure(&error, server)),
-            Err(_) => return Err(AttemptFailure::TimedOut),
-        };
-        Ok(ReceivedResponse {
-            response,
-            connection,
-        })
+            Err(error) => Err(self.send_failure(&error, server)),
+        }
+    }
+
+    /// Sends the request on a connection and waits for the response head. An answer that comes after the
+    /// wait is read for what it says of its server.
+    async fn send_on(
+        &self,
+        connection: Connection,
+        request: Request<Full<Bytes>>,
+        server: &BackendServer,
+        until: Instant,
+    ) -> Result<(Result<Response<Incoming>, SendError>, Connection), AttemptFailure> {
+        let meta = &self.request.meta;
+        let mut pending = PendingResponse::new(&self.gateway, connection, server, meta);
+        let deadline = TokioInstant::from_std(until);
+        let sent = timeout_at(deadline, pending.connection().send(request)).await;
+        let sent = sent.map_err(|_| AttemptFailure::TimedOut)?;
+        Ok((sent, pending.end()))
     }
 
     /// Returns the failure of an attempt that got no response head.
--- a/crates/hickoryhall-gateway/src/exchange/intake.rs
+++ b/crates/hickoryhall-gateway/src/exchange/intake.rs
@@ -1,6 +1,7 @@
 //! Reads and checks a caller's request and collects what its placement needs.
 
 use std::net::IpAddr;
+use std::rc::Rc;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
@@ -37,7 +38,7 @@
 pub(super) struct PreparedRequest {
     pub head: request::Parts,
     pub body: Bytes,
-    pub meta: RequestMeta,
+    pub meta: Rc<RequestMeta>,
     pub route: Arc<Route>,
     pub service: TargetId,
     pub workspace: Option<Arc<Workspace>>,
@@ -175,7 +176,7 @@
             cache_partition,
             head,
             body,
-            meta,
+            meta: Rc::new(meta),
             route,
             service,
             workspace,
--- a/crates/hickoryhall-gateway/src/host.rs
+++ b/crates/hickoryhall-gateway/src/host.rs
@@ -174,6 +174,8 @@
         spawn_core(&core, &config, &pool, &gateway, &connections);
         let prober = Rc::clone(&gateway);
         spawn_local(async move { prober.probe_services().await });
+        let reader = Rc::clone(&gateway);
+        spawn_local(async move { reader.read_late_answers().await });
         spawn_feeds(&feeds);
         spawn_peers(&peers, records_listener);
         let orders = OrderTask::new(
