Give the lease for orders back only after a cut that outlasts a handover's cost

A host may take itself for cut off for some tenths of a second while several runners are dark. A handover of the lease costs three seconds or more, so that a holder now waits a second and a half.

--- a/crates/hickoryhall-gateway/src/core/reach.rs
+++ b/crates/hickoryhall-gateway/src/core/reach.rs
@@ -2,7 +2,7 @@
 
 use std::collections::HashSet;
 use std::net::{Ipv4Addr, SocketAddr};
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use hickoryhall_routing::{PeerEnd, ReachStatement, ReachStep};
 use hickoryhall_types::{TargetId, hash_name};
@@ -96,6 +96,14 @@
             .all(|service| !self.is_cut_off(service))
     }
 
+    /// Returns for how long this host has reached no runner of a model, zero if it does.
+    #[must_use]
+    pub fn cut_off_from_runners_for(&self, now: Instant) -> Duration {
+        let services = self.scheduler.model_services();
+        let cut_off = services.map(|service| self.reach.cut_off_for(now, hash_name(service)));
+        cut_off.max().unwrap_or_default()
+    }
+
     /// Returns this host's rank for a duty at the runners of all models, among the live hosts that reach
     /// them; `None` if this host does not.
     #[must_use]
--- a/crates/hickoryhall-gateway/src/orders.rs
+++ b/crates/hickoryhall-gateway/src/orders.rs
@@ -43,6 +43,9 @@
 const MAX_CANDIDATES: usize = 4;
 /// Time between two checks of whether this host has become one of those that compete.
 const CANDIDATE_CHECK_INTERVAL: Duration = Duration::from_millis(700);
+/// Time for which the holder reaches no runner before it gives the lease back: a shorter cut costs less than
+/// the handover.
+const MIN_CUT_TIME: Duration = Duration::from_millis(1_500);
 /// Interval at which the holder checks whether it reaches runners.
 const CUT_CHECK_INTERVAL: Duration = Duration::from_millis(200);
 /// Base delay after a failure of the store; each host randomizes it, so that hosts do not retry at
@@ -160,9 +163,13 @@
         rank.is_some_and(|rank| rank < MAX_CANDIDATES)
     }
 
-    /// Waits until this host is cut off from runners, so that its orders reach none.
+    /// Waits until this host has been cut off from runners for a while, so that its orders reach none.
     async fn cut_off(&self) {
-        while self.core.with(|core, _| core.reaches_runners()) {
+        let cut_off_for = || {
+            self.core
+                .with(|core, now| core.cut_off_from_runners_for(now))
+        };
+        while cut_off_for() < MIN_CUT_TIME {
             sleep(CUT_CHECK_INTERVAL).await;
         }
     }
--- a/crates/hickoryhall-routing/src/reach.rs
+++ b/crates/hickoryhall-routing/src/reach.rs
@@ -198,6 +198,16 @@
         known.is_some_and(|known| known.cut_since.is_some())
     }
 
+    /// Returns for how long the host has been cut off from a service, zero if it is not.
+    #[must_use]
+    pub fn cut_off_for(&self, now: Instant, service: ServiceHash) -> Duration {
+        let since = self
+            .services
+            .get(&service)
+            .and_then(|known| known.cut_since);
+        since.map_or(Duration::ZERO, |since| now.saturating_duration_since(since))
+    }
+
     /// Returns whether the last new connection to a server of a service failed.
     #[must_use]
     pub fn has_failed(&self, service: ServiceHash, server: ServerHash) -> bool {
