Let a suspected part that many requests share run at up to three servers

They still go to one server while it answers on time and has no outdated weights; else to the second and the third one by the same order, which all hosts share, so that no more than three servers run the part. The tests on crashing parts pass as before.

--- a/crates/hickoryhall-gateway/src/scheduler/search.rs
+++ b/crates/hickoryhall-gateway/src/scheduler/search.rs
@@ -24,6 +24,9 @@
 const MIN_OWNERS: u32 = 2;
 /// Part of an owner's time that a family may take before it gets another owner.
 const MAX_FAMILY_UTILIZATION: f64 = 0.35;
+/// Number of servers on which a suspect may run at the same time: several only while the first ones are busy,
+/// as many requests may share a sound part.
+const MAX_SUSPECT_SERVERS: u32 = 3;
 /// Number of servers that are compared in a large service for a request without a prompt.
 const SAMPLE: u64 = 6;
 
@@ -95,7 +98,9 @@
         let affinities = affinities.as_deref();
         let is_small = keys.len() <= self.config.full_scan_limit;
         let (indices, limit) = match (prompt, affinities) {
-            _ if request.suspect.is_some() => (self.suspect_order(keys, request), 1),
+            _ if request.suspect.is_some() => {
+                (self.suspect_order(keys, request), MAX_SUSPECT_SERVERS)
+            }
             _ if is_small => ((0..keys.len()).collect(), u32::MAX),
             (Some(prompt), Some(affinities)) => (
                 self.owners(prompt, affinities),
@@ -139,10 +144,28 @@
                 _ => {}
             }
             search.record(compared);
+            if request.suspect.is_some() && self.is_good_enough(now, request, search.best) {
+                break;
+            }
         }
         search
     }
 
+    /// Returns whether a request that may crash its server needs no other one: it is on time there, and
+    /// runs on weights that are not outdated.
+    fn is_good_enough(
+        &self,
+        now: Instant,
+        request: &PlacementRequest,
+        best: Option<Candidate>,
+    ) -> bool {
+        best.is_some_and(|best| {
+            let extra_ms = best.cost_ms - millis(best.estimate);
+            let is_outdated = extra_ms >= millis(self.config.old_weights_cost);
+            !is_outdated && self.is_on_time(now, request, &best)
+        })
+    }
+
     /// Returns the servers that have a software version, all of them if it does not matter.
     fn with_software<'a>(
         &self,
@@ -198,7 +221,7 @@
     }
 
     /// Returns the indices of all servers in the order in which the request's suspect is placed. It is
-    /// the same on every host, so that one server at a time runs the suspect, and it does not depend
+    /// the same on every host, so that few servers at a time run the suspect, and it does not depend
     /// on loads, which change the order from one host to the next.
     fn suspect_order(&self, keys: &[ServerKey], request: &PlacementRequest) -> Vec<usize> {
         let suspect = request.suspect.unwrap_or_default();
