Give up a stream that has not begun on replaced weights in time

Placement allows for twice its estimate, but a runner may be busier than any host knows, and nobody watched the wait.

--- a/crates/hickoryhall-gateway/src/exchange/attempt.rs
+++ b/crates/hickoryhall-gateway/src/exchange/attempt.rs
@@ -233,20 +233,25 @@
     }
 
     /// Returns the deadline of an attempt, for a stream that of its first event. The last attempt
-    /// gets all the remaining time; an earlier one less, so that another server can take over.
+    /// gets all the remaining time; an earlier one less, so that another server can take over. A stream
+    /// must not begin on weights that have been replaced for too long.
     fn attempt_deadline(&self, assignment: &Assignment) -> Instant {
         let route = &self.request.route;
+        let is_stream = route.kind.is_stream();
+        let begin_by = assignment.begin_by.filter(|_| is_stream);
+        let latest = self.request.deadline;
+        let latest = begin_by.map_or(latest, |begin_by| begin_by.min(latest));
         if self.outcome.is_last_run() {
-            return self.request.deadline;
+            return latest;
         }
         let now = Instant::now();
         let left = self.request.deadline.saturating_duration_since(now);
-        let limit = if route.kind.is_stream() {
+        let limit = if is_stream {
             assignment.estimate.mul_f64(1.5) + FIRST_EVENT_SLACK
         } else {
             left.mul_f64(EARLY_ATTEMPT_FRACTION)
         };
-        (now + limit).min(self.request.deadline)
+        (now + limit).min(latest)
     }
 
     async fn send(
--- a/crates/hickoryhall-gateway/src/host.rs
+++ b/crates/hickoryhall-gateway/src/host.rs
@@ -339,6 +339,7 @@
     let host = hash_name(&settings.host);
     let mut scheduler = SchedulerConfig::new(host, settings.failure_domain.as_str().into());
     scheduler.old_weights_limit = settings.bounds.old_weights_limit();
+    scheduler.old_weights_end = settings.bounds.old_weights_end();
     CoreConfig {
         host,
         scheduler,
--- a/crates/hickoryhall-gateway/src/scheduler.rs
+++ b/crates/hickoryhall-gateway/src/scheduler.rs
@@ -498,6 +498,7 @@
             estimate: candidate.estimate,
             missing_tokens: candidate.missing_tokens,
             weights: state.weights(),
+            begin_by: prompt.and_then(|prompt| self.begin_by(now, state, prompt)),
             fetch_from: candidate.fetch_from,
             save_to,
             requests,
--- a/crates/hickoryhall-gateway/src/scheduler/candidate.rs
+++ b/crates/hickoryhall-gateway/src/scheduler/candidate.rs
@@ -326,14 +326,7 @@
         model: &str,
         estimate_ms: f64,
     ) -> Result<f64, RefusalReason> {
-        let history = self.desired_versions.get(model);
-        let unknown_age = self
-            .config
-            .old_weights_limit
-            .saturating_sub(self.config.unknown_age_limit);
-        let superseded_for =
-            history.and_then(|history| history.superseded_for(now, state.weights(), unknown_age));
-        let Some(superseded_for) = superseded_for else {
+        let Some(superseded_for) = self.superseded_for(now, state, model) else {
             return Ok(0.0);
         };
         let estimate = Duration::from_secs_f64(estimate_ms / 1_000.0);
@@ -347,6 +340,28 @@
         Ok(millis(self.config.old_weights_cost))
     }
 
+    /// Returns for how long the weights of a server have been replaced; `None` if they have not.
+    fn superseded_for(&self, now: Instant, state: &ServerState, model: &str) -> Option<Duration> {
+        let unknown_age = self
+            .config
+            .old_weights_limit
+            .saturating_sub(self.config.unknown_age_limit);
+        let history = self.desired_versions.get(model)?;
+        history.superseded_for(now, state.weights(), unknown_age)
+    }
+
+    /// Returns the time by which a stream must have begun at a server with replaced weights, however long
+    /// the server is busy; `None` for other weights.
+    pub(super) fn begin_by(
+        &self,
+        now: Instant,
+        state: &ServerState,
+        prompt: &PromptInfo,
+    ) -> Option<Instant> {
+        let superseded_for = self.superseded_for(now, state, &prompt.model)?;
+        Some(now + self.config.old_weights_end.saturating_sub(superseded_for))
+    }
+
     /// Returns the cost of a runner that is meant for prompts of the other length class.
     fn length_cost_ms(&self, prompt: &PromptInfo, runners: usize, index: usize) -> f64 {
         if self.is_other_length_class(prompt, runners, index) {
--- a/crates/hickoryhall-gateway/src/scheduler/config.rs
+++ b/crates/hickoryhall-gateway/src/scheduler/config.rs
@@ -51,6 +51,8 @@
     pub old_weights_grace: Duration,
     /// Time after a newer desired version from which old weights take no requests.
     pub old_weights_limit: Duration,
+    /// Time after a newer desired version by which a stream on old weights must have begun.
+    pub old_weights_end: Duration,
     /// The same time after a version was found in the store that may be older; peers that saw it
     /// being written tell its age much sooner.
     pub unknown_age_limit: Duration,
@@ -106,6 +108,7 @@
             old_weights_cost: Duration::from_millis(120),
             old_weights_grace: Duration::from_millis(1_300),
             old_weights_limit: Duration::from_millis(7_000),
+            old_weights_end: Duration::from_millis(7_600),
             unknown_age_limit: Duration::from_millis(2_000),
             attention_ms_per_million_pairs: 0.65,
             late_queue_limit: Duration::from_millis(60),
--- a/crates/hickoryhall-gateway/src/scheduler/placement.rs
+++ b/crates/hickoryhall-gateway/src/scheduler/placement.rs
@@ -65,6 +65,8 @@
     pub missing_tokens: TokenCount,
     /// Last known weights version of the server; 0 if it serves no model.
     pub weights: WeightsVersion,
+    /// Time by which a stream must have begun, if the weights of the server have been replaced.
+    pub begin_by: Option<Instant>,
     /// Runner or prompt cache store to fetch from, and the number of tokens that it is known to
     /// hold beyond those of the chosen server (0 if the store is only asked).
     pub fetch_from: Option<(SocketAddr, TokenCount)>,
--- a/crates/hickoryhall-gateway/src/settings.rs
+++ b/crates/hickoryhall-gateway/src/settings.rs
@@ -13,6 +13,10 @@
 /// second.
 const OLD_WEIGHTS_FRACTION: f64 = 0.85;
 
+/// Time before [`Bounds::weights_limit`] by which streams on replaced weights must have begun: it covers the
+/// time in which a host learns of a version, and the way of a cancellation to the runner.
+const OLD_WEIGHTS_MARGIN: Duration = Duration::from_millis(400);
+
 /// Longest duration in the settings; longer ones would overflow the points in time derived from
 /// them.
 const MAX_DURATION: Duration = Duration::from_secs(30 * 24 * 3_600);
@@ -137,6 +141,12 @@
         self.weights_limit().mul_f64(OLD_WEIGHTS_FRACTION)
     }
 
+    /// Returns the time by which streams on replaced weights must have begun.
+    #[must_use]
+    pub fn old_weights_end(&self) -> Duration {
+        self.weights_limit().saturating_sub(OLD_WEIGHTS_MARGIN)
+    }
+
     /// Returns the time within which runners must have a new desired version of their weights.
     #[must_use]
     pub fn weights_limit(&self) -> Duration {
