--- a/crates/hickoryhall-gateway/src/core/limits.rs
+++ b/crates/hickoryhall-gateway/src/core/limits.rs
@@ -23,19 +23,36 @@
         sent_at: Instant,
     ) {
         let (hash, process) = (hash_name(&server.id), server.incarnation);
-        let limit_per_s = match limit {
-            StatedLimit::None => None,
-            StatedLimit::PerSecond(limit_per_s) => Some(limit_per_s),
+        let Some(limit_per_s) = self.readable_limit(server, limit) else {
+            return;
+        };
+        let limits = self.scheduler.limits_mut();
+        if limits.record(now, hash, process, limit_per_s, sent_at) {
+            self.limit_changed(now, &server.id, process, limit_per_s, "response");
+        }
+    }
+
+    /// Returns the number that a server names, if any; `None` for a value that is no number, which is logged
+    /// once for each process and changes nothing.
+    #[allow(
+        clippy::option_option,
+        reason = "a server may name no limit, or one that cannot be read"
+    )]
+    fn readable_limit(
+        &mut self,
+        server: &BackendServer,
+        limit: StatedLimit,
+    ) -> Option<Option<f64>> {
+        match limit {
+            StatedLimit::None => Some(None),
+            StatedLimit::PerSecond(limit_per_s) => Some(Some(limit_per_s)),
             StatedLimit::Unreadable => {
+                let (hash, process) = (hash_name(&server.id), server.incarnation);
                 if self.unreadable_limits.insert(hash, process) != Some(process) {
                     warn!(self.logger, "core: Limit of a server cannot be read."; "server" => &*server.id, "incarnation" => process);
                 }
-                return;
+                None
             }
-        };
-        let limits = self.scheduler.limits_mut();
-        if limits.record(now, hash, process, limit_per_s, sent_at) {
-            self.limit_changed(now, &server.id, process, limit_per_s, "response");
         }
     }
 
@@ -48,15 +65,8 @@
         sent_at: Instant,
     ) {
         let (hash, process) = (hash_name(&server.id), server.incarnation);
-        let limit_per_s = match limit {
-            StatedLimit::None => None,
-            StatedLimit::PerSecond(limit_per_s) => Some(limit_per_s),
-            StatedLimit::Unreadable => {
-                if self.unreadable_limits.insert(hash, process) != Some(process) {
-                    warn!(self.logger, "core: Refusal limit of a server cannot be read."; "server" => &*server.id, "incarnation" => process);
-                }
-                return;
-            }
+        let Some(limit_per_s) = self.readable_limit(server, limit) else {
+            return;
         };
         let brittle = self.scheduler.brittle_mut();
         if brittle.record(now, hash, process, limit_per_s, sent_at) {
