--- a/crates/hickoryhall-gateway/tests/settings.rs
+++ b/crates/hickoryhall-gateway/tests/settings.rs
@@ -46,6 +46,7 @@
     "bounds.retry_window_s"
 )]
 #[case::no_lease(r#""lease_ms":3000"#, r#""lease_ms":0"#, "bounds.lease_ms")]
+#[case::no_port_for_forwarded_requests(r#""peer_port":3"#, r#""peer_port":65535"#, "peer_port")]
 #[case::bad_address(r#""callers":"127.0.0.1:1""#, r#""callers":"here""#, "line 1")]
 fn unusable_settings_name_their_field(#[case] good: &str, #[case] bad: &str, #[case] named: &str) {
     let text = GOOD.replace(good, bad);
