--- a/crates/hickoryhall-gateway/src/core.rs
+++ b/crates/hickoryhall-gateway/src/core.rs
@@ -461,7 +461,7 @@
         self.streams.versions.expire(now);
         self.review_crashes(now);
         self.divide_limits(now);
-        self.divide_brittle_servers(now);
+        self.divide_refusal_limits(now);
         self.place_waiting(now);
         if self.scheduler.waiting_count() > 0 {
             WAITING_TICK_INTERVAL
--- a/crates/hickoryhall-gateway/src/core/digests.rs
+++ b/crates/hickoryhall-gateway/src/core/digests.rs
@@ -104,7 +104,7 @@
             suspects: self.suspect_updates.clone(),
             crashes: self.suspects.crash_news(now),
             limits: self.scheduler.limits_mut().news(now),
-            refusal_limits: self.scheduler.brittle_mut().news(now),
+            refusal_limits: self.scheduler.refusal_limits_mut().news(now),
             reach: self.reach_statement(),
             ..Digest::default()
         }
@@ -198,7 +198,7 @@
             }
         }
         for statement in &digest.refusal_limits {
-            if self.scheduler.brittle_mut().merge(now, statement) {
+            if self.scheduler.refusal_limits_mut().merge(now, statement) {
                 let name = self.scheduler.server_name(statement.server);
                 let name = name.unwrap_or_else(|| format!("{:016x}", statement.server).into());
                 let (process, limit) = (statement.process, statement.limit_per_s);
--- a/crates/hickoryhall-gateway/src/core/limits.rs
+++ b/crates/hickoryhall-gateway/src/core/limits.rs
@@ -68,13 +68,13 @@
         let Some(limit_per_s) = self.readable_limit(server, limit) else {
             return;
         };
-        let brittle = self.scheduler.brittle_mut();
-        if brittle.record(now, hash, process, limit_per_s, sent_at) {
+        let refusal_limits = self.scheduler.refusal_limits_mut();
+        if refusal_limits.record(now, hash, process, limit_per_s, sent_at) {
             self.refusal_limit_changed(now, &server.id, process, limit_per_s, "response");
         }
     }
 
-    /// Logs a changed limit of requests that a server can turn away, and divides the brittle servers
+    /// Logs a changed limit of requests that a server can turn away, and divides the servers
     /// among the hosts again.
     pub(super) fn refusal_limit_changed(
         &mut self,
@@ -90,18 +90,18 @@
             "server" => server, "incarnation" => process, "refusals_per_s" => limit,
             "source" => source
         );
-        self.divide_brittle_servers(now);
+        self.divide_refusal_limits(now);
     }
 
-    /// Divides the slots of brittle servers among the live hosts.
-    pub(super) fn divide_brittle_servers(&mut self, now: Instant) {
-        if self.scheduler.brittle_mut().is_empty() {
+    /// Divides the slots of servers with refusal limits among the live hosts.
+    pub(super) fn divide_refusal_limits(&mut self, now: Instant) {
+        if self.scheduler.refusal_limits_mut().is_empty() {
             return;
         }
         let hosts = self.fleet.live(now).len() + 1;
-        let servers = self.scheduler.brittle_mut().servers().collect();
+        let servers = self.scheduler.refusal_limits_mut().servers().collect();
         let ranks = self.ranks(now, servers);
-        self.scheduler.divide_brittle_servers(now, hosts, &ranks);
+        self.scheduler.divide_refusal_limits(now, hosts, &ranks);
     }
 
     /// Logs a changed limit, and divides the limits among the hosts again.
--- a/crates/hickoryhall-gateway/src/peers/message.rs
+++ b/crates/hickoryhall-gateway/src/peers/message.rs
@@ -45,7 +45,7 @@
     pub crashes: CrashNews,
     /// Limits that servers name.
     pub limits: Vec<LimitStatement>,
-    /// Requests a second that brittle servers can turn away.
+    /// Requests a second that servers can turn away.
     pub refusal_limits: Vec<LimitStatement>,
     /// Load of the sender, and services that it is cut off from.
     pub reach: ReachStatement,
--- a/crates/hickoryhall-gateway/src/peers/message/wire.rs
+++ b/crates/hickoryhall-gateway/src/peers/message/wire.rs
@@ -76,7 +76,7 @@
     /// Services that the sender is cut off from.
     #[prost(fixed64, repeated, tag = "23")]
     pub(super) unreached_services: Vec<u64>,
-    /// Requests a second that brittle servers can turn away.
+    /// Requests a second that servers can turn away.
     #[prost(message, repeated, tag = "24")]
     pub(super) refusal_limits: Vec<WireLimit>,
 }
--- a/crates/hickoryhall-gateway/src/scheduler.rs
+++ b/crates/hickoryhall-gateway/src/scheduler.rs
@@ -24,7 +24,7 @@
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
-use hickoryhall_limits::{BrittleServers, RoomDecision, ServerLimits};
+use hickoryhall_limits::{RefusalLimits, RoomDecision, ServerLimits};
 use hickoryhall_routing::PrefixChain;
 use hickoryhall_types::{FailureDomainId, Incarnation, TargetId, WeightsVersion};
 use slotmap::{SlotMap, new_key_type};
@@ -77,7 +77,7 @@
     /// Estimated time from placement to the first event.
     estimate: Duration,
     fetch_from: Option<SocketAddr>,
-    /// Whether a brittle server may have to turn the request away.
+    /// Whether a server with a refusal limit may have to turn the request away.
     is_risky: bool,
 }
 
@@ -110,7 +110,7 @@
     cache_stores: Vec<CacheStoreState>,
     demand: FamilyDemand,
     limits: ServerLimits,
-    brittle: BrittleServers,
+    refusal_limits: RefusalLimits,
     /// Failure domains with a recently unreachable server, and when each entry expires.
     unreachable_domains: HashMap<FailureDomainId, Instant>,
 }
@@ -143,7 +143,7 @@
             cache_stores: Vec::new(),
             demand: FamilyDemand::default(),
             limits: ServerLimits::default(),
-            brittle: BrittleServers::default(),
+            refusal_limits: RefusalLimits::default(),
             unreachable_domains: HashMap::new(),
         }
     }
@@ -355,7 +355,7 @@
         }
         state.remove_request(attempt_id);
         if active.is_risky && end == AttemptEnd::Answered {
-            self.brittle.return_risk(now, state.name_hash);
+            self.refusal_limits.return_risk(now, state.name_hash);
         }
         match end {
             AttemptEnd::Answered => state.ejection.record_success(),
@@ -375,13 +375,13 @@
         &mut self.limits
     }
 
-    /// Returns the servers that are brittle, to record statements.
-    pub fn brittle_mut(&mut self) -> &mut BrittleServers {
-        &mut self.brittle
+    /// Returns the refusal limits of servers, to record statements.
+    pub fn refusal_limits_mut(&mut self) -> &mut RefusalLimits {
+        &mut self.refusal_limits
     }
 
-    /// Divides the slots of brittle servers among the hosts, by this host's rank for each.
-    pub fn divide_brittle_servers(
+    /// Divides the slots of servers with refusal limits among the hosts, by this host's rank for each.
+    pub fn divide_refusal_limits(
         &mut self,
         now: Instant,
         hosts: usize,
@@ -390,7 +390,7 @@
         let (by_hash, servers) = (&self.by_hash, &self.servers);
         let slots = |server| Some(servers[*by_hash.get(&server)?].slots());
         let rank = |server| ranks.get(&server).copied().unwrap_or(usize::MAX);
-        self.brittle.divide(now, hosts, rank, slots);
+        self.refusal_limits.divide(now, hosts, rank, slots);
     }
 
     /// Returns the number of attempts at a process of a server that were placed before a time and
@@ -462,8 +462,8 @@
         let state = &mut self.servers[candidate.key];
         let requests = state.request_count(now, reported_load_ttl);
         let prompt = request.prompt.as_ref();
-        let is_risky =
-            room_decision(&self.brittle, reported_load_ttl, now, state) == RoomDecision::Risky;
+        let is_risky = room_decision(&self.refusal_limits, reported_load_ttl, now, state)
+            == RoomDecision::Risky;
         let load = RequestLoad {
             pending_ms: candidate.own_work_ms.ceil() as u32,
             unshared_tokens: prompt.map_or(0, PromptInfo::unshared_tokens),
@@ -475,7 +475,7 @@
         let (name_hash, process) = (state.name_hash, state.server.incarnation);
         self.limits.take(now, name_hash, process);
         if is_risky {
-            self.brittle.take_risk(now, name_hash);
+            self.refusal_limits.take_risk(now, name_hash);
         }
         if let Some(prompt) = prompt {
             state.update_cache_budgets(now);
@@ -508,14 +508,14 @@
     }
 }
 
-/// Returns whether a server has room for another request of this host, if it is brittle.
+/// Returns whether a server has room for another request of this host, if it names a refusal limit.
 fn room_decision(
-    brittle: &BrittleServers,
+    refusal_limits: &RefusalLimits,
     reported_load_ttl: Duration,
     now: Instant,
     state: &ServerState,
 ) -> RoomDecision {
     let all = state.request_count(now, reported_load_ttl);
     let load = (state.own_load().requests, all, state.slots());
-    brittle.decide(now, state.name_hash, state.server.incarnation, load)
+    refusal_limits.decide(now, state.name_hash, state.server.incarnation, load)
 }
--- a/crates/hickoryhall-gateway/src/scheduler/candidate.rs
+++ b/crates/hickoryhall-gateway/src/scheduler/candidate.rs
@@ -138,7 +138,12 @@
     }
 
     fn room(&self, now: Instant, state: &ServerState) -> RoomDecision {
-        room_decision(&self.brittle, self.config.reported_load_ttl, now, state)
+        room_decision(
+            &self.refusal_limits,
+            self.config.reported_load_ttl,
+            now,
+            state,
+        )
     }
 
     fn plain_candidate(&self, now: Instant, key: ServerKey) -> Result<Candidate, RefusalReason> {
--- a/crates/hickoryhall-gateway/src/scheduler/updates.rs
+++ b/crates/hickoryhall-gateway/src/scheduler/updates.rs
@@ -40,7 +40,7 @@
             return None;
         }
         if kind == ResponseKind::NotRun && response_meta.pause.is_none() {
-            self.brittle.record_refusal(now, state.name_hash);
+            self.refusal_limits.record_refusal(now, state.name_hash);
         }
         if let Some(load) = response_meta.load {
             state.set_reported_load(now, load);
--- a/crates/hickoryhall-limits/src/lib.rs
+++ b/crates/hickoryhall-limits/src/lib.rs
@@ -11,17 +11,16 @@
 //! assert!(!bucket.take(now, 1.0));
 //! ```
 
-mod brittle_servers;
 mod bucket;
 mod concurrency;
 mod fair_queue;
 mod fleet;
 mod fleet_retries;
+mod refusal_limits;
 mod retry_budget;
 mod server_limits;
 mod shares;
 
-pub use brittle_servers::{BrittleServers, RoomDecision};
 pub use bucket::TokenBucket;
 pub use concurrency::ConcurrencyLimiter;
 pub use fair_queue::{FairQueue, Queued, Shed};
@@ -30,6 +29,7 @@
     UnitRequest,
 };
 pub use fleet_retries::{FleetRetryBudget, FleetRetryLimit};
+pub use refusal_limits::{RefusalLimits, RoomDecision};
 pub use retry_budget::RetryBudget;
 pub use server_limits::{
     LimitDecision, LimitStatement, ProcessNumber, ServerHash, ServerLimits, is_valid,
--- a/crates/hickoryhall-limits/src/brittle_servers.rs
+++ b/crates/hickoryhall-limits/src/refusal_limits.rs
@@ -16,13 +16,13 @@
 const RISKED_PART: f64 = 0.5;
 /// Part of a server's slots that are free, as far as a host knows, for it to send more than its part.
 const FREE_PART: f64 = 0.25;
-/// Time for which a host sends nothing to a brittle server that turned one of its requests away.
+/// Time for which a host sends nothing to a server with a refusal limit that turned one of its requests away.
 const REFUSED_TIME: Duration = Duration::from_millis(500);
 
-/// Whether a host may send a request to a brittle server.
+/// Whether a host may send a request to a server with a refusal limit.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum RoomDecision {
-    /// The server is not brittle, or has a slot for this host.
+    /// The server has no refusal limit, or has a slot for this host.
     Free,
     /// The server may have a slot that another host does not use.
     Risky,
@@ -44,22 +44,22 @@
     refused_until: Option<Instant>,
 }
 
-/// Servers that say that they are brittle, and this host's part of each.
+/// Refusal limits that servers name, and this host's part of each.
 #[derive(Clone, Debug, Default)]
-pub struct BrittleServers {
+pub struct RefusalLimits {
     /// Requests a second that each server can turn away, as it says.
     statements: ServerLimits,
     parts: HashMap<ServerHash, Part>,
 }
 
-impl BrittleServers {
-    /// Returns whether no server is brittle.
+impl RefusalLimits {
+    /// Returns whether no server names a refusal limit.
     #[must_use]
     pub fn is_empty(&self) -> bool {
         self.statements.is_empty()
     }
 
-    /// Returns the servers that are brittle or were lately.
+    /// Returns the servers that name a refusal limit or did so lately.
     pub fn servers(&self) -> impl Iterator<Item = ServerHash> {
         self.statements.servers()
     }
@@ -122,8 +122,8 @@
         process: ProcessNumber,
         (own, all, slots): (u32, u32, u32),
     ) -> RoomDecision {
-        let is_brittle = self.statements.limit(server, process).is_some();
-        let Some(part) = self.parts.get(&server).filter(|_| is_brittle) else {
+        let is_limited = self.statements.limit(server, process).is_some();
+        let Some(part) = self.parts.get(&server).filter(|_| is_limited) else {
             return RoomDecision::Free;
         };
         let free = f64::from(slots.saturating_sub(all));
--- a/crates/hickoryhall-limits/tests/brittle_servers.rs
+++ b/crates/hickoryhall-limits/tests/refusal_limits.rs
@@ -6,7 +6,7 @@
 
 use std::time::{Duration, Instant};
 
-use hickoryhall_limits::{BrittleServers, RoomDecision};
+use hickoryhall_limits::{RefusalLimits, RoomDecision};
 use rstest::rstest;
 
 const STEP: Duration = Duration::from_millis(10);
@@ -24,7 +24,7 @@
 }
 
 struct Host {
-    brittle: BrittleServers,
+    limits: RefusalLimits,
     /// Whether the host has requests; the others are idle.
     is_busy: bool,
     /// Own requests at each server, as the steps in which they end, and whether each was risky.
@@ -47,9 +47,9 @@
     fn new(hosts: usize, busy: usize, slots: u32, refusals_per_s: f64) -> Self {
         let start = Instant::now();
         let host = |index: usize| {
-            let mut brittle = BrittleServers::default();
+            let mut limits = RefusalLimits::default();
             for server in 0..SERVERS {
-                brittle.record(start, server, PROCESS, Some(refusals_per_s), start);
+                limits.record(start, server, PROCESS, Some(refusals_per_s), start);
             }
             let rank = |server: u64| {
                 let own = mixed(server, index as u64);
@@ -58,9 +58,9 @@
                     .filter(|&other| mixed(server, other as u64) > own)
                     .count()
             };
-            brittle.divide(start, hosts, rank, |_| Some(slots));
+            limits.divide(start, hosts, rank, |_| Some(slots));
             Host {
-                brittle,
+                limits,
                 is_busy: index < busy,
                 own: vec![Vec::new(); SERVERS as usize],
             }
@@ -92,7 +92,7 @@
                     host.own[server as usize] = left;
                     self.served += done.len();
                     for _ in done.iter().filter(|(_, is_risky)| *is_risky) {
-                        host.brittle.return_risk(now, server);
+                        host.limits.return_risk(now, server);
                     }
                 }
             }
@@ -118,17 +118,17 @@
                 let host = &mut self.hosts[index];
                 let own = host.own[server].len() as u32;
                 let load = (own, self.told[server].max(own), self.slots);
-                let decision = host.brittle.decide(now, server as u64, PROCESS, load);
+                let decision = host.limits.decide(now, server as u64, PROCESS, load);
                 let is_risky = decision == RoomDecision::Risky;
                 if decision == RoomDecision::Full {
                     break;
                 }
                 if is_risky {
-                    host.brittle.take_risk(now, server as u64);
+                    host.limits.take_risk(now, server as u64);
                 }
                 if running >= self.slots {
                     self.turned_away[server].push(self.step);
-                    host.brittle.record_refusal(now, server as u64);
+                    host.limits.record_refusal(now, server as u64);
                     break;
                 }
                 host.own[server].push((self.step + SERVICE_STEPS, is_risky));
@@ -157,7 +157,7 @@
 #[case::large_runners(95, 95, 64, 10.0)]
 #[case::planned_size(520, 520, 64, 10.0)]
 #[case::few_busy_hosts(7, 3, 6, 3.0)]
-fn hosts_do_not_make_brittle_servers_turn_away_more_than_they_can(
+fn hosts_do_not_make_servers_turn_away_more_than_they_can(
     #[case] hosts: usize,
     #[case] busy: usize,
     #[case] slots: u32,
@@ -185,20 +185,17 @@
 }
 
 #[test]
-fn a_server_that_is_brittle_no_more_is_free() {
+fn a_server_that_names_no_refusal_limit_any_more_is_free() {
     let now = Instant::now();
-    let mut brittle = BrittleServers::default();
-    brittle.record(now, 1, PROCESS, Some(2.0), now);
-    brittle.divide(now, 3, |_| 2, |_| Some(1));
+    let mut limits = RefusalLimits::default();
+    limits.record(now, 1, PROCESS, Some(2.0), now);
+    limits.divide(now, 3, |_| 2, |_| Some(1));
     let load = (1, 5, 1);
-    assert_eq!(brittle.decide(now, 1, PROCESS, load), RoomDecision::Full);
+    assert_eq!(limits.decide(now, 1, PROCESS, load), RoomDecision::Full);
     // A new process says for itself.
-    assert_eq!(
-        brittle.decide(now, 1, PROCESS + 1, load),
-        RoomDecision::Free
-    );
+    assert_eq!(limits.decide(now, 1, PROCESS + 1, load), RoomDecision::Free);
     let later = now + Duration::from_secs(1);
-    brittle.record(later, 1, PROCESS, None, later);
-    brittle.divide(later, 3, |_| 2, |_| Some(1));
-    assert_eq!(brittle.decide(later, 1, PROCESS, load), RoomDecision::Free);
+    limits.record(later, 1, PROCESS, None, later);
+    limits.divide(later, 3, |_| 2, |_| Some(1));
+    assert_eq!(limits.decide(later, 1, PROCESS, load), RoomDecision::Free);
 }
