Review: the stand-ins of the cases

A store, runners, clients and host processes in one program with the standard library alone, built by review/build.sh. Each case exits with 1 if its rule was broken, 0 if it held and 2 if it could not run.

--- /dev/null
+++ b/review/standins/cases/mod.rs
@@ -0,0 +1,21 @@
+//! The cases.
+
+mod isolated_tenant;
+mod poison_after_restart;
+mod poison_stream;
+mod two_runs;
+
+use std::sync::Arc;
+
+use crate::Verdict;
+use crate::record::Record;
+
+pub fn play(case: &str, record: &Arc<Record>, has_trouble: bool) -> std::io::Result<Verdict> {
+    match case {
+        "poison-stream" => poison_stream::play(record, has_trouble),
+        "two-runs" => two_runs::play(record, has_trouble),
+        "isolated-tenant" => isolated_tenant::play(record, has_trouble),
+        "poison-after-restart" => poison_after_restart::play(record, has_trouble),
+        _ => Err(std::io::Error::other("there is no such case")),
+    }
+}
