--- a/review/standins/cases/mod.rs
+++ b/review/standins/cases/mod.rs
@@ -1,8 +1,10 @@
 //! The cases.
 
 mod isolated_tenant;
+mod joined_versions;
 mod poison_after_restart;
 mod poison_stream;
+mod stale_seeds;
 mod two_runs;
 
 use std::sync::Arc;
@@ -15,6 +17,8 @@
         "poison-stream" => poison_stream::play(record, has_trouble),
         "two-runs" => two_runs::play(record, has_trouble),
         "isolated-tenant" => isolated_tenant::play(record, has_trouble),
+        "stale-seeds" => stale_seeds::play(record, has_trouble),
+        "joined-versions" => joined_versions::play(record, has_trouble),
         "poison-after-restart" => poison_after_restart::play(record, has_trouble),
         _ => Err(std::io::Error::other("there is no such case")),
     }
--- a/review/standins/cases/poison_after_restart.rs
+++ b/review/standins/cases/poison_after_restart.rs
@@ -34,6 +34,7 @@
         is_model: false,
         slots: 6,
         queue: 24,
+        software: &["v1"],
         records_events: false,
         plan: Box::new(plan),
         on_run: Box::new(|_, _| {}),
--- a/review/standins/cases/poison_stream.rs
+++ b/review/standins/cases/poison_stream.rs
@@ -44,6 +44,7 @@
         is_model: true,
         slots: 64,
         queue: 192,
+        software: &["v1"],
         records_events: false,
         plan: Box::new(plan),
         on_run: Box::new(|_, _| {}),
--- a/review/standins/deployment.rs
+++ b/review/standins/deployment.rs
@@ -44,7 +44,8 @@
             let zone = ZONES[number as usize % ZONES.len()];
             let address = (ip(100 + number), 8_080).into();
             let name = format!("{number}");
-            let runner = Runner::new(&name, address, zone, &service, &store, record);
+            let software = service.software[number as usize % service.software.len()];
+            let runner = Runner::new(&name, address, zone, software, &service, &store, record);
             runner.start();
             runner
         });
@@ -54,17 +55,9 @@
             hosts: Vec::new(),
             folder,
         };
-        let ips: Vec<Ipv4Addr> = (0..hosts).map(|number| ip(10 + number)).collect();
-        for (number, ip) in ips.iter().enumerate() {
-            let config = HostConfig {
-                name: format!("front-{number}"),
-                zone: ZONES[number % ZONES.len()],
-                ip: *ip,
-                seeds: &ips[..ips.len().min(3)],
-                store: store.address,
-                folder: &deployment.folder,
-            };
-            deployment.hosts.push(Host::start(&config, true)?);
+        for number in 0..hosts {
+            let host = deployment.start_host(number, hosts, true)?;
+            deployment.hosts.push(host);
         }
         if !deployment.hosts.iter().all(Host::wait_ready) {
             return Err(std::io::Error::other("a host is not ready"));
@@ -73,6 +66,36 @@
         std::thread::sleep(Duration::from_secs(4));
         Ok(deployment)
     }
+
+    /// Starts a host whose seeds are the first three of `hosts` hosts.
+    pub fn start_host(&self, number: u8, hosts: u8, is_first_start: bool) -> std::io::Result<Host> {
+        let seeds: Vec<Ipv4Addr> = (0..hosts.min(3)).map(host_ip).collect();
+        let zone = ZONES[number as usize % ZONES.len()];
+        self.start_host_with_seeds(number, zone, &seeds, is_first_start)
+    }
+
+    pub fn start_host_with_seeds(
+        &self,
+        number: u8,
+        zone: &str,
+        seeds: &[Ipv4Addr],
+        is_first_start: bool,
+    ) -> std::io::Result<Host> {
+        let config = HostConfig {
+            name: format!("front-{number}"),
+            zone,
+            ip: host_ip(number),
+            seeds,
+            store: self.store.address,
+            folder: &self.folder,
+        };
+        Host::start(&config, is_first_start)
+    }
+}
+
+/// Returns the address of a host by its number.
+pub fn host_ip(number: u8) -> Ipv4Addr {
+    ip(10 + number)
 }
 
 impl Drop for Deployment {
--- a/review/standins/host.rs
+++ b/review/standins/host.rs
@@ -158,6 +158,12 @@
         false
     }
 
+    pub fn kill(&self) {
+        if let Some(child) = &self.child {
+            signal(child.id() as i32, 9);
+        }
+    }
+
     pub fn terminate(&self) {
         if let Some(child) = &self.child {
             signal(child.id() as i32, 15);
--- a/review/standins/runner.rs
+++ b/review/standins/runner.rs
@@ -46,6 +46,8 @@
     pub is_model: bool,
     pub slots: u32,
     pub queue: u32,
+    /// Software versions of its servers, in turn.
+    pub software: &'static [&'static str],
     /// Whether each event of a stream is recorded.
     pub records_events: bool,
     pub plan: Box<Planner>,
@@ -58,6 +60,8 @@
     pub name: String,
     pub address: SocketAddr,
     zone: String,
+    /// Version of its software.
+    pub software: String,
     service: Arc<Service>,
     store: Arc<Store>,
     record: Arc<Record>,
@@ -71,6 +75,8 @@
     id: String,
     born: u64,
     is_alive: AtomicBool,
+    /// Whether it leaves, which it says in all its answers.
+    is_leaving: AtomicBool,
     connections: Mutex<Vec<TcpStream>>,
     load: (Mutex<Load>, Condvar),
 }
@@ -90,6 +96,7 @@
         name: &str,
         address: SocketAddr,
         zone: &str,
+        software: &str,
         service: &Arc<Service>,
         store: &Arc<Store>,
         record: &Arc<Record>,
@@ -98,6 +105,7 @@
             name: name.to_owned(),
             address,
             zone: zone.to_owned(),
+            software: software.to_owned(),
             service: Arc::clone(service),
             store: Arc::clone(store),
             record: Arc::clone(record),
@@ -120,10 +128,12 @@
             id: format!("i-{}-{number}", self.name),
             born: unix_ms(),
             is_alive: AtomicBool::new(true),
+            is_leaving: AtomicBool::new(false),
             connections: Mutex::default(),
             load: Default::default(),
         });
-        self.record.add("starts", "-", &process.id, self.address);
+        let details = format!("{} software {}", self.address, self.software);
+        self.record.add("starts", "-", &process.id, details);
         self.process.lock().unwrap().replace(Arc::clone(&process));
         let (runner, beating) = (Arc::clone(self), Arc::clone(&process));
         thread::spawn(move || runner.write_heartbeats(&beating));
@@ -133,19 +143,42 @@
 
     /// Ends the process at once; it is back after a while.
     pub fn crash(self: &Arc<Self>, back_after: Duration) {
-        let Some(process) = self.process.lock().unwrap().take() else {
+        if !self.end("crashes") {
             return;
+        }
+        let runner = Arc::clone(self);
+        thread::spawn(move || {
+            thread::sleep(back_after);
+            runner.start();
+        });
+    }
+
+    /// Ends the process; returns whether there was one.
+    fn end(&self, kind: &'static str) -> bool {
+        let Some(process) = self.process.lock().unwrap().take() else {
+            return false;
         };
         process.is_alive.store(false, Ordering::SeqCst);
-        self.record.add("crashes", "-", &process.id, "");
+        self.record.add(kind, "-", &process.id, "");
         for connection in process.connections.lock().unwrap().drain(..) {
             let _ = connection.shutdown(Shutdown::Both);
         }
         process.load.1.notify_all();
+        true
+    }
+
+    /// Takes the runner away, which does not report that it drains: its entry is removed, it goes on
+    /// serving for a while, and exits.
+    pub fn leave(self: &Arc<Self>, serves_for: Duration) {
+        if let Some(process) = &*self.process.lock().unwrap() {
+            process.is_leaving.store(true, Ordering::SeqCst);
+            self.store.remove(&format!("servers/{}", process.id));
+            self.record.add("leaves", "-", &process.id, "its entry is removed");
+        }
         let runner = Arc::clone(self);
         thread::spawn(move || {
-            thread::sleep(back_after);
-            runner.start();
+            thread::sleep(serves_for);
+            runner.end("exits");
         });
     }
 
@@ -164,18 +197,22 @@
         };
         let mut sequence = 0;
         let key = format!("servers/{id}");
-        while process.is_alive.load(Ordering::SeqCst) {
+        let is_leaving = || process.is_leaving.load(Ordering::SeqCst);
+        while process.is_alive.load(Ordering::SeqCst) && !is_leaving() {
             sequence += 1;
             let (service, address, zone, slots) =
                 (&self.service.name, self.address, &self.zone, self.service.slots);
+            let software = &self.software;
             let entry = format!(
-                r#"{{"service":"{service}","address":"{address}","zone":"{zone}","version":"v1","slots":{slots},"state":"ready","stage":"both","models":{models},"cold-remaining-ms":0,"sequence":{sequence},"born":{born}}}"#
+                r#"{{"service":"{service}","address":"{address}","zone":"{zone}","version":"{software}","slots":{slots},"state":"ready","stage":"both","models":{models},"cold-remaining-ms":0,"sequence":{sequence},"born":{born}}}"#
             );
             self.store.put(&key, &entry);
             thread::sleep(HEARTBEAT);
         }
-        thread::sleep(ENTRY_LIFETIME - HEARTBEAT);
-        self.store.remove(&key);
+        if !is_leaving() {
+            thread::sleep(ENTRY_LIFETIME - HEARTBEAT);
+            self.store.remove(&key);
+        }
     }
 
     fn accept(self: &Arc<Self>, listener: &TcpListener, process: &Arc<Process>) {
@@ -226,7 +263,9 @@
         let (method, path) = head.request();
         let (method, path) = (method.to_owned(), path.to_owned());
         let id = head.header("request-attempt-id").unwrap_or("").to_owned();
-        let echo = format!("request-attempt-id: {id}\r\n");
+        let is_leaving = process.is_leaving.load(Ordering::SeqCst);
+        let leaving = if is_leaving { "server-leaving: 1\r\n" } else { "" };
+        let echo = format!("request-attempt-id: {id}\r\n{leaving}");
         let load = {
             let load = process.load.0.lock().unwrap();
             format!("server-load: {},{},{}\r\n", load.running, load.waiting, self.service.slots)
