--- a/review/standins/cases/isolated_tenant.rs
+++ b/review/standins/cases/isolated_tenant.rs
@@ -43,7 +43,11 @@
                 }
             }
             makers.dedup();
-            let used = if makers.is_empty() { "none".to_owned() } else { makers.join("+") };
+            let used = if makers.is_empty() {
+                "none".to_owned()
+            } else {
+                makers.join("+")
+            };
             let detail = format!("tenant {tenant} salt {salt} uses cache of {used}");
             record.add("cache", &request.id, server, detail);
         }
@@ -91,7 +95,12 @@
     send("sese880", 12, "before");
     let newer = config(9, STREAM_ROUTE, MODEL_SERVICE, &tenants(has_trouble));
     deployment.store.put("op/config", &newer);
-    record.add("config", "-", "store", format!("version 9, sese880 isolated: {has_trouble}"));
+    record.add(
+        "config",
+        "-",
+        "store",
+        format!("version 9, sese880 isolated: {has_trouble}"),
+    );
     thread::sleep(IN_FORCE_AFTER);
     send("sese880", 6, "after");
     send("vavo12", 12, "after");
--- a/review/standins/cases/poison_stream.rs
+++ b/review/standins/cases/poison_stream.rs
@@ -30,7 +30,11 @@
     let is_early = std::env::var_os("EARLY").is_some();
     let plan = move |request: &crate::runner::Request, _: &crate::runner::Runner| {
         let is_poison = request.body == POISON_BODY.as_bytes();
-        let crash_after = if is_early { Duration::ZERO } else { CRASH_AFTER };
+        let crash_after = if is_early {
+            Duration::ZERO
+        } else {
+            CRASH_AFTER
+        };
         Plan {
             work: Duration::from_millis(30),
             events: 40,
@@ -112,12 +116,15 @@
         let late = events.iter().filter(|event| {
             event.kind == "arrives" && is_poison(&event.request) && event.at > third + CONTACT
         });
-        late.map(|event| format!("{}@{:.1}s", event.request, event.at.as_secs_f64())).collect()
+        late.map(|event| format!("{}@{:.1}s", event.request, event.at.as_secs_f64()))
+            .collect()
     });
-    let sound = events.iter().filter(|event| {
-        event.kind == "answered" && event.request.starts_with("sound-")
-    });
-    let sound: Vec<bool> = sound.map(|event| event.detail.starts_with("200 whole")).collect();
+    let sound = events
+        .iter()
+        .filter(|event| event.kind == "answered" && event.request.starts_with("sound-"));
+    let sound: Vec<bool> = sound
+        .map(|event| event.detail.starts_with("200 whole"))
+        .collect();
     let served = sound.iter().filter(|is_whole| **is_whole).count();
     Verdict {
         is_broken: late.len() > MAX_RETRIES,
--- a/review/standins/client.rs
+++ b/review/standins/client.rs
@@ -28,8 +28,14 @@
 pub fn call(record: &Record, host: SocketAddr, call: &Call) -> Answer {
     record.add("sent", call.id, &host.to_string(), call.line);
     let answer = exchange(host, call).unwrap_or_default();
-    let whole = if answer.is_whole { "whole" } else { "not whole" };
-    let events = String::from_utf8_lossy(&answer.body).matches("data: ").count();
+    let whole = if answer.is_whole {
+        "whole"
+    } else {
+        "not whole"
+    };
+    let events = String::from_utf8_lossy(&answer.body)
+        .matches("data: ")
+        .count();
     let detail = format!("{} {whole}, {events} events", answer.status);
     record.add("answered", call.id, &host.to_string(), detail);
     answer
@@ -39,7 +45,13 @@
     let mut stream = TcpStream::connect_timeout(&host, Duration::from_secs(1))?;
     stream.set_nodelay(true)?;
     stream.set_read_timeout(Some(call.deadline))?;
-    let Call { id, line, headers, body, deadline } = call;
+    let Call {
+        id,
+        line,
+        headers,
+        body,
+        deadline,
+    } = call;
     let (deadline, length) = (deadline.as_millis(), body.len());
     let message = format!(
         "{line} HTTP/1.1\r\nHost: svc.example\r\nRequest-Attempt-Id: {id}\r\nDeadline-Ms: {deadline}\r\n{headers}Content-Length: {length}\r\nConnection: close\r\n\r\n{body}"
@@ -49,7 +61,10 @@
     let Some(head) = read_head(&mut reader)? else {
         return Ok(Answer::default());
     };
-    let mut answer = Answer { status: head.status(), ..Answer::default() };
+    let mut answer = Answer {
+        status: head.status(),
+        ..Answer::default()
+    };
     if head.header("transfer-encoding").is_some() {
         while let Ok(chunk) = read_chunk(&mut reader) {
             if chunk.is_empty() {
--- a/review/standins/http.rs
+++ b/review/standins/http.rs
@@ -48,7 +48,8 @@
         if head.line.is_empty() {
             head.line = line.to_owned();
         } else if let Some((name, value)) = line.split_once(':') {
-            head.headers.push((name.trim().to_owned(), value.trim().to_owned()));
+            head.headers
+                .push((name.trim().to_owned(), value.trim().to_owned()));
         }
     }
 }
--- a/review/standins/json.rs
+++ b/review/standins/json.rs
@@ -152,7 +152,9 @@
 pub fn base64(bytes: &[u8]) -> String {
     let mut text = String::new();
     for chunk in bytes.chunks(3) {
-        let group = chunk.iter().fold(0_u32, |sum, byte| sum << 8 | u32::from(*byte));
+        let group = chunk
+            .iter()
+            .fold(0_u32, |sum, byte| sum << 8 | u32::from(*byte));
         let group = group << (8 * (3 - chunk.len()));
         for place in 0..4 {
             if place <= chunk.len() {
--- a/review/standins/record.rs
+++ b/review/standins/record.rs
@@ -25,7 +25,10 @@
 
 impl Record {
     pub fn new() -> Self {
-        Self { started: Instant::now(), events: Mutex::default() }
+        Self {
+            started: Instant::now(),
+            events: Mutex::default(),
+        }
     }
 
     pub fn now(&self) -> Duration {
@@ -55,13 +58,21 @@
         let mut file = File::create(path)?;
         writeln!(file, "# seconds, what, request, place, details")?;
         let events = self.events();
-        let resumed = events.iter().filter(|event| event.kind == "runs" && event.detail != "after 0");
+        let resumed = events
+            .iter()
+            .filter(|event| event.kind == "runs" && event.detail != "after 0");
         let resumed: HashSet<String> = resumed.map(|event| event.request.clone()).collect();
         for event in events {
             if event.kind == "event" && !resumed.contains(&event.request) {
                 continue;
             }
-            let Event { at, kind, request, place, detail } = event;
+            let Event {
+                at,
+                kind,
+                request,
+                place,
+                detail,
+            } = event;
             let at = at.as_secs_f64();
             writeln!(file, "{at:9.3} {kind:10} {request} {place} {detail}")?;
         }
