--- a/review/standins/cases/two_runs.rs
+++ b/review/standins/cases/two_runs.rs
@@ -17,14 +17,17 @@
 const SILENCE: Duration = Duration::from_millis(1_500);
 const STEP: Duration = Duration::from_millis(60);
 const EVENTS: u32 = 73;
-/// One in so many requests loses its answer.
-const LOST_ONE_IN: u32 = 4;
+/// Runners that lose answers, of four.
+const LOSING_RUNNERS: [&str; 2] = ["1", "3"];
+/// One in so many of the runs that go on there loses its answer.
+const LOST_ONE_IN: u32 = 2;
 
 pub fn play(record: &Arc<Record>, has_trouble: bool) -> std::io::Result<Verdict> {
     let resumed = AtomicU32::new(0);
-    let plan = move |request: &Request, _: &Runner| {
-        let is_chosen = request.after > 0
-            && resumed.fetch_add(1, Ordering::Relaxed) % LOST_ONE_IN == LOST_ONE_IN - 1;
+    let plan = move |request: &Request, runner: &Runner| {
+        let may_lose = request.after > 0 && LOSING_RUNNERS.contains(&runner.name.as_str());
+        let is_chosen =
+            may_lose && resumed.fetch_add(1, Ordering::Relaxed) % LOST_ONE_IN == LOST_ONE_IN - 1;
         Plan {
             work: Duration::from_millis(30),
             events: EVENTS,
@@ -105,10 +108,15 @@
         .iter()
         .filter(|event| event.kind == "runs" && event.detail != "after 0");
     let lost = events.iter().filter(|event| event.kind == "lost").count();
+    let losing = LOSING_RUNNERS.map(|name| format!("i-{name}-0"));
+    let runs = events
+        .iter()
+        .filter(|event| event.kind == "runs" && losing.contains(&event.place));
+    let lost_share = lost as f64 / runs.count().max(1) as f64;
     Verdict {
         is_broken: !found.is_empty(),
         text: format!(
-            "{} runs went on at another runner, {lost} answers were lost, and in {} cases the runner before worked on more than {} ms later: {}",
+            "{} runs went on at another runner, {lost} answers were lost ({lost_share:.3} of the runs at the runners that lose some), and in {} cases the runner before worked on more than {} ms later: {}",
             resumed.count(),
             found.len(),
             OVERLAP.as_millis(),
