--- a/review/standins/host.rs
+++ b/review/standins/host.rs
@@ -25,7 +25,7 @@
 
 unsafe extern "C" {
     fn kill(process: i32, signal: i32) -> i32;
-    fn prctl(option: i32, argument: u64) -> i32;
+    fn prctl(option: i32, ...) -> i32;
 }
 
 fn signal(process: i32, signal: i32) {
@@ -132,7 +132,7 @@
         // SAFETY: The call only asks for a signal when this process ends, however it ends.
         unsafe {
             command.pre_exec(|| {
-                prctl(SIGNAL_AT_END_OF_PARENT, 9);
+                prctl(SIGNAL_AT_END_OF_PARENT, 9_u64);
                 Ok(())
             });
         }
