Hosts without memory rely on the record of versions, not on the age of servers

Cause: StreamVersions::is_known_for_long took the one version that it found registered for the only one that there had been, if no registered server had started lately. That bounds when the present servers came; it tells nothing of servers that left with nothing in their place.

The inference is gone. A record in the store names the versions of each service that are in use or were within the lifetime of a stream. A host that starts treats a recorded version that is not registered as one that has just left. Peers are still asked first, and hosts of earlier builds answer as before; the messages are unchanged.

--- a/crates/hickoryhall-gateway/src/core/handle.rs
+++ b/crates/hickoryhall-gateway/src/core/handle.rs
@@ -25,6 +25,8 @@
     untold: Notify,
     /// Notified after each call that leaves questions to peers.
     unasked: Notify,
+    /// Notified after each call that may change the record of software versions.
+    unrecorded: Notify,
 }
 
 impl CoreHandle {
@@ -41,6 +43,7 @@
             wake: Notify::new(),
             untold: Notify::new(),
             unasked: Notify::new(),
+            unrecorded: Notify::new(),
         };
         Self {
             shared: Rc::new(shared),
@@ -64,6 +67,9 @@
             if core.has_unasked_questions() {
                 self.shared.unasked.notify_one();
             }
+            if core.may_need_version_record() {
+                self.shared.unrecorded.notify_one();
+            }
             (result, core.scheduler.waiting_count() > 0)
         });
         let (result, is_waiting) =
@@ -84,6 +90,11 @@
         self.shared.unasked.notified().await;
     }
 
+    /// Waits until the record of software versions may have to change.
+    pub async fn may_need_record(&self) {
+        self.shared.unrecorded.notified().await;
+    }
+
     /// Runs the actor's ticks until the task is dropped.
     pub async fn run(&self) {
         let mut wait = IDLE_TICK_INTERVAL;
--- a/crates/hickoryhall-gateway/src/core/streams.rs
+++ b/crates/hickoryhall-gateway/src/core/streams.rs
@@ -1,8 +1,8 @@
 //! Software versions of streams: what is told to peers, and what they are asked.
 
-use std::collections::HashMap;
+use std::collections::{BTreeSet, HashMap};
 use std::net::Ipv4Addr;
-use std::time::{Instant, SystemTime, UNIX_EPOCH};
+use std::time::Instant;
 
 use hickoryhall_types::hash_name;
 use slog::{debug, info};
@@ -68,11 +68,8 @@
 
 impl Core {
     fn moment(&self, now: Instant) -> Moment {
-        let unix = SystemTime::now().duration_since(UNIX_EPOCH);
-        let unix_ms = unix.unwrap_or_default().as_millis();
         Moment {
             now,
-            unix_ms: u64::try_from(unix_ms).unwrap_or(u64::MAX),
             is_registry_read: self.registry.is_store_reachable(),
         }
     }
@@ -83,6 +80,20 @@
         self.streams.versions.software_of(server)
     }
 
+    /// Applies the software versions that the store records.
+    pub fn on_recorded_versions(&mut self, now: Instant, versions: BTreeSet<ServiceVersion>) {
+        self.streams.versions.on_recorded(now, versions);
+    }
+
+    /// Returns the software versions that the store has to record from now on, `None` if it does.
+    pub fn version_record_update(&mut self, now: Instant) -> Option<BTreeSet<ServiceVersion>> {
+        self.streams.versions.record_update(now)
+    }
+
+    pub(super) fn may_need_version_record(&self) -> bool {
+        self.streams.versions.may_need_record()
+    }
+
     /// Records that a stream has its first event; `stream` is the request that brought it.
     pub fn record_stream(&mut self, now: Instant, stream: StreamHash, server: &BackendServer) {
         let Some(software) = self.software_of(server) else {
--- a/crates/hickoryhall-gateway/src/host.rs
+++ b/crates/hickoryhall-gateway/src/host.rs
@@ -33,6 +33,7 @@
 use crate::scheduler::SchedulerConfig;
 use crate::settings::{Settings, SettingsError};
 use crate::store_client::StoreClient;
+use crate::version_record::VersionRecorder;
 
 /// Time for which a stopping host still accepts requests: the load balancer stops sending
 /// connections only after two failed readiness checks, one second apart.
@@ -177,6 +178,8 @@
         let reader = Rc::clone(&gateway);
         spawn_local(async move { reader.read_late_answers().await });
         spawn_feeds(&feeds);
+        let recorder = VersionRecorder::new(Rc::clone(&store), core.clone(), part("versions"));
+        spawn_local(async move { recorder.run().await });
         spawn_peers(&peers, records_listener);
         let orders = OrderTask::new(
             order_task_config(settings),
--- a/crates/hickoryhall-gateway/src/lib.rs
+++ b/crates/hickoryhall-gateway/src/lib.rs
@@ -28,3 +28,4 @@
 pub mod store_position;
 pub mod stream_versions;
 pub mod table;
+pub mod version_record;
--- a/crates/hickoryhall-gateway/src/stream_versions.rs
+++ b/crates/hickoryhall-gateway/src/stream_versions.rs
@@ -5,12 +5,16 @@
 //! have several versions it tells some peers of each stream when its first event leaves. A caller
 //! that takes a stream up at another host names the request that brought its first event. The host
 //! needs no memory of that request where the service has had one version for longer than any stream
-//! lasts; else it asks its peers.
+//! lasts; else it asks its peers. What is registered now tells nothing of servers that have left, so
+//! that a host which has just started relies on the versions that the store records.
 
-use std::collections::{BTreeSet, HashMap, HashSet, VecDeque};
-use std::net::Ipv4Addr;
+mod inquiry;
+
+use std::collections::{BTreeSet, HashMap, VecDeque};
 use std::time::{Duration, Instant};
 
+pub use inquiry::Inquiry;
+
 use hickoryhall_types::{Incarnation, hash_name};
 
 use crate::registry::{BackendServer, ServerId};
@@ -28,13 +32,13 @@
 const STREAM_LIFETIME_SLACK: Duration = Duration::from_secs(2);
 /// Longest such time; a longer timeout would keep everything forever.
 const MAX_STREAM_LIFETIME: Duration = Duration::from_secs(120);
-/// Largest difference between the clocks of a host and a server.
-const MAX_CLOCK_DIFFERENCE: Duration = Duration::from_secs(3);
 /// Maximum number of streams that are remembered; the oldest are forgotten first.
 const MAX_STREAMS: usize = 65_536;
+/// Maximum number of versions that the store records; services beyond them are left out.
+const MAX_RECORDED_VERSIONS: usize = 512;
 
 /// A software version that servers of a service have.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct ServiceVersion {
     /// Service of the servers.
     pub service: ServiceHash,
@@ -71,7 +75,8 @@
     Only {
         /// The version.
         software: SoftwareHash,
-        /// Whether the host reads the registry now, so that no newer server is unknown to it.
+        /// Whether the host has read the registry for as long and reads it now, so that no other
+        /// server is unknown to it.
         is_current: bool,
     },
     /// The service has had several versions.
@@ -94,8 +99,6 @@
 pub struct Moment {
     /// Time by the steady clock.
     pub now: Instant,
-    /// Unix time in milliseconds.
-    pub unix_ms: u64,
     /// Whether the registry can be read.
     pub is_registry_read: bool,
 }
@@ -125,6 +128,11 @@
     new: Vec<ServiceVersion>,
     /// Time since which all servers are known; `None` before the first list of the registry.
     known_since: Option<Instant>,
+    /// Versions that the store records, all that were in use of each service that it names; `None`
+    /// before the record is read.
+    recorded: Option<BTreeSet<ServiceVersion>>,
+    /// Whether the record may have to change.
+    may_need_record: bool,
     lifetime: Duration,
 }
 
@@ -142,6 +150,8 @@
             left: Vec::new(),
             new: Vec::new(),
             known_since: None,
+            recorded: None,
+            may_need_record: false,
             lifetime: MIN_STREAM_LIFETIME,
         }
     }
@@ -165,6 +175,8 @@
         if self.known_since.is_some() && !self.is_in_use(known.version) {
             self.new.push(known.version);
         }
+        let recorded = self.recorded.as_ref();
+        self.may_need_record |= recorded.is_none_or(|all| !all.contains(&known.version));
         if let Some(before) = self.servers.insert(server.id.clone(), known)
             && before != known
         {
@@ -203,7 +215,53 @@
 
     /// Records that all registered servers are known.
     pub fn on_registry_list(&mut self, now: Instant) {
-        self.known_since.get_or_insert(now);
+        if self.known_since.is_none() {
+            self.known_since = Some(now);
+            self.may_need_record = true;
+        }
+    }
+
+    /// Applies the versions that the store records. Those that were not recorded before may have been
+    /// in use until now.
+    pub fn on_recorded(&mut self, now: Instant, versions: BTreeSet<ServiceVersion>) {
+        let before = self.recorded.take().unwrap_or_default();
+        for &version in versions.difference(&before) {
+            self.record_in_use(now, version);
+        }
+        self.recorded = Some(versions);
+        self.may_need_record = true;
+    }
+
+    /// Returns whether the record may have to change, for which
+    /// [`record_update`](Self::record_update) has to be called.
+    #[must_use]
+    pub fn may_need_record(&self) -> bool {
+        self.may_need_record && self.recorded.is_some() && self.known_since.is_some()
+    }
+
+    /// Returns the versions that the store has to record from now on, `None` if it does already or the
+    /// record has not been read.
+    ///
+    /// A service is recorded first by a host that knows all versions that were in use.
+    pub fn record_update(&mut self, now: Instant) -> Option<BTreeSet<ServiceVersion>> {
+        self.expire(now);
+        let (recorded, _) = (self.recorded.as_ref()?, self.known_since?);
+        self.may_need_record = false;
+        let knows_for_long = self.knows_for_long(now);
+        let registered = self.servers.values().map(|server| server.version);
+        let in_use = registered.chain(self.earlier.keys().copied());
+        let is_recorded = |service| recorded.iter().any(|version| version.service == service);
+        let in_use = in_use.filter(|version| knows_for_long || is_recorded(version.service));
+        let mut versions = in_use.collect::<BTreeSet<_>>();
+        if !knows_for_long {
+            versions.extend(recorded);
+        }
+        while versions.len() > MAX_RECORDED_VERSIONS
+            && let Some(last) = versions.last().map(|version| version.service)
+        {
+            versions.retain(|version| version.service != last);
+        }
+        (versions != *recorded).then_some(versions)
     }
 
     /// Forgets what is older than any stream that may be taken up.
@@ -213,7 +271,9 @@
         }
         let lifetime = self.lifetime;
         let is_old = |at: Instant| now.saturating_duration_since(at) > lifetime;
+        let count = self.earlier.len();
         self.earlier.retain(|_, at| !is_old(*at));
+        self.may_need_record |= self.earlier.len() < count;
         while let Some(&(at, stream)) = self.by_age.front() {
             if !is_old(at) && self.by_age.len() <= MAX_STREAMS {
                 break;
@@ -296,122 +356,35 @@
 
     fn knowledge_of_service(&mut self, moment: Moment, service: ServiceHash) -> StreamKnowledge {
         self.expire(moment.now);
-        let registered = self.servers.values();
-        let registered = registered.filter(|server| server.version.service == service);
-        let mut youngest = 0;
-        let mut versions = BTreeSet::new();
-        for server in registered {
-            youngest = youngest.max(server.incarnation);
-            versions.insert(server.version.software);
-        }
-        let earlier = self.earlier.keys();
-        let earlier = earlier.filter(|version| version.service == service);
-        versions.extend(earlier.map(|version| version.software));
-        let mut versions = versions.into_iter();
+        let registered = self.servers.values().map(|server| &server.version);
+        let in_use = registered.chain(self.earlier.keys());
+        let in_use = in_use.filter(|version| version.service == service);
+        let versions = in_use.map(|version| version.software);
+        let mut versions = versions.collect::<BTreeSet<_>>().into_iter();
+        let knows_for_long = self.knows_for_long(moment.now);
         match (versions.next(), versions.next()) {
             (Some(_), Some(_)) => StreamKnowledge::Several,
-            (Some(software), None) if self.is_known_for_long(moment, youngest) => {
+            (Some(software), None) if knows_for_long || self.is_recorded(service) => {
                 StreamKnowledge::Only {
                     software,
-                    is_current: moment.is_registry_read,
+                    is_current: knows_for_long && moment.is_registry_read,
                 }
             }
             _ => StreamKnowledge::Unknown,
         }
     }
 
-    /// Returns whether no version can have left a service before this host knew of it: it has known
-    /// the servers for longer than any stream lasts, or none of them is younger than that, as one
-    /// that replaces another would be.
-    fn is_known_for_long(&self, moment: Moment, youngest: Incarnation) -> bool {
+    /// Returns whether no version can have left a service before this host knew of it.
+    fn knows_for_long(&self, now: Instant) -> bool {
         let Some(known_since) = self.known_since else {
             return false;
         };
-        let known_for = moment.now.saturating_duration_since(known_since);
-        let limit = self.lifetime + MAX_CLOCK_DIFFERENCE;
-        let youngest_age = Duration::from_millis(moment.unix_ms.saturating_sub(youngest));
-        self.is_first_start || known_for > self.lifetime || youngest_age > limit
-    }
-}
-
-/// What peers answer about one stream.
-#[derive(Debug)]
-pub struct Inquiry {
-    /// Whether there are any peers to ask.
-    has_peers: bool,
-    /// Peers that were asked and are likely to answer.
-    awaited: HashSet<Ipv4Addr>,
-    answered: HashSet<Ipv4Addr>,
-    /// Versions that hosts which do not read the registry know as the only one.
-    outdated: BTreeSet<SoftwareHash>,
-    /// Whether a host knows of several versions.
-    is_ruled_out: bool,
-}
-
-impl Inquiry {
-    /// Creates an inquiry by a host with this knowledge, which has asked nobody.
-    #[must_use]
-    pub fn new(own: StreamKnowledge) -> Self {
-        let mut inquiry = Self {
-            has_peers: false,
-            awaited: HashSet::new(),
-            answered: HashSet::new(),
-            outdated: BTreeSet::new(),
-            is_ruled_out: false,
-        };
-        inquiry.weigh(own);
-        inquiry
-    }
-
-    /// Records that all known peers are asked now, perhaps again; `live` are those of them that were
-    /// heard of lately.
-    pub fn ask(&mut self, live: impl IntoIterator<Item = Ipv4Addr>) {
-        self.has_peers = true;
-        self.awaited.extend(live);
-    }
-
-    /// Takes an answer; returns the version if it is certain now.
-    pub fn on_answer(&mut self, from: Ipv4Addr, answer: StreamKnowledge) -> Option<SoftwareHash> {
-        self.answered.insert(from);
-        self.weigh(answer);
-        match answer {
-            StreamKnowledge::Began(software) => Some(software),
-            StreamKnowledge::Only {
-                software,
-                is_current: true,
-            } if !self.is_ruled_out => Some(software),
-            _ => None,
-        }
+        self.is_first_start || now.saturating_duration_since(known_since) > self.lifetime
     }
 
-    fn weigh(&mut self, knowledge: StreamKnowledge) {
-        match knowledge {
-            StreamKnowledge::Several => self.is_ruled_out = true,
-            StreamKnowledge::Only { software, .. } => {
-                self.outdated.insert(software);
-            }
-            StreamKnowledge::Began(_) | StreamKnowledge::Unknown => {}
-        }
-    }
-
-    /// Returns whether all peers have answered that are likely to, and at least one if there are any:
-    /// a host that has just started, or was cut off, hears of none.
-    #[must_use]
-    pub fn is_complete(&self) -> bool {
-        self.has_answers() && self.awaited.is_subset(&self.answered)
-    }
-
-    fn has_answers(&self) -> bool {
-        !self.answered.is_empty() || !self.has_peers
-    }
-
-    /// Ends the inquiry: returns the version if hosts that cannot read the registry agree on it and
-    /// nobody knows of another one. A host that no peer answers may be cut off from those that know.
-    #[must_use]
-    pub fn finish(&self) -> Option<SoftwareHash> {
-        let agreed = self.outdated.first().filter(|_| self.outdated.len() == 1);
-        agreed
-            .copied()
-            .filter(|_| self.has_answers() && !self.is_ruled_out)
+    /// Returns whether all versions of a service are known from the record in the store and the registry.
+    fn is_recorded(&self, service: ServiceHash) -> bool {
+        let mut recorded = self.recorded.iter().flatten();
+        self.known_since.is_some() && recorded.any(|version| version.service == service)
     }
 }
