--- a/crates/hickoryhall-gateway/src/core.rs
+++ b/crates/hickoryhall-gateway/src/core.rs
@@ -14,7 +14,7 @@
 use std::time::{Duration, Instant};
 
 use hickoryhall_limits::{FleetRetryBudget, FleetRetryLimit};
-use hickoryhall_routing::{Breaks, Fingerprint, Reach, Suspects};
+use hickoryhall_routing::{Breaks, Reach, Suspects};
 use hickoryhall_types::{Incarnation, TargetId, WeightsVersion, hash_name, rendezvous_score};
 use metrics::counter;
 use slog::{Logger, info};
@@ -87,7 +87,7 @@
     reach: Reach<Ipv4Addr>,
     /// Processes of servers that named a limit which cannot be read, by the hash of the server's id.
     unreadable_limits: HashMap<u64, Incarnation>,
-    /// Suspects to list in the next digests, oldest first.
+    /// Refused requests to list in the next digests for hosts of earlier builds, oldest first.
     suspect_updates: Vec<SuspectUpdate>,
     fleet: Fleet,
     /// Whether each runner, by the hash of its id, is changing its weights. Lists the runners that
@@ -378,26 +378,6 @@
         }
     }
 
-    /// Records that a server failed while it ran a request, and returns the failures counted for
-    /// that request so far.
-    pub fn record_death(&mut self, now: Instant, fingerprint: Fingerprint) -> u32 {
-        let deaths = self.suspects.record_death(now, fingerprint);
-        self.queue_suspect_update(SuspectUpdate {
-            fingerprint,
-            deaths,
-        });
-        deaths
-    }
-
-    /// Clears a request that was answered in full from suspicion.
-    pub fn clear_suspect(&mut self, fingerprint: Fingerprint) {
-        if !self.suspects.is_empty() {
-            self.suspects.clear(fingerprint);
-            self.suspect_updates
-                .retain(|update| update.fingerprint != fingerprint);
-        }
-    }
-
     /// Records, as the lease holder, whether a runner is changing its weights, and includes its
     /// state in the next digests.
     pub fn announce_runner(&mut self, now: Instant, server: u64, is_changing: bool) {
@@ -460,6 +440,7 @@
         self.apply_registry_events(events);
         self.streams.versions.expire(now);
         self.review_crashes(now);
+        self.review_requests(now);
         self.divide_limits(now);
         self.divide_refusal_limits(now);
         self.place_waiting(now);
--- a/crates/hickoryhall-gateway/src/core/crashes.rs
+++ b/crates/hickoryhall-gateway/src/core/crashes.rs
@@ -3,18 +3,19 @@
 use std::time::{Duration, Instant};
 
 use hickoryhall_routing::{
-    BreakStep, CrashId, CrashReport, Fingerprint, PartHash, SuspectDecision,
+    BreakStep, BrokenRequest, CrashId, Fingerprint, PartHash, ServerCrash, SuspectDecision,
 };
 use hickoryhall_types::{hash_name, rendezvous_score};
 use metrics::counter;
 use slog::info;
 
 use super::{Core, duty_rank};
+use crate::peers::SuspectUpdate;
 use crate::registry::BackendServer;
 
 /// Time after its start from which a host may probe a refused prompt part.
 const PROBE_START_DELAY: Duration = Duration::from_secs(10);
-/// Ranks hosts for the probe of prompt parts under which servers crashed.
+/// Ranks hosts for the probe of requests and prompt parts under which servers crashed.
 const PROBE_DUTY: u64 = 0x7375_7370_6563_7473;
 
 impl Core {
@@ -35,21 +36,36 @@
             .decide_prompt(now, fingerprint, parts, may_probe)
     }
 
-    /// Records that a server broke off a request that it had for `run_time`; returns whether its
-    /// process has to be checked.
+    /// Returns whether a request may be the cause of crashes.
+    #[must_use]
+    pub fn is_request_suspect(&self, fingerprint: Fingerprint) -> bool {
+        self.suspects.is_request_suspect(fingerprint)
+    }
+
+    /// Records that a server broke off a request before its first event, though its process may not
+    /// have crashed.
+    pub fn record_unproven_break(
+        &mut self,
+        now: Instant,
+        server: &BackendServer,
+        request: &BrokenRequest<'_>,
+    ) {
+        self.suspects
+            .record_unproven_break(now, process_id(server), request);
+        self.review_requests(now);
+    }
+
+    /// Records that a server broke off a request; returns whether its process has to be checked.
     pub fn record_break(
         &mut self,
         now: Instant,
         server: &BackendServer,
-        parts: &[PartHash],
-        run_time: Duration,
+        request: &BrokenRequest<'_>,
     ) -> bool {
-        let step = self
-            .breaks
-            .record_break(now, process_id(server), parts, run_time);
+        let step = self.breaks.record_break(now, process_id(server), request);
         match step {
             BreakStep::Check => return true,
-            BreakStep::Crashed(report) => self.record_crash(now, &server.id, &report),
+            BreakStep::Crashed(crash) => self.record_crash(now, &server.id, &crash),
             BreakStep::Nothing => {}
         }
         false
@@ -68,23 +84,43 @@
             return false;
         };
         let open = self.scheduler.open_attempts(server, broke_at);
-        let report = self.breaks.record_check(now, process, is_refusing, open);
-        let has_crashed = report.is_some();
+        let crash = self.breaks.record_check(now, process, is_refusing, open);
+        let has_crashed = crash.is_some();
         // A server that leaves ends on purpose.
-        if let Some(report) = report.filter(|_| !self.scheduler.is_leaving(&server.id)) {
-            self.record_crash(now, &server.id, &report);
+        if let Some(crash) = crash.filter(|_| !self.scheduler.is_leaving(&server.id)) {
+            self.record_crash(now, &server.id, &crash);
         }
         has_crashed
     }
 
-    fn record_crash(&mut self, now: Instant, server: &str, report: &CrashReport) {
-        if self.suspects.record_crash(now, report) {
+    fn record_crash(&mut self, now: Instant, server: &str, crash: &ServerCrash) {
+        let has_parts = !crash.parts.parts.is_empty();
+        let is_new = has_parts && self.suspects.record_crash(now, &crash.parts);
+        let has_new_requests = self.suspects.record_request_crash(now, &crash.requests);
+        if is_new || has_new_requests {
             counter!("crash_reports_total").increment(1);
             info!(
-                self.logger, "core: Server crashed while it ran prompts.";
-                "server" => server, "crash" => format!("{:016x}", report.crash),
-                "parts" => report.parts.len()
+                self.logger, "core: Server crashed while it ran requests.";
+                "server" => server, "crash" => format!("{:016x}", crash.parts.crash),
+                "parts" => crash.parts.parts.len(), "requests" => crash.requests.parts.len()
+            );
+        }
+        self.review_requests(now);
+    }
+
+    /// Refuses from now on the requests that crash servers beyond doubt.
+    pub(super) fn review_requests(&mut self, now: Instant) {
+        for (fingerprint, crashes) in self.suspects.review_requests(now) {
+            counter!("suspect_requests_refused_total", "source" => "crashes").increment(1);
+            info!(
+                self.logger, "core: Request is refused, as servers crash under it.";
+                "fingerprint" => fingerprint, "crashes" => crashes
             );
+            // Hosts of earlier builds know only numbers of deaths.
+            self.queue_suspect_update(SuspectUpdate {
+                fingerprint,
+                deaths: crashes,
+            });
         }
     }
 
@@ -99,9 +135,22 @@
         }
     }
 
-    /// Records that one server wrote a whole answer to a request, which clears its prompt's parts
-    /// from suspicion.
-    pub fn record_whole_answer(&mut self, now: Instant, parts: &[PartHash]) {
+    /// Records that one server wrote a whole answer to a request, which clears it and its prompt's
+    /// parts from suspicion.
+    pub fn record_whole_answer(
+        &mut self,
+        now: Instant,
+        fingerprint: Fingerprint,
+        parts: &[PartHash],
+    ) {
+        if self.suspects.record_request_answer(now, fingerprint) {
+            info!(
+                self.logger, "core: Request cleared by a whole answer.";
+                "fingerprint" => fingerprint
+            );
+            self.suspect_updates
+                .retain(|update| update.fingerprint != fingerprint);
+        }
         for part in self.suspects.record_answer(now, parts) {
             info!(
                 self.logger, "core: Prompt part cleared by a whole answer.";
--- a/crates/hickoryhall-gateway/src/core/digests.rs
+++ b/crates/hickoryhall-gateway/src/core/digests.rs
@@ -103,6 +103,7 @@
             desired_versions: desired_versions.collect(),
             suspects: self.suspect_updates.clone(),
             crashes: self.suspects.crash_news(now),
+            request_crashes: Some(self.suspects.request_news(now)),
             limits: self.scheduler.limits_mut().news(now),
             refusal_limits: self.scheduler.refusal_limits_mut().news(now),
             reach: self.reach_statement(),
@@ -184,11 +185,7 @@
                 DesiredVersionSource::Peer,
             );
         }
-        for &update in &digest.suspects {
-            if self.suspects.merge(now, update.fingerprint, update.deaths) {
-                self.queue_suspect_update(update);
-            }
-        }
+        self.merge_request_news(now, digest);
         for statement in &digest.limits {
             if self.scheduler.limits_mut().merge(now, statement) {
                 let name = self.scheduler.server_name(statement.server);
@@ -215,6 +212,24 @@
         self.place_waiting(now);
     }
 
+    /// Merges what a peer tells of requests that may crash servers.
+    fn merge_request_news(&mut self, now: Instant, digest: &Digest) {
+        let Some(news) = &digest.request_crashes else {
+            for update in &digest.suspects {
+                self.suspects
+                    .merge_deaths(now, update.fingerprint, update.deaths);
+            }
+            return;
+        };
+        for fingerprint in self.suspects.merge_request_news(now, news) {
+            counter!("suspect_requests_refused_total", "source" => "peer").increment(1);
+            info!(
+                self.logger, "core: Request is refused, as a peer says that servers crash under it.";
+                "fingerprint" => fingerprint
+            );
+        }
+    }
+
     fn replace_peer_loads(&mut self, now: Instant, source: LoadSource, servers: &[ServerUpdate]) {
         let listed = servers
             .iter()
--- a/crates/hickoryhall-gateway/src/exchange/attempt.rs
+++ b/crates/hickoryhall-gateway/src/exchange/attempt.rs
@@ -457,15 +457,6 @@
         let address = server.address;
         match failure {
             AttemptFailure::Broken => {
-                let fingerprint = self.request.fingerprint;
-                let deaths = self
-                    .gateway
-                    .core
-                    .with(|core, now| core.record_death(now, fingerprint));
-                debug!(
-                    self.gateway.logger, "exchange: Request counted as a suspect.";
-                    "request" => &*self.request.meta.request_id, "deaths" => deaths
-                );
                 self.record_break(server, sent_at, false);
                 self.gateway.pool.close_idle(address);
             }
--- a/crates/hickoryhall-gateway/src/exchange/crash.rs
+++ b/crates/hickoryhall-gateway/src/exchange/crash.rs
@@ -3,12 +3,13 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
-use hickoryhall_routing::PartHash;
+use hickoryhall_routing::{BrokenRequest, PartHash};
 use metrics::counter;
 use slog::info;
 use tokio::task::spawn_local;
 
 use super::{Exchange, Gateway};
+use crate::core::Core;
 use crate::framing::BodyFraming;
 use crate::interface::Platform;
 use crate::registry::BackendServer;
@@ -28,6 +29,11 @@
             "has_begun" => has_begun, "fingerprint" => self.request.fingerprint,
             "parts" => parts
         );
+        if !has_begun {
+            self.with_broken_request(sent_at, |core, now, request| {
+                core.record_unproven_break(now, server, request);
+            });
+        }
         if self.needs_check(server, sent_at) {
             let (gateway, server) = (Rc::clone(&self.gateway), server.clone());
             spawn_local(async move {
@@ -37,7 +43,7 @@
     }
 
     /// Records that a server has sent its whole answer, as far as its framing tells, which clears the
-    /// parts of the prompt from suspicion. An answer that ends with its connection ends the same way if
+    /// request and the parts of its prompt from suspicion. An answer that ends with its connection ends the same way if
     /// the server crashes, so that the process is checked first.
     pub(super) fn record_whole_answer(
         &self,
@@ -45,28 +51,43 @@
         sent_at: Instant,
         framing: BodyFraming,
     ) {
-        if self.request.parts.is_empty() {
+        let (fingerprint, parts) = (self.request.fingerprint, self.request.parts.clone());
+        let core = &self.gateway.core;
+        if framing != BodyFraming::Connection {
+            core.with(|core, now| core.record_whole_answer(now, fingerprint, &parts));
             return;
         }
-        let parts = self.request.parts.clone();
-        if framing != BodyFraming::Connection {
-            let core = &self.gateway.core;
-            core.with(|core, now| core.record_whole_answer(now, &parts));
-        } else if self.needs_check(server, sent_at) {
+        let may_matter =
+            !parts.is_empty() || core.with(|core, _| core.is_request_suspect(fingerprint));
+        if may_matter && self.needs_check(server, sent_at) {
             let (gateway, server) = (Rc::clone(&self.gateway), server.clone());
             spawn_local(async move {
                 if check_process(&gateway, &server).await == ProcessState::Alive {
                     let core = &gateway.core;
-                    core.with(|core, now| core.record_whole_answer(now, &parts));
+                    core.with(|core, now| core.record_whole_answer(now, fingerprint, &parts));
                 }
             });
         }
     }
 
     fn needs_check(&self, server: &BackendServer, sent_at: Instant) -> bool {
+        self.with_broken_request(sent_at, |core, now, request| {
+            core.record_break(now, server, request)
+        })
+    }
+
+    fn with_broken_request<R>(
+        &self,
+        sent_at: Instant,
+        act: impl FnOnce(&mut Core, Instant, &BrokenRequest<'_>) -> R,
+    ) -> R {
         self.gateway.core.with(|core, now| {
-            let run_time = now.saturating_duration_since(sent_at);
-            core.record_break(now, server, &self.request.parts, run_time)
+            let request = BrokenRequest {
+                fingerprint: self.request.fingerprint,
+                parts: &self.request.parts,
+                run_time: now.saturating_duration_since(sent_at),
+            };
+            act(core, now, &request)
         })
     }
 }
--- a/crates/hickoryhall-gateway/src/exchange/relay.rs
+++ b/crates/hickoryhall-gateway/src/exchange/relay.rs
@@ -215,7 +215,6 @@
             RelayOutcome::Complete => {
                 guard.end(AttemptEnd::Answered);
                 exchange.return_to_pool(connection, &response_meta);
-                exchange.clear_suspect();
                 if is_from_one_server && let Some(server) = source.server() {
                     let framing = BodyFraming::of(&head.headers);
                     exchange.record_whole_answer(server, sent_at, framing);
--- a/crates/hickoryhall-gateway/src/exchange/respond.rs
+++ b/crates/hickoryhall-gateway/src/exchange/respond.rs
@@ -30,13 +30,6 @@
         }
     }
 
-    /// Clears the request from suspicion, as it was answered in full.
-    pub(super) fn clear_suspect(&self) {
-        let fingerprint = self.request.fingerprint;
-        let core = &self.gateway.core;
-        core.with(|core, _| core.clear_suspect(fingerprint));
-    }
-
     /// Passes on the failure that a peer generated, unless an earlier attempt makes its promise untrue.
     pub(super) fn respond_peer_failure(
         mut self,
@@ -67,9 +60,6 @@
     }
 
     pub(super) fn respond(mut self, response: BufferedResponse) -> Response<ResponseBody> {
-        if response.status.is_success() {
-            self.clear_suspect();
-        }
         self.record.answered(response.status);
         response.into_response()
     }
--- a/crates/hickoryhall-gateway/src/peers/message.rs
+++ b/crates/hickoryhall-gateway/src/peers/message.rs
@@ -39,10 +39,13 @@
     pub servers: Vec<ServerUpdate>,
     /// Desired versions of models that the sender knows.
     pub desired_versions: Vec<DesiredVersionUpdate>,
-    /// Requests during which backend servers failed.
+    /// Requests that the sender refuses, for hosts that do not read `request_crashes`.
     pub suspects: Vec<SuspectUpdate>,
     /// Crashes of servers and the prompt parts that may have caused them.
     pub crashes: CrashNews,
+    /// Crashes of servers and the requests that may have caused them, with fingerprints in place of
+    /// parts; `None` if the sender does not tell.
+    pub request_crashes: Option<CrashNews>,
     /// Limits that servers name.
     pub limits: Vec<LimitStatement>,
     /// Requests a second that servers can turn away.
--- a/crates/hickoryhall-gateway/src/peers/message/wire.rs
+++ b/crates/hickoryhall-gateway/src/peers/message/wire.rs
@@ -8,7 +8,7 @@
 use hickoryhall_routing::{CrashNews, Level, ReachStatement};
 use prost::Message;
 
-use super::wire_news::{WireAnsweredPart, WireBlockedPart, WireCrash, WireLimit};
+use super::wire_news::{WireAnsweredPart, WireBlockedPart, WireCrash, WireCrashNews, WireLimit};
 use super::{
     DesiredVersionUpdate, Digest, PromptUpdate, Scope, ServerUpdate, StoreRecords, StoreSnapshot,
     SuspectUpdate,
@@ -79,6 +79,9 @@
     /// Requests a second that servers can turn away.
     #[prost(message, repeated, tag = "24")]
     pub(super) refusal_limits: Vec<WireLimit>,
+    /// Crashes of servers by the requests that they ran; missing in digests of earlier builds.
+    #[prost(message, optional, tag = "25")]
+    pub(super) request_crashes: Option<WireCrashNews>,
 }
 
 /// Streams of one service that began at one software version; without streams, a version that the
@@ -257,6 +260,7 @@
             streams: wire_streams(&digest.streams),
             stream_questions: digest.streams.asked.iter().map(From::from).collect(),
             stream_answers: digest.streams.answers.iter().map(From::from).collect(),
+            request_crashes: digest.request_crashes.as_ref().map(From::from),
             crashes: digest.crashes.crashes.iter().map(From::from).collect(),
             answered_parts: digest.crashes.answered.iter().map(From::from).collect(),
             blocked_parts: digest.crashes.blocked.iter().map(From::from).collect(),
@@ -397,6 +401,7 @@
                 answered: wire.answered_parts.iter().map(From::from).collect(),
                 blocked: wire.blocked_parts.iter().map(From::from).collect(),
             },
+            request_crashes: wire.request_crashes.as_ref().map(CrashNews::from),
             limits: wire.limits.iter().map(From::from).collect(),
             refusal_limits: wire.refusal_limits.iter().map(From::from).collect(),
             reach: ReachStatement {
--- a/crates/hickoryhall-gateway/src/peers/message/wire_news.rs
+++ b/crates/hickoryhall-gateway/src/peers/message/wire_news.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use hickoryhall_limits::LimitStatement;
-use hickoryhall_routing::{AnsweredPart, BlockedPart, CrashReport, CrashedPart};
+use hickoryhall_routing::{AnsweredPart, BlockedPart, CrashNews, CrashReport, CrashedPart};
 use prost::Message;
 
 /// Parts and run times are two lists of equal length.
@@ -37,6 +37,16 @@
     pub(super) age_ms: u64,
 }
 
+#[derive(Clone, PartialEq, Message)]
+pub(super) struct WireCrashNews {
+    #[prost(message, repeated, tag = "1")]
+    pub(super) crashes: Vec<WireCrash>,
+    #[prost(message, repeated, tag = "2")]
+    pub(super) answered: Vec<WireAnsweredPart>,
+    #[prost(message, repeated, tag = "3")]
+    pub(super) blocked: Vec<WireBlockedPart>,
+}
+
 /// Limit that a process of a server names.
 #[derive(Clone, PartialEq, Message)]
 pub(super) struct WireLimit {
@@ -51,6 +61,26 @@
     pub(super) age_ms: u64,
 }
 
+impl From<&CrashNews> for WireCrashNews {
+    fn from(news: &CrashNews) -> Self {
+        Self {
+            crashes: news.crashes.iter().map(From::from).collect(),
+            answered: news.answered.iter().map(From::from).collect(),
+            blocked: news.blocked.iter().map(From::from).collect(),
+        }
+    }
+}
+
+impl From<&WireCrashNews> for CrashNews {
+    fn from(wire: &WireCrashNews) -> Self {
+        Self {
+            crashes: wire.crashes.iter().map(From::from).collect(),
+            answered: wire.answered.iter().map(From::from).collect(),
+            blocked: wire.blocked.iter().map(From::from).collect(),
+        }
+    }
+}
+
 impl From<&CrashReport> for WireCrash {
     fn from(report: &CrashReport) -> Self {
         let parts = &report.parts;
--- a/crates/hickoryhall-gateway/src/version_record.rs
+++ b/crates/hickoryhall-gateway/src/version_record.rs
@@ -14,7 +14,7 @@
 use slog::{Logger, debug, info, warn};
 use tokio::time::{sleep, timeout};
 
-use crate::core::CoreHandle;
+use crate::core::{Core, CoreHandle};
 use crate::interface::{ConditionalPut, Store, StoreError, StoreRevision};
 use crate::store_client::StoreClient;
 use crate::store_position::StorePosition;
@@ -117,7 +117,7 @@
             let delay = OTHERS_DELAY.saturating_add(DELAY_PER_HOST.saturating_mul(others));
             sleep(delay.min(MAX_DELAY)).await;
             let (_, found) = self.read().await?;
-            let update = self.core.with(|core, now| core.version_record_update(now));
+            let update = self.core.with(Core::version_record_update);
             if found != revision || update.is_none() {
                 return Ok(());
             }
@@ -142,8 +142,8 @@
     /// Reads the record; returns the position of the store and the revision of the record.
     async fn read(&self) -> Result<(StorePosition, StoreRevision), StoreError> {
         let read = self.store.range(RECORD_KEY).await?;
-        let items = read.content.into_iter();
-        let item = items.filter(|item| item.key == RECORD_KEY).next_back();
+        let mut items = read.content.into_iter();
+        let item = items.find(|item| item.key == RECORD_KEY);
         let (versions, revision) = item.map_or_else(Default::default, |item| {
             let versions = WireVersionRecord::decode(item.value).unwrap_or_else(|error| {
                 warn!(
@@ -162,7 +162,7 @@
     /// Waits until the record has to change.
     async fn next_update(&self) -> BTreeSet<ServiceVersion> {
         loop {
-            let versions = self.core.with(|core, now| core.version_record_update(now));
+            let versions = self.core.with(Core::version_record_update);
             if let Some(versions) = versions {
                 return versions;
             }
--- a/crates/hickoryhall-gateway/tests/groups.rs
+++ b/crates/hickoryhall-gateway/tests/groups.rs
@@ -14,7 +14,7 @@
 use hickoryhall_gateway::registry::BackendServer;
 use hickoryhall_gateway::scheduler::{HostLoad, PlacementRequest, PromptInfo, SchedulerConfig};
 use hickoryhall_limits::FleetRetryLimit;
-use hickoryhall_routing::{Level, PrefixChain};
+use hickoryhall_routing::{BrokenRequest, Level, PrefixChain, SuspectDecision};
 use hickoryhall_types::{hash_name, rendezvous_score};
 use rstest::rstest;
 use slog::{Discard, Logger, o};
@@ -277,18 +277,25 @@
 fn urgent_news_reach_other_groups_directly() {
     let mut network = Network::new(70);
     network.converge();
-    network.hosts[0].core.record_death(network.now, 7);
+    for number in 1..3 {
+        let request = BrokenRequest {
+            fingerprint: 7,
+            parts: &[],
+            run_time: Duration::ZERO,
+        };
+        let core = &mut network.hosts[0].core;
+        core.record_unproven_break(network.now, &runner(&format!("r-{number}")), &request);
+        network.now += Duration::from_millis(100);
+    }
     network.round(40, true);
     let now = network.now;
-    let informed = network.hosts.iter_mut().filter_map(|host| {
-        let group = host.known_peers.group(now);
-        let suspects = host.core.heartbeat(now, group).suspects;
-        suspects
-            .iter()
-            .find(|update| update.fingerprint == 7)
-            .copied()
-    });
-    assert_eq!(informed.count(), 70);
+    for host in &mut network.hosts {
+        let decision = host.core.suspect_decision(now, Some(7), &[]);
+        assert!(
+            matches!(decision, SuspectDecision::Refuse(_)),
+            "{decision:?}"
+        );
+    }
 }
 
 /// Guards against group digests that no host can receive: the largest datagram that a host accepts
--- a/crates/hickoryhall-gateway/tests/messages.rs
+++ b/crates/hickoryhall-gateway/tests/messages.rs
@@ -86,6 +86,25 @@
                 has_failed_probe: number(9).is_multiple_of(2),
             }],
         },
+        request_crashes: number(2).is_multiple_of(3).then(|| CrashNews {
+            crashes: vec![CrashReport {
+                crash: number(4),
+                age: Duration::from_millis(number(3)),
+                parts: vec![CrashedPart {
+                    part: number(2),
+                    run_time: Duration::from_millis(number(1)),
+                }],
+            }],
+            answered: vec![AnsweredPart {
+                part: number(6),
+                age: Duration::from_millis(number(5)),
+            }],
+            blocked: vec![BlockedPart {
+                part: number(8),
+                age: Duration::from_millis(number(7)),
+                has_failed_probe: number(5).is_multiple_of(2),
+            }],
+        }),
         limits: vec![LimitStatement {
             server: number(1),
             process: number(2),
--- a/crates/hickoryhall-routing/src/lib.rs
+++ b/crates/hickoryhall-routing/src/lib.rs
@@ -38,6 +38,6 @@
 pub use retry::{AttemptOutcome, RetryDecision, RetryPolicy};
 pub use runner::{LoadReport, RunnerInfo, RunnerKey, Runners};
 pub use suspects::{
-    AnsweredPart, BlockedPart, BreakStep, Breaks, CrashId, CrashNews, CrashReport, CrashedPart,
-    Fingerprint, PartHash, SuspectDecision, Suspects,
+    AnsweredPart, BlockedPart, BreakStep, Breaks, BrokenRequest, CrashId, CrashNews, CrashReport,
+    CrashedPart, Fingerprint, PartHash, ServerCrash, SuspectDecision, Suspects,
 };
--- a/crates/hickoryhall-routing/src/suspects.rs
+++ b/crates/hickoryhall-routing/src/suspects.rs
@@ -9,9 +9,11 @@
 use std::collections::{HashMap, VecDeque};
 use std::time::{Duration, Instant};
 
-pub use breaks::{BreakStep, Breaks};
+use hickoryhall_types::rendezvous_score;
+
+pub use breaks::{BreakStep, Breaks, BrokenRequest, ServerCrash};
 pub use news::{AnsweredPart, BlockedPart, CrashId, CrashNews, CrashReport, CrashedPart, PartHash};
-use parts::PartSuspects;
+use parts::{BlockRule, PartSuspects};
 
 /// Hash of a request's workspace, target and body, the same on every host.
 pub type Fingerprint = u64;
@@ -22,6 +24,18 @@
 const SUSPECT_TTL: Duration = Duration::from_secs(600);
 /// Number of runner deaths from which a request is refused.
 const DEATHS_TO_REFUSE: u32 = 2;
+/// Rule for parts of prompts, which many requests may share.
+const PART_RULE: BlockRule = BlockRule {
+    min_rounds: 3,
+    settle_time: Duration::from_millis(250),
+};
+/// Rule for whole requests.
+const REQUEST_RULE: BlockRule = BlockRule {
+    min_rounds: DEATHS_TO_REFUSE,
+    settle_time: Duration::ZERO,
+};
+/// Makes the id of a break that is not known to be a crash from that of the process.
+const UNPROVEN_BREAK: u64 = 0x756e_7072_6f76_656e;
 
 /// What to do with a request.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -45,15 +59,28 @@
 
 /// Bounded set of suspects with the number of runner deaths of each.
 ///
-/// A request is suspect for itself, by the number of servers that broke it off, or for a part of its
-/// prompt, by the crashes of servers that ran the part.
-#[derive(Clone, Debug, Default)]
+/// A request is suspect for itself, by the processes that crashed while they ran it or broke it off
+/// before its first event, or for a part of its prompt, by the crashes of servers that ran the part.
+#[derive(Clone, Debug)]
 pub struct Suspects {
     parts: PartSuspects,
+    /// Whole requests, by their fingerprints.
+    requests: PartSuspects,
     entries: HashMap<Fingerprint, Suspect>,
     order: VecDeque<(Instant, Fingerprint)>,
 }
 
+impl Default for Suspects {
+    fn default() -> Self {
+        Self {
+            parts: PartSuspects::new(PART_RULE),
+            requests: PartSuspects::new(REQUEST_RULE),
+            entries: HashMap::new(),
+            order: VecDeque::new(),
+        }
+    }
+}
+
 impl Suspects {
     /// Records that a runner died while it ran a request, and returns the number of deaths so far.
     pub fn record_death(&mut self, now: Instant, fingerprint: Fingerprint) -> u32 {
@@ -110,7 +137,7 @@
 
     /// Decides whether and how a request with a prompt may run; without a fingerprint, by its prompt
     /// alone. `may_probe` tells whether this host is
-    /// the one that probes refused parts.
+    /// the one that probes refused requests and parts.
     pub fn decide_prompt(
         &mut self,
         now: Instant,
@@ -118,51 +145,124 @@
         parts: &[PartHash],
         may_probe: impl Fn() -> bool,
     ) -> SuspectDecision {
-        let request = fingerprint.map_or(SuspectDecision::Clear, |fingerprint| {
-            self.decide(now, fingerprint)
-        });
-        if matches!(request, SuspectDecision::Refuse(_)) {
-            return request;
+        let by_part = self.parts.decide(now, parts, &may_probe);
+        if matches!(by_part, SuspectDecision::Refuse(_)) {
+            return by_part;
         }
-        match self.parts.decide(now, parts, may_probe) {
-            SuspectDecision::Clear => request,
-            decision => decision,
+        let by_request = fingerprint.map_or(SuspectDecision::Clear, |fingerprint| {
+            self.requests.decide(now, &[fingerprint], may_probe)
+        });
+        match (by_request, by_part) {
+            (SuspectDecision::Clear | SuspectDecision::Isolate(_), by_part)
+                if by_part != SuspectDecision::Clear =>
+            {
+                by_part
+            }
+            (by_request, _) => by_request,
         }
     }
 
+    /// Records that a process broke off a request before its first event, though it is not known to
+    /// have crashed. Each process counts once.
+    pub fn record_unproven_break(
+        &mut self,
+        now: Instant,
+        process: CrashId,
+        request: &BrokenRequest<'_>,
+    ) {
+        let ran = CrashedPart {
+            part: request.fingerprint,
+            run_time: request.run_time,
+        };
+        let report = CrashReport {
+            crash: rendezvous_score(process, UNPROVEN_BREAK),
+            age: Duration::ZERO,
+            parts: vec![ran],
+        };
+        self.requests.record_crash(now, &report);
+    }
+
     /// Records a crash of a server with the parts of the prompts that it ran, or another report on
     /// it; returns whether that was new.
     pub fn record_crash(&mut self, now: Instant, report: &CrashReport) -> bool {
         self.parts.record_crash(now, report)
     }
 
+    /// Records a crash of a server with the requests that it ran, or another report on it; returns
+    /// whether that was new.
+    pub fn record_request_crash(&mut self, now: Instant, report: &CrashReport) -> bool {
+        self.requests.record_crash(now, report)
+    }
+
     /// Records that one server wrote a whole answer on some parts; returns those that were suspect.
     pub fn record_answer(&mut self, now: Instant, parts: &[PartHash]) -> Vec<PartHash> {
         self.parts.record_answer(now, parts)
     }
 
+    /// Records that one server wrote a whole answer to a request; returns whether it was suspect.
+    pub fn record_request_answer(&mut self, now: Instant, fingerprint: Fingerprint) -> bool {
+        !self.requests.record_answer(now, &[fingerprint]).is_empty()
+    }
+
+    /// Returns whether a request is suspect for itself.
+    #[must_use]
+    pub fn is_request_suspect(&self, fingerprint: Fingerprint) -> bool {
+        self.requests.contains(fingerprint)
+    }
+
     /// Refuses from now on the parts that crash servers beyond doubt; returns them with the number of
     /// crashes of each.
     pub fn review(&mut self, now: Instant) -> Vec<(PartHash, u32)> {
         self.parts.review(now)
     }
 
+    /// Does the same with requests.
+    pub fn review_requests(&mut self, now: Instant) -> Vec<(Fingerprint, u32)> {
+        self.requests.review(now)
+    }
+
     /// Returns what peers have to learn of crashes with the next digest.
     pub fn crash_news(&mut self, now: Instant) -> CrashNews {
         self.parts.news(now)
     }
 
+    /// Returns what peers have to learn of requests that may crash servers with the next digest.
+    pub fn request_news(&mut self, now: Instant) -> CrashNews {
+        self.requests.news(now)
+    }
+
     /// Merges what a peer tells of crashes; returns the parts that are refused from now on.
     pub fn merge_crash_news(&mut self, now: Instant, news: &CrashNews) -> Vec<PartHash> {
         self.parts.merge(now, news)
     }
 
+    /// Merges what a peer tells of requests that may crash servers; returns those that are refused
+    /// from now on.
+    pub fn merge_request_news(&mut self, now: Instant, news: &CrashNews) -> Vec<Fingerprint> {
+        self.requests.merge(now, news)
+    }
+
+    /// Merges the number of deaths that a host of an earlier build has counted, which tells nothing of
+    /// its crashes. A request that it refuses is refused, unless it was answered lately.
+    pub fn merge_deaths(&mut self, now: Instant, fingerprint: Fingerprint, deaths: u32) {
+        // Such a host repeats a number for long; only a higher one is news.
+        if self.merge(now, fingerprint, deaths) && deaths >= DEATHS_TO_REFUSE {
+            self.requests.block(now, fingerprint);
+        }
+    }
+
     /// Returns the number of recorded crashes, answered parts and refused parts.
     #[must_use]
     pub fn part_record_count(&self) -> usize {
         self.parts.len()
     }
 
+    /// Returns the number of recorded crashes, answered requests and refused requests.
+    #[must_use]
+    pub fn request_record_count(&self) -> usize {
+        self.requests.len()
+    }
+
     /// Returns the number of suspects.
     #[must_use]
     pub fn len(&self) -> usize {
--- a/crates/hickoryhall-routing/src/suspects/breaks.rs
+++ b/crates/hickoryhall-routing/src/suspects/breaks.rs
@@ -3,12 +3,15 @@
 use std::collections::HashMap;
 use std::time::{Duration, Instant};
 
+use super::Fingerprint;
 use super::news::{CrashId, CrashReport, CrashedPart, PartHash};
 
 /// Time after a break in which further ones of the same process belong to it.
 const BREAK_TTL: Duration = Duration::from_secs(3);
 /// Maximum number of processes with a recent break; further ones are not checked.
 const MAX_BREAKS: usize = 256;
+/// Maximum number of parts, and of requests, that are kept of one process.
+const MAX_RUNS: usize = 512;
 
 /// What follows from a break.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -18,7 +21,27 @@
     /// The process is being checked.
     Nothing,
     /// The process has crashed.
-    Crashed(CrashReport),
+    Crashed(ServerCrash),
+}
+
+/// A request that a process broke off.
+#[derive(Clone, Copy, Debug)]
+pub struct BrokenRequest<'a> {
+    /// Fingerprint of the request.
+    pub fingerprint: Fingerprint,
+    /// Parts of its prompt that other requests can share.
+    pub parts: &'a [PartHash],
+    /// Time from its start to the break.
+    pub run_time: Duration,
+}
+
+/// The crash of one process, with what it was running.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct ServerCrash {
+    /// The parts of the prompts of its requests.
+    pub parts: CrashReport,
+    /// The fingerprints of its requests, in place of parts.
+    pub requests: CrashReport,
 }
 
 #[derive(Clone, Debug)]
@@ -26,6 +49,7 @@
     broke_at: Instant,
     has_crashed: bool,
     parts: Vec<CrashedPart>,
+    requests: Vec<CrashedPart>,
 }
 
 /// Recent breaks of answers, by the process of the server.
@@ -39,18 +63,17 @@
 }
 
 impl Breaks {
-    /// Records that a process broke off a request that had run for `run_time`.
+    /// Records that a process broke off a request.
     pub fn record_break(
         &mut self,
         now: Instant,
         process: CrashId,
-        parts: &[PartHash],
-        run_time: Duration,
+        request: &BrokenRequest<'_>,
     ) -> BreakStep {
         self.processes
             .retain(|_, broken| now.saturating_duration_since(broken.broke_at) < BREAK_TTL);
         let is_known = self.processes.contains_key(&process);
-        if parts.is_empty() || (!is_known && self.processes.len() >= MAX_BREAKS) {
+        if !is_known && self.processes.len() >= MAX_BREAKS {
             return BreakStep::Nothing;
         }
         let broken = self
@@ -60,9 +83,12 @@
                 broke_at: now,
                 has_crashed: false,
                 parts: Vec::new(),
+                requests: Vec::new(),
             });
-        let parts = parts.iter().map(|&part| CrashedPart { part, run_time });
-        broken.parts.extend(parts);
+        for &part in request.parts {
+            add_run(&mut broken.parts, part, request.run_time);
+        }
+        add_run(&mut broken.requests, request.fingerprint, request.run_time);
         if !is_known {
             BreakStep::Check
         } else if broken.has_crashed {
@@ -86,7 +112,7 @@
         process: CrashId,
         is_refusing: bool,
         open_requests: usize,
-    ) -> Option<CrashReport> {
+    ) -> Option<ServerCrash> {
         let broken = self.processes.get_mut(&process)?;
         if is_refusing && open_requests == 0 {
             broken.has_crashed = true;
@@ -99,11 +125,24 @@
 }
 
 impl BrokenProcess {
-    fn report(&self, now: Instant, process: CrashId) -> CrashReport {
-        CrashReport {
+    fn report(&self, now: Instant, process: CrashId) -> ServerCrash {
+        let report = |parts: &[CrashedPart]| CrashReport {
             crash: process,
             age: now.saturating_duration_since(self.broke_at),
-            parts: self.parts.clone(),
+            parts: parts.to_vec(),
+        };
+        ServerCrash {
+            parts: report(&self.parts),
+            requests: report(&self.requests),
         }
     }
 }
+
+/// Adds a run to a list that has each part once, with its newest run.
+fn add_run(runs: &mut Vec<CrashedPart>, part: PartHash, run_time: Duration) {
+    if let Some(ran) = runs.iter_mut().find(|ran| ran.part == part) {
+        ran.run_time = ran.run_time.min(run_time);
+    } else if runs.len() < MAX_RUNS {
+        runs.push(CrashedPart { part, run_time });
+    }
+}
--- a/crates/hickoryhall-routing/src/suspects/parts.rs
+++ b/crates/hickoryhall-routing/src/suspects/parts.rs
@@ -1,4 +1,5 @@
-//! Prompt parts that may crash each runner which answers a request with them.
+//! Prompt parts that may crash each runner which answers a request with them. A whole request counts
+//! as a part that only it has.
 
 use std::cmp::Reverse;
 use std::collections::{HashMap, VecDeque};
@@ -11,16 +12,11 @@
     CrashId, CrashNews, CrashReport, CrashedPart, MAX_NEWS, PartHash, is_news, time_of,
 };
 
-/// Crashes, each of a run that began after the crash before, from which a part is blocked if it
-/// accounts for most crashes in that time, was never answered, and no other part has as many.
-const ROUNDS_TO_BLOCK: u32 = 3;
 /// Crashes from which a part is blocked though servers crash for other reasons as well, or other parts
 /// have as many.
 const ROUNDS_WITHOUT_DOUBT: u32 = 5;
 /// Part of the crashes since its first one that a part has to account for to be blocked early.
 const MIN_CRASH_FRACTION: f64 = 0.75;
-/// Time for the reports of all hosts on a crash to arrive before it counts.
-const SETTLE_TIME: Duration = Duration::from_millis(250);
 /// Time after which a crash counts no more.
 const CRASH_TTL: Duration = Duration::from_secs(600);
 
@@ -29,6 +25,16 @@
 const MAX_DROPPED: usize = 1_024;
 const MAX_PARTS_PER_CRASH: usize = 32;
 
+/// When parts of one kind are blocked.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct BlockRule {
+    /// Crashes, each of a run that began after the crash before, from which a part is blocked if it
+    /// accounts for most crashes in that time, was never answered, and no other part has as many.
+    pub min_rounds: u32,
+    /// Time for the reports of all hosts on a crash to arrive before it counts.
+    pub settle_time: Duration,
+}
+
 #[derive(Clone, Debug)]
 struct Crash {
     id: CrashId,
@@ -64,8 +70,9 @@
 /// crashes servers gets no whole answer, so that the number of its crashes grows. Crashes count only
 /// if the run that ended began after the crash before, so that servers which fail together count
 /// once.
-#[derive(Clone, Debug, Default)]
+#[derive(Clone, Debug)]
 pub(super) struct PartSuspects {
+    rule: BlockRule,
     /// Crashes in the order of their times.
     crashes: Vec<Crash>,
     /// Times of crashes whose parts are not kept.
@@ -79,6 +86,32 @@
 }
 
 impl PartSuspects {
+    /// Creates suspects without any crash.
+    pub fn new(rule: BlockRule) -> Self {
+        Self {
+            rule,
+            crashes: Vec::new(),
+            dropped: VecDeque::new(),
+            rounds: HashMap::new(),
+            blocked: BlockedParts::default(),
+            answers: Answers::default(),
+            needs_review: false,
+        }
+    }
+
+    /// Returns whether a part is suspected or blocked.
+    pub fn contains(&self, part: PartHash) -> bool {
+        self.rounds.contains_key(&part) || self.blocked.contains(part)
+    }
+
+    /// Blocks a part that a peer refuses without telling of the crashes, unless it was answered lately.
+    pub fn block(&mut self, now: Instant, part: PartHash) {
+        if !self.answers.clears(part, now) && !self.blocked.contains(part) {
+            self.blocked.insert(now, part, now, false);
+            self.count_rounds();
+        }
+    }
+
     /// Returns the number of recorded crashes, answered parts and blocked parts.
     pub fn len(&self) -> usize {
         self.crashes.len() + self.answers.len() + self.blocked.len()
@@ -223,8 +256,9 @@
         if !self.needs_review {
             return Vec::new();
         }
+        let settle_time = self.rule.settle_time;
         let is_settled =
-            |crash: &Crash| now.saturating_duration_since(crash.changed_at) >= SETTLE_TIME;
+            |crash: &Crash| now.saturating_duration_since(crash.changed_at) >= settle_time;
         self.needs_review = !self.crashes.iter().all(is_settled);
         let parts = self.parts_to_block(self.crash_counts(is_settled));
         for &(part, _) in &parts {
@@ -243,7 +277,7 @@
     fn parts_to_block(&self, counts: HashMap<PartHash, CrashCount>) -> Vec<(PartHash, u32)> {
         let counts = counts.into_iter().filter(|&(part, count)| {
             // A part that was ever answered in full is the less likely cause.
-            let is_likely = count.rounds >= ROUNDS_TO_BLOCK
+            let is_likely = count.rounds >= self.rule.min_rounds
                 && count.accounts_for_most()
                 && !self.answers.contains(part);
             let is_certain = count.rounds >= ROUNDS_WITHOUT_DOUBT;
--- a/crates/hickoryhall-routing/tests/crashing_parts.rs
+++ b/crates/hickoryhall-routing/tests/crashing_parts.rs
@@ -9,7 +9,8 @@
 use std::time::{Duration, Instant};
 
 use hickoryhall_routing::{
-    BreakStep, Breaks, CrashNews, CrashReport, CrashedPart, PartHash, SuspectDecision, Suspects,
+    BreakStep, Breaks, BrokenRequest, CrashNews, CrashReport, CrashedPart, Fingerprint, PartHash,
+    SuspectDecision, Suspects,
 };
 use hickoryhall_types::rendezvous_score;
 use rstest::rstest;
@@ -21,6 +22,9 @@
 /// Hosts that get a digest of a host in each interval in a large fleet.
 const PEERS_PER_ROUND: u64 = 5;
 const CRASHING: std::ops::Range<PartHash> = 1..10;
+/// A request that is the same each time it comes and crashes servers, and one that many callers send.
+const CRASHING_REQUEST: Fingerprint = 1;
+const FREQUENT_REQUEST: Fingerprint = 2;
 
 /// A fleet and its load.
 #[derive(Clone, Copy)]
@@ -31,6 +35,10 @@
     /// Every so many requests, one has a crashing part.
     crashing_interval: u64,
     crashing_parts: u64,
+    /// Whether the crashing requests are one request with parts that others share.
+    is_one_request: bool,
+    /// Every so many of the others, all but one are the same request.
+    frequent: u64,
     families: u64,
     /// Time from the start of a run to the crash.
     crash_delay: Duration,
@@ -47,6 +55,8 @@
     requests_per_s: 60,
     crashing_interval: 8,
     crashing_parts: 1,
+    is_one_request: false,
+    frequent: 1,
     families: 20,
     crash_delay: Duration::from_millis(120),
     other_crashes: None,
@@ -62,6 +72,16 @@
     ..SMALL
 };
 
+const ONE_REQUEST: Setup = Setup {
+    is_one_request: true,
+    day: Duration::from_secs(40),
+    ..SMALL
+};
+const ONE_REQUEST_AT_LARGE: Setup = Setup {
+    is_one_request: true,
+    ..LARGE
+};
+
 #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
 enum Event {
     Arrival(u64),
@@ -77,16 +97,24 @@
     host: usize,
     site: usize,
     process: u64,
-    parts: Vec<PartHash>,
+    request: Request,
     began_at: Instant,
     may_retry: bool,
 }
 
+#[derive(Clone)]
+struct Request {
+    fingerprint: Fingerprint,
+    parts: Vec<PartHash>,
+    is_crashing: bool,
+}
+
 /// The news of a host on its way to others.
 struct Digest {
     arrives_at: Instant,
     to: usize,
     news: CrashNews,
+    request_news: CrashNews,
 }
 
 #[derive(Debug, Default)]
@@ -97,6 +125,16 @@
     others_refused: u32,
 }
 
+impl Outcome {
+    /// Returns how many of the other requests after a time were served, and their number.
+    fn served_after(&self, after: Instant) -> (u32, u32) {
+        let others = self.others.iter().filter(|(at, _)| *at > after);
+        others.fold((0, 0), |(served, all), (_, is_served)| {
+            (served + u32::from(*is_served), all + 1)
+        })
+    }
+}
+
 struct Fleet {
     setup: Setup,
     now: Instant,
@@ -162,8 +200,10 @@
             }
             Event::Check(host, process) => {
                 let (suspects, breaks) = &mut self.hosts[host];
-                let report = breaks.record_check(self.now, process, true, 0);
-                suspects.record_crash(self.now, &report.expect("the process crashed"));
+                let crash = breaks.record_check(self.now, process, true, 0);
+                let crash = crash.expect("the process crashed");
+                suspects.record_crash(self.now, &crash.parts);
+                suspects.record_request_crash(self.now, &crash.requests);
             }
             Event::Digests => self.exchange_digests(),
             Event::OtherCrashes => {
@@ -185,14 +225,17 @@
             .partition::<Vec<_>, _>(|digest| digest.arrives_at <= self.now);
         self.digests = rest;
         for digest in due {
-            self.hosts[digest.to]
-                .0
-                .merge_crash_news(self.now, &digest.news);
+            let suspects = &mut self.hosts[digest.to].0;
+            suspects.merge_crash_news(self.now, &digest.news);
+            suspects.merge_request_news(self.now, &digest.request_news);
         }
         for host in 0..count {
-            self.hosts[host].0.review(self.now);
-            let news = self.hosts[host].0.crash_news(self.now);
-            if news.is_empty() {
+            let suspects = &mut self.hosts[host].0;
+            suspects.review(self.now);
+            suspects.review_requests(self.now);
+            let news = suspects.crash_news(self.now);
+            let request_news = suspects.request_news(self.now);
+            if news.is_empty() && request_news.is_empty() {
                 continue;
             }
             let peers = if count <= 24 {
@@ -212,6 +255,7 @@
                         arrives_at: self.now + DIGEST_DELAY,
                         to,
                         news: news.clone(),
+                        request_news: request_news.clone(),
                     });
                 }
             }
@@ -227,19 +271,28 @@
         let has_begun = id >= setup.answered_before.as_secs() * setup.requests_per_s;
         let is_crashing = has_begun && id.is_multiple_of(setup.crashing_interval);
         let crashing = CRASHING.start + random(id, 3, setup.crashing_parts);
-        let parts = match (is_crashing, crashing % 2) {
-            (false, _) => vec![shared, family],
-            (true, 1) => vec![crashing, family],
-            (true, _) => vec![shared, crashing],
+        let is_frequent = !is_crashing && !id.is_multiple_of(setup.frequent);
+        let (fingerprint, parts) = match (is_crashing, crashing % 2) {
+            (false, _) if is_frequent => (FREQUENT_REQUEST, vec![100, 10_000]),
+            (false, _) => (id + 1_000, vec![shared, family]),
+            (true, _) if setup.is_one_request => (CRASHING_REQUEST, vec![100, 10_000]),
+            (true, 1) => (id + 1_000, vec![crashing, family]),
+            (true, _) => (id + 1_000, vec![shared, crashing]),
+        };
+        let request = Request {
+            fingerprint,
+            parts,
+            is_crashing,
         };
-        self.send(id, host, parts, true);
+        self.send(id, host, request, true);
     }
 
-    fn send(&mut self, id: u64, host: usize, parts: Vec<PartHash>, is_first: bool) {
-        let is_crashing = parts.iter().any(|&part| CRASHING.contains(&part));
-        let decision = self.hosts[host]
-            .0
-            .decide_prompt(self.now, None, &parts, || host == 0);
+    fn send(&mut self, id: u64, host: usize, request: Request, is_first: bool) {
+        let is_crashing = request.is_crashing;
+        // The other tries of a caller's request are judged by their prompts.
+        let fingerprint = is_first.then_some(request.fingerprint);
+        let suspects = &mut self.hosts[host].0;
+        let decision = suspects.decide_prompt(self.now, fingerprint, &request.parts, || host == 0);
         let up = (0..self.sites.len()).filter(|&site| self.sites[site].1);
         let site = match decision {
             SuspectDecision::Clear => up.max_by_key(|&site| rendezvous_score(id, site as u64)),
@@ -273,7 +326,7 @@
                 host,
                 site,
                 process: self.sites[site].0,
-                parts,
+                request,
                 began_at: self.now,
                 may_retry: is_first && decision == SuspectDecision::Clear,
             },
@@ -284,7 +337,9 @@
         let Some(run) = self.runs.remove(&id) else {
             return;
         };
-        self.hosts[run.host].0.record_answer(self.now, &run.parts);
+        let suspects = &mut self.hosts[run.host].0;
+        suspects.record_answer(self.now, &run.request.parts);
+        suspects.record_request_answer(self.now, run.request.fingerprint);
         self.outcome.others.push((run.began_at, true));
     }
 
@@ -304,7 +359,7 @@
         let is_by_part = self
             .runs
             .values()
-            .any(|run| is_broken(run) && run.parts.iter().any(|&part| CRASHING.contains(&part)));
+            .any(|run| is_broken(run) && run.request.is_crashing);
         self.sites[site].1 = false;
         self.schedule(self.now + AWAY_TIME, Event::Restart(site));
         if is_by_part {
@@ -312,15 +367,19 @@
         }
         for id in broken {
             let run = self.runs.remove(&id).expect("the run exists");
-            let run_time = self.now - run.began_at;
+            let broken = BrokenRequest {
+                fingerprint: run.request.fingerprint,
+                parts: &run.request.parts,
+                run_time: self.now - run.began_at,
+            };
             let breaks = &mut self.hosts[run.host].1;
-            if breaks.record_break(self.now, process, &run.parts, run_time) == BreakStep::Check {
+            if breaks.record_break(self.now, process, &broken) == BreakStep::Check {
                 let at = self.now + Duration::from_millis(25);
                 self.schedule(at, Event::Check(run.host, process));
             }
             if run.may_retry {
-                self.send(id, run.host, run.parts, false);
-            } else if run.parts.iter().all(|&part| !CRASHING.contains(&part)) {
+                self.send(id, run.host, run.request, false);
+            } else if !run.request.is_crashing {
                 self.outcome.others.push((run.began_at, false));
             }
         }
@@ -351,13 +410,7 @@
         "{late} sent late; {} crashes",
         outcome.crashes.len()
     );
-    let after = outcome
-        .others
-        .iter()
-        .filter(|(at, _)| *at > known + 2 * CONTACT);
-    let (served, all) = after.fold((0, 0), |(served, all), (_, is_served)| {
-        (served + u32::from(*is_served), all + 1)
-    });
+    let (served, all) = outcome.served_after(known + 2 * CONTACT);
     assert!(all >= 20, "{all} other requests");
     assert!(served * 10 >= all * 9, "{served} of {all} served");
     assert_eq!(
@@ -368,6 +421,47 @@
     );
 }
 
+/// Guards against a request that is never refused although servers crash under it, because others share
+/// all of its parts.
+#[rstest]
+#[case::small(ONE_REQUEST)]
+#[case::slow_crashes(Setup { crash_delay: Duration::from_millis(700), ..ONE_REQUEST })]
+#[case::fast_crashes(Setup { crash_delay: Duration::from_millis(5), ..ONE_REQUEST })]
+#[case::rare(Setup { crashing_interval: 120, ..ONE_REQUEST })]
+#[case::from_the_start(Setup { answered_before: Duration::ZERO, ..ONE_REQUEST })]
+#[case::other_crashes(Setup { other_crashes: Some(Duration::from_secs(2)), ..ONE_REQUEST })]
+#[case::large(Setup { crashing_interval: 400, ..ONE_REQUEST_AT_LARGE })]
+#[case::large_with_other_crashes(Setup { crashing_interval: 400, other_crashes: Some(Duration::from_secs(2)), ..ONE_REQUEST_AT_LARGE })]
+fn a_request_that_crashes_servers_is_refused_by_all_hosts(#[case] setup: Setup) {
+    let outcome = Fleet::play(setup);
+    let known = outcome.crashes.get(2).or(outcome.crashes.last());
+    let known = *known.expect("the request crashed servers");
+    let late = outcome.crashing_sent.iter();
+    let late = late.filter(|&&at| at > known + CONTACT).count();
+    let crashes = outcome.crashes.len();
+    assert!(late <= 3, "{late} sent late; {crashes} crashes");
+    let (served, all) = outcome.served_after(known + CONTACT);
+    assert!(served * 10 >= all * 9, "{served} of {all} served");
+}
+
+/// Guards against equal sound requests that are refused, as some of them are in flight at each crash.
+#[rstest]
+#[case::beside_a_part(SMALL)]
+#[case::beside_a_request(ONE_REQUEST)]
+#[case::beside_two_parts(Setup { crashing_parts: 2, ..SMALL })]
+#[case::beside_other_crashes(Setup { other_crashes: Some(Duration::from_millis(500)), crashing_interval: u64::MAX, ..SMALL })]
+#[case::large(Setup { crashing_interval: 40, ..LARGE })]
+fn a_frequent_request_is_not_refused(#[case] setup: Setup) {
+    let outcome = Fleet::play(Setup {
+        frequent: 4,
+        day: Duration::from_secs(40),
+        ..setup
+    });
+    assert_eq!(outcome.others_refused, 0);
+    let (served, all) = outcome.served_after(Instant::now());
+    assert!(served * 10 >= all * 8, "{served} of {all} served");
+}
+
 #[rstest]
 #[case(SMALL)]
 #[case(Setup { families: 500, ..SMALL })]
@@ -490,6 +584,24 @@
             },
         );
         suspects.record_answer(at, &[crash * 1_000_003]);
+        let requests = (0..100).map(|number| CrashedPart {
+            part: crash * 100 + number,
+            run_time: Duration::from_millis(number),
+        });
+        suspects.record_request_crash(
+            at,
+            &CrashReport {
+                crash,
+                age: Duration::ZERO,
+                parts: requests.collect(),
+            },
+        );
+        suspects.record_request_answer(at, crash * 1_000_003);
+        suspects.review_requests(at);
+        let told = suspects.request_news(at).crashes;
+        assert!(told.len() <= 8);
+        let told = told.iter().map(|report| report.parts.len());
+        assert!(told.sum::<usize>() <= 8 * 32);
         suspects.review(at);
         let news = suspects.crash_news(at);
         assert!(news.crashes.len() <= 8, "{}", news.crashes.len());
@@ -502,6 +614,8 @@
         "{}",
         suspects.part_record_count()
     );
+    let requests = suspects.request_record_count();
+    assert!(requests <= 6_000, "{requests}");
     let end = start + Duration::from_secs(100);
     let decision = suspects.decide_prompt(end, None, &[u64::MAX], || false);
     assert!(
@@ -509,3 +623,27 @@
         "{decision:?}"
     );
 }
+
+/// A host of an earlier build tells a number of deaths, again and again.
+#[test]
+fn a_request_that_a_host_of_an_earlier_build_refuses_is_refused_until_it_is_answered() {
+    let start = Instant::now() + Duration::from_secs(1_000);
+    let mut suspects = Suspects::default();
+    let decide = |suspects: &mut Suspects, after_s: u64| {
+        let now = start + Duration::from_secs(after_s);
+        suspects.decide_prompt(now, Some(7), &[], || true)
+    };
+    suspects.merge_deaths(start, 7, 1);
+    assert_eq!(decide(&mut suspects, 0), SuspectDecision::Clear);
+    suspects.merge_deaths(start, 7, 2);
+    assert!(matches!(
+        decide(&mut suspects, 9),
+        SuspectDecision::Refuse(_)
+    ));
+    assert_eq!(decide(&mut suspects, 11), SuspectDecision::Probe(7));
+    assert!(suspects.record_request_answer(start + Duration::from_secs(12), 7));
+    suspects.merge_deaths(start + Duration::from_secs(13), 7, 2);
+    assert_eq!(decide(&mut suspects, 13), SuspectDecision::Clear);
+    suspects.merge_deaths(start + Duration::from_secs(14), 7, 3);
+    assert_eq!(decide(&mut suspects, 14), SuspectDecision::Clear);
+}
