Take the list of servers for current only if the store has just confirmed it

Cause: a host took its list of servers for current until a call failed, which takes up to 6.5 s where a watch gets no answer. It then continued streams of the one version that it knew and asked nobody.

What counts now is the time at which the call was sent that brought the list. If that is over 0.3 s ago, the host makes one short call of the store and asks its peers; a list that was read since the question decides, and nothing else does without an answer of a peer. Peers have 30 ms to object to one that names the only version, as it may be out of step itself. Readers tell the age of their list; where a digest lacks it, it is unknown.

Evidence: out_of_step.rs, a host without peers whose store is silent, failed before (streams joined) and passes; its other cases, a host with a peer, one that was stopped, and hosts in step with nothing changing, passed and pass.

a_host_without_peers_relies_on_itself asserted that such a host trusts an old list. a_host_without_peers_relies_on_a_list_that_it_has_just_read takes its place, with five cases.

--- a/crates/hickoryhall-gateway/src/core/handle.rs
+++ b/crates/hickoryhall-gateway/src/core/handle.rs
@@ -25,6 +25,8 @@
     untold: Notify,
     /// Notified after each call that leaves questions to peers.
     unasked: Notify,
+    /// Notified after each call that leaves an inquiry for which the registry has to be read.
+    registry_wanted: Notify,
     /// Notified after each call that may change the record of software versions.
     unrecorded: Notify,
 }
@@ -43,6 +45,7 @@
             wake: Notify::new(),
             untold: Notify::new(),
             unasked: Notify::new(),
+            registry_wanted: Notify::new(),
             unrecorded: Notify::new(),
         };
         Self {
@@ -67,6 +70,9 @@
             if core.has_unasked_questions() {
                 self.shared.unasked.notify_one();
             }
+            if core.wants_registry() {
+                self.shared.registry_wanted.notify_one();
+            }
             if core.may_need_version_record() {
                 self.shared.unrecorded.notify_one();
             }
@@ -90,6 +96,11 @@
         self.shared.unasked.notified().await;
     }
 
+    /// Waits until the registry has to be read for an inquiry.
+    pub async fn wants_registry(&self) {
+        self.shared.registry_wanted.notified().await;
+    }
+
     /// Waits until the record of software versions may have to change.
     pub async fn may_need_record(&self) {
         self.shared.unrecorded.notified().await;
--- a/crates/hickoryhall-gateway/src/core/streams.rs
+++ b/crates/hickoryhall-gateway/src/core/streams.rs
@@ -2,17 +2,18 @@
 
 use std::collections::{BTreeSet, HashMap};
 use std::net::Ipv4Addr;
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use hickoryhall_types::hash_name;
 use slog::{debug, info};
 use tokio::sync::oneshot;
 
 use super::Core;
+use crate::clock::SuspendAwareClock;
 use crate::registry::BackendServer;
 use crate::stream_versions::{
-    Inquiry, Moment, ServiceVersion, SoftwareHash, StreamHash, StreamKnowledge, StreamOrigin,
-    StreamQuestion, StreamVersions, TakeUp,
+    Inquiry, Moment, OwnKnowledge, ServiceVersion, SoftwareHash, StreamHash, StreamKnowledge,
+    StreamOrigin, StreamQuestion, StreamVersions, TakeUp,
 };
 
 /// Receives the version at which a stream goes on, `None` if nobody knows.
@@ -26,6 +27,11 @@
     inquiries: HashMap<StreamQuestion, OpenInquiry>,
     /// Questions that no peer has been asked.
     unasked: Vec<StreamQuestion>,
+    clock: SuspendAwareClock,
+    /// Time, by `clock`, as of which the registry was read.
+    registry_read_at: Option<Instant>,
+    /// Whether the registry has to be read for an inquiry.
+    wants_registry: bool,
 }
 
 /// An inquiry with the requests that wait for it.
@@ -62,6 +68,9 @@
             untold: Vec::new(),
             inquiries: HashMap::new(),
             unasked: Vec::new(),
+            clock: SuspendAwareClock::new(),
+            registry_read_at: None,
+            wants_registry: false,
         }
     }
 }
@@ -70,7 +79,50 @@
     fn moment(&self, now: Instant) -> Moment {
         Moment {
             now,
-            is_registry_read: self.registry.is_store_reachable(),
+            registry_age: self.registry_age(),
+        }
+    }
+
+    /// Returns the time since the registry was read; `None` if it has not been.
+    #[must_use]
+    pub fn registry_age(&self) -> Option<Duration> {
+        let read_at = self.streams.registry_read_at?;
+        Some(self.streams.clock.now().saturating_duration_since(read_at))
+    }
+
+    /// Records that the registry is known as it was `age` ago, and ends the inquiries that waited for
+    /// that.
+    pub fn record_registry_read(&mut self, now: Instant, age: Duration) {
+        let clock_now = self.streams.clock.now();
+        let read_at = clock_now.checked_sub(age).unwrap_or(clock_now);
+        self.streams.registry_read_at = self.streams.registry_read_at.max(Some(read_at));
+        for question in self.open_questions() {
+            let own = self.own_knowledge(now, &question);
+            let open = self.streams.inquiries.get(&question);
+            if let Some(software) = open.and_then(|open| open.inquiry.on_registry_read(own)) {
+                self.resolve(now, &question, Some(software));
+            }
+        }
+    }
+
+    pub(super) fn wants_registry(&self) -> bool {
+        self.streams.wants_registry
+    }
+
+    /// Returns whether an inquiry needs the registry to be read now, which ends the demand.
+    pub fn take_registry_demand(&mut self) -> bool {
+        std::mem::take(&mut self.streams.wants_registry)
+    }
+
+    fn open_questions(&self) -> Vec<StreamQuestion> {
+        self.streams.inquiries.keys().copied().collect()
+    }
+
+    fn own_knowledge(&mut self, now: Instant, question: &StreamQuestion) -> OwnKnowledge {
+        let moment = self.moment(now);
+        OwnKnowledge {
+            knowledge: self.streams.versions.knowledge(moment, question),
+            is_registry_current: moment.is_registry_current(),
         }
     }
 
@@ -122,12 +174,12 @@
                 let _ = reply.send(Some(software));
             }
             TakeUp::Ask => {
-                let own = self.streams.versions.knowledge(moment, &question);
+                self.streams.wants_registry |= !moment.is_registry_current();
                 let open = self.streams.inquiries.entry(question);
                 let open = open.or_insert_with(|| {
                     self.streams.unasked.push(question);
                     OpenInquiry {
-                        inquiry: Inquiry::new(own),
+                        inquiry: Inquiry::default(),
                         replies: Vec::new(),
                     }
                 });
@@ -137,7 +189,7 @@
     }
 
     /// Returns the questions of open inquiries, which all known peers are asked now; `live` are those
-    /// that were heard of lately. Without any peers the inquiries end.
+    /// that were heard of lately. Inquiries for which nothing is left to wait for end.
     pub fn ask_peers(
         &mut self,
         now: Instant,
@@ -145,17 +197,25 @@
         live: &[Ipv4Addr],
     ) -> Vec<StreamQuestion> {
         self.streams.unasked.clear();
-        let questions = self.streams.inquiries.keys().copied().collect::<Vec<_>>();
-        if !has_peers {
-            for question in &questions {
-                self.end_inquiry(now, question);
+        for question in self.open_questions() {
+            let own = self.own_knowledge(now, &question);
+            // Without peers only the registry can tell more.
+            let waits_for_registry =
+                matches!(own.knowledge, StreamKnowledge::Only { .. }) && !own.is_registry_current;
+            let open = self.streams.inquiries.get(&question);
+            let is_complete = open.is_some_and(|open| open.inquiry.is_complete(now));
+            if is_complete || !(has_peers || waits_for_registry) {
+                self.end_inquiry(now, &question);
             }
-            return Vec::new();
         }
         for open in self.streams.inquiries.values_mut() {
             open.inquiry.ask(live.iter().copied());
         }
-        questions
+        if has_peers {
+            self.open_questions()
+        } else {
+            Vec::new()
+        }
     }
 
     /// Returns whether an inquiry is open.
@@ -166,8 +226,9 @@
 
     /// Ends an inquiry with what is known by then.
     pub fn end_inquiry(&mut self, now: Instant, question: &StreamQuestion) {
+        let own = self.own_knowledge(now, question);
         let open = self.streams.inquiries.get(question);
-        let software = open.and_then(|open| open.inquiry.finish());
+        let software = open.and_then(|open| open.inquiry.finish(own));
         self.resolve(now, question, software);
     }
 
@@ -217,10 +278,10 @@
                 continue;
             };
             let inquiry = &mut open.inquiry;
-            let software = inquiry.on_answer(from, *answer);
+            let software = inquiry.on_answer(now, from, *answer);
             if software.is_some() {
                 self.resolve(now, question, software);
-            } else if inquiry.is_complete() {
+            } else if inquiry.is_complete(now) {
                 self.end_inquiry(now, question);
             }
         }
--- a/crates/hickoryhall-gateway/src/feeds.rs
+++ b/crates/hickoryhall-gateway/src/feeds.rs
@@ -14,7 +14,7 @@
 
 use rand::RngExt;
 use slog::{Logger, debug, info, warn};
-use tokio::time::sleep;
+use tokio::time::{sleep, timeout};
 
 use crate::clock::SuspendAwareClock;
 use crate::core::{CoreHandle, DesiredVersionSource};
@@ -40,6 +40,8 @@
 const READER_WATCH_TIMEOUT: Duration = Duration::from_millis(800);
 /// The same time after a failed call: the answer shows that the store is back, and its era.
 const RETURN_WATCH_TIMEOUT: Duration = Duration::from_millis(1);
+/// Time for the answer of the store to a call that an inquiry waits for.
+const CONFIRM_TIMEOUT: Duration = Duration::from_millis(250);
 /// Pause after changes of the registry at a host that passes them on.
 const READER_PAUSE: Duration = Duration::from_millis(300);
 /// Interval at which a host checks whether its records are still kept up to date by others.
@@ -170,7 +172,8 @@
     /// Returns the changes of the registry that this host passes on in its next digest.
     pub fn registry_relay(&self, now: Instant) -> Option<RegistryRelay> {
         let is_reader = self.role.get() == RegistryRole::Reader;
-        is_reader.then(|| self.relay_log.borrow_mut().relay(now))?
+        let read_age = self.core.with(|core, _| core.registry_age());
+        is_reader.then(|| self.relay_log.borrow_mut().relay(now, read_age))?
     }
 
     /// Applies the changes of the registry that a reader of this host's group passes on.
@@ -204,6 +207,48 @@
             self.apply_change(FeedKind::Registry, change, age);
         }
         self.advance(FeedKind::Registry, relay.position());
+        // A relay may have waited while the process stood still.
+        let age = relay.read_age;
+        let age = age.filter(|_| !self.stalls.get().may_be_late(self.clock.now()));
+        if let Some(age) = age {
+            self.core
+                .with(|core, now| core.record_registry_read(now, age));
+        }
+    }
+
+    /// Records that the registry was read by a call that was sent at a time; the answer may have waited
+    /// while the process stood still.
+    fn record_registry_read(&self, sent_at: Instant) {
+        let age = self.clock.now().saturating_duration_since(sent_at);
+        self.core
+            .with(|core, now| core.record_registry_read(now, age));
+    }
+
+    /// Reads the registry when an inquiry needs to know that no server is missing, until the task is
+    /// dropped.
+    pub async fn confirm_registry(&self) {
+        loop {
+            self.core.wants_registry().await;
+            let after = self.position(FeedKind::Registry);
+            let is_wanted = self.core.with(|core, _| core.take_registry_demand());
+            if !is_wanted || after.is_unread() {
+                continue;
+            }
+            let prefix = prefix::<P>(FeedKind::Registry);
+            let sent_at = self.clock.now();
+            let watched = self.store.watch(prefix, after, RETURN_WATCH_TIMEOUT);
+            match timeout(CONFIRM_TIMEOUT, watched).await {
+                Ok(Ok(changes)) => {
+                    let age = DesiredVersionAge::AtLeast(Duration::ZERO);
+                    self.apply_watched(FeedKind::Registry, after, changes, age);
+                    self.record_registry_read(sent_at);
+                }
+                Ok(Err(error)) => {
+                    debug!(self.logger, "feeds: Registry not confirmed."; "error" => %error);
+                }
+                Err(_) => debug!(self.logger, "feeds: Registry not confirmed in time."),
+            }
+        }
     }
 
     /// Returns whether other hosts keep this host's registry up to date.
@@ -223,6 +268,7 @@
     pub async fn follow(&self, kind: FeedKind) {
         let mut link = LinkState::new(kind, self.logger.clone());
         loop {
+            let sent_at = self.clock.now();
             let listed = self.store.range(prefix::<P>(kind)).await;
             if matches!(listed, Err(StoreError::EraChanged)) {
                 continue;
@@ -234,6 +280,9 @@
             };
             let items = content;
             self.apply_list(kind, StoreRecords { position, items });
+            if kind == FeedKind::Registry {
+                self.record_registry_read(sent_at);
+            }
             tokio::select! {
                 biased;
                 () = self.store.wait_for_newer_era(position.era) => {}
@@ -272,6 +321,7 @@
                 (FeedKind::Operator, RegistryRole::Follower) => FOLLOWER_WATCH_TIMEOUT,
                 _ => WATCH_TIMEOUT,
             };
+            let sent_at = self.clock.now();
             let watched = self.store.watch(prefix, after, wait).await;
             if let Err(StoreError::EraChanged) = watched {
                 return;
@@ -294,17 +344,10 @@
                 continue;
             };
             let is_changed = !changes.content.is_empty();
-            let from = after;
-            after = after.max(changes.position);
+            after = self.apply_watched(link.kind, after, changes, age);
             if link.kind == FeedKind::Registry {
-                let mut log = self.relay_log.borrow_mut();
-                let content = changes.content.iter().cloned();
-                log.record_changes(Instant::now(), from.revision, after.revision, content);
-            }
-            for change in changes.content {
-                self.apply_change(link.kind, change, age);
+                self.record_registry_read(sent_at);
             }
-            self.advance(link.kind, after);
             if is_changed && is_reader {
                 sleep(READER_PAUSE).await;
             } else if is_changed && link.kind == FeedKind::Registry {
@@ -313,6 +356,28 @@
         }
     }
 
+    /// Applies the changes after a position; returns the position up to which all are known. `age` is
+    /// that of a desired version in them.
+    fn apply_watched(
+        &self,
+        kind: FeedKind,
+        after: StorePosition,
+        changes: WithPosition<Vec<StoreChange>>,
+        age: DesiredVersionAge,
+    ) -> StorePosition {
+        let until = after.max(changes.position);
+        if kind == FeedKind::Registry {
+            let mut log = self.relay_log.borrow_mut();
+            let content = changes.content.iter().cloned();
+            log.record_changes(Instant::now(), after.revision, until.revision, content);
+        }
+        for change in changes.content {
+            self.apply_change(kind, change, age);
+        }
+        self.advance(kind, until);
+        until
+    }
+
     /// Returns the pause after changes of the registry, by the number of live hosts.
     fn registry_pause(&self) -> Duration {
         let (hosts, may_miss_entries) = self
--- a/crates/hickoryhall-gateway/src/feeds/relay.rs
+++ b/crates/hickoryhall-gateway/src/feeds/relay.rs
@@ -46,6 +46,8 @@
     pub until: StoreRevision,
     /// Changes in the order of their revisions.
     pub changes: Vec<StoreChange>,
+    /// Time since the sender read the registry; `None` if it does not tell.
+    pub read_age: Option<Duration>,
 }
 
 impl RegistryRelay {
@@ -120,8 +122,9 @@
         }
     }
 
-    /// Returns what the next digest passes on; `None` while this host cannot speak for the store.
-    pub fn relay(&mut self, now: Instant) -> Option<RegistryRelay> {
+    /// Returns what the next digest passes on, with the time since the registry was read; `None` while
+    /// this host cannot speak for the store.
+    pub fn relay(&mut self, now: Instant, read_age: Option<Duration>) -> Option<RegistryRelay> {
         self.trim(now);
         let is_fresh = |at: Instant| now.saturating_duration_since(at) < MAX_ANSWER_AGE;
         let is_settled = self.silent_until.is_none_or(|until| now >= until);
@@ -137,6 +140,7 @@
                 .iter()
                 .map(|(_, change)| change.clone())
                 .collect(),
+            read_age,
         })
     }
 
--- a/crates/hickoryhall-gateway/src/host.rs
+++ b/crates/hickoryhall-gateway/src/host.rs
@@ -426,6 +426,8 @@
         let feeds = Rc::clone(feeds);
         spawn_local(async move { feeds.follow(kind).await });
     }
+    let confirming = Rc::clone(feeds);
+    spawn_local(async move { confirming.confirm_registry().await });
     let feeds = Rc::clone(feeds);
     spawn_local(async move { feeds.watch_for_stalls().await });
 }
--- a/crates/hickoryhall-gateway/src/peers/message/wire.rs
+++ b/crates/hickoryhall-gateway/src/peers/message/wire.rs
@@ -135,6 +135,9 @@
     pub(super) changes: Vec<WireChange>,
     #[prost(uint64, tag = "4")]
     pub(super) era: u64,
+    /// Time since the sender read the registry; missing in digests of earlier builds.
+    #[prost(uint64, optional, tag = "5")]
+    pub(super) read_age_ms: Option<u64>,
 }
 
 #[derive(Clone, PartialEq, Message)]
@@ -427,6 +430,7 @@
             until: relay.until,
             changes: relay.changes.iter().map(WireChange::from).collect(),
             era: relay.era,
+            read_age_ms: relay.read_age.map(super::wire_news::whole_ms),
         }
     }
 }
@@ -438,6 +442,7 @@
             after: wire.after,
             until: wire.until,
             changes: wire.changes.into_iter().map(StoreChange::from).collect(),
+            read_age: wire.read_age_ms.map(Duration::from_millis),
         }
     }
 }
--- a/crates/hickoryhall-gateway/src/peers/message/wire_news.rs
+++ b/crates/hickoryhall-gateway/src/peers/message/wire_news.rs
@@ -169,6 +169,6 @@
     }
 }
 
-fn whole_ms(duration: Duration) -> u64 {
+pub(super) fn whole_ms(duration: Duration) -> u64 {
     u64::try_from(duration.as_millis()).unwrap_or(u64::MAX)
 }
--- a/crates/hickoryhall-gateway/src/stream_versions.rs
+++ b/crates/hickoryhall-gateway/src/stream_versions.rs
@@ -13,7 +13,7 @@
 use std::collections::{BTreeSet, HashMap, VecDeque};
 use std::time::{Duration, Instant};
 
-pub use inquiry::Inquiry;
+pub use inquiry::{Inquiry, OwnKnowledge};
 
 use hickoryhall_types::{Incarnation, hash_name};
 
@@ -32,6 +32,9 @@
 const STREAM_LIFETIME_SLACK: Duration = Duration::from_secs(2);
 /// Longest such time; a longer timeout would keep everything forever.
 const MAX_STREAM_LIFETIME: Duration = Duration::from_secs(120);
+/// Age up to which the last answer of the store about the registry tells which servers there are. A host
+/// that asks anew for each stream would ask at most as often.
+const MAX_REGISTRY_AGE: Duration = Duration::from_millis(300);
 /// Maximum number of streams that are remembered; the oldest are forgotten first.
 const MAX_STREAMS: usize = 65_536;
 /// Maximum number of versions that the store records; services beyond them are left out.
@@ -75,7 +78,7 @@
     Only {
         /// The version.
         software: SoftwareHash,
-        /// Whether the host has read the registry for as long and reads it now, so that no other
+        /// Whether the host has read the registry for as long and has just read it, so that no other
         /// server is unknown to it.
         is_current: bool,
     },
@@ -99,8 +102,17 @@
 pub struct Moment {
     /// Time by the steady clock.
     pub now: Instant,
-    /// Whether the registry can be read.
-    pub is_registry_read: bool,
+    /// Time since the registry was read; `None` if it has not been.
+    pub registry_age: Option<Duration>,
+}
+
+impl Moment {
+    /// Returns whether the registry was read so lately that no stream can have begun at a server that
+    /// is unknown here, but in that time.
+    #[must_use]
+    pub fn is_registry_current(&self) -> bool {
+        self.registry_age.is_some_and(|age| age <= MAX_REGISTRY_AGE)
+    }
 }
 
 /// What a registered server runs.
@@ -367,7 +379,7 @@
             (Some(software), None) if knows_for_long || self.is_recorded(service) => {
                 StreamKnowledge::Only {
                     software,
-                    is_current: knows_for_long && moment.is_registry_read,
+                    is_current: knows_for_long && moment.is_registry_current(),
                 }
             }
             _ => StreamKnowledge::Unknown,
--- a/crates/hickoryhall-gateway/tests/messages.rs
+++ b/crates/hickoryhall-gateway/tests/messages.rs
@@ -145,6 +145,7 @@
                     revision: number(5),
                 },
             ],
+            read_age: [None, Some(Duration::from_millis(number(7)))][number(1) as usize % 2],
         }),
         streams: stream_messages(numbers),
     }
--- a/crates/hickoryhall-gateway/tests/relay.rs
+++ b/crates/hickoryhall-gateway/tests/relay.rs
@@ -46,7 +46,7 @@
             let changes = (0..changes).map(|_| { revision += 1; put(revision) }).collect::<Vec<_>>();
             apply(&mut reader, &changes);
             log.record_changes(now, from, revision, changes);
-            let relay = log.relay(now).expect("the store answers");
+            let relay = log.relay(now, None).expect("the store answers");
             if is_lost {
                 continue;
             }
@@ -82,12 +82,12 @@
 fn a_reader_speaks_for_the_store_only_while_it_answers() {
     let start = Instant::now();
     let mut log = RelayLog::default();
-    assert_eq!(log.relay(start), None, "nothing was read yet");
+    assert_eq!(log.relay(start, None), None, "nothing was read yet");
     log.record_list(start, at(7));
     log.record_answer(start, true);
-    assert!(log.relay(start + ms(1_000)).is_some());
+    assert!(log.relay(start + ms(1_000), None).is_some());
     assert_eq!(
-        log.relay(start + ms(2_000)),
+        log.relay(start + ms(2_000), None),
         None,
         "no answer for two seconds"
     );
@@ -102,13 +102,13 @@
     log.record_list(start, at(7));
     log.record_answer(start, true);
     log.record_answer(start + ms(100), false);
-    assert_eq!(log.relay(start + ms(100)), None);
+    assert_eq!(log.relay(start + ms(100), None), None);
     for at in [1_000, 2_000, 3_000] {
         log.record_answer(start + ms(at), true);
-        assert_eq!(log.relay(start + ms(at)), None, "{at} ms");
+        assert_eq!(log.relay(start + ms(at), None), None, "{at} ms");
     }
     log.record_answer(start + ms(3_600), true);
-    assert!(log.relay(start + ms(3_600)).is_some());
+    assert!(log.relay(start + ms(3_600), None).is_some());
 }
 
 #[test]
@@ -117,7 +117,7 @@
     let mut log = RelayLog::default();
     log.record_list(start, at(7));
     log.record_answer(start, true);
-    let relay = log.relay(start).expect("the store answers");
+    let relay = log.relay(start, None).expect("the store answers");
     let mut monitor = RelayMonitor::default();
     assert!(!monitor.is_current(start));
     assert_eq!(monitor.on_relay(start, at(7), &relay), Some(Vec::new()));
@@ -136,7 +136,7 @@
     let brought = (101..=105).map(put).collect::<Vec<_>>();
     log.record_changes(now, 100, 105, brought);
     log.record_changes(now, 105, 107, [put(106), put(107)]);
-    let relay = log.relay(now).expect("the store answers");
+    let relay = log.relay(now, None).expect("the store answers");
     let revisions = relay.changes.iter().map(StoreChange::revision);
     assert_eq!(
         revisions.collect::<Vec<_>>(),
@@ -153,7 +153,7 @@
     log.record_answer(now, true);
     log.record_changes(now, 100, 101, [put(101)]);
     log.record_changes(now, 105, 107, [put(106), put(107)]);
-    let relay = log.relay(now).expect("the store answers");
+    let relay = log.relay(now, None).expect("the store answers");
     assert_eq!((relay.after, relay.until), (105, 107));
     assert_eq!(relay.changes.len(), 2);
     let mut monitor = RelayMonitor::default();
@@ -170,7 +170,7 @@
     log.record_changes(now, 100, 103, [put(101), put(103)]);
     // The answer of a watch that was under way when another reader's relay arrived.
     log.record_changes(now, 100, 104, [put(101), put(103), put(104)]);
-    let relay = log.relay(now).expect("the store answers");
+    let relay = log.relay(now, None).expect("the store answers");
     let revisions = relay.changes.iter().map(StoreChange::revision);
     assert_eq!(revisions.collect::<Vec<_>>(), [101, 103, 104]);
 }
--- a/crates/hickoryhall-gateway/tests/relay_eras.rs
+++ b/crates/hickoryhall-gateway/tests/relay_eras.rs
@@ -128,7 +128,7 @@
                     }
                     reader.read(&store);
                 }
-                5 => relays.extend(log.relay(now)),
+                5 => relays.extend(log.relay(now, None)),
                 6 => follower.read(&store),
                 _ => {
                     // One of the last relays arrives.
@@ -163,16 +163,18 @@
     log.record_list(start, at(1, 7));
     log.record_answer(start, true);
     assert!(
-        log.relay(start).is_some(),
+        log.relay(start, None).is_some(),
         "the first era seen is no change"
     );
     log.record_list(start, at(2, 4));
     for after_ms in [0, 1_000, 2_000] {
         log.record_answer(start + ms(after_ms), true);
-        assert_eq!(log.relay(start + ms(after_ms)), None, "{after_ms} ms");
+        assert_eq!(log.relay(start + ms(after_ms), None), None, "{after_ms} ms");
     }
     log.record_answer(start + ms(2_600), true);
-    let relay = log.relay(start + ms(2_600)).expect("the store answers");
+    let relay = log
+        .relay(start + ms(2_600), None)
+        .expect("the store answers");
     assert_eq!(relay.position(), at(2, 4));
 }
 
@@ -185,6 +187,7 @@
         after: 3,
         until: 9,
         changes: Vec::new(),
+        read_age: None,
     };
     let mut monitor = RelayMonitor::default();
     for other in [0, 2] {
--- a/crates/hickoryhall-gateway/tests/stream_versions.rs
+++ b/crates/hickoryhall-gateway/tests/stream_versions.rs
@@ -8,8 +8,8 @@
 
 use hickoryhall_gateway::registry::BackendServer;
 use hickoryhall_gateway::stream_versions::{
-    Inquiry, Moment, ServiceVersion, StreamKnowledge, StreamOrigin, StreamQuestion, StreamVersions,
-    TakeUp,
+    Inquiry, Moment, OwnKnowledge, ServiceVersion, StreamKnowledge, StreamOrigin, StreamQuestion,
+    StreamVersions, TakeUp,
 };
 use hickoryhall_types::hash_name;
 use rstest::rstest;
@@ -61,7 +61,7 @@
     fn moment(&self) -> Moment {
         Moment {
             now: self.start + self.elapsed,
-            is_registry_read: true,
+            registry_age: Some(Duration::ZERO),
         }
     }
 
@@ -101,15 +101,17 @@
     assert_eq!(host.knowledge(1), StreamKnowledge::Unknown);
     let mut host = host.wait(1);
     assert_eq!(host.knowledge(1), only("v1", true));
-    let moment = Moment {
-        is_registry_read: false,
-        ..host.moment()
-    };
-    assert_eq!(
-        host.versions.take_up(moment, &question(1)),
-        TakeUp::Ask,
-        "another version may serve unseen"
-    );
+    for registry_age in [None, Some(Duration::from_secs(1))] {
+        let moment = Moment {
+            registry_age,
+            ..host.moment()
+        };
+        assert_eq!(
+            host.versions.take_up(moment, &question(1)),
+            TakeUp::Ask,
+            "another version may serve unseen"
+        );
+    }
 }
 
 /// Guards against a host that takes the version of old servers for the only one: servers of another
@@ -377,9 +379,22 @@
 const SEVERAL: StreamKnowledge = StreamKnowledge::Several;
 const UNKNOWN: StreamKnowledge = StreamKnowledge::Unknown;
 
+fn own(knowledge: StreamKnowledge, is_registry_current: bool) -> OwnKnowledge {
+    OwnKnowledge {
+        knowledge,
+        is_registry_current,
+    }
+}
+
+fn peer(number: usize) -> Ipv4Addr {
+    Ipv4Addr::new(10, 0, 0, number as u8)
+}
+
 #[rstest]
 #[case::one_remembers(SEVERAL, &[UNKNOWN, SEVERAL, BEGAN], true)]
 #[case::one_knows_for_long(UNKNOWN, &[UNKNOWN, CURRENT], true)]
+#[case::one_out_of_step_names_another(UNKNOWN, &[CURRENT, OTHER], false)]
+#[case::one_out_of_step_is_contradicted(UNKNOWN, &[CURRENT, SEVERAL], false)]
 #[case::nobody_remembers(SEVERAL, &[SEVERAL, UNKNOWN], false)]
 #[case::this_host_knows_several(SEVERAL, &[CURRENT], false)]
 #[case::another_knows_several(OUTDATED, &[OUTDATED, SEVERAL], false)]
@@ -388,44 +403,79 @@
 #[case::they_disagree(OUTDATED, &[OTHER], false)]
 #[case::cut_off_from_all(OUTDATED, &[], false)]
 fn an_inquiry_finds_a_version_only_if_it_is_certain(
-    #[case] own: StreamKnowledge,
+    #[case] knowledge: StreamKnowledge,
     #[case] answers: &[StreamKnowledge],
     #[case] is_found: bool,
 ) {
-    let peers = (0..4).map(|number| Ipv4Addr::new(10, 0, 0, number));
-    let mut inquiry = Inquiry::new(own);
-    inquiry.ask(peers.clone());
-    let mut answers = peers.zip(answers);
-    let found = answers.find_map(|(peer, answer)| inquiry.on_answer(peer, *answer));
-    assert!(!inquiry.is_complete(), "one peer is silent");
-    let found = found.or_else(|| inquiry.finish());
+    let (now, mut inquiry) = (Instant::now(), Inquiry::default());
+    inquiry.ask((0..4).map(peer));
+    let mut answers = (0..4).map(peer).zip(answers);
+    let found = answers.find_map(|(peer, answer)| inquiry.on_answer(now, peer, *answer));
+    assert!(!inquiry.is_complete(now), "one peer is silent");
+    let found = found.or_else(|| inquiry.finish(own(knowledge, false)));
     assert_eq!(found, is_found.then_some(7));
 }
 
 /// Peers that are down do not delay a stream that the others know where to continue.
 #[test]
 fn an_inquiry_waits_only_for_peers_that_were_heard_of_lately() {
-    let live = Ipv4Addr::new(10, 0, 0, 1);
-    let mut inquiry = Inquiry::new(OUTDATED);
-    inquiry.ask([live]);
-    assert!(!inquiry.is_complete());
-    assert_eq!(inquiry.on_answer(live, OUTDATED), None);
-    assert!(inquiry.is_complete());
-    assert_eq!(inquiry.finish(), Some(7));
+    let (now, mut inquiry) = (Instant::now(), Inquiry::default());
+    inquiry.ask([peer(1)]);
+    assert!(!inquiry.is_complete(now));
+    assert_eq!(inquiry.on_answer(now, peer(1), OUTDATED), None);
+    assert!(inquiry.is_complete(now));
+    assert_eq!(inquiry.finish(own(OUTDATED, false)), Some(7));
+}
+
+/// Guards against an answer of a peer that is out of step, where others know better.
+#[test]
+fn peers_have_time_to_object_to_one_that_names_the_only_version() {
+    let (now, mut inquiry) = (Instant::now(), Inquiry::default());
+    inquiry.ask((0..3).map(peer));
+    assert_eq!(inquiry.on_answer(now, peer(0), CURRENT), None);
+    assert!(!inquiry.is_complete(now));
+    assert_eq!(inquiry.on_answer(now, peer(1), SEVERAL), None);
+    let later = now + Duration::from_millis(40);
+    assert!(
+        inquiry.is_complete(later),
+        "a silent peer is not waited for"
+    );
+    assert_eq!(inquiry.finish(own(UNKNOWN, true)), None);
 }
 
 /// Guards against a host that was cut off from all others and trusts its own view.
 #[test]
 fn an_inquiry_without_live_peers_is_not_complete() {
-    let mut inquiry = Inquiry::new(OUTDATED);
+    let (now, mut inquiry) = (Instant::now(), Inquiry::default());
     inquiry.ask([]);
-    assert!(!inquiry.is_complete());
-    assert_eq!(inquiry.finish(), None);
+    assert!(!inquiry.is_complete(now));
+    assert_eq!(inquiry.finish(own(OUTDATED, false)), None);
+}
+
+/// Guards against a host that goes on with an old list of servers because it knows no peers.
+#[rstest]
+#[case::old_list(OUTDATED, false, None)]
+#[case::new_list(OUTDATED, true, Some(7))]
+#[case::unknown(UNKNOWN, true, None)]
+#[case::several(SEVERAL, true, None)]
+#[case::told_meanwhile(BEGAN, false, Some(7))]
+fn a_host_without_peers_relies_on_a_list_that_it_has_just_read(
+    #[case] knowledge: StreamKnowledge,
+    #[case] is_registry_current: bool,
+    #[case] expected: Option<u64>,
+) {
+    let finished = Inquiry::default().finish(own(knowledge, is_registry_current));
+    assert_eq!(finished, expected);
 }
 
+/// A host that knows the service for long needs no peer once the store has answered, unless one of
+/// them objects.
 #[test]
-fn a_host_without_peers_relies_on_itself() {
-    assert_eq!(Inquiry::new(OUTDATED).finish(), Some(7));
-    assert_eq!(Inquiry::new(UNKNOWN).finish(), None);
-    assert!(Inquiry::new(UNKNOWN).is_complete());
+fn an_inquiry_ends_when_the_registry_was_read() {
+    let (now, mut inquiry) = (Instant::now(), Inquiry::default());
+    inquiry.ask([peer(1)]);
+    assert_eq!(inquiry.on_registry_read(own(OUTDATED, true)), None);
+    assert_eq!(inquiry.on_registry_read(own(CURRENT, true)), Some(7));
+    inquiry.on_answer(now, peer(1), SEVERAL);
+    assert_eq!(inquiry.on_registry_read(own(CURRENT, true)), None);
 }
