--- a/crates/hickoryhall-gateway/src/core.rs
+++ b/crates/hickoryhall-gateway/src/core.rs
@@ -200,6 +200,11 @@
         self.apply_registry_events(event);
     }
 
+    /// Records that a registry entry cannot be read.
+    pub fn on_registry_unreadable(&mut self, now: Instant, id: &str) {
+        self.registry.on_unreadable(now, id);
+    }
+
     /// Records that the store has come back from an older copy of its contents.
     pub fn on_store_restored(&mut self, now: Instant) {
         self.registry.on_store_restored(now);
--- a/crates/hickoryhall-gateway/src/feeds.rs
+++ b/crates/hickoryhall-gateway/src/feeds.rs
@@ -506,6 +506,13 @@
     /// Applies a record of the operators, unless a newer one is in force; `age` is that of a desired
     /// version.
     fn apply_operator_record(&self, item: &StoreItem, age: DesiredVersionAge) {
+        if item.key.is_empty() {
+            warn!(
+                self.logger,
+                "feeds: Item of the store without a readable key skipped."
+            );
+            return;
+        }
         let version = match self.platform.operator_record(item) {
             Ok(Some(OperatorRecord::Table(table))) => {
                 let revision = table.revision();
@@ -531,7 +538,7 @@
         self.operator.borrow_mut().record(version, item);
     }
 
-    /// Reads a registry entry; logs one that cannot be used and returns `None`.
+    /// Reads a registry entry; logs one that cannot be read and returns `None`.
     fn parse_entry(&self, item: &StoreItem) -> Option<RegistryEntry> {
         match self.platform.registry_entry(item) {
             Ok(entry) => Some(entry),
@@ -540,6 +547,9 @@
                     self.logger, "feeds: Registry entry skipped.";
                     "error" => %error, "revision" => item.revision
                 );
+                let id = self.platform.server_id(&item.key);
+                self.core
+                    .with(|core, now| core.on_registry_unreadable(now, id));
                 None
             }
         }
--- a/crates/hickoryhall-gateway/src/registry.rs
+++ b/crates/hickoryhall-gateway/src/registry.rs
@@ -20,6 +20,10 @@
 /// Time for which a removed server is remembered: longer than any copy of the store is old.
 const GONE_MEMORY: Duration = Duration::from_secs(60);
 
+/// Time for which a server stays in use after its entry was overwritten by something unreadable: three
+/// heartbeats and a little more, after which a silent server's entry is removed as well.
+const UNREADABLE_GRACE: Duration = Duration::from_millis(4_000);
+
 /// A backend server, as it describes itself in the registry.
 #[derive(Clone, Debug, PartialEq)]
 pub struct BackendServer {
@@ -84,6 +88,8 @@
     entry: RegistryEntry,
     /// Whether the store no longer has the entry, possibly because of an outage.
     is_expired: bool,
+    /// When the entry was overwritten by something unreadable.
+    unreadable_since: Option<Instant>,
 }
 
 /// A server that was removed.
@@ -136,8 +142,10 @@
         let entries = entries.into_iter().map(Into::into).collect::<Vec<_>>();
         let listed = entries.iter().map(|entry| entry.server.id.clone());
         let listed = listed.collect::<BTreeSet<_>>();
-        let missing = self.entries.keys().filter(|id| !listed.contains(*id));
-        let missing = missing.cloned().collect::<Vec<_>>();
+        let missing = self.entries.iter();
+        let missing =
+            missing.filter(|(id, known)| !listed.contains(*id) && known.unreadable_since.is_none());
+        let missing = missing.map(|(id, _)| id.clone()).collect::<Vec<_>>();
         self.held_back.retain(|id, _| listed.contains(id));
         let mut events = entries
             .into_iter()
@@ -188,6 +196,7 @@
         let known = KnownEntry {
             entry,
             is_expired: false,
+            unreadable_since: None,
         };
         let before = self.entries.insert(server.id.clone(), known);
         let is_unchanged =
@@ -195,6 +204,14 @@
         (!is_unchanged).then_some(RegistryEvent::Upsert(server))
     }
 
+    /// Records that an entry cannot be read. Its server, if known, stays in use until it would have
+    /// written the entry again.
+    pub fn on_unreadable(&mut self, now: Instant, id: &str) {
+        if let Some(known) = self.entries.get_mut(id) {
+            known.unreadable_since.get_or_insert(now);
+        }
+    }
+
     /// Applies the removal of an entry. The entry stays in use if an outage of the store may be the
     /// cause of the removal and the server is not shutting down.
     ///
@@ -248,7 +265,12 @@
         }
         self.gone
             .retain(|_, gone| now.saturating_duration_since(gone.removed_at) < GONE_MEMORY);
-        let expired = self.entries.iter().filter(|(_, known)| known.is_expired);
+        let is_over = |known: &KnownEntry| {
+            let since = known.unreadable_since;
+            since.is_some_and(|at| now.saturating_duration_since(at) >= UNREADABLE_GRACE)
+        };
+        let expired = self.entries.iter();
+        let expired = expired.filter(|(_, known)| known.is_expired || is_over(known));
         let expired = expired.map(|(id, _)| id.clone()).collect::<Vec<_>>();
         let removed = expired.iter().filter_map(|id| self.remove(now, id));
         let mut events = removed.collect::<Vec<_>>();
--- a/crates/hickoryhall-gateway/tests/registry.rs
+++ b/crates/hickoryhall-gateway/tests/registry.rs
@@ -85,3 +85,22 @@
     };
     assert!(registry.on_entry(restarted).is_some());
 }
+
+#[test]
+fn a_server_whose_entry_cannot_be_read_stays_until_it_would_have_written_it_again() {
+    let start = Instant::now();
+    let at = |ms| start + Duration::from_millis(ms);
+    let mut registry = Registry::default();
+    registry.on_list(start, vec![server("s1"), server("s2"), server("s3")]);
+    for id in ["s1", "s2", "unknown"] {
+        registry.on_unreadable(at(100), id);
+    }
+    // A list has only the entries that can be read.
+    assert_eq!(registry.on_list(at(200), vec![server("s3")]), vec![]);
+    assert_eq!(registry.on_entry(server("s2")), None);
+    registry.on_unreadable(at(3_000), "s1");
+    assert_eq!(registry.expire(at(4_099)), vec![]);
+    assert_eq!(registry.expire(at(4_100)), vec![removed("s1")]);
+    assert_eq!(registry.servers().count(), 2);
+    assert_eq!(registry.on_removed(at(4_200), "s2"), Some(removed("s2")));
+}
