Save the versions of streams in the store while a service has several

While a service may have several versions, each host saves the streams that it began, 0.3 s of them in one value with a lease of two lifetimes; in a large fleet the interval grows, so that all hosts together write a hundred values a second at most. A host that has just started reads them once, when it is first asked for a stream that it does not know.

--- a/crates/hickoryhall-gateway/src/core/handle.rs
+++ b/crates/hickoryhall-gateway/src/core/handle.rs
@@ -27,6 +27,10 @@
     unasked: Notify,
     /// Notified after each call that leaves an inquiry for which the registry has to be read.
     registry_wanted: Notify,
+    /// Notified after each call that leaves streams which are not saved.
+    unsaved: Notify,
+    /// Notified after each call that leaves an inquiry for which saved streams have to be read.
+    saved_wanted: Notify,
     /// Notified after each call that may change the record of software versions.
     unrecorded: Notify,
 }
@@ -46,6 +50,8 @@
             untold: Notify::new(),
             unasked: Notify::new(),
             registry_wanted: Notify::new(),
+            unsaved: Notify::new(),
+            saved_wanted: Notify::new(),
             unrecorded: Notify::new(),
         };
         Self {
@@ -70,6 +76,12 @@
             if core.has_unasked_questions() {
                 self.shared.unasked.notify_one();
             }
+            if core.has_unsaved_streams() {
+                self.shared.unsaved.notify_one();
+            }
+            if core.wants_saved_streams() {
+                self.shared.saved_wanted.notify_one();
+            }
             if core.wants_registry() {
                 self.shared.registry_wanted.notify_one();
             }
@@ -101,6 +113,16 @@
         self.shared.registry_wanted.notified().await;
     }
 
+    /// Waits until streams have to be saved.
+    pub async fn has_unsaved_streams(&self) {
+        self.shared.unsaved.notified().await;
+    }
+
+    /// Waits until saved streams have to be read for an inquiry.
+    pub async fn wants_saved_streams(&self) {
+        self.shared.saved_wanted.notified().await;
+    }
+
     /// Waits until the record of software versions may have to change.
     pub async fn may_need_record(&self) {
         self.shared.unrecorded.notified().await;
--- a/crates/hickoryhall-gateway/src/core/streams.rs
+++ b/crates/hickoryhall-gateway/src/core/streams.rs
@@ -11,6 +11,7 @@
 use super::Core;
 use crate::clock::SuspendAwareClock;
 use crate::registry::BackendServer;
+use crate::stream_record::MAX_STREAMS_PER_PART;
 use crate::stream_versions::{
     Inquiry, Moment, OwnKnowledge, ServiceVersion, SoftwareHash, StreamHash, StreamKnowledge,
     StreamOrigin, StreamQuestion, StreamVersions, TakeUp,
@@ -32,6 +33,18 @@
     registry_read_at: Option<Instant>,
     /// Whether the registry has to be read for an inquiry.
     wants_registry: bool,
+    /// Streams that are not saved in the store.
+    unsaved: Vec<StreamOrigin>,
+    saved: SavedStreams,
+}
+
+/// What is done about the streams that hosts have saved in the store.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum SavedStreams {
+    Unread,
+    /// They have to be read for an inquiry.
+    Wanted,
+    Read,
 }
 
 /// An inquiry with the requests that wait for it.
@@ -71,6 +84,8 @@
             clock: SuspendAwareClock::new(),
             registry_read_at: None,
             wants_registry: false,
+            unsaved: Vec::new(),
+            saved: SavedStreams::Unread,
         }
     }
 }
@@ -161,6 +176,46 @@
         self.streams.versions.record(now, &origin);
         if is_told {
             self.streams.untold.push(origin);
+            self.keep_unsaved_streams(vec![origin]);
+        }
+    }
+
+    /// Returns the time for which a stream may be taken up.
+    #[must_use]
+    pub fn stream_lifetime(&self) -> Duration {
+        self.streams.versions.lifetime()
+    }
+
+    pub(super) fn has_unsaved_streams(&self) -> bool {
+        !self.streams.unsaved.is_empty()
+    }
+
+    /// Takes the streams that have to be saved.
+    pub fn take_unsaved_streams(&mut self) -> Vec<StreamOrigin> {
+        std::mem::take(&mut self.streams.unsaved)
+    }
+
+    /// Keeps streams until they are saved, as many as one part holds.
+    pub fn keep_unsaved_streams(&mut self, origins: Vec<StreamOrigin>) {
+        let left = MAX_STREAMS_PER_PART.saturating_sub(self.streams.unsaved.len());
+        self.streams.unsaved.extend(origins.into_iter().take(left));
+    }
+
+    pub(super) fn wants_saved_streams(&self) -> bool {
+        self.streams.saved == SavedStreams::Wanted
+    }
+
+    /// Records streams that hosts have saved, and ends the inquiries about them.
+    pub fn on_saved_streams(&mut self, now: Instant, origins: &[StreamOrigin]) {
+        self.streams.saved = SavedStreams::Read;
+        for origin in origins {
+            self.streams.versions.record(now, origin);
+        }
+        for question in self.open_questions() {
+            let own = self.own_knowledge(now, &question);
+            if let StreamKnowledge::Began(software) = own.knowledge {
+                self.resolve(now, &question, Some(software));
+            }
         }
     }
 
@@ -175,6 +230,10 @@
             }
             TakeUp::Ask => {
                 self.streams.wants_registry |= !moment.is_registry_current();
+                let may_miss = self.streams.versions.may_miss_streams(now);
+                if may_miss && self.streams.saved == SavedStreams::Unread {
+                    self.streams.saved = SavedStreams::Wanted;
+                }
                 let open = self.streams.inquiries.entry(question);
                 let open = open.or_insert_with(|| {
                     self.streams.unasked.push(question);
--- a/crates/hickoryhall-gateway/src/host.rs
+++ b/crates/hickoryhall-gateway/src/host.rs
@@ -33,6 +33,7 @@
 use crate::scheduler::SchedulerConfig;
 use crate::settings::{Settings, SettingsError};
 use crate::store_client::StoreClient;
+use crate::stream_record::StreamRecorder;
 use crate::version_record::VersionRecorder;
 
 /// Time for which a stopping host still accepts requests: the load balancer stops sending
@@ -178,8 +179,7 @@
         let reader = Rc::clone(&gateway);
         spawn_local(async move { reader.read_late_answers().await });
         spawn_feeds(&feeds);
-        let recorder = VersionRecorder::new(Rc::clone(&store), core.clone(), part("versions"));
-        spawn_local(async move { recorder.run().await });
+        spawn_recorders(&store, &core, part);
         spawn_peers(&peers, records_listener);
         let orders = OrderTask::new(
             order_task_config(settings),
@@ -432,6 +432,21 @@
     spawn_local(async move { feeds.watch_for_stalls().await });
 }
 
+/// Starts the tasks that keep in the store what a host has to know of streams that began before it.
+fn spawn_recorders<P: Platform>(
+    store: &Rc<StoreClient<P>>,
+    core: &CoreHandle,
+    part: impl Fn(&'static str) -> Logger,
+) {
+    let versions = VersionRecorder::new(Rc::clone(store), core.clone(), part("versions"));
+    spawn_local(async move { versions.run().await });
+    let streams = StreamRecorder::new(Rc::clone(store), core.clone(), part("streams"));
+    let streams = Rc::new(streams);
+    let saving = Rc::clone(&streams);
+    spawn_local(async move { saving.save().await });
+    spawn_local(async move { streams.load().await });
+}
+
 fn spawn_peers<P: Platform>(peers: &Rc<Peers<P>>, records_listener: TcpListener) {
     let sender = Rc::clone(peers);
     spawn_local(async move { sender.send_digests().await });
--- a/crates/hickoryhall-gateway/src/lib.rs
+++ b/crates/hickoryhall-gateway/src/lib.rs
@@ -26,6 +26,7 @@
 pub mod stalls;
 pub mod store_client;
 pub mod store_position;
+pub mod stream_record;
 pub mod stream_versions;
 pub mod table;
 pub mod version_record;
--- /dev/null
+++ b/crates/hickoryhall-gateway/src/stream_record.rs
@@ -0,0 +1,199 @@
+//! Saves the software versions of streams in the store while a service may have several.
+//!
+//! If all hosts end at once, nobody remembers at which version a stream began. Each host saves what it
+//! began in parts that end with a lease, and a host that has just started reads all parts once, when a
+//! caller first takes a stream up whose version it does not know.
+
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+use bytes::Bytes;
+use prost::Message;
+use rand::RngExt;
+use slog::{Logger, debug, info, warn};
+use tokio::time::sleep;
+
+use crate::core::{Core, CoreHandle};
+use crate::interface::{ConditionalPut, Store, StoreError, StoreItem};
+use crate::store_client::{StoreClient, StoreLease};
+use crate::stream_versions::StreamOrigin;
+
+/// Prefix of the keys of all parts.
+const PARTS_PREFIX: &str = "hickoryhall/streams/";
+/// Shortest time between two parts of one host; streams that begin meanwhile join.
+const MIN_SAVE_INTERVAL: Duration = Duration::from_millis(300);
+/// The same time for each host of the fleet, so that all hosts together write a hundred parts a second
+/// at most.
+const SAVE_INTERVAL_PER_HOST: Duration = Duration::from_millis(10);
+/// Maximum number of streams in one part, so that it fits into a value; further ones are left out.
+pub(crate) const MAX_STREAMS_PER_PART: usize = 16_384;
+/// Pause after a call to the store that failed.
+const RETRY_PAUSE: Duration = Duration::from_millis(300);
+
+/// Value of a part.
+///
+/// Field numbers and types stay: hosts of other builds read and write them.
+#[derive(Clone, PartialEq, Message)]
+struct WirePart {
+    #[prost(message, repeated, tag = "1")]
+    groups: Vec<WireGroup>,
+}
+
+/// Streams of one service that began at one software version.
+#[derive(Clone, PartialEq, Message)]
+struct WireGroup {
+    #[prost(fixed64, tag = "1")]
+    service: u64,
+    #[prost(fixed64, tag = "2")]
+    software: u64,
+    #[prost(fixed64, repeated, tag = "3")]
+    streams: Vec<u64>,
+}
+
+impl From<&[StreamOrigin]> for WirePart {
+    fn from(origins: &[StreamOrigin]) -> Self {
+        let mut groups = Vec::<WireGroup>::new();
+        for origin in origins {
+            let mut known = groups.iter_mut();
+            let group = known
+                .find(|group| (group.service, group.software) == (origin.service, origin.software));
+            match group {
+                Some(group) => group.streams.push(origin.stream),
+                None => groups.push(WireGroup {
+                    service: origin.service,
+                    software: origin.software,
+                    streams: vec![origin.stream],
+                }),
+            }
+        }
+        Self { groups }
+    }
+}
+
+impl From<WirePart> for Vec<StreamOrigin> {
+    fn from(part: WirePart) -> Self {
+        let groups = part.groups.into_iter();
+        let origins = groups.flat_map(|group| {
+            let (service, software) = (group.service, group.software);
+            group.streams.into_iter().map(move |stream| StreamOrigin {
+                stream,
+                service,
+                software,
+            })
+        });
+        origins.collect()
+    }
+}
+
+/// Writes and reads the parts.
+pub struct StreamRecorder<P> {
+    store: Rc<StoreClient<P>>,
+    core: CoreHandle,
+    logger: Logger,
+}
+
+impl<P: Store> StreamRecorder<P> {
+    /// Creates a recorder that has written and read nothing.
+    #[must_use]
+    pub fn new(store: Rc<StoreClient<P>>, core: CoreHandle, logger: Logger) -> Self {
+        Self {
+            store,
+            core,
+            logger,
+        }
+    }
+
+    /// Saves streams that this host began until the task is dropped.
+    pub async fn save(&self) {
+        // Tells the parts of this process from those of others.
+        let process = rand::rng().random::<u64>();
+        let mut lease = None;
+        for number in 0_u64.. {
+            self.core.has_unsaved_streams().await;
+            sleep(self.save_interval()).await;
+            let origins = self.core.with(|core, _| core.take_unsaved_streams());
+            if origins.is_empty() {
+                continue;
+            }
+            let key = format!("{PARTS_PREFIX}{process:016x}/{number:x}");
+            if let Err(error) = self.write(key, &origins, &mut lease).await {
+                debug!(self.logger, "streams: Versions of streams not saved."; "streams" => origins.len(), "error" => %error);
+                lease = None;
+                self.core.with(|core, _| core.keep_unsaved_streams(origins));
+                sleep(RETRY_PAUSE).await;
+            }
+        }
+    }
+
+    fn save_interval(&self) -> Duration {
+        let hosts = self.core.with(Core::host_count);
+        let hosts = u32::try_from(hosts).unwrap_or(u32::MAX);
+        SAVE_INTERVAL_PER_HOST
+            .saturating_mul(hosts)
+            .max(MIN_SAVE_INTERVAL)
+    }
+
+    /// Writes a part. Its lease ends when no stream in it can be taken up any more.
+    async fn write(
+        &self,
+        key: String,
+        origins: &[StreamOrigin],
+        lease: &mut Option<(StoreLease, Instant)>,
+    ) -> Result<(), StoreError> {
+        let lifetime = self.core.with(|core, _| core.stream_lifetime());
+        let usable = lease.filter(|(_, granted_at)| granted_at.elapsed() < lifetime);
+        let granted = match usable {
+            Some((granted, _)) => granted,
+            None => {
+                let granted = self.store.grant(2 * lifetime).await?;
+                *lease = Some((granted, Instant::now()));
+                granted
+            }
+        };
+        let put = ConditionalPut {
+            key,
+            value: Bytes::from(WirePart::from(origins).encode_to_vec()),
+            expected_revision: 0,
+            lease: granted.id,
+        };
+        self.store.put_if(&put, granted.era).await.map(|_| ())
+    }
+
+    /// Reads all parts once a stream is taken up whose version this host does not know, if it has just
+    /// started.
+    pub async fn load(&self) {
+        loop {
+            self.core.wants_saved_streams().await;
+            match self.store.range(PARTS_PREFIX).await {
+                Ok(read) => {
+                    let parts = read.content.iter();
+                    let origins = parts.flat_map(|item| self.decode(item)).collect::<Vec<_>>();
+                    info!(
+                        self.logger, "streams: Versions of streams read.";
+                        "parts" => read.content.len(), "streams" => origins.len()
+                    );
+                    self.core
+                        .with(|core, now| core.on_saved_streams(now, &origins));
+                    return;
+                }
+                Err(error) => {
+                    debug!(self.logger, "streams: Versions of streams not read."; "error" => %error);
+                    sleep(RETRY_PAUSE).await;
+                }
+            }
+        }
+    }
+
+    fn decode(&self, item: &StoreItem) -> Vec<StreamOrigin> {
+        match WirePart::decode(item.value.clone()) {
+            Ok(part) => part.into(),
+            Err(error) => {
+                warn!(
+                    self.logger, "streams: Saved versions of streams skipped.";
+                    "key" => &item.key, "error" => %error
+                );
+                Vec::new()
+            }
+        }
+    }
+}
--- a/crates/hickoryhall-gateway/src/stream_versions.rs
+++ b/crates/hickoryhall-gateway/src/stream_versions.rs
@@ -276,6 +276,18 @@
         (versions != *recorded).then_some(versions)
     }
 
+    /// Returns the time for which a stream may be taken up.
+    #[must_use]
+    pub fn lifetime(&self) -> Duration {
+        self.lifetime
+    }
+
+    /// Returns whether streams may be taken up that began before this host knew of any.
+    #[must_use]
+    pub fn may_miss_streams(&self, now: Instant) -> bool {
+        !self.knows_for_long(now)
+    }
+
     /// Forgets what is older than any stream that may be taken up.
     pub fn expire(&mut self, now: Instant) {
         for version in self.left.drain(..) {
