Close a silent runner's connection once another one may work on its stream

Cause: the first connection was closed only when the head of the second answer had arrived.

It is now closed 0.3 s after the request was sent to the next runner, if nothing has come back by then. A refusal comes sooner, and the first stream goes on as before (a_silent_stream_that_no_other_runner_resumes).

--- a/crates/hickoryhall-edge/src/pool.rs
+++ b/crates/hickoryhall-edge/src/pool.rs
@@ -149,6 +149,13 @@
     connection: Connection,
 }
 
+impl Connection {
+    /// Closes the connection now, whoever still reads a response of it.
+    pub fn close(&self) {
+        self.driver.abort();
+    }
+}
+
 impl Drop for Connection {
     fn drop(&mut self) {
         self.driver.abort();
--- a/crates/hickoryhall-gateway/src/exchange/relay.rs
+++ b/crates/hickoryhall-gateway/src/exchange/relay.rs
@@ -1,6 +1,7 @@
 //! Relays event streams to callers and resumes broken ones at another runner where the route
 //! allows it.
 
+use std::pin::pin;
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
@@ -13,7 +14,7 @@
 
 use super::Exchange;
 use super::attempt::{AttemptFailure, AttemptResult, OpenStream, attempt_end};
-use super::forward::Source;
+use super::forward::{Source, Target};
 use crate::events::{EventFramer, IncompleteEvent};
 use crate::forwarding::StreamSoftware;
 use crate::framing::BodyFraming;
@@ -26,6 +27,9 @@
 /// The same for a stream that a peer passes on: long enough for the peer to resume it, and below the time
 /// after which callers leave.
 const PEER_IDLE_TIMEOUT: Duration = Duration::from_millis(1_800);
+/// Time for the head of the next runner's answer before the connection to a silent one is closed: the next
+/// one may work on the request from the start, and two runners must not do so for longer than 400 ms.
+const MAX_OVERLAP: Duration = Duration::from_millis(300);
 /// Reason for a stream that its runner broke off.
 const BROKEN_OFF: &str = "broken_off";
 /// Reason for a stream without an event within the limit.
@@ -54,6 +58,8 @@
     has_events: bool,
     /// Bytes of the event that the stream ended inside of.
     incomplete_bytes: usize,
+    /// Whether this host has closed the connection.
+    is_closed: bool,
 }
 
 impl Upstream {
@@ -64,9 +70,17 @@
             framer: EventFramer::resuming_after(last_id),
             has_events: false,
             incomplete_bytes: 0,
+            is_closed: false,
         }
     }
 
+    /// Ends the work of a silent runner on the request.
+    fn close(&mut self) {
+        self.is_closed = true;
+        self.stream.connection.close();
+        self.stream.guard.fail();
+    }
+
     async fn next(&mut self, limit: Duration) -> StreamItem {
         match timeout(limit, self.read()).await {
             Ok(item) => item,
@@ -258,7 +272,7 @@
                     if self.resume(reason).await {
                         self.is_waited_for = false;
                         self.is_from_one_server = false;
-                    } else if reason == SILENT && !self.is_waited_for {
+                    } else if reason == SILENT && !self.is_waited_for && !self.upstream.is_closed {
                         // The runner may still work on the request, and a late answer is better
                         // than none. Its run goes on and counts once.
                         self.is_waited_for = true;
@@ -330,7 +344,7 @@
                 "software" => self.exchange.software,
                 "software_before" => &*self.upstream.stream.software
             );
-            let attempted = self.exchange.attempt_at(target, last_id.as_deref()).await;
+            let attempted = self.attempt_next(target, last_id.as_deref(), reason).await;
             let failure = match attempted {
                 AttemptResult::Stream(stream) => {
                     self.upstream = Upstream::new(stream, last_id);
@@ -361,6 +375,27 @@
     }
 }
 
+impl<P: Platform> Relay<P> {
+    /// Sends the request to the next runner. A silent one may go on until that may work on it as well.
+    async fn attempt_next(
+        &mut self,
+        target: Target,
+        last_id: Option<&str>,
+        reason: &str,
+    ) -> AttemptResult {
+        let mut attempt = pin!(self.exchange.attempt_at(target, last_id));
+        match timeout(MAX_OVERLAP, attempt.as_mut()).await {
+            Ok(attempted) => attempted,
+            Err(_) => {
+                if reason == SILENT {
+                    self.upstream.close();
+                }
+                attempt.await
+            }
+        }
+    }
+}
+
 /// How a stream ended.
 enum RelayOutcome {
     Complete,
