Count breaks without proof of a crash one after the other

A request that broke off before its first event again and again at one server that goes on accepting connections was never refused since breaks were counted once for each process: it goes back to the server of its suspicion each time. A break now counts if its run began after the break before, as crashes do, and equal requests in flight together count once.

--- a/crates/hickoryhall-routing/src/suspects.rs
+++ b/crates/hickoryhall-routing/src/suspects.rs
@@ -163,7 +163,7 @@
     }
 
     /// Records that a process broke off a request before its first event, though it is not known to
-    /// have crashed. Each process counts once.
+    /// have crashed. It counts if the run began after the break before.
     pub fn record_unproven_break(
         &mut self,
         now: Instant,
@@ -174,8 +174,9 @@
             part: request.fingerprint,
             run_time: request.run_time,
         };
+        let before = self.requests.crashes_of(request.fingerprint) as u64;
         let report = CrashReport {
-            crash: rendezvous_score(process, UNPROVEN_BREAK),
+            crash: rendezvous_score(process, UNPROVEN_BREAK ^ before),
             age: Duration::ZERO,
             parts: vec![ran],
         };
--- a/crates/hickoryhall-routing/src/suspects/parts.rs
+++ b/crates/hickoryhall-routing/src/suspects/parts.rs
@@ -201,6 +201,12 @@
         }
     }
 
+    /// Returns the number of recorded crashes with a part.
+    pub fn crashes_of(&self, part: PartHash) -> usize {
+        let ran = |crash: &&Crash| crash.parts.iter().any(|ran| ran.part == part);
+        self.crashes.iter().filter(ran).count()
+    }
+
     fn rounds_of(&self, part: PartHash) -> u32 {
         self.rounds.get(&part).copied().unwrap_or(0)
     }
--- a/crates/hickoryhall-routing/tests/crashing_parts.rs
+++ b/crates/hickoryhall-routing/tests/crashing_parts.rs
@@ -647,3 +647,24 @@
     suspects.merge_deaths(start + Duration::from_secs(14), 7, 3);
     assert_eq!(decide(&mut suspects, 14), SuspectDecision::Clear);
 }
+
+/// Guards against a request that is never refused because it comes back to the same server, and against
+/// one that is refused because equal ones were in flight together.
+#[test]
+fn breaks_without_proof_of_a_crash_count_one_after_the_other() {
+    let start = Instant::now() + Duration::from_secs(1_000);
+    let at = |ms| start + Duration::from_millis(ms);
+    let broken = |run_time_ms| BrokenRequest {
+        fingerprint: 7,
+        parts: &[],
+        run_time: Duration::from_millis(run_time_ms),
+    };
+    let mut suspects = Suspects::default();
+    for ms in [100, 101, 150] {
+        suspects.record_unproven_break(at(ms), 1, &broken(ms - 50));
+        suspects.record_unproven_break(at(ms), 2, &broken(ms - 50));
+    }
+    assert_eq!(suspects.review_requests(at(150)), []);
+    suspects.record_unproven_break(at(400), 1, &broken(200));
+    assert_eq!(suspects.review_requests(at(400)), [(7, 2)]);
+}
