Find live hosts through the store where all seeds are gone

The store lists some live hosts, kept by the first one by rank. A host that hears of nobody reads the list, contacts those in it and adds itself.

--- a/crates/hickoryhall-gateway/src/host.rs
+++ b/crates/hickoryhall-gateway/src/host.rs
@@ -29,7 +29,7 @@
 use crate::feeds::{FeedKind, Feeds};
 use crate::interface::Platform;
 use crate::orders::{OrderTask, OrderTaskConfig};
-use crate::peers::{LocalHost, Peers, PeersConfig};
+use crate::peers::{Directory, LocalHost, Peers, PeersConfig};
 use crate::scheduler::SchedulerConfig;
 use crate::settings::{Settings, SettingsError};
 use crate::store_client::StoreClient;
@@ -181,6 +181,13 @@
         spawn_feeds(&feeds);
         spawn_recorders(&store, &core, part);
         spawn_peers(&peers, records_listener);
+        let directory = Directory::new(
+            Rc::clone(&peers),
+            Rc::clone(&store),
+            core.clone(),
+            part("directory"),
+        );
+        spawn_local(async move { directory.run().await });
         let orders = OrderTask::new(
             order_task_config(settings),
             platform,
--- a/crates/hickoryhall-gateway/src/peers.rs
+++ b/crates/hickoryhall-gateway/src/peers.rs
@@ -5,6 +5,7 @@
 //! not depend on digests or on hosts agreeing with each other: a lost digest only makes placement
 //! less accurate.
 
+mod directory;
 mod known_peers;
 mod message;
 mod streams;
@@ -24,6 +25,7 @@
 use tokio::task::spawn_local;
 use tokio::time::timeout;
 
+pub use directory::{Directory, HostList};
 use known_peers::HEARTBEATS_PER_S;
 pub use known_peers::{KnownPeers, LocalHost};
 pub use message::{
