--- a/crates/hickoryhall-gateway/src/core.rs
+++ b/crates/hickoryhall-gateway/src/core.rs
@@ -444,6 +444,7 @@
         let events = self.registry.expire(now);
         self.apply_registry_events(events);
         self.streams.versions.expire(now);
+        self.ask_about_services(now);
         self.review_crashes(now);
         self.review_requests(now);
         self.divide_limits(now);
--- a/crates/hickoryhall-gateway/src/core/streams.rs
+++ b/crates/hickoryhall-gateway/src/core/streams.rs
@@ -17,6 +17,10 @@
     StreamOrigin, StreamQuestion, StreamVersions, TakeUp,
 };
 
+/// Time between two inquiries about services, and the time for which each is open.
+const SERVICE_INQUIRY_INTERVAL: Duration = Duration::from_secs(1);
+const SERVICE_INQUIRY_TIME: Duration = Duration::from_millis(250);
+
 /// Receives the version at which a stream goes on, `None` if nobody knows.
 pub type TakeUpReply = oneshot::Sender<Option<SoftwareHash>>;
 
@@ -36,6 +40,8 @@
     /// Streams that are not saved in the store.
     unsaved: Vec<StreamOrigin>,
     saved: SavedStreams,
+    /// When peers were last asked about services.
+    services_asked_at: Option<Instant>,
 }
 
 /// What is done about the streams that hosts have saved in the store.
@@ -50,6 +56,7 @@
 /// An inquiry with the requests that wait for it.
 struct OpenInquiry {
     inquiry: Inquiry,
+    opened_at: Instant,
     replies: Vec<TakeUpReply>,
 }
 
@@ -74,6 +81,22 @@
     }
 }
 
+impl OpenInquiry {
+    fn new(now: Instant) -> Self {
+        Self {
+            inquiry: Inquiry::default(),
+            opened_at: now,
+            replies: Vec::new(),
+        }
+    }
+
+    /// Returns whether nothing is left to wait for; requests end their inquiry themselves.
+    fn is_complete(&self, now: Instant) -> bool {
+        let is_over = now.saturating_duration_since(self.opened_at) >= SERVICE_INQUIRY_TIME;
+        self.inquiry.is_complete(now) || (self.replies.is_empty() && is_over)
+    }
+}
+
 impl StreamState {
     pub fn new(is_first_start: bool) -> Self {
         Self {
@@ -86,6 +109,7 @@
             wants_registry: false,
             unsaved: Vec::new(),
             saved: SavedStreams::Unread,
+            services_asked_at: None,
         }
     }
 }
@@ -237,10 +261,7 @@
                 let open = self.streams.inquiries.entry(question);
                 let open = open.or_insert_with(|| {
                     self.streams.unasked.push(question);
-                    OpenInquiry {
-                        inquiry: Inquiry::default(),
-                        replies: Vec::new(),
-                    }
+                    OpenInquiry::new(now)
                 });
                 open.replies.push(reply);
             }
@@ -262,7 +283,7 @@
             let waits_for_registry =
                 matches!(own.knowledge, StreamKnowledge::Only { .. }) && !own.is_registry_current;
             let open = self.streams.inquiries.get(&question);
-            let is_complete = open.is_some_and(|open| open.inquiry.is_complete(now));
+            let is_complete = open.is_some_and(|open| open.is_complete(now));
             if is_complete || !(has_peers || waits_for_registry) {
                 self.end_inquiry(now, &question);
             }
@@ -277,6 +298,27 @@
         }
     }
 
+    /// Asks peers about services whose versions this host cannot know, as it has just started and the
+    /// store does not record them: hosts of earlier builds keep no record.
+    pub(super) fn ask_about_services(&mut self, now: Instant) {
+        let asked_at = self.streams.services_asked_at;
+        if asked_at.is_some_and(|at| now.saturating_duration_since(at) < SERVICE_INQUIRY_INTERVAL) {
+            return;
+        }
+        self.streams.services_asked_at = Some(now);
+        for service in self.streams.versions.unknown_services(now) {
+            let question = StreamQuestion {
+                stream: None,
+                service,
+            };
+            let inquiries = &mut self.streams.inquiries;
+            inquiries.entry(question).or_insert_with(|| {
+                self.streams.unasked.push(question);
+                OpenInquiry::new(now)
+            });
+        }
+    }
+
     /// Returns whether an inquiry is open.
     #[must_use]
     pub fn has_open_inquiries(&self) -> bool {
@@ -296,6 +338,11 @@
             return;
         };
         self.streams.unasked.retain(|other| other != question);
+        if let Some(software) = open.inquiry.vouched_version() {
+            let service = question.service;
+            let version = ServiceVersion { service, software };
+            self.streams.versions.vouch(now, version);
+        }
         info!(
             self.logger, "core: Peers were asked for the software version of a stream.";
             "stream" => question.stream, "is_known" => software.is_some(),
--- a/crates/hickoryhall-gateway/src/stream_versions.rs
+++ b/crates/hickoryhall-gateway/src/stream_versions.rs
@@ -10,7 +10,7 @@
 
 mod inquiry;
 
-use std::collections::{BTreeSet, HashMap, VecDeque};
+use std::collections::{BTreeSet, HashMap, HashSet, VecDeque};
 use std::time::{Duration, Instant};
 
 pub use inquiry::{Inquiry, OwnKnowledge};
@@ -143,6 +143,9 @@
     /// Versions that the store records, all that were in use of each service that it names; `None`
     /// before the record is read.
     recorded: Option<BTreeSet<ServiceVersion>>,
+    /// Services of which a peer that knows their versions for long has named the only one, since this
+    /// host has read the registry.
+    vouched: HashSet<ServiceHash>,
     /// Whether the record may have to change.
     may_need_record: bool,
     lifetime: Duration,
@@ -163,6 +166,7 @@
             new: Vec::new(),
             known_since: None,
             recorded: None,
+            vouched: HashSet::new(),
             may_need_record: false,
             lifetime: MIN_STREAM_LIFETIME,
         }
@@ -262,8 +266,8 @@
         let knows_for_long = self.knows_for_long(now);
         let registered = self.servers.values().map(|server| server.version);
         let in_use = registered.chain(self.earlier.keys().copied());
-        let is_recorded = |service| recorded.iter().any(|version| version.service == service);
-        let in_use = in_use.filter(|version| knows_for_long || is_recorded(version.service));
+        let is_complete = |service| self.knows_service(now, service) || self.is_recorded(service);
+        let in_use = in_use.filter(|version| is_complete(version.service));
         let mut versions = in_use.collect::<BTreeSet<_>>();
         if !knows_for_long {
             versions.extend(recorded);
@@ -385,19 +389,44 @@
         let in_use = in_use.filter(|version| version.service == service);
         let versions = in_use.map(|version| version.software);
         let mut versions = versions.collect::<BTreeSet<_>>().into_iter();
-        let knows_for_long = self.knows_for_long(moment.now);
+        let knows_service = self.knows_service(moment.now, service);
         match (versions.next(), versions.next()) {
             (Some(_), Some(_)) => StreamKnowledge::Several,
-            (Some(software), None) if knows_for_long || self.is_recorded(service) => {
+            (Some(software), None) if knows_service || self.is_recorded(service) => {
                 StreamKnowledge::Only {
                     software,
-                    is_current: knows_for_long && moment.is_registry_current(),
+                    is_current: knows_service && moment.is_registry_current(),
                 }
             }
             _ => StreamKnowledge::Unknown,
         }
     }
 
+    /// Records the only version of a service, named by a peer that knows it for long.
+    pub fn vouch(&mut self, now: Instant, version: ServiceVersion) {
+        self.record_in_use(now, version);
+        if self.known_since.is_some() && self.vouched.len() < MAX_RECORDED_VERSIONS {
+            self.may_need_record |= self.vouched.insert(version.service);
+        }
+    }
+
+    /// Returns the registered services of which neither this host nor the record in the store knows all
+    /// versions that were in use.
+    pub fn unknown_services(&self, now: Instant) -> BTreeSet<ServiceHash> {
+        if self.recorded.is_none() || self.known_since.is_none() || self.knows_for_long(now) {
+            return BTreeSet::new();
+        }
+        let services = self.servers.values().map(|server| server.version.service);
+        let is_unknown = |service: &ServiceHash| {
+            !self.knows_service(now, *service) && !self.is_recorded(*service)
+        };
+        services.filter(is_unknown).collect()
+    }
+
+    fn knows_service(&self, now: Instant, service: ServiceHash) -> bool {
+        self.knows_for_long(now) || self.vouched.contains(&service)
+    }
+
     /// Returns whether no version can have left a service before this host knew of it.
     fn knows_for_long(&self, now: Instant) -> bool {
         let Some(known_since) = self.known_since else {
--- a/crates/hickoryhall-gateway/src/stream_versions/inquiry.rs
+++ b/crates/hickoryhall-gateway/src/stream_versions/inquiry.rs
@@ -66,17 +66,26 @@
     }
 
     /// Returns whether nothing is left to wait for: all peers have answered that are likely to, and at
-    /// least one, or one that reads the registry has named a version and others have had time to
-    /// object. A host that has just started, or was cut off, hears of no peer.
+    /// least one of them knew something, or one that reads the registry has named a version and others
+    /// have had time to object. A host that has just started, or was cut off, hears of some peers only.
     #[must_use]
     pub fn is_complete(&self, now: Instant) -> bool {
-        let has_all = !self.answered.is_empty() && self.awaited.is_subset(&self.answered);
+        let is_anything_known = self.is_ruled_out || !self.named.is_empty();
+        let has_all = is_anything_known && self.awaited.is_subset(&self.answered);
         let is_named = self
             .named_at
             .is_some_and(|at| now.saturating_duration_since(at) >= OBJECTION_TIME);
         has_all || is_named
     }
 
+    /// Returns the only version of the service, if a host that reads the registry has named it and
+    /// nobody objected.
+    #[must_use]
+    pub fn vouched_version(&self) -> Option<SoftwareHash> {
+        let is_certain = self.named_at.is_some() && self.named.len() == 1 && !self.is_ruled_out;
+        self.named.first().copied().filter(|_| is_certain)
+    }
+
     /// Ends the inquiry: returns the version if nobody knows of another one, and this host remembers
     /// the stream, or knows a version as the only one and has just read the registry, or peers have
     /// answered. A host that no peer answers may be cut off from those that know.
--- a/crates/hickoryhall-gateway/tests/stream_versions.rs
+++ b/crates/hickoryhall-gateway/tests/stream_versions.rs
@@ -427,6 +427,20 @@
     assert_eq!(inquiry.finish(own(OUTDATED, false)), Some(7));
 }
 
+/// Guards against a host that has just started, asks the only peer that it has heard of, which has just
+/// started too, and refuses the stream before it hears of the others.
+#[test]
+fn an_inquiry_waits_for_a_peer_that_knows_something() {
+    let (now, mut inquiry) = (Instant::now(), Inquiry::default());
+    inquiry.ask([peer(1)]);
+    inquiry.on_answer(now, peer(1), UNKNOWN);
+    assert!(!inquiry.is_complete(now));
+    inquiry.ask([peer(1), peer(2)]);
+    inquiry.on_answer(now, peer(2), CURRENT);
+    assert!(inquiry.is_complete(now));
+    assert_eq!(inquiry.finish(own(UNKNOWN, true)), Some(7));
+}
+
 /// Guards against an answer of a peer that is out of step, where others know better.
 #[test]
 fn peers_have_time_to_object_to_one_that_names_the_only_version() {
@@ -479,3 +493,32 @@
     inquiry.on_answer(now, peer(1), SEVERAL);
     assert_eq!(inquiry.on_registry_read(own(CURRENT, true)), None);
 }
+
+/// A host of an earlier build that knows a service for long is asked by one that has just started.
+#[test]
+fn a_service_that_a_peer_vouches_for_is_known_and_recorded() {
+    let mut host = Host::new(&["v1"]);
+    let now = host.moment().now;
+    assert!(host.versions.unknown_services(now).is_empty());
+    host.versions.on_recorded(now, recorded(&[]));
+    let service = hash_name("models");
+    assert!(host.versions.unknown_services(now).contains(&service));
+    let mut inquiry = Inquiry::default();
+    inquiry.on_answer(now, peer(1), CURRENT);
+    assert_eq!(inquiry.vouched_version(), Some(7));
+    inquiry.on_answer(now, peer(2), SEVERAL);
+    assert_eq!(inquiry.vouched_version(), None);
+    let version = |name: &str| ServiceVersion {
+        service,
+        software: hash_name(name),
+    };
+    let mut other = Host::new(&["v1"]);
+    other.versions.vouch(now, version("v0"));
+    assert_eq!(other.knowledge(1), StreamKnowledge::Several);
+    host.versions.vouch(now, version("v1"));
+    assert!(host.versions.unknown_services(now).is_empty());
+    assert_eq!(host.knowledge(1), only("v1", true));
+    assert_eq!(host.versions.record_update(now), Some(recorded(&["v1"])));
+    host.versions.on_server(&server(7, "v2"));
+    assert_eq!(host.knowledge(1), StreamKnowledge::Several);
+}
