Rename the common cache partition when the set of isolated workspaces changes

Cause: the workspace got a partition of its own, and the common one kept its name, so that what it had left there was found.

The name of the common partition now follows from the set of isolated workspaces. Without any it is the one of before.

--- a/crates/hickoryhall-gateway/src/exchange/intake.rs
+++ b/crates/hickoryhall-gateway/src/exchange/intake.rs
@@ -168,7 +168,7 @@
         let cache_partition = meta
             .prompt
             .as_ref()
-            .map(|_| cache_partition(workspace.as_deref()));
+            .map(|_| table.cache_partition(workspace.as_deref()));
         let parts = meta.prompt.as_ref().map(shared_parts).unwrap_or_default();
         let prompt = meta.prompt.as_ref().zip(cache_partition.as_ref());
         Ok(PreparedRequest {
@@ -259,18 +259,6 @@
     first_u64(hasher.finalize().as_bytes())
 }
 
-/// Returns the cache partition of a workspace: its own if it is isolated, else the one that all
-/// other workspaces share.
-fn cache_partition(workspace: Option<&Workspace>) -> String {
-    match workspace {
-        Some(workspace) if workspace.is_isolated => {
-            let hash = hickoryhall_types::hash_name(&workspace.id);
-            format!("w{hash:016x}")
-        }
-        _ => "shared".to_owned(),
-    }
-}
-
 /// Returns the parts of a prompt that other requests can share, in any place of their prompts.
 fn shared_parts(prompt: &Prompt) -> Vec<PartHash> {
     let shared = prompt.parts.len().saturating_sub(1);
--- a/crates/hickoryhall-gateway/src/table.rs
+++ b/crates/hickoryhall-gateway/src/table.rs
@@ -5,7 +5,9 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use hickoryhall_types::{FailureDomainId, Revision, TargetId, TokenCount, WorkspaceId};
+use hickoryhall_types::{
+    FailureDomainId, Revision, TargetId, TokenCount, WorkspaceId, hash_name, rendezvous_score,
+};
 
 /// Whether and how a request of a route may be repeated.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -152,6 +154,8 @@
     services: HashMap<TargetId, ServiceInfo>,
     workspaces: Vec<Arc<Workspace>>,
     by_key: HashMap<Box<str>, usize>,
+    /// Cache partition of the workspaces that are not isolated.
+    common_partition: Box<str>,
     limits: CallerLimits,
 }
 
@@ -176,6 +180,7 @@
                 keys.map(move |key| (key.clone(), index))
             });
         Self {
+            common_partition: common_partition(&workspaces),
             revision: parts.revision,
             by_key: keys.collect(),
             by_host,
@@ -206,6 +211,18 @@
             .find(|route| path.starts_with(&*route.path_prefix))
     }
 
+    /// Returns the cache partition of a workspace: its own if it is isolated, else the one that all
+    /// other workspaces share.
+    #[must_use]
+    pub fn cache_partition(&self, workspace: Option<&Workspace>) -> String {
+        match workspace {
+            Some(workspace) if workspace.is_isolated => {
+                format!("w{:016x}", hash_name(&workspace.id))
+            }
+            _ => self.common_partition.to_string(),
+        }
+    }
+
     /// Returns the workspace that a key belongs to.
     #[must_use]
     pub fn workspace(&self, key: &str) -> Option<&Arc<Workspace>> {
@@ -264,3 +281,15 @@
         None
     }
 }
+
+/// Returns the cache partition that workspaces share: another one for each set of isolated workspaces, as
+/// the requests of a workspace that becomes isolated have left prompts in the one before.
+fn common_partition(workspaces: &[Arc<Workspace>]) -> Box<str> {
+    let isolated = workspaces.iter().filter(|workspace| workspace.is_isolated);
+    let mut isolated = isolated
+        .map(|workspace| hash_name(&workspace.id))
+        .collect::<Vec<_>>();
+    isolated.sort_unstable();
+    let set = isolated.into_iter().reduce(rendezvous_score);
+    set.map_or("shared".into(), |set| format!("shared{set:016x}").into())
+}
--- a/crates/hickoryhall-gateway/tests/table.rs
+++ b/crates/hickoryhall-gateway/tests/table.rs
@@ -93,3 +93,50 @@
 fn what_may_repeat(#[case] kind: RouteKind, #[case] expected: bool) {
     assert_eq!(kind.may_repeat(), expected);
 }
+
+fn table_with_isolated(names: &[&str], isolated: &[&str]) -> RouteTable {
+    let workspaces = names.iter().map(|name| Workspace {
+        id: (*name).into(),
+        keys: vec![(*name).into()],
+        priority: None,
+        is_isolated: isolated.contains(name),
+    });
+    RouteTable::from(TableParts {
+        revision: 3,
+        routes: Vec::new(),
+        services: HashMap::new(),
+        workspaces: workspaces.collect(),
+        limits: CallerLimits {
+            head_bytes: 1,
+            body_bytes: 1,
+            idle_timeout: Duration::ZERO,
+        },
+    })
+}
+
+fn partition(table: &RouteTable, name: &str) -> String {
+    table.cache_partition(table.workspace(name).map(|workspace| &**workspace))
+}
+
+/// Guards against workspaces that go on using what another one left before it became isolated.
+#[test]
+fn workspaces_share_another_partition_once_one_of_them_becomes_isolated() {
+    let names = ["a", "b", "c", "d"];
+    let before = table_with_isolated(&names, &[]);
+    assert_eq!(partition(&before, "a"), partition(&before, "b"));
+    let after = table_with_isolated(&names, &["a"]);
+    assert_eq!(partition(&after, "b"), partition(&after, "c"));
+    assert_ne!(partition(&after, "b"), partition(&before, "b"));
+    assert_ne!(partition(&after, "a"), partition(&before, "a"));
+    assert_ne!(partition(&after, "a"), partition(&after, "b"));
+    let two = table_with_isolated(&names, &["a", "d"]);
+    assert_ne!(partition(&two, "b"), partition(&after, "b"));
+    // The order of workspaces in the table does not matter.
+    let turned = table_with_isolated(&["d", "c", "b", "a"], &["d", "a"]);
+    assert_eq!(partition(&turned, "b"), partition(&two, "b"));
+    assert_eq!(
+        two.cache_partition(None),
+        partition(&two, "b"),
+        "callers without a workspace share"
+    );
+}
