--- a/crates/hickoryhall-gateway/tests/stream_versions_fleet.rs
+++ b/crates/hickoryhall-gateway/tests/stream_versions_fleet.rs
@@ -28,6 +28,10 @@
 const READ_INTERVAL: Duration = Duration::from_millis(500);
 const SAVE_INTERVAL: Duration = Duration::from_millis(300);
 const KEEPERS: usize = 3;
+/// Time between two servers that are replaced in a release.
+const STEP: Duration = Duration::from_millis(500);
+/// Servers that leave before the first new one joins, where they leave first.
+const LEAVE_LEAD: usize = 6;
 
 /// What happens to a fleet.
 #[derive(Clone, Copy)]
@@ -190,36 +194,27 @@
 
     /// Replaces one server each half second after the start of a release.
     fn release(&mut self, elapsed: Duration) {
-        let interval = self.setup.release_interval;
-        let number = elapsed.as_millis() / interval.as_millis();
-        let since = Duration::from_millis((elapsed.as_millis() % interval.as_millis()) as u64);
-        let step = (since.as_millis() / 500) as usize;
-        if number == 0 || !since.as_millis().is_multiple_of(500) {
+        let (elapsed, interval) = (elapsed.as_millis(), self.setup.release_interval.as_millis());
+        let (number, since) = (elapsed / interval, elapsed % interval);
+        if number == 0 || !since.is_multiple_of(STEP.as_millis()) {
             return;
         }
-        let (old, new) = (step, format!("s{step}-{number}"));
-        let added = if self.setup.leaves_first {
-            step.checked_sub(6).map(|step| format!("s{step}-{number}"))
+        let step = (since / STEP.as_millis()) as usize;
+        let (servers, leaves_first) = (self.setup.servers, self.setup.leaves_first);
+        let joining = if leaves_first {
+            step.checked_sub(LEAVE_LEAD)
         } else {
-            Some(new)
+            Some(step)
         };
-        if old < self.setup.servers {
-            let id = format!("s{old}-{}", number - 1);
-            // Some servers of the version before stay while new ones come first.
-            if self.setup.leaves_first && old + 2 < self.setup.servers || !self.setup.leaves_first {
-                self.remove_server(&id);
-            }
+        // The last ones stay until new ones come.
+        let must_stay = leaves_first && step + 2 >= servers;
+        if step < servers && !must_stay {
+            self.remove_server(&format!("s{step}-{}", number - 1));
         }
-        if let Some(id) = added.filter(|_| step < self.setup.servers + 6) {
-            let number_in_release = id[1..].split('-').next().unwrap_or_default();
-            if number_in_release
-                .parse::<usize>()
-                .is_ok_and(|number| number < self.setup.servers)
-            {
-                let rest = format!("s{number_in_release}-{}", number - 1);
-                self.remove_server(&rest);
-                self.registry.insert(id, format!("v{number}"));
-            }
+        if let Some(index) = joining.filter(|&index| index < servers) {
+            self.remove_server(&format!("s{index}-{}", number - 1));
+            let id = format!("s{index}-{number}");
+            self.registry.insert(id, format!("v{number}"));
         }
     }
 
