A connection that ends at once does not show that a server lives

The host's log shows no check of the first server after its crash as failed: its address still accepted a connection, which was reset, and the answer that ended with the crash counted as whole. That cleared the request for five seconds; from then on five crashes were counted, as for a request that was once answered.

A new connection now has to stay open for 30 ms to show that a process lives. One that ends at once is followed by another try, three at most; if all end, nothing is known.

The case lagging_listener, in which addresses accept and reset connections for 40 ms after a crash, failed before (12 late, 19 crashes) and passes.

--- a/crates/hickoryhall-edge/src/pool.rs
+++ b/crates/hickoryhall-edge/src/pool.rs
@@ -150,6 +150,12 @@
 }
 
 impl Connection {
+    /// Returns whether the connection has ended.
+    #[must_use]
+    pub fn is_closed(&self) -> bool {
+        self.sender.is_closed()
+    }
+
     /// Closes the connection now, whoever still reads a response of it.
     pub fn close(&self) {
         self.driver.abort();
--- a/crates/hickoryhall-gateway/src/exchange/crash.rs
+++ b/crates/hickoryhall-gateway/src/exchange/crash.rs
@@ -16,6 +16,11 @@
 
 /// Time after a break for the other connections to the same process to end, if it crashed.
 const CHECK_DELAY: Duration = Duration::from_millis(20);
+/// Time for which a new connection has to stay open to show that a process lives: the system still
+/// accepts some as it ends.
+const OPEN_TIME: Duration = Duration::from_millis(30);
+/// Maximum number of connections that are tried while each one ends at once.
+const MAX_CHECKS: usize = 3;
 
 impl<P: Platform> Exchange<P> {
     /// Records that a server broke off the request, before or after its first event.
@@ -107,16 +112,26 @@
     gateway: &Rc<Gateway<P>>,
     server: &BackendServer,
 ) -> ProcessState {
-    tokio::time::sleep(CHECK_DELAY).await;
-    let (is_alive, is_refusing) = match gateway.connect(server).await {
-        Ok(connection) => {
-            gateway.pool.release(connection, None);
-            (true, false)
+    let (mut is_alive, mut is_refusing) = (false, false);
+    for _ in 0..MAX_CHECKS {
+        tokio::time::sleep(CHECK_DELAY).await;
+        match gateway.connect(server).await {
+            Ok(connection) => {
+                tokio::time::sleep(OPEN_TIME).await;
+                if connection.is_closed() {
+                    continue;
+                }
+                gateway.pool.release(connection, None);
+                is_alive = true;
+            }
+            // Where no other server is reached either, this host may be cut off.
+            Err(error) if error.is_refused() => {
+                is_refusing = gateway.reaches_other_server(server).await;
+            }
+            Err(_) => {}
         }
-        // Where no other server is reached either, this host may be cut off.
-        Err(error) if error.is_refused() => (false, gateway.reaches_other_server(server).await),
-        Err(_) => (false, false),
-    };
+        break;
+    }
     let is_gone = gateway
         .core
         .with(|core, now| core.record_check(now, server, is_refusing));
