--- a/crates/hickoryhall-gateway/src/feeds.rs
+++ b/crates/hickoryhall-gateway/src/feeds.rs
@@ -3,6 +3,7 @@
 //!
 //! In a large fleet only some hosts read the registry; see [`relay`].
 
+mod confirm;
 mod link;
 pub mod records;
 pub mod relay;
@@ -14,7 +15,7 @@
 
 use rand::RngExt;
 use slog::{Logger, debug, info, warn};
-use tokio::time::{sleep, timeout};
+use tokio::time::sleep;
 
 use crate::clock::SuspendAwareClock;
 use crate::core::{CoreHandle, DesiredVersionSource};
@@ -40,8 +41,6 @@
 const READER_WATCH_TIMEOUT: Duration = Duration::from_millis(800);
 /// The same time after a failed call: the answer shows that the store is back, and its era.
 const RETURN_WATCH_TIMEOUT: Duration = Duration::from_millis(1);
-/// Time for the answer of the store to a call that an inquiry waits for.
-const CONFIRM_TIMEOUT: Duration = Duration::from_millis(250);
 /// Pause after changes of the registry at a host that passes them on.
 const READER_PAUSE: Duration = Duration::from_millis(300);
 /// Interval at which a host checks whether its records are still kept up to date by others.
@@ -216,41 +215,6 @@
         }
     }
 
-    /// Records that the registry was read by a call that was sent at a time; the answer may have waited
-    /// while the process stood still.
-    fn record_registry_read(&self, sent_at: Instant) {
-        let age = self.clock.now().saturating_duration_since(sent_at);
-        self.core
-            .with(|core, now| core.record_registry_read(now, age));
-    }
-
-    /// Reads the registry when an inquiry needs to know that no server is missing, until the task is
-    /// dropped.
-    pub async fn confirm_registry(&self) {
-        loop {
-            self.core.wants_registry().await;
-            let after = self.position(FeedKind::Registry);
-            let is_wanted = self.core.with(|core, _| core.take_registry_demand());
-            if !is_wanted || after.is_unread() {
-                continue;
-            }
-            let prefix = prefix::<P>(FeedKind::Registry);
-            let sent_at = self.clock.now();
-            let watched = self.store.watch(prefix, after, RETURN_WATCH_TIMEOUT);
-            match timeout(CONFIRM_TIMEOUT, watched).await {
-                Ok(Ok(changes)) => {
-                    let age = DesiredVersionAge::AtLeast(Duration::ZERO);
-                    self.apply_watched(FeedKind::Registry, after, changes, age);
-                    self.record_registry_read(sent_at);
-                }
-                Ok(Err(error)) => {
-                    debug!(self.logger, "feeds: Registry not confirmed."; "error" => %error);
-                }
-                Err(_) => debug!(self.logger, "feeds: Registry not confirmed in time."),
-            }
-        }
-    }
-
     /// Returns whether other hosts keep this host's registry up to date.
     fn is_relayed(&self, now: Instant) -> bool {
         self.role.get() == RegistryRole::Follower && self.relay_monitor.borrow().is_current(now)
--- a/crates/hickoryhall-gateway/src/host.rs
+++ b/crates/hickoryhall-gateway/src/host.rs
@@ -1,5 +1,7 @@
 //! Starts a host with all its tasks, runs it and stops it gracefully.
 
+mod pages;
+
 use std::cell::Cell;
 use std::io;
 use std::net::SocketAddr;
@@ -8,14 +10,9 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
-use bytes::Bytes;
-use hickoryhall_edge::{
-    CallerConnection, Connections, Handler, Pool, PoolConfig, RequestBody, ResponseBody,
-    ServerConfig, StreamAborted, serve,
-};
+use hickoryhall_edge::{Connections, Pool, PoolConfig, ServerConfig, serve};
 use hickoryhall_telemetry::{MetricsError, MetricsPage};
 use hickoryhall_types::hash_name;
-use hyper::{Request, Response, StatusCode};
 use metrics::{counter, gauge};
 use slog::{Logger, error, info, o, warn};
 use tokio::net::TcpListener;
@@ -35,6 +32,7 @@
 use crate::store_client::StoreClient;
 use crate::stream_record::StreamRecorder;
 use crate::version_record::VersionRecorder;
+use pages::{MetricsHandler, Readiness};
 
 /// Time for which a stopping host still accepts requests: the load balancer stops sending
 /// connections only after two failed readiness checks, one second apart.
@@ -470,41 +468,3 @@
     let server = Rc::clone(peers);
     spawn_local(async move { server.serve_records(records_listener).await });
 }
-
-/// Answers the load balancer's readiness checks: ready with a table and while not stopping.
-struct Readiness {
-    core: CoreHandle,
-    stopping: watch::Receiver<bool>,
-}
-
-impl Handler for Readiness {
-    async fn handle(
-        self: Rc<Self>,
-        _request: Request<RequestBody>,
-        _caller: Rc<CallerConnection>,
-    ) -> Result<Response<ResponseBody>, StreamAborted> {
-        let has_table = self.core.with(|core, _| core.table().is_some());
-        let (status, text) = match (has_table, *self.stopping.borrow()) {
-            (_, true) => (StatusCode::SERVICE_UNAVAILABLE, "stopping"),
-            (false, false) => (StatusCode::SERVICE_UNAVAILABLE, "no table"),
-            (true, false) => (StatusCode::OK, "ready"),
-        };
-        let mut response = Response::new(ResponseBody::full(Bytes::from_static(text.as_bytes())));
-        *response.status_mut() = status;
-        Ok(response)
-    }
-}
-
-/// Serves the metrics page.
-struct MetricsHandler(MetricsPage);
-
-impl Handler for MetricsHandler {
-    async fn handle(
-        self: Rc<Self>,
-        _request: Request<RequestBody>,
-        _caller: Rc<CallerConnection>,
-    ) -> Result<Response<ResponseBody>, StreamAborted> {
-        let page = Bytes::from(self.0.render());
-        Ok(Response::new(ResponseBody::full(page)))
-    }
-}
