Breaks without proof of a crash do not speak for other requests

Such breaks have a bit in their id, and count against what they broke off only. breaks_without_proof_of_a_crash_do_not_speak_for_others failed before.

--- a/crates/hickoryhall-routing/src/suspects.rs
+++ b/crates/hickoryhall-routing/src/suspects.rs
@@ -28,12 +28,16 @@
 const PART_RULE: BlockRule = BlockRule {
     min_rounds: 3,
     settle_time: Duration::from_millis(250),
+    unproven_bit: 0,
 };
 /// Rule for whole requests.
 const REQUEST_RULE: BlockRule = BlockRule {
     min_rounds: DEATHS_TO_REFUSE,
     settle_time: Duration::ZERO,
+    unproven_bit: UNPROVEN_BIT,
 };
+/// Bit of a crash's id that tells breaks without proof of a crash, among those of requests.
+const UNPROVEN_BIT: CrashId = 1;
 /// Makes the id of a break that is not known to be a crash from that of the process.
 const UNPROVEN_BREAK: u64 = 0x756e_7072_6f76_656e;
 
@@ -176,7 +180,7 @@
         };
         let before = self.requests.crashes_of(request.fingerprint) as u64;
         let report = CrashReport {
-            crash: rendezvous_score(process, UNPROVEN_BREAK ^ before),
+            crash: rendezvous_score(process, UNPROVEN_BREAK ^ before) | UNPROVEN_BIT,
             age: Duration::ZERO,
             parts: vec![ran],
         };
@@ -192,7 +196,11 @@
     /// Records a crash of a server with the requests that it ran, or another report on it; returns
     /// whether that was new.
     pub fn record_request_crash(&mut self, now: Instant, report: &CrashReport) -> bool {
-        self.requests.record_crash(now, report)
+        let report = CrashReport {
+            crash: report.crash & !UNPROVEN_BIT,
+            ..report.clone()
+        };
+        self.requests.record_crash(now, &report)
     }
 
     /// Records that one server wrote a whole answer on some parts; returns those that were suspect.
--- a/crates/hickoryhall-routing/src/suspects/parts.rs
+++ b/crates/hickoryhall-routing/src/suspects/parts.rs
@@ -33,6 +33,9 @@
     pub min_rounds: u32,
     /// Time for the reports of all hosts on a crash to arrive before it counts.
     pub settle_time: Duration,
+    /// Bit of ids that tells breaks without proof of a crash: they count against what they broke off, and
+    /// not in favour of others.
+    pub unproven_bit: CrashId,
 }
 
 #[derive(Clone, Debug)]
@@ -246,7 +249,8 @@
                     count.last_at = crash.at;
                 }
             }
-            unexplained += u32::from(!is_explained);
+            let is_proven = crash.id & self.rule.unproven_bit == 0;
+            unexplained += u32::from(!is_explained && is_proven);
         }
         for count in counts.values_mut() {
             let dropped = self.dropped.iter().filter(|&&at| at >= count.first_at);
--- a/crates/hickoryhall-routing/tests/crashing_parts.rs
+++ b/crates/hickoryhall-routing/tests/crashing_parts.rs
@@ -668,3 +668,33 @@
     suspects.record_unproven_break(at(400), 1, &broken(200));
     assert_eq!(suspects.review_requests(at(400)), [(7, 2)]);
 }
+
+/// Guards against a request that is refused late, as each crash breaks off other requests too.
+#[test]
+fn breaks_without_proof_of_a_crash_do_not_speak_for_others() {
+    let start = Instant::now() + Duration::from_secs(1_000);
+    let mut suspects = Suspects::default();
+    for crash in 1..=2 {
+        let now = start + Duration::from_secs(2 * crash);
+        let harmful = CrashedPart {
+            part: 7,
+            run_time: Duration::from_millis(60),
+        };
+        for other in 0..10 {
+            let broken = BrokenRequest {
+                fingerprint: 100 * crash + other,
+                parts: &[],
+                run_time: Duration::from_millis(30),
+            };
+            suspects.record_unproven_break(now, crash, &broken);
+        }
+        let report = CrashReport {
+            crash,
+            age: Duration::ZERO,
+            parts: vec![harmful],
+        };
+        suspects.record_request_crash(now, &report);
+    }
+    let refused = suspects.review_requests(start + Duration::from_secs(4));
+    assert_eq!(refused, [(7, 2)]);
+}
