Log what tells the hypotheses apart: connections, cut heads, continuations

The line of a request could not say whether an attempt went out on a connection that had carried the request before, whether a server stopped inside its response's head or before it, and what was joined to a stream that had broken off. It now has the numbers of the connections that carried the request, the bytes of heads that ended early, the media type of the last response, and each continuation with the ids of the events on both sides.

--- a/crates/hickoryhall-edge/src/leftover.rs
+++ b/crates/hickoryhall-edge/src/leftover.rs
@@ -1,6 +1,8 @@
 //! Reads what a server sends behind a response that does not belong to the request.
 
+use std::cell::Cell;
 use std::future::poll_fn;
+use std::rc::Rc;
 
 use bytes::{Bytes, BytesMut};
 use http_body_util::Full;
@@ -25,24 +27,32 @@
 }
 
 /// Drives a connection until it ends, or until its leftover is requested. The HTTP library ends it when
-/// bytes arrive that it expects no response for; these are kept.
+/// bytes arrive that it expects no response for; these are kept, and `unread_bytes` is their number.
 pub(crate) async fn drive(
     mut driver: http1::Connection<TokioIo<TcpStream>, Full<Bytes>>,
     mut requested: oneshot::Receiver<oneshot::Sender<Leftover>>,
+    unread_bytes: Rc<Cell<usize>>,
 ) {
     let reply = tokio::select! {
         biased;
-        reply = &mut requested => reply,
+        reply = &mut requested => Some(reply),
         // An error is also returned to the request on the connection.
         ended = poll_fn(|context| driver.poll_without_shutdown(context)) => {
             if ended.is_ok() {
                 return;
             }
+            None
+        }
+    };
+    let parts = driver.into_parts();
+    let reply = match reply {
+        Some(reply) => reply,
+        None => {
+            unread_bytes.set(parts.read_buf.len());
             requested.await
         }
     };
     if let Ok(reply) = reply {
-        let parts = driver.into_parts();
         // The connection may have been dropped meanwhile.
         let _ = reply.send(Leftover {
             stream: parts.io.into_inner(),
--- a/crates/hickoryhall-edge/src/pool.rs
+++ b/crates/hickoryhall-edge/src/pool.rs
@@ -1,6 +1,6 @@
 //! Pool of persistent connections to backend servers.
 
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
 use std::io;
 use std::net::SocketAddr;
@@ -93,6 +93,8 @@
     pub address: SocketAddr,
     /// Whether no byte of the request was sent.
     pub is_unsent: bool,
+    /// Bytes of an incomplete response head that arrived.
+    pub head_bytes: usize,
     /// Reason for the failure.
     pub source: SendErrorCause,
 }
@@ -129,6 +131,7 @@
 pub struct Pool {
     config: PoolConfig,
     idle: Rc<RefCell<HashMap<SocketAddr, Vec<IdleConnection>>>>,
+    opened: Rc<Cell<u64>>,
 }
 
 /// Connection that carries one request at a time; dropping it closes it.
@@ -138,6 +141,10 @@
     driver: AbortHandle,
     /// Requests what the driver has read behind the last response.
     leftover: Option<oneshot::Sender<oneshot::Sender<Leftover>>>,
+    /// Bytes that the driver had read, but not used, when it failed.
+    unread_bytes: Rc<Cell<usize>>,
+    /// Number of connections that the pool opened before.
+    number: u64,
     is_reused: bool,
 }
 
@@ -175,6 +182,7 @@
         Self {
             config,
             idle: Rc::default(),
+            opened: Rc::default(),
         }
     }
 
@@ -206,13 +214,19 @@
             .handshake(TokioIo::new(stream))
             .await
             .map_err(|source| ConnectError::Http { address, source })?;
+        let number = self.opened.get();
+        self.opened.set(number + 1);
         let (leftover, requested) = oneshot::channel();
-        let driver = spawn_local(drive(driver, requested)).abort_handle();
+        let unread_bytes = Rc::<Cell<usize>>::default();
+        let driver = drive(driver, requested, Rc::clone(&unread_bytes));
+        let driver = spawn_local(driver).abort_handle();
         Ok(Connection {
             address,
             sender,
             driver,
             leftover: Some(leftover),
+            unread_bytes,
+            number,
             is_reused: false,
         })
     }
@@ -296,6 +310,12 @@
         self.address
     }
 
+    /// Returns the number of connections that the pool had opened before this one, for the log.
+    #[must_use]
+    pub fn number(&self) -> u64 {
+        self.number
+    }
+
     /// Returns whether the connection has carried a request before.
     #[must_use]
     pub fn is_reused(&self) -> bool {
@@ -344,6 +364,7 @@
                 return Err(SendError {
                     address: self.address,
                     is_unsent: false,
+                    head_bytes: 0,
                     source: SendErrorCause::TooManyInformational,
                 });
             }
@@ -351,6 +372,7 @@
         sent.map_err(|mut error| SendError {
             address: self.address,
             is_unsent: error.take_message().is_some(),
+            head_bytes: self.unread_bytes.get(),
             source: error.into_error().into(),
         })
     }
--- a/crates/hickoryhall-gateway/src/events.rs
+++ b/crates/hickoryhall-gateway/src/events.rs
@@ -33,6 +33,7 @@
     has_event_line: bool,
     /// Whether a line ended with a CR alone.
     has_lone_cr: bool,
+    first_id: Option<Box<str>>,
     last_id: Option<Box<str>>,
 }
 
@@ -63,7 +64,10 @@
         let whole = self.buffer.split_to(end).freeze();
         self.scanned -= end;
         self.line_start -= end;
-        if let Some(id) = last_event_id(&whole) {
+        if self.first_id.is_none() {
+            self.first_id = event_ids(&whole).next();
+        }
+        if let Some(id) = event_ids(&whole).next_back() {
             self.last_id = Some(id);
         }
         Ok(Some(whole))
@@ -128,12 +132,18 @@
         if is_inside_event {
             return Err(IncompleteEvent { bytes: rest.len() });
         }
-        if let Some(id) = last_event_id(&rest) {
+        if let Some(id) = event_ids(&rest).next_back() {
             self.last_id = Some(id);
         }
         Ok((!rest.is_empty()).then_some(rest))
     }
 
+    /// Returns the id of the first whole event that arrived, if one of them has an id.
+    #[must_use]
+    pub fn first_id(&self) -> Option<&str> {
+        self.first_id.as_deref()
+    }
+
     /// Returns the id of the last whole event that has one.
     #[must_use]
     pub fn last_id(&self) -> Option<&str> {
@@ -141,10 +151,10 @@
     }
 }
 
-/// Returns the value of the last `id` field in whole events.
-fn last_event_id(events: &[u8]) -> Option<Box<str>> {
-    let mut lines = events.split(|&byte| matches!(byte, b'\n' | b'\r')).rev();
-    let value = lines.find_map(|line| line.strip_prefix(b"id:"))?;
-    let value = std::str::from_utf8(value).ok()?.trim();
-    Some(value.into())
+/// Returns the values of the `id` fields in whole events, in order.
+fn event_ids(events: &[u8]) -> impl DoubleEndedIterator<Item = Box<str>> {
+    let lines = events.split(|&byte| matches!(byte, b'\n' | b'\r'));
+    let values = lines.filter_map(|line| line.strip_prefix(b"id:"));
+    let values = values.filter_map(|value| std::str::from_utf8(value).ok());
+    values.map(|value| value.trim().into())
 }
--- a/crates/hickoryhall-gateway/src/exchange/attempt.rs
+++ b/crates/hickoryhall-gateway/src/exchange/attempt.rs
@@ -20,7 +20,7 @@
 use super::late::PendingResponse;
 use super::record::ResponseRecord;
 use crate::core::CoreHandle;
-use crate::framing::BodyFraming;
+use crate::framing::{BodyFraming, BodyMedia};
 use crate::interface::{AttemptPlan, Platform, ResponseId, ResponseMeta};
 use crate::outcome::{self, ResponseKind};
 use crate::registry::BackendServer;
@@ -167,6 +167,7 @@
         self.record.response_head(ResponseRecord {
             status: head.status,
             framing: BodyFraming::of(&head.headers),
+            media: BodyMedia::of(&head.headers),
             id: response_meta.id,
             is_sealed: response_meta.is_sealed,
             is_kept,
@@ -303,6 +304,7 @@
         until: Instant,
     ) -> Result<(Result<Response<Incoming>, SendError>, Connection), AttemptFailure> {
         let meta = &self.request.meta;
+        self.record.sent_on(connection.number());
         let mut pending = PendingResponse::new(&self.gateway, connection, server, meta);
         let deadline = TokioInstant::from_std(until);
         let sent = timeout_at(deadline, pending.connection().send(request)).await;
@@ -315,8 +317,9 @@
         debug!(
             self.gateway.logger, "exchange: Attempt ended without a response head.";
             "request" => &*self.request.meta.request_id,
-            "server" => &*server.id, "error" => %error
+            "server" => &*server.id, "error" => %error, "head_bytes" => error.head_bytes
         );
+        self.record.cut_head(error.head_bytes);
         if error.is_unsent {
             AttemptFailure::Unsent
         } else if error.is_invalid_response() {
--- a/crates/hickoryhall-gateway/src/exchange/record.rs
+++ b/crates/hickoryhall-gateway/src/exchange/record.rs
@@ -1,5 +1,6 @@
 //! Writes the final log line and the metrics of a request.
 
+use std::cell::{Cell, RefCell};
 use std::net::{IpAddr, Ipv4Addr};
 use std::sync::Arc;
 use std::time::Instant;
@@ -10,7 +11,7 @@
 use slog::{Logger, info};
 
 use super::intake::PreparedRequest;
-use crate::framing::BodyFraming;
+use crate::framing::{BodyFraming, BodyMedia};
 use crate::interface::{LocalFailure, RequestMeta, ResponseId};
 use crate::outcome::is_promise;
 use crate::scheduler::Assignment;
@@ -35,8 +36,15 @@
     response: Option<ResponseRecord>,
     /// Last status that a server gave.
     server_status: Option<u16>,
-    /// Framing of the last response.
+    /// Framing and media type of the last response.
     framing: Option<BodyFraming>,
+    media: Option<BodyMedia>,
+    /// Numbers of the connections to servers that carried the request, in order.
+    connections: RefCell<Vec<u64>>,
+    /// Bytes of response heads that ended early.
+    cut_head_bytes: Cell<usize>,
+    /// Continuations of the stream, each as `SERVER:AFTER:FIRST`, the ids of the events on both sides.
+    continued: Vec<String>,
     /// Last peer that the request was forwarded to.
     forwarded_to: Option<Ipv4Addr>,
     /// Host that forwarded the request here.
@@ -59,6 +67,7 @@
 pub(super) struct ResponseRecord {
     pub status: StatusCode,
     pub framing: BodyFraming,
+    pub media: BodyMedia,
     pub id: ResponseId,
     pub is_sealed: bool,
     /// Whether the connection had carried a request before.
@@ -107,6 +116,10 @@
             response: None,
             server_status: None,
             framing: None,
+            media: None,
+            connections: RefCell::default(),
+            cut_head_bytes: Cell::default(),
+            continued: Vec::new(),
             forwarded_to: None,
             forwarded_by: request.forwarded.as_ref().map(|forwarded| forwarded.by),
             incomplete_bytes: 0,
@@ -148,9 +161,30 @@
     pub fn response_head(&mut self, response: ResponseRecord) {
         self.server_status = Some(response.status.as_u16());
         self.framing = Some(response.framing);
+        self.media = Some(response.media);
         self.response = Some(response);
     }
 
+    /// Records that the request is sent on a connection.
+    pub fn sent_on(&self, connection: u64) {
+        self.connections.borrow_mut().push(connection);
+    }
+
+    /// Records the size of a response head that ended early, 0 if nothing of it arrived.
+    pub fn cut_head(&self, bytes: usize) {
+        if bytes > 0 {
+            counter!("responses_cut_inside_head_total").increment(1);
+            self.cut_head_bytes.set(self.cut_head_bytes.get() + bytes);
+        }
+    }
+
+    /// Records that a server or a peer continues the stream: the ids of the last event before and of the
+    /// first one behind it.
+    pub fn continued(&mut self, source: &str, after: &str, first: Option<&str>) {
+        let first = first.unwrap_or_default();
+        self.continued.push(format!("{source}:{after}:{first}"));
+    }
+
     /// Returns how the last response told its end.
     pub fn framing(&self) -> BodyFraming {
         self.framing.unwrap_or(BodyFraming::Connection)
@@ -230,6 +264,8 @@
             .increment(1);
         histogram!("request_seconds", "outcome" => outcome).record(elapsed.as_secs_f64());
         let placed = self.placed.as_ref();
+        let connections = self.connections.borrow();
+        let connections = connections.iter().map(u64::to_string).collect::<Vec<_>>();
         info!(
             self.logger, "exchange: Request ended.";
             "request" => &*self.request_id, "outcome" => outcome, "status" => status,
@@ -249,6 +285,9 @@
             "forwarded_to" => self.forwarded_to.map(|peer| peer.to_string()),
             "forwarded_by" => self.forwarded_by.map(|host| host.to_string()),
             "framing" => self.framing.map_or("", BodyFraming::as_str),
+            "media" => self.media.map_or("", BodyMedia::as_str),
+            "connections" => connections.join(" "),
+            "cut_head_bytes" => self.cut_head_bytes.get(), "continued" => self.continued.join(" "),
             "incomplete_bytes" => self.incomplete_bytes, "resumes" => &*self.resumes,
             "resumes_after" => &*self.resumes_after,
             "event_software" => self.event_software.join(" "), "parts" => &*self.parts
--- a/crates/hickoryhall-gateway/src/exchange/relay.rs
+++ b/crates/hickoryhall-gateway/src/exchange/relay.rs
@@ -56,6 +56,8 @@
     stream: Box<OpenStream>,
     framer: EventFramer,
     has_events: bool,
+    /// Event after which the stream continues, until the first one behind it arrives.
+    resumed_after: Option<Box<str>>,
     /// Bytes of the event that the stream ended inside of.
     incomplete_bytes: usize,
     /// Whether this host has closed the connection.
@@ -67,6 +69,7 @@
     fn new(stream: Box<OpenStream>, last_id: Option<Box<str>>) -> Self {
         Self {
             stream,
+            resumed_after: last_id.clone(),
             framer: EventFramer::resuming_after(last_id),
             has_events: false,
             incomplete_bytes: 0,
@@ -253,6 +256,7 @@
         loop {
             match item {
                 StreamItem::Events(events) => {
+                    self.record_continuation();
                     let software = &self.upstream.stream.software;
                     self.exchange.record.events(events.len(), software);
                     if !sender.send(events).await {
@@ -286,6 +290,15 @@
         }
     }
 
+    /// Records where the stream continues, once the first events behind the break have arrived.
+    fn record_continuation(&mut self) {
+        if let Some(after) = self.upstream.resumed_after.take() {
+            let Upstream { stream, framer, .. } = &self.upstream;
+            let record = &mut self.exchange.record;
+            record.continued(&stream.source.id(), &after, framer.first_id());
+        }
+    }
+
     /// Records that the server broke off or is silent.
     fn record_break(&self, reason: &str) {
         let stream = &self.upstream.stream;
