Send no request on a connection on which it was refused

What callers saw: a server that writes an earlier refusal once more was believed where the same request came to it twice on one kept connection. The caller read 503 although the server ran the request, or it ran at a second one.

Cause: a refusal with the request's id, or the first one on its connection, proves that this attempt did not run. Both are untrue where the connection has carried the same request before. The product does that by itself: a server that has started again under another id is registered twice at its address until its first entry goes; the request is refused there as misdirected, placed again under the other id, and goes to the same address on the connection that was just given back. A caller that repeats an id does it too.

Why it works: connections remember what was refused on them, and a request takes another one, on which the first response with its id, or without any, is about this attempt. After 64 refusals a connection is given up, so that none is forgotten.

--- a/crates/hickoryhall-edge/src/lib.rs
+++ b/crates/hickoryhall-edge/src/lib.rs
@@ -19,7 +19,8 @@
 pub use connections::{CallerConnection, ConnectionCounts, Connections};
 pub use headers::end_to_end_headers;
 pub use pool::{
-    AbandonedResponse, ConnectError, Connection, Pool, PoolConfig, SendError, SendErrorCause,
+    AbandonedResponse, ConnectError, Connection, Pool, PoolConfig, RequestHash, SendError,
+    SendErrorCause,
 };
 pub use read::{BodyReader, ReadBodyError};
 pub use server::{Handler, ServerConfig, ShutdownSignal, serve};
--- a/crates/hickoryhall-edge/src/pool.rs
+++ b/crates/hickoryhall-edge/src/pool.rs
@@ -26,9 +26,14 @@
 
 /// Maximum size of a response head, in bytes; also of what is read at a time.
 const MAX_HEAD_BYTES: usize = 64 << 10;
+/// Maximum number of refused requests that are remembered of a connection, which carries no others then.
+const MAX_REFUSALS: usize = 64;
 /// Maximum number of informational (1xx) heads before a response.
 const MAX_INFORMATIONAL_HEADS: usize = 16;
 
+/// Hash of a request's id.
+pub type RequestHash = u64;
+
 /// Settings of a [`Pool`].
 #[derive(Clone, Copy, Debug)]
 pub struct PoolConfig {
@@ -145,6 +150,8 @@
     unread_bytes: Rc<Cell<usize>>,
     /// Number of connections that the pool opened before.
     number: u64,
+    /// Requests that the server refused on this connection.
+    refused: Vec<RequestHash>,
     is_reused: bool,
 }
 
@@ -192,7 +199,23 @@
     ///
     /// Returns an error if there is no idle connection and opening one fails.
     pub async fn acquire(&self, address: SocketAddr) -> Result<Connection, ConnectError> {
-        match self.take_idle(address) {
+        match self.take_idle(address, None) {
+            Some(connection) => Ok(connection),
+            None => self.connect(address).await,
+        }
+    }
+
+    /// Returns an idle connection to an address on which a request was not refused, or opens a new one.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if there is no such connection and opening one fails.
+    pub async fn acquire_for(
+        &self,
+        address: SocketAddr,
+        request: RequestHash,
+    ) -> Result<Connection, ConnectError> {
+        match self.take_idle(address, Some(request)) {
             Some(connection) => Ok(connection),
             None => self.connect(address).await,
         }
@@ -227,6 +250,7 @@
             leftover: Some(leftover),
             unread_bytes,
             number,
+            refused: Vec::new(),
             is_reused: false,
         })
     }
@@ -240,6 +264,9 @@
         let idle = stated_keep_alive.map_or(self.config.idle_timeout, |stated_keep_alive| {
             stated_keep_alive.min(self.config.idle_timeout * 2) / 2
         });
+        if connection.refused.len() >= MAX_REFUSALS {
+            return;
+        }
         connection.is_reused = true;
         let mut idle_by_address = self.idle.borrow_mut();
         let connections = idle_by_address.entry(connection.address).or_default();
@@ -266,13 +293,17 @@
         self.idle.borrow_mut().remove(&address);
     }
 
-    fn take_idle(&self, address: SocketAddr) -> Option<Connection> {
+    /// Takes the idle connection that was used last, unless `request` was refused on it.
+    fn take_idle(&self, address: SocketAddr, request: Option<RequestHash>) -> Option<Connection> {
         let now = Instant::now();
         let mut idle_by_address = self.idle.borrow_mut();
         let connections = idle_by_address.get_mut(&address)?;
-        while let Some(idle) = connections.pop() {
-            if idle.expires_at > now && idle.connection.sender.is_ready() {
-                return Some(idle.connection);
+        for index in (0..connections.len()).rev() {
+            let idle = &connections[index];
+            if idle.expires_at <= now || !idle.connection.sender.is_ready() {
+                connections.remove(index);
+            } else if !request.is_some_and(|request| idle.connection.has_refused(request)) {
+                return Some(connections.remove(index).connection);
             }
         }
         None
@@ -322,6 +353,18 @@
         self.is_reused
     }
 
+    /// Records that the server refused a request on this connection.
+    pub fn record_refusal(&mut self, request: RequestHash) {
+        self.refused.push(request);
+    }
+
+    /// Returns whether the server has refused a request on this connection, and may refuse it once more
+    /// with the same bytes.
+    #[must_use]
+    pub fn has_refused(&self, request: RequestHash) -> bool {
+        self.refused.contains(&request)
+    }
+
     /// Gives up the response that is awaited, but not what it may say: the server learns at once that
     /// nobody waits, and the head can still be read. Must be called before the driver runs again after the
     /// request was dropped.
--- a/crates/hickoryhall-gateway/src/exchange/attempt.rs
+++ b/crates/hickoryhall-gateway/src/exchange/attempt.rs
@@ -5,7 +5,7 @@
 
 use bytes::Bytes;
 use hickoryhall_edge::{Connection, ReadBodyError, SendError};
-use hickoryhall_types::{Ran, SoftwareVersion};
+use hickoryhall_types::{Ran, SoftwareVersion, hash_name};
 use http::response;
 use http_body_util::Full;
 use hyper::body::Incoming;
@@ -205,8 +205,9 @@
                     core.with(|core, now| core.on_wrong_server(now, server));
                     self.gateway.refresh_weights(assignment);
                 }
-                self.drain_refusal(body, received.connection, &response_meta)
-                    .await;
+                let mut connection = received.connection;
+                connection.record_refusal(hash_name(&self.request.meta.request_id));
+                self.drain_refusal(body, connection, &response_meta).await;
                 Err(AttemptFailure::NotRun)
             }
             ResponseKind::Unproven => {
@@ -262,7 +263,10 @@
         until: Instant,
     ) -> Result<ReceivedResponse, AttemptFailure> {
         let server = &assignment.server;
-        let connection = self.gateway.acquire(server).await.map_err(|error| {
+        // An earlier refusal on the connection may come once more, and prove nothing.
+        let request_hash = hash_name(&self.request.meta.request_id);
+        let connection = self.gateway.acquire(server, request_hash).await;
+        let connection = connection.map_err(|error| {
             debug!(
                 self.gateway.logger, "exchange: Connection to server failed.";
                 "request" => &*self.request.meta.request_id,
--- a/crates/hickoryhall-gateway/src/exchange/reach.rs
+++ b/crates/hickoryhall-gateway/src/exchange/reach.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use futures_util::future::join_all;
-use hickoryhall_edge::{ConnectError, Connection};
+use hickoryhall_edge::{ConnectError, Connection, RequestHash};
 use hickoryhall_routing::ReachStep;
 use slog::info;
 use tokio::task::spawn_local;
@@ -18,7 +18,7 @@
 const PROBE_POLL_INTERVAL: Duration = Duration::from_millis(100);
 
 impl<P: Platform> Gateway<P> {
-    /// Returns a kept connection to a server, or opens a new one.
+    /// Returns a kept connection to a server on which a request was not refused, or opens a new one.
     ///
     /// # Errors
     ///
@@ -26,8 +26,9 @@
     pub(super) async fn acquire(
         self: &Rc<Self>,
         server: &BackendServer,
+        request: RequestHash,
     ) -> Result<Connection, ConnectError> {
-        let result = self.pool.acquire(server.address).await;
+        let result = self.pool.acquire_for(server.address, request).await;
         if !result.as_ref().is_ok_and(Connection::is_reused) {
             self.record_connection(server, &result);
         }
