Continue a broken stream only with events that follow the last one

What callers saw: a stream had begun and broke off, and the next server answered with a success that was no rest of it. Callers got the error's text, or the head of a whole second response, in the middle of their stream, or a complete end two events after its beginning. On streaming routes an error with status 200 was also passed on as a stream from its start.

Cause: a sealed success on a streaming route was taken for the stream, whatever its media type and content, and a continuation was not compared with what the caller has. That nothing followed was taken for the end.

Why it works: the media type is looked at before the body, lines must be fields or comments, ids must increase, and the first event of a continuation must have one. A continuation without events counts as complete only if its framing tells its end and its head says that it is a stream. What fails is treated as any other break: the next server is asked, within attempts and retries, or the stream ends as broken. A stream whose last event has no id is not continued, since it would begin again. The same checks hold for streams from peers and for those that callers take up.

--- a/crates/hickoryhall-gateway/src/exchange/attempt.rs
+++ b/crates/hickoryhall-gateway/src/exchange/attempt.rs
@@ -180,7 +180,8 @@
                 core.on_refusal_limit(now, server, response_meta.refusal_limit, sent_at);
             }
         });
-        if kind == ResponseKind::Success && self.request.route.kind.is_stream() {
+        let is_stream = kind == ResponseKind::Success && self.request.route.kind.is_stream();
+        if is_stream && BodyMedia::of(&head.headers) != BodyMedia::Other {
             return AttemptResult::Stream(Box::new(OpenStream {
                 head,
                 body,
@@ -195,6 +196,7 @@
             }));
         }
         let outcome = match kind {
+            ResponseKind::Success if is_stream => Err(AttemptFailure::Invalid),
             ResponseKind::Success | ResponseKind::Failure => {
                 self.read_response(head, body, received.connection, &response_meta, until)
                     .await
--- a/crates/hickoryhall-gateway/src/exchange/forward.rs
+++ b/crates/hickoryhall-gateway/src/exchange/forward.rs
@@ -28,6 +28,7 @@
 use super::{Exchange, Gateway};
 use crate::core::CoreHandle;
 use crate::forwarding::{self, ForwardOutcome, ForwardedRequest};
+use crate::framing::BodyMedia;
 use crate::interface::{LocalFailure, Platform, ResponseMeta};
 use crate::registry::{BackendServer, ServerId};
 use crate::scheduler::{Assignment, PlacementRefusal, RefusalReason};
@@ -205,6 +206,11 @@
         let response_meta = self.gateway.platform.parse_response_head(&head, meta);
         let is_stream = self.request.route.kind.is_stream() && head.status.is_success();
         let ran = match outcome {
+            ForwardOutcome::Served { .. }
+                if is_stream && BodyMedia::of(&head.headers) == BodyMedia::Other =>
+            {
+                return failed(PeerEnd::Answered, AttemptFailure::Invalid);
+            }
             ForwardOutcome::Served { software } if is_stream => {
                 let stream = OpenStream {
                     head,
--- a/crates/hickoryhall-gateway/src/exchange/relay.rs
+++ b/crates/hickoryhall-gateway/src/exchange/relay.rs
@@ -8,6 +8,7 @@
 use hickoryhall_edge::{BodySender, ResponseBody};
 use http_body_util::BodyExt;
 use hyper::Response;
+use metrics::counter;
 use slog::info;
 use tokio::task::spawn_local;
 use tokio::time::timeout;
@@ -15,9 +16,9 @@
 use super::Exchange;
 use super::attempt::{AttemptFailure, AttemptResult, OpenStream, attempt_end};
 use super::forward::{Source, Target};
-use crate::events::{EventFramer, IncompleteEvent};
+use crate::events::{EventFramer, IncompleteEvent, InvalidEvent};
 use crate::forwarding::StreamSoftware;
-use crate::framing::BodyFraming;
+use crate::framing::{BodyFraming, BodyMedia};
 use crate::interface::Platform;
 use crate::scheduler::AttemptEnd;
 
@@ -30,32 +31,47 @@
 /// Time for the head of the next runner's answer before the connection to a silent one is closed: the next
 /// one may work on the request from the start, and two runners must not do so for longer than 400 ms.
 const MAX_OVERLAP: Duration = Duration::from_millis(300);
-/// Reason for a stream that its runner broke off.
-const BROKEN_OFF: &str = "broken_off";
-/// Reason for a stream without an event within the limit.
-const SILENT: &str = "silent";
-/// Reason for a stream with an event that is larger than any that a runner sends.
-const OVERSIZE_EVENT: &str = "oversize_event";
 /// Maximum number of pieces in which an event may arrive.
 const MAX_EVENT_PIECES: usize = 4_096;
 /// Maximum number of runners tried for resuming a stream after one break.
 const MAX_RESUME_ATTEMPTS: u32 = 3;
 
+/// Why a stream cannot be read on.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum BreakReason {
+    /// The runner broke off.
+    BrokenOff,
+    /// No event arrived within the limit.
+    Silent,
+    /// The runner sent something else than the next event.
+    Invalid(InvalidEvent),
+}
+
+impl BreakReason {
+    /// Returns the reason as named in logs and metrics.
+    fn as_str(self) -> &'static str {
+        match self {
+            Self::BrokenOff => "broken_off",
+            Self::Silent => "silent",
+            Self::Invalid(error) => error.as_str(),
+        }
+    }
+}
+
 /// Next item read from a stream.
 enum StreamItem {
     /// One or more whole events.
     Events(Bytes),
     /// The end of the stream, with what followed its last event.
     End(Option<Bytes>),
-    /// The runner broke off, sent nothing in time or sent an oversize event; holds the reason.
-    Broken(&'static str),
+    /// The stream cannot be read on.
+    Broken(BreakReason),
 }
 
 /// A stream from a runner, split into whole events.
 struct Upstream {
     stream: Box<OpenStream>,
     framer: EventFramer,
-    has_events: bool,
     /// Event after which the stream continues, until the first one behind it arrives.
     resumed_after: Option<Box<str>>,
     /// Bytes of the event that the stream ended inside of.
@@ -71,7 +87,6 @@
             stream,
             resumed_after: last_id.clone(),
             framer: EventFramer::resuming_after(last_id),
-            has_events: false,
             incomplete_bytes: 0,
             is_closed: false,
         }
@@ -87,47 +102,55 @@
     async fn next(&mut self, limit: Duration) -> StreamItem {
         match timeout(limit, self.read()).await {
             Ok(item) => item,
-            Err(_) => StreamItem::Broken(SILENT),
+            Err(_) => StreamItem::Broken(BreakReason::Silent),
         }
     }
 
     async fn read(&mut self) -> StreamItem {
         for _ in 0..MAX_EVENT_PIECES {
+            if let Some(error) = self.framer.error() {
+                return StreamItem::Broken(BreakReason::Invalid(error));
+            }
             let frame = match self.stream.body.frame().await {
                 None => return self.end(),
-                Some(Err(_)) => return StreamItem::Broken(BROKEN_OFF),
+                Some(Err(_)) => return StreamItem::Broken(BreakReason::BrokenOff),
                 Some(Ok(frame)) => frame,
             };
             let Ok(data) = frame.into_data() else {
                 continue;
             };
             match self.framer.push(&data) {
-                Ok(Some(events)) => {
-                    self.has_events = true;
-                    return StreamItem::Events(events);
-                }
+                Ok(Some(events)) => return StreamItem::Events(events),
                 Ok(None) => {}
-                Err(_) => return StreamItem::Broken(OVERSIZE_EVENT),
+                Err(error) => return StreamItem::Broken(BreakReason::Invalid(error)),
             }
         }
-        StreamItem::Broken(OVERSIZE_EVENT)
+        StreamItem::Broken(BreakReason::Invalid(InvalidEvent::Oversize))
     }
 
     /// Decides whether the stream is complete at the end of its body. The connection of a runner that
     /// crashes may end like that of one that is done.
     fn end(&mut self) -> StreamItem {
-        let framing = BodyFraming::of(&self.stream.head.headers);
         match self.framer.finish() {
             Err(IncompleteEvent { bytes }) => {
                 self.incomplete_bytes = bytes;
-                StreamItem::Broken(BROKEN_OFF)
+                StreamItem::Broken(BreakReason::BrokenOff)
             }
-            Ok(_) if framing == BodyFraming::Connection && !self.has_events => {
-                StreamItem::Broken(BROKEN_OFF)
+            Ok(_) if !self.framer.has_events() && !self.may_be_empty() => {
+                StreamItem::Broken(BreakReason::BrokenOff)
             }
             Ok(rest) => StreamItem::End(rest),
         }
     }
+
+    /// Returns whether a stream without events may be complete: its framing has to say so, and the head of
+    /// a continuation that it is a stream.
+    fn may_be_empty(&self) -> bool {
+        let headers = &self.stream.head.headers;
+        let is_framed = BodyFraming::of(headers) != BodyFraming::Connection;
+        let is_stream = BodyMedia::of(headers) == BodyMedia::Events;
+        is_framed && (is_stream || !self.framer.is_continuation())
+    }
 }
 
 /// A stream that is being passed on to the caller.
@@ -160,9 +183,9 @@
             StreamItem::Broken(reason) => {
                 self.record.incomplete_event(upstream.incomplete_bytes);
                 let failure = match reason {
-                    SILENT => AttemptFailure::TimedOut,
-                    OVERSIZE_EVENT => AttemptFailure::Invalid,
-                    _ => AttemptFailure::Broken,
+                    BreakReason::Silent => AttemptFailure::TimedOut,
+                    BreakReason::Invalid(error) => self.invalid_event(error),
+                    BreakReason::BrokenOff => AttemptFailure::Broken,
                 };
                 let OpenStream {
                     source, sent_at, ..
@@ -199,6 +222,18 @@
     }
 }
 
+impl<P: Platform> Exchange<P> {
+    /// Logs that a runner sent something else than the next event of a stream.
+    fn invalid_event(&self, error: InvalidEvent) -> AttemptFailure {
+        counter!("invalid_events_total", "reason" => error.as_str()).increment(1);
+        info!(
+            self.gateway.logger, "exchange: Stream has no valid next event.";
+            "request" => &*self.request.meta.request_id, "error" => %error
+        );
+        AttemptFailure::Invalid
+    }
+}
+
 impl<P: Platform> Relay<P> {
     async fn run(mut self, first: StreamItem, sender: BodySender) {
         self.exchange.record.first_event();
@@ -276,13 +311,16 @@
                     if self.resume(reason).await {
                         self.is_waited_for = false;
                         self.is_from_one_server = false;
-                    } else if reason == SILENT && !self.is_waited_for && !self.upstream.is_closed {
+                    } else if reason == BreakReason::Silent
+                        && !self.is_waited_for
+                        && !self.upstream.is_closed
+                    {
                         // The runner may still work on the request, and a late answer is better
                         // than none. Its run goes on and counts once.
                         self.is_waited_for = true;
                         self.exchange.outcome.continue_run();
                     } else {
-                        return RelayOutcome::Broken(reason);
+                        return RelayOutcome::Broken(reason.as_str());
                     }
                 }
             }
@@ -300,15 +338,17 @@
     }
 
     /// Records that the server broke off or is silent.
-    fn record_break(&self, reason: &str) {
+    fn record_break(&self, reason: BreakReason) {
         let stream = &self.upstream.stream;
         let Some(server) = stream.source.server() else {
             return;
         };
         match reason {
-            BROKEN_OFF => self.exchange.record_break(server, stream.sent_at, true),
-            SILENT => self.exchange.gateway.check_silent_server(server),
-            _ => {}
+            BreakReason::BrokenOff => self.exchange.record_break(server, stream.sent_at, true),
+            BreakReason::Silent => self.exchange.gateway.check_silent_server(server),
+            BreakReason::Invalid(error) => {
+                self.exchange.invalid_event(error);
+            }
         }
     }
 
@@ -328,19 +368,20 @@
 
     /// Resumes the stream at another runner after the last whole event; returns whether that
     /// succeeded.
-    async fn resume(&mut self, reason: &'static str) -> bool {
+    async fn resume(&mut self, reason: BreakReason) -> bool {
         self.exchange
-            .attempt_failed(&self.upstream.stream.source, reason);
+            .attempt_failed(&self.upstream.stream.source, reason.as_str());
         self.exchange.outcome.record_possible_run();
-        if self.exchange.software.is_none() || !self.exchange.may_run_again() {
+        let can_continue = self.exchange.software.is_some() && self.upstream.framer.can_continue();
+        if !can_continue || !self.exchange.may_run_again() {
             return false;
         }
-        if reason != SILENT {
+        if reason != BreakReason::Silent {
             self.upstream.framer.drop_partial();
         }
         let last_id = self.upstream.framer.last_id().map(Box::<str>::from);
         self.exchange.waits_since = Instant::now();
-        if reason != SILENT {
+        if reason != BreakReason::Silent {
             self.upstream.stream.guard.fail();
         }
         for _ in 0..MAX_RESUME_ATTEMPTS {
@@ -351,7 +392,7 @@
             info!(
                 self.exchange.gateway.logger,
                 "exchange: Stream is being resumed at another runner.";
-                "request" => &*self.exchange.request.meta.request_id, "reason" => reason,
+                "request" => &*self.exchange.request.meta.request_id, "reason" => reason.as_str(),
                 "after" => last_id.as_deref().unwrap_or_default(),
                 "server" => &*source.id(),
                 "software" => self.exchange.software,
@@ -371,10 +412,13 @@
             let may_continue = match failure {
                 AttemptFailure::Unsent => self.exchange.has_time(),
                 AttemptFailure::NotRun => self.exchange.has_time() && self.exchange.take_retry(),
+                AttemptFailure::Invalid => {
+                    self.exchange.outcome.record_possible_run();
+                    self.exchange.may_run_again()
+                }
                 AttemptFailure::ServerFailure { .. }
                 | AttemptFailure::Unproven
                 | AttemptFailure::Broken
-                | AttemptFailure::Invalid
                 | AttemptFailure::TimedOut => {
                     self.exchange.outcome.record_possible_run();
                     false
@@ -394,13 +438,13 @@
         &mut self,
         target: Target,
         last_id: Option<&str>,
-        reason: &str,
+        reason: BreakReason,
     ) -> AttemptResult {
         let mut attempt = pin!(self.exchange.attempt_at(target, last_id));
         match timeout(MAX_OVERLAP, attempt.as_mut()).await {
             Ok(attempted) => attempted,
             Err(_) => {
-                if reason == SILENT {
+                if reason == BreakReason::Silent {
                     self.upstream.close();
                 }
                 attempt.await
--- a/crates/hickoryhall-gateway/tests/events.rs
+++ b/crates/hickoryhall-gateway/tests/events.rs
@@ -1,6 +1,6 @@
 //! Tests the splitting of streams into whole events.
 
-use hickoryhall_gateway::events::{EventFramer, IncompleteEvent};
+use hickoryhall_gateway::events::{EventFramer, IncompleteEvent, InvalidEvent};
 use proptest::prelude::*;
 use rstest::rstest;
 
@@ -119,3 +119,66 @@
         prop_assert_eq!(framer.finish(), Ok(None));
     }
 }
+
+/// Pushes a stream and returns what is passed on, and what is wrong with the rest.
+fn read(mut framer: EventFramer, text: &str) -> (String, Option<InvalidEvent>) {
+    let mut passed = Vec::new();
+    for chunk in text.as_bytes().chunks(7) {
+        match framer.push(chunk) {
+            Ok(events) => passed.extend(events.unwrap_or_default()),
+            Err(error) => return (text_of(passed), Some(error)),
+        }
+    }
+    let error = framer.error();
+    (text_of(passed), error)
+}
+
+fn text_of(bytes: Vec<u8>) -> String {
+    String::from_utf8(bytes).expect("events are text")
+}
+
+#[rstest]
+#[case::response("HTTP/1.1 500 X\r\nContent-Length: 5\r\n\r\n", InvalidEvent::NoField)]
+#[case::header("id: 3\nContent-Type: text/plain\n\n", InvalidEvent::NoField)]
+#[case::json("{\"error\":\"overloaded\"}\n\n", InvalidEvent::NoField)]
+#[case::text("upstream failed\n\n", InvalidEvent::NoField)]
+#[case::word("overloaded\n\n", InvalidEvent::NoField)]
+#[case::no_name(" : x\n\n", InvalidEvent::NoField)]
+#[case::same_id("id: 2\ndata: b\n\n", InvalidEvent::IdOrder)]
+#[case::lower_id("id: 1\ndata: b\n\n", InvalidEvent::IdOrder)]
+#[case::lower_id_of_two("id: 3\nid: 1\ndata: b\n\n", InvalidEvent::IdOrder)]
+fn what_is_no_event_of_the_stream_is_not_passed_on(
+    #[case] text: &str,
+    #[case] error: InvalidEvent,
+) {
+    let begun = "id: 1\ndata: a\n\nid: 2\ndata: b\n\n";
+    let (passed, found) = read(EventFramer::default(), &format!("{begun}{text}id: 9\n\n"));
+    assert_eq!((&*passed, found), (begun, Some(error)));
+    let framer = EventFramer::resuming_after(Some("2".into()));
+    assert_eq!(read(framer, text), (String::new(), Some(error)));
+}
+
+#[rstest]
+#[case::no_id("data: x\n\n", Some(InvalidEvent::NoId))]
+#[case::empty_id("id:\ndata: x\n\n", Some(InvalidEvent::NoId))]
+#[case::next("id: 3\ndata: x\n\n", None)]
+#[case::later("id: 40\ndata: x\n\n", None)]
+#[case::longer_number("id: 10\ndata: x\n\n", None)]
+#[case::comment_before(": ping\n\nid: 3\ndata: x\n\n", None)]
+#[case::other_fields("weight-versions: 4\nid: 3\nevent: token\nretry: 20\ndata\n\n", None)]
+#[case::without_id_behind("id: 3\ndata: x\n\ndata: [DONE]\n\n", None)]
+#[case::id_of_another_form("id: e-3\ndata: x\n\n", None)]
+fn the_first_event_of_a_continuation_follows_the_last_one_before(
+    #[case] text: &str,
+    #[case] error: Option<InvalidEvent>,
+) {
+    let framer = EventFramer::resuming_after(Some("2".into()));
+    let passed = if error.is_none() { text } else { "" };
+    assert_eq!(read(framer, text), (passed.to_owned(), error));
+}
+
+#[test]
+fn a_stream_from_its_start_needs_no_ids() {
+    let text = "data: a\n\ndata: b\n\n";
+    assert_eq!(read(EventFramer::default(), text), (text.to_owned(), None));
+}
