Give due orders before a stopping host hands the lease on

Why it works: a holder that stops goes on for as long as its process may live, if runners have older weights and its own wait ends in time. It keeps renewing the lease, gives it back before the process ends, and the process waits for that. What a successor waits for is unchanged.

--- a/crates/hickoryhall-control/src/orders.rs
+++ b/crates/hickoryhall-control/src/orders.rs
@@ -136,6 +136,12 @@
         self.config.max_concurrent_loads = loads.max(1);
     }
 
+    /// Returns the time from acquiring the lease to the first order.
+    #[must_use]
+    pub fn handover_wait(&self) -> Duration {
+        self.config.handover_wait
+    }
+
     /// Returns the lease if it certainly still holds.
     #[must_use]
     pub fn lease(&self, now: Instant) -> Option<HeldLease> {
--- a/crates/hickoryhall-gateway/src/host.rs
+++ b/crates/hickoryhall-gateway/src/host.rs
@@ -41,6 +41,8 @@
 const STOP_MARGIN: Duration = Duration::from_millis(350);
 /// Time before that in which all requests are answered that have no response yet.
 const LAST_ANSWERS_TIME: Duration = Duration::from_millis(400);
+/// Time that the last weight changes of a stopping lease holder, and giving the lease back, may take.
+const LAST_ORDERS_TIME: Duration = Duration::from_millis(2_400);
 /// Maximum number of request ids in the log line of the requests that a stop cuts off.
 const MAX_LOGGED_REQUESTS: usize = 16;
 /// Interval at which expired idle connections are closed, and connection limits and gauges updated.
@@ -135,6 +137,8 @@
     connections: Rc<Connections>,
     /// Accept connections of callers and of peers until they are aborted.
     acceptors: [JoinHandle<()>; 2],
+    /// Whether this host holds the lease for orders.
+    holds_lease: watch::Receiver<bool>,
     stop: watch::Sender<bool>,
     logger: Logger,
 }
@@ -195,6 +199,7 @@
             stopping.clone(),
             part("orders"),
         );
+        let holds_lease = orders.holds_lease();
         spawn_local(async move { orders.run().await });
         let edge = part("edge");
         let ready = Readiness {
@@ -241,6 +246,7 @@
             gateway,
             connections,
             acceptors: [callers, forwarding],
+            holds_lease,
             stop,
             logger: part("host"),
         })
@@ -314,7 +320,7 @@
         );
         // Sending fails only without receivers; the tasks that hold them outlive this function.
         let _ = self.stop.send(true);
-        let max_drain_time = grace.saturating_sub(STOP_MARGIN);
+        let max_drain_time = max_drain_time(grace);
         sleep(STOP_ACCEPT_TIME.min(max_drain_time)).await;
         self.gateway.close();
         let mut drained = pin!(self.drain_connections());
@@ -327,6 +333,17 @@
                     .await
             }
         };
+        let mut holds_lease = self.holds_lease.clone();
+        let given_back = holds_lease.wait_for(|holds_lease| !holds_lease);
+        if timeout(time_left(max_drain_time), given_back)
+            .await
+            .is_err()
+        {
+            warn!(
+                self.logger,
+                "host: The lease for orders is not given back before the end."
+            );
+        }
         let counts = self.connections.counts();
         if !is_drained && counts.unanswered > 0 {
             let requests = self.connections.unanswered_ids(MAX_LOGGED_REQUESTS);
@@ -343,6 +360,11 @@
     }
 }
 
+/// Returns the time after the stop signal at which a process exits at the latest.
+fn max_drain_time(grace: Duration) -> Duration {
+    grace.saturating_sub(STOP_MARGIN)
+}
+
 fn core_config(settings: &Settings) -> CoreConfig {
     let host = hash_name(&settings.host);
     let mut scheduler = SchedulerConfig::new(host, settings.failure_domain.as_str().into());
@@ -361,6 +383,7 @@
         host: format!("{}@{}", settings.host, settings.ip),
         handover: settings.bounds.handover(),
         lease_ttl: MIN_ORDER_LEASE.max(settings.bounds.min_lease()),
+        stop_time: max_drain_time(settings.bounds.grace_period()).saturating_sub(LAST_ORDERS_TIME),
     }
 }
 
--- a/crates/hickoryhall-gateway/src/orders.rs
+++ b/crates/hickoryhall-gateway/src/orders.rs
@@ -5,7 +5,8 @@
 //! suspended; a new lease holder first waits until all orders of its predecessor have arrived. Each
 //! order names the number of orders that the runner must have accepted before it, so that a late
 //! order has no effect. A host that stops gives the lease back, so that its successor need not wait
-//! for the expiry. A store that comes back from an older copy has forgotten the lease and may give
+//! for the expiry; while runners have older weights, it first gives orders for as long as its process may
+//! live, since its successor may not give any for a while. A store that comes back from an older copy has forgotten the lease and may give
 //! its id and the key's revision out again: the holder gives no further order, and the wait of the
 //! next one covers the lease that the store forgot.
 
@@ -70,6 +71,8 @@
     pub handover: Duration,
     /// Time from the last renewal to the expiry of the lease.
     pub lease_ttl: Duration,
+    /// Time after the stop signal within which the holder still begins weight changes.
+    pub stop_time: Duration,
 }
 
 /// Task that competes for the lease, and gives orders to runners while this host holds it.
@@ -84,6 +87,8 @@
     load_times: RefCell<LoadTimes>,
     /// Whether the host stops.
     stopping: watch::Receiver<bool>,
+    /// Whether the host holds the lease.
+    holds_lease: watch::Sender<bool>,
     logger: Logger,
 }
 
@@ -118,10 +123,17 @@
             clock: SuspendAwareClock::new(),
             load_times: RefCell::default(),
             stopping,
+            holds_lease: watch::channel(false).0,
             logger,
         }
     }
 
+    /// Returns a receiver that tells whether the host holds the lease.
+    #[must_use]
+    pub fn holds_lease(&self) -> watch::Receiver<bool> {
+        self.holds_lease.subscribe()
+    }
+
     /// Competes for the lease and gives orders while holding it, until the host stops.
     pub async fn run(&self) {
         while !self.is_stopping() {
@@ -131,7 +143,9 @@
             }
             match self.acquire().await {
                 Ok(Some(lease)) => {
+                    self.holds_lease.send_replace(true);
                     self.hold(lease).await;
+                    self.holds_lease.send_replace(false);
                     self.core.with(|core, _| core.clear_weight_changes());
                 }
                 Ok(None) => {}
--- a/crates/hickoryhall-gateway/src/orders/weight_changes.rs
+++ b/crates/hickoryhall-gateway/src/orders/weight_changes.rs
@@ -5,7 +5,7 @@
 use std::time::{Duration, Instant};
 
 use futures_util::future::join_all;
-use hickoryhall_control::{DesiredVersions, OrderPlanner, PlannedOrder, RunnerStatus};
+use hickoryhall_control::{DesiredVersions, HeldLease, OrderPlanner, PlannedOrder, RunnerStatus};
 use hickoryhall_types::{FencingNumber, Incarnation, TargetId, WeightsVersion, hash_name};
 use slog::{info, warn};
 use tokio::time::{sleep, timeout};
@@ -51,6 +51,7 @@
     /// drained have their orders.
     pub(super) async fn issue_orders(&self, planner: &RefCell<OrderPlanner>) {
         let mut changes = HashMap::<ServerId, WeightChange>::new();
+        let mut stopping_since = None;
         loop {
             sleep(PLAN_INTERVAL).await;
             let desired_versions = self.desired_versions();
@@ -71,6 +72,11 @@
                 }
             }
             if self.is_stopping() {
+                stopping_since.get_or_insert_with(|| self.clock.now());
+            }
+            if let Some(since) = stopping_since
+                && !self.goes_on(since, &planner.borrow(), &desired_versions)
+            {
                 if changes.values().any(WeightChange::is_draining) {
                     continue;
                 }
@@ -99,6 +105,22 @@
         }
     }
 
+    /// Returns whether a holder that stops since a moment begins further weight changes: some runner needs one,
+    /// and there is time left in which it may give orders.
+    fn goes_on(&self, since: Instant, planner: &OrderPlanner, desired: &DesiredVersions) -> bool {
+        let end = since + self.config.stop_time;
+        let may_order = |lease: HeldLease| lease.acquired_at + planner.handover_wait() < end;
+        let runners = self.core.with(|core, now| core.runners(now));
+        let is_behind = |runner: &RunnerStatus| {
+            let wanted = desired.get(&runner.model);
+            runner.is_available && wanted.is_some_and(|&wanted| runner.weights < wanted)
+        };
+        let now = self.clock.now();
+        now < end
+            && planner.lease(now).is_some_and(may_order)
+            && runner_statuses(&runners, desired).iter().any(is_behind)
+    }
+
     fn desired_versions(&self) -> DesiredVersions {
         let desired_versions = self.core.with(|core, _| core.desired_versions());
         desired_versions.into_iter().collect()
