Learn the speed of runners and share it between hosts

The scheduler used one set of constants for all runners, which is wrong by up to a factor of three on faster machines, and machines of one service differ by 0.7 to 1.7. RunnerSpeeds learns, per service, the time to the first event and the prefill time relative to the constants, and per runner a factor, from first events of requests that were placed without queued work and without a transfer. Digests carry each host's or group's own sums, so that no sample counts twice.

--- a/crates/hickoryhall-gateway/src/core.rs
+++ b/crates/hickoryhall-gateway/src/core.rs
@@ -6,6 +6,7 @@
 mod handle;
 mod limits;
 mod reach;
+mod speeds;
 mod streams;
 
 use std::collections::HashMap;
@@ -447,6 +448,7 @@
         self.ask_about_services(now);
         self.review_crashes(now);
         self.review_requests(now);
+        self.review_speeds(now);
         self.divide_limits(now);
         self.divide_refusal_limits(now);
         self.place_waiting(now);
--- a/crates/hickoryhall-gateway/src/core/digests.rs
+++ b/crates/hickoryhall-gateway/src/core/digests.rs
@@ -3,6 +3,7 @@
 use std::cmp::Reverse;
 use std::time::Instant;
 
+use hickoryhall_routing::{RunnerStatement, SpeedSource};
 use hickoryhall_types::hash_name;
 use metrics::counter;
 use slog::info;
@@ -13,6 +14,11 @@
 
 /// Maximum number of servers listed in one digest, so that it fits into a datagram.
 const MAX_SERVERS_PER_DIGEST: usize = 300;
+/// Maximum number of runners in one digest with statements about their speed. A host takes two samples
+/// between two digests at the load of a small host; more are told in the next digests.
+const MAX_SPEEDS_PER_DIGEST: usize = 8;
+/// The same in one group digest, so that all of 140 runners are listed within 2 s.
+const MAX_SPEEDS_PER_GROUP_DIGEST: usize = 12;
 /// Maximum number of prompts listed in one group digest, so that it fits into a datagram.
 const MAX_PROMPTS_PER_GROUP_DIGEST: usize = 64;
 
@@ -21,9 +27,11 @@
     pub fn digest(&mut self, now: Instant, group: GroupHash) -> Digest {
         let prompts = self.scheduler.take_prompt_updates();
         self.collect_prompts(&prompts);
+        let (speeds, service_speeds) = self.scheduler.take_own_speeds(now, MAX_SPEEDS_PER_DIGEST);
         let loads = self.scheduler.own_loads();
         Digest {
-            servers: self.server_updates(loads),
+            servers: self.server_updates(loads, &speeds),
+            service_speeds,
             prompts,
             ..self.base_digest(now, group, Scope::Host)
         }
@@ -33,7 +41,7 @@
     /// desired versions, servers that said that they leave, and runners whose weights this host
     /// changes as the lease holder.
     pub fn heartbeat(&mut self, now: Instant, group: GroupHash) -> Digest {
-        let mut servers = self.server_updates(self.scheduler.own_loads());
+        let mut servers = self.server_updates(self.scheduler.own_loads(), &[]);
         servers.retain(ServerUpdate::is_urgent);
         Digest {
             servers,
@@ -67,9 +75,13 @@
     ) -> Digest {
         hosts.push(self.config.host);
         let prompts = self.collected_prompts.replace(Vec::new());
+        let (speeds, service_speeds) = self
+            .scheduler
+            .take_group_speeds(now, MAX_SPEEDS_PER_GROUP_DIGEST);
         let loads = self.scheduler.group_loads(now);
         Digest {
-            servers: self.server_updates(loads),
+            servers: self.server_updates(loads, &speeds),
+            service_speeds,
             prompts: prompts.unwrap_or_default(),
             ..self.base_digest(now, group, Scope::Group { hosts })
         }
@@ -111,19 +123,29 @@
         }
     }
 
-    /// Returns updates about servers that have load, that said that they leave, or whose weights this
-    /// host changes as the lease holder.
+    /// Returns updates about servers that have load, that said that they leave, whose weights this host
+    /// changes as the lease holder, or whose speed is stated.
     ///
-    /// Where they exceed [`MAX_SERVERS_PER_DIGEST`], the last two kinds come first, then those with
+    /// Where they exceed [`MAX_SERVERS_PER_DIGEST`], the second and third kind come first, then those with
     /// the most pending work; the rest are left out.
-    fn server_updates(&self, loads: impl Iterator<Item = ServerUpdate>) -> Vec<ServerUpdate> {
+    fn server_updates(
+        &self,
+        loads: impl Iterator<Item = ServerUpdate>,
+        speeds: &[RunnerStatement],
+    ) -> Vec<ServerUpdate> {
         let updates = loads.filter_map(|update| {
             let is_changing = self.weight_changes.get(&update.server).copied();
+            let speed = speeds.iter().find(|speed| {
+                speed.runner == update.server && Some(speed.process) == update.incarnation
+            });
             let update = ServerUpdate {
                 is_changing,
+                speed: speed.map(|speed| speed.statement),
                 ..update
             };
-            (update.load.requests > 0 || update.is_urgent()).then_some(update)
+            let is_listed =
+                update.load.requests > 0 || update.is_urgent() || update.speed.is_some();
+            is_listed.then_some(update)
         });
         let mut updates = updates.collect::<Vec<_>>();
         if updates.len() > MAX_SERVERS_PER_DIGEST {
@@ -157,6 +179,7 @@
                 self.replace_peer_loads(now, LoadSource::Group(digest.group), &digest.servers);
             }
         }
+        self.merge_speeds(now, digest);
         for update in &digest.servers {
             if let Some(is_changing) = update.is_changing {
                 let announced = AnnouncedState {
@@ -212,6 +235,26 @@
         self.place_waiting(now);
     }
 
+    /// Merges what a peer tells of the speed of runners.
+    fn merge_speeds(&mut self, now: Instant, digest: &Digest) {
+        let source = match &digest.scope {
+            Scope::Host => SpeedSource::Host(digest.host),
+            Scope::Group { .. } => SpeedSource::Group(digest.group),
+            Scope::Heartbeat => return,
+        };
+        for (service, sums) in &digest.service_speeds {
+            self.scheduler
+                .merge_service_speed(now, source, *service, sums);
+        }
+        for update in &digest.servers {
+            if let Some(speed) = &update.speed {
+                let (server, process) = (update.server, update.incarnation);
+                self.scheduler
+                    .merge_runner_speed(now, source, server, process, speed);
+            }
+        }
+    }
+
     /// Merges what a peer tells of requests that may crash servers.
     fn merge_request_news(&mut self, now: Instant, digest: &Digest) {
         let Some(news) = &digest.request_crashes else {
--- a/crates/hickoryhall-gateway/src/host.rs
+++ b/crates/hickoryhall-gateway/src/host.rs
@@ -443,6 +443,7 @@
                 });
                 gauge!("table_revision").set(table.revision() as f64);
             }
+            core.with(|core, _| core.set_speed_metrics());
             gauge!("requests_in_flight").set(gateway.in_flight() as f64);
             counter!("connections_closed_unsent_total").absolute(connections.closed_unsent());
         }
--- a/crates/hickoryhall-gateway/src/interface.rs
+++ b/crates/hickoryhall-gateway/src/interface.rs
@@ -113,6 +113,9 @@
     pub running: u32,
     /// Number of requests that wait at the server.
     pub waiting: u32,
+    /// How long work takes at the moment, in percent of the server's usual time; `None` if the
+    /// server does not tell.
+    pub work_time_percent: Option<u32>,
 }
 
 /// Id that a response repeats of the request that it belongs to.
--- a/crates/hickoryhall-gateway/src/peers/message.rs
+++ b/crates/hickoryhall-gateway/src/peers/message.rs
@@ -2,12 +2,13 @@
 
 mod wire;
 mod wire_news;
+mod wire_speeds;
 
 use std::net::Ipv4Addr;
 
 use bytes::Bytes;
 use hickoryhall_limits::LimitStatement;
-use hickoryhall_routing::{CrashNews, Level, ReachStatement};
+use hickoryhall_routing::{CrashNews, Level, ReachStatement, ServiceSums, SpeedStatement};
 use hickoryhall_types::{Incarnation, Revision, TargetId, WeightsVersion};
 use prost::Message;
 use wire::{WireDigest, WireSnapshot};
@@ -52,6 +53,9 @@
     pub refusal_limits: Vec<LimitStatement>,
     /// Load of the sender, and services that it is cut off from.
     pub reach: ReachStatement,
+    /// Samples of the speed of services, by the hashes of their names, summed over the hosts of the
+    /// scope.
+    pub service_speeds: Vec<(u64, ServiceSums)>,
     /// Prompts that runners prefilled, or saved to a prompt cache store, since the last digest.
     pub prompts: Vec<PromptUpdate>,
     /// Changes of the registry, from a host that reads it for its group.
@@ -107,6 +111,9 @@
     pub is_changing: Option<bool>,
     /// Whether the server said in a response that it is shutting down.
     pub is_leaving: bool,
+    /// Speed of the runner by the samples of the hosts of the digest's scope; `None` if it has not
+    /// changed since it was told.
+    pub speed: Option<SpeedStatement>,
 }
 
 impl ServerUpdate {
--- a/crates/hickoryhall-gateway/src/peers/message/wire.rs
+++ b/crates/hickoryhall-gateway/src/peers/message/wire.rs
@@ -9,6 +9,7 @@
 use prost::Message;
 
 use super::wire_news::{WireAnsweredPart, WireBlockedPart, WireCrash, WireCrashNews, WireLimit};
+use super::wire_speeds::{WireRunnerSpeed, WireServiceSpeed};
 use super::{
     DesiredVersionUpdate, Digest, PromptUpdate, Scope, ServerUpdate, StoreRecords, StoreSnapshot,
     SuspectUpdate,
@@ -82,6 +83,9 @@
     /// Crashes of servers by the requests that they ran; missing in digests of earlier builds.
     #[prost(message, optional, tag = "25")]
     pub(super) request_crashes: Option<WireCrashNews>,
+    /// Samples of the speed of services.
+    #[prost(message, repeated, tag = "28")]
+    pub(super) service_speeds: Vec<WireServiceSpeed>,
 }
 
 /// Streams of one service that began at one software version; without streams, a version that the
@@ -187,6 +191,8 @@
     pub(super) incarnation: Option<u64>,
     #[prost(bool, tag = "10")]
     pub(super) is_leaving: bool,
+    #[prost(message, optional, tag = "11")]
+    pub(super) speed: Option<WireRunnerSpeed>,
 }
 
 /// Desired version of a model.
@@ -271,6 +277,7 @@
             requests: digest.reach.requests,
             unreached_services: digest.reach.unreached.clone(),
             refusal_limits: digest.refusal_limits.iter().map(From::from).collect(),
+            service_speeds: digest.service_speeds.iter().map(From::from).collect(),
         }
     }
 }
@@ -407,6 +414,7 @@
             request_crashes: wire.request_crashes.as_ref().map(CrashNews::from),
             limits: wire.limits.iter().map(From::from).collect(),
             refusal_limits: wire.refusal_limits.iter().map(From::from).collect(),
+            service_speeds: wire.service_speeds.iter().map(From::from).collect(),
             reach: ReachStatement {
                 requests: wire.requests,
                 unreached: wire.unreached_services,
@@ -518,6 +526,7 @@
             output_tokens: update.load.output_tokens,
             incarnation: update.incarnation,
             is_leaving: update.is_leaving,
+            speed: update.speed.map(From::from),
         }
     }
 }
@@ -537,6 +546,7 @@
             weights: wire.weights,
             is_changing: wire.is_changing,
             is_leaving: wire.is_leaving,
+            speed: wire.speed.map(From::from),
         }
     }
 }
--- a/crates/hickoryhall-gateway/src/scheduler.rs
+++ b/crates/hickoryhall-gateway/src/scheduler.rs
@@ -15,6 +15,7 @@
 mod placement;
 mod search;
 mod server;
+mod speeds;
 mod statements;
 mod updates;
 mod waiting;
@@ -25,8 +26,8 @@
 use std::time::{Duration, Instant};
 
 use hickoryhall_limits::{RefusalLimits, RoomDecision, ServerLimits};
-use hickoryhall_routing::PrefixChain;
-use hickoryhall_types::{FailureDomainId, Incarnation, TargetId, WeightsVersion};
+use hickoryhall_routing::{PrefixChain, RunnerSpeeds};
+use hickoryhall_types::{FailureDomainId, Incarnation, TargetId, WeightsVersion, hash_name};
 use slotmap::{SlotMap, new_key_type};
 
 use cache_store::CacheStoreState;
@@ -40,6 +41,8 @@
 };
 pub use server::{HostLoad, LoadSource};
 use server::{RequestLoad, ServerState};
+use speeds::SampledPrompt;
+pub use speeds::{LearnedSpeed, SpeedChange};
 use statements::RemovedStatements;
 use waiting::{RETRY_AFTER, Wait};
 pub use weights::{AnnouncedState, ReportedState, WeightsChange, WeightsSource};
@@ -77,6 +80,8 @@
     /// Estimated time from placement to the first event.
     estimate: Duration,
     fetch_from: Option<SocketAddr>,
+    /// Set until the first event, if that is a sample of the runner's speed.
+    sampled_prompt: Option<SampledPrompt>,
     /// Whether a server with a refusal limit may have to turn the request away.
     is_risky: bool,
 }
@@ -109,6 +114,7 @@
     prompt_updates: Vec<PromptUpdate>,
     cache_stores: Vec<CacheStoreState>,
     demand: FamilyDemand,
+    speeds: RunnerSpeeds,
     limits: ServerLimits,
     refusal_limits: RefusalLimits,
     /// Failure domains with a recently unreachable server, and when each entry expires.
@@ -127,7 +133,9 @@
     /// Creates a scheduler without servers.
     #[must_use]
     pub fn new(config: SchedulerConfig) -> Self {
+        let speeds = RunnerSpeeds::new(speeds::constants(&config));
         Self {
+            speeds,
             config,
             servers: SlotMap::with_key(),
             by_id: HashMap::new(),
@@ -250,7 +258,9 @@
     /// Places a request, or queues it and returns `None`.
     pub fn place(&mut self, now: Instant, request: PlacementRequest) -> Option<Placement> {
         if let Some(prompt) = &request.prompt {
-            self.record_demand(now, prompt.chain.levels());
+            self.speeds.refresh(now);
+            let work_factor = self.service_work_factor(hash_name(&request.service));
+            self.record_demand(now, prompt.chain.levels(), work_factor);
         }
         match self.try_place(now, &request) {
             Decision::Placed(assignment) => Some(Ok(assignment)),
@@ -310,6 +320,7 @@
 
     /// Records the first event of an attempt.
     pub fn record_first_event(&mut self, now: Instant, attempt_id: AttemptId) {
+        self.record_speed(now, attempt_id);
         let Some(active) = self.active.get_mut(&attempt_id) else {
             return;
         };
@@ -481,6 +492,14 @@
             state.update_cache_budgets(now);
             state.expected_cache.insert(now, &prompt.chain);
         }
+        // The prompt of a stream that goes on is longer than the request states.
+        let is_sample = candidate.queued_ms == 0.0
+            && candidate.fetch_from.is_none()
+            && request.software.is_none();
+        let sampled_prompt = prompt.filter(|_| is_sample).map(|prompt| SampledPrompt {
+            missing_tokens: candidate.missing_tokens,
+            input_tokens: prompt.input_tokens,
+        });
         let active = ActiveAttempt {
             key: candidate.key,
             incarnation: state.server.incarnation,
@@ -488,6 +507,7 @@
             placed_at: now,
             estimate: candidate.estimate,
             fetch_from: candidate.fetch_from.map(|(from, _)| from),
+            sampled_prompt,
             is_risky,
         };
         self.active.insert(request.attempt_id, active);
--- a/crates/hickoryhall-gateway/src/scheduler/candidate.rs
+++ b/crates/hickoryhall-gateway/src/scheduler/candidate.rs
@@ -32,7 +32,8 @@
     pub cost_ms: f64,
     /// Work queued at the server before the request.
     pub queued_ms: f64,
-    /// Work for the request itself: transfer and prefill.
+    /// Work for the request itself: transfer, and prefill at the server's usual speed. Other requests
+    /// count it as queued work, in which a slowdown of the moment is not included.
     pub own_work_ms: f64,
     /// Estimated time to the first event.
     pub estimate: Duration,
@@ -180,15 +181,21 @@
         if load.requests >= capacity.slots || (!has_memory && load.requests > 0) {
             return Err(RefusalReason::Full);
         }
-        let transfer = self.best_transfer(now, prompt, capacity, affinities, affinity);
+        let speed = self.runner_speed(now, state);
+        let work_factor = speed.work_factor;
+        let transfer =
+            self.best_transfer(now, prompt, capacity, affinities, (affinity, work_factor));
         let fetched_tokens = transfer.map_or(0, |transfer| transfer.tokens);
         let cached_tokens = affinity.cached_tokens + fetched_tokens;
         let missing_tokens = prompt.input_tokens.saturating_sub(cached_tokens);
-        let own_work_ms = self.prefill_ms(missing_tokens, prompt.input_tokens)
-            + transfer.map_or(0.0, |transfer| transfer.duration_ms);
-        let queued_ms = f64::from(load.pending_ms);
-        let estimate_ms = queued_ms + own_work_ms + millis(self.config.first_event_latency);
-        let eviction_cost_ms = self.eviction_cost_ms(now, state, missing_tokens + fetched_tokens);
+        let prefill_ms = self.prefill_ms(missing_tokens, prompt.input_tokens) * work_factor;
+        let transfer_ms = transfer.map_or(0.0, |transfer| transfer.duration_ms);
+        let queued_ms = f64::from(load.pending_ms) * speed.slowdown;
+        let estimate_ms = queued_ms
+            + (prefill_ms * speed.slowdown + transfer_ms)
+            + speed.first_event_ms * speed.slowdown;
+        let evicting_tokens = missing_tokens + fetched_tokens;
+        let eviction_cost_ms = self.eviction_cost_ms(now, state, evicting_tokens, work_factor);
         let cost_ms = estimate_ms
             + self.old_weights_cost_ms(now, state, &prompt.model, estimate_ms)?
             + affinity.owner_rank.min(MAX_OWNER_RANK) as f64 * millis(self.config.owner_rank_cost)
@@ -199,7 +206,7 @@
             key: affinity.key,
             cost_ms,
             queued_ms,
-            own_work_ms,
+            own_work_ms: prefill_ms + transfer_ms,
             estimate: Duration::from_secs_f64(estimate_ms / 1_000.0),
             missing_tokens,
             fetch_from: transfer
@@ -208,7 +215,7 @@
         })
     }
 
-    /// Returns the prefill time of the last `missing` tokens of a prompt. It grows with the prompt
+    /// Returns the prefill time, by the configured constants, of the last `missing` tokens of a prompt. It grows with the prompt
     /// length because each token attends to all tokens before it.
     pub(super) fn prefill_ms(&self, missing: TokenCount, input: TokenCount) -> f64 {
         let (missing, input) = (f64::from(missing), f64::from(input));
@@ -218,29 +225,38 @@
     }
 
     /// Returns the cost of the cached prompts that `tokens` new ones would evict from a runner.
-    fn eviction_cost_ms(&self, now: Instant, state: &ServerState, tokens: TokenCount) -> f64 {
+    fn eviction_cost_ms(
+        &self,
+        now: Instant,
+        state: &ServerState,
+        tokens: TokenCount,
+        work_factor: f64,
+    ) -> f64 {
         let evicted_tokens = state
             .expected_cache
             .eviction_tokens(now, tokens, EVICTION_HALF_LIFE);
-        evicted_tokens / self.config.prefill_tokens_per_ms * self.config.eviction_cost_factor
+        evicted_tokens / self.config.prefill_tokens_per_ms
+            * self.config.eviction_cost_factor
+            * work_factor
     }
 
     /// Returns the transfer that minimizes the time of transfer and prefill. The source is another
-    /// runner or the prompt cache store, which may hold more of the prompt.
+    /// runner or the prompt cache store, which may hold more of the prompt. `to` is the runner that
+    /// gets it, with the time that prefill takes there relative to the constants.
     fn best_transfer(
         &self,
         now: Instant,
         prompt: &PromptInfo,
         capacity: &RunnerCapacity,
         affinities: &[PromptAffinity],
-        to: &PromptAffinity,
+        (to, work_factor): (&PromptAffinity, f64),
     ) -> Option<Transfer> {
         let from_runner = self.runner_transfer(now, capacity, affinities, to);
         let from_store = self.cache_store_transfer(now, prompt, capacity, to);
         let total_ms = |transfer: &Transfer| {
             let cached_tokens = to.cached_tokens + transfer.tokens;
             let missing = prompt.input_tokens.saturating_sub(cached_tokens);
-            transfer.duration_ms + self.prefill_ms(missing, prompt.input_tokens)
+            transfer.duration_ms + self.prefill_ms(missing, prompt.input_tokens) * work_factor
         };
         let transfers = from_runner.into_iter().chain(from_store);
         transfers.min_by(|one, other| total_ms(one).total_cmp(&total_ms(other)))
--- a/crates/hickoryhall-gateway/src/scheduler/config.rs
+++ b/crates/hickoryhall-gateway/src/scheduler/config.rs
@@ -76,6 +76,12 @@
     pub wait_fraction: f64,
     /// The same fraction for a model request, whose answer stays useful for longer.
     pub model_wait_fraction: f64,
+    /// Whether requests are placed by the learned speed of runners where samples show that it differs
+    /// from the values here.
+    pub learns_speeds: bool,
+    /// Time for which a runner's statement is used of how long work takes at the moment. Runners are
+    /// slow for some 600 ms at a time, so that on average half of that is left.
+    pub reported_slowdown_ttl: Duration,
     /// Time for which a load reported by a server is used.
     pub reported_load_ttl: Duration,
     /// Fraction of a runner's cache memory that the private levels and answers of placed requests
@@ -118,6 +124,8 @@
             slack: Duration::from_millis(30),
             wait_fraction: 0.6,
             model_wait_fraction: 0.25,
+            learns_speeds: true,
+            reported_slowdown_ttl: Duration::from_millis(300),
             reported_load_ttl: Duration::from_millis(150),
             memory_fraction: 0.95,
             plain_requests_per_slot: 2.0,
--- a/crates/hickoryhall-gateway/src/scheduler/search.rs
+++ b/crates/hickoryhall-gateway/src/scheduler/search.rs
@@ -249,13 +249,14 @@
         indices
     }
 
-    /// Counts a request of a prompt family, of this host or of another one.
-    pub(super) fn record_demand(&mut self, now: Instant, levels: &[Level]) {
+    /// Counts a request of a prompt family, of this host or of another one, given the time that
+    /// prefill takes at runners of its service relative to the constants.
+    pub(super) fn record_demand(&mut self, now: Instant, levels: &[Level], work_factor: f64) {
         let Some((own, shared)) = levels.split_last() else {
             return;
         };
         let family = shared.last().unwrap_or(own).key;
-        let work_ms = self.prefill_ms(own.tokens, own.tokens);
+        let work_ms = self.prefill_ms(own.tokens, own.tokens) * work_factor;
         self.demand.record(now, family, work_ms);
     }
 }
--- a/crates/hickoryhall-gateway/src/scheduler/server.rs
+++ b/crates/hickoryhall-gateway/src/scheduler/server.rs
@@ -86,6 +86,8 @@
     software: SoftwareHash,
     /// Hash of the server's id, under which hosts refer to it in updates.
     pub name_hash: u64,
+    /// Hash of the service's name.
+    pub service_hash: u64,
     pub ejection: Ejection,
     /// Cache estimate for the time when every prompt sent to it has been prefilled.
     pub expected_cache: CacheEstimate,
@@ -120,6 +122,7 @@
         Self {
             software: hash_name(&server.software),
             name_hash: hash_name(&server.id),
+            service_hash: hash_name(&server.service),
             ejection: Ejection::default(),
             expected_cache: CacheEstimate::new(memory.into(), CACHE_ESTIMATE_LEVELS),
             current_cache: CacheEstimate::new(memory.into(), CACHE_ESTIMATE_LEVELS),
@@ -399,6 +402,7 @@
             weights: self.weights(),
             is_changing: None,
             is_leaving: self.statements.is_leaving,
+            speed: None,
         }
     }
 
@@ -420,6 +424,16 @@
         self.reported_load = Some((load, now));
     }
 
+    /// Returns how long work takes at the server at the moment relative to its usual time, as it
+    /// reported within `ttl`.
+    pub fn slowdown(&self, now: Instant, ttl: Duration) -> f64 {
+        let fresh = self
+            .reported_load
+            .filter(|(_, at)| now.saturating_duration_since(*at) < ttl);
+        let percent = fresh.and_then(|(load, _)| load.work_time_percent);
+        percent.map_or(1.0, |percent| f64::from(percent.clamp(25, 400)) / 100.0)
+    }
+
     /// Returns the load of all hosts, this one included.
     pub fn load(&self, now: Instant) -> HostLoad {
         self.total_load(now, |_| true)
--- a/crates/hickoryhall-gateway/src/scheduler/updates.rs
+++ b/crates/hickoryhall-gateway/src/scheduler/updates.rs
@@ -268,7 +268,10 @@
             store.record_peer_save(now, update.levels.clone());
             return;
         }
-        self.record_demand(now, &update.levels);
+        let service = self.by_hash.get(&update.server);
+        let service = service.map(|&key| self.servers[key].service_hash);
+        let work_factor = service.map_or(1.0, |service| self.service_work_factor(service));
+        self.record_demand(now, &update.levels, work_factor);
         let Some(state) = self.state_mut(update.server) else {
             return;
         };
--- a/crates/hickoryhall-gateway/tests/groups.rs
+++ b/crates/hickoryhall-gateway/tests/groups.rs
@@ -329,6 +329,7 @@
                 weights: 300,
                 is_changing: None,
                 is_leaving: false,
+                speed: None,
             })
             .collect(),
         prompts: (0..200)
--- a/crates/hickoryhall-gateway/tests/messages.rs
+++ b/crates/hickoryhall-gateway/tests/messages.rs
@@ -19,6 +19,7 @@
 use hickoryhall_limits::LimitStatement;
 use hickoryhall_routing::{
     AnsweredPart, BlockedPart, CrashNews, CrashReport, CrashedPart, Level, ReachStatement,
+    ServiceSums, SpeedStatement,
 };
 use proptest::prelude::*;
 
@@ -53,6 +54,14 @@
             weights: number(8),
             is_changing: [None, Some(false), Some(true)][number(9) as usize % 3],
             is_leaving: number(5).is_multiple_of(2),
+            speed: [
+                None,
+                Some(SpeedStatement {
+                    factor_permille: small(1),
+                    samples_64: small(2),
+                    weight_64: small(3),
+                }),
+            ][number(6) as usize % 2],
         }],
         desired_versions: vec![DesiredVersionUpdate {
             model: "m".into(),
@@ -117,6 +126,17 @@
             limit_per_s: [None, Some(f64::from(small(2)))][number(3) as usize % 2],
             age: Duration::from_millis(number(4)),
         }],
+        service_speeds: vec![(
+            number(3),
+            ServiceSums {
+                samples: f64::from(small(1)),
+                weight: f64::from(small(2)) / 64.0,
+                work: f64::from(small(3)) / 8.0,
+                work_squared: f64::from(small(4)),
+                time: f64::from(small(5)) / 4.0,
+                work_time: f64::from(small(6)),
+            },
+        )],
         reach: ReachStatement {
             requests: small(6),
             unreached: vec![number(7); number(8) as usize % 3],
--- a/crates/hickoryhall-routing/src/lib.rs
+++ b/crates/hickoryhall-routing/src/lib.rs
@@ -23,6 +23,7 @@
 mod reach;
 mod retry;
 mod runner;
+mod runner_speed;
 mod suspects;
 
 pub use baseline::{Baseline, BaselineKind, RunnerSnapshot};
@@ -37,6 +38,10 @@
 };
 pub use retry::{AttemptOutcome, RetryDecision, RetryPolicy};
 pub use runner::{LoadReport, RunnerInfo, RunnerKey, Runners};
+pub use runner_speed::{
+    RunnerSpeeds, RunnerStatement, ServiceSpeed, ServiceSums, SpeedChange, SpeedConstants,
+    SpeedSample, SpeedSource, SpeedStatement,
+};
 pub use suspects::{
     AnsweredPart, BlockedPart, BreakStep, Breaks, BrokenRequest, CrashId, CrashNews, CrashReport,
     CrashedPart, Fingerprint, PartHash, ServerCrash, SuspectDecision, Suspects,
