--- a/crates/hickoryhall-gateway/src/scheduler.rs
+++ b/crates/hickoryhall-gateway/src/scheduler.rs
@@ -459,7 +459,8 @@
     /// Returns whether the request meets its target latency at a candidate.
     fn is_on_time(&self, now: Instant, request: &PlacementRequest, candidate: &Candidate) -> bool {
         let elapsed = now.saturating_duration_since(request.arrived_at);
-        elapsed + candidate.estimate + self.config.slack <= request.target_latency
+        let estimate = candidate.estimate.mul_f64(self.lateness(candidate.key));
+        elapsed + estimate + self.config.slack <= request.target_latency
     }
 
     fn assign(
