FleetQuotas: quotas of workspaces over all hosts

Cause: a workspace's quota has to hold over a fleet whose hosts hear of each other about every 0.2 s, while a host's share may be less than one request a second.

Change: limits/src/quota.rs keeps an estimate of the fleet's balance of each workspace on each host, from the host's own admissions and the counters that peers report. Shares of peers that miss about three reports are reserved for them.

--- a/crates/hickoryhall-limits/src/lib.rs
+++ b/crates/hickoryhall-limits/src/lib.rs
@@ -16,6 +16,7 @@
 mod fair_queue;
 mod fleet;
 mod fleet_retries;
+mod quota;
 mod refusal_limits;
 mod retry_budget;
 mod server_limits;
@@ -29,6 +30,10 @@
     UnitRequest,
 };
 pub use fleet_retries::{FleetRetryBudget, FleetRetryLimit};
+pub use quota::{
+    FleetQuotas, MAX_REPORTED_WORKSPACES, QuotaDecision, QuotaLimit, QuotaReport, QuotaStatement,
+    ReportScope,
+};
 pub use refusal_limits::{RefusalLimits, RoomDecision};
 pub use retry_budget::RetryBudget;
 pub use server_limits::{
