Quotas of workspaces: read, charged, and reported in digests

Change: Workspace.quota; a request is charged after authorization and answered 429 with Retry-After when over; units are given back when no server may have run it. Digests carry each host's or group's admissions (tag 26). In contended accounts a request needs its units or the reserve in the balance.

The end-to-end test is not run yet.

--- a/crates/hickoryhall-gateway/src/core.rs
+++ b/crates/hickoryhall-gateway/src/core.rs
@@ -5,6 +5,7 @@
 mod digests;
 mod handle;
 mod limits;
+mod quotas;
 mod reach;
 mod streams;
 
@@ -33,6 +34,7 @@
     RunnerView, Scheduler, SchedulerConfig, WeightsChange,
 };
 use crate::table::RouteTable;
+use quotas::QuotaState;
 use streams::StreamState;
 pub use streams::{StreamMessages, TakeUpReply};
 
@@ -97,6 +99,7 @@
     /// while another member sends the group digests.
     collected_prompts: Option<Vec<PromptUpdate>>,
     streams: StreamState,
+    quotas: QuotaState,
     /// Reply channels of the attempts that wait for a placement.
     pending_replies: HashMap<AttemptId, oneshot::Sender<Placement>>,
     logger: Logger,
@@ -114,6 +117,7 @@
             scheduler: Scheduler::new(config.scheduler.clone()),
             reach: Reach::new(hash_name(&config.scheduler.domain)),
             streams: StreamState::new(config.restarted_at.is_none()),
+            quotas: QuotaState::new(config.host, config.restarted_at),
             config,
             registry: Registry::default(),
             table: None,
--- a/crates/hickoryhall-gateway/src/core/digests.rs
+++ b/crates/hickoryhall-gateway/src/core/digests.rs
@@ -3,6 +3,7 @@
 use std::cmp::Reverse;
 use std::time::Instant;
 
+use hickoryhall_limits::{FleetQuotas, ReportScope};
 use hickoryhall_types::hash_name;
 use metrics::counter;
 use slog::info;
@@ -25,6 +26,7 @@
         Digest {
             servers: self.server_updates(loads),
             prompts,
+            quotas: Some(self.quotas(now).report(now)),
             ..self.base_digest(now, group, Scope::Host)
         }
     }
@@ -37,6 +39,7 @@
         servers.retain(ServerUpdate::is_urgent);
         Digest {
             servers,
+            quotas: Some(self.quotas(now).report(now)),
             ..self.base_digest(now, group, Scope::Heartbeat)
         }
     }
@@ -71,6 +74,7 @@
         Digest {
             servers: self.server_updates(loads),
             prompts: prompts.unwrap_or_default(),
+            quotas: Some(self.quotas(now).group_report(now)),
             ..self.base_digest(now, group, Scope::Group { hosts })
         }
     }
@@ -185,6 +189,7 @@
                 DesiredVersionSource::Peer,
             );
         }
+        self.merge_quotas(now, digest);
         self.merge_request_news(now, digest);
         for statement in &digest.limits {
             if self.scheduler.limits_mut().merge(now, statement) {
@@ -212,6 +217,27 @@
         self.place_waiting(now);
     }
 
+    fn quotas(&mut self, now: Instant) -> &mut FleetQuotas {
+        self.quotas.fleet(now, self.table.as_deref())
+    }
+
+    /// Merges what a digest tells of quotas. One without a report is from a host of the previous build,
+    /// unless it carries messages about streams only.
+    fn merge_quotas(&mut self, now: Instant, digest: &Digest) {
+        let (host, group) = (digest.host, digest.group);
+        let scope = match &digest.scope {
+            Scope::Host => ReportScope::Member,
+            Scope::Heartbeat => ReportScope::Host,
+            Scope::Group { hosts } => ReportScope::Group(hosts),
+        };
+        let quotas = self.quotas(now);
+        match &digest.quotas {
+            Some(report) => quotas.on_report(now, host, group, scope, report),
+            None if matches!(scope, ReportScope::Group(_)) || !digest.streams.is_empty() => {}
+            None => quotas.on_previous_build(now, host),
+        }
+    }
+
     /// Merges what a peer tells of requests that may crash servers.
     fn merge_request_news(&mut self, now: Instant, digest: &Digest) {
         let Some(news) = &digest.request_crashes else {
--- a/crates/hickoryhall-gateway/src/core/limits.rs
+++ b/crates/hickoryhall-gateway/src/core/limits.rs
@@ -1,8 +1,9 @@
-//! Limits that servers name for the requests of all hosts together.
+//! Limits on the requests of all hosts together: those that servers name, and quotas of workspaces.
 
 use std::collections::HashMap;
 use std::time::Instant;
 
+use hickoryhall_limits::QuotaDecision;
 use hickoryhall_types::{Incarnation, TargetId, hash_name};
 use metrics::counter;
 use slog::{info, warn};
@@ -11,8 +12,34 @@
 use crate::interface::StatedLimit;
 use crate::registry::BackendServer;
 use crate::scheduler::HostHash;
+use crate::table::Workspace;
 
 impl Core {
+    /// Charges the units of a request to the quota of its workspace; `draw` is the hash of the request.
+    pub fn charge_quota(
+        &mut self,
+        now: Instant,
+        workspace: &Workspace,
+        units: f64,
+        draw: u64,
+    ) -> QuotaDecision {
+        let hash = hash_name(&workspace.id);
+        let quotas = self.quotas.fleet(now, self.table.as_deref());
+        let decision = quotas.charge(now, hash, units, draw);
+        self.quotas
+            .record(now, &self.logger, workspace, units, decision);
+        decision
+    }
+
+    /// Gives back the units of a request that has not run.
+    pub fn give_back_quota(&mut self, now: Instant, workspace: &Workspace, units: f64) {
+        let hash = hash_name(&workspace.id);
+        let quotas = self.quotas.fleet(now, self.table.as_deref());
+        quotas.give_back(now, hash, units);
+        let label = workspace.id.to_string();
+        counter!("quota_units_returned_total", "workspace" => label).increment(units as u64);
+    }
+
     /// Records what a response says about the limit of its server, as the registry entry was when the
     /// request was sent.
     pub fn on_stated_limit(
--- a/crates/hickoryhall-gateway/src/exchange.rs
+++ b/crates/hickoryhall-gateway/src/exchange.rs
@@ -10,6 +10,7 @@
 mod forward;
 mod intake;
 mod late;
+mod quota;
 mod reach;
 mod record;
 mod relay;
@@ -326,6 +327,7 @@
             };
             let sent_at = Instant::now();
             let source = target.source();
+            self.set_may_have_run(true);
             let failure = match self.attempt_at(target, None).await {
                 AttemptResult::Response(response) => {
                     if let Some(server) = source.server() {
@@ -335,6 +337,7 @@
                     return self.respond(response);
                 }
                 AttemptResult::PeerFailure(response, ran) => {
+                    self.set_may_have_run(ran != Ran::No || self.outcome.possible_runs() > 0);
                     return self.respond_peer_failure(response, ran);
                 }
                 AttemptResult::Failed(failure) => failure,
@@ -439,6 +442,7 @@
         let time_left = self.time_left();
         if matches!(failure, AttemptFailure::Unsent) {
             if source.server().is_none() && time_left == TimeLeft::Enough {
+                self.set_may_have_run(self.outcome.possible_runs() > 0);
                 // The number of peers is limited apart.
                 return NextStep::Retry;
             }
@@ -447,9 +451,18 @@
             self.has_reached_server |= source.server().is_some();
         }
         let (core, service) = (&self.gateway.core, &self.request.service);
-        self.outcome.on_failure(failure, time_left, || {
+        let next = self.outcome.on_failure(failure, time_left, || {
             core.with(|core, now| core.take_retry(now, service))
-        })
+        });
+        self.set_may_have_run(self.outcome.possible_runs() > 0);
+        next
+    }
+
+    /// Records whether the request counts towards the quota of its workspace if it ends now.
+    fn set_may_have_run(&mut self, may_have_run: bool) {
+        if let Some(charge) = &mut self.request.charge {
+            charge.set_may_have_run(may_have_run);
+        }
     }
 
     fn time_left(&self) -> TimeLeft {
--- a/crates/hickoryhall-gateway/src/exchange/intake.rs
+++ b/crates/hickoryhall-gateway/src/exchange/intake.rs
@@ -15,6 +15,7 @@
 use tokio::time::timeout;
 
 use super::Gateway;
+use super::quota::QuotaCharge;
 use crate::forwarding::ForwardedRequest;
 use crate::interface::{LocalFailure, Platform, Prompt, RequestMeta};
 use crate::scheduler::{Priority, PromptInfo};
@@ -54,6 +55,9 @@
     pub table_revision: Revision,
     /// Where the request comes from, if a peer forwarded it.
     pub forwarded: Option<Forwarded>,
+    /// What the request was charged to the quota of its workspace; the host that a request was forwarded
+    /// from has charged it.
+    pub charge: Option<QuotaCharge>,
 }
 
 /// A request as a peer forwarded it.
@@ -103,6 +107,12 @@
         rejection
     }
 
+    fn over_quota(meta: &RequestMeta, retry_after: Duration) -> Self {
+        let mut rejection = Self::new(Some(meta), StatusCode::TOO_MANY_REQUESTS, "quota");
+        rejection.failure.retry_after = Some(retry_after);
+        rejection
+    }
+
     fn with_detail(mut self, detail: impl ToString) -> Self {
         self.detail = detail.to_string();
         self
@@ -171,6 +181,12 @@
             .map(|_| table.cache_partition(workspace.as_deref()));
         let parts = meta.prompt.as_ref().map(shared_parts).unwrap_or_default();
         let prompt = meta.prompt.as_ref().zip(cache_partition.as_ref());
+        let charge = if forwarded.is_none() {
+            QuotaCharge::take(&self.core, workspace.as_ref(), &meta)
+                .map_err(|retry_after| Rejection::over_quota(&meta, retry_after))?
+        } else {
+            None
+        };
         Ok(PreparedRequest {
             prompt: prompt.map(|(prompt, partition)| prompt_info(prompt, partition)),
             cache_partition,
@@ -186,6 +202,7 @@
             deadline,
             table_revision: table.revision(),
             forwarded,
+            charge,
         })
     }
 }
--- a/crates/hickoryhall-gateway/src/interface.rs
+++ b/crates/hickoryhall-gateway/src/interface.rs
@@ -53,6 +53,9 @@
     pub caller_timeout: Option<Duration>,
     /// Prompt of a model request; `None` for any other request.
     pub prompt: Option<Prompt>,
+    /// Number of prompt tokens and maximum number of output tokens together, where the caller states
+    /// them.
+    pub token_count: Option<u64>,
     /// Id of the last event that the caller received of a broken stream which it resumes.
     pub last_event_id: Option<Box<str>>,
     /// Id of the request that brought the first event of that stream, where the caller names it.
--- a/crates/hickoryhall-gateway/src/peers/message.rs
+++ b/crates/hickoryhall-gateway/src/peers/message.rs
@@ -6,7 +6,7 @@
 use std::net::Ipv4Addr;
 
 use bytes::Bytes;
-use hickoryhall_limits::LimitStatement;
+use hickoryhall_limits::{LimitStatement, QuotaReport};
 use hickoryhall_routing::{CrashNews, Level, ReachStatement};
 use hickoryhall_types::{Incarnation, Revision, TargetId, WeightsVersion};
 use prost::Message;
@@ -58,6 +58,9 @@
     pub registry: Option<RegistryRelay>,
     /// What the sender tells and asks the recipient about streams.
     pub streams: StreamMessages,
+    /// Use of the quotas of workspaces, counted over the hosts of the digest's scope; `None` if the
+    /// sender does not tell, as hosts of the previous build.
+    pub quotas: Option<QuotaReport>,
 }
 
 /// Whose load a digest lists.
--- a/crates/hickoryhall-gateway/src/peers/message/wire.rs
+++ b/crates/hickoryhall-gateway/src/peers/message/wire.rs
@@ -8,7 +8,9 @@
 use hickoryhall_routing::{CrashNews, Level, ReachStatement};
 use prost::Message;
 
-use super::wire_news::{WireAnsweredPart, WireBlockedPart, WireCrash, WireCrashNews, WireLimit};
+use super::wire_news::{
+    WireAnsweredPart, WireBlockedPart, WireCrash, WireCrashNews, WireLimit, WireQuotaReport,
+};
 use super::{
     DesiredVersionUpdate, Digest, PromptUpdate, Scope, ServerUpdate, StoreRecords, StoreSnapshot,
     SuspectUpdate,
@@ -82,6 +84,9 @@
     /// Crashes of servers by the requests that they ran; missing in digests of earlier builds.
     #[prost(message, optional, tag = "25")]
     pub(super) request_crashes: Option<WireCrashNews>,
+    /// Use of quotas; missing in digests of earlier builds.
+    #[prost(message, optional, tag = "26")]
+    pub(super) quotas: Option<WireQuotaReport>,
 }
 
 /// Streams of one service that began at one software version; without streams, a version that the
@@ -271,6 +276,7 @@
             requests: digest.reach.requests,
             unreached_services: digest.reach.unreached.clone(),
             refusal_limits: digest.refusal_limits.iter().map(From::from).collect(),
+            quotas: digest.quotas.as_ref().map(From::from),
         }
     }
 }
@@ -412,6 +418,7 @@
                 unreached: wire.unreached_services,
             },
             prompts: wire.prompts.iter().map(PromptUpdate::from).collect(),
+            quotas: wire.quotas.as_ref().map(From::from),
             registry: wire.registry.map(RegistryRelay::from),
             streams: StreamMessages {
                 in_use: wire.streams.iter().filter_map(version_in_use).collect(),
--- a/crates/hickoryhall-gateway/src/peers/message/wire_news.rs
+++ b/crates/hickoryhall-gateway/src/peers/message/wire_news.rs
@@ -1,8 +1,9 @@
-//! Protocol Buffers encoding of what hosts tell each other about crashes and limits of servers.
+//! Protocol Buffers encoding of what hosts tell each other about crashes, limits of
+//! servers and quotas.
 
 use std::time::Duration;
 
-use hickoryhall_limits::LimitStatement;
+use hickoryhall_limits::{LimitStatement, QuotaReport, QuotaStatement};
 use hickoryhall_routing::{AnsweredPart, BlockedPart, CrashNews, CrashReport, CrashedPart};
 use prost::Message;
 
@@ -61,6 +62,58 @@
     pub(super) age_ms: u64,
 }
 
+/// Use of the quotas of workspaces.
+#[derive(Clone, PartialEq, Message)]
+pub(super) struct WireQuotaReport {
+    /// Process of the sender.
+    #[prost(fixed64, tag = "1")]
+    pub(super) process: u64,
+    #[prost(message, repeated, tag = "2")]
+    pub(super) statements: Vec<WireQuota>,
+}
+
+#[derive(Clone, PartialEq, Message)]
+pub(super) struct WireQuota {
+    #[prost(fixed64, tag = "1")]
+    pub(super) workspace: u64,
+    #[prost(uint64, tag = "2")]
+    pub(super) admitted: u64,
+    #[prost(float, tag = "3")]
+    pub(super) demand_per_s: f32,
+    #[prost(sint64, tag = "4")]
+    pub(super) balance: i64,
+}
+
+impl From<&QuotaReport> for WireQuotaReport {
+    fn from(report: &QuotaReport) -> Self {
+        let statements = report.statements.iter().map(|statement| WireQuota {
+            workspace: statement.workspace,
+            admitted: statement.admitted,
+            demand_per_s: statement.demand_per_s,
+            balance: statement.balance,
+        });
+        Self {
+            process: report.process,
+            statements: statements.collect(),
+        }
+    }
+}
+
+impl From<&WireQuotaReport> for QuotaReport {
+    fn from(wire: &WireQuotaReport) -> Self {
+        let statements = wire.statements.iter().map(|wire| QuotaStatement {
+            workspace: wire.workspace,
+            admitted: wire.admitted,
+            demand_per_s: wire.demand_per_s,
+            balance: wire.balance,
+        });
+        Self {
+            process: wire.process,
+            statements: statements.collect(),
+        }
+    }
+}
+
 impl From<&CrashNews> for WireCrashNews {
     fn from(news: &CrashNews) -> Self {
         Self {
--- a/crates/hickoryhall-gateway/src/table.rs
+++ b/crates/hickoryhall-gateway/src/table.rs
@@ -105,6 +105,40 @@
     pub connection_limit: u32,
 }
 
+/// What a request counts towards the quota of its workspace.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum QuotaUnit {
+    /// Each request counts 1.
+    Requests,
+    /// A request counts its prompt tokens and the maximum number of output tokens.
+    Tokens {
+        /// Tokens of a request that states none.
+        unstated: f64,
+    },
+}
+
+impl QuotaUnit {
+    /// Returns the units of a request with the number of tokens that it states.
+    #[must_use]
+    pub fn units(self, tokens: Option<u64>) -> f64 {
+        match self {
+            Self::Requests => 1.0,
+            Self::Tokens { unstated } => tokens.map_or(unstated, |tokens| tokens as f64),
+        }
+    }
+}
+
+/// Limit on what the callers of a workspace use, at all hosts together.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Quota {
+    /// Units per second; positive.
+    pub rate_per_s: f64,
+    /// Units that may be used at once.
+    pub burst: f64,
+    /// What a request counts.
+    pub unit: QuotaUnit,
+}
+
 /// A customer whose callers share keys and a priority.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Workspace {
@@ -117,6 +151,8 @@
     pub priority: Option<u8>,
     /// Whether it has a cache partition of its own instead of the shared one.
     pub is_isolated: bool,
+    /// Limit on what its callers use; `None` for no limit.
+    pub quota: Option<Quota>,
 }
 
 /// Limits on the size and duration of callers' requests.
@@ -229,6 +265,11 @@
         self.by_key.get(key).map(|&index| &self.workspaces[index])
     }
 
+    /// Returns all workspaces in the order of the table.
+    pub fn workspaces(&self) -> impl Iterator<Item = &Workspace> {
+        self.workspaces.iter().map(|workspace| &**workspace)
+    }
+
     /// Returns whether callers of routes that are not public need a key.
     #[must_use]
     pub fn needs_keys(&self) -> bool {
--- a/crates/hickoryhall-gateway/tests/messages.rs
+++ b/crates/hickoryhall-gateway/tests/messages.rs
@@ -16,11 +16,12 @@
 use hickoryhall_gateway::stream_versions::{
     ServiceVersion, StreamKnowledge, StreamOrigin, StreamQuestion,
 };
-use hickoryhall_limits::LimitStatement;
+use hickoryhall_limits::{LimitStatement, QuotaReport, QuotaStatement};
 use hickoryhall_routing::{
     AnsweredPart, BlockedPart, CrashNews, CrashReport, CrashedPart, Level, ReachStatement,
 };
 use proptest::prelude::*;
+use prost::Message;
 
 fn digest(numbers: &[u64]) -> Digest {
     let number = |index: usize| numbers.get(index).copied().unwrap_or_default();
@@ -117,6 +118,15 @@
             limit_per_s: [None, Some(f64::from(small(2)))][number(3) as usize % 2],
             age: Duration::from_millis(number(4)),
         }],
+        quotas: number(3).is_multiple_of(2).then(|| QuotaReport {
+            process: number(1),
+            statements: vec![QuotaStatement {
+                workspace: number(2),
+                admitted: number(3),
+                demand_per_s: small(4) as f32,
+                balance: number(5) as i64,
+            }],
+        }),
         reach: ReachStatement {
             requests: small(6),
             unreached: vec![number(7); number(8) as usize % 3],
@@ -264,3 +274,72 @@
     assert_eq!(digest(asked).encode(&[]).len(), 55);
     assert_eq!(digest(answered).encode(&[]).len(), 68);
 }
+
+/// A digest with some fields as hosts of the previous build read and write it.
+#[derive(Clone, PartialEq, Message)]
+struct PreviousDigest {
+    #[prost(fixed64, tag = "1")]
+    host: u64,
+    #[prost(uint64, tag = "2")]
+    table_revision: u64,
+    #[prost(fixed64, tag = "9")]
+    group: u64,
+    #[prost(uint32, tag = "22")]
+    requests: u32,
+}
+
+fn digest_with_quotas(workspaces: u64) -> Digest {
+    let statements = (0..workspaces).map(|workspace| QuotaStatement {
+        workspace: u64::MAX - workspace,
+        admitted: 1 << 40,
+        demand_per_s: 9_000_000.0,
+        balance: -2_294_322,
+    });
+    Digest {
+        host: 5,
+        table_revision: 7,
+        group: 9,
+        reach: ReachStatement {
+            requests: 3,
+            unreached: Vec::new(),
+        },
+        quotas: Some(QuotaReport {
+            process: u64::MAX,
+            statements: statements.collect(),
+        }),
+        ..Digest::default()
+    }
+}
+
+/// Guards against digests that hosts of the previous build cannot read, and against taking theirs for
+/// reports without use.
+#[test]
+fn quotas_are_unknown_to_the_previous_build() {
+    let previous = PreviousDigest {
+        host: 5,
+        table_revision: 7,
+        group: 9,
+        requests: 3,
+    };
+    let bytes = digest_with_quotas(16).encode(&[]);
+    let read = PreviousDigest::decode(&*bytes).expect("unknown fields are ignored");
+    assert_eq!(read, previous);
+    let (read, _) = Digest::decode(&previous.encode_to_vec()).expect("a digest");
+    assert_eq!((read.host, read.quotas), (5, None));
+}
+
+/// The formula in `docs/design/limits.md`.
+#[test]
+fn reports_of_quotas_are_small() {
+    let without = Digest {
+        quotas: None,
+        ..digest_with_quotas(0)
+    };
+    let size = |digest: Digest| digest.encode(&[]).len();
+    let empty = size(digest_with_quotas(0)) - size(without);
+    let one = size(digest_with_quotas(1)) - size(digest_with_quotas(0));
+    assert_eq!((empty, one), (12, 28));
+    let full = size(digest_with_quotas(32)) - size(digest_with_quotas(0));
+    // The length of the report takes another byte.
+    assert_eq!(full, 32 * one + 1);
+}
--- a/crates/hickoryhall-gateway/tests/table.rs
+++ b/crates/hickoryhall-gateway/tests/table.rs
@@ -38,6 +38,7 @@
             keys: vec!["k1".into(), "k2".into()],
             priority: Some(1),
             is_isolated: false,
+            quota: None,
         }],
         limits: CallerLimits {
             head_bytes: 1,
@@ -100,6 +101,7 @@
         keys: vec![(*name).into()],
         priority: None,
         is_isolated: isolated.contains(name),
+        quota: None,
     });
     RouteTable::from(TableParts {
         revision: 3,
--- a/crates/hickoryhall-limits/src/quota.rs
+++ b/crates/hickoryhall-limits/src/quota.rs
@@ -185,7 +185,7 @@
     /// Charges the units of a request, unless it is over the quota of its workspace. `draw` is the hash of
     /// the request and spreads the refusals and the times of their repetitions.
     pub fn charge(&mut self, now: Instant, workspace: u64, units: f64, draw: u64) -> QuotaDecision {
-        if !self.accounts.contains_key(&workspace) {
+        if units <= 0.0 || !self.accounts.contains_key(&workspace) {
             return QuotaDecision::Unlimited;
         }
         self.review(now);
@@ -295,6 +295,9 @@
         let before = self.peers.get(&peer).copied();
         let is_new_process = before.is_none_or(|state| state.process != report.process);
         self.record_heard(now, peer, report.process, hosts);
+        if before.is_none_or(|state| state.is_late || state.hosts != hosts) {
+            self.update_reserves(now);
+        }
         for statement in &report.statements {
             if let Some(account) = self.accounts.get_mut(&statement.workspace) {
                 account.on_statement(now, peer, Some(*statement), is_new_process, is_member);
@@ -303,9 +306,6 @@
         for account in self.accounts.values_mut() {
             account.on_unlisted(now, peer, is_new_process, is_member);
         }
-        if before.is_none_or(|state| state.is_late || state.hosts != hosts) {
-            self.update_reserves(now);
-        }
     }
 
     /// Records that a peer reported.
--- a/crates/hickoryhall-limits/src/quota/account.rs
+++ b/crates/hickoryhall-limits/src/quota/account.rs
@@ -16,6 +16,8 @@
 const RESERVE: f64 = 0.15;
 /// Fraction of the burst above which every request is admitted, whatever the demand.
 const FREE_ABOVE: f64 = 0.6;
+/// Fraction of the demand that other hosts may have without being heeded.
+const NEGLIGIBLE: f64 = 0.01;
 /// Time in which the balance approaches the reserve. Shorter times than the delay of reports oscillate.
 const APPROACH_S: f64 = 0.5;
 /// Demand of all hosts, as a fraction of the rate, that is divided among them by their number when
@@ -140,12 +142,16 @@
         let rate = self.limit.rate_per_s * self.free;
         let others = self.others_demand();
         let total = self.demand + others;
-        let is_contended = others > 0.0 && total > rate && self.balance < FREE_ABOVE * capacity;
+        // Where nearly all demand is this host's own, it knows the balance.
+        let has_others = others > NEGLIGIBLE * total;
+        let is_contended = has_others && total > rate && self.balance < FREE_ABOVE * capacity;
         let is_admitted = if is_contended {
             let excess = self.balance - RESERVE * capacity;
             let fraction = ((rate + excess / APPROACH_S) / total).clamp(0.0, 1.0);
             let owed = (self.credit / units.max(1e-9)).clamp(-fraction / 2.0, fraction / 2.0);
-            let is_admitted = self.balance > 0.0 && draw < fraction + owed;
+            // The balance stays near the reserve, which must not shut out large requests.
+            let is_covered = self.balance >= units.min(RESERVE * capacity);
+            let is_admitted = is_covered && draw < fraction + owed;
             let admitted = if is_admitted { units } else { 0.0 };
             // A long debt would delay requests after the demand has changed.
             self.credit =
