--- a/crates/hickoryhall-gateway/src/peers/message/wire.rs
+++ b/crates/hickoryhall-gateway/src/peers/message/wire.rs
@@ -8,7 +8,9 @@
 use hickoryhall_routing::{CrashNews, Level, ReachStatement};
 use prost::Message;
 
-use super::wire_news::{WireAnsweredPart, WireBlockedPart, WireCrash, WireCrashNews, WireLimit};
+use super::wire_news::{
+    WireAnsweredPart, WireBlockedPart, WireCrash, WireCrashNews, WireLimit, WireQuotaReport,
+};
 use super::wire_speeds::{WireRunnerSpeed, WireServiceSpeed};
 use super::{
     DesiredVersionUpdate, Digest, PromptUpdate, Scope, ServerUpdate, StoreRecords, StoreSnapshot,
@@ -86,6 +88,9 @@
     /// Samples of the speed of services.
     #[prost(message, repeated, tag = "28")]
     pub(super) service_speeds: Vec<WireServiceSpeed>,
+    /// Use of quotas; missing in digests of earlier builds.
+    #[prost(message, optional, tag = "26")]
+    pub(super) quotas: Option<WireQuotaReport>,
 }
 
 /// Streams of one service that began at one software version; without streams, a version that the
@@ -278,6 +283,7 @@
             unreached_services: digest.reach.unreached.clone(),
             refusal_limits: digest.refusal_limits.iter().map(From::from).collect(),
             service_speeds: digest.service_speeds.iter().map(From::from).collect(),
+            quotas: digest.quotas.as_ref().map(From::from),
         }
     }
 }
@@ -420,6 +426,7 @@
                 unreached: wire.unreached_services,
             },
             prompts: wire.prompts.iter().map(PromptUpdate::from).collect(),
+            quotas: wire.quotas.as_ref().map(From::from),
             registry: wire.registry.map(RegistryRelay::from),
             streams: StreamMessages {
                 in_use: wire.streams.iter().filter_map(version_in_use).collect(),
