Take urgent requests first at runners, and keep room for them

Runners got no Request-Priority, and a short urgent request counted all work at a runner as ahead of it, although runners take urgent requests first: in a surge of long prompts it was refused as too late where it would have been on time. Now the urgency of the route is sent, digests tell the pending work of the most urgent requests apart, and an urgent request waits for one chunk of a less urgent prompt at most. While urgent requests find all slots taken, less urgent ones leave a third of the slots of each runner free. More owners of a prompt are compared while none of the first ones answers in time. The margin for late first events is dropped again.

--- a/crates/hickoryhall-gateway/src/exchange/intake.rs
+++ b/crates/hickoryhall-gateway/src/exchange/intake.rs
@@ -7,6 +7,7 @@
 
 use bytes::Bytes;
 use hickoryhall_edge::RequestBody;
+use hickoryhall_limits::Urgency;
 use hickoryhall_routing::{Fingerprint, Level, PartHash, PrefixChain};
 use hickoryhall_types::{Ran, Revision, TargetId};
 use http::request;
@@ -18,7 +19,7 @@
 use super::quota::QuotaCharge;
 use crate::forwarding::ForwardedRequest;
 use crate::interface::{LocalFailure, Platform, Prompt, RequestMeta};
-use crate::scheduler::{Priority, PromptInfo};
+use crate::scheduler::{Priority, PromptInfo, urgency};
 use crate::table::{CallerLimits, Route, RouteTable, Workspace};
 
 /// Time before the caller's deadline at which the final response must be sent.
@@ -77,6 +78,11 @@
             self.route.priority,
         )
     }
+
+    /// Returns the urgency of the request at its runner.
+    pub fn urgency(&self) -> Urgency {
+        urgency(self.priority())
+    }
 }
 
 /// A request that was rejected before any placement.
--- a/crates/hickoryhall-gateway/src/interface.rs
+++ b/crates/hickoryhall-gateway/src/interface.rs
@@ -8,6 +8,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use hickoryhall_limits::Urgency;
 use hickoryhall_types::{
     FencingNumber, Incarnation, Ran, TargetId, TokenCount, WeightsVersion, WorkspaceId,
 };
@@ -107,6 +108,8 @@
     pub fetch_from: Option<SocketAddr>,
     /// Address of the prompt cache store to which the runner shall save the prompt.
     pub save_to: Option<SocketAddr>,
+    /// Urgency of the request among those at the runner; `None` for requests without a prompt.
+    pub urgency: Option<Urgency>,
 }
 
 /// Load that a backend server reports with a response.
--- a/crates/hickoryhall-gateway/src/peers/message/wire.rs
+++ b/crates/hickoryhall-gateway/src/peers/message/wire.rs
@@ -198,6 +198,9 @@
     pub(super) is_leaving: bool,
     #[prost(message, optional, tag = "11")]
     pub(super) speed: Option<WireRunnerSpeed>,
+    /// Missing in digests of earlier builds.
+    #[prost(uint32, optional, tag = "12")]
+    pub(super) urgent_pending_ms: Option<u32>,
 }
 
 /// Desired version of a model.
@@ -534,6 +537,7 @@
             incarnation: update.incarnation,
             is_leaving: update.is_leaving,
             speed: update.speed.map(From::from),
+            urgent_pending_ms: Some(update.load.urgent_pending_ms),
         }
     }
 }
@@ -546,6 +550,8 @@
             load: HostLoad {
                 requests: wire.requests,
                 pending_ms: wire.pending_ms,
+                // Work whose urgency is unknown may be ahead of any request.
+                urgent_pending_ms: wire.urgent_pending_ms.unwrap_or(wire.pending_ms),
                 unshared_tokens: wire.own_tokens,
                 non_resumable: wire.bound,
                 output_tokens: wire.output_tokens,
--- a/crates/hickoryhall-gateway/src/scheduler.rs
+++ b/crates/hickoryhall-gateway/src/scheduler.rs
@@ -25,7 +25,7 @@
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
-use hickoryhall_limits::{RefusalLimits, RoomDecision, ServerLimits};
+use hickoryhall_limits::{RefusalLimits, RoomDecision, ServerLimits, Urgency, UrgentRoom};
 use hickoryhall_routing::{PrefixChain, RunnerSpeeds};
 use hickoryhall_types::{FailureDomainId, Incarnation, TargetId, WeightsVersion, hash_name};
 use slotmap::{SlotMap, new_key_type};
@@ -60,6 +60,18 @@
 /// Priority of a request: that of its workspace, then that of its route. Lower values go first.
 pub type Priority = (u8, u8);
 
+/// Urgency of the requests that runners take first.
+const MOST_URGENT: Urgency = 0;
+/// Urgency of the requests that runners take last.
+const LEAST_URGENT: Urgency = 9;
+
+/// Returns the urgency of a request at its runner: the priority of its route, as the order of
+/// workspaces is kept by the queue of the host.
+#[must_use]
+pub fn urgency((_, route): Priority) -> Urgency {
+    route.min(LEAST_URGENT)
+}
+
 new_key_type! {
     struct ServerKey;
 }
@@ -117,6 +129,7 @@
     speeds: RunnerSpeeds,
     limits: ServerLimits,
     refusal_limits: RefusalLimits,
+    urgent_room: UrgentRoom<TargetId>,
     /// Failure domains with a recently unreachable server, and when each entry expires.
     unreachable_domains: HashMap<FailureDomainId, Instant>,
 }
@@ -152,6 +165,7 @@
             demand: FamilyDemand::default(),
             limits: ServerLimits::default(),
             refusal_limits: RefusalLimits::default(),
+            urgent_room: UrgentRoom::default(),
             unreachable_domains: HashMap::new(),
         }
     }
@@ -422,6 +436,10 @@
     fn try_place(&mut self, now: Instant, request: &PlacementRequest) -> Decision {
         let search = self.search(now, request);
         let Some(best) = search.best else {
+            if search.refusal_reason() == RefusalReason::Full && request.prompt.is_some() {
+                let urgency = urgency(request.priority);
+                self.urgent_room.record_full(now, &request.service, urgency);
+            }
             return Decision::Wait(self.wait_without_server(now, request, &search));
         };
         if self.is_worth_placing(now, request, &best) {
@@ -459,8 +477,7 @@
     /// Returns whether the request meets its target latency at a candidate.
     fn is_on_time(&self, now: Instant, request: &PlacementRequest, candidate: &Candidate) -> bool {
         let elapsed = now.saturating_duration_since(request.arrived_at);
-        let estimate = candidate.estimate.mul_f64(self.lateness(candidate.key));
-        elapsed + estimate + self.config.slack <= request.target_latency
+        elapsed + candidate.estimate + self.config.slack <= request.target_latency
     }
 
     fn assign(
@@ -478,6 +495,7 @@
             == RoomDecision::Risky;
         let load = RequestLoad {
             pending_ms: candidate.own_work_ms.ceil() as u32,
+            is_urgent: urgency(request.priority) == MOST_URGENT,
             unshared_tokens: prompt.map_or(0, PromptInfo::unshared_tokens),
             output_tokens: prompt.map_or(0, |prompt| prompt.output_tokens),
             is_non_resumable: !request.is_resumable,
--- a/crates/hickoryhall-gateway/src/scheduler/candidate.rs
+++ b/crates/hickoryhall-gateway/src/scheduler/candidate.rs
@@ -3,11 +3,12 @@
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
-use hickoryhall_limits::{LimitDecision, RoomDecision};
+use hickoryhall_limits::{LimitDecision, RoomDecision, Urgency};
 use hickoryhall_types::{TokenCount, rendezvous_score};
 
 use super::{
-    PlacementRequest, PromptInfo, RefusalReason, Scheduler, ServerKey, ServerState, room_decision,
+    HostLoad, MOST_URGENT, PlacementRequest, PromptInfo, RefusalReason, Scheduler, ServerKey,
+    ServerState, room_decision, urgency,
 };
 use crate::table::RunnerCapacity;
 
@@ -24,6 +25,9 @@
 /// attempt that another runner can take over ends sooner.
 const MAX_ESTIMATE_FACTOR: f64 = 2.0;
 
+/// Prompt tokens that an engine prefills before it turns to a more urgent request.
+const PREFILL_CHUNK_TOKENS: TokenCount = 2_048;
+
 /// A server that can take a request, with its estimated cost.
 #[derive(Clone, Copy)]
 pub(super) struct Candidate {
@@ -117,6 +121,7 @@
         }
         let compared = match (&request.prompt, &state.runner_capacity, affinities) {
             (Some(prompt), Some(capacity), Some(affinities)) => {
+                let prompt = (prompt, urgency(request.priority));
                 self.model_candidate(now, prompt, capacity, affinities, index)
             }
             _ => self.plain_candidate(now, key),
@@ -168,7 +173,7 @@
     fn model_candidate(
         &self,
         now: Instant,
-        prompt: &PromptInfo,
+        (prompt, urgency): (&PromptInfo, Urgency),
         capacity: &RunnerCapacity,
         affinities: &[PromptAffinity],
         index: usize,
@@ -178,7 +183,11 @@
         let load = state.load(now);
         let memory = f64::from(capacity.kv_cache_tokens) * self.config.memory_fraction;
         let has_memory = f64::from(load.unshared_tokens + prompt.unshared_tokens()) <= memory;
-        if load.requests >= capacity.slots || (!has_memory && load.requests > 0) {
+        let service = &state.server.service;
+        let slots = self
+            .urgent_room
+            .slots_for(now, service, urgency, capacity.slots);
+        if load.requests >= slots || (!has_memory && load.requests > 0) {
             return Err(RefusalReason::Full);
         }
         let speed = self.runner_speed(now, state);
@@ -190,7 +199,7 @@
         let missing_tokens = prompt.input_tokens.saturating_sub(cached_tokens);
         let prefill_ms = self.prefill_ms(missing_tokens, prompt.input_tokens) * work_factor;
         let transfer_ms = transfer.map_or(0.0, |transfer| transfer.duration_ms);
-        let queued_ms = f64::from(load.pending_ms) * speed.slowdown;
+        let queued_ms = self.work_ahead_ms(load, urgency, work_factor) * speed.slowdown;
         let estimate_ms = queued_ms
             + (prefill_ms * speed.slowdown + transfer_ms)
             + speed.first_event_ms * speed.slowdown;
@@ -224,6 +233,18 @@
             + million_pairs * self.config.attention_ms_per_million_pairs
     }
 
+    /// Returns the work at a runner that comes before a request. Runners take urgent requests first, so
+    /// that only the chunk in progress of a less urgent prompt delays the most urgent ones.
+    fn work_ahead_ms(&self, load: HostLoad, urgency: Urgency, work_factor: f64) -> f64 {
+        let pending_ms = f64::from(load.pending_ms);
+        if urgency != MOST_URGENT {
+            return pending_ms;
+        }
+        let urgent_ms = f64::from(load.urgent_pending_ms).min(pending_ms);
+        let chunk_ms = self.prefill_ms(PREFILL_CHUNK_TOKENS, PREFILL_CHUNK_TOKENS) * work_factor;
+        urgent_ms + (pending_ms - urgent_ms).min(chunk_ms)
+    }
+
     /// Returns the cost of the cached prompts that `tokens` new ones would evict from a runner.
     fn eviction_cost_ms(
         &self,
--- a/crates/hickoryhall-gateway/src/scheduler/search.rs
+++ b/crates/hickoryhall-gateway/src/scheduler/search.rs
@@ -24,6 +24,8 @@
 const MIN_OWNERS: u32 = 2;
 /// Part of an owner's time that a family may take before it gets another owner.
 const MAX_FAMILY_UTILIZATION: f64 = 0.35;
+/// Number of owners that are compared in addition while none of the first ones would answer in time.
+const MAX_FURTHER_OWNERS: u32 = 3;
 /// Number of servers on which a suspect may run at the same time: several only while the first ones are busy,
 /// as many requests may share a sound part.
 const MAX_SUSPECT_SERVERS: u32 = 3;
@@ -115,7 +117,11 @@
             ..Search::default()
         };
         for index in indices {
-            if search.candidates == limit {
+            let is_enough = search.candidates >= limit;
+            if is_enough
+                && (search.candidates >= limit.saturating_add(MAX_FURTHER_OWNERS)
+                    || self.is_best_on_time(now, request, &search))
+            {
                 break;
             }
             let mut compared = self.candidate(now, keys[index], request, affinities, index);
@@ -151,6 +157,15 @@
         search
     }
 
+    /// Returns whether the best server found for a new request would answer within its target latency.
+    /// A suspect is never placed on more servers than its limit.
+    fn is_best_on_time(&self, now: Instant, request: &PlacementRequest, search: &Search) -> bool {
+        request.suspect.is_some()
+            || search
+                .best
+                .is_some_and(|best| self.is_on_time(now, request, &best))
+    }
+
     /// Returns whether a request that may crash its server needs no other one: it is on time there, and
     /// runs on weights that are not outdated.
     fn is_good_enough(
--- a/crates/hickoryhall-gateway/src/scheduler/server.rs
+++ b/crates/hickoryhall-gateway/src/scheduler/server.rs
@@ -27,6 +27,8 @@
 pub(super) struct RequestLoad {
     /// Estimated time to fetch and prefill the prompt; 0 after the first event.
     pub pending_ms: u32,
+    /// Whether no request is more urgent.
+    pub is_urgent: bool,
     /// Cache memory for the private level of the prompt and the answer; the other levels are shared
     /// with other requests.
     pub unshared_tokens: TokenCount,
@@ -38,6 +40,12 @@
     pub suspect: Option<Suspect>,
 }
 
+impl RequestLoad {
+    fn urgent_pending_ms(&self) -> u32 {
+        if self.is_urgent { self.pending_ms } else { 0 }
+    }
+}
+
 /// Load that a host, or several hosts together, put on a server.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct HostLoad {
@@ -45,6 +53,8 @@
     pub requests: u32,
     /// Estimated time to fetch and prefill the prompts of requests without a first event.
     pub pending_ms: u32,
+    /// The same for the most urgent requests; included in `pending_ms`.
+    pub urgent_pending_ms: u32,
     /// Cache memory for the private levels of the prompts and the answers.
     pub unshared_tokens: u32,
     /// Cache memory for their answers; included in `unshared_tokens`.
@@ -350,6 +360,7 @@
         self.own_requests.insert(attempt_id, load);
         self.own_total.requests += 1;
         self.own_total.pending_ms += load.pending_ms;
+        self.own_total.urgent_pending_ms += load.urgent_pending_ms();
         self.own_total.unshared_tokens += load.unshared_tokens;
         self.own_total.output_tokens += load.output_tokens;
         self.own_total.non_resumable += u32::from(load.is_non_resumable);
@@ -369,6 +380,7 @@
     pub fn record_first_event(&mut self, attempt_id: AttemptId) {
         if let Some(load) = self.own_requests.get_mut(&attempt_id) {
             self.own_total.pending_ms -= load.pending_ms;
+            self.own_total.urgent_pending_ms -= load.urgent_pending_ms();
             load.pending_ms = 0;
         }
     }
@@ -377,6 +389,7 @@
         if let Some(load) = self.own_requests.remove(&attempt_id) {
             self.own_total.requests -= 1;
             self.own_total.pending_ms -= load.pending_ms;
+            self.own_total.urgent_pending_ms -= load.urgent_pending_ms();
             self.own_total.unshared_tokens -= load.unshared_tokens;
             self.own_total.output_tokens -= load.output_tokens;
             self.own_total.non_resumable -= u32::from(load.is_non_resumable);
@@ -452,6 +465,7 @@
         fresh.fold(self.own_total, |sum, (_, peer)| HostLoad {
             requests: sum.requests + peer.load.requests,
             pending_ms: sum.pending_ms + peer.load.pending_ms,
+            urgent_pending_ms: sum.urgent_pending_ms + peer.load.urgent_pending_ms,
             unshared_tokens: sum.unshared_tokens + peer.load.unshared_tokens,
             output_tokens: sum.output_tokens + peer.load.output_tokens,
             non_resumable: sum.non_resumable + peer.load.non_resumable,
--- a/crates/hickoryhall-gateway/src/scheduler/speeds.rs
+++ b/crates/hickoryhall-gateway/src/scheduler/speeds.rs
@@ -9,7 +9,7 @@
 use hickoryhall_types::{Incarnation, TargetId, TokenCount, hash_name};
 
 use super::candidate::millis;
-use super::{AttemptId, Scheduler, SchedulerConfig, ServerKey, ServerState};
+use super::{AttemptId, Scheduler, SchedulerConfig, ServerState};
 
 /// Speed of a runner by which a request is placed.
 #[derive(Clone, Copy)]
@@ -92,15 +92,6 @@
         }
     }
 
-    /// Returns by how much first events come later than estimated at the runners of a service.
-    pub(super) fn lateness(&self, key: ServerKey) -> f64 {
-        if self.config.learns_speeds {
-            self.speeds.lateness(self.servers[key].service_hash)
-        } else {
-            1.0
-        }
-    }
-
     /// Records the first event of a request that is a sample of its runner's speed.
     pub(super) fn record_speed(&mut self, now: Instant, attempt_id: AttemptId) {
         let Some(active) = self.active.get_mut(&attempt_id) else {
@@ -113,10 +104,6 @@
             return;
         }
         let took = now.saturating_duration_since(active.placed_at);
-        if active.pending_prompt.is_some() {
-            self.speeds
-                .record_lateness(now, state.service_hash, took, active.estimate);
-        }
         let Some(prompt) = active.sampled_prompt.take() else {
             return;
         };
--- a/crates/hickoryhall-gateway/tests/groups.rs
+++ b/crates/hickoryhall-gateway/tests/groups.rs
@@ -322,6 +322,7 @@
                 load: HostLoad {
                     requests: 200,
                     pending_ms: index,
+                    urgent_pending_ms: 0,
                     unshared_tokens: 200_000,
                     output_tokens: 20_000,
                     non_resumable: 200,
--- a/crates/hickoryhall-gateway/tests/messages.rs
+++ b/crates/hickoryhall-gateway/tests/messages.rs
@@ -48,6 +48,7 @@
             load: HostLoad {
                 requests: small(3),
                 pending_ms: small(4),
+                urgent_pending_ms: small(6),
                 unshared_tokens: small(5),
                 output_tokens: small(6),
                 non_resumable: small(7),
--- a/crates/hickoryhall-limits/src/lib.rs
+++ b/crates/hickoryhall-limits/src/lib.rs
@@ -21,6 +21,7 @@
 mod retry_budget;
 mod server_limits;
 mod shares;
+mod urgent_room;
 
 pub use bucket::TokenBucket;
 pub use concurrency::ConcurrencyLimiter;
@@ -40,3 +41,4 @@
     LimitDecision, LimitStatement, ProcessNumber, ServerHash, ServerLimits, is_valid,
 };
 pub use shares::WorkspaceUsage;
+pub use urgent_room::{Urgency, UrgentRoom};
--- a/crates/hickoryhall-routing/src/runner_speed.rs
+++ b/crates/hickoryhall-routing/src/runner_speed.rs
@@ -46,13 +46,6 @@
 const MIN_SAMPLES: f64 = 0.02;
 /// Time between two evaluations of the sums.
 const REFRESH_INTERVAL: Duration = Duration::from_millis(200);
-/// Time constant with which the lateness of first events loses weight.
-const LATENESS_MEMORY: Duration = Duration::from_secs(5);
-/// Standard deviations of the lateness that are added to its mean. Near the limit of the runners, 0 lets
-/// more than every fifth placed request be late, and 1 refuses more than it saves.
-const LATENESS_MARGIN: f64 = 0.5;
-/// Bound of the lateness factor.
-const MAX_LATENESS: f64 = 2.0;
 /// Number of digests that carry a changed statement, as one may be lost.
 const REPEATS: u8 = 2;
 
@@ -126,18 +119,6 @@
     learned: ServiceSpeed,
     samples: f64,
     is_departed: bool,
-    /// Recent times to the first event and their estimates, summed.
-    lateness: Option<Lateness>,
-}
-
-/// Sums of times and estimates, each weighted by its age, in milliseconds.
-#[derive(Clone, Copy, Debug)]
-struct Lateness {
-    took_ms: f64,
-    estimate_ms: f64,
-    /// Sum of the squared times, each divided by its estimate.
-    took_squared: f64,
-    at: Instant,
 }
 
 #[derive(Clone, Debug)]
@@ -217,51 +198,6 @@
             .extend(service.evaluate(now, sample.service, base));
     }
 
-    /// Records the time to the first event of any request of a service, with its estimate.
-    pub fn record_lateness(
-        &mut self,
-        now: Instant,
-        service: u64,
-        took: Duration,
-        estimate: Duration,
-    ) {
-        let Some(service) = self.services.get_mut(&service) else {
-            return;
-        };
-        let estimate_ms = (estimate.as_secs_f64() * 1_000.0).max(1.0);
-        let took_ms = (took.as_secs_f64() * 1_000.0).min(estimate_ms * MAX_FACTOR);
-        let before = service.lateness.unwrap_or(Lateness {
-            took_ms: 0.0,
-            estimate_ms: 0.0,
-            took_squared: 0.0,
-            at: now,
-        });
-        let age = now.saturating_duration_since(before.at);
-        let left = (-age.as_secs_f64() / LATENESS_MEMORY.as_secs_f64()).exp();
-        service.lateness = Some(Lateness {
-            took_ms: before.took_ms * left + took_ms,
-            estimate_ms: before.estimate_ms * left + estimate_ms,
-            took_squared: before.took_squared * left + took_ms * took_ms / estimate_ms,
-            at: now,
-        });
-    }
-
-    /// Returns by how much first events of a service come later than estimated, with a margin.
-    ///
-    /// Estimates leave out work that other hosts have sent since their last digests. The constants
-    /// are so slow for fast runners that they make up for it; learned values do not.
-    #[must_use]
-    pub fn lateness(&self, service: u64) -> f64 {
-        let service = self.services.get(&service);
-        let departed = service.filter(|service| service.is_departed);
-        let lateness = departed.and_then(|service| service.lateness);
-        lateness.map_or(1.0, |sums| {
-            let mean = sums.took_ms / sums.estimate_ms.max(1.0);
-            let variance = sums.took_squared / sums.estimate_ms.max(1.0) - mean * mean;
-            (mean + LATENESS_MARGIN * variance.max(0.0).sqrt()).clamp(1.0, MAX_LATENESS)
-        })
-    }
-
     /// Forgets what is known of a runner's process if another one is named.
     fn start_process(&mut self, runner: u64, process: Incarnation) {
         let known = self.runners.entry(runner);
@@ -446,7 +382,6 @@
             learned: ServiceSpeed::constants(first_event_ms),
             samples: 0.0,
             is_departed: false,
-            lateness: None,
         }
     }
 
