--- a/crates/hickoryhall-limits/src/quota.rs
+++ b/crates/hickoryhall-limits/src/quota.rs
@@ -211,23 +211,24 @@
 
     /// Returns the report of this host's own admissions.
     pub fn report(&mut self, now: Instant) -> QuotaReport {
-        self.build_report(now, |account| account.own_statement())
+        self.build_report(now, Account::used_at, Account::own_statement)
     }
 
     /// Returns the report of the admissions of this host and the members of its group.
     pub fn group_report(&mut self, now: Instant) -> QuotaReport {
-        self.build_report(now, |account| account.group_statement())
+        self.build_report(now, Account::group_used_at, Account::group_statement)
     }
 
     fn build_report(
         &mut self,
         now: Instant,
+        used_at: impl Fn(&Account) -> Option<Instant>,
         state: impl Fn(&Account) -> (f64, f64),
     ) -> QuotaReport {
         self.review(now);
         let accounts = self.accounts.iter_mut();
         let used = accounts.filter_map(|(&workspace, account)| {
-            let used_at = account.used_at()?;
+            let used_at = used_at(account)?;
             let is_listed = now.saturating_duration_since(used_at) < LISTED_FOR;
             is_listed.then_some((used_at, workspace, account))
         });
--- a/crates/hickoryhall-limits/src/quota/account.rs
+++ b/crates/hickoryhall-limits/src/quota/account.rs
@@ -60,6 +60,8 @@
     is_adopting: bool,
     starts_empty: bool,
     used_at: Option<Instant>,
+    /// Time of the last report of a member of this host's group that listed the workspace.
+    listed_at: Option<Instant>,
     admitted: f64,
     /// Units that this host and the members of its group have admitted, as it has counted them.
     group_admitted: f64,
@@ -88,6 +90,7 @@
             is_adopting: true,
             starts_empty: is_empty,
             used_at: None,
+            listed_at: None,
             admitted: 0.0,
             group_admitted: 0.0,
             rate: 0.0,
@@ -109,10 +112,16 @@
         self.limit_balance();
     }
 
+    /// Returns when this host last got a request of the workspace.
     pub fn used_at(&self) -> Option<Instant> {
         self.used_at
     }
 
+    /// Returns the same for this host and the members of its group.
+    pub fn group_used_at(&self) -> Option<Instant> {
+        self.used_at.max(self.listed_at)
+    }
+
     pub fn balance(&mut self, now: Instant) -> f64 {
         self.advance(now);
         self.balance
@@ -259,8 +268,8 @@
         known.assumed = 0.0;
         known.admitted = admitted;
         if let Some(statement) = statement {
-            if statement.demand_per_s > 0.0 && is_member {
-                self.used_at = Some(now);
+            if is_member {
+                self.listed_at = Some(now);
             }
             self.merge_balance(now, statement.balance as f64);
         }
--- a/crates/hickoryhall-limits/tests/quota.rs
+++ b/crates/hickoryhall-limits/tests/quota.rs
@@ -316,6 +316,28 @@
     );
 }
 
+/// Guards against hosts of a group that keep a workspace in each other's reports.
+#[test]
+fn unused_workspaces_leave_the_reports() {
+    let mut fleet = Fleet::new(Plan {
+        hosts: 7,
+        groups: 1,
+        ..Plan::first_deployment()
+    });
+    fleet.run(2.0, 1e6);
+    fleet.run(11.0, 0.0);
+    let now = fleet.now();
+    for host in &mut fleet.hosts {
+        assert!(host.quotas.report(now).statements.is_empty());
+    }
+    // The group is told for as long again as its members are.
+    fleet.run(10.0, 0.0);
+    let now = fleet.now();
+    for host in &mut fleet.hosts {
+        assert!(host.quotas.group_report(now).statements.is_empty());
+    }
+}
+
 /// Guards against a counter that starts again, or a host that is reported twice, being counted as new use.
 #[test]
 fn each_unit_is_counted_once() {
