Quotas: shares of silent hosts are reserved in other groups too

Cause: a group reserved the share of a silent member, but other groups knew nothing of it; and each group took a silent twentieth of the fleet for little, so that together they freed the shares of busy hosts that were only cut off.

Change: a group counts what it reserves for its members as admitted; shares are free after 10 s if they are below 8 % of the group's part.

--- a/crates/hickoryhall-limits/src/quota.rs
+++ b/crates/hickoryhall-limits/src/quota.rs
@@ -24,11 +24,11 @@
 /// Bounds of the time after which a peer is late.
 const MIN_LATE_S: f64 = 0.45;
 const MAX_LATE_S: f64 = 3.0;
-/// Time after which the share of a few silent hosts is free again: they are taken to be gone.
-const FORGET_FEW_AFTER: Duration = Duration::from_secs(10);
-/// Fraction of the fleet up to which silent hosts count as few. The bound leaves a tenth above the quota,
-/// which covers them if they are alive after all.
-const FEW: f64 = 0.05;
+/// Time after which a small share of silent hosts is free again: they are taken to be gone.
+const FORGET_SMALL_AFTER: Duration = Duration::from_secs(10);
+/// Share of a quota that counts as small. The bound leaves a tenth above the quota, which covers it if the
+/// hosts are alive after all.
+const SMALL_SHARE: f64 = 0.08;
 /// Time after which the share of any number of silent hosts is free again; longer than a partition.
 const FORGET_AFTER: Duration = Duration::from_secs(60);
 /// Time after the last digest of its group for which a host's own reports stay uncounted. A new sender
@@ -119,6 +119,8 @@
     /// Usual time between two reports.
     interval_s: f64,
     hosts: f64,
+    /// Whether it is a member of this host's group.
+    is_member: bool,
     is_late: bool,
 }
 
@@ -295,7 +297,7 @@
         let is_member = scope == ReportScope::Member;
         let before = self.peers.get(&peer).copied();
         let is_new_process = before.is_none_or(|state| state.process != report.process);
-        self.record_heard(now, peer, report.process, hosts);
+        self.record_heard(now, peer, report.process, hosts, is_member);
         if before.is_none_or(|state| state.is_late || state.hosts != hosts) {
             self.update_reserves(now);
         }
@@ -310,12 +312,20 @@
     }
 
     /// Records that a peer reported.
-    fn record_heard(&mut self, now: Instant, peer: Peer, process: u64, hosts: f64) {
+    fn record_heard(
+        &mut self,
+        now: Instant,
+        peer: Peer,
+        process: u64,
+        hosts: f64,
+        is_member: bool,
+    ) {
         let state = self.peers.entry(peer).or_insert(PeerState {
             process,
             heard_at: now,
             interval_s: INITIAL_INTERVAL_S,
             hosts,
+            is_member,
             is_late: false,
         });
         let elapsed = now.saturating_duration_since(state.heard_at);
@@ -325,7 +335,7 @@
             state.interval_s += (elapsed.as_secs_f64() - state.interval_s) * 0.2;
         }
         (state.process, state.heard_at, state.hosts) = (process, now, hosts);
-        state.is_late = false;
+        (state.is_member, state.is_late) = (is_member, false);
     }
 
     /// Records that the digests of a group count the admissions of its hosts.
@@ -378,12 +388,14 @@
         }
         self.reviewed_at = now;
         let silence = |state: &PeerState| now.saturating_duration_since(state.heard_at);
-        let late = self.peers.values().filter(|state| state.is_late);
-        let late_hosts = late.map(|state| state.hosts).sum::<f64>();
-        let are_few = late_hosts <= FEW * self.host_count();
+        let mut accounts = self.accounts.values();
+        // Other groups may miss as many hosts, so a group forgets its part only.
+        let members = self.peers.values().filter(|state| state.is_member).count();
+        let small_share = SMALL_SHARE * (1 + members) as f64 / self.host_count();
+        let is_small = accounts.all(|account| account.reserved() <= small_share);
         let gone = self.peers.iter().filter(|(_, state)| {
             let silence = silence(state);
-            silence > FORGET_AFTER || (are_few && silence > FORGET_FEW_AFTER)
+            silence > FORGET_AFTER || (is_small && silence > FORGET_SMALL_AFTER)
         });
         let gone = gone.map(|(&peer, _)| peer).collect::<Vec<_>>();
         // A restarted host without peers gets a larger share only with time.
--- a/crates/hickoryhall-limits/src/quota/account.rs
+++ b/crates/hickoryhall-limits/src/quota/account.rs
@@ -49,6 +49,9 @@
     assumed: f64,
     /// Fraction of the quota that is reserved for the peer while it is late.
     reserved: Option<f64>,
+    is_member: bool,
+    /// Units of `assumed` that were counted for this host's group, as the peer was late.
+    group_assumed: f64,
 }
 
 #[derive(Clone, Debug)]
@@ -72,8 +75,6 @@
     credit: f64,
     draws: u64,
     peers: HashMap<Peer, PeerUse>,
-    /// Members of this host's group among the peers, for the demand of the group.
-    members: Vec<Peer>,
     /// Fraction of the quota that is not reserved for late peers.
     free: f64,
     /// Hosts that do not report, for each one that does.
@@ -99,7 +100,6 @@
             credit: 0.0,
             draws: 0,
             peers: HashMap::new(),
-            members: Vec::new(),
             free: 1.0,
             unreported: 0.0,
         }
@@ -134,9 +134,12 @@
 
     /// Returns the same for this host and the members of its group.
     pub fn group_statement(&self) -> (f64, f64) {
-        let members = self.members.iter().filter_map(|peer| self.peers.get(peer));
-        let members = members.filter(|known| known.reserved.is_none());
-        let demand = members.map(|known| known.demand).sum::<f64>();
+        let members = self.peers.values().filter(|known| known.is_member);
+        let demand = members.map(|known| match known.reserved {
+            Some(share) => share * self.limit.rate_per_s,
+            None => known.demand,
+        });
+        let demand = demand.sum::<f64>();
         (self.group_admitted, self.demand + demand)
     }
 
@@ -229,9 +232,7 @@
     ) {
         self.advance(now);
         let known = self.peers.entry(peer).or_insert(PeerUse::new(now));
-        if is_member && !self.members.contains(&peer) {
-            self.members.push(peer);
-        }
+        known.is_member = is_member;
         let elapsed = now
             .saturating_duration_since(known.reported_at)
             .as_secs_f64()
@@ -262,10 +263,10 @@
             known.rate += (units / elapsed - known.rate) * (1.0 - (-elapsed / RATE_S).exp());
             known.rate = known.rate.max(0.0);
             if is_member {
-                self.group_admitted += units;
+                self.group_admitted += units - known.group_assumed;
             }
         }
-        known.assumed = 0.0;
+        (known.assumed, known.group_assumed) = (0.0, 0.0);
         known.admitted = admitted;
         if let Some(statement) = statement {
             if is_member {
@@ -295,7 +296,11 @@
     pub fn remove_peer(&mut self, now: Instant, peer: Peer) {
         self.advance(now);
         self.peers.remove(&peer);
-        self.members.retain(|member| *member != peer);
+    }
+
+    /// Returns the fraction of the quota that is reserved for late peers.
+    pub fn reserved(&self) -> f64 {
+        1.0 - self.free
     }
 
     /// Reserves the shares of late peers. `alone_share` is the share of a host without peers.
@@ -322,6 +327,7 @@
         let mut reserved = 0.0;
         for (&peer, state) in peers.iter().filter(|(_, state)| state.is_late) {
             let known = self.peers.entry(peer).or_insert(PeerUse::new(now));
+            known.is_member = state.is_member;
             let share = known.reserved.unwrap_or_else(|| {
                 let share = (known.share_demand + equal * state.hosts) / total.max(1e-9);
                 // If the use rose here after the peer's last report, it rose there too.
@@ -375,7 +381,13 @@
         let mut others = 0.0;
         for known in self.peers.values_mut() {
             if let Some(share) = known.reserved {
-                known.assumed += share * self.limit.rate_per_s * elapsed;
+                let units = share * self.limit.rate_per_s * elapsed;
+                known.assumed += units;
+                // Other groups hear of the reserved share by the group's digest only.
+                if known.is_member {
+                    known.group_assumed += units;
+                    self.group_admitted += units;
+                }
             } else {
                 known.assumed += known.rate * elapsed;
                 others += known.rate;
@@ -409,6 +421,8 @@
             share_demand: 0.0,
             assumed: 0.0,
             reserved: None,
+            is_member: false,
+            group_assumed: 0.0,
         }
     }
 }
