--- a/crates/hickoryhall-gateway/tests/messages.rs
+++ b/crates/hickoryhall-gateway/tests/messages.rs
@@ -284,3 +284,54 @@
     assert_eq!(digest(asked).encode(&[]).len(), 55);
     assert_eq!(digest(answered).encode(&[]).len(), 68);
 }
+
+/// Guards digests against statements about speed that leave no room for loads in a datagram: the
+/// formula of docs/design/runner-speed.md.
+#[test]
+fn statements_about_speed_are_small() {
+    let statement = SpeedStatement {
+        factor_permille: 4_000,
+        samples_64: 16_000,
+        weight_64: 16_000,
+    };
+    let digest = |is_listed: bool, speed: Option<SpeedStatement>| Digest {
+        servers: (0..12)
+            .filter(|_| is_listed)
+            .map(|server| ServerUpdate {
+                server: u64::MAX - server,
+                incarnation: Some(1_800_000_000_000_000),
+                load: HostLoad::default(),
+                weights: 300,
+                is_changing: None,
+                is_leaving: false,
+                speed,
+            })
+            .collect(),
+        ..Digest::default()
+    };
+    let bytes = |digest: &Digest| digest.encode(&[]).len();
+    let none = bytes(&digest(false, None));
+    let listed = bytes(&digest(true, None));
+    let told = bytes(&digest(true, Some(statement)));
+    let mut with_service = digest(false, None);
+    with_service.service_speeds = vec![(
+        u64::MAX,
+        ServiceSums {
+            samples: 1.0,
+            weight: 1.0,
+            work: 1.0,
+            work_squared: 1.0,
+            time: 1.0,
+            work_time: 1.0,
+        },
+    )];
+    let service = bytes(&with_service) - none;
+    println!(
+        "{service} a service, {} and {} for 12 runners",
+        told - listed,
+        told - none
+    );
+    assert!(service <= 42);
+    assert!(told - listed <= 12 * 11);
+    assert!(told - none <= 12 * 35);
+}
--- a/crates/hickoryhall-routing/src/runner_speed.rs
+++ b/crates/hickoryhall-routing/src/runner_speed.rs
@@ -4,6 +4,7 @@
 //! were evicted in the meantime, and machines that are slow for a moment. So samples above the
 //! estimate count much less than those below.
 
+mod lateness;
 mod runner;
 mod service;
 mod sums;
@@ -13,6 +14,7 @@
 
 use hickoryhall_types::{Incarnation, TokenCount};
 
+use lateness::Lateness;
 pub use runner::SpeedStatement;
 use runner::{MAX_FACTOR, RunnerSums};
 pub use service::{ServiceSpeed, ServiceSums};
@@ -44,15 +46,8 @@
 const RETURN: f64 = 1.125;
 /// Number of samples below which a source or a runner is forgotten.
 const MIN_SAMPLES: f64 = 0.02;
-/// Time between two evaluations of the sums.
-const REFRESH_INTERVAL: Duration = Duration::from_millis(200);
-/// Time constant with which the lateness of first events loses weight.
-const LATENESS_MEMORY: Duration = Duration::from_secs(5);
-/// Standard deviations of the lateness that are added to its mean. Near the limit of the runners, 0 lets
-/// more than every fifth placed request be late, and 1 refuses more than it saves.
-const LATENESS_MARGIN: f64 = 0.5;
-/// Bound of the lateness factor.
-const MAX_LATENESS: f64 = 2.0;
+/// Time between two evaluations of all sums, which take one exponential for each runner and source.
+const REFRESH_INTERVAL: Duration = Duration::from_secs(1);
 /// Number of digests that carry a changed statement, as one may be lost.
 const REPEATS: u8 = 2;
 
@@ -127,17 +122,7 @@
     samples: f64,
     is_departed: bool,
     /// Recent times to the first event and their estimates, summed.
-    lateness: Option<Lateness>,
-}
-
-/// Sums of times and estimates, each weighted by its age, in milliseconds.
-#[derive(Clone, Copy, Debug)]
-struct Lateness {
-    took_ms: f64,
-    estimate_ms: f64,
-    /// Sum of the squared times, each divided by its estimate.
-    took_squared: f64,
-    at: Instant,
+    lateness: Lateness,
 }
 
 #[derive(Clone, Debug)]
@@ -228,22 +213,7 @@
         let Some(service) = self.services.get_mut(&service) else {
             return;
         };
-        let estimate_ms = (estimate.as_secs_f64() * 1_000.0).max(1.0);
-        let took_ms = (took.as_secs_f64() * 1_000.0).min(estimate_ms * MAX_FACTOR);
-        let before = service.lateness.unwrap_or(Lateness {
-            took_ms: 0.0,
-            estimate_ms: 0.0,
-            took_squared: 0.0,
-            at: now,
-        });
-        let age = now.saturating_duration_since(before.at);
-        let left = (-age.as_secs_f64() / LATENESS_MEMORY.as_secs_f64()).exp();
-        service.lateness = Some(Lateness {
-            took_ms: before.took_ms * left + took_ms,
-            estimate_ms: before.estimate_ms * left + estimate_ms,
-            took_squared: before.took_squared * left + took_ms * took_ms / estimate_ms,
-            at: now,
-        });
+        service.lateness.record(now, took, estimate);
     }
 
     /// Returns by how much first events of a service come later than estimated, with a margin.
@@ -254,12 +224,7 @@
     pub fn lateness(&self, service: u64) -> f64 {
         let service = self.services.get(&service);
         let departed = service.filter(|service| service.is_departed);
-        let lateness = departed.and_then(|service| service.lateness);
-        lateness.map_or(1.0, |sums| {
-            let mean = sums.took_ms / sums.estimate_ms.max(1.0);
-            let variance = sums.took_squared / sums.estimate_ms.max(1.0) - mean * mean;
-            (mean + LATENESS_MARGIN * variance.max(0.0).sqrt()).clamp(1.0, MAX_LATENESS)
-        })
+        departed.map_or(1.0, |service| service.lateness.factor())
     }
 
     /// Forgets what is known of a runner's process if another one is named.
@@ -446,7 +411,7 @@
             learned: ServiceSpeed::constants(first_event_ms),
             samples: 0.0,
             is_departed: false,
-            lateness: None,
+            lateness: Lateness::default(),
         }
     }
 
