Weigh samples far above the estimate less

Services that match the constants departed from them where runners were busy for three quarters of the time: most samples then had waited for work that the sampling host did not know of. Samples above the estimate now weigh 0.06, falling with the square of the ratio, and memories are 20 s, so that machines that become slower are learned within two minutes.

--- a/crates/hickoryhall-gateway/tests/runner_speeds.rs
+++ b/crates/hickoryhall-gateway/tests/runner_speeds.rs
@@ -11,6 +11,7 @@
 use std::time::Duration;
 
 use hickoryhall_gateway::scheduler::SchedulerConfig;
+use rstest::rstest;
 use runner_model::{FAST_MACHINES, Fleet, Load, Outcome, USUAL_MACHINES};
 
 /// Share of prompts whose first event callers need within the objective.
@@ -114,21 +115,30 @@
 }
 
 /// Guards deployments whose runners match the constants: every prompt goes to the same runner with
-/// and without learning.
-#[test]
-fn usual_machines_are_served_as_before() {
+/// and without learning, also where much of the work is unknown to the host that places a prompt.
+#[rstest]
+#[case::idle(20.0)]
+#[case::moderate(40.0)]
+#[case::heavy(50.0)]
+#[case::full(60.0)]
+#[case::overloaded(80.0)]
+fn usual_machines_are_served_as_before(#[case] long_per_s: f64) {
     let load = Load {
-        long_per_s: 30.0,
-        short_per_s: 15.0,
-    };
-    let run = |learns_speeds| {
-        let mut fleet = Fleet::new(&config(learns_speeds), USUAL_MACHINES, &[1.0; 6]);
-        fleet.run(30 * SECOND, load)
+        long_per_s,
+        short_per_s: long_per_s * 0.45,
     };
-    let (constants, learned) = (run(false), run(true));
-    show("constants", &constants);
-    show("learned", &learned);
-    let both = constants.placements.iter().zip(&learned.placements);
-    let different = both.filter(|(one, other)| one != other).count();
-    assert_eq!(different, 0);
+    for seed in 1..=4 {
+        let run = |learns_speeds| {
+            let mut fleet = Fleet::new(&config(learns_speeds), USUAL_MACHINES, &[1.0; 6]);
+            fleet.seed = seed;
+            fleet.run(30 * SECOND, load)
+        };
+        let (constants, learned) = (run(false), run(true));
+        show("constants", &constants);
+        show("learned", &learned);
+        let both = constants.placements.iter().zip(&learned.placements);
+        let different = both.filter(|(one, other)| one != other).count();
+        assert_eq!(different, 0, "seed {seed}");
+        assert_eq!(constants.total, learned.total);
+    }
 }
--- a/crates/hickoryhall-routing/src/runner_speed.rs
+++ b/crates/hickoryhall-routing/src/runner_speed.rs
@@ -22,13 +22,17 @@
 use sums::{Sums, SumsBySource};
 
 /// Time constant with which samples of a service lose weight.
-const SERVICE_MEMORY: Duration = Duration::from_secs(60);
+const SERVICE_MEMORY: Duration = Duration::from_secs(20);
 /// Time constant with which samples of a runner lose weight. A slow runner that gets no requests, and
 /// so yields no samples, is tried again after a few such times.
-const RUNNER_MEMORY: Duration = Duration::from_secs(30);
-/// Weight of a sample above the estimate. If every fifth sample is three times too high, the estimate
-/// is 6 % too high with this weight, 22 % with 0.5 and 40 % with 1.
-const HIGH_WEIGHT: f64 = 0.12;
+const RUNNER_MEMORY: Duration = Duration::from_secs(20);
+/// Weight of a sample just above the estimate. With 0.12 for all samples above it, services that match
+/// the constants departed from them where runners were busy for three quarters of the time, because
+/// most samples then had waited for work of other hosts.
+const HIGH_WEIGHT: f64 = 0.06;
+/// Exponent with which the weight falls with the ratio of a sample to the estimate: a sample twice as
+/// high has a weight of 0.015.
+const HIGH_DECAY: f64 = 2.0;
 /// Weight of a sample of a machine that reports to be slow or fast at the moment. It may have
 /// become so during the request, so that the reported figure does not hold for all of its time.
 const UNUSUAL_WEIGHT: f64 = 0.25;
@@ -180,13 +184,12 @@
         let service = service.or_insert_with(|| Service::new(base));
         let expected_ms = service.learned.estimate_ms(work).max(0.1);
         let bounded = |ms: f64| ms.clamp(expected_ms / MAX_FACTOR, expected_ms * MAX_FACTOR);
-        let weight =
-            |ms: f64, expected: f64| reliability * if ms > expected { HIGH_WEIGHT } else { 1.0 };
+        let weight = |log_error: f64| reliability * weight_by_error(log_error);
         if service.samples >= MIN_SERVICE_SAMPLES
             && let Some(runner) = self.runners.get_mut(&sample.runner)
         {
             let log_factor = (bounded(usual_ms) / expected_ms).ln();
-            let weight = weight(log_factor, runner.factor.ln());
+            let weight = weight(log_factor - runner.factor.ln());
             runner.sums.add(now, RunnerSums::sample(weight, log_factor));
             runner.evaluate(now);
             runner.untold = REPEATS;
@@ -194,7 +197,7 @@
         }
         let normal_ms = bounded(usual_ms / factor);
         // Relative errors count, so that long prompts do not outweigh short ones.
-        let weight = weight(normal_ms, expected_ms) / (expected_ms * expected_ms);
+        let weight = weight((normal_ms / expected_ms).ln()) / (expected_ms * expected_ms);
         service
             .sums
             .add(now, ServiceSums::sample(weight, work, normal_ms));
@@ -466,6 +469,15 @@
     }
 }
 
+/// Returns the weight of a sample, given the logarithm of its time over the estimate.
+fn weight_by_error(log_error: f64) -> f64 {
+    if log_error <= 0.0 {
+        1.0
+    } else {
+        HIGH_WEIGHT * (-HIGH_DECAY * log_error).exp()
+    }
+}
+
 /// Returns whether learned values are used, given whether they were before.
 fn is_departed(was_departed: bool, deviation: f64) -> bool {
     deviation > if was_departed { RETURN } else { DEPARTURE }
--- a/crates/hickoryhall-routing/src/runner_speed/service.rs
+++ b/crates/hickoryhall-routing/src/runner_speed/service.rs
@@ -4,7 +4,7 @@
 
 /// Strength of the pull towards the constants, relative to the samples. It decides where all prompts
 /// bring the same work, from which the two values cannot be told apart.
-const RIDGE: f64 = 0.002;
+const RIDGE: f64 = 0.0003;
 /// Bounds of the learned values relative to the constants.
 const MIN_RATIO: f64 = 1.0 / 16.0;
 const MAX_RATIO: f64 = 16.0;
--- a/crates/hickoryhall-routing/tests/runner_speed.rs
+++ b/crates/hickoryhall-routing/tests/runner_speed.rs
@@ -26,6 +26,12 @@
     attention_ms_per_million_pairs: 0.165,
     first_event_ms: 41.0,
 };
+/// Runners that are slower than the constants.
+const SLOW_MACHINES: SpeedConstants = SpeedConstants {
+    prefill_tokens_per_ms: 16.0,
+    attention_ms_per_million_pairs: 1.3,
+    first_event_ms: 60.0,
+};
 /// Runners that the constants are meant for.
 const USUAL_MACHINES: SpeedConstants = SpeedConstants {
     prefill_tokens_per_ms: 38.4,
@@ -123,10 +129,12 @@
 /// Guards against estimates that stay at the constants on other machines, that follow the noise
 /// upwards, or that tell first event and prefill apart wrongly.
 #[rstest]
-#[case::fast_machines(FAST_MACHINES, Noise::default(), 0.08)]
-#[case::fast_machines_with_noise(FAST_MACHINES, NOISE, 0.2)]
-#[case::fast_start(FAST_START, Noise::default(), 0.08)]
-#[case::fast_start_with_noise(FAST_START, NOISE, 0.2)]
+#[case::fast_machines(FAST_MACHINES, Noise::default(), 0.05)]
+#[case::fast_machines_with_noise(FAST_MACHINES, NOISE, 0.12)]
+#[case::fast_start(FAST_START, Noise::default(), 0.05)]
+#[case::fast_start_with_noise(FAST_START, NOISE, 0.12)]
+#[case::slow_machines(SLOW_MACHINES, Noise::default(), 0.05)]
+#[case::slow_machines_with_noise(SLOW_MACHINES, NOISE, 0.12)]
 fn a_service_is_learned(
     #[case] true_speed: SpeedConstants,
     #[case] noise: Noise,
@@ -148,6 +156,25 @@
     assert!(changes[0].is_departure);
 }
 
+/// Guards against an estimate that takes all samples for noise after the machines became slower.
+#[test]
+fn a_service_that_becomes_slower_is_learned_again() {
+    let start = Instant::now();
+    let mut host = Host::new(7);
+    for n in 0..3_600 {
+        let factor = if n < 1_200 { 1.0 } else { 2.0 };
+        let now = start + Duration::from_millis(n * 50);
+        host.sample(now, n % 140, FAST_MACHINES, factor, NOISE);
+    }
+    for prompt in PROMPTS {
+        let estimates_ms = (0..140).map(|runner| host.estimate_ms(runner, prompt));
+        let mean_ms = estimates_ms.sum::<f64>() / 140.0;
+        let ratio = mean_ms / true_ms(FAST_MACHINES, 2.0, prompt);
+        println!("prompt {prompt:?}: estimate {ratio:.3} of the truth");
+        assert!((ratio - 1.0).abs() <= 0.15, "{prompt:?}: {ratio}");
+    }
+}
+
 /// Guards deployments whose runners match the constants against any change of their placement.
 #[rstest]
 #[case::exact(Noise::default())]
@@ -169,8 +196,8 @@
 /// Guards against runners that are placed by the usual speed although theirs is another, the slow
 /// ones above all, whose samples look like noise.
 #[rstest]
-#[case::exact(Noise::default(), 0.12)]
-#[case::with_noise(NOISE, 0.25)]
+#[case::exact(Noise::default(), 0.08)]
+#[case::with_noise(NOISE, 0.15)]
 fn factors_of_runners_are_learned(#[case] noise: Noise, #[case] max_error: f64) {
     let start = Instant::now();
     let factors = [0.7, 0.7, 1.7];
@@ -223,7 +250,7 @@
     }
     assert!(host.speeds.factor(SERVICE, 0, 1) > 1.4);
     assert_eq!(host.speeds.factor(SERVICE, 0, 2), 1.0);
-    host.speeds.refresh(start + Duration::from_secs(200));
+    host.speeds.refresh(start + Duration::from_secs(150));
     let factor = host.speeds.factor(SERVICE, 0, 1);
     assert!(factor < 1.05, "{factor}");
     let service = host.speeds.service(SERVICE);
