Test that every host counts each speed sample once

The number of samples is part of the learned speed. In fleets of 6 and 70 hosts, in one and in several groups, each host counts nine tenths to all of the samples after twelve rounds of digests; the rest is decay. Group digests stay within a datagram with statements about runners.

--- a/crates/hickoryhall-gateway/src/core/speeds.rs
+++ b/crates/hickoryhall-gateway/src/core/speeds.rs
@@ -2,10 +2,12 @@
 
 use std::time::Instant;
 
+use hickoryhall_types::TargetId;
 use metrics::gauge;
 use slog::info;
 
 use super::Core;
+use crate::scheduler::LearnedSpeed;
 
 impl Core {
     /// Logs the services that are placed by learned values from now on, or by the constants again.
@@ -21,11 +23,17 @@
                 "service" => &*change.service,
                 "first_event_ms" => change.learned.first_event_ms.round(),
                 "prefill_tokens_per_ms" => (change.learned.prefill_tokens_per_ms * 10.0).round() / 10.0,
-                "samples" => change.samples.round()
+                "samples" => change.learned.samples.round()
             );
         }
     }
 
+    /// Returns the learned speed of each service, also where the configured values are used.
+    #[must_use]
+    pub fn learned_speeds(&self) -> Vec<(TargetId, LearnedSpeed)> {
+        self.scheduler.learned_speeds()
+    }
+
     /// Sets the metrics of the learned speed of each service.
     pub fn set_speed_metrics(&self) {
         for (service, speed) in self.scheduler.learned_speeds() {
--- a/crates/hickoryhall-gateway/src/scheduler/speeds.rs
+++ b/crates/hickoryhall-gateway/src/scheduler/speeds.rs
@@ -38,8 +38,6 @@
     pub is_departure: bool,
     /// Learned values.
     pub learned: LearnedSpeed,
-    /// Number of samples behind them, each weighted by its age.
-    pub samples: f64,
 }
 
 /// Learned speed of a service.
@@ -49,6 +47,8 @@
     pub first_event_ms: f64,
     /// Prefill rate.
     pub prefill_tokens_per_ms: f64,
+    /// Number of samples behind them, each weighted by its age.
+    pub samples: f64,
 }
 
 /// Returns the speed that holds until samples show another one.
@@ -193,8 +193,7 @@
             Some(SpeedChange {
                 service: self.service_by_hash(change.service)?,
                 is_departure: change.is_departure,
-                learned: self.learned_speed(change.learned),
-                samples: change.samples,
+                learned: self.learned_speed(change.learned, change.samples),
             })
         });
         changes.collect()
@@ -204,16 +203,18 @@
     #[must_use]
     pub fn learned_speeds(&self) -> Vec<(TargetId, LearnedSpeed)> {
         let learned = self.speeds.learned();
-        let learned = learned.filter_map(|(service, speed)| {
-            Some((self.service_by_hash(service)?, self.learned_speed(speed)))
+        let learned = learned.filter_map(|(service, speed, samples)| {
+            let name = self.service_by_hash(service)?;
+            Some((name, self.learned_speed(speed, samples)))
         });
         learned.collect()
     }
 
-    fn learned_speed(&self, speed: ServiceSpeed) -> LearnedSpeed {
+    fn learned_speed(&self, speed: ServiceSpeed, samples: f64) -> LearnedSpeed {
         LearnedSpeed {
             first_event_ms: speed.first_event_ms,
             prefill_tokens_per_ms: self.config.prefill_tokens_per_ms / speed.work_factor,
+            samples,
         }
     }
 
--- a/crates/hickoryhall-gateway/tests/groups.rs
+++ b/crates/hickoryhall-gateway/tests/groups.rs
@@ -12,9 +12,11 @@
     Digest, KnownPeers, LocalHost, PromptUpdate, Scope, ServerUpdate,
 };
 use hickoryhall_gateway::registry::BackendServer;
-use hickoryhall_gateway::scheduler::{HostLoad, PlacementRequest, PromptInfo, SchedulerConfig};
+use hickoryhall_gateway::scheduler::{
+    AttemptEnd, HostLoad, PlacementRequest, PromptInfo, SchedulerConfig,
+};
 use hickoryhall_limits::FleetRetryLimit;
-use hickoryhall_routing::{BrokenRequest, Level, PrefixChain, SuspectDecision};
+use hickoryhall_routing::{BrokenRequest, Level, PrefixChain, SpeedStatement, SuspectDecision};
 use hickoryhall_types::{hash_name, rendezvous_score};
 use rstest::rstest;
 use slog::{Discard, Logger, o};
@@ -219,6 +221,35 @@
     assert_eq!(network.observed_requests(), vec![count as u32; count]);
 }
 
+/// Guards against samples of runner speeds that count again with each digest, or both as a host's and
+/// as its group's.
+#[rstest]
+#[case::one_group(6)]
+#[case::several_groups(70)]
+fn every_host_counts_each_sample_once(#[case] count: usize) {
+    let mut network = Network::new(count);
+    network.converge();
+    for index in 0..count {
+        send_request(&mut network, index);
+        let host = &mut network.hosts[index].core;
+        host.record_first_event(network.now + Duration::from_millis(50), 1);
+        host.end_attempt(network.now, 1, AttemptEnd::Answered);
+    }
+    for number in 40..52 {
+        network.round(number, true);
+        let now = network.now;
+        for host in &mut network.hosts {
+            host.core.tick(now);
+        }
+    }
+    for host in &network.hosts {
+        let learned = host.core.learned_speeds();
+        let samples = learned[0].1.samples / count as f64;
+        // Samples lose weight while the digests spread.
+        assert!((0.9..=1.0).contains(&samples), "{samples}");
+    }
+}
+
 /// Guards against per-round traffic that grows with the fleet: without groups each host receives
 /// one digest from every other, which is 69 and 149 in the two larger cases.
 #[rstest]
@@ -329,7 +360,11 @@
                 weights: 300,
                 is_changing: None,
                 is_leaving: false,
-                speed: None,
+                speed: Some(SpeedStatement {
+                    factor_permille: 4_000,
+                    samples_64: 100_000,
+                    weight_64: 100_000,
+                }),
             })
             .collect(),
         prompts: (0..200)
--- a/crates/hickoryhall-routing/src/runner_speed.rs
+++ b/crates/hickoryhall-routing/src/runner_speed.rs
@@ -328,11 +328,11 @@
         used.map_or(1.0, |runner| runner.factor)
     }
 
-    /// Returns the learned speed of each service, by the hash of its name, also where the constants are
-    /// used.
-    pub fn learned(&self) -> impl Iterator<Item = (u64, ServiceSpeed)> {
+    /// Returns the learned speed of each service, by the hash of its name, and the number of samples
+    /// behind it, also where the constants are used.
+    pub fn learned(&self) -> impl Iterator<Item = (u64, ServiceSpeed, f64)> {
         let services = self.services.iter();
-        services.map(|(&hash, service)| (hash, service.learned))
+        services.map(|(&hash, service)| (hash, service.learned, service.samples))
     }
 
     /// Returns the sums of this host's samples for each service.
