Add the account of request bodies and a limit of open connections

Request bodies are buffered with no bound over all callers, and connections are accepted without limit. MemoryAccount decides which body makes room when the budget is exhausted; HostBudgets divides memory and descriptors. The edge closes the connection that has been idle longest at a limit. Neither is used by the gateway yet.

--- a/crates/hickoryhall-edge/src/body.rs
+++ b/crates/hickoryhall-edge/src/body.rs
@@ -180,6 +180,8 @@
         let frame = ready!(Pin::new(&mut self.incoming).poll_frame(cx));
         if frame.is_none() || self.incoming.is_end_stream() {
             self.connection.on_request_read();
+        } else {
+            self.connection.on_request_progress();
         }
         Poll::Ready(frame)
     }
--- a/crates/hickoryhall-edge/src/connections.rs
+++ b/crates/hickoryhall-edge/src/connections.rs
@@ -4,10 +4,15 @@
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::sync::Arc;
+use std::time::Instant;
 
 use slab::Slab;
 use tokio::sync::Notify;
 
+/// At most this part of the limit of a listener, and one more, may be open beyond it until they have
+/// ended.
+const MAX_ENDING_PART: usize = 8;
+
 /// How far a connection has got with its current request.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 enum Phase {
@@ -40,6 +45,16 @@
     response_bytes: Cell<u64>,
     /// Bytes that were written to the socket since the current response began.
     written_bytes: Cell<u64>,
+    /// Number of the listener that accepted the connection.
+    listener: u64,
+    /// Time of the last change of the phase, or of the last progress of a request body.
+    since: Cell<Instant>,
+    /// Whether the connection, or the body that it sends, makes room for another connection.
+    is_ending: Cell<bool>,
+    /// Notified when the connection must be closed at once.
+    closed: Notify,
+    /// Notified when the body that is being read must be dropped.
+    body_dropped: Notify,
 }
 
 /// Counts of connections at one moment.
@@ -55,6 +70,38 @@
     pub unsent_bytes: u64,
 }
 
+/// What a connection that makes room at the limit is doing; those listed first make room first.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+enum Eviction {
+    /// It is idle, or has a part of a request head.
+    Idle,
+    /// It waits for its caller to close it.
+    Closing,
+    /// It sends a request body, which is dropped with a response.
+    Body,
+}
+
+/// Number of connections that were ended at a limit of open connections.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct LimitCounts {
+    /// Connections that were idle or had a part of a request head.
+    pub idle: u64,
+    /// Connections that waited for their callers to close them.
+    pub closing: u64,
+    /// Connections whose request body was dropped.
+    pub body: u64,
+    /// New connections that were closed because no other could make room.
+    pub refused: u64,
+}
+
+impl LimitCounts {
+    /// Returns the number of connections in all.
+    #[must_use]
+    pub fn total(&self) -> u64 {
+        self.idle + self.closing + self.body + self.refused
+    }
+}
+
 /// The open connections of a process.
 #[derive(Debug, Default)]
 pub struct Connections {
@@ -63,6 +110,8 @@
     /// Notified when a connection has ended.
     ended: Notify,
     closed_unsent: Cell<u64>,
+    listeners: Cell<u64>,
+    at_limit: Cell<LimitCounts>,
 }
 
 /// Keeps a connection listed as open until it is dropped.
@@ -73,7 +122,7 @@
 }
 
 impl CallerConnection {
-    fn new(address: SocketAddr, number: u64) -> Self {
+    fn new(address: SocketAddr, number: u64, listener: u64) -> Self {
         Self {
             address,
             number,
@@ -85,6 +134,46 @@
             needs_close: Cell::default(),
             response_bytes: Cell::default(),
             written_bytes: Cell::default(),
+            listener,
+            since: Cell::new(Instant::now()),
+            is_ending: Cell::default(),
+            closed: Notify::new(),
+            body_dropped: Notify::new(),
+        }
+    }
+
+    /// Waits until the connection must be closed to make room for another.
+    pub(crate) async fn closed(&self) {
+        self.closed.notified().await;
+    }
+
+    /// Makes [`body_dropped`](Self::body_dropped) return, now or when it is called next.
+    pub fn drop_body(&self) {
+        self.body_dropped.notify_one();
+    }
+
+    /// Waits until the body that is being read must be dropped. The handler then answers that the
+    /// request has not run.
+    pub async fn body_dropped(&self) {
+        self.body_dropped.notified().await;
+    }
+
+    fn set_phase(&self, phase: Phase) {
+        self.phase.set(phase);
+        self.since.set(Instant::now());
+    }
+
+    /// Returns in which order connections make room at the limit; `None` for one whose request is in
+    /// progress.
+    fn eviction(&self) -> Option<Eviction> {
+        if self.is_ending.get() {
+            return None;
+        }
+        match self.phase.get() {
+            Phase::Idle | Phase::Reading => Some(Eviction::Idle),
+            Phase::Closing => Some(Eviction::Closing),
+            Phase::Responding if !self.has_read_request.get() => Some(Eviction::Body),
+            Phase::Responding => None,
         }
     }
 
@@ -140,7 +229,7 @@
 
     pub(crate) fn on_read(&self) {
         if self.phase.get() == Phase::Idle {
-            self.phase.set(Phase::Reading);
+            self.set_phase(Phase::Reading);
             self.has_begun_request.set(true);
             self.has_read_request.set(false);
         }
@@ -154,7 +243,7 @@
     /// Records that the head of a request was read. `can_chunk` tells whether the caller understands
     /// chunked responses.
     pub(crate) fn on_request(&self, has_body: bool, can_chunk: bool) {
-        self.phase.set(Phase::Responding);
+        self.set_phase(Phase::Responding);
         self.request_id.replace(None);
         self.has_begun_request.set(true);
         self.has_read_request.set(!has_body);
@@ -164,6 +253,11 @@
         self.written_bytes.set(0);
     }
 
+    /// Records that a part of a request body was read.
+    pub(crate) fn on_request_progress(&self) {
+        self.since.set(Instant::now());
+    }
+
     pub(crate) fn on_request_read(&self) {
         self.has_read_request.set(true);
     }
@@ -186,7 +280,7 @@
     /// Records that everything that the HTTP library has taken over is written to the socket.
     pub(crate) fn on_flushed(&self) {
         if self.phase.get() == Phase::Responding && self.has_ended_response.get() {
-            self.phase.set(Phase::Idle);
+            self.set_phase(Phase::Idle);
             self.response_bytes.set(0);
         }
     }
@@ -199,7 +293,9 @@
 
     /// Records that the sending direction was closed after everything was written.
     pub(crate) fn on_closing(&self) {
-        self.phase.set(Phase::Closing);
+        self.set_phase(Phase::Closing);
+        // A connection whose body was dropped may be closed at once from here on.
+        self.is_ending.set(false);
     }
 }
 
@@ -208,15 +304,81 @@
     pub(crate) fn open(
         self: &Rc<Self>,
         address: SocketAddr,
+        listener: u64,
     ) -> (Rc<CallerConnection>, OpenConnection) {
         let number = self.opened.get();
         self.opened.set(number + 1);
-        let connection = Rc::new(CallerConnection::new(address, number));
+        let connection = Rc::new(CallerConnection::new(address, number, listener));
         let key = self.open.borrow_mut().insert(Rc::clone(&connection));
         let connections = Rc::clone(self);
         (connection, OpenConnection { connections, key })
     }
 
+    /// Returns a number for a new listener.
+    pub(crate) fn add_listener(&self) -> u64 {
+        let listener = self.listeners.get();
+        self.listeners.set(listener + 1);
+        listener
+    }
+
+    /// Makes room for another connection of a listener that may have `limit` of them; returns whether
+    /// there is room.
+    ///
+    /// A dropped body ends its connection only after the response, so some connections more than the
+    /// limit may be open meanwhile.
+    pub(crate) fn make_room(&self, listener: u64, limit: usize) -> bool {
+        let open = self.open.borrow();
+        if open.len() < limit {
+            return true;
+        }
+        let mut ending = 0;
+        let mut count = 0;
+        let mut first: Option<(Eviction, Instant, &Rc<CallerConnection>)> = None;
+        for (_, connection) in open.iter() {
+            if connection.listener != listener {
+                continue;
+            }
+            count += 1;
+            ending += usize::from(connection.is_ending.get());
+            if let Some(eviction) = connection.eviction() {
+                let since = connection.since.get();
+                if first.is_none_or(|(kind, oldest, _)| (eviction, since) < (kind, oldest)) {
+                    first = Some((eviction, since, connection));
+                }
+            }
+        }
+        if count < limit {
+            return true;
+        }
+        let mut counts = self.at_limit.get();
+        let max_ending = limit / MAX_ENDING_PART + 1;
+        let evicted = first.filter(|_| ending < max_ending);
+        match evicted {
+            Some((Eviction::Body, _, connection)) => {
+                connection.is_ending.set(true);
+                connection.drop_body();
+                counts.body += 1;
+            }
+            Some((kind, _, connection)) => {
+                connection.is_ending.set(true);
+                connection.closed.notify_one();
+                match kind {
+                    Eviction::Idle => counts.idle += 1,
+                    _ => counts.closing += 1,
+                }
+            }
+            None => counts.refused += 1,
+        }
+        self.at_limit.set(counts);
+        evicted.is_some()
+    }
+
+    /// Returns how many connections were ended at a limit.
+    #[must_use]
+    pub fn at_limit(&self) -> LimitCounts {
+        self.at_limit.get()
+    }
+
     /// Returns the counts of the open connections.
     #[must_use]
     pub fn counts(&self) -> ConnectionCounts {
--- a/crates/hickoryhall-edge/src/leftover.rs
+++ b/crates/hickoryhall-edge/src/leftover.rs
@@ -5,7 +5,6 @@
 use std::rc::Rc;
 
 use bytes::{Bytes, BytesMut};
-use http_body_util::Full;
 use hyper::client::conn::http1;
 use hyper::header::{HeaderName, HeaderValue};
 use hyper::http::response;
@@ -15,6 +14,8 @@
 use tokio::net::TcpStream;
 use tokio::sync::oneshot;
 
+use crate::SegmentedBody;
+
 /// Maximum size of a head that is read here, in bytes.
 const MAX_HEAD_BYTES: usize = 16 << 10;
 /// Maximum number of headers of such a head.
@@ -29,7 +30,7 @@
 /// Drives a connection until it ends, or until its leftover is requested. The HTTP library ends it when
 /// bytes arrive that it expects no response for; these are kept, and `unread_bytes` is their number.
 pub(crate) async fn drive(
-    mut driver: http1::Connection<TokioIo<TcpStream>, Full<Bytes>>,
+    mut driver: http1::Connection<TokioIo<TcpStream>, SegmentedBody>,
     mut requested: oneshot::Receiver<oneshot::Sender<Leftover>>,
     unread_bytes: Rc<Cell<usize>>,
 ) {
--- a/crates/hickoryhall-edge/src/lib.rs
+++ b/crates/hickoryhall-edge/src/lib.rs
@@ -12,16 +12,18 @@
 mod leftover;
 mod pool;
 mod read;
+mod segments;
 mod server;
 mod sockets;
 
 pub use body::{BodyReceiver, BodySender, RequestBody, ResponseBody, StreamAborted};
-pub use connections::{CallerConnection, ConnectionCounts, Connections};
+pub use connections::{CallerConnection, ConnectionCounts, Connections, LimitCounts};
 pub use headers::end_to_end_headers;
 pub use pool::{
     AbandonedResponse, ConnectError, Connection, Pool, PoolConfig, RequestHash, SendError,
     SendErrorCause,
 };
 pub use read::{BodyReader, ReadBodyError};
+pub use segments::SegmentedBody;
 pub use server::{Handler, ServerConfig, ShutdownSignal, serve};
 pub use sockets::set_socket_options;
--- a/crates/hickoryhall-edge/src/pool.rs
+++ b/crates/hickoryhall-edge/src/pool.rs
@@ -9,8 +9,6 @@
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::time::{Duration, Instant};
 
-use bytes::Bytes;
-use http_body_util::Full;
 use hyper::body::Incoming;
 use hyper::client::conn::http1::{self, SendRequest};
 use hyper::http::response;
@@ -22,7 +20,7 @@
 use tokio::time::timeout;
 
 use crate::leftover::{Leftover, drive};
-use crate::set_socket_options;
+use crate::{SegmentedBody, set_socket_options};
 
 /// Maximum size of a response head, in bytes; also of what is read at a time.
 const MAX_HEAD_BYTES: usize = 64 << 10;
@@ -142,7 +140,7 @@
 /// Connection that carries one request at a time; dropping it closes it.
 pub struct Connection {
     address: SocketAddr,
-    sender: SendRequest<Full<Bytes>>,
+    sender: SendRequest<SegmentedBody>,
     driver: AbortHandle,
     /// Requests what the driver has read behind the last response.
     leftover: Option<oneshot::Sender<oneshot::Sender<Leftover>>>,
@@ -396,7 +394,7 @@
     /// sends something else; the error tells whether anything was sent.
     pub async fn send(
         &mut self,
-        mut request: Request<Full<Bytes>>,
+        mut request: Request<SegmentedBody>,
     ) -> Result<Response<Incoming>, SendError> {
         let too_many = Arc::new(Notify::new());
         limit_informational(&mut request, &too_many);
@@ -422,7 +420,7 @@
 }
 
 /// Notifies `too_many` when more informational heads precede the response than allowed.
-fn limit_informational(request: &mut Request<Full<Bytes>>, too_many: &Arc<Notify>) {
+fn limit_informational(request: &mut Request<SegmentedBody>, too_many: &Arc<Notify>) {
     let (too_many, heads) = (Arc::clone(too_many), AtomicUsize::new(0));
     hyper::ext::on_informational(request, move |_| {
         if heads.fetch_add(1, Ordering::Relaxed) == MAX_INFORMATIONAL_HEADS {
--- a/crates/hickoryhall-edge/src/server.rs
+++ b/crates/hickoryhall-edge/src/server.rs
@@ -3,7 +3,7 @@
 use std::cell::Cell;
 use std::pin::pin;
 use std::rc::Rc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use hyper::body::{Body, Incoming};
 use hyper::header::{CONNECTION, HeaderValue, TRANSFER_ENCODING};
@@ -24,6 +24,8 @@
 
 /// Pause after a failed accept, for example if the process has run out of file descriptors.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(20);
+/// Least time between two log lines about the same limit.
+const LOG_INTERVAL: Duration = Duration::from_secs(1);
 /// Smallest read buffer that the HTTP library accepts; it panics on a smaller one.
 const MIN_BUFFER_BYTES: usize = 8_192;
 
@@ -48,6 +50,9 @@
     pub max_head_bytes: usize,
     /// Time for which a connection may stay idle, or within which a request head must arrive.
     pub idle_timeout: Duration,
+    /// Maximum number of open connections of a listener. At the limit, the one that has been idle or
+    /// has sent a part of a request head for longest makes room for a new one.
+    pub max_connections: usize,
 }
 
 impl Default for ServerConfig {
@@ -55,6 +60,7 @@
         Self {
             max_head_bytes: 16_384,
             idle_timeout: Duration::from_secs(15),
+            max_connections: usize::MAX,
         }
     }
 }
@@ -72,10 +78,26 @@
     connections: Rc<Connections>,
     logger: Logger,
 ) {
+    let number = connections.add_listener();
+    let mut at_limit = LimitLog::default();
+    let mut failures = LimitLog::default();
     loop {
         match listener.accept().await {
             Ok((stream, caller)) => {
-                let (connection, guard) = connections.open(caller);
+                let before = connections.at_limit().total();
+                let has_room = connections.make_room(number, config.get().max_connections);
+                let ended = connections.at_limit().total() - before;
+                if ended > 0 && let Some(count) = at_limit.add(ended) {
+                    warn!(
+                        logger, "edge: Limit of open connections reached.";
+                        "listener" => listener.local_addr().ok().map(|address| address.to_string()),
+                        "ended" => count, "limit" => config.get().max_connections
+                    );
+                }
+                if !has_room {
+                    continue;
+                }
+                let (connection, guard) = connections.open(caller, number);
                 let server = ConnectionServer {
                     handler: Rc::clone(&handler),
                     config: config.get(),
@@ -86,13 +108,40 @@
                 spawn_local(server.run(stream, logger.clone()));
             }
             Err(error) => {
-                warn!(logger, "edge: Failed to accept a connection."; "error" => %error);
+                if let Some(count) = failures.add(1) {
+                    warn!(
+                        logger, "edge: Failed to accept a connection.";
+                        "error" => %error, "count" => count
+                    );
+                }
                 tokio::time::sleep(ACCEPT_RETRY_DELAY).await;
             }
         }
     }
 }
 
+/// Limits a log line to one a second, which states the number of events since the last one.
+#[derive(Debug, Default)]
+struct LimitLog {
+    logged_at: Option<Instant>,
+    count: u64,
+}
+
+impl LimitLog {
+    /// Counts events; returns the number to log if a line is due.
+    fn add(&mut self, count: u64) -> Option<u64> {
+        self.count += count;
+        let now = Instant::now();
+        let is_due = self
+            .logged_at
+            .is_none_or(|logged_at| now - logged_at >= LOG_INTERVAL);
+        is_due.then(|| {
+            self.logged_at = Some(now);
+            std::mem::take(&mut self.count)
+        })
+    }
+}
+
 /// Serves one connection.
 struct ConnectionServer<H> {
     handler: Rc<H>,
@@ -103,7 +152,18 @@
 }
 
 impl<H: Handler> ConnectionServer<H> {
+    /// Serves the connection until it ends or makes room for another.
     async fn run(self, stream: TcpStream, logger: Logger) {
+        let connection = Rc::clone(&self.connection);
+        // Checked first: a request that has arrived meanwhile must not begin.
+        tokio::select! {
+            biased;
+            () = connection.closed() => {}
+            () = self.serve(stream, &logger) => {}
+        }
+    }
+
+    async fn serve(&self, stream: TcpStream, logger: &Logger) {
         let caller = &self.connection;
         if let Err(error) = set_caller_socket_options(&stream) {
             debug!(logger, "edge: Failed to set socket options.";
--- a/crates/hickoryhall-limits/src/lib.rs
+++ b/crates/hickoryhall-limits/src/lib.rs
@@ -16,6 +16,7 @@
 mod fair_queue;
 mod fleet;
 mod fleet_retries;
+mod memory;
 mod refusal_limits;
 mod retry_budget;
 mod server_limits;
@@ -29,6 +30,7 @@
     UnitRequest,
 };
 pub use fleet_retries::{FleetRetryBudget, FleetRetryLimit};
+pub use memory::{BodyId, ChargeOutcome, HostBudgets, MemoryAccount, SMALL_BODY_BYTES};
 pub use refusal_limits::{RefusalLimits, RoomDecision};
 pub use retry_budget::RetryBudget;
 pub use server_limits::{
