Charge request bodies to one account and bound open connections

Bodies of all callers are read into segments that are charged to MemoryAccount as bytes arrive and until their requests end; a declared length over the limit is answered 413 before reading. Connections of callers, peers, readiness and metrics have bounds that follow from limits.memory_mb and limits.file_descriptors; large responses get a share of the same memory. Measured: it compiles; peaks under load are not measured yet.

--- a/crates/hickoryhall-edge/src/connections.rs
+++ b/crates/hickoryhall-edge/src/connections.rs
@@ -53,7 +53,9 @@
     is_ending: Cell<bool>,
     /// Notified when the connection must be closed at once.
     closed: Notify,
-    /// Notified when the body that is being read must be dropped.
+    /// Whether the body of the current request must be dropped.
+    is_body_dropped: Cell<bool>,
+    /// Notified when that changes.
     body_dropped: Notify,
 }
 
@@ -138,6 +140,7 @@
             since: Cell::new(Instant::now()),
             is_ending: Cell::default(),
             closed: Notify::new(),
+            is_body_dropped: Cell::default(),
             body_dropped: Notify::new(),
         }
     }
@@ -147,15 +150,18 @@
         self.closed.notified().await;
     }
 
-    /// Makes [`body_dropped`](Self::body_dropped) return, now or when it is called next.
+    /// Makes [`body_dropped`](Self::body_dropped) return until the next request.
     pub fn drop_body(&self) {
+        self.is_body_dropped.set(true);
         self.body_dropped.notify_one();
     }
 
     /// Waits until the body that is being read must be dropped. The handler then answers that the
     /// request has not run.
     pub async fn body_dropped(&self) {
-        self.body_dropped.notified().await;
+        while !self.is_body_dropped.get() {
+            self.body_dropped.notified().await;
+        }
     }
 
     fn set_phase(&self, phase: Phase) {
@@ -244,6 +250,8 @@
     /// chunked responses.
     pub(crate) fn on_request(&self, has_body: bool, can_chunk: bool) {
         self.set_phase(Phase::Responding);
+        self.is_ending.set(false);
+        self.is_body_dropped.set(false);
         self.request_id.replace(None);
         self.has_begun_request.set(true);
         self.has_read_request.set(!has_body);
--- a/crates/hickoryhall-edge/src/read.rs
+++ b/crates/hickoryhall-edge/src/read.rs
@@ -37,6 +37,8 @@
 #[derive(Clone, Debug)]
 pub struct BodyReader {
     limit_bytes: usize,
+    /// Size of the budget without the reserve, in bytes.
+    shared_bytes: usize,
     /// One permit a byte.
     shared: Arc<Semaphore>,
     /// A single permit, for a body of any size.
@@ -94,13 +96,23 @@
     /// of them, or one body if that is less. Small bodies and the start of large ones do not count.
     #[must_use]
     pub fn new(limit_bytes: usize, budget_bytes: usize) -> Self {
+        let shared_bytes = budget_bytes.saturating_sub(limit_bytes);
         Self {
             limit_bytes,
-            shared: Arc::new(Semaphore::new(budget_bytes.saturating_sub(limit_bytes))),
+            shared_bytes,
+            shared: Arc::new(Semaphore::new(shared_bytes)),
             reserve: Arc::new(Semaphore::new(1)),
         }
     }
 
+    /// Returns the bytes that large bodies hold; one that is read into the reserve counts as the largest.
+    #[must_use]
+    pub fn used_bytes(&self) -> usize {
+        let shared = self.shared_bytes - self.shared.available_permits();
+        let is_reserve_used = self.reserve.available_permits() == 0;
+        shared + usize::from(is_reserve_used) * self.limit_bytes
+    }
+
     /// Reads a body to its end. Its room is free again once the bytes and all their clones are dropped.
     /// The wait for room has no limit of its own.
     ///
--- a/crates/hickoryhall-edge/src/server.rs
+++ b/crates/hickoryhall-edge/src/server.rs
@@ -87,7 +87,9 @@
                 let before = connections.at_limit().total();
                 let has_room = connections.make_room(number, config.get().max_connections);
                 let ended = connections.at_limit().total() - before;
-                if ended > 0 && let Some(count) = at_limit.add(ended) {
+                if ended > 0
+                    && let Some(count) = at_limit.add(ended)
+                {
                     warn!(
                         logger, "edge: Limit of open connections reached.";
                         "listener" => listener.local_addr().ok().map(|address| address.to_string()),
--- a/crates/hickoryhall-gateway/src/exchange.rs
+++ b/crates/hickoryhall-gateway/src/exchange.rs
@@ -6,6 +6,7 @@
 //! sent again, within the retry budget; every other request fails with `ran` unknown.
 
 mod attempt;
+mod bodies;
 mod crash;
 mod forward;
 mod intake;
@@ -24,9 +25,12 @@
 use hickoryhall_edge::{
     BodyReader, CallerConnection, Handler, Pool, RequestBody, ResponseBody, StreamAborted,
 };
+use hickoryhall_limits::HostBudgets;
 use hickoryhall_routing::{Fingerprint, SuspectDecision};
 use hickoryhall_types::Ran;
+use hyper::header::{CONNECTION, HeaderValue};
 use hyper::{Request, Response, StatusCode};
+use metrics::gauge;
 use slog::{Logger, debug, info, warn};
 use tokio::sync::mpsc::{self, UnboundedReceiver, UnboundedSender};
 use tokio::sync::{Notify, oneshot};
@@ -42,6 +46,7 @@
 use crate::stream_versions::SoftwareHash;
 
 use attempt::{AttemptFailure, AttemptGuard, AttemptResult, BufferedResponse};
+use bodies::Bodies;
 pub(crate) use forward::ForwardedHandler;
 use forward::Source;
 use intake::{Forwarded, PreparedRequest, Rejection};
@@ -50,8 +55,6 @@
 
 /// Maximum size of a response that is not a stream, in bytes.
 const MAX_RESPONSE_BYTES: usize = 8 << 20;
-/// Memory for large responses from their first byte to the last one sent to the caller, in bytes.
-const LARGE_RESPONSES_BUDGET_BYTES: usize = 32 << 20;
 /// Maximum size of a refusal, in bytes.
 const MAX_REFUSAL_BYTES: usize = 64 << 10;
 /// Time that must remain before the deadline for another attempt to be worthwhile.
@@ -70,6 +73,7 @@
     platform: Rc<P>,
     core: CoreHandle,
     pool: Pool,
+    bodies: Rc<Bodies>,
     responses: BodyReader,
     refusals: BodyReader,
     /// Port at which peers take forwarded requests.
@@ -104,6 +108,7 @@
         core: CoreHandle,
         pool: Pool,
         forwarding_port: u16,
+        budgets: &HostBudgets,
         logger: Logger,
     ) -> Self {
         let (late_answers, abandoned) = mpsc::unbounded_channel();
@@ -113,7 +118,8 @@
             platform,
             core,
             pool,
-            responses: BodyReader::new(MAX_RESPONSE_BYTES, LARGE_RESPONSES_BUDGET_BYTES),
+            bodies: Bodies::new(budgets.body_bytes, logger.clone()),
+            responses: BodyReader::new(MAX_RESPONSE_BYTES, budgets.response_bytes),
             refusals: BodyReader::new(MAX_REFUSAL_BYTES, MAX_REFUSAL_BYTES),
             forwarding_port,
             next_attempt_id: Cell::new(1),
@@ -130,6 +136,17 @@
         &self.core
     }
 
+    /// Sets the memory that request bodies may hold, for bytes that arrive from now on.
+    pub fn set_body_budget(&self, bytes: usize) {
+        self.bodies.set_budget(bytes);
+    }
+
+    /// Sets the gauges of the memory that requests and responses hold.
+    pub fn report_memory(&self) {
+        self.bodies.report();
+        gauge!("account_bytes", "kind" => "responses").set(self.responses.used_bytes() as f64);
+    }
+
     /// Returns the number of requests in progress, streams included. Their callers may not have got
     /// the whole response when they end.
     #[must_use]
@@ -215,12 +232,12 @@
     async fn respond(
         self: Rc<Self>,
         request: Request<RequestBody>,
-        caller: &CallerConnection,
+        caller: &Rc<CallerConnection>,
         arrived_at: Instant,
         forwarded: Option<Forwarded>,
     ) -> Response<ResponseBody> {
         let in_flight = self.track_in_flight();
-        match self.intake(request, arrived_at, forwarded).await {
+        match self.intake(request, caller, arrived_at, forwarded).await {
             Ok(request) => {
                 let id = request.meta.request_id.clone();
                 caller.set_request_id(id.clone());
@@ -250,12 +267,27 @@
                     &detail,
                     arrived_at,
                 );
-                self.error_response(request_id.as_deref(), &failure)
+                let mut response = self.error_response(request_id.as_deref(), &failure);
+                if has_unread_body(&failure) {
+                    // The rest of the body is not read.
+                    response
+                        .headers_mut()
+                        .insert(CONNECTION, HeaderValue::from_static("close"));
+                }
+                response
             }
         }
     }
 }
 
+/// Returns whether a request was rejected before its body was read to the end.
+fn has_unread_body(failure: &LocalFailure) -> bool {
+    matches!(
+        failure.reason,
+        "body_too_large" | "slow_body" | "body_dropped" | "no_memory"
+    )
+}
+
 /// One request in progress, over all its attempts.
 struct Exchange<P> {
     gateway: Rc<Gateway<P>>,
--- a/crates/hickoryhall-gateway/src/exchange/attempt.rs
+++ b/crates/hickoryhall-gateway/src/exchange/attempt.rs
@@ -4,10 +4,9 @@
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
-use hickoryhall_edge::{Connection, ReadBodyError, SendError};
+use hickoryhall_edge::{Connection, ReadBodyError, SegmentedBody, SendError};
 use hickoryhall_types::{Ran, SoftwareVersion, hash_name};
 use http::response;
-use http_body_util::Full;
 use hyper::body::Incoming;
 use hyper::header::HeaderMap;
 use hyper::{Request, Response, StatusCode};
@@ -305,7 +304,7 @@
     async fn send_on(
         &self,
         connection: Connection,
-        request: Request<Full<Bytes>>,
+        request: Request<SegmentedBody>,
         server: &BackendServer,
         until: Instant,
     ) -> Result<(Result<Response<Incoming>, SendError>, Connection), AttemptFailure> {
@@ -339,7 +338,7 @@
         &self,
         assignment: &Assignment,
         resume_after: Option<&str>,
-    ) -> Request<Full<Bytes>> {
+    ) -> Request<SegmentedBody> {
         let request = &self.request;
         let weights = assignment.weights;
         let salt = request
@@ -357,7 +356,7 @@
             save_to: assignment.save_to,
         };
         let head = self.gateway.platform.attempt_head(&request.head, &plan);
-        head.map(|()| Full::new(request.body.clone()))
+        head.map(|()| request.body.clone())
     }
 
     /// Reads the rest of a response that is not a stream.
--- a/crates/hickoryhall-gateway/src/exchange/forward.rs
+++ b/crates/hickoryhall-gateway/src/exchange/forward.rs
@@ -10,12 +10,11 @@
 
 use bytes::Bytes;
 use hickoryhall_edge::{
-    CallerConnection, Connection, Handler, RequestBody, ResponseBody, StreamAborted,
+    CallerConnection, Connection, Handler, RequestBody, ResponseBody, SegmentedBody, StreamAborted,
     end_to_end_headers,
 };
 use hickoryhall_routing::PeerEnd;
 use hickoryhall_types::Ran;
-use http_body_util::Full;
 use hyper::body::Incoming;
 use hyper::header::CONTENT_LENGTH;
 use hyper::{Request, Response, StatusCode};
@@ -253,7 +252,7 @@
     fn build_forwarded(
         &self,
         resume_after: Option<&str>,
-    ) -> Result<Request<Full<Bytes>>, forwarding::InvalidForwarding> {
+    ) -> Result<Request<SegmentedBody>, forwarding::InvalidForwarding> {
         let forwarded = ForwardedRequest {
             elapsed: self.request.arrived_at.elapsed(),
             possible_runs: self.outcome.possible_runs(),
@@ -262,7 +261,7 @@
             resume_after: resume_after.map(Box::from),
         };
         let (head, body) = (&self.request.head, self.request.body.clone());
-        let mut request = Request::new(Full::new(body));
+        let mut request = Request::new(body);
         *request.method_mut() = head.method.clone();
         *request.uri_mut() = head.uri.clone();
         *request.headers_mut() = end_to_end_headers(&head.headers);
@@ -274,7 +273,7 @@
     async fn send_to_peer(
         &self,
         peer: Ipv4Addr,
-        request: &Request<Full<Bytes>>,
+        request: &Request<SegmentedBody>,
     ) -> Result<(Response<Incoming>, Connection), AttemptFailure> {
         let pool = &self.gateway.pool;
         let address = SocketAddr::from((peer, self.gateway.forwarding_port));
--- a/crates/hickoryhall-gateway/src/exchange/intake.rs
+++ b/crates/hickoryhall-gateway/src/exchange/intake.rs
@@ -5,16 +5,15 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use bytes::Bytes;
-use hickoryhall_edge::RequestBody;
+use hickoryhall_edge::{CallerConnection, RequestBody, SegmentedBody};
 use hickoryhall_routing::{Fingerprint, Level, PartHash, PrefixChain};
 use hickoryhall_types::{Ran, Revision, TargetId};
 use http::request;
-use http_body_util::{BodyExt, Limited};
 use hyper::{Request, StatusCode};
 use tokio::time::timeout;
 
 use super::Gateway;
+use super::bodies::{Bodies, BodyCharge, ReadError};
 use crate::forwarding::ForwardedRequest;
 use crate::interface::{LocalFailure, Platform, Prompt, RequestMeta};
 use crate::scheduler::{Priority, PromptInfo};
@@ -31,13 +30,17 @@
 const TABLE_POLL_INTERVAL: Duration = Duration::from_millis(5);
 /// `Retry-After` while the host stops: another host accepts the request immediately.
 const RETRY_AFTER_STOPPING: Duration = Duration::from_millis(20);
+/// `Retry-After` while there is no memory for the body: about the time in which other requests end.
+const RETRY_AFTER_NO_MEMORY: Duration = Duration::from_millis(300);
 /// Priority of callers without a workspace, who come after the callers of every workspace.
 const PRIORITY_WITHOUT_WORKSPACE: u8 = u8::MAX;
 
 /// A request that was read in full, authorized and given a service; it can be placed.
 pub(super) struct PreparedRequest {
     pub head: request::Parts,
-    pub body: Bytes,
+    pub body: SegmentedBody,
+    /// Charge of the body, until the request ends.
+    pub _charge: Option<BodyCharge>,
     pub meta: Rc<RequestMeta>,
     pub route: Arc<Route>,
     pub service: TargetId,
@@ -130,6 +133,7 @@
     pub(super) async fn intake(
         &self,
         request: Request<RequestBody>,
+        caller: &Rc<CallerConnection>,
         arrived_at: Instant,
         forwarded: Option<Forwarded>,
     ) -> Result<PreparedRequest, Rejection> {
@@ -158,7 +162,8 @@
         };
         let (route, workspace) = authorize(&table, &meta, head.uri.path())?;
         let deadline = deadline(arrived_at, &meta, &route);
-        let body = read_body(body, table.limits(), deadline, &meta).await?;
+        let read = read_body(&self.bodies, body, table.limits(), deadline, &meta, caller);
+        let (body, charge) = read.await?;
         let fingerprint = fingerprint(&head, &meta, &body);
         // A stream that is taken up goes on at the service that began it.
         let hash = hickoryhall_types::hash_name(meta.first_request_id());
@@ -176,6 +181,7 @@
             cache_partition,
             head,
             body,
+            _charge: charge,
             meta: Rc::new(meta),
             route,
             service,
@@ -219,23 +225,38 @@
 }
 
 async fn read_body(
+    bodies: &Rc<Bodies>,
     body: RequestBody,
     limits: CallerLimits,
     deadline: Instant,
     meta: &RequestMeta,
-) -> Result<Bytes, Rejection> {
+    caller: &Rc<CallerConnection>,
+) -> Result<(SegmentedBody, Option<BodyCharge>), Rejection> {
     let left = deadline.saturating_duration_since(Instant::now());
-    let collected = Limited::new(body, limits.body_bytes).collect();
-    match timeout(left, collected).await {
-        Ok(Ok(body)) => Ok(body.to_bytes()),
-        Ok(Err(error)) if error.is::<http_body_util::LengthLimitError>() => Err(Rejection::new(
+    let read = bodies.read(body, limits.body_bytes, caller);
+    match timeout(left, read).await {
+        Ok(Ok(read)) => Ok(read),
+        Ok(Err(ReadError::TooLarge)) => Err(Rejection::new(
             Some(meta),
             StatusCode::PAYLOAD_TOO_LARGE,
             "body_too_large",
         )),
-        Ok(Err(error)) => Err(
-            Rejection::new(Some(meta), StatusCode::BAD_REQUEST, "broken_body").with_detail(error),
-        ),
+        Ok(Err(ReadError::Dropped)) => Err(Rejection::retry_later(
+            meta,
+            "body_dropped",
+            RETRY_AFTER_NO_MEMORY,
+        )),
+        Ok(Err(ReadError::NoMemory)) => Err(Rejection::retry_later(
+            meta,
+            "no_memory",
+            RETRY_AFTER_NO_MEMORY,
+        )),
+        Ok(Err(ReadError::Broken(error))) => {
+            Err(
+                Rejection::new(Some(meta), StatusCode::BAD_REQUEST, "broken_body")
+                    .with_detail(error),
+            )
+        }
         Err(_) => Err(Rejection::new(
             Some(meta),
             StatusCode::REQUEST_TIMEOUT,
@@ -245,16 +266,17 @@
 }
 
 /// Returns a hash of path, key and body by which a repeated request is recognized.
-fn fingerprint(head: &request::Parts, meta: &RequestMeta, body: &[u8]) -> Fingerprint {
+fn fingerprint(head: &request::Parts, meta: &RequestMeta, body: &SegmentedBody) -> Fingerprint {
     let mut hasher = blake3::Hasher::new();
     let path = head.uri.path_and_query().map_or("/", |path| path.as_str());
-    for part in [
-        path.as_bytes(),
-        meta.key.as_deref().unwrap_or_default().as_bytes(),
-        body,
-    ] {
+    let key = meta.key.as_deref().unwrap_or_default();
+    for part in [path, key] {
         hasher.update(&(part.len() as u64).to_le_bytes());
-        hasher.update(part);
+        hasher.update(part.as_bytes());
+    }
+    hasher.update(&(body.length() as u64).to_le_bytes());
+    for segment in body.segments() {
+        hasher.update(segment);
     }
     first_u64(hasher.finalize().as_bytes())
 }
--- a/crates/hickoryhall-gateway/src/host.rs
+++ b/crates/hickoryhall-gateway/src/host.rs
@@ -1,8 +1,8 @@
 //! Starts a host with all its tasks, runs it and stops it gracefully.
 
 mod pages;
+mod server_configs;
 
-use std::cell::Cell;
 use std::io;
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
@@ -10,10 +10,11 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
-use hickoryhall_edge::{Connections, Pool, PoolConfig, ServerConfig, serve};
+use hickoryhall_edge::{Connections, Pool, PoolConfig, serve};
+use hickoryhall_limits::CONNECTION_BYTES;
 use hickoryhall_telemetry::{MetricsError, MetricsPage};
 use hickoryhall_types::hash_name;
-use metrics::{counter, gauge};
+use metrics::gauge;
 use slog::{Logger, error, info, o, warn};
 use tokio::net::TcpListener;
 use tokio::signal::unix::{Signal, SignalKind, signal};
@@ -33,6 +34,7 @@
 use crate::stream_record::StreamRecorder;
 use crate::version_record::VersionRecorder;
 use pages::{MetricsHandler, Readiness};
+use server_configs::{ServerConfigs, with_limit};
 
 /// Time for which a stopping host still accepts requests: the load balancer stops sending
 /// connections only after two failed readiness checks, one second apart.
@@ -135,6 +137,7 @@
 struct Host<P> {
     gateway: Rc<Gateway<P>>,
     connections: Rc<Connections>,
+    configs: ServerConfigs,
     /// Accept connections of callers and of peers until they are aborted.
     acceptors: [JoinHandle<()>; 2],
     /// Whether this host holds the lease for orders.
@@ -146,6 +149,7 @@
 impl<P: Platform> Host<P> {
     async fn start(settings: &Settings, platform: P, logger: &Logger) -> Result<Self, StartError> {
         let metrics = MetricsPage::install()?;
+        let budgets = settings.limits.budgets();
         let platform = Rc::new(platform);
         let part = |name: &'static str| logger.new(o!("part" => name));
         let core = CoreHandle::start(core_config(settings), part("core"));
@@ -169,20 +173,21 @@
             core.clone(),
             pool.clone(),
             forwarding_port,
+            &budgets,
             part("exchange"),
         );
         let gateway = Rc::new(gateway);
         let (stop, stopping) = watch::channel(false);
-        let config = Rc::new(Cell::new(ServerConfig::default()));
+        let configs = ServerConfigs::new(&budgets);
         let connections = Rc::<Connections>::default();
-        spawn_core(&core, &config, &pool, &gateway, &connections);
+        spawn_core(&core, &configs, &pool, &gateway, &connections);
         let prober = Rc::clone(&gateway);
         spawn_local(async move { prober.probe_services().await });
         let reader = Rc::clone(&gateway);
         spawn_local(async move { reader.read_late_answers().await });
         spawn_feeds(&feeds);
         spawn_recorders(&store, &core, part);
-        spawn_peers(&peers, records_listener);
+        spawn_peers(&peers, records_listener, budgets.records);
         let directory = Directory::new(
             Rc::clone(&peers),
             Rc::clone(&store),
@@ -209,7 +214,7 @@
         spawn_local(serve(
             readiness,
             Rc::new(ready),
-            Rc::default(),
+            with_limit(budgets.readiness),
             stopping.clone(),
             Rc::clone(&connections),
             edge.clone(),
@@ -220,7 +225,7 @@
             spawn_local(serve(
                 listener,
                 page,
-                Rc::default(),
+                with_limit(budgets.metrics),
                 stopping.clone(),
                 Rc::clone(&connections),
                 edge.clone(),
@@ -229,7 +234,7 @@
         let forwarding = spawn_local(serve(
             forwarding,
             Rc::new(ForwardedHandler(Rc::clone(&gateway))),
-            Rc::clone(&config),
+            Rc::clone(&configs.forwarding),
             stopping.clone(),
             Rc::clone(&connections),
             edge.clone(),
@@ -237,7 +242,7 @@
         let callers = spawn_local(serve(
             callers,
             Rc::clone(&gateway),
-            config,
+            Rc::clone(&configs.callers),
             stopping,
             Rc::clone(&connections),
             edge,
@@ -245,6 +250,7 @@
         Ok(Self {
             gateway,
             connections,
+            configs,
             acceptors: [callers, forwarding],
             holds_lease,
             stop,
@@ -264,14 +270,17 @@
         self.drain(grace).await;
     }
 
-    /// Reads the settings again and applies the retry limit. Changes of other settings need a
-    /// restart, so they are only checked.
+    /// Reads the settings again and applies the retry limit, and the limits of the machine except the
+    /// memory for responses. Changes of other settings need a restart, so they are only checked.
     fn reload(&self, path: &Path) {
         match Settings::read(path) {
             Ok(settings) => {
                 self.gateway.core().with(|core, _| {
                     core.set_retry_limit(settings.bounds.retry_limit());
                 });
+                let budgets = settings.limits.budgets();
+                self.gateway.set_body_budget(budgets.body_bytes);
+                self.configs.set_budgets(&budgets);
                 info!(self.logger, "host: Settings read again."; "path" => %path.display());
             }
             Err(error) => {
@@ -421,14 +430,14 @@
 
 fn spawn_core<P: Platform>(
     core: &CoreHandle,
-    config: &Rc<Cell<ServerConfig>>,
+    configs: &ServerConfigs,
     pool: &Pool,
     gateway: &Rc<Gateway<P>>,
     connections: &Rc<Connections>,
 ) {
     let actor = core.clone();
     spawn_local(async move { actor.run().await });
-    let (core, config) = (core.clone(), Rc::clone(config));
+    let (core, configs) = (core.clone(), configs.clone());
     let (pool, gateway) = (pool.clone(), Rc::clone(gateway));
     let connections = Rc::clone(connections);
     spawn_local(async move {
@@ -436,15 +445,12 @@
             sleep(SWEEP_INTERVAL).await;
             pool.expire();
             if let Some(table) = core.with(|core, _| core.table()) {
-                let limits = table.limits();
-                config.set(ServerConfig {
-                    max_head_bytes: limits.head_bytes,
-                    idle_timeout: limits.idle_timeout,
-                });
+                configs.set_table_limits(table.limits());
                 gauge!("table_revision").set(table.revision() as f64);
             }
             gauge!("requests_in_flight").set(gateway.in_flight() as f64);
-            counter!("connections_closed_unsent_total").absolute(connections.closed_unsent());
+            gateway.report_memory();
+            server_configs::report(&connections, CONNECTION_BYTES);
         }
     });
 }
@@ -475,7 +481,7 @@
     spawn_local(async move { streams.load().await });
 }
 
-fn spawn_peers<P: Platform>(peers: &Rc<Peers<P>>, records_listener: TcpListener) {
+fn spawn_peers<P: Platform>(peers: &Rc<Peers<P>>, listener: TcpListener, max_records: usize) {
     let sender = Rc::clone(peers);
     spawn_local(async move { sender.send_digests().await });
     let teller = Rc::clone(peers);
@@ -489,5 +495,5 @@
     let fetcher = Rc::clone(peers);
     spawn_local(async move { fetcher.fetch_records().await });
     let server = Rc::clone(peers);
-    spawn_local(async move { server.serve_records(records_listener).await });
+    spawn_local(async move { server.serve_records(listener, max_records).await });
 }
--- a/crates/hickoryhall-gateway/src/peers.rs
+++ b/crates/hickoryhall-gateway/src/peers.rs
@@ -14,14 +14,16 @@
 use std::io;
 use std::net::{IpAddr, Ipv4Addr, SocketAddr};
 use std::rc::Rc;
+use std::sync::Arc;
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
 use hickoryhall_edge::set_socket_options;
+use metrics::counter;
 use slog::{Logger, debug, info, warn};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream, UdpSocket};
-use tokio::sync::Notify;
+use tokio::sync::{Notify, Semaphore};
 use tokio::task::spawn_local;
 use tokio::time::timeout;
 
@@ -310,13 +312,23 @@
         result.map_err(|_| io::Error::from(io::ErrorKind::TimedOut))?
     }
 
-    /// Sends a snapshot of the records on each TCP connection, until the task is dropped.
-    pub async fn serve_records(&self, listener: TcpListener) {
+    /// Sends a snapshot of the records on each TCP connection, until the task is dropped. Connections
+    /// beyond `limit` are closed; the peer tries another host.
+    pub async fn serve_records(&self, listener: TcpListener, limit: usize) {
+        let room = Arc::new(Semaphore::new(limit));
         loop {
             match listener.accept().await {
                 Ok((stream, _)) => {
+                    let Ok(permit) = Arc::clone(&room).try_acquire_owned() else {
+                        counter!("connections_closed_total", "reason" => "records").increment(1);
+                        continue;
+                    };
                     let bytes = self.feeds.snapshot().encode();
-                    spawn_local(send_snapshot(stream, bytes, self.logger.clone()));
+                    let logger = self.logger.clone();
+                    spawn_local(async move {
+                        send_snapshot(stream, bytes, logger).await;
+                        drop(permit);
+                    });
                 }
                 Err(error) => {
                     warn!(self.logger, "peers: Failed to accept a snapshot connection."; "error" => %error);
--- a/crates/hickoryhall-gateway/src/settings.rs
+++ b/crates/hickoryhall-gateway/src/settings.rs
@@ -4,7 +4,7 @@
 use std::path::{Path, PathBuf};
 use std::time::Duration;
 
-use hickoryhall_limits::FleetRetryLimit;
+use hickoryhall_limits::{FleetRetryLimit, HostBudgets};
 use hickoryhall_telemetry::LogFormat;
 use serde::Deserialize;
 
@@ -21,6 +21,11 @@
 /// them.
 const MAX_DURATION: Duration = Duration::from_secs(30 * 24 * 3_600);
 
+/// Least memory of a machine, in MiB: twice what an idle host uses.
+const MIN_MEMORY_MB: usize = 16;
+/// Least number of file descriptors: what the host needs for itself, and some callers.
+const MIN_FILE_DESCRIPTORS: usize = 128;
+
 /// The settings file cannot be used.
 #[derive(Debug, thiserror::Error)]
 pub enum SettingsError {
@@ -84,6 +89,40 @@
     pub log_format: LogFormat,
     /// Time limits and retry limits that the host observes.
     pub bounds: Bounds,
+    /// Limits of the machine.
+    #[serde(default)]
+    pub limits: MachineLimits,
+}
+
+/// Limits of the machine that a host runs on.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Deserialize)]
+#[serde(default)]
+pub struct MachineLimits {
+    /// Memory of the machine for the process, in MiB; at least 16.
+    pub memory_mb: usize,
+    /// Number of file descriptors that the process may have open; at least 128.
+    pub file_descriptors: usize,
+}
+
+impl Default for MachineLimits {
+    /// Returns the limits of the smallest machine of the first deployment.
+    fn default() -> Self {
+        Self {
+            memory_mb: 88,
+            file_descriptors: 4_100,
+        }
+    }
+}
+
+impl MachineLimits {
+    /// Returns the parts of the memory and of the descriptors that each use may take.
+    #[must_use]
+    pub fn budgets(&self) -> HostBudgets {
+        HostBudgets::new(
+            self.memory_mb.saturating_mul(1 << 20),
+            self.file_descriptors,
+        )
+    }
 }
 
 /// Time limits and retry limits that a host observes.
@@ -192,6 +231,23 @@
             return Err(("peer_port", "must be below 65535".to_owned()));
         }
         let bounds = &self.bounds;
+        let MachineLimits {
+            memory_mb,
+            file_descriptors,
+        } = self.limits;
+        let at_least = [
+            ("limits.memory_mb", memory_mb, MIN_MEMORY_MB),
+            (
+                "limits.file_descriptors",
+                file_descriptors,
+                MIN_FILE_DESCRIPTORS,
+            ),
+        ];
+        for (field, value, least) in at_least {
+            if value < least {
+                return Err((field, format!("must be at least {least}, not {value}")));
+            }
+        }
         let positive = [
             ("bounds.grace_s", bounds.grace_s),
             ("bounds.retry_window_s", bounds.retry_window_s),
--- a/crates/hickoryhall-gateway/tests/settings.rs
+++ b/crates/hickoryhall-gateway/tests/settings.rs
@@ -79,3 +79,20 @@
     let error = read(&format!("long-{named}.json"), &text).expect_err("unusable");
     assert!(error.contains(named), "{error}");
 }
+
+/// Guards against hosts whose settings were written before these limits, and against a limit that
+/// leaves no room for the host itself.
+#[test]
+fn limits_of_the_machine_have_defaults_and_least_values() {
+    let settings = read("no-limits.json", GOOD).expect("usable");
+    assert_eq!(settings.limits.memory_mb, 88);
+    assert_eq!(settings.limits.file_descriptors, 4_100);
+    let with = |limits: &str| GOOD.replace(r#""later":1"#, &format!(r#""limits":{limits}"#));
+    let settings = read("limits.json", &with(r#"{"memory_mb":512}"#)).expect("usable");
+    assert_eq!(settings.limits.memory_mb, 512);
+    assert_eq!(settings.limits.file_descriptors, 4_100);
+    let error = read("no-memory.json", &with(r#"{"memory_mb":1}"#)).expect_err("unusable");
+    assert!(error.contains("limits.memory_mb"), "{error}");
+    let error = read("no-files.json", &with(r#"{"file_descriptors":3}"#)).expect_err("unusable");
+    assert!(error.contains("limits.file_descriptors"), "{error}");
+}
--- a/crates/hickoryhall-limits/src/lib.rs
+++ b/crates/hickoryhall-limits/src/lib.rs
@@ -30,7 +30,9 @@
     UnitRequest,
 };
 pub use fleet_retries::{FleetRetryBudget, FleetRetryLimit};
-pub use memory::{BodyId, ChargeOutcome, HostBudgets, MemoryAccount, SMALL_BODY_BYTES};
+pub use memory::{
+    BodyId, CONNECTION_BYTES, ChargeOutcome, HostBudgets, MemoryAccount, SMALL_BODY_BYTES,
+};
 pub use refusal_limits::{RefusalLimits, RoomDecision};
 pub use retry_budget::RetryBudget;
 pub use server_limits::{
--- a/crates/hickoryhall-limits/src/memory.rs
+++ b/crates/hickoryhall-limits/src/memory.rs
@@ -22,7 +22,7 @@
 /// Fraction for connections. The rest is left to the allocator.
 const CONNECTIONS_FRACTION: f64 = 4.0 / 18.0;
 /// Charge for a connection, in bytes: its read buffer of up to 16 KiB, and its state.
-const CONNECTION_BYTES: usize = 24 << 10;
+pub const CONNECTION_BYTES: usize = 24 << 10;
 /// Least number of connections of callers, however small the machine is.
 const MIN_CALLERS: usize = 16;
 /// Fraction of the budget that is kept for small bodies.
@@ -47,8 +47,6 @@
     pub body_bytes: usize,
     /// Memory for large responses, in bytes.
     pub response_bytes: usize,
-    /// Charge for each connection, in bytes.
-    pub connection_bytes: usize,
     /// Maximum number of connections of callers.
     pub callers: usize,
     /// Maximum number of connections on which peers forward requests.
@@ -77,7 +75,6 @@
         Self {
             body_bytes: fraction(usable, BODIES_FRACTION),
             response_bytes: fraction(usable, RESPONSES_FRACTION).min(MAX_RESPONSES_BYTES),
-            connection_bytes: CONNECTION_BYTES,
             callers: connections.saturating_sub(forwarding).max(MIN_CALLERS),
             forwarding,
             readiness: READINESS_CONNECTIONS,
--- a/crates/hickoryhall-limits/tests/memory.rs
+++ b/crates/hickoryhall-limits/tests/memory.rs
@@ -3,7 +3,7 @@
 use std::net::{IpAddr, Ipv4Addr};
 use std::time::{Duration, Instant};
 
-use hickoryhall_limits::{BodyId, ChargeOutcome, HostBudgets, MemoryAccount};
+use hickoryhall_limits::{BodyId, CONNECTION_BYTES, ChargeOutcome, HostBudgets, MemoryAccount};
 use proptest::prelude::*;
 use rstest::rstest;
 
@@ -184,7 +184,7 @@
 fn budgets_fit_into_the_machine(#[case] memory: usize, #[case] descriptors: usize) {
     let budgets = HostBudgets::new(memory, descriptors);
     let connections = budgets.callers + budgets.forwarding;
-    let sum = budgets.body_bytes + budgets.response_bytes + connections * budgets.connection_bytes;
+    let sum = budgets.body_bytes + budgets.response_bytes + connections * CONNECTION_BYTES;
     assert!(sum < memory, "{budgets:?}");
     let others = budgets.readiness + budgets.metrics + budgets.records;
     assert!(2 * connections + others < descriptors, "{budgets:?}");
