Let an evicted connection end before the next one is accepted

A burst of new connections was refused once an eighth of the limit was ending, because the accept loop ran on before the evicted tasks did. It now yields after an eviction.

--- a/crates/hickoryhall-edge/src/server.rs
+++ b/crates/hickoryhall-edge/src/server.rs
@@ -108,6 +108,10 @@
                     _guard: guard,
                 };
                 spawn_local(server.run(stream, logger.clone()));
+                if ended > 0 {
+                    // The connection that makes room ends before the next one is accepted.
+                    yield_now().await;
+                }
             }
             Err(error) => {
                 if let Some(count) = failures.add(1) {
