--- a/crates/hickoryhall-gateway/src/exchange.rs
+++ b/crates/hickoryhall-gateway/src/exchange.rs
@@ -30,7 +30,6 @@
 use hickoryhall_types::Ran;
 use hyper::header::{CONNECTION, HeaderValue};
 use hyper::{Request, Response, StatusCode};
-use metrics::gauge;
 use slog::{Logger, debug, info, warn};
 use tokio::sync::mpsc::{self, UnboundedReceiver, UnboundedSender};
 use tokio::sync::{Notify, oneshot};
@@ -136,17 +135,6 @@
         &self.core
     }
 
-    /// Sets the memory that request bodies may hold, for bytes that arrive from now on.
-    pub fn set_body_budget(&self, bytes: usize) {
-        self.bodies.set_budget(bytes);
-    }
-
-    /// Sets the gauges of the memory that requests and responses hold.
-    pub fn report_memory(&self) {
-        self.bodies.report();
-        gauge!("account_bytes", "kind" => "responses").set(self.responses.used_bytes() as f64);
-    }
-
     /// Returns the number of requests in progress, streams included. Their callers may not have got
     /// the whole response when they end.
     #[must_use]
@@ -268,8 +256,7 @@
                     arrived_at,
                 );
                 let mut response = self.error_response(request_id.as_deref(), &failure);
-                if has_unread_body(&failure) {
-                    // The rest of the body is not read.
+                if intake::has_unread_body(&failure) {
                     response
                         .headers_mut()
                         .insert(CONNECTION, HeaderValue::from_static("close"));
@@ -280,14 +267,6 @@
     }
 }
 
-/// Returns whether a request was rejected before its body was read to the end.
-fn has_unread_body(failure: &LocalFailure) -> bool {
-    matches!(
-        failure.reason,
-        "body_too_large" | "slow_body" | "body_dropped" | "no_memory"
-    )
-}
-
 /// One request in progress, over all its attempts.
 struct Exchange<P> {
     gateway: Rc<Gateway<P>>,
--- a/crates/hickoryhall-gateway/src/exchange/bodies.rs
+++ b/crates/hickoryhall-gateway/src/exchange/bodies.rs
@@ -14,6 +14,9 @@
 use metrics::{counter, gauge};
 use slog::{Logger, warn};
 
+use super::Gateway;
+use crate::interface::Platform;
+
 /// Size of the first segment of a body, in bytes; each further one has twice the size of the one before.
 const FIRST_SEGMENT_BYTES: usize = 4 << 10;
 /// Size of the largest segment, in bytes: what a body may hold beyond the bytes that have arrived.
@@ -216,9 +219,17 @@
             "used_bytes" => self.used_bytes()
         );
     }
+}
+
+impl<P: Platform> Gateway<P> {
+    /// Sets the memory that request bodies may hold, for bytes that arrive from now on.
+    pub fn set_body_budget(&self, bytes: usize) {
+        self.bodies.set_budget(bytes);
+    }
 
-    /// Sets the gauge of the memory that bodies hold.
-    pub fn report(&self) {
-        gauge!("account_bytes", "kind" => "bodies").set(self.used_bytes() as f64);
+    /// Sets the gauges of the memory that requests and responses hold.
+    pub fn report_memory(&self) {
+        gauge!("account_bytes", "kind" => "bodies").set(self.bodies.used_bytes() as f64);
+        gauge!("account_bytes", "kind" => "responses").set(self.responses.used_bytes() as f64);
     }
 }
--- a/crates/hickoryhall-gateway/src/exchange/intake.rs
+++ b/crates/hickoryhall-gateway/src/exchange/intake.rs
@@ -196,6 +196,14 @@
     }
 }
 
+/// Returns whether a request was rejected before its body was read to the end.
+pub(super) fn has_unread_body(failure: &LocalFailure) -> bool {
+    matches!(
+        failure.reason,
+        "body_too_large" | "slow_body" | "body_dropped" | "no_memory"
+    )
+}
+
 /// The route of a request, and the workspace of its caller.
 type Authorized = (Arc<Route>, Option<Arc<Workspace>>);
 
