Bound the streamed events that wait for slow callers

Each stream queued up to four chunks of any size for its caller, with no bound over all streams. Beyond one chunk each, they now share 1/18 of the memory; a stream whose caller reads is not held up by others.

--- a/crates/hickoryhall-edge/src/body.rs
+++ b/crates/hickoryhall-edge/src/body.rs
@@ -8,13 +8,46 @@
 
 use bytes::Bytes;
 use hyper::body::{Body, Frame, Incoming, SizeHint};
-use tokio::sync::mpsc::{self, error::TrySendError};
+use tokio::sync::{OwnedSemaphorePermit, Semaphore, mpsc};
 
 use crate::CallerConnection;
 
 /// Number of chunks that are queued for a slow caller before the sender has to wait.
 const STREAM_QUEUE_CHUNKS: usize = 4;
 
+/// Room for the chunks of all streams that wait for slow callers. A stream without a waiting chunk needs
+/// none, so that each one goes on as fast as its caller reads.
+#[derive(Clone, Debug)]
+pub struct StreamRoom {
+    /// One permit a byte.
+    room: Arc<Semaphore>,
+    bytes: usize,
+}
+
+impl StreamRoom {
+    /// Creates room for `bytes`.
+    #[must_use]
+    pub fn new(bytes: usize) -> Self {
+        Self {
+            room: Arc::new(Semaphore::new(bytes)),
+            bytes,
+        }
+    }
+
+    /// Returns the bytes that wait, apart from one chunk of each stream.
+    #[must_use]
+    pub fn used_bytes(&self) -> usize {
+        self.bytes - self.room.available_permits()
+    }
+}
+
+/// A chunk with the room that it takes.
+#[derive(Debug)]
+struct Chunk {
+    bytes: Bytes,
+    _room: Option<OwnedSemaphorePermit>,
+}
+
 /// Error of an aborted stream; the caller's connection is closed before the response is complete.
 #[derive(Debug, thiserror::Error)]
 #[error("the response stream was aborted")]
@@ -32,7 +65,7 @@
 /// Receiving half of a streamed body, which the HTTP library reads.
 #[derive(Debug)]
 pub struct BodyReceiver {
-    chunks: mpsc::Receiver<Bytes>,
+    chunks: mpsc::Receiver<Chunk>,
     is_complete: Arc<AtomicBool>,
     /// Whether the HTTP library has had a turn to write the chunks before an abort.
     has_yielded: bool,
@@ -41,7 +74,8 @@
 /// Sending half of a streamed body; dropping it without [`finish`](Self::finish) aborts the stream.
 #[derive(Debug)]
 pub struct BodySender {
-    chunks: mpsc::Sender<Bytes>,
+    chunks: mpsc::Sender<Chunk>,
+    room: StreamRoom,
     is_complete: Arc<AtomicBool>,
 }
 
@@ -52,13 +86,14 @@
         Self::Full(Some(bytes))
     }
 
-    /// Creates a streamed body and its sender.
+    /// Creates a streamed body and its sender, whose chunks take `room`.
     #[must_use]
-    pub fn stream() -> (BodySender, Self) {
+    pub fn stream(room: &StreamRoom) -> (BodySender, Self) {
         let (sender, receiver) = mpsc::channel(STREAM_QUEUE_CHUNKS);
         let is_complete = Arc::new(AtomicBool::new(false));
         let body_sender = BodySender {
             chunks: sender,
+            room: room.clone(),
             is_complete: Arc::clone(&is_complete),
         };
         let body_receiver = BodyReceiver {
@@ -71,23 +106,25 @@
 }
 
 impl BodySender {
-    /// Sends a chunk, waiting while the queue is full; returns `false` if the caller has
-    /// disconnected.
-    pub async fn send(&self, chunk: Bytes) -> bool {
+    /// Sends a chunk, waiting while the queue or the room for all streams is full; returns `false` if
+    /// the caller has disconnected.
+    pub async fn send(&self, bytes: Bytes) -> bool {
+        let needed = u32::try_from(bytes.len().min(self.room.bytes)).unwrap_or(u32::MAX);
+        let is_queue_empty = self.chunks.capacity() == STREAM_QUEUE_CHUNKS;
+        let room = if is_queue_empty {
+            None
+        } else {
+            tokio::select! {
+                biased;
+                room = Arc::clone(&self.room.room).acquire_many_owned(needed) => room.ok(),
+                // Succeeds once the queue is empty, or fails if the caller has disconnected.
+                _ = self.chunks.reserve_many(STREAM_QUEUE_CHUNKS) => None,
+            }
+        };
+        let chunk = Chunk { bytes, _room: room };
         self.chunks.send(chunk).await.is_ok()
     }
 
-    /// Sends a chunk if the queue has room.
-    ///
-    /// # Errors
-    ///
-    /// Returns the chunk if the queue is full or the caller has disconnected.
-    pub fn try_send(&self, chunk: Bytes) -> Result<(), Bytes> {
-        self.chunks
-            .try_send(chunk)
-            .map_err(TrySendError::into_inner)
-    }
-
     /// Marks the stream as complete and closes it.
     pub fn finish(self) {
         self.is_complete.store(true, Ordering::Release);
@@ -108,7 +145,7 @@
 impl BodyReceiver {
     fn poll(&mut self, cx: &mut Context<'_>) -> Poll<Option<Result<Bytes, StreamAborted>>> {
         match ready!(self.chunks.poll_recv(cx)) {
-            Some(chunk) => Poll::Ready(Some(Ok(chunk))),
+            Some(chunk) => Poll::Ready(Some(Ok(chunk.bytes))),
             None if self.is_complete.load(Ordering::Acquire) => Poll::Ready(None),
             None if self.has_yielded => Poll::Ready(Some(Err(StreamAborted))),
             None => {
--- a/crates/hickoryhall-edge/src/lib.rs
+++ b/crates/hickoryhall-edge/src/lib.rs
@@ -16,7 +16,7 @@
 mod server;
 mod sockets;
 
-pub use body::{BodyReceiver, BodySender, RequestBody, ResponseBody, StreamAborted};
+pub use body::{BodyReceiver, BodySender, RequestBody, ResponseBody, StreamAborted, StreamRoom};
 pub use connections::{CallerConnection, ConnectionCounts, Connections, LimitCounts};
 pub use headers::end_to_end_headers;
 pub use pool::{
--- a/crates/hickoryhall-gateway/src/exchange.rs
+++ b/crates/hickoryhall-gateway/src/exchange.rs
@@ -24,6 +24,7 @@
 
 use hickoryhall_edge::{
     BodyReader, CallerConnection, Handler, Pool, RequestBody, ResponseBody, StreamAborted,
+    StreamRoom,
 };
 use hickoryhall_limits::HostBudgets;
 use hickoryhall_routing::{Fingerprint, SuspectDecision};
@@ -74,6 +75,7 @@
     pool: Pool,
     bodies: Rc<Bodies>,
     responses: BodyReader,
+    streams: StreamRoom,
     refusals: BodyReader,
     /// Port at which peers take forwarded requests.
     forwarding_port: u16,
@@ -119,6 +121,7 @@
             pool,
             bodies: Bodies::new(budgets.body_bytes, logger.clone()),
             responses: BodyReader::new(MAX_RESPONSE_BYTES, budgets.response_bytes),
+            streams: StreamRoom::new(budgets.stream_bytes),
             refusals: BodyReader::new(MAX_REFUSAL_BYTES, MAX_REFUSAL_BYTES),
             forwarding_port,
             next_attempt_id: Cell::new(1),
--- a/crates/hickoryhall-gateway/src/exchange/bodies.rs
+++ b/crates/hickoryhall-gateway/src/exchange/bodies.rs
@@ -230,6 +230,7 @@
     /// Sets the gauges of the memory that requests and responses hold.
     pub fn report_memory(&self) {
         gauge!("account_bytes", "kind" => "bodies").set(self.bodies.used_bytes() as f64);
+        gauge!("account_bytes", "kind" => "streams").set(self.streams.used_bytes() as f64);
         gauge!("account_bytes", "kind" => "responses").set(self.responses.used_bytes() as f64);
     }
 }
--- a/crates/hickoryhall-gateway/src/exchange/relay.rs
+++ b/crates/hickoryhall-gateway/src/exchange/relay.rs
@@ -198,7 +198,7 @@
             }
             item => item,
         };
-        let (sender, body) = ResponseBody::stream();
+        let (sender, body) = ResponseBody::stream(&self.gateway.streams);
         let mut response = Response::new(body);
         *response.status_mut() = upstream.stream.head.status;
         *response.headers_mut() = self
--- a/crates/hickoryhall-limits/src/memory.rs
+++ b/crates/hickoryhall-limits/src/memory.rs
@@ -19,7 +19,9 @@
 const RESPONSES_FRACTION: f64 = 8.0 / 18.0;
 /// Largest budget for large responses, in bytes.
 const MAX_RESPONSES_BYTES: usize = 32 << 20;
-/// Fraction for connections. The rest is left to the allocator.
+/// Fraction for the chunks of streams that wait for slow callers.
+const STREAMS_FRACTION: f64 = 1.0 / 18.0;
+/// Fraction for connections.
 const CONNECTIONS_FRACTION: f64 = 4.0 / 18.0;
 /// Charge for a connection, in bytes: its read buffer of up to 16 KiB, and its state.
 pub const CONNECTION_BYTES: usize = 24 << 10;
@@ -47,6 +49,8 @@
     pub body_bytes: usize,
     /// Memory for large responses, in bytes.
     pub response_bytes: usize,
+    /// Memory for the chunks of streams that wait for slow callers, in bytes.
+    pub stream_bytes: usize,
     /// Maximum number of connections of callers.
     pub callers: usize,
     /// Maximum number of connections on which peers forward requests.
@@ -75,6 +79,7 @@
         Self {
             body_bytes: fraction(usable, BODIES_FRACTION),
             response_bytes: fraction(usable, RESPONSES_FRACTION).min(MAX_RESPONSES_BYTES),
+            stream_bytes: fraction(usable, STREAMS_FRACTION),
             callers: connections.saturating_sub(forwarding).max(MIN_CALLERS),
             forwarding,
             readiness: READINESS_CONNECTIONS,
--- a/crates/hickoryhall-limits/tests/memory.rs
+++ b/crates/hickoryhall-limits/tests/memory.rs
@@ -184,7 +184,10 @@
 fn budgets_fit_into_the_machine(#[case] memory: usize, #[case] descriptors: usize) {
     let budgets = HostBudgets::new(memory, descriptors);
     let connections = budgets.callers + budgets.forwarding;
-    let sum = budgets.body_bytes + budgets.response_bytes + connections * CONNECTION_BYTES;
+    let sum = budgets.body_bytes
+        + budgets.response_bytes
+        + budgets.stream_bytes
+        + connections * CONNECTION_BYTES;
     assert!(sum < memory, "{budgets:?}");
     let others = budgets.readiness + budgets.metrics + budgets.records;
     assert!(2 * connections + others < descriptors, "{budgets:?}");
