--- a/crates/hickoryhall-gateway/src/exchange.rs
+++ b/crates/hickoryhall-gateway/src/exchange.rs
@@ -6,6 +6,7 @@
 //! sent again, within the retry budget; every other request fails with `ran` unknown.
 
 mod attempt;
+mod bodies;
 mod crash;
 mod forward;
 mod intake;
@@ -24,9 +25,12 @@
 
 use hickoryhall_edge::{
     BodyReader, CallerConnection, Handler, Pool, RequestBody, ResponseBody, StreamAborted,
+    StreamRoom,
 };
+use hickoryhall_limits::HostBudgets;
 use hickoryhall_routing::{Fingerprint, SuspectDecision};
 use hickoryhall_types::Ran;
+use hyper::header::{CONNECTION, HeaderValue};
 use hyper::{Request, Response, StatusCode};
 use slog::{Logger, debug, info, warn};
 use tokio::sync::mpsc::{self, UnboundedReceiver, UnboundedSender};
@@ -43,6 +47,7 @@
 use crate::stream_versions::SoftwareHash;
 
 use attempt::{AttemptFailure, AttemptGuard, AttemptResult, BufferedResponse};
+use bodies::Bodies;
 pub(crate) use forward::ForwardedHandler;
 use forward::Source;
 use intake::{Forwarded, PreparedRequest, Rejection};
@@ -51,8 +56,6 @@
 
 /// Maximum size of a response that is not a stream, in bytes.
 const MAX_RESPONSE_BYTES: usize = 8 << 20;
-/// Memory for large responses from their first byte to the last one sent to the caller, in bytes.
-const LARGE_RESPONSES_BUDGET_BYTES: usize = 32 << 20;
 /// Maximum size of a refusal, in bytes.
 const MAX_REFUSAL_BYTES: usize = 64 << 10;
 /// Time that must remain before the deadline for another attempt to be worthwhile.
@@ -71,7 +74,9 @@
     platform: Rc<P>,
     core: CoreHandle,
     pool: Pool,
+    bodies: Rc<Bodies>,
     responses: BodyReader,
+    streams: StreamRoom,
     refusals: BodyReader,
     /// Port at which peers take forwarded requests.
     forwarding_port: u16,
@@ -105,6 +110,7 @@
         core: CoreHandle,
         pool: Pool,
         forwarding_port: u16,
+        budgets: &HostBudgets,
         logger: Logger,
     ) -> Self {
         let (late_answers, abandoned) = mpsc::unbounded_channel();
@@ -114,7 +120,9 @@
             platform,
             core,
             pool,
-            responses: BodyReader::new(MAX_RESPONSE_BYTES, LARGE_RESPONSES_BUDGET_BYTES),
+            bodies: Bodies::new(budgets.body_bytes, logger.clone()),
+            responses: BodyReader::new(MAX_RESPONSE_BYTES, budgets.response_bytes),
+            streams: StreamRoom::new(budgets.stream_bytes),
             refusals: BodyReader::new(MAX_REFUSAL_BYTES, MAX_REFUSAL_BYTES),
             forwarding_port,
             next_attempt_id: Cell::new(1),
@@ -216,12 +224,12 @@
     async fn respond(
         self: Rc<Self>,
         request: Request<RequestBody>,
-        caller: &CallerConnection,
+        caller: &Rc<CallerConnection>,
         arrived_at: Instant,
         forwarded: Option<Forwarded>,
     ) -> Response<ResponseBody> {
         let in_flight = self.track_in_flight();
-        match self.intake(request, arrived_at, forwarded).await {
+        match self.intake(request, caller, arrived_at, forwarded).await {
             Ok(request) => {
                 let id = request.meta.request_id.clone();
                 caller.set_request_id(id.clone());
@@ -251,7 +259,13 @@
                     &detail,
                     arrived_at,
                 );
-                self.error_response(request_id.as_deref(), &failure)
+                let mut response = self.error_response(request_id.as_deref(), &failure);
+                if intake::has_unread_body(&failure) {
+                    response
+                        .headers_mut()
+                        .insert(CONNECTION, HeaderValue::from_static("close"));
+                }
+                response
             }
         }
     }
@@ -460,7 +474,7 @@
 
     /// Records whether the request counts towards the quota of its workspace if it ends now.
     fn set_may_have_run(&mut self, may_have_run: bool) {
-        if let Some(charge) = &mut self.request.charge {
+        if let Some(charge) = &mut self.request.quota_charge {
             charge.set_may_have_run(may_have_run);
         }
     }
--- a/crates/hickoryhall-limits/src/lib.rs
+++ b/crates/hickoryhall-limits/src/lib.rs
@@ -16,6 +16,7 @@
 mod fair_queue;
 mod fleet;
 mod fleet_retries;
+mod memory;
 mod quota;
 mod refusal_limits;
 mod retry_budget;
@@ -31,6 +32,9 @@
     UnitRequest,
 };
 pub use fleet_retries::{FleetRetryBudget, FleetRetryLimit};
+pub use memory::{
+    BodyId, CONNECTION_BYTES, ChargeOutcome, HostBudgets, MemoryAccount, SMALL_BODY_BYTES,
+};
 pub use quota::{
     FleetQuotas, MAX_REPORTED_WORKSPACES, QuotaDecision, QuotaLimit, QuotaReport, QuotaStatement,
     ReportScope,
