Add the policy for leaving a failure domain

Hosts weigh another failure domain by a fixed cost of 4 ms today, whatever is queued there and however many bytes cross. CrossingPolicy keeps requests at home that meet their objective there, charges bytes as time, and bounds what leaves by the room of the other domain, divided by the hosts that may send there.

--- a/crates/hickoryhall-routing/src/lib.rs
+++ b/crates/hickoryhall-routing/src/lib.rs
@@ -1,6 +1,6 @@
 //! Request routing: prefix keys, placement on runners, load and cache estimates, costs, retries,
-//! ejection of failing runners, cuts between a host and all servers, and requests suspected of
-//! killing runners.
+//! ejection of failing runners, cuts between a host and all servers, requests that leave their failure
+//! domain, and requests suspected of killing runners.
 //!
 //! Every type is a plain data structure that takes the current time as an argument and uses no I/O,
 //! threads or hidden randomness, so that its decisions are reproducible.
@@ -16,6 +16,7 @@
 mod baseline;
 mod cache_estimate;
 mod cost;
+mod crossing;
 mod ejection;
 mod ledger;
 mod placement;
@@ -28,6 +29,10 @@
 pub use baseline::{Baseline, BaselineKind, RunnerSnapshot};
 pub use cache_estimate::CacheEstimate;
 pub use cost::{Cost, CostModel};
+pub use crossing::{
+    CrossingConfig, CrossingOffer, CrossingPolicy, CrossingReason, CrossingRequest, DomainRoom,
+    HomeOffer,
+};
 pub use ejection::Ejection;
 pub use ledger::{Class, Ledger, Quote, ReservationId};
 pub use placement::{Candidate, Choice, Placement, PlacementConfig, Reason};
