Apply the policy for leaving a failure domain in the scheduler

The scheduler weighs other failure domains by a fixed cost. With crossing.ms_per_mb in the settings it searches its own domain first, and the others only for requests that are late there or that no home server takes; moved cache levels are charged by their bytes. Without the setting nothing changes.

--- a/crates/hickoryhall-gateway/src/core.rs
+++ b/crates/hickoryhall-gateway/src/core.rs
@@ -449,6 +449,8 @@
         self.review_requests(now);
         self.divide_limits(now);
         self.divide_refusal_limits(now);
+        let hosts = self.fleet.size(now);
+        self.scheduler.update_crossing(now, hosts);
         self.place_waiting(now);
         if self.scheduler.waiting_count() > 0 {
             WAITING_TICK_INTERVAL
--- a/crates/hickoryhall-gateway/src/core/digests.rs
+++ b/crates/hickoryhall-gateway/src/core/digests.rs
@@ -143,6 +143,7 @@
     /// Merges a digest of a peer, and replaces the loads known from the same source.
     pub fn on_digest(&mut self, now: Instant, digest: &Digest) {
         self.fleet.mark_seen(now, digest.host);
+        self.scheduler.record_domain_heard(now, digest.domain);
         match &digest.scope {
             Scope::Host => {
                 self.replace_peer_loads(now, LoadSource::Host(digest.host), &digest.servers);
--- a/crates/hickoryhall-gateway/src/exchange/record.rs
+++ b/crates/hickoryhall-gateway/src/exchange/record.rs
@@ -14,7 +14,7 @@
 use crate::framing::{BodyFraming, BodyMedia};
 use crate::interface::{LocalFailure, RequestMeta, ResponseId};
 use crate::outcome::is_promise;
-use crate::scheduler::Assignment;
+use crate::scheduler::{Assignment, Crossing};
 
 /// Collects what is logged when a request ends. A record dropped before its request ended logs
 /// that the caller left.
@@ -96,6 +96,8 @@
     candidates: u32,
     weights: u64,
     waited_ms: u128,
+    /// Why the request left the failure domain.
+    left: Option<&'static str>,
 }
 
 impl RequestRecord {
@@ -135,6 +137,9 @@
 
     /// Records a placement; only the last one is logged.
     pub fn placed(&mut self, assignment: &Assignment) {
+        if let Some(crossing) = &assignment.crossing {
+            count_crossing(crossing);
+        }
         self.placed = Some(PlacementRecord {
             server: assignment.server.id.clone(),
             estimate_ms: assignment.estimate.as_millis(),
@@ -144,6 +149,10 @@
             candidates: assignment.candidates,
             weights: assignment.weights,
             waited_ms: assignment.waited.as_millis(),
+            left: assignment
+                .crossing
+                .as_ref()
+                .and_then(|crossing| crossing.reason),
         });
     }
 
@@ -280,6 +289,7 @@
             "requests_there" => placed.map(|placed| placed.requests),
             "candidates" => placed.map(|placed| placed.candidates),
             "waited_ms" => placed.map(|placed| placed.waited_ms),
+            "left" => placed.and_then(|placed| placed.left),
             "tried" => self.tried.join(" "), "responses" => self.responses.join(" "),
             "server_status" => self.server_status, "bytes" => self.bytes,
             "forwarded_to" => self.forwarded_to.map(|peer| peer.to_string()),
@@ -295,6 +305,21 @@
     }
 }
 
+/// Counts what crosses between failure domains for a request.
+fn count_crossing(crossing: &Crossing) {
+    let (from, to) = (crossing.from.to_string(), crossing.to.to_string());
+    if let Some(reason) = crossing.reason {
+        let labels = [("from", from.clone()), ("to", to.clone())];
+        counter!("crossing_bytes_total", &labels).increment(crossing.request_bytes);
+        counter!("crossings_total", "from" => from, "to" => to.clone(), "reason" => reason)
+            .increment(1);
+    }
+    if let Some((source, bytes)) = &crossing.cache {
+        counter!("crossing_bytes_total", "from" => source.to_string(), "to" => to)
+            .increment(*bytes);
+    }
+}
+
 fn ran_text(ran: Ran) -> &'static str {
     match ran {
         Ran::No => "no",
--- a/crates/hickoryhall-gateway/src/host.rs
+++ b/crates/hickoryhall-gateway/src/host.rs
@@ -370,6 +370,7 @@
     let mut scheduler = SchedulerConfig::new(host, settings.failure_domain.as_str().into());
     scheduler.old_weights_limit = settings.bounds.old_weights_limit();
     scheduler.old_weights_end = settings.bounds.old_weights_end();
+    scheduler.crossing = settings.crossing.map(|crossing| crossing.prices());
     CoreConfig {
         host,
         scheduler,
--- a/crates/hickoryhall-gateway/src/scheduler.rs
+++ b/crates/hickoryhall-gateway/src/scheduler.rs
@@ -10,6 +10,7 @@
 mod cache_store_selection;
 mod candidate;
 mod config;
+mod crossing;
 mod demand;
 mod desired_versions;
 mod placement;
@@ -32,6 +33,8 @@
 use cache_store::CacheStoreState;
 use candidate::{Candidate, millis};
 pub use config::SchedulerConfig;
+pub use crossing::Crossing;
+use crossing::{CrossingKey, CrossingState};
 use demand::FamilyDemand;
 pub use desired_versions::{DesiredVersionAge, DesiredVersionHistory};
 pub use placement::{
@@ -79,6 +82,8 @@
     fetch_from: Option<SocketAddr>,
     /// Whether a server with a refusal limit may have to turn the request away.
     is_risky: bool,
+    /// Service and domain, if the request left the failure domain; `None` after the first event.
+    crossing: Option<CrossingKey>,
 }
 
 enum Decision {
@@ -113,6 +118,8 @@
     refusal_limits: RefusalLimits,
     /// Failure domains with a recently unreachable server, and when each entry expires.
     unreachable_domains: HashMap<FailureDomainId, Instant>,
+    /// Policy for leaving the failure domain; `None` for a fixed cost.
+    crossing: Option<CrossingState>,
 }
 
 /// Refusal of a request whose host ends; another host takes it at once.
@@ -128,6 +135,7 @@
     #[must_use]
     pub fn new(config: SchedulerConfig) -> Self {
         Self {
+            crossing: config.crossing.map(CrossingState::new),
             config,
             servers: SlotMap::with_key(),
             by_id: HashMap::new(),
@@ -323,6 +331,7 @@
             store.record_first_event(now, took, active.estimate);
         }
         let pending_prompt = active.pending_prompt.take();
+        let crossing = active.crossing.take();
         if let Some(state) = self.servers.get_mut(active.key)
             && state.is_current(Some(active.incarnation))
         {
@@ -338,6 +347,7 @@
                 });
             }
         }
+        self.record_crossing_end(now, crossing, AttemptEnd::Answered);
     }
 
     /// Records the end of an attempt, or removes a queued request whose caller has left.
@@ -347,6 +357,7 @@
         let Some(active) = self.active.remove(&attempt_id) else {
             return;
         };
+        self.record_crossing_end(now, active.crossing, end);
         let Some(state) = self.servers.get_mut(active.key) else {
             return;
         };
@@ -459,6 +470,7 @@
         candidates: u32,
     ) -> Box<Assignment> {
         let reported_load_ttl = self.config.reported_load_ttl;
+        let crossing = self.record_crossing(now, request, candidate);
         let state = &mut self.servers[candidate.key];
         let requests = state.request_count(now, reported_load_ttl);
         let prompt = request.prompt.as_ref();
@@ -489,6 +501,7 @@
             estimate: candidate.estimate,
             fetch_from: candidate.fetch_from.map(|(from, _)| from),
             is_risky,
+            crossing,
         };
         self.active.insert(request.attempt_id, active);
         let save_to = prompt.and_then(|prompt| self.save_to(now, prompt, candidate));
@@ -504,6 +517,7 @@
             requests,
             candidates,
             waited: now.saturating_duration_since(request.arrived_at),
+            crossing: self.crossing_of(request, candidate),
         })
     }
 }
--- a/crates/hickoryhall-gateway/src/scheduler/candidate.rs
+++ b/crates/hickoryhall-gateway/src/scheduler/candidate.rs
@@ -4,7 +4,8 @@
 use std::time::{Duration, Instant};
 
 use hickoryhall_limits::{LimitDecision, RoomDecision};
-use hickoryhall_types::{TokenCount, rendezvous_score};
+use hickoryhall_routing::CrossingReason;
+use hickoryhall_types::{FailureDomainId, TokenCount, rendezvous_score};
 
 use super::{
     PlacementRequest, PromptInfo, RefusalReason, Scheduler, ServerKey, ServerState, room_decision,
@@ -41,6 +42,8 @@
     /// Source of cached levels, and the number of tokens that it is known to hold beyond the
     /// server's own; 0 for a speculative fetch.
     pub fetch_from: Option<(SocketAddr, TokenCount)>,
+    /// Why the request leaves the failure domain, if the policy chose the server.
+    pub crossing_reason: Option<CrossingReason>,
 }
 
 /// A transfer of cached prompt levels from a runner or a prompt cache store.
@@ -49,6 +52,8 @@
     from: SocketAddr,
     tokens: TokenCount,
     duration_ms: f64,
+    /// Price of the bytes that are moved between failure domains.
+    price_ms: f64,
 }
 
 /// Cached tokens of a prompt at a runner, and the runner's rank among the prompt's owners, the
@@ -153,14 +158,16 @@
         if requests >= slots * self.config.plain_requests_per_slot {
             return Err(RefusalReason::Full);
         }
+        let queued_ms = requests / slots * PLAIN_REQUEST_MS;
         Ok(Candidate {
             key,
-            cost_ms: requests / slots * PLAIN_REQUEST_MS + self.network_cost_ms(now, state),
-            queued_ms: 0.0,
+            cost_ms: queued_ms + self.network_cost_ms(now, state, None),
+            queued_ms,
             own_work_ms: 0.0,
             estimate: Duration::ZERO,
             missing_tokens: 0,
             fetch_from: None,
+            crossing_reason: None,
         })
     }
 
@@ -194,7 +201,8 @@
             + affinity.owner_rank.min(MAX_OWNER_RANK) as f64 * millis(self.config.owner_rank_cost)
             + eviction_cost_ms
             + self.length_cost_ms(prompt, affinities.len(), index)
-            + self.network_cost_ms(now, state);
+            + transfer.map_or(0.0, |transfer| transfer.price_ms)
+            + self.network_cost_ms(now, state, Some(prompt));
         Ok(Candidate {
             key: affinity.key,
             cost_ms,
@@ -204,7 +212,8 @@
             missing_tokens,
             fetch_from: transfer
                 .map(|transfer| (transfer.from, transfer.tokens))
-                .or_else(|| self.speculative_fetch(now, prompt, missing_tokens)),
+                .or_else(|| self.speculative_fetch(now, prompt, state, missing_tokens)),
+            crossing_reason: None,
         })
     }
 
@@ -235,25 +244,37 @@
         affinities: &[PromptAffinity],
         to: &PromptAffinity,
     ) -> Option<Transfer> {
-        let from_runner = self.runner_transfer(now, capacity, affinities, to);
+        let from_runner = self.runner_transfer(now, capacity, affinities, to, false);
+        let from_near_runner = self.crossing.as_ref();
+        let from_near_runner = from_near_runner
+            .and_then(|_| self.runner_transfer(now, capacity, affinities, to, true));
         let from_store = self.cache_store_transfer(now, prompt, capacity, to);
-        let total_ms = |transfer: &Transfer| {
-            let cached_tokens = to.cached_tokens + transfer.tokens;
+        let prefill_ms = |cached_tokens| {
             let missing = prompt.input_tokens.saturating_sub(cached_tokens);
-            transfer.duration_ms + self.prefill_ms(missing, prompt.input_tokens)
+            self.prefill_ms(missing, prompt.input_tokens)
         };
-        let transfers = from_runner.into_iter().chain(from_store);
-        transfers.min_by(|one, other| total_ms(one).total_cmp(&total_ms(other)))
+        let total_ms = |transfer: &Transfer| {
+            transfer.duration_ms
+                + transfer.price_ms
+                + prefill_ms(to.cached_tokens + transfer.tokens)
+        };
+        let transfers = from_runner.into_iter().chain(from_near_runner);
+        let best = transfers
+            .chain(from_store)
+            .min_by(|one, other| total_ms(one).total_cmp(&total_ms(other)))?;
+        let is_worth_it = best.price_ms <= 0.0 || total_ms(&best) < prefill_ms(to.cached_tokens);
+        is_worth_it.then_some(best)
     }
 
     /// Returns the transfer from the runner that holds most of the prompt; a runner in the same
-    /// failure domain is preferred among equals.
+    /// failure domain is preferred among equals, or is the only choice with `is_near`.
     fn runner_transfer(
         &self,
         now: Instant,
         capacity: &RunnerCapacity,
         affinities: &[PromptAffinity],
         to: &PromptAffinity,
+        is_near: bool,
     ) -> Option<Transfer> {
         let receiver = &self.servers[to.key];
         let sources = affinities.iter().filter(|from| {
@@ -263,17 +284,24 @@
         });
         let is_same_domain =
             |from: &PromptAffinity| self.servers[from.key].server.domain == receiver.server.domain;
-        let best = sources.max_by_key(|from| (from.fetchable_tokens, is_same_domain(from)))?;
+        let best = sources
+            .filter(|from| !is_near || is_same_domain(from))
+            .max_by_key(|from| (from.fetchable_tokens, is_same_domain(from)))?;
         let tokens = best.fetchable_tokens.saturating_sub(to.cached_tokens);
         if tokens < self.config.min_fetch_tokens {
             return None;
         }
-        let distance_factor = if is_same_domain(best) { 1.0 } else { 2.0 };
+        let (distance_factor, price_ms) = if is_same_domain(best) {
+            (1.0, 0.0)
+        } else {
+            (2.0, self.move_price_ms(capacity, tokens))
+        };
         Some(Transfer {
             from: self.servers[best.key].server.address,
             tokens,
             duration_ms: transfer_ms(capacity, tokens) * distance_factor
                 + millis(self.config.fetch_setup),
+            price_ms,
         })
     }
 
@@ -292,13 +320,18 @@
         if tokens < self.config.min_fetch_tokens {
             return None;
         }
-        let is_same_domain = state.server.domain == store.domain;
-        let distance_factor = if is_same_domain { 1.0 } else { 2.0 } * CACHE_STORE_LINK_FACTOR;
+        let (distance_factor, price_ms) = if state.server.domain == store.domain {
+            (1.0, 0.0)
+        } else {
+            (2.0, self.move_price_ms(capacity, tokens))
+        };
+        let distance_factor = distance_factor * CACHE_STORE_LINK_FACTOR;
         Some(Transfer {
             from: store.address,
             tokens,
             duration_ms: transfer_ms(capacity, tokens) * distance_factor
                 + millis(self.config.fetch_setup),
+            price_ms,
         })
     }
 
@@ -308,6 +341,7 @@
         &self,
         now: Instant,
         prompt: &PromptInfo,
+        to: &ServerState,
         missing_tokens: TokenCount,
     ) -> Option<(SocketAddr, TokenCount)> {
         let store = &self.cache_stores[self.cache_store_index(now, prompt)?];
@@ -315,6 +349,8 @@
         let shared = shared.sum::<TokenCount>();
         let private = prompt.input_tokens.saturating_sub(shared);
         let is_promising = missing_tokens >= private + self.config.min_save_tokens;
+        let is_near = store.domain == to.server.domain;
+        let is_promising = is_promising && (is_near || self.is_move_worth_it(prompt, shared));
         is_promising.then_some((store.address, 0))
     }
 
@@ -391,26 +427,29 @@
         is_short != is_short_runner
     }
 
-    /// Returns the network cost of a server, which is higher if its failure domain may be
+    /// Returns the network cost of a server for a request, which is higher if its failure domain may be
     /// unreachable.
-    fn network_cost_ms(&self, now: Instant, state: &ServerState) -> f64 {
-        let domain = &state.server.domain;
-        let is_same_domain = *domain == self.config.domain;
-        let is_unreachable = self
-            .unreachable_domains
-            .get(domain)
-            .is_some_and(|&until| now < until);
-        let crossing_ms = if is_same_domain {
-            0.0
-        } else {
-            millis(self.config.cross_domain_cost)
-        };
-        let unreachable_ms = if is_unreachable && !is_same_domain {
+    fn network_cost_ms(
+        &self,
+        now: Instant,
+        state: &ServerState,
+        prompt: Option<&PromptInfo>,
+    ) -> f64 {
+        if state.server.domain == self.config.domain {
+            return 0.0;
+        }
+        let unreachable_ms = if self.may_be_unreachable(now, &state.server.domain) {
             millis(self.config.unreachable_domain_cost)
         } else {
             0.0
         };
-        crossing_ms + unreachable_ms
+        self.crossing_cost_ms(prompt) + unreachable_ms
+    }
+
+    /// Returns whether servers of a failure domain were unreachable lately.
+    pub(super) fn may_be_unreachable(&self, now: Instant, domain: &FailureDomainId) -> bool {
+        let until = self.unreachable_domains.get(domain);
+        until.is_some_and(|&until| now < until)
     }
 }
 
--- a/crates/hickoryhall-gateway/src/scheduler/config.rs
+++ b/crates/hickoryhall-gateway/src/scheduler/config.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use hickoryhall_routing::CrossingConfig;
 use hickoryhall_types::{FailureDomainId, TokenCount};
 
 use super::HostHash;
@@ -24,6 +25,9 @@
     pub first_event_latency: Duration,
     /// Cost of a server in another failure domain: network latency and cross-domain traffic.
     pub cross_domain_cost: Duration,
+    /// Prices of traffic between failure domains. With them, requests that meet their target latency in
+    /// this host's domain stay there; `None` for `cross_domain_cost` alone.
+    pub crossing: Option<CrossingConfig>,
     /// Additional cost of a server in another failure domain that may be unreachable.
     pub unreachable_domain_cost: Duration,
     /// Cost per rank by which a runner comes after the first owner of a prompt in rendezvous order,
@@ -96,6 +100,7 @@
             prefill_tokens_per_ms: 32.0,
             first_event_latency: Duration::from_millis(25),
             cross_domain_cost: Duration::from_millis(4),
+            crossing: None,
             unreachable_domain_cost: Duration::from_millis(100),
             owner_rank_cost: Duration::from_micros(4_500),
             long_prompt_tokens: 3_000,
--- a/crates/hickoryhall-gateway/src/scheduler/placement.rs
+++ b/crates/hickoryhall-gateway/src/scheduler/placement.rs
@@ -6,7 +6,7 @@
 use hickoryhall_routing::{Level, PrefixChain};
 use hickoryhall_types::{TargetId, TokenCount, WeightsVersion};
 
-use super::{AttemptId, HostLoad, Priority};
+use super::{AttemptId, Crossing, HostLoad, Priority};
 use crate::registry::{BackendServer, ServerId};
 use crate::stream_versions::SoftwareHash;
 
@@ -78,6 +78,8 @@
     pub candidates: u32,
     /// Time from arrival to placement.
     pub waited: Duration,
+    /// What crosses between failure domains, if anything; `None` without a policy for it.
+    pub crossing: Option<Crossing>,
 }
 
 /// State of a runner for the lease holder that gives it orders.
--- a/crates/hickoryhall-gateway/src/scheduler/search.rs
+++ b/crates/hickoryhall-gateway/src/scheduler/search.rs
@@ -16,6 +16,7 @@
 use hickoryhall_types::rendezvous_score;
 
 use super::candidate::{Candidate, PromptAffinity, millis};
+use super::crossing::PLAIN_CANDIDATES;
 use super::{PlacementRequest, PromptInfo, RefusalReason, Scheduler, ServerKey, ServerState};
 use crate::stream_versions::SoftwareHash;
 
@@ -52,6 +53,15 @@
     pub excluded_pause_end: Option<Instant>,
 }
 
+/// Servers of a service, and what is known for comparing them for one request.
+struct Scan<'a> {
+    keys: &'a [ServerKey],
+    affinities: Option<&'a [PromptAffinity]>,
+    lone_versions: Vec<SoftwareHash>,
+    /// Number of servers that can take the request after which no more are compared.
+    limit: u32,
+}
+
 impl Search {
     fn record(&mut self, compared: Result<Candidate, RefusalReason>) {
         match compared {
@@ -68,6 +78,22 @@
         }
     }
 
+    /// Returns whether a server that is in service may take the request later.
+    pub fn may_take_later(&self) -> bool {
+        self.has_full || self.has_limited || self.pause_end.is_some()
+    }
+
+    /// Adds what a search of other servers found, except its best one.
+    pub fn absorb(&mut self, other: &Self) {
+        self.candidates += other.candidates;
+        self.has_full |= other.has_full;
+        self.has_unavailable |= other.has_unavailable;
+        self.has_limited |= other.has_limited;
+        self.pause_end = earlier(self.pause_end, other.pause_end);
+        self.limit_end = earlier(self.limit_end, other.limit_end);
+        self.excluded_pause_end = earlier(self.excluded_pause_end, other.excluded_pause_end);
+    }
+
     /// Returns why no server takes the request, if none can.
     pub fn refusal_reason(&self) -> RefusalReason {
         if self.is_version_gone {
@@ -88,7 +114,8 @@
     /// Searches the servers of the request's service.
     ///
     /// In a small service every server is compared. In a large one these are the first owners of
-    /// the prompt that can take the request.
+    /// the prompt that can take the request. With a policy for leaving the failure domain, the home
+    /// domain is searched first, and the others if the request may leave.
     pub(super) fn search(&self, now: Instant, request: &PlacementRequest) -> Search {
         let keys = self.by_service.get(&request.service);
         let keys = keys.map(Vec::as_slice).unwrap_or_default();
@@ -106,21 +133,41 @@
                 self.owners(prompt, affinities),
                 self.owner_count(now, prompt),
             ),
+            _ if self.crossing.is_some() => (self.rotated(keys, request), PLAIN_CANDIDATES),
             _ => (self.sample(keys, request), u32::MAX),
         };
         let is_there = |key: &ServerKey| !self.servers[*key].is_leaving();
-        let lone_versions = self.lone_versions(keys, request);
-        let mut search = Search {
-            is_version_gone: request.software.is_some() && !keys.iter().any(is_there),
-            ..Search::default()
+        let scan = Scan {
+            keys,
+            affinities,
+            lone_versions: self.lone_versions(keys, request),
+            limit,
         };
-        for index in indices {
-            if search.candidates == limit {
+        let (home, away) = self.by_domain(keys, request, indices);
+        let mut search = self.scan(now, request, &scan, &home);
+        search.is_version_gone = request.software.is_some() && !keys.iter().any(is_there);
+        self.search_away(now, request, search, &away, |indices| {
+            self.scan(now, request, &scan, indices)
+        })
+    }
+
+    /// Compares servers in the given order until enough of them can take the request.
+    fn scan(
+        &self,
+        now: Instant,
+        request: &PlacementRequest,
+        scan: &Scan<'_>,
+        indices: &[usize],
+    ) -> Search {
+        let mut search = Search::default();
+        for &index in indices {
+            if search.candidates == scan.limit {
                 break;
             }
-            let mut compared = self.candidate(now, keys[index], request, affinities, index);
-            let state = &self.servers[keys[index]];
-            if lone_versions.contains(&state.software())
+            let key = scan.keys[index];
+            let mut compared = self.candidate(now, key, request, scan.affinities, index);
+            let state = &self.servers[key];
+            if scan.lone_versions.contains(&state.software())
                 && let Ok(candidate) = &mut compared
             {
                 candidate.cost_ms += millis(self.config.lone_version_cost);
--- a/crates/hickoryhall-gateway/src/settings.rs
+++ b/crates/hickoryhall-gateway/src/settings.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use hickoryhall_limits::FleetRetryLimit;
+use hickoryhall_routing::CrossingConfig;
 use hickoryhall_telemetry::LogFormat;
 use serde::Deserialize;
 
@@ -17,6 +18,9 @@
 /// time in which a host learns of a version, and the way of a cancellation to the runner.
 const OLD_WEIGHTS_MARGIN: Duration = Duration::from_millis(400);
 
+/// Round trip between two failure domains: twice the latency of 1.4 ms, rounded up.
+const DOMAIN_ROUND_TRIP: Duration = Duration::from_millis(3);
+
 /// Longest duration in the settings; longer ones would overflow the points in time derived from
 /// them.
 const MAX_DURATION: Duration = Duration::from_secs(30 * 24 * 3_600);
@@ -84,6 +88,16 @@
     pub log_format: LogFormat,
     /// Time limits and retry limits that the host observes.
     pub bounds: Bounds,
+    /// Price of traffic between failure domains; without it, another domain has a fixed cost.
+    #[serde(default)]
+    pub crossing: Option<Crossing>,
+}
+
+/// Price of traffic between failure domains.
+#[derive(Clone, Copy, Debug, PartialEq, Deserialize)]
+pub struct Crossing {
+    /// Price of a megabyte, as milliseconds that a caller waits; not negative.
+    pub ms_per_mb: f64,
 }
 
 /// Time limits and retry limits that a host observes.
@@ -106,6 +120,17 @@
     pub weights_ms: u64,
 }
 
+impl Crossing {
+    /// Returns the prices for the scheduler.
+    #[must_use]
+    pub fn prices(&self) -> CrossingConfig {
+        CrossingConfig {
+            ms_per_mb: self.ms_per_mb,
+            round_trip: DOMAIN_ROUND_TRIP,
+        }
+    }
+}
+
 impl Bounds {
     /// Returns the time from a stop signal until the process is killed.
     #[must_use]
@@ -219,7 +244,9 @@
                 ));
             }
         }
+        let ms_per_mb = self.crossing.map_or(0.0, |crossing| crossing.ms_per_mb);
         let not_negative = [
+            ("crossing.ms_per_mb", ms_per_mb),
             ("bounds.retry_ratio", bounds.retry_ratio),
             ("bounds.retry_extra", bounds.retry_extra),
         ];
--- a/crates/hickoryhall-gateway/tests/settings.rs
+++ b/crates/hickoryhall-gateway/tests/settings.rs
@@ -25,6 +25,19 @@
     assert_eq!(settings.bounds.grace_period(), Duration::from_secs(8));
 }
 
+/// Guards against a changed choice of servers in deployments whose settings do not name a price.
+#[test]
+fn traffic_between_domains_has_a_price_only_if_the_settings_name_one() {
+    let settings = read("no-price.json", GOOD).expect("usable");
+    assert_eq!(settings.crossing, None);
+    let text = GOOD.replace(r#""later":1"#, r#""crossing":{"ms_per_mb":0.2}"#);
+    let settings = read("price.json", &text).expect("usable");
+    let prices = settings
+        .crossing
+        .map(|crossing| crossing.prices().ms_per_mb);
+    assert_eq!(prices, Some(0.2));
+}
+
 /// Guards against requests that start on replaced weights after the bound. One that was sent 9.05 s
 /// after the new desired version was set waited a second at its runner and started after the bound
 /// of 10 s (enlarged Karoo fleet, scenario `trouble-2`, seed 1,009,672,971,664).
@@ -47,6 +60,8 @@
 )]
 #[case::no_lease(r#""lease_ms":3000"#, r#""lease_ms":0"#, "bounds.lease_ms")]
 #[case::no_port_for_forwarded_requests(r#""peer_port":3"#, r#""peer_port":65535"#, "peer_port")]
+#[case::negative_price(r#""later":1"#, r#""crossing":{"ms_per_mb":-1}"#, "crossing.ms_per_mb")]
+#[case::crossing_without_price(r#""later":1"#, r#""crossing":{}"#, "ms_per_mb")]
 #[case::bad_address(r#""callers":"127.0.0.1:1""#, r#""callers":"here""#, "line 1")]
 fn unusable_settings_name_their_field(#[case] good: &str, #[case] bad: &str, #[case] named: &str) {
     let text = GOOD.replace(good, bad);
--- a/crates/hickoryhall-routing/tests/crossing.rs
+++ b/crates/hickoryhall-routing/tests/crossing.rs
@@ -5,7 +5,8 @@
 
 use std::time::{Duration, Instant};
 
-use crossing_fleet::{Day, Link, Outcome, PLAIN_DAY, SERVICE, Way, destinations, figures, play};
+use crossing_fleet::figures::{destinations, figures};
+use crossing_fleet::{Day, Link, Outcome, PLAIN_DAY, SERVICE, Way, play};
 use hickoryhall_routing::{
     CrossingConfig, CrossingOffer, CrossingPolicy, CrossingReason, CrossingRequest, DomainRoom,
     HomeOffer,
@@ -374,7 +375,8 @@
         Way::Home,
         Way::LeastLoaded,
         Way::Fixed(0.3),
-        Way::Threshold,
+        Way::Threshold(1.0),
+        Way::Threshold(0.7),
         Way::Price(0.05),
         Way::Price(0.2),
         Way::Price(1.0),
@@ -390,7 +392,7 @@
         );
         all
     });
-    let [home, least_loaded, fixed, threshold, low, usual, high] = all;
+    let [home, least_loaded, fixed, threshold, _, low, usual, high] = all;
     for price in [low, usual, high] {
         assert!(price.on_time > home.on_time + 0.1, "{price:?} {home:?}");
         assert!(price.on_time > fixed.on_time, "{price:?} {fixed:?}");
--- a/crates/hickoryhall-routing/tests/crossing_fleet/mod.rs
+++ b/crates/hickoryhall-routing/tests/crossing_fleet/mod.rs
@@ -1,7 +1,9 @@
 //! A fleet in several failure domains, in virtual time: hosts that learn loads late, runners with one
 //! queue each, and prompt families whose cached levels are used, moved or prefilled again.
 
-use std::collections::{HashMap, VecDeque};
+pub mod figures;
+
+use std::collections::VecDeque;
 use std::time::{Duration, Instant};
 
 use hickoryhall_routing::{
@@ -70,8 +72,8 @@
     LeastLoaded,
     /// Leaves with this probability, to a random domain.
     Fixed(f64),
-    /// Leaves whenever the home domain is late, to the least loaded one.
-    Threshold,
+    /// Leaves to the least loaded domain if the estimate at home exceeds this part of the objective.
+    Threshold(f64),
     /// [`CrossingPolicy`] with this price.
     Price(f64),
 }
@@ -342,7 +344,8 @@
         let away = others.filter_map(|domain| self.best_in(host, domain, kind, family));
         let mut away = away.collect::<Vec<_>>();
         let limit_ms = kind.objective_ms - SLACK_MS;
-        let is_late = home.as_ref().is_none_or(|home| home.estimate_ms > limit_ms);
+        let home_ms = home.as_ref().map_or(f64::INFINITY, |home| home.estimate_ms);
+        let is_late = |part: f64| home_ms > part * limit_ms;
         let least = |mut choices: Vec<Choice>| {
             choices.sort_by(|one, other| one.cost_ms.total_cmp(&other.cost_ms));
             choices.into_iter().next()
@@ -356,8 +359,8 @@
                 away.into_iter().find(|choice| choice.domain == domain)
             }
             Way::Fixed(_) => home,
-            Way::Threshold if is_late => least(home.into_iter().chain(away).collect()),
-            Way::Threshold => home,
+            Way::Threshold(part) if is_late(part) => least(home.into_iter().chain(away).collect()),
+            Way::Threshold(_) => home,
             Way::Price(_) => {
                 let request = CrossingRequest {
                     service: SERVICE,
@@ -461,48 +464,3 @@
         }
     }
 }
-
-/// Figures of some requests.
-#[derive(Clone, Copy, Debug)]
-pub struct Figures {
-    pub requests: usize,
-    pub on_time: f64,
-    pub crossed: usize,
-    pub crossed_fraction: f64,
-    pub megabytes: f64,
-}
-
-/// Returns the figures of the requests that `is_counted` names.
-pub fn figures(outcomes: &[Outcome], is_counted: impl Fn(&Outcome) -> bool) -> Figures {
-    let counted = outcomes.iter().filter(|outcome| is_counted(outcome));
-    let counted = counted.collect::<Vec<_>>();
-    let requests = counted.len();
-    let on_time = counted.iter().filter(|outcome| outcome.is_on_time).count();
-    let crossed = counted.iter().filter(|outcome| outcome.is_crossing());
-    let crossed = crossed.count();
-    let bytes = counted.iter().map(|outcome| outcome.bytes).sum::<f64>();
-    Figures {
-        requests,
-        on_time: on_time as f64 / requests.max(1) as f64,
-        crossed,
-        crossed_fraction: crossed as f64 / requests.max(1) as f64,
-        megabytes: bytes / 1e6,
-    }
-}
-
-impl Outcome {
-    pub fn is_crossing(&self) -> bool {
-        self.to.is_some_and(|to| to != self.from)
-    }
-}
-
-/// Returns how many requests of a domain went to each other one.
-pub fn destinations(outcomes: &[Outcome], from: usize) -> HashMap<usize, usize> {
-    let mut counts = HashMap::new();
-    for outcome in outcomes.iter().filter(|outcome| outcome.from == from) {
-        if let Some(to) = outcome.to.filter(|to| *to != from) {
-            *counts.entry(to).or_default() += 1;
-        }
-    }
-    counts
-}
