--- a/crates/hickoryhall-gateway/src/scheduler/candidate.rs
+++ b/crates/hickoryhall-gateway/src/scheduler/candidate.rs
@@ -19,7 +19,7 @@
 /// Idle time after which evicting a cached prompt costs half as much.
 const EVICTION_HALF_LIFE: Duration = Duration::from_secs(8);
 /// Approximate duration of one request at a plain server with all slots busy.
-const PLAIN_REQUEST_MS: f64 = 100.0;
+pub(super) const PLAIN_REQUEST_MS: f64 = 100.0;
 
 /// Factor by which a runner may exceed its estimate where a later start is wrong, not only late; an
 /// attempt that another runner can take over ends sooner.
--- a/crates/hickoryhall-gateway/src/scheduler/crossing.rs
+++ b/crates/hickoryhall-gateway/src/scheduler/crossing.rs
@@ -11,7 +11,7 @@
 };
 use hickoryhall_types::{FailureDomainId, TokenCount, hash_name, rendezvous_score};
 
-use super::candidate::{Candidate, millis};
+use super::candidate::{Candidate, PLAIN_REQUEST_MS, millis};
 use super::search::Search;
 use super::{AttemptEnd, PlacementRequest, PromptInfo, Scheduler, ServerKey, ServerState};
 use crate::table::RunnerCapacity;
@@ -102,15 +102,15 @@
                 if self.is_at_home(state) {
                     continue;
                 }
-                *spare.entry((service, domain)).or_default() += self.spare(now, state);
+                *spare.entry((service, domain)).or_default() += self.spare_ms(now, state);
             }
         }
         let senders = (hosts * (domains.len() - 1)).div_ceil(domains.len()).max(1);
         let heard_at = self.crossing.as_ref().map(|crossing| &crossing.heard_at);
-        let rooms = spare.into_iter().map(|((service, domain), spare)| {
+        let rooms = spare.into_iter().map(|((service, domain), spare_ms)| {
             let heard_at = heard_at.and_then(|heard_at| heard_at.get(&domain));
             let room = DomainRoom {
-                spare,
+                spare_ms,
                 senders,
                 news_age: heard_at.map(|&at| now.saturating_duration_since(at)),
             };
@@ -119,9 +119,9 @@
         rooms.collect()
     }
 
-    /// Returns the number of requests of other domains that a server could take: its free slots, less as
-    /// its queue becomes longer.
-    fn spare(&self, now: Instant, state: &ServerState) -> f64 {
+    /// Returns the work of other domains that a server could take until the next look: the part of that
+    /// time that its queue leaves, or all of it for each free slot of a plain server.
+    fn spare_ms(&self, now: Instant, state: &ServerState) -> f64 {
         let is_out = state.is_leaving()
             || state.ejection.is_ejected(now)
             || state.is_changing_weights(now)
@@ -131,9 +131,15 @@
             return 0.0;
         }
         let requests = state.request_count(now, self.config.reported_load_ttl);
-        let free = f64::from(state.slots().saturating_sub(requests));
-        let queued = f64::from(state.load(now).pending_ms) / millis(self.config.late_queue_limit);
-        free * (1.0 - queued).max(0.0)
+        let free_slots = state.slots().saturating_sub(requests);
+        let interval_ms = millis(ROOM_INTERVAL);
+        if state.runner_capacity.is_none() {
+            return f64::from(free_slots) * interval_ms;
+        }
+        if free_slots == 0 {
+            return 0.0;
+        }
+        (interval_ms - f64::from(state.load(now).pending_ms)).max(0.0)
     }
 
     fn is_at_home(&self, state: &ServerState) -> bool {
@@ -267,7 +273,12 @@
         }
         let key = (hash_name(&request.service), hash_name(&state.server.domain));
         let crossing = self.crossing.as_mut()?;
-        crossing.policy.record_sent(now, key.0, key.1);
+        let work_ms = if request.prompt.is_some() {
+            candidate.own_work_ms
+        } else {
+            PLAIN_REQUEST_MS
+        };
+        crossing.policy.record_sent(now, key.0, key.1, work_ms);
         Some(key)
     }
 
--- a/crates/hickoryhall-routing/src/crossing.rs
+++ b/crates/hickoryhall-routing/src/crossing.rs
@@ -13,7 +13,7 @@
 
 /// Part of another domain's room that all hosts together may fill between two load reports. The
 /// domain's own hosts need the rest; with all of it, loads overshoot because reports are late.
-const SPARE_FRACTION: f64 = 0.5;
+const SPARE_FRACTION: f64 = 0.6;
 /// Time between two load reports of the same host.
 const REPORT_INTERVAL: Duration = Duration::from_millis(250);
 /// Time constant with which a share rises.
@@ -42,9 +42,13 @@
 const RANK_RESERVE: f64 = 0.25;
 /// Ranks that are told apart.
 const MAX_RANK: u8 = 2;
-/// Cost that a request without a server at home pays for a domain whose share is used up, per unit of
-/// debt, so that such requests are divided by the room of the other domains.
+/// Cost that a request without a server at home pays for a domain whose share is used up, per debt of one
+/// share, so that such requests are divided by the room of the other domains.
 const DEBT_COST_MS: f64 = 10.0;
+/// Largest debt, in shares, that requests without a server at home leave to later ones.
+const MAX_DEBT_SHARES: f64 = 4.0;
+/// Least share for which debt is weighed and a request may pass: a thousandth of a server's time.
+const MIN_SHARE_MS: f64 = 0.25;
 /// Additional cost of a domain that does not answer, for a request without a server at home.
 const SILENT_COST_MS: f64 = 1_000.0;
 
@@ -133,8 +137,8 @@
 /// What a host knows about the room that another domain has for a service.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct DomainRoom {
-    /// Number of requests that the domain's servers could take at once.
-    pub spare: f64,
+    /// Work that the domain's servers could take until the next load report, in milliseconds.
+    pub spare_ms: f64,
     /// Number of hosts that may send requests there from other domains.
     pub senders: usize,
     /// Time since a host of that domain was last heard from; `None` if none ever was.
@@ -144,10 +148,10 @@
 /// Requests of one service from this host to one other domain.
 #[derive(Clone, Copy, Debug)]
 struct Flow {
-    /// Requests that this host may send between two load reports.
-    share: f64,
-    /// Requests that it may send at `updated_at`.
-    credit: f64,
+    /// Work that this host may send between two load reports, in milliseconds.
+    share_ms: f64,
+    /// Work that it may send at `updated_at`; negative after a request with more work than the credit.
+    credit_ms: f64,
     updated_at: Instant,
     /// Requests sent that have neither been answered nor ended.
     unanswered: u32,
@@ -160,8 +164,8 @@
 impl Flow {
     fn new(now: Instant) -> Self {
         Self {
-            share: 0.0,
-            credit: 0.0,
+            share_ms: 0.0,
+            credit_ms: 0.0,
             updated_at: now,
             unanswered: 0,
             unanswered_since: None,
@@ -169,16 +173,11 @@
         }
     }
 
-    /// Returns the largest credit. It is at least 1, so that a share below 1 lets requests pass from
-    /// time to time.
-    fn max_credit(&self) -> f64 {
-        self.share.max(1.0)
-    }
-
+    /// Returns the credit, which is at most one share.
     fn credit_at(&self, now: Instant) -> f64 {
         let elapsed = now.saturating_duration_since(self.updated_at);
-        let earned = self.share * elapsed.div_duration_f64(REPORT_INTERVAL);
-        (self.credit + earned).min(self.max_credit())
+        let earned_ms = self.share_ms * elapsed.div_duration_f64(REPORT_INTERVAL);
+        (self.credit_ms + earned_ms).min(self.share_ms)
     }
 
     fn is_silent(&self, now: Instant) -> bool {
@@ -191,22 +190,23 @@
         if self.is_silent(now) {
             return now >= self.probe_at;
         }
-        let reserve = (self.max_credit() - 1.0) * RANK_RESERVE * f64::from(rank.min(MAX_RANK));
-        self.credit_at(now) >= 1.0 + reserve
+        let reserve_ms = self.share_ms * RANK_RESERVE * f64::from(rank.min(MAX_RANK));
+        self.share_ms >= MIN_SHARE_MS && self.credit_at(now) > reserve_ms
     }
 
     fn advance(&mut self, now: Instant) {
-        self.credit = self.credit_at(now);
+        self.credit_ms = self.credit_at(now);
         self.updated_at = self.updated_at.max(now);
     }
 
-    fn follow(&mut self, now: Instant, target: f64) {
+    fn follow(&mut self, now: Instant, target_ms: f64) {
         let elapsed = now.saturating_duration_since(self.updated_at);
         self.advance(now);
-        let time_constant = if target > self.share { RISE } else { FALL };
+        let is_rising = target_ms > self.share_ms;
+        let time_constant = if is_rising { RISE } else { FALL };
         let part = 1.0 - (-elapsed.div_duration_f64(time_constant)).exp();
-        self.share += (target - self.share) * part;
-        self.credit = self.credit.min(self.max_credit());
+        self.share_ms += (target_ms - self.share_ms) * part;
+        self.credit_ms = self.credit_ms.min(self.share_ms);
     }
 }
 
@@ -245,17 +245,17 @@
         let target = if flow.is_silent(now) {
             0.0
         } else {
-            let part = room.spare.max(0.0) * SPARE_FRACTION / room.senders.max(1) as f64;
+            let part = room.spare_ms.max(0.0) * SPARE_FRACTION / room.senders.max(1) as f64;
             part * freshness(room.news_age)
         };
         flow.follow(now, target);
     }
 
-    /// Returns the number of requests that this host may send to a domain between two load reports.
+    /// Returns the work in milliseconds that this host may send to a domain between two load reports.
     #[must_use]
-    pub fn share(&self, service: ServiceHash, domain: DomainHash) -> f64 {
+    pub fn share_ms(&self, service: ServiceHash, domain: DomainHash) -> f64 {
         let flow = self.flows.get(&(service, domain));
-        flow.map_or(0.0, |flow| flow.share)
+        flow.map_or(0.0, |flow| flow.share_ms)
     }
 
     /// Returns whether a request misses its objective at home, or has no server there.
@@ -323,14 +323,21 @@
         if flow.is_silent(now) && now < flow.probe_at {
             return SILENT_COST_MS;
         }
-        (1.0 - flow.credit_at(now)).max(0.0) / flow.max_credit() * DEBT_COST_MS
+        -flow.credit_at(now).min(0.0) / flow.share_ms.max(MIN_SHARE_MS) * DEBT_COST_MS
     }
 
-    /// Records that a request is sent to another domain.
-    pub fn record_sent(&mut self, now: Instant, service: ServiceHash, domain: DomainHash) {
+    /// Records that a request is sent to another domain, with its work there.
+    pub fn record_sent(
+        &mut self,
+        now: Instant,
+        service: ServiceHash,
+        domain: DomainHash,
+        work_ms: f64,
+    ) {
         let flow = self.flow(now, service, domain);
         flow.advance(now);
-        flow.credit = (flow.credit - 1.0).max(-flow.max_credit());
+        let max_debt_ms = MAX_DEBT_SHARES * flow.share_ms + work_ms;
+        flow.credit_ms = (flow.credit_ms - work_ms).max(-max_debt_ms);
         if flow.is_silent(now) {
             flow.probe_at = now + PROBE_INTERVAL;
         }
@@ -367,12 +374,12 @@
         let flow = self.flow(now, service, domain);
         flow.advance(now);
         flow.unanswered = flow.unanswered.saturating_sub(1);
-        flow.share = if is_unreachable {
+        flow.share_ms = if is_unreachable {
             0.0
         } else {
-            flow.share / 2.0
+            flow.share_ms / 2.0
         };
-        flow.credit = flow.credit.min(0.0);
+        flow.credit_ms = flow.credit_ms.min(0.0);
     }
 
     fn flow(&mut self, now: Instant, service: ServiceHash, domain: DomainHash) -> &mut Flow {
