--- a/crates/hickoryhall-gateway/src/lib.rs
+++ b/crates/hickoryhall-gateway/src/lib.rs
@@ -29,4 +29,5 @@
 pub mod stream_record;
 pub mod stream_versions;
 pub mod table;
+pub mod table_check;
 pub mod version_record;
--- a/crates/hickoryhall-gateway/src/scheduler.rs
+++ b/crates/hickoryhall-gateway/src/scheduler.rs
@@ -11,6 +11,7 @@
 mod candidate;
 mod config;
 mod crossing;
+mod crossing_state;
 mod demand;
 mod desired_versions;
 mod placement;
@@ -33,8 +34,8 @@
 use cache_store::CacheStoreState;
 use candidate::{Candidate, millis};
 pub use config::SchedulerConfig;
-pub use crossing::Crossing;
-use crossing::{CrossingKey, CrossingState};
+pub use crossing_state::Crossing;
+use crossing_state::{CrossingKey, CrossingState};
 use demand::FamilyDemand;
 pub use desired_versions::{DesiredVersionAge, DesiredVersionHistory};
 pub use placement::{
--- a/crates/hickoryhall-gateway/src/scheduler/crossing.rs
+++ b/crates/hickoryhall-gateway/src/scheduler/crossing.rs
@@ -6,12 +6,12 @@
 use std::time::{Duration, Instant};
 
 use hickoryhall_routing::{
-    CrossingConfig, CrossingOffer, CrossingPolicy, CrossingReason, CrossingRequest, DomainHash,
-    DomainRoom, HomeOffer, ServiceHash,
+    CrossingOffer, CrossingReason, CrossingRequest, DomainHash, DomainRoom, HomeOffer,
 };
 use hickoryhall_types::{FailureDomainId, TokenCount, hash_name, rendezvous_score};
 
 use super::candidate::{Candidate, PLAIN_REQUEST_MS, millis};
+use super::crossing_state::{Crossing, CrossingKey};
 use super::search::Search;
 use super::{AttemptEnd, PlacementRequest, PromptInfo, Scheduler, ServerKey, ServerState};
 use crate::table::RunnerCapacity;
@@ -24,44 +24,6 @@
 const PROMPT_TOKEN_BYTES: f64 = 1.0;
 /// Bytes of the body and the response of a request without a prompt.
 const PLAIN_BYTES: f64 = 1_000.0;
-/// Least number of servers that are compared in each domain for a request without a prompt.
-pub(super) const PLAIN_CANDIDATES: u32 = 6;
-
-/// What this host knows for leaving its failure domain.
-pub(super) struct CrossingState {
-    pub policy: CrossingPolicy,
-    /// Time of the last digest from each domain.
-    heard_at: HashMap<DomainHash, Instant>,
-    updated_at: Option<Instant>,
-}
-
-/// Service and domain of a request that left.
-pub(super) type CrossingKey = (ServiceHash, DomainHash);
-
-/// A request that left its failure domain, or cached levels that were moved between domains for it.
-#[derive(Clone, Debug, PartialEq)]
-pub struct Crossing {
-    /// Why the request left; `None` if only cached levels cross.
-    pub reason: Option<&'static str>,
-    /// Domain of this host.
-    pub from: FailureDomainId,
-    /// Domain of the server.
-    pub to: FailureDomainId,
-    /// Estimated bytes of the request and its response that cross.
-    pub request_bytes: u64,
-    /// Domain that cached levels come from, and their estimated bytes, if these cross.
-    pub cache: Option<(FailureDomainId, u64)>,
-}
-
-impl CrossingState {
-    pub fn new(config: CrossingConfig) -> Self {
-        Self {
-            policy: CrossingPolicy::new(config),
-            heard_at: HashMap::new(),
-            updated_at: None,
-        }
-    }
-}
 
 impl Scheduler {
     /// Records that a host of a failure domain was heard from, given by the hash of its name.
--- a/crates/hickoryhall-gateway/src/scheduler/search.rs
+++ b/crates/hickoryhall-gateway/src/scheduler/search.rs
@@ -16,7 +16,6 @@
 use hickoryhall_types::rendezvous_score;
 
 use super::candidate::{Candidate, PromptAffinity, millis};
-use super::crossing::PLAIN_CANDIDATES;
 use super::{PlacementRequest, PromptInfo, RefusalReason, Scheduler, ServerKey, ServerState};
 use crate::stream_versions::SoftwareHash;
 
@@ -30,6 +29,8 @@
 const MAX_SUSPECT_SERVERS: u32 = 3;
 /// Number of servers that are compared in a large service for a request without a prompt.
 const SAMPLE: u64 = 6;
+/// The same number in each failure domain with a policy for leaving it.
+const PLAIN_CANDIDATES: u32 = 6;
 
 /// Best server found for a request so far.
 #[derive(Default)]
