--- a/crates/hickoryhall-edge/src/body.rs
+++ b/crates/hickoryhall-edge/src/body.rs
@@ -125,6 +125,26 @@
         self.chunks.send(chunk).await.is_ok()
     }
 
+    /// Sends a chunk if the queue and the room for all streams are not full.
+    ///
+    /// # Errors
+    ///
+    /// Returns the chunk if there is no room or the caller has disconnected.
+    pub fn try_send(&self, bytes: Bytes) -> Result<(), Bytes> {
+        let needed = u32::try_from(bytes.len().min(self.room.bytes)).unwrap_or(u32::MAX);
+        let is_queue_empty = self.chunks.capacity() == STREAM_QUEUE_CHUNKS;
+        let room = if is_queue_empty {
+            None
+        } else {
+            match Arc::clone(&self.room.room).try_acquire_many_owned(needed) {
+                Ok(room) => Some(room),
+                Err(_) => return Err(bytes),
+            }
+        };
+        let sent = self.chunks.try_send(Chunk { bytes, _room: room });
+        sent.map_err(|error| error.into_inner().bytes)
+    }
+
     /// Marks the stream as complete and closes it.
     pub fn finish(self) {
         self.is_complete.store(true, Ordering::Release);
--- a/crates/hickoryhall-http/src/server.rs
+++ b/crates/hickoryhall-http/src/server.rs
@@ -156,6 +156,7 @@
         let config = Rc::new(Cell::new(ServerConfig {
             max_head_bytes: MAX_HEAD_BYTES,
             idle_timeout: self.limits.idle_timeout,
+            ..ServerConfig::default()
         }));
         let serving = serve(
             listener,
--- a/crates/hickoryhall-http/src/stream.rs
+++ b/crates/hickoryhall-http/src/stream.rs
@@ -4,13 +4,16 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use hickoryhall_edge::{BodySender, ResponseBody};
+use hickoryhall_edge::{BodySender, ResponseBody, StreamRoom};
 use tokio::runtime::Handle;
 use tokio::time::timeout;
 
 use crate::Request;
 use crate::respond::build_response;
 
+/// Bytes of a stream that wait for its caller; events beyond them wait for the caller to read.
+const STREAM_ROOM_BYTES: usize = 1 << 20;
+
 /// Writes an event stream. Dropping it without [`EventWriter::finish`] aborts the stream: the
 /// connection is closed and the caller sees an incomplete response.
 #[derive(Debug)]
@@ -27,7 +30,7 @@
     ///
     /// Returns an error if the caller has disconnected.
     pub fn start(request: Request, headers: &[(&str, &str)]) -> io::Result<Self> {
-        let (sender, body) = ResponseBody::stream();
+        let (sender, body) = ResponseBody::stream(&StreamRoom::new(STREAM_ROOM_BYTES));
         let fixed = [
             ("Content-Type", "text/event-stream"),
             ("Cache-Control", "no-store"),
