Notice callers that left before their request is sent

Callers saw requests run twice that may run once: a host that had been held up (frozen, out of descriptors, starved) read a request whose caller had already closed the connection as unread and sent it again at another host. The first read of a socket counts as drained when it is short, so that the end of the connection behind it was not seen before the request went out on an idle connection to a server.

A request that may not repeat now lets the event loop turn once before it is sent.

A connection of an HTTP/1.0 caller that closed its sending direction was reset without an answer while its request ran; a reset says unread. It is reset only after a part of a response was written.

Tests that state pending work of peers state its urgency too, as the scheduler now tells the two apart.

--- a/crates/hickoryhall-edge/src/connections.rs
+++ b/crates/hickoryhall-edge/src/connections.rs
@@ -243,7 +243,7 @@
 
     /// Returns whether the end of the connection would make an incomplete response look complete.
     pub(crate) fn would_look_complete(&self) -> bool {
-        self.is_responding() && self.needs_close.get()
+        self.is_responding() && self.needs_close.get() && self.written_bytes.get() > 0
     }
 
     /// Records that the head of a request was read. `can_chunk` tells whether the caller understands
--- a/crates/hickoryhall-gateway/src/exchange.rs
+++ b/crates/hickoryhall-gateway/src/exchange.rs
@@ -35,6 +35,7 @@
 use slog::{Logger, debug, info, warn};
 use tokio::sync::mpsc::{self, UnboundedReceiver, UnboundedSender};
 use tokio::sync::{Notify, oneshot};
+use tokio::task::{spawn_local, yield_now};
 
 use crate::core::CoreHandle;
 use crate::interface::{LocalFailure, Platform};
@@ -161,7 +162,7 @@
     fn refresh_weights(&self, assignment: &Assignment) {
         let (platform, core) = (Rc::clone(&self.platform), self.core.clone());
         let (server, logger) = (assignment.server.clone(), self.logger.clone());
-        tokio::task::spawn_local(async move {
+        spawn_local(async move {
             let requested_at = Instant::now();
             let report = match platform.report(&server).await {
                 Ok(report) => report,
@@ -331,6 +332,15 @@
         if let Err(refusal) = self.check_suspect(Some(self.request.fingerprint)) {
             return self.respond_refused(refusal);
         }
+        if !self.request.route.kind.may_repeat() {
+            // The end of the caller's connection may have arrived with the request, unnoticed, if the
+            // process was held up. The event loop notices it before the request is sent: a caller that
+            // closed a connection whose request was not read may send it again elsewhere. A task of
+            // its own is certain to wait for the event loop; this one may be woken for other reasons.
+            let turn = spawn_local(yield_now());
+            // It neither panics nor is cancelled.
+            let _ = turn.await;
+        }
         if let Some(failure) = self.find_software().await {
             return self.respond_failure(failure);
         }
--- a/crates/hickoryhall-gateway/src/peers/message/wire.rs
+++ b/crates/hickoryhall-gateway/src/peers/message/wire.rs
@@ -537,7 +537,8 @@
             incarnation: update.incarnation,
             is_leaving: update.is_leaving,
             speed: update.speed.map(From::from),
-            urgent_pending_ms: Some(update.load.urgent_pending_ms),
+            urgent_pending_ms: (update.load.urgent_pending_ms != update.load.pending_ms)
+                .then_some(update.load.urgent_pending_ms),
         }
     }
 }
--- a/crates/hickoryhall-gateway/tests/crossing.rs
+++ b/crates/hickoryhall-gateway/tests/crossing.rs
@@ -61,6 +61,7 @@
                 let load = HostLoad {
                     requests,
                     pending_ms,
+                    urgent_pending_ms: pending_ms,
                     ..HostLoad::default()
                 };
                 let server = hash_name(&format!("runner-{number}"));
--- a/crates/hickoryhall-gateway/tests/herd.rs
+++ b/crates/hickoryhall-gateway/tests/herd.rs
@@ -41,6 +41,7 @@
             let load = HostLoad {
                 requests: 3,
                 pending_ms,
+                urgent_pending_ms: pending_ms,
                 ..HostLoad::default()
             };
             scheduler.set_peer_load(now, LoadSource::Host(HOSTS), hash_name(&name), None, load);
--- a/crates/hickoryhall-gateway/tests/scheduler.rs
+++ b/crates/hickoryhall-gateway/tests/scheduler.rs
@@ -169,9 +169,11 @@
         let mut args = command.consume_args();
         let host = hash_name(args.next_pos().ok_or("missing host name")?);
         let server = hash_name(args.next_pos().ok_or("missing server name")?);
+        let pending_ms = optional_arg(&mut args, "pending")?.unwrap_or(0);
         let load = HostLoad {
             requests: optional_arg(&mut args, "requests")?.unwrap_or(1),
-            pending_ms: optional_arg(&mut args, "pending")?.unwrap_or(0),
+            pending_ms,
+            urgent_pending_ms: pending_ms,
             ..HostLoad::default()
         };
         args.reject_next()?;
--- a/crates/hickoryhall-gateway/tests/software_placement.rs
+++ b/crates/hickoryhall-gateway/tests/software_placement.rs
@@ -49,6 +49,7 @@
             let load = HostLoad {
                 requests: 3,
                 pending_ms,
+                urgent_pending_ms: pending_ms,
                 ..HostLoad::default()
             };
             let source = LoadSource::Host(2);
--- a/crates/hickoryhall-gateway/tests/version_ages.rs
+++ b/crates/hickoryhall-gateway/tests/version_ages.rs
@@ -141,6 +141,7 @@
             let load = HostLoad {
                 requests: 1,
                 pending_ms,
+                urgent_pending_ms: pending_ms,
                 ..HostLoad::default()
             };
             let server = hash_name(&runner(1, 8).id);
