Use the order by urgency only where speeds are learned

The order by urgency needs estimates that fit. Deployments whose runners match the constants are placed as before.

--- a/crates/hickoryhall-gateway/src/exchange/attempt.rs
+++ b/crates/hickoryhall-gateway/src/exchange/attempt.rs
@@ -354,7 +354,7 @@
             expected_weights: salt.as_ref().map(|_| weights),
             fetch_from: assignment.fetch_from.map(|(address, _)| address),
             save_to: assignment.save_to,
-            urgency: salt.as_ref().map(|_| request.urgency()),
+            urgency: assignment.urgency,
         };
         let head = self.gateway.platform.attempt_head(&request.head, &plan);
         head.map(|()| request.body.clone())
--- a/crates/hickoryhall-gateway/src/exchange/intake.rs
+++ b/crates/hickoryhall-gateway/src/exchange/intake.rs
@@ -6,7 +6,6 @@
 use std::time::{Duration, Instant};
 
 use hickoryhall_edge::{CallerConnection, RequestBody, SegmentedBody};
-use hickoryhall_limits::Urgency;
 use hickoryhall_routing::{Fingerprint, Level, PartHash, PrefixChain};
 use hickoryhall_types::{Ran, Revision, TargetId};
 use http::request;
@@ -18,7 +17,7 @@
 use super::quota::QuotaCharge;
 use crate::forwarding::ForwardedRequest;
 use crate::interface::{LocalFailure, Platform, Prompt, RequestMeta};
-use crate::scheduler::{Priority, PromptInfo, urgency};
+use crate::scheduler::{Priority, PromptInfo};
 use crate::table::{CallerLimits, Route, RouteTable, Workspace};
 
 /// Time before the caller's deadline at which the final response must be sent.
@@ -81,11 +80,6 @@
             self.route.priority,
         )
     }
-
-    /// Returns the urgency of the request at its runner.
-    pub fn urgency(&self) -> Urgency {
-        urgency(self.priority())
-    }
 }
 
 /// A request that was rejected before any placement.
--- a/crates/hickoryhall-gateway/src/interface.rs
+++ b/crates/hickoryhall-gateway/src/interface.rs
@@ -108,7 +108,7 @@
     pub fetch_from: Option<SocketAddr>,
     /// Address of the prompt cache store to which the runner shall save the prompt.
     pub save_to: Option<SocketAddr>,
-    /// Urgency of the request among those at the runner; `None` for requests without a prompt.
+    /// Urgency of the request among those at the runner; `None` if the runner shall treat all alike.
     pub urgency: Option<Urgency>,
 }
 
--- a/crates/hickoryhall-gateway/src/scheduler.rs
+++ b/crates/hickoryhall-gateway/src/scheduler.rs
@@ -554,6 +554,9 @@
             begin_by: prompt.and_then(|prompt| self.begin_by(now, state, prompt)),
             fetch_from: candidate.fetch_from,
             save_to,
+            urgency: prompt
+                .filter(|_| self.uses_urgency(state.service_hash))
+                .map(|_| urgency(request.priority)),
             requests,
             candidates,
             waited: now.saturating_duration_since(request.arrived_at),
--- a/crates/hickoryhall-gateway/src/scheduler/candidate.rs
+++ b/crates/hickoryhall-gateway/src/scheduler/candidate.rs
@@ -191,9 +191,11 @@
         let memory = f64::from(capacity.kv_cache_tokens) * self.config.memory_fraction;
         let has_memory = f64::from(load.unshared_tokens + prompt.unshared_tokens()) <= memory;
         let service = &state.server.service;
-        let slots = self
-            .urgent_room
-            .slots_for(now, service, urgency, capacity.slots);
+        let urgency = self.uses_urgency(state.service_hash).then_some(urgency);
+        let slots = urgency.map_or(capacity.slots, |urgency| {
+            self.urgent_room
+                .slots_for(now, service, urgency, capacity.slots)
+        });
         if load.requests >= slots || (!has_memory && load.requests > 0) {
             return Err(RefusalReason::Full);
         }
@@ -242,11 +244,12 @@
             + million_pairs * self.config.attention_ms_per_million_pairs
     }
 
-    /// Returns the work at a runner that comes before a request. Runners take urgent requests first, so
-    /// that only the chunk in progress of a less urgent prompt delays the most urgent ones.
-    fn work_ahead_ms(&self, load: HostLoad, urgency: Urgency, work_factor: f64) -> f64 {
+    /// Returns the work at a runner that comes before a request. Runners that are told the urgency of
+    /// requests take urgent ones first, so that only the chunk in progress of a less urgent prompt
+    /// delays the most urgent ones.
+    fn work_ahead_ms(&self, load: HostLoad, urgency: Option<Urgency>, work_factor: f64) -> f64 {
         let pending_ms = f64::from(load.pending_ms);
-        if urgency != MOST_URGENT {
+        if urgency != Some(MOST_URGENT) {
             return pending_ms;
         }
         let urgent_ms = f64::from(load.urgent_pending_ms).min(pending_ms);
--- a/crates/hickoryhall-gateway/src/scheduler/placement.rs
+++ b/crates/hickoryhall-gateway/src/scheduler/placement.rs
@@ -3,6 +3,7 @@
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
+use hickoryhall_limits::Urgency;
 use hickoryhall_routing::{Level, PrefixChain};
 use hickoryhall_types::{TargetId, TokenCount, WeightsVersion};
 
@@ -72,6 +73,8 @@
     pub fetch_from: Option<(SocketAddr, TokenCount)>,
     /// Prompt cache store in which the runner saves the prompt.
     pub save_to: Option<SocketAddr>,
+    /// Urgency among the requests at the server, if it is to take urgent ones first.
+    pub urgency: Option<Urgency>,
     /// Requests in flight at the server before this one, as far as known.
     pub requests: u32,
     /// Number of evaluated servers that could take the request.
--- a/crates/hickoryhall-gateway/src/scheduler/search.rs
+++ b/crates/hickoryhall-gateway/src/scheduler/search.rs
@@ -164,14 +164,19 @@
     ) -> Search {
         let mut search = Search::default();
         for &index in indices {
+            let key = scan.keys[index];
+            let further = if self.uses_urgency(self.servers[key].service_hash) {
+                MAX_FURTHER_OWNERS
+            } else {
+                0
+            };
             let is_enough = search.candidates >= scan.limit;
             if is_enough
-                && (search.candidates >= scan.limit.saturating_add(MAX_FURTHER_OWNERS)
+                && (search.candidates >= scan.limit.saturating_add(further)
                     || self.is_best_on_time(now, request, &search))
             {
                 break;
             }
-            let key = scan.keys[index];
             let mut compared = self.candidate(now, key, request, scan.affinities, index);
             let state = &self.servers[key];
             if scan.lone_versions.contains(&state.software())
--- a/crates/hickoryhall-gateway/src/scheduler/speeds.rs
+++ b/crates/hickoryhall-gateway/src/scheduler/speeds.rs
@@ -83,6 +83,12 @@
         }
     }
 
+    /// Returns whether the order by urgency is used for the runners of a service: estimates of what
+    /// comes first need learned speeds. Elsewhere requests are taken in the order of their arrival.
+    pub(super) fn uses_urgency(&self, service: u64) -> bool {
+        self.config.learns_speeds && self.speeds.is_learned(service)
+    }
+
     /// Returns the time that prefill takes at the runners of a service, relative to the constants.
     pub(super) fn service_work_factor(&self, service: u64) -> f64 {
         if self.config.learns_speeds {
--- a/crates/hickoryhall-routing/src/runner_speed.rs
+++ b/crates/hickoryhall-routing/src/runner_speed.rs
@@ -274,6 +274,13 @@
         std::mem::take(&mut self.changes)
     }
 
+    /// Returns whether learned values are used for a service.
+    #[must_use]
+    pub fn is_learned(&self, service: u64) -> bool {
+        let service = self.services.get(&service);
+        service.is_some_and(|service| service.is_departed)
+    }
+
     /// Returns the speed of a service by which its requests are placed.
     #[must_use]
     pub fn service(&self, service: u64) -> ServiceSpeed {
