--- a/crates/hickoryhall-gateway/src/settings.rs
+++ b/crates/hickoryhall-gateway/src/settings.rs
@@ -103,7 +103,7 @@
 
 /// Limits of the machine that a host runs on.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Deserialize)]
-#[serde(default)]
+#[serde(from = "StatedLimits")]
 pub struct MachineLimits {
     /// Memory of the machine for the process, in MiB; at least 16.
     pub memory_mb: usize,
@@ -111,6 +111,25 @@
     pub file_descriptors: usize,
 }
 
+/// Limits of the machine as the settings state them; missing or `null` where the platform does not.
+#[derive(Clone, Copy, Deserialize)]
+struct StatedLimits {
+    #[serde(default)]
+    memory_mb: Option<usize>,
+    #[serde(default)]
+    file_descriptors: Option<usize>,
+}
+
+impl From<StatedLimits> for MachineLimits {
+    fn from(stated: StatedLimits) -> Self {
+        let default = Self::default();
+        Self {
+            memory_mb: stated.memory_mb.unwrap_or(default.memory_mb),
+            file_descriptors: stated.file_descriptors.unwrap_or(default.file_descriptors),
+        }
+    }
+}
+
 impl Default for MachineLimits {
     /// Returns the limits of the smallest machine of the first deployment.
     fn default() -> Self {
--- a/crates/hickoryhall-gateway/tests/settings.rs
+++ b/crates/hickoryhall-gateway/tests/settings.rs
@@ -106,6 +106,11 @@
     let settings = read("limits.json", &with(r#"{"memory_mb":512}"#)).expect("usable");
     assert_eq!(settings.limits.memory_mb, 512);
     assert_eq!(settings.limits.file_descriptors, 4_100);
+    // A platform that states no limits fills the template with `null`.
+    let unstated = with(r#"{"memory_mb":null,"file_descriptors":null}"#);
+    let settings = read("null-limits.json", &unstated).expect("usable");
+    assert_eq!(settings.limits.memory_mb, 88);
+    assert_eq!(settings.limits.file_descriptors, 4_100);
     let error = read("no-memory.json", &with(r#"{"memory_mb":1}"#)).expect_err("unusable");
     assert!(error.contains("limits.memory_mb"), "{error}");
     let error = read("no-files.json", &with(r#"{"file_descriptors":3}"#)).expect_err("unusable");
--- a/review/standins/host.rs
+++ b/review/standins/host.rs
@@ -85,8 +85,6 @@
         "bounds.lease-ms" => "3000".to_owned(),
         "bounds.version-ms" => "8000".to_owned(),
         "platform.ttl-min-ms" => "1000".to_owned(),
-        "limits.memory-mb" => "88".to_owned(),
-        "limits.file-descriptors" => "4100".to_owned(),
         _ => "null".to_owned(),
     }
 }
