Learned speeds are used only where the prefill rate differs

Cause: on a grown deployment whose runners match the constants in their prefill rate, the shorter time to a first event alone made its service depart from them. The constants make up for work of other hosts that is not known yet; without that, long prompts were placed too close and were late.

Change: only the prefill time decides, from a factor of 1.5, and factors of runners are used only for such services.

--- a/crates/hickoryhall-routing/src/runner_speed.rs
+++ b/crates/hickoryhall-routing/src/runner_speed.rs
@@ -39,13 +39,11 @@
 /// Number of samples from which a service may depart from the constants. A lone host of a small fleet
 /// takes them in some seconds, the hosts of a large one together in a moment.
 const MIN_DEPARTURE_SAMPLES: f64 = 64.0;
-/// Number of samples of a runner from which its factor may be used where the constants are used for the
-/// service.
-const MIN_RUNNER_SAMPLES: f64 = 8.0;
-/// Deviation from the constants from which learned values are used.
-const DEPARTURE: f64 = 1.25;
+/// Deviation of the prefill time from the constants from which learned values are used. Runners for which
+/// the constants were measured take 0.83 of it.
+const DEPARTURE: f64 = 1.5;
 /// Deviation from the constants below which they are used again.
-const RETURN: f64 = 1.125;
+const RETURN: f64 = 1.25;
 /// Number of samples below which a source or a runner is forgotten.
 const MIN_SAMPLES: f64 = 0.02;
 /// Time between two evaluations of all sums, which take one exponential for each runner and source.
@@ -130,8 +128,6 @@
     process: Incarnation,
     sums: SumsBySource<RunnerSums>,
     factor: f64,
-    /// Whether the factor is used although the constants are used for the service.
-    is_departed: bool,
     /// Number of digests of this host that still have to carry its sums.
     untold: u8,
     /// The same for digests of the group.
@@ -294,15 +290,12 @@
 
     /// Returns the factor of a runner's times by which requests are placed.
     ///
-    /// Where learned values are used for the service, every factor is; otherwise only those that
-    /// differ much from 1, so that runners that match the constants are treated alike.
+    /// It is 1 unless learned values are used for the service.
     #[must_use]
     pub fn factor(&self, service: u64, runner: u64, process: Incarnation) -> f64 {
-        let service = self.services.get(&service);
-        let is_departed = service.is_some_and(|service| service.is_departed);
+        let is_learned = self.is_learned(service);
         let runner = self.runners.get(&runner);
-        let used = runner
-            .filter(|runner| runner.process == process && (is_departed || runner.is_departed));
+        let used = runner.filter(|runner| is_learned && runner.process == process);
         used.map_or(1.0, |runner| runner.factor)
     }
 
@@ -408,12 +401,10 @@
         if sums.samples < MIN_DEPARTURE_SAMPLES {
             return None;
         }
-        let constants = ServiceSpeed::constants(base);
-        let deviations = sums.typical_work().map(|work| {
-            let ratio = self.learned.estimate_ms(work) / constants.estimate_ms(work);
-            ratio.max(1.0 / ratio)
-        });
-        let deviation = deviations[0].max(deviations[1]);
+        // The time to the first event is not compared: where it is short, the constant makes up for work
+        // of other hosts that is not known yet, and prompts were late without it.
+        let work_factor = self.learned.work_factor;
+        let deviation = work_factor.max(1.0 / work_factor);
         let is_departed = is_departed(self.is_departed, deviation);
         let was_departed = std::mem::replace(&mut self.is_departed, is_departed);
         (is_departed != was_departed).then_some(SpeedChange {
@@ -431,7 +422,6 @@
             process,
             sums: SumsBySource::new(RUNNER_MEMORY),
             factor: 1.0,
-            is_departed: false,
             untold: 0,
             untold_in_group: 0,
         }
@@ -440,9 +430,6 @@
     fn evaluate(&mut self, now: Instant) {
         let sums = self.sums.total(now);
         self.factor = sums.factor();
-        let deviation = self.factor.max(1.0 / self.factor);
-        let has_samples = sums.samples >= MIN_RUNNER_SAMPLES || self.is_departed;
-        self.is_departed = has_samples && is_departed(self.is_departed, deviation);
     }
 }
 
--- a/crates/hickoryhall-routing/src/runner_speed/service.rs
+++ b/crates/hickoryhall-routing/src/runner_speed/service.rs
@@ -80,15 +80,6 @@
         all.iter().all(|sum| sum.is_finite() && *sum >= 0.0) && self.weight > 0.0
     }
 
-    /// Returns a light and a heavy amount of work among the samples.
-    pub(super) fn typical_work(&self) -> [f64; 2] {
-        let mean = self.work / self.weight;
-        let variance = (self.work_squared / self.weight - mean * mean).max(0.0);
-        let deviation = variance.sqrt();
-        // Few heavy prompts among many light ones make the deviation larger than the mean.
-        [(mean - deviation).max(mean / 2.0), mean + deviation]
-    }
-
     /// Returns the line that fits the samples best, by weighted least squares.
     pub(super) fn fit(&self, first_event_ms: f64) -> ServiceSpeed {
         let base = first_event_ms;
