Count retries, and log when a service's are used up

The logs of the incident could not tell a host that forgot its retries from one that divides the budget by the wrong number of hosts: nothing said how many retries a host took and refused, nor on how many requests and hosts its share rested.

retries_total by service and outcome, and one line when a host's share is used up or allows retries again, with the requests and retries of the window, what is allowed, the hosts and the time since a restart. No decision changes. The state moves to a module of its own.

--- a/crates/hickoryhall-gateway/src/core.rs
+++ b/crates/hickoryhall-gateway/src/core.rs
@@ -7,6 +7,7 @@
 mod limits;
 mod quotas;
 mod reach;
+mod retries;
 mod speeds;
 mod streams;
 
@@ -15,7 +16,7 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use hickoryhall_limits::{FleetRetryBudget, FleetRetryLimit};
+use hickoryhall_limits::FleetRetryLimit;
 use hickoryhall_routing::{Breaks, Reach, Suspects};
 use hickoryhall_types::{Incarnation, TargetId, WeightsVersion, hash_name, rendezvous_score};
 use metrics::counter;
@@ -36,6 +37,7 @@
 };
 use crate::table::RouteTable;
 use quotas::QuotaState;
+use retries::RetryState;
 use streams::StreamState;
 pub use streams::{StreamMessages, TakeUpReply};
 
@@ -84,7 +86,7 @@
     scheduler: Scheduler,
     registry: Registry,
     table: Option<Arc<RouteTable>>,
-    retry_budgets: HashMap<TargetId, FleetRetryBudget>,
+    retries: RetryState,
     suspects: Suspects,
     breaks: Breaks,
     reach: Reach<Ipv4Addr>,
@@ -119,10 +121,10 @@
             reach: Reach::new(hash_name(&config.scheduler.domain)),
             streams: StreamState::new(config.restarted_at.is_none()),
             quotas: QuotaState::new(config.host, config.restarted_at),
+            retries: RetryState::new(config.retry_limit, config.restarted_at),
             config,
             registry: Registry::default(),
             table: None,
-            retry_budgets: HashMap::new(),
             suspects: Suspects::default(),
             breaks: Breaks::default(),
             unreadable_limits: HashMap::new(),
@@ -354,40 +356,6 @@
         }
     }
 
-    /// Counts a request to a service, which adds to the retry budget of that service.
-    pub fn record_request(&mut self, now: Instant, service: &TargetId) {
-        self.retry_budget(service).record_request(now);
-    }
-
-    /// Prepares the retry budget of a service for a request that another host has counted.
-    pub fn record_forwarded_request(&mut self, service: &TargetId) {
-        self.retry_budget(service);
-    }
-
-    fn retry_budget(&mut self, service: &TargetId) -> &mut FleetRetryBudget {
-        let limit = self.config.retry_limit;
-        let restarted_at = self.config.restarted_at;
-        let budget = self.retry_budgets.entry(service.clone());
-        budget.or_insert_with(|| FleetRetryBudget::new(limit, restarted_at))
-    }
-
-    /// Takes one retry from this host's share of a service's budget.
-    ///
-    /// Returns whether the budget allowed it.
-    pub fn take_retry(&mut self, now: Instant, service: &TargetId) -> bool {
-        let hosts = self.fleet.size(now);
-        let budget = self.retry_budgets.get_mut(service);
-        budget.is_some_and(|budget| budget.take(now, hosts))
-    }
-
-    /// Changes the fleet's retry limit; a changed limit resets all counts.
-    pub fn set_retry_limit(&mut self, limit: FleetRetryLimit) {
-        if limit != self.config.retry_limit {
-            self.config.retry_limit = limit;
-            self.retry_budgets.clear();
-        }
-    }
-
     /// Records, as the lease holder, whether a runner is changing its weights, and includes its
     /// state in the next digests.
     pub fn announce_runner(&mut self, now: Instant, server: u64, is_changing: bool) {
@@ -424,13 +392,6 @@
         self.scheduler.runners(now)
     }
 
-    /// Returns the unused fraction of this host's share of a service's retry budget, from 0 to 1.
-    pub fn retry_budget_left(&mut self, now: Instant, service: &TargetId) -> f64 {
-        let hosts = self.fleet.size(now);
-        let budget = self.retry_budgets.get_mut(service);
-        budget.map_or(0.0, |budget| budget.fraction_left(now, hosts))
-    }
-
     /// Returns the number of hosts in the fleet, this one included. Unreachable hosts are still
     /// counted for a while, and a host that has just started assumes the smallest deployment.
     pub fn host_count(&mut self, now: Instant) -> usize {
--- a/crates/hickoryhall-limits/src/fleet_retries.rs
+++ b/crates/hickoryhall-limits/src/fleet_retries.rs
@@ -24,6 +24,17 @@
     pub window: Duration,
 }
 
+/// What a host has used of its share, for the log.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct RetryUsage {
+    /// Requests in the window.
+    pub requests: usize,
+    /// Retries in the window.
+    pub retries: usize,
+    /// Retries that the share allows in the window.
+    pub allowed: f64,
+}
+
 /// One host's share of the fleet's retry budget for one service.
 #[derive(Clone, Debug)]
 pub struct FleetRetryBudget {
@@ -74,6 +85,16 @@
         (1.0 - self.retries.len() as f64 / allowed).max(0.0)
     }
 
+    /// Returns what is used of this host's share.
+    pub fn usage(&mut self, now: Instant, hosts: usize) -> RetryUsage {
+        self.expire(now);
+        RetryUsage {
+            requests: self.requests.len(),
+            retries: self.retries.len(),
+            allowed: self.allowed(now, hosts),
+        }
+    }
+
     fn allowed(&self, now: Instant, hosts: usize) -> f64 {
         let earned = self.limit.ratio * self.requests.len() as f64;
         let share_of_extra = self.limit.extra_retries / hosts.max(1) as f64;
--- a/crates/hickoryhall-limits/src/lib.rs
+++ b/crates/hickoryhall-limits/src/lib.rs
@@ -31,7 +31,7 @@
     DomainBuckets, FleetShape, HostLimit, LimitKey, RequesterId, TakeOutcome, UnitGrant,
     UnitRequest,
 };
-pub use fleet_retries::{FleetRetryBudget, FleetRetryLimit};
+pub use fleet_retries::{FleetRetryBudget, FleetRetryLimit, RetryUsage};
 pub use memory::{
     BodyId, CONNECTION_BYTES, ChargeOutcome, HostBudgets, MemoryAccount, SMALL_BODY_BYTES,
 };
