Retries rest on credit that a killed host loses, not on a record that it forgets

Cause: a host kept what it had sent in the last window, and forgot it when it was killed, while the requests that came afterwards earned retries at once. The class is a debt that is lost with its holder. Two more ways lead to the same: a retry was counted when it was decided and arrived up to a deadline later, and requests that moved to other hosts were counted at both. A host that joined behind a cut divided the extra retries by six, and a changed limit cleared all counts.

Change: requests and time add credit, a retry that is sent takes one, and a host that joins has none. A retry is reserved when it is decided and deducted when it is placed. The extra retries are divided by the size of the fleet that the store's list of hosts states; a host that joins and has not read it has no share of them.

--- a/crates/hickoryhall-gateway/src/exchange.rs
+++ b/crates/hickoryhall-gateway/src/exchange.rs
@@ -16,6 +16,7 @@
 mod record;
 mod relay;
 mod respond;
+mod retry;
 mod take_up;
 
 use std::cell::Cell;
@@ -54,6 +55,7 @@
 use intake::{Forwarded, PreparedRequest, Rejection};
 use late::LateAnswer;
 use record::RequestRecord;
+use retry::RetryReservation;
 
 /// Maximum size of a response that is not a stream, in bytes.
 const MAX_RESPONSE_BYTES: usize = 8 << 20;
@@ -279,6 +281,8 @@
     /// Servers that failed this request or did not run it; it is not placed there again.
     excluded: Vec<ServerId>,
     outcome: RequestOutcome<BufferedResponse>,
+    /// The retry that the next attempt takes from the budget, if it is one.
+    retry: Option<RetryReservation>,
     /// Software version at which the stream must go on, once it has begun.
     software: Option<SoftwareHash>,
     /// Time from which waits for a server count: the arrival, or the last break of the stream.
@@ -304,7 +308,7 @@
         let (mut excluded, mut software) = (Vec::new(), None);
         let (core, service) = (&gateway.core, &request.service);
         if let Some(Forwarded { request, .. }) = &request.forwarded {
-            core.with(|core, _| core.record_forwarded_request(service));
+            core.with(|core, now| core.record_forwarded_request(now, service));
             (0..request.possible_runs).for_each(|_| outcome.record_possible_run());
             excluded.clone_from(&request.excluded);
             software = request.software;
@@ -317,6 +321,7 @@
             request,
             excluded,
             outcome,
+            retry: None,
             software,
             unsent_attempts: 0,
             has_reached_server: false,
@@ -349,6 +354,10 @@
                 Ok(target) => target,
                 Err(refusal) => return self.respond_refused(refusal),
             };
+            if !self.send_retry() {
+                drop(target);
+                return self.respond_late_retry();
+            }
             let sent_at = Instant::now();
             let source = target.source();
             self.set_may_have_run(true);
@@ -465,6 +474,7 @@
         self.attempt_failed(source, failure.outcome());
         let time_left = self.time_left();
         if matches!(failure, AttemptFailure::Unsent) {
+            self.restore_retry();
             if source.server().is_none() && time_left == TimeLeft::Enough {
                 self.set_may_have_run(self.outcome.possible_runs() > 0);
                 // The number of peers is limited apart.
@@ -472,11 +482,14 @@
             }
             self.unsent_attempts += 1;
         } else {
+            self.retry = None;
             self.has_reached_server |= source.server().is_some();
         }
         let (core, service) = (&self.gateway.core, &self.request.service);
+        let retry = &mut self.retry;
         let next = self.outcome.on_failure(failure, time_left, || {
-            core.with(|core, now| core.take_retry(now, service))
+            *retry = RetryReservation::take(core, service);
+            retry.is_some()
         });
         self.set_may_have_run(self.outcome.possible_runs() > 0);
         next
@@ -507,13 +520,7 @@
 
     fn may_run_again(&mut self) -> bool {
         let time_left = self.time_left();
-        self.outcome.may_run_again(time_left, || self.take_retry())
-    }
-
-    fn take_retry(&self) -> bool {
-        let service = &self.request.service;
-        self.gateway
-            .core
-            .with(|core, now| core.take_retry(now, service))
+        let may_run = self.outcome.may_run_again(time_left, || true);
+        may_run && self.reserve_retry()
     }
 }
--- a/crates/hickoryhall-gateway/src/exchange/relay.rs
+++ b/crates/hickoryhall-gateway/src/exchange/relay.rs
@@ -308,7 +308,9 @@
                     let incomplete_bytes = self.upstream.incomplete_bytes;
                     self.exchange.record.incomplete_event(incomplete_bytes);
                     self.record_break(reason);
-                    if self.resume(reason).await {
+                    let is_resumed = self.resume(reason).await;
+                    self.exchange.retry = None;
+                    if is_resumed {
                         self.is_waited_for = false;
                         self.is_from_one_server = false;
                     } else if reason == BreakReason::Silent
@@ -388,6 +390,9 @@
             let Ok(target) = self.exchange.choose_target().await else {
                 return false;
             };
+            if !self.exchange.send_retry() {
+                return false;
+            }
             let source = target.source();
             info!(
                 self.exchange.gateway.logger,
@@ -408,10 +413,12 @@
                 AttemptResult::Response(_) | AttemptResult::PeerFailure(..) => return false,
             };
             self.exchange.attempt_failed(&source, failure.outcome());
-            // An attempt that was never sent left the retry that was taken for it unused.
             let may_continue = match failure {
-                AttemptFailure::Unsent => self.exchange.has_time(),
-                AttemptFailure::NotRun => self.exchange.has_time() && self.exchange.take_retry(),
+                AttemptFailure::Unsent => {
+                    self.exchange.restore_retry();
+                    self.exchange.has_time()
+                }
+                AttemptFailure::NotRun => self.exchange.has_time() && self.exchange.reserve_retry(),
                 AttemptFailure::Invalid => {
                     self.exchange.outcome.record_possible_run();
                     self.exchange.may_run_again()
--- a/crates/hickoryhall-gateway/src/exchange/respond.rs
+++ b/crates/hickoryhall-gateway/src/exchange/respond.rs
@@ -8,7 +8,7 @@
 use super::attempt::BufferedResponse;
 use crate::forwarding::ReachedServer;
 use crate::interface::{LocalFailure, Platform};
-use crate::outcome::Ending;
+use crate::outcome::{Ending, RETRY_AFTER_REFUSED};
 use crate::scheduler::{PlacementRefusal, RefusalReason};
 
 impl<P: Platform> Exchange<P> {
@@ -23,6 +23,15 @@
         self.respond_ending(ending)
     }
 
+    /// Responds to a request whose retry the budget does not allow any more after a wait.
+    pub(super) fn respond_late_retry(mut self) -> Response<ResponseBody> {
+        let time_left = self.time_left();
+        let ending = self
+            .outcome
+            .end(time_left, RETRY_AFTER_REFUSED, "retry_budget");
+        self.respond_ending(ending)
+    }
+
     pub(super) fn respond_ending(self, ending: Ending<BufferedResponse>) -> Response<ResponseBody> {
         match ending {
             Ending::Relay(response) => self.respond(response),
--- a/crates/hickoryhall-gateway/src/fleet.rs
+++ b/crates/hickoryhall-gateway/src/fleet.rs
@@ -19,9 +19,23 @@
 #[derive(Clone, Debug, Default)]
 pub struct Fleet {
     last_seen: HashMap<HostHash, Instant>,
+    /// Start of this host, if the fleet is older.
+    restarted_at: Option<Instant>,
+    /// Size of the fleet that the store listed, and when it was read.
+    listed: Option<(usize, Instant)>,
 }
 
 impl Fleet {
+    /// Creates a fleet of which nothing is known. `restarted_at` is the start of a host that joins a
+    /// fleet.
+    #[must_use]
+    pub fn new(restarted_at: Option<Instant>) -> Self {
+        Self {
+            restarted_at,
+            ..Self::default()
+        }
+    }
+
     /// Records that a peer is alive.
     pub fn mark_seen(&mut self, now: Instant, host: HostHash) {
         self.last_seen.insert(host, now);
@@ -35,11 +49,35 @@
         live.map(|(&host, _)| host).collect()
     }
 
+    /// Records the size of the fleet that the store lists.
+    pub fn set_listed_size(&mut self, now: Instant, hosts: usize) {
+        self.listed = Some((hosts, now));
+    }
+
     /// Returns the fleet size, including this host.
     #[must_use]
     pub fn size(&mut self, now: Instant) -> usize {
-        self.last_seen
-            .retain(|_, at| now.saturating_duration_since(*at) < FLEET_SIZE_TTL);
-        (self.last_seen.len() + 1).max(MIN_FLEET_SIZE)
+        self.last_seen.retain(|_, at| is_recent(now, *at));
+        let listed = self.listed.filter(|(_, at)| is_recent(now, *at));
+        let listed = listed.map_or(0, |(hosts, _)| hosts);
+        (self.last_seen.len() + 1).max(MIN_FLEET_SIZE).max(listed)
     }
+
+    /// Returns the fleet size by which budgets of the whole fleet are divided. `None` on a host that
+    /// has joined the fleet and may not have heard of all other hosts, as it may be partitioned from them.
+    #[must_use]
+    pub fn size_for_shares(&mut self, now: Instant) -> Option<usize> {
+        (!self.needs_size(now)).then(|| self.size(now))
+    }
+
+    /// Returns whether the fleet size has to be read from the store.
+    #[must_use]
+    pub fn needs_size(&self, now: Instant) -> bool {
+        self.listed.is_none() && self.restarted_at.is_some_and(|at| is_recent(now, at))
+    }
+}
+
+/// Returns whether what was known at a time still counts towards the fleet size.
+fn is_recent(now: Instant, at: Instant) -> bool {
+    now.saturating_duration_since(at) < FLEET_SIZE_TTL
 }
--- a/crates/hickoryhall-gateway/src/outcome.rs
+++ b/crates/hickoryhall-gateway/src/outcome.rs
@@ -19,7 +19,7 @@
 const MAX_RUNS_OF_SUSPECT: u32 = 2;
 /// `Retry-After` of a request that was not run: about the time after which a server that refused
 /// a request accepts new work again.
-const RETRY_AFTER_REFUSED: Duration = Duration::from_millis(200);
+pub(crate) const RETRY_AFTER_REFUSED: Duration = Duration::from_millis(200);
 
 /// What a backend server's response proves.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
