Requests that may repeat are dropped as well when their callers have left

Cause: the event loop ran before a request was sent only if the request may not repeat, and only at its start. The class is a guard that was tied to what must not happen twice instead of to what nobody waits for.

Change: the event loop runs once between every placement and its send, for every request, retry and resumed stream, so that a caller who left while the request waited is noticed too.

--- a/crates/hickoryhall-gateway/src/exchange.rs
+++ b/crates/hickoryhall-gateway/src/exchange.rs
@@ -274,6 +274,17 @@
     }
 }
 
+/// Lets the event loop run before a request is sent. The end of the caller's connection may have arrived
+/// unnoticed, with the request or while it waited, if the process was held up. The request is then dropped:
+/// a caller that closed a connection whose request was not read may send it again elsewhere.
+async fn notice_left_callers() {
+    // A task of its own is certain to wait for the event loop; the current one may be woken for other
+    // reasons.
+    let turn = spawn_local(yield_now());
+    // It neither panics nor is cancelled.
+    let _ = turn.await;
+}
+
 /// One request in progress, over all its attempts.
 struct Exchange<P> {
     gateway: Rc<Gateway<P>>,
@@ -337,15 +348,6 @@
         if let Err(refusal) = self.check_suspect(Some(self.request.fingerprint)) {
             return self.respond_refused(refusal);
         }
-        if !self.request.route.kind.may_repeat() {
-            // The end of the caller's connection may have arrived with the request, unnoticed, if the
-            // process was held up. The event loop notices it before the request is sent: a caller that
-            // closed a connection whose request was not read may send it again elsewhere. A task of
-            // its own is certain to wait for the event loop; this one may be woken for other reasons.
-            let turn = spawn_local(yield_now());
-            // It neither panics nor is cancelled.
-            let _ = turn.await;
-        }
         if let Some(failure) = self.find_software().await {
             return self.respond_failure(failure);
         }
@@ -354,6 +356,7 @@
                 Ok(target) => target,
                 Err(refusal) => return self.respond_refused(refusal),
             };
+            notice_left_callers().await;
             if !self.send_retry() {
                 drop(target);
                 return self.respond_late_retry();
--- a/crates/hickoryhall-gateway/src/exchange/relay.rs
+++ b/crates/hickoryhall-gateway/src/exchange/relay.rs
@@ -13,9 +13,9 @@
 use tokio::task::spawn_local;
 use tokio::time::timeout;
 
-use super::Exchange;
 use super::attempt::{AttemptFailure, AttemptResult, OpenStream, attempt_end};
 use super::forward::{Source, Target};
+use super::{Exchange, notice_left_callers};
 use crate::events::{EventFramer, IncompleteEvent, InvalidEvent};
 use crate::forwarding::StreamSoftware;
 use crate::framing::{BodyFraming, BodyMedia};
@@ -390,6 +390,7 @@
             let Ok(target) = self.exchange.choose_target().await else {
                 return false;
             };
+            notice_left_callers().await;
             if !self.exchange.send_retry() {
                 return false;
             }
