Many bounded responses without end fit into a host's memory together

Another operator's faulty runner sent bytes without end, and the host that had called it ran out of memory. Each response was bounded here, but 250 callers at once took 104 MB of a host that was told 88 MB.

Cause: the first 256 KiB of each body were in no account, and a larger body reserved room for the largest one at once, of which the system backed the first bytes with whole huge pages. The class is a bound for one that nobody adds up.

Change: 64 KiB of a body need no room, as with the bodies of requests, and a buffer grows by 64 KiB without being copied twice.

Evidence: endless::many_responses_without_end_fit_into_the_memory, 250 callers: one chunk 107 MB, unframed 101 MB and 100 MB before, 374 MB with the smaller free part alone; 67 MB, 61 MB and 67 MB now, below 88 MB. Events and heads took 14 MB before and now.

--- a/crates/hickoryhall-edge/src/read.rs
+++ b/crates/hickoryhall-edge/src/read.rs
@@ -2,13 +2,15 @@
 
 use std::sync::Arc;
 
-use bytes::{Bytes, BytesMut};
+use bytes::Bytes;
 use http_body_util::BodyExt;
 use hyper::body::Body;
 use tokio::sync::{OwnedSemaphorePermit, Semaphore};
 
 /// Size up to which a body needs no room in the budget for large ones, in bytes.
-const SMALL_BODY_BYTES: usize = 256 << 10;
+const SMALL_BODY_BYTES: usize = 64 << 10;
+/// Bytes by which the buffer of a body grows at least, once it has as many.
+const GROWTH_BYTES: usize = 64 << 10;
 
 /// Maximum number of pieces in which a body may arrive: more than the largest body has in packets of
 /// the usual size. A body without end in chunks of some bytes would else take seconds of work.
@@ -136,8 +138,7 @@
             return Err(too_large());
         }
         let mut room = Room::default();
-        let mut is_large = false;
-        let mut bytes = BytesMut::new();
+        let mut bytes = Vec::new();
         let mut pieces = 0;
         while let Some(frame) = body.frame().await {
             let frame = frame.map_err(ReadBodyError::Incomplete)?;
@@ -151,15 +152,16 @@
             }
             if length > SMALL_BODY_BYTES {
                 room.grow_to(length - SMALL_BODY_BYTES, self).await;
-                if !is_large {
-                    is_large = true;
-                    // Doubling the buffer would need more than the limit.
-                    bytes.reserve(self.limit_bytes - bytes.len());
-                }
+            }
+            if length > bytes.capacity() {
+                // Doubling the buffer would need more than the limit, and the system may back the first bytes
+                // of a large buffer with whole huge pages.
+                bytes.reserve_exact(data.len().max(GROWTH_BYTES.min(bytes.len())));
             }
             bytes.extend_from_slice(&data);
         }
-        let bytes = bytes.freeze();
+        let is_large = bytes.len() > SMALL_BODY_BYTES;
+        let bytes = Bytes::from(bytes);
         if !is_large {
             return Ok(bytes);
         }
