A request whose body ends late in a stop is refused, not begun

Another operator's callers lost requests that a stopping host took late and cut at its end, among them some that may not be repeated.

Cause: whether the host still begins requests was looked at when the head had arrived; a slow body, or the wait for the table, let it begin later. The class is a check before a wait, whose answer is used after it.

Change: it is looked at again behind the body. The caller gets 503 with a short Retry-After, and any other host serves it.

--- a/crates/hickoryhall-gateway/src/exchange/intake.rs
+++ b/crates/hickoryhall-gateway/src/exchange/intake.rs
@@ -135,6 +135,17 @@
         }
     }
 
+    /// # Errors
+    ///
+    /// Returns the rejection of a request that a stopping host does not begin any more.
+    fn check_open(&self, meta: &RequestMeta) -> Result<(), Rejection> {
+        if self.is_closed.get() {
+            let retry_after = RETRY_AFTER_STOPPING;
+            return Err(Rejection::retry_later(meta, "stopping", retry_after));
+        }
+        Ok(())
+    }
+
     /// Reads, authorizes and prepares a request.
     ///
     /// # Errors
@@ -156,13 +167,7 @@
         {
             meta.last_event_id.clone_from(&request.resume_after);
         }
-        if self.is_closed.get() {
-            return Err(Rejection::retry_later(
-                &meta,
-                "stopping",
-                RETRY_AFTER_STOPPING,
-            ));
-        }
+        self.check_open(&meta)?;
         let Some(table) = self.table(arrived_at).await else {
             return Err(Rejection::retry_later(
                 &meta,
@@ -174,6 +179,8 @@
         let deadline = deadline(arrived_at, &meta, &route);
         let read = read_body(&self.bodies, body, table.limits(), deadline, &meta, caller);
         let (body, body_charge) = read.await?;
+        // The wait for the table and for the body may have lasted until late in a stop.
+        self.check_open(&meta)?;
         let fingerprint = fingerprint(&head, &meta, &body);
         // A stream that is taken up goes on at the service that began it.
         let hash = hickoryhall_types::hash_name(meta.first_request_id());
