Keep what a server without an entry says of new work

Cause: an answer's Server-Leaving and Retry-After were dropped while the host knew no entry of the server, as when the entry had lapsed in an outage of the store; with the entry back under the same process, requests went there. The same word from a peer was kept. A late word about an earlier process also replaced that of a later one.

Change: words in answers are kept for servers without entries as those of peers are, beside each other, and those of a later process stay.

Evidence: three tests in gateway/tests/turned_away.rs failed before (leaving, pause, earlier process) and pass now, with the eight others.

--- a/crates/hickoryhall-gateway/src/scheduler/statements.rs
+++ b/crates/hickoryhall-gateway/src/scheduler/statements.rs
@@ -49,8 +49,12 @@
 }
 
 impl RemovedStatements {
+    /// Keeps the statements of a process, unless a later process of the server has made some.
     pub fn insert(&mut self, server: u64, statements: Statements) {
-        if statements == Statements::new(statements.incarnation) {
+        let known = self.by_hash.get(&server);
+        if statements == Statements::new(statements.incarnation)
+            || known.is_some_and(|known| known.incarnation > statements.incarnation)
+        {
             return;
         }
         if self.by_hash.insert(server, statements).is_none() {
--- a/crates/hickoryhall-gateway/src/scheduler/updates.rs
+++ b/crates/hickoryhall-gateway/src/scheduler/updates.rs
@@ -3,7 +3,7 @@
 use std::time::Instant;
 
 use hickoryhall_routing::{Ejection, PrefixChain};
-use hickoryhall_types::{Incarnation, TargetId};
+use hickoryhall_types::{Incarnation, TargetId, hash_name};
 
 use super::server::ServerState;
 use super::statements::Statements;
@@ -27,7 +27,10 @@
         kind: ResponseKind,
         response_meta: &ResponseMeta,
     ) -> Option<WeightsChange> {
-        let key = self.by_id.get(&server.id)?;
+        let Some(key) = self.by_id.get(&server.id) else {
+            self.record_words_of_removed(now, server, kind, response_meta);
+            return None;
+        };
         let state = self.servers.get_mut(*key)?;
         if !state.is_current(Some(server.incarnation)) {
             return None;
@@ -51,6 +54,24 @@
         state.record_response_weights(response_meta.weights?)
     }
 
+    /// Records what the head of a response says about new work for a server whose entry is gone: the entry
+    /// may come back.
+    fn record_words_of_removed(
+        &mut self,
+        now: Instant,
+        server: &BackendServer,
+        kind: ResponseKind,
+        response_meta: &ResponseMeta,
+    ) {
+        let hash = hash_name(&server.id);
+        let mut statements = self.removed_statements.get(hash, server.incarnation);
+        if let Some(pause) = response_meta.pause {
+            statements.pause(now, pause);
+        }
+        statements.is_leaving |= kind.is_from_server() && response_meta.is_leaving;
+        self.removed_statements.insert(hash, statements);
+    }
+
     /// Records the state that a runner, given by the hash of its id, reported about itself.
     ///
     /// Returns the change of the belief about its weights, if there is one.
@@ -90,7 +111,7 @@
         } else if let Some(incarnation) = update.incarnation {
             let statements = Statements {
                 is_leaving: true,
-                ..Statements::new(incarnation)
+                ..self.removed_statements.get(update.server, incarnation)
             };
             self.removed_statements.insert(update.server, statements);
         }
--- a/crates/hickoryhall-gateway/tests/turned_away.rs
+++ b/crates/hickoryhall-gateway/tests/turned_away.rs
@@ -103,6 +103,46 @@
     }
 }
 
+/// Guards against requests to a server that said that it leaves in an answer which came after its entry was
+/// gone, once the entry is back.
+#[test]
+fn an_answer_of_a_server_without_an_entry_binds_its_process() {
+    let now = Instant::now();
+    let mut core = host(1);
+    core.on_registry_entry(runner(1, 8));
+    core.on_registry_removed(now, &runner(1, 8).id);
+    core.on_response_head(now, &runner(1, 8), ResponseKind::Success, &response_meta());
+    core.on_registry_entry(runner(1, 8));
+    assert!(is_leaving(&core, now));
+    let restarted = BackendServer {
+        incarnation: 2,
+        ..runner(1, 8)
+    };
+    core.on_registry_entry(restarted);
+    assert!(!is_leaving(&core, now));
+}
+
+/// Guards against a late word about an earlier process that replaces what the later one said.
+#[test]
+fn a_word_about_an_earlier_process_does_not_replace_that_of_a_later_one() {
+    let now = Instant::now();
+    let later = BackendServer {
+        incarnation: 2,
+        ..runner(1, 8)
+    };
+    let mut first = host(1);
+    first.on_registry_entry(runner(1, 8));
+    first.on_response_head(now, &runner(1, 8), ResponseKind::Success, &response_meta());
+    let about_earlier = first.heartbeat(now, 1);
+    let mut core = host(2);
+    core.on_registry_entry(later.clone());
+    core.on_response_head(now, &later, ResponseKind::Success, &response_meta());
+    core.on_registry_removed(now, &later.id);
+    core.on_digest(now, &about_earlier);
+    core.on_registry_entry(later);
+    assert!(is_leaving(&core, now));
+}
+
 /// A scheduler with plain servers.
 struct Fixture {
     now: Instant,
@@ -235,6 +275,19 @@
     assert_eq!(fixture.server_of(2), Some(0));
 }
 
+/// Guards against requests to a server that asked for a pause after its entry was gone.
+#[test]
+fn a_pause_that_comes_after_the_entry_is_gone_holds_when_it_is_back() {
+    let mut fixture = Fixture::new(1);
+    let server = runner(0, 8);
+    fixture
+        .scheduler
+        .on_registry(RegistryEvent::Removed(server.id.clone()));
+    fixture.pause(0, 2 * SECOND);
+    fixture.scheduler.on_registry(RegistryEvent::Upsert(server));
+    assert_eq!(fixture.server_of(1), None);
+}
+
 #[test]
 fn a_pause_ends_with_the_process_but_not_with_its_entry() {
     let mut fixture = Fixture::new(1);
