Bodies up to 256 KiB do not wait behind stalled large ones

16 KiB of a body are free, and up to 256 KiB it takes room from a budget of 6 MiB of its own; without room there, it waits as a large one.

--- a/crates/hickoryhall-edge/src/read.rs
+++ b/crates/hickoryhall-edge/src/read.rs
@@ -7,8 +7,13 @@
 use hyper::body::Body;
 use tokio::sync::{OwnedSemaphorePermit, Semaphore};
 
-/// Size up to which a body needs no room in the budget for large ones, in bytes.
-const SMALL_BODY_BYTES: usize = 64 << 10;
+/// Size up to which a body needs no room in any budget, in bytes.
+const FREE_BYTES: usize = 16 << 10;
+/// Size up to which a body needs no room in the budget for large ones while there is room in that for small
+/// ones, in bytes.
+const SMALL_BODY_BYTES: usize = 256 << 10;
+/// Largest part of the memory for large bodies that the small ones may take besides, in bytes.
+const MAX_SMALL_BODIES_BYTES: usize = 6 << 20;
 /// Bytes by which the buffer of a body grows at least, once it has as many.
 const GROWTH_BYTES: usize = 64 << 10;
 
@@ -45,22 +50,27 @@
     shared: Arc<Semaphore>,
     /// A single permit, for a body of any size.
     reserve: Arc<Semaphore>,
+    /// Size of the budget for small bodies and the start of large ones, in bytes.
+    small_bytes: usize,
+    /// One permit a byte.
+    small: Arc<Semaphore>,
 }
 
 /// Room in the budget.
 #[derive(Default)]
 struct Room {
+    small: Option<OwnedSemaphorePermit>,
     shared: Option<OwnedSemaphorePermit>,
     reserve: Option<OwnedSemaphorePermit>,
 }
 
 /// A body with the room that it takes.
-struct LargeBody {
+struct AccountedBody {
     bytes: Bytes,
     _room: Room,
 }
 
-impl AsRef<[u8]> for LargeBody {
+impl AsRef<[u8]> for AccountedBody {
     fn as_ref(&self) -> &[u8] {
         &self.bytes
     }
@@ -69,22 +79,24 @@
 impl Room {
     /// Waits for room for `length` bytes in total.
     async fn grow_to(&mut self, length: usize, reader: &BodyReader) {
-        let held = self
-            .shared
-            .as_ref()
-            .map_or(0, OwnedSemaphorePermit::num_permits);
+        let permits = |held: &Option<OwnedSemaphorePermit>| {
+            held.as_ref().map_or(0, OwnedSemaphorePermit::num_permits)
+        };
+        let held = permits(&self.small) + permits(&self.shared);
         if length <= held || self.reserve.is_some() {
             return;
         }
         let wanted = u32::try_from(length - held).unwrap_or(u32::MAX);
+        if length <= SMALL_BODY_BYTES - FREE_BYTES
+            && let Ok(permit) = Arc::clone(&reader.small).try_acquire_many_owned(wanted)
+        {
+            merge(&mut self.small, permit);
+            return;
+        }
         tokio::select! {
             biased;
             permit = Arc::clone(&reader.shared).acquire_many_owned(wanted) => {
-                let permit = permit.expect("the semaphore is not closed");
-                match &mut self.shared {
-                    Some(held) => held.merge(permit),
-                    None => self.shared = Some(permit),
-                }
+                merge(&mut self.shared, permit.expect("the semaphore is not closed"));
             }
             permit = Arc::clone(&reader.reserve).acquire_owned() => {
                 self.reserve = Some(permit.expect("the semaphore is not closed"));
@@ -93,13 +105,23 @@
     }
 }
 
+fn merge(held: &mut Option<OwnedSemaphorePermit>, permit: OwnedSemaphorePermit) {
+    match held {
+        Some(held) => held.merge(permit),
+        None => *held = Some(permit),
+    }
+}
+
 impl BodyReader {
     /// Creates a reader of bodies with at most `limit_bytes`, which buffers at most `budget_bytes`
-    /// of them, or one body if that is less. Small bodies and the start of large ones do not count.
+    /// of them, or one body if that is less. Small bodies and the start of large ones count apart.
     #[must_use]
     pub fn new(limit_bytes: usize, budget_bytes: usize) -> Self {
         let shared_bytes = budget_bytes.saturating_sub(limit_bytes);
+        let small_bytes = (budget_bytes / 4 * 3).min(MAX_SMALL_BODIES_BYTES);
         Self {
+            small_bytes,
+            small: Arc::new(Semaphore::new(small_bytes)),
             limit_bytes,
             shared_bytes,
             shared: Arc::new(Semaphore::new(shared_bytes)),
@@ -107,12 +129,14 @@
         }
     }
 
-    /// Returns the bytes that large bodies hold; one that is read into the reserve counts as the largest.
+    /// Returns the bytes that bodies hold in the budgets; one that is read into the reserve counts as the
+    /// largest.
     #[must_use]
     pub fn used_bytes(&self) -> usize {
         let shared = self.shared_bytes - self.shared.available_permits();
         let is_reserve_used = self.reserve.available_permits() == 0;
-        shared + usize::from(is_reserve_used) * self.limit_bytes
+        let small = self.small_bytes - self.small.available_permits();
+        small + shared + usize::from(is_reserve_used) * self.limit_bytes
     }
 
     /// Reads a body to its end. Its room is free again once the bytes and all their clones are dropped.
@@ -150,8 +174,8 @@
             if length > self.limit_bytes || pieces > MAX_PIECES {
                 return Err(too_large());
             }
-            if length > SMALL_BODY_BYTES {
-                room.grow_to(length - SMALL_BODY_BYTES, self).await;
+            if length > FREE_BYTES {
+                room.grow_to(length - FREE_BYTES, self).await;
             }
             if length > bytes.capacity() {
                 // Doubling the buffer would need more than the limit, and the system may back the first bytes
@@ -160,12 +184,12 @@
             }
             bytes.extend_from_slice(&data);
         }
-        let is_large = bytes.len() > SMALL_BODY_BYTES;
+        let is_free = bytes.len() <= FREE_BYTES;
         let bytes = Bytes::from(bytes);
-        if !is_large {
+        if is_free {
             return Ok(bytes);
         }
         // The bytes outlive the response's body in the queue of the caller's connection.
-        Ok(Bytes::from_owner(LargeBody { bytes, _room: room }))
+        Ok(Bytes::from_owner(AccountedBody { bytes, _room: room }))
     }
 }
