--- /dev/null
+++ b/review/standins-2/main.rs
@@ -0,0 +1,56 @@
+//! Cases of the second review: each starts processes of the project beside stand-ins, and judges what clients,
+//! servers and the platform see.
+//!
+//! Usage: `review-2 CASE RECORD`, in the root of the repository. `TROUBLE=0` leaves the disruption out.
+
+mod host;
+mod http;
+mod json;
+mod record;
+mod store;
+mod traffic;
+
+use std::env;
+use std::path::Path;
+use std::process::ExitCode;
+
+use record::Record;
+use traffic::Trouble;
+
+/// What a case shows.
+pub enum Outcome {
+    Held,
+    Broken,
+}
+
+pub fn settle(is_broken: bool) -> Outcome {
+    if is_broken { Outcome::Broken } else { Outcome::Held }
+}
+
+fn main() -> ExitCode {
+    let words = env::args().collect::<Vec<_>>();
+    let [_, case, record] = &words[..] else {
+        eprintln!("usage: review-2 CASE RECORD");
+        return ExitCode::from(2);
+    };
+    let is_trouble = env::var("TROUBLE").as_deref() != Ok("0");
+    let folder = env::temp_dir().join(format!("review-2-{}", std::process::id()));
+    let outcome = std::fs::create_dir_all(&folder)
+        .and_then(|()| Record::create(Path::new(record)))
+        .and_then(|record| match case.as_str() {
+            "endless-events" => traffic::run(is_trouble, Trouble::EndlessEvents { runners: 5 }, &folder, record),
+            "crowd" => traffic::run(is_trouble, Trouble::Crowd { per_s: 120.0 }, &folder, record),
+            other => Err(std::io::Error::other(format!("no case {other}"))),
+        });
+    if env::var("KEEP").is_err() {
+        let _ = std::fs::remove_dir_all(&folder);
+    }
+    match outcome {
+        Ok(Outcome::Held) => ExitCode::SUCCESS,
+        Ok(Outcome::Broken) => ExitCode::from(1),
+        Err(error) => {
+            eprintln!("the case could not run: {error}");
+            ExitCode::from(2)
+        }
+    }
+}
