--- a/review/standins-2/host.rs
+++ b/review/standins-2/host.rs
@@ -11,13 +11,18 @@
 /// Command of the deploy file, from the root of the repository.
 const PROGRAM: &str = "target/release/hickoryhall-platform";
 const CALLERS_PORT: u16 = 8_782;
+const CONTROL_PORT: u16 = 8_783;
 const READINESS_PORT: u16 = 8_789;
 const PEER_PORT: u16 = 7_340;
 
 /// Settings of a host that differ between cases.
 #[derive(Clone)]
 pub struct HostSettings {
+    pub name: String,
+    pub domain: String,
     pub ip: String,
+    /// Addresses of hosts that a process knows from its start.
+    pub seeds: Vec<String>,
     pub store: SocketAddr,
     pub memory_mb: u64,
     pub is_first_start: bool,
@@ -91,15 +96,20 @@
 
 fn spawn(settings: &HostSettings, folder: &Path) -> io::Result<Child> {
     let HostSettings {
+        name,
+        domain,
         ip,
+        seeds,
         store,
         memory_mb,
         is_first_start,
     } = settings;
+    let seeds = seeds.iter().map(|seed| format!("\"{seed}:{CONTROL_PORT}\""));
+    let seeds = seeds.collect::<Vec<_>>().join(",");
     let text = format!(
-        r#"{{"host":"front-{ip}","failure_domain":"za-west-a","ip":"{ip}",
+        r#"{{"host":"{name}","failure_domain":"{domain}","ip":"{ip}",
 "callers":"{ip}:{CALLERS_PORT}","readiness":"{ip}:{READINESS_PORT}","peer_port":{PEER_PORT},"metrics_port":9464,
-"seeds":[],"store":"{store}","is_first_start":{is_first_start},"log_format":"json",
+"seeds":[{seeds}],"store":"{store}","is_first_start":{is_first_start},"log_format":"json",
 "limits":{{"memory_mb":{memory_mb},"file_descriptors":4100}},
 "bounds":{{"grace_s":8,"retry_ratio":0.2,"retry_extra":54,"retry_window_s":10,"lease_ms":3000,"lease_min_ms":1000,"weights_ms":8000}}}}"#
     );
--- a/review/standins-2/main.rs
+++ b/review/standins-2/main.rs
@@ -8,6 +8,7 @@
 mod json;
 mod record;
 mod store;
+mod survivor;
 mod traffic;
 
 use std::env;
@@ -39,7 +40,23 @@
         .and_then(|()| Record::create(Path::new(record)))
         .and_then(|record| match case.as_str() {
             "endless-events" => traffic::run(is_trouble, Trouble::EndlessEvents { runners: 5 }, &folder, record),
-            "crowd" => traffic::run(is_trouble, Trouble::Crowd { per_s: 120.0 }, &folder, record),
+            "crowd" => {
+                let crowd = Trouble::Crowd {
+                    per_s: 120.0,
+                    events: 3,
+                    has_peer: false,
+                };
+                traffic::run(is_trouble, crowd, &folder, record)
+            }
+            "crowd-of-streams" => {
+                let crowd = Trouble::Crowd {
+                    per_s: 60.0,
+                    events: 300,
+                    has_peer: true,
+                };
+                traffic::run(is_trouble, crowd, &folder, record)
+            }
+            "survivor" => survivor::run(is_trouble, &folder, record),
             other => Err(std::io::Error::other(format!("no case {other}"))),
         });
     if env::var("KEEP").is_err() {
--- a/review/standins-2/traffic.rs
+++ b/review/standins-2/traffic.rs
@@ -31,6 +31,8 @@
 const TROUBLE_TIME: Duration = Duration::from_secs(60);
 /// Requests that may be closed without an answer on kept connections.
 const MAX_LOST: usize = 3;
+/// Time between two events.
+const STEP: Duration = Duration::from_millis(15);
 /// Prompt parts of a request of the crowd, in a head that is smaller than the limit.
 const CROWD_PARTS: u64 = 2_500;
 /// Bytes of the event without end that come at once, and the pace of those that follow.
@@ -38,7 +40,7 @@
 const FURTHER_BYTES: usize = 10;
 const FURTHER_PAUSE: Duration = Duration::from_millis(100);
 
-const CONFIG: &str = r#"{"version":7,"routes":[
+pub const CONFIG: &str = r#"{"version":7,"routes":[
 {"name":"possession-scan","host":"scan.example","path-prefix":"/scan/","kind":"streaming","timeout-ms":5000,"target-latency-ms":600,"priority":1,"service":"llm-pool","attempts":1,"public":false,"sticky-sessions":true,"resumable":false,"gap-target-ms":400},
 {"name":"notice-draft","host":"draft.example","path-prefix":"/draft/","kind":"streaming","timeout-ms":15000,"target-latency-ms":400,"priority":0,"service":"llm-pool","attempts":2,"public":false,"sticky-sessions":true,"resumable":true,"gap-target-ms":400},
 {"name":"coach-booking","host":"book.example","path-prefix":"/book/","kind":"unsafe","timeout-ms":800,"target-latency-ms":300,"priority":2,"service":"booking-app","attempts":1,"public":false}],
@@ -53,8 +55,13 @@
 pub enum Trouble {
     /// So many runners send an event without end on each stream.
     EndlessEvents { runners: usize },
-    /// Clients send so many requests a second whose prompts have very many short parts.
-    Crowd { per_s: f64 },
+    /// Clients send so many requests a second whose prompts have very many short parts, for so many events each;
+    /// another machine, which gets no requests, may be up.
+    Crowd {
+        per_s: f64,
+        events: u64,
+        has_peer: bool,
+    },
 }
 
 /// What the runners and the clients share.
@@ -77,7 +84,7 @@
     Scan,
     Draft,
     Booking,
-    Crowd,
+    Crowd { events: u64 },
 }
 
 impl Kind {
@@ -86,11 +93,11 @@
             Self::Scan => ("scan.example", "/scan/1", Some((9_190, 13, 6_300)), 18_000, 5_000),
             Self::Draft => ("draft.example", "/draft/1", Some((826, 73, 198)), 1_700, 15_000),
             Self::Booking => ("book.example", "/book/1", None, 600, 1_500),
-            Self::Crowd => {
+            Self::Crowd { events } => {
                 let parts = (0..CROWD_PARTS).map(|part| format!("{:x}:1", (part + number) % 4_096));
                 let parts = parts.collect::<Vec<_>>().join(",");
                 return format!(
-                    "POST /draft/1 HTTP/1.1\r\nHost: draft.example\r\nRequest-Attempt-Id: {id}\r\nKey: key-1\r\nDeadline-Ms: 15000\r\nModel: m0\r\nToken-Counts: {CROWD_PARTS},3\r\nPrompt-Prefix: {parts}\r\nContent-Length: 0\r\n\r\n"
+                    "POST /draft/1 HTTP/1.1\r\nHost: draft.example\r\nRequest-Attempt-Id: {id}\r\nKey: key-1\r\nDeadline-Ms: 15000\r\nModel: m0\r\nToken-Counts: {CROWD_PARTS},{events}\r\nPrompt-Prefix: {parts}\r\nContent-Length: 0\r\n\r\n"
                 );
             }
         };
@@ -114,7 +121,10 @@
     let store = Store::start("127.0.0.1");
     let ip = free_ip(1);
     let host_settings = HostSettings {
+        name: "front-za-west-a-1".to_owned(),
+        domain: "za-west-a".to_owned(),
         ip: ip.clone(),
+        seeds: Vec::new(),
         store: store.address,
         memory_mb: MEMORY_MB,
         is_first_start: true,
@@ -143,7 +153,15 @@
         register(&store, &id, "booking-app", &listener, "", 6)?;
         start_runner(&shared, listener, id, false);
     }
+    let peer_settings = HostSettings {
+        name: "front-za-west-a-2".to_owned(),
+        ip: free_ip(2),
+        seeds: vec![ip.clone()],
+        ..host_settings.clone()
+    };
     let mut host = Host::start(host_settings, folder)?;
+    let has_peer = matches!(trouble, Trouble::Crowd { has_peer: true, .. });
+    let _peer = has_peer.then(|| Host::start(peer_settings, folder)).transpose()?;
     let clients = [
         (Kind::Scan, SCANS_PER_S),
         (Kind::Draft, DRAFTS_PER_S),
@@ -157,9 +175,9 @@
     thread::sleep(Duration::from_secs(5));
     shared.is_trouble.store(is_trouble, Ordering::SeqCst);
     record.line(&format!("trouble: {is_trouble}"));
-    if let (true, Trouble::Crowd { per_s }) = (is_trouble, trouble) {
+    if let (true, Trouble::Crowd { per_s, events, .. }) = (is_trouble, trouble) {
         let shared = Arc::clone(&shared);
-        thread::spawn(move || send_requests(&shared, Kind::Crowd, per_s));
+        thread::spawn(move || send_requests(&shared, Kind::Crowd { events }, per_s));
     }
     let began = Instant::now();
     let (mut peak, mut kills) = (0, 0);
@@ -274,7 +292,7 @@
         let tokens = request.header("token-counts").and_then(|counts| counts.split_once(','));
         let last = tokens.and_then(|(_, output)| output.parse().ok()).unwrap_or(first);
         for event in first + 1..=last {
-            thread::sleep(Duration::from_millis(15));
+            thread::sleep(STEP);
             write_event(&mut writer, event)?;
         }
         writer.write_all(b"0\r\n\r\n")?;
@@ -324,7 +342,7 @@
 /// Sends a request once. Returns the number of the last whole event if the stream broke off or was abandoned.
 fn try_once(shared: &Shared, kind: Kind, id: &str, number: u64, resumed: Option<(u64, &str)>) -> Option<u64> {
     let kept = match resumed {
-        None if kind != Kind::Crowd => shared.kept.lock().expect("kept").pop(),
+        None if !matches!(kind, Kind::Crowd { .. }) => shared.kept.lock().expect("kept").pop(),
         _ => None,
     };
     let is_kept = kept.is_some();
@@ -342,7 +360,7 @@
     let origin = resumed.map_or(String::new(), |(_, first)| format!(" (takes {first} up)"));
     shared.record.line(&format!("client: {id}{origin} {outcome}"));
     let is_broken = stream.is_none() && last_event > 0;
-    if kind == Kind::Crowd {
+    if matches!(kind, Kind::Crowd { .. }) {
         return None;
     }
     if let Some(stream) = stream {
