--- a/review/standins-2/host.rs
+++ b/review/standins-2/host.rs
@@ -56,6 +56,13 @@
         Some(kib << 10)
     }
 
+    /// Sends the process SIGTERM.
+    pub fn stop(&self) -> io::Result<()> {
+        let id = self.child.id().to_string();
+        let status = Command::new("kill").args(["-TERM", id.as_str()]).status()?;
+        if status.success() { Ok(()) } else { Err(io::Error::other("no signal sent")) }
+    }
+
     /// Ends the process at once.
     pub fn kill(&mut self) {
         let _ = self.child.kill();
--- a/review/standins-2/main.rs
+++ b/review/standins-2/main.rs
@@ -7,6 +7,7 @@
 mod http;
 mod json;
 mod record;
+mod rolling;
 mod store;
 mod survivor;
 mod traffic;
@@ -56,6 +57,7 @@
                 };
                 traffic::run(is_trouble, crowd, &folder, record)
             }
+            "rolling" => rolling::run(is_trouble, &folder, record),
             "survivor" => survivor::run(is_trouble, &folder, record),
             other => Err(std::io::Error::other(format!("no case {other}"))),
         });
