--- /dev/null
+++ b/review/standins-3/main.rs
@@ -0,0 +1,56 @@
+//! Cases of the review that were written as scripts: a stand-in for the platform's store, stand-ins for
+//! runners, clients, and the hosts of a small deployment as processes of their own.
+
+mod crowds;
+mod deployment;
+mod hosts;
+mod http;
+mod record;
+mod runner;
+mod software;
+mod store;
+mod take_up;
+
+use std::path::PathBuf;
+use std::process::ExitCode;
+
+/// Outcome of a case.
+pub enum Outcome {
+    Held,
+    Broken,
+}
+
+fn main() -> ExitCode {
+    let arguments = std::env::args().skip(1).collect::<Vec<_>>();
+    let words = arguments.iter().map(String::as_str).collect::<Vec<_>>();
+    let folder = |path: &str| PathBuf::from(path);
+    let has_trouble = std::env::var("TROUBLE").as_deref() != Ok("0");
+    let outcome = match words.as_slice() {
+        ["runner", options @ ..] => {
+            runner::run(options);
+            return ExitCode::SUCCESS;
+        }
+        ["parts", path] => crowds::run_parts(&folder(path), has_trouble),
+        ["endless", path] => crowds::run_endless(&folder(path), has_trouble),
+        ["take_up", path] => take_up::run(&folder(path), has_trouble),
+        ["software", path] => software::run(&folder(path), has_trouble),
+        _ => {
+            eprintln!("unknown case: {arguments:?}");
+            return ExitCode::from(2);
+        }
+    };
+    match outcome {
+        Ok(Outcome::Held) => {
+            println!("the rule held");
+            ExitCode::SUCCESS
+        }
+        Ok(Outcome::Broken) => {
+            println!("the rule was broken");
+            ExitCode::from(1)
+        }
+        Err(reason) => {
+            println!("the case could not run: {reason}");
+            ExitCode::from(2)
+        }
+    }
+}
--- /dev/null
+++ b/review/standins-3/runner.rs
@@ -0,0 +1,231 @@
+//! A runner of a model, as a process of its own.
+
+use std::io::{BufRead, BufReader, Write};
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::process::{Child, Command, Stdio};
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU32, Ordering};
+use std::thread;
+use std::time::Duration;
+
+use crate::http::{Head, read_request};
+use crate::record::Record;
+
+pub const SLOTS: u32 = 64;
+/// Events of a stream, and the time between two.
+const EVENTS: u32 = 40;
+const EVENT_INTERVAL: Duration = Duration::from_millis(100);
+
+/// Bytes of an endless event that come at once.
+const FAST_BYTES: usize = 1_000_000;
+
+/// The process of a runner, as the case sees it.
+pub struct Runner {
+    pub id: String,
+    pub address: SocketAddr,
+    pub zone: String,
+    pub born: u64,
+    child: Child,
+}
+
+impl Runner {
+    /// Starts a process whose runs are written to the record.
+    pub fn start(
+        id: &str,
+        (address, zone): (SocketAddr, &str),
+        software: &str,
+        born: u64,
+        record: &Record,
+    ) -> Result<Self, String> {
+        let program = std::env::current_exe().map_err(|error| error.to_string())?;
+        let mut child = Command::new(program)
+            .args([
+                "runner",
+                id,
+                &address.to_string(),
+                software,
+                &born.to_string(),
+            ])
+            .stdin(Stdio::null())
+            .stdout(Stdio::piped())
+            .spawn()
+            .map_err(|error| error.to_string())?;
+        let mut output = child.stdout.take().map(BufReader::new).ok_or("no output")?;
+        let mut first = String::new();
+        output
+            .read_line(&mut first)
+            .map_err(|error| error.to_string())?;
+        if first.trim() != "listening" {
+            return Err(format!("runner {id} does not listen"));
+        }
+        let (name, record) = (format!("{id} ({software}, born {born})"), record.clone());
+        record.line(format!("runner {name}: serves at {address}"));
+        thread::spawn(move || {
+            for line in output.lines().map_while(Result::ok) {
+                record.line(format!("runner {name}: {line}"));
+            }
+        });
+        Ok(Self {
+            id: id.to_owned(),
+            address,
+            zone: zone.to_owned(),
+            born,
+            child,
+        })
+    }
+
+    /// Returns its entry in the registry.
+    pub fn entry(address: SocketAddr, zone: &str, software: &str, born: u64) -> String {
+        format!(
+            r#"{{"service":"llm-pool","address":"{address}","zone":"{zone}","version":"{software}","slots":{SLOTS},"state":"ready","cold-remaining-ms":0,"stage":"both","models":[{{"name":"m0","version":1,"adapters":[]}}],"sequence":1,"born":{born}}}"#
+        )
+    }
+
+    /// Kills the process (SIGKILL).
+    pub fn kill(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+}
+
+impl Drop for Runner {
+    fn drop(&mut self) {
+        self.kill();
+    }
+}
+
+/// What the threads of the process share.
+struct Process {
+    id: String,
+    software: String,
+    born: u64,
+    running: AtomicU32,
+}
+
+/// Runs the process; the options are id, address, software version and start time.
+pub fn run(options: &[&str]) {
+    let [id, address, software, born] = options else {
+        return;
+    };
+    let process = Arc::new(Process {
+        id: (*id).to_owned(),
+        software: (*software).to_owned(),
+        born: born.parse().unwrap_or(0),
+        running: AtomicU32::new(0),
+    });
+    let Ok(listener) = TcpListener::bind(address) else {
+        return;
+    };
+    println!("listening");
+    for stream in listener.incoming().flatten() {
+        let process = Arc::clone(&process);
+        thread::spawn(move || process.serve(stream));
+    }
+}
+
+impl Process {
+    fn serve(&self, stream: TcpStream) {
+        let _ = stream.set_nodelay(true);
+        let Ok(mut writer) = stream.try_clone() else {
+            return;
+        };
+        let mut reader = BufReader::new(stream);
+        while let Some((head, _)) = read_request(&mut reader) {
+            if self.answer(&head, &mut writer).is_err() {
+                return;
+            }
+        }
+    }
+
+    fn answer(&self, head: &Head, writer: &mut TcpStream) -> std::io::Result<()> {
+        let plain = |status: u16, headers: &str, body: &str| {
+            format!(
+                "HTTP/1.1 {status} X\r\n{headers}Content-Type: application/json\r\nContent-Length: {}\r\n\r\n{body}",
+                body.len()
+            )
+        };
+        let is_other = head
+            .header("target-instance")
+            .is_some_and(|id| id != self.id);
+        let instance = format!("Instance-Id: {}\r\n", self.id);
+        if is_other {
+            return writer.write_all(plain(421, &instance, "{}").as_bytes());
+        }
+        match head.word(1) {
+            "/-/report" => {
+                let running = self.running.load(Ordering::Relaxed);
+                let report = format!(
+                    r#"{{"stage":"both","models":[{{"name":"m0","version":1,"adapters":[]}}],"busy":false,"sequence":0,"waiting-requests":0,"running-requests":{running},"kv-cache-used":0,"kv-cache-total":101787,"handles":0,"born":{}}}"#,
+                    self.born
+                );
+                writer.write_all(plain(200, "", &report).as_bytes())
+            }
+            "/health" => writer.write_all(plain(200, &instance, "{}").as_bytes()),
+            path if path.starts_with("/-/") => writer.write_all(plain(404, "", "{}").as_bytes()),
+            _ => {
+                self.running.fetch_add(1, Ordering::Relaxed);
+                let done = self.stream(head, writer);
+                self.running.fetch_sub(1, Ordering::Relaxed);
+                done
+            }
+        }
+    }
+
+    /// Streams events that say which software made them, after the one that the request names.
+    fn stream(&self, head: &Head, writer: &mut TcpStream) -> std::io::Result<()> {
+        let id = head.header("request-attempt-id").unwrap_or_default();
+        let last = head.header("last-event-id").unwrap_or_default();
+        let last = last.parse::<u32>().unwrap_or(0);
+        println!("runs {id} after event {last}");
+        let running = self.running.load(Ordering::Relaxed);
+        let start = format!(
+            "HTTP/1.1 200 OK\r\nRequest-Attempt-Id: {id}\r\nServer-Seal: seal-{id}\r\nServer-Load: {running},0,{SLOTS}\r\nWeight-Versions: 1\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n"
+        );
+        writer.write_all(start.as_bytes())?;
+        if self.software.ends_with("-endless") {
+            return endless_event(writer);
+        }
+        for number in last + 1..=EVENTS {
+            let event = format!(
+                "id: {number}\ndata: {} {} {number}\n\n",
+                self.software, self.id
+            );
+            let chunk = format!("{:x}\r\n{event}\r\n", event.len());
+            writer.write_all(chunk.as_bytes())?;
+            thread::sleep(EVENT_INTERVAL);
+            if is_closed(writer) {
+                println!("leaves {id} at event {number}");
+                return Err(std::io::ErrorKind::ConnectionAborted.into());
+            }
+        }
+        println!("ends {id}");
+        writer.write_all(b"0\r\n\r\n")
+    }
+}
+
+/// Sends an event that does not end, quickly at first, until the other side closes the connection.
+fn endless_event(writer: &mut TcpStream) -> std::io::Result<()> {
+    let block = "x".repeat(8_192);
+    let mut sent = 0;
+    writer.write_all(b"d\r\nid: 1\ndata: x\r\n")?;
+    loop {
+        let piece = if sent < FAST_BYTES {
+            block.as_str()
+        } else {
+            "x"
+        };
+        if piece.len() == 1 {
+            thread::sleep(EVENT_INTERVAL);
+        }
+        writer.write_all(format!("{:x}\r\n{piece}\r\n", piece.len()).as_bytes())?;
+        sent += piece.len();
+    }
+}
+
+/// Returns whether the other side has closed the connection.
+fn is_closed(stream: &mut TcpStream) -> bool {
+    let _ = stream.set_nonblocking(true);
+    let is_closed = matches!(stream.peek(&mut [0]), Ok(0));
+    let _ = stream.set_nonblocking(false);
+    is_closed
+}
