--- a/review/9/run.sh
+++ b/review/9/run.sh
@@ -5,5 +5,5 @@
 export TROUBLE
 case_folder=$(cd "$(dirname "$0")" && pwd) || exit 2
 cd "$case_folder/../.." || exit 2
-[ -x target/release/hickoryhall-platform ] && [ -x target/review-2/review-2 ] || exit 2
-exec target/review-2/review-2 crowd "$case_folder/record.txt"
+[ -x target/release/hickoryhall-platform ] && [ -x target/review-2/review-3 ] || exit 2
+exec target/review-2/review-3 take_up "$case_folder"
--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -4,3 +4,4 @@
 cd "$(dirname "$0")/.."
 mkdir -p target/review-2
 rustc --edition 2024 -O -o target/review-2/review-2 review/standins-2/main.rs
+rustc --edition 2024 -O -o target/review-2/review-3 review/standins-3/main.rs
--- a/review/standins-3/deployment.rs
+++ b/review/standins-3/deployment.rs
@@ -9,30 +9,27 @@
 use crate::http::{self, Answer};
 use crate::record::Record;
 use crate::runner::Runner;
-use crate::store::Store;
+use crate::store::{Link, Store};
 
 const RUNNERS: usize = 9;
 const ZONES: [&str; 3] = ["za-west-a", "za-west-b", "za-west-c"];
 /// Memory of a machine.
-pub const MEMORY_MB: u64 = 110;
+const MEMORY_MB: u64 = 110;
 
 /// Route of a stream that may be resumed.
 pub const NOTICE: &str = r#"{"name":"r-notice","host":"notice.example","path-prefix":"/notice/","kind":"streaming","timeout-ms":15000,"target-latency-ms":400,"priority":0,"service":"llm-pool","attempts":2,"public":false,"sticky-sessions":true,"resumable":true,"gap-target-ms":400}"#;
-/// Route of a stream that may not be resumed.
-pub const SCAN: &str = r#"{"name":"r-scan","host":"notice.example","path-prefix":"/notice/","kind":"streaming","timeout-ms":5000,"target-latency-ms":600,"priority":1,"service":"llm-pool","attempts":1,"public":false,"sticky-sessions":true,"resumable":false,"gap-target-ms":400}"#;
-
 const SERVICES: &str = r#"[{"name":"llm-pool","health-path":"/health","connection-limit":360,"protocol":"h1","tls":false,"engine":{"slots":64,"kv-cache-tokens":101787,"kv-token-bytes":163840,"link-mbps":550000.0,"moves":true,"backups":true,"stride":4,"max-concurrency":12,"pin-ms":4000.0,"hold-ms":2000.0,"handle_s":5.0,"models":[{"name":"m0"}]}}]"#;
-/// Limit of the size of a head.
-pub const HEADER_BYTES: usize = 16_384;
 const LIMITS: &str = r#"{"header-bytes":16384,"body-bytes":4194304,"header-timeout-ms":3000,"idle-timeout-ms":15000}"#;
 const TENANTS: &str =
     r#"[{"name":"depot","api-keys":["key-depot"],"priority":1,"isolated":false}]"#;
 
 pub struct Deployment {
     pub record: Record,
-    pub store: Store,
-    pub runners: Vec<Runner>,
-    pub hosts: Vec<Host>,
+    store: Store,
+    runners: Vec<Runner>,
+    hosts: Vec<Host>,
+    /// Link of the first host to the store.
+    pub link: Link,
     _files: Folder,
 }
 
@@ -43,18 +40,6 @@
         case: &str,
         has_trouble: bool,
         route: &str,
-    ) -> Result<Self, String> {
-        Self::start_with(folder, case, has_trouble, route, |_| "v1")
-    }
-
-    /// Does the same for runners whose processes are started with the option that `option` returns for
-    /// their numbers; all state the software version `v1`.
-    pub fn start_with(
-        folder: &Path,
-        case: &str,
-        has_trouble: bool,
-        route: &str,
-        option: impl Fn(usize) -> &'static str,
     ) -> Result<Self, String> {
         let record = Record::create(&folder.join("record.txt"))?;
         record.line(format!("case: {case}, trouble: {has_trouble}"));
@@ -72,37 +57,32 @@
             let address = free_address()?;
             store.put(
                 &format!("servers/{id}"),
-                &Runner::entry(address, zone, "v1", born),
+                &Runner::entry(address, zone, "v1", born, "ready"),
             );
-            runners.push(Runner::start(
-                &id,
-                (address, zone),
-                option(number),
-                born,
-                &record,
-            )?);
+            runners.push(Runner::start(&id, (address, zone), "v1", born, &record)?);
         }
+        let link = Link::start(store.address)?;
         let mut hosts = Vec::new();
         for (number, zone) in (1..).zip(ZONES) {
-            hosts.push(Host::start(
-                &files.0,
-                number,
-                zone,
-                store.address,
-                MEMORY_MB,
-            )?);
+            let store = if number == 1 {
+                link.address
+            } else {
+                store.address
+            };
+            hosts.push(Host::start(&files.0, number, zone, store, MEMORY_MB)?);
         }
         let deployment = Self {
             record,
             store,
             runners,
             hosts,
+            link,
             _files: files,
         };
         for host in &deployment.hosts {
             host.wait_ready()?;
         }
-        // Digests of the hosts reach each other.
+        // The hosts hear of each other meanwhile.
         thread::sleep(Duration::from_secs(1));
         Ok(deployment)
     }
@@ -120,22 +100,31 @@
         let (address, zone, born) = (free_address()?, ZONES[0], born(100));
         let runner = Runner::start(id, (address, zone), software, born, &self.record)?;
         self.runners.push(runner);
-        let entry = Runner::entry(address, zone, software, born);
+        let entry = Runner::entry(address, zone, software, born, "ready");
         self.store.put(&format!("servers/{id}"), &entry);
         Ok(())
     }
 
+    /// Lets a runner report that it is draining, in the store and in its answers.
+    pub fn drain_runner(&mut self, index: usize) {
+        let runner = &mut self.runners[index];
+        let (address, zone) = (runner.address, runner.zone.as_str());
+        let entry = Runner::entry(address, zone, "v1", runner.born, "draining");
+        self.store.put(&format!("servers/{}", runner.id), &entry);
+        runner.leave();
+    }
+
     /// Replaces a runner's process by one with some software, under the same id and address. Its entry is
     /// in the store before it serves.
     pub fn restart_runner(&mut self, index: usize, software: &str) -> Result<(), String> {
         let runner = &mut self.runners[index];
         let id = runner.id.clone();
         self.record.line(format!(
-            "runner {id} ends, and starts again under its id with software {software}"
+            "runner {id} exits, and starts again under its id with software {software}"
         ));
         runner.kill();
         let (address, zone, born) = (runner.address, runner.zone.clone(), runner.born + 60_000);
-        let entry = Runner::entry(address, &zone, software, born);
+        let entry = Runner::entry(address, &zone, software, born, "ready");
         self.store.put(&format!("servers/{id}"), &entry);
         *runner = Runner::start(&id, (address, &zone), software, born, &self.record)?;
         Ok(())
@@ -151,15 +140,15 @@
     listener.local_addr().map_err(|error| error.to_string())
 }
 
-/// Sends a request for a stream about a subject of its own, with further headers.
-pub fn request_notice(host: SocketAddr, id: &str, headers: &str) -> Answer {
+/// Sends a request for a stream of some events about a subject of its own, with further headers.
+pub fn request_notice(host: SocketAddr, id: &str, events: u32, headers: &str) -> Answer {
     let subject = id.bytes();
     let subject = subject.fold(7_u32, |sum, byte| {
         sum.wrapping_mul(31).wrapping_add(byte.into())
     });
     let own = subject ^ 0x5a5a_5a5a;
     let text = format!(
-        "POST /notice/{id} HTTP/1.1\r\nHost: notice.example\r\nRequest-Attempt-Id: {id}\r\nModel: m0\r\nToken-Counts: 628,73\r\nPrompt-Prefix: {subject:08x}:119,{own:08x}:509\r\nDeadline-Ms: 15000\r\nKey: key-depot\r\n{headers}Content-Length: 2\r\n\r\n{{}}"
+        "POST /notice/{id} HTTP/1.1\r\nHost: notice.example\r\nRequest-Attempt-Id: {id}\r\nModel: m0\r\nToken-Counts: 628,{events}\r\nPrompt-Prefix: {subject:08x}:119,{own:08x}:509\r\nDeadline-Ms: 15000\r\nKey: key-depot\r\n{headers}Content-Length: 2\r\n\r\n{{}}"
     );
     http::request(host, &text, Duration::from_secs(15))
 }
--- a/review/standins-3/hosts.rs
+++ b/review/standins-3/hosts.rs
@@ -14,7 +14,7 @@
 const READINESS_PORT: u16 = 8_789;
 const PEER_PORT: u16 = 7_340;
 
-/// Returns a loopback address for the host with a number; each process of the review has its own block.
+/// Returns a loopback address for the host with a number; each process of a case has its own block.
 pub fn host_ip(number: u8) -> Ipv4Addr {
     let process = std::process::id();
     Ipv4Addr::new(
@@ -29,8 +29,6 @@
     pub name: String,
     pub callers: SocketAddr,
     readiness: SocketAddr,
-    settings: PathBuf,
-    log: File,
     child: Child,
 }
 
@@ -59,21 +57,9 @@
             callers: (ip, CALLERS_PORT).into(),
             readiness: (ip, READINESS_PORT).into(),
             child: spawn(&path, &log)?,
-            settings: path,
-            log,
         })
     }
 
-    /// Starts the process again after its end.
-    pub fn start_again(&mut self) -> Result<(), String> {
-        let settings =
-            std::fs::read_to_string(&self.settings).map_err(|error| error.to_string())?;
-        let settings = settings.replace(r#""is_first_start":true"#, r#""is_first_start":false"#);
-        std::fs::write(&self.settings, settings).map_err(|error| error.to_string())?;
-        self.child = spawn(&self.settings, &self.log)?;
-        Ok(())
-    }
-
     pub fn wait_ready(&self) -> Result<(), String> {
         let end = Instant::now() + Duration::from_secs(15);
         let text = "GET /-/readiness HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n";
@@ -91,18 +77,6 @@
         let _ = self.child.kill();
         let _ = self.child.wait();
     }
-
-    /// Returns the resident memory of the process, in bytes; `None` if it has ended.
-    pub fn memory_bytes(&self) -> Option<u64> {
-        self.status_bytes("VmRSS:")
-    }
-
-    fn status_bytes(&self, name: &str) -> Option<u64> {
-        let status = std::fs::read_to_string(format!("/proc/{}/status", self.child.id())).ok()?;
-        let line = status.lines().find_map(|line| line.strip_prefix(name))?;
-        let kib = line.trim().strip_suffix(" kB")?.parse::<u64>().ok()?;
-        Some(kib * 1_024)
-    }
 }
 
 fn spawn(settings: &Path, log: &File) -> Result<Child, String> {
--- a/review/standins-3/main.rs
+++ b/review/standins-3/main.rs
@@ -1,7 +1,9 @@
-//! Cases of the review that were written as scripts: a stand-in for the platform's store, stand-ins for
-//! runners, clients, and the hosts of a small deployment as processes of their own.
+//! Cases 9 and 10 of the second review: hosts and runners as processes of their own, before a stand-in for the
+//! platform's store, and clients.
+//!
+//! Usage: `review-3 CASE FOLDER`, in the root of the repository; the record is written to the folder.
+//! `TROUBLE=0` leaves the disruption out.
 
-mod crowds;
 mod deployment;
 mod hosts;
 mod http;
@@ -30,8 +32,6 @@
             runner::run(options);
             return ExitCode::SUCCESS;
         }
-        ["parts", path] => crowds::run_parts(&folder(path), has_trouble),
-        ["endless", path] => crowds::run_endless(&folder(path), has_trouble),
         ["take_up", path] => take_up::run(&folder(path), has_trouble),
         ["software", path] => software::run(&folder(path), has_trouble),
         _ => {
--- a/review/standins-3/runner.rs
+++ b/review/standins-3/runner.rs
@@ -4,7 +4,7 @@
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::process::{Child, Command, Stdio};
 use std::sync::Arc;
-use std::sync::atomic::{AtomicU32, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU32, Ordering};
 use std::thread;
 use std::time::Duration;
 
@@ -12,13 +12,9 @@
 use crate::record::Record;
 
 pub const SLOTS: u32 = 64;
-/// Events of a stream, and the time between two.
-const EVENTS: u32 = 40;
+/// Time between two events of a stream.
 const EVENT_INTERVAL: Duration = Duration::from_millis(100);
 
-/// Bytes of an endless event that come at once.
-const FAST_BYTES: usize = 1_000_000;
-
 /// The process of a runner, as the case sees it.
 pub struct Runner {
     pub id: String,
@@ -46,7 +42,7 @@
                 software,
                 &born.to_string(),
             ])
-            .stdin(Stdio::null())
+            .stdin(Stdio::piped())
             .stdout(Stdio::piped())
             .spawn()
             .map_err(|error| error.to_string())?;
@@ -75,12 +71,26 @@
     }
 
     /// Returns its entry in the registry.
-    pub fn entry(address: SocketAddr, zone: &str, software: &str, born: u64) -> String {
+    pub fn entry(
+        address: SocketAddr,
+        zone: &str,
+        software: &str,
+        born: u64,
+        state: &str,
+    ) -> String {
         format!(
-            r#"{{"service":"llm-pool","address":"{address}","zone":"{zone}","version":"{software}","slots":{SLOTS},"state":"ready","cold-remaining-ms":0,"stage":"both","models":[{{"name":"m0","version":1,"adapters":[]}}],"sequence":1,"born":{born}}}"#
+            r#"{{"service":"llm-pool","address":"{address}","zone":"{zone}","version":"{software}","slots":{SLOTS},"state":"{state}","cold-remaining-ms":0,"stage":"both","models":[{{"name":"m0","version":1,"adapters":[]}}],"sequence":1,"born":{born}}}"#
         )
     }
 
+    /// Makes the process say in all its answers that it leaves.
+    pub fn leave(&mut self) {
+        if let Some(input) = &mut self.child.stdin {
+            // Fails only if the process has ended.
+            let _ = input.write_all(b"leave\n");
+        }
+    }
+
     /// Kills the process (SIGKILL).
     pub fn kill(&mut self) {
         let _ = self.child.kill();
@@ -100,6 +110,8 @@
     software: String,
     born: u64,
     running: AtomicU32,
+    /// Whether it says that it leaves.
+    is_leaving: AtomicBool,
 }
 
 /// Runs the process; the options are id, address, software version and start time.
@@ -112,11 +124,23 @@
         software: (*software).to_owned(),
         born: born.parse().unwrap_or(0),
         running: AtomicU32::new(0),
+        is_leaving: AtomicBool::new(false),
     });
     let Ok(listener) = TcpListener::bind(address) else {
         return;
     };
     println!("listening");
+    let own = Arc::clone(&process);
+    thread::spawn(move || {
+        for line in std::io::stdin().lines().map_while(Result::ok) {
+            if line == "leave" {
+                own.is_leaving.store(true, Ordering::Relaxed);
+                println!("leaves");
+            }
+        }
+        // The case has ended.
+        std::process::exit(0);
+    });
     for stream in listener.incoming().flatten() {
         let process = Arc::clone(&process);
         thread::spawn(move || process.serve(stream));
@@ -178,14 +202,22 @@
         let last = last.parse::<u32>().unwrap_or(0);
         println!("runs {id} after event {last}");
         let running = self.running.load(Ordering::Relaxed);
+        let events = head
+            .header("token-counts")
+            .and_then(|counts| counts.split(',').nth(1));
+        let events = events
+            .and_then(|events| events.parse::<u32>().ok())
+            .unwrap_or(0);
+        let leaving = if self.is_leaving.load(Ordering::Relaxed) {
+            "Server-Leaving: 1\r\n"
+        } else {
+            ""
+        };
         let start = format!(
-            "HTTP/1.1 200 OK\r\nRequest-Attempt-Id: {id}\r\nServer-Seal: seal-{id}\r\nServer-Load: {running},0,{SLOTS}\r\nWeight-Versions: 1\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n"
+            "HTTP/1.1 200 OK\r\nRequest-Attempt-Id: {id}\r\nServer-Seal: seal-{id}\r\nServer-Load: {running},0,{SLOTS}\r\nWeight-Versions: 1\r\n{leaving}Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n"
         );
         writer.write_all(start.as_bytes())?;
-        if self.software.ends_with("-endless") {
-            return endless_event(writer);
-        }
-        for number in last + 1..=EVENTS {
+        for number in last + 1..=events {
             let event = format!(
                 "id: {number}\ndata: {} {} {number}\n\n",
                 self.software, self.id
@@ -203,25 +235,6 @@
     }
 }
 
-/// Sends an event that does not end, quickly at first, until the other side closes the connection.
-fn endless_event(writer: &mut TcpStream) -> std::io::Result<()> {
-    let block = "x".repeat(8_192);
-    let mut sent = 0;
-    writer.write_all(b"d\r\nid: 1\ndata: x\r\n")?;
-    loop {
-        let piece = if sent < FAST_BYTES {
-            block.as_str()
-        } else {
-            "x"
-        };
-        if piece.len() == 1 {
-            thread::sleep(EVENT_INTERVAL);
-        }
-        writer.write_all(format!("{:x}\r\n{piece}\r\n", piece.len()).as_bytes())?;
-        sent += piece.len();
-    }
-}
-
 /// Returns whether the other side has closed the connection.
 fn is_closed(stream: &mut TcpStream) -> bool {
     let _ = stream.set_nonblocking(true);
--- a/review/standins-3/software.rs
+++ b/review/standins-3/software.rs
@@ -1,20 +1,27 @@
-//! Runners start again under their ids with other software, and one of them crashes soon after.
+//! Runners are replaced in place by new software, one after the other, while one host does not hear from the
+//! store.
 
 use std::collections::BTreeSet;
-use std::net::SocketAddr;
 use std::path::Path;
 use std::thread;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use crate::Outcome;
 use crate::deployment::{Deployment, NOTICE, last_event, request_notice};
 use crate::http::Answer;
 
-/// Streams that show which runner gets most.
-const EARLIER_STREAMS: usize = 12;
-/// Streams that begin after the restarts, and the time between two.
-const STREAMS: usize = 24;
-const STREAM_INTERVAL: Duration = Duration::from_millis(12);
+/// Streams of the host, and the time between two.
+const STREAMS: usize = 60;
+const STREAM_INTERVAL: Duration = Duration::from_millis(25);
+/// Events of a stream, one each 100 ms.
+const EVENTS: u32 = 120;
+/// Length of the cut.
+const CUT: Duration = Duration::from_millis(5_500);
+/// Runners that are replaced, by their indices, and the time between two.
+const REPLACED: [usize; 4] = [6, 7, 8, 0];
+const GAP: Duration = Duration::from_secs(1);
+/// Time for which a runner serves after the store has its report: `drain-ms`, and a little longer.
+const DRAIN_TIME: Duration = Duration::from_millis(2_200);
 /// Streams that hold events of two versions before the rule is broken.
 const MAX_MIXED: usize = 2;
 
@@ -22,19 +29,12 @@
     let mut deployment = Deployment::start(folder, "software", has_trouble, NOTICE)?;
     let record = deployment.record.clone();
     let host = deployment.callers()[0];
-    let busiest = busiest(host, &deployment);
-    let other = usize::from(busiest == 0);
-    thread::sleep(Duration::from_millis(500));
-    let software = if has_trouble { "v2" } else { "v1" };
-    deployment.restart_runner(other, software)?;
-    thread::sleep(Duration::from_millis(30));
-    deployment.restart_runner(busiest, software)?;
     let clients = (0..STREAMS).map(|number| {
         thread::sleep(STREAM_INTERVAL);
         let (id, record) = (format!("s{number}"), record.clone());
         record.line(format!("client: sends {id} to host 1"));
         thread::spawn(move || {
-            let answer = request_notice(host, &id, "");
+            let answer = request_notice(host, &id, EVENTS, "");
             record.line(format!(
                 "client: {id} answered {}, whole: {}, up to event {}, by software {:?}",
                 answer.status,
@@ -46,10 +46,33 @@
         })
     });
     let clients = clients.collect::<Vec<_>>();
-    thread::sleep(Duration::from_millis(700));
-    let runner = &mut deployment.runners[busiest];
-    record.line(format!("runner {} crashes (SIGKILL)", runner.id));
-    runner.kill();
+    thread::sleep(Duration::from_millis(300));
+    if has_trouble {
+        record.line("the link of host 1 to the store is cut");
+        deployment.link.set_cut(true);
+    }
+    let began = Instant::now();
+    let mut steps = Vec::new();
+    for (number, index) in (0..).zip(REPLACED) {
+        let drained_at = Duration::from_millis(100) + GAP * number;
+        steps.push((drained_at, index, false));
+        steps.push((drained_at + DRAIN_TIME, index, true));
+    }
+    steps.sort_unstable();
+    let wait_until = |at: Duration| thread::sleep(at.saturating_sub(began.elapsed()));
+    for (at, index, is_drained) in steps {
+        wait_until(at);
+        if is_drained {
+            deployment.restart_runner(index, "v2")?;
+        } else {
+            deployment.drain_runner(index);
+        }
+    }
+    wait_until(CUT);
+    if has_trouble {
+        deployment.link.set_cut(false);
+        record.line("the link of host 1 to the store is back");
+    }
     let answers = clients
         .into_iter()
         .map(|client| client.join().expect("no panic"));
@@ -58,17 +81,17 @@
         .iter()
         .filter(|(_, answer)| versions(answer).len() > 1);
     let mixed = mixed.map(|(id, _)| id.as_str()).collect::<Vec<_>>();
-    let began = answers
+    let begun = answers
         .iter()
         .filter(|(_, answer)| last_event(answer) > 0)
         .count();
     record.line(format!(
-        "streams: {}, begun: {began}, with events of two software versions: {} ({})",
+        "streams: {}, begun: {begun}, with events of two software versions: {} ({})",
         answers.len(),
         mixed.len(),
         mixed.join(" ")
     ));
-    if began < STREAMS / 2 {
+    if begun < STREAMS / 2 {
         return Err("fewer than half of the streams began".to_owned());
     }
     Ok(if mixed.len() > MAX_MIXED {
@@ -78,25 +101,6 @@
     })
 }
 
-/// Returns the index of the runner that gets most of some streams.
-fn busiest(host: SocketAddr, deployment: &Deployment) -> usize {
-    let clients = (0..EARLIER_STREAMS).map(|number| {
-        thread::sleep(STREAM_INTERVAL);
-        thread::spawn(move || request_notice(host, &format!("e{number}"), ""))
-    });
-    let clients = clients.collect::<Vec<_>>().into_iter();
-    let answers = clients.map(|client| client.join().expect("no panic"));
-    let answers = answers.collect::<Vec<_>>();
-    let streams = |index: usize| {
-        let name = format!(" {} ", deployment.runners[index].id);
-        let own = answers.iter();
-        own.filter(|answer| String::from_utf8_lossy(&answer.body).contains(&name))
-            .count()
-    };
-    let indices = 0..deployment.runners.len();
-    indices.max_by_key(|&index| streams(index)).unwrap_or(0)
-}
-
 /// Returns the software versions that made the events of an answer.
 fn versions(answer: &Answer) -> BTreeSet<String> {
     let text = String::from_utf8_lossy(&answer.body).into_owned();
--- a/review/standins-3/store.rs
+++ b/review/standins-3/store.rs
@@ -1,8 +1,9 @@
-//! The platform's store.
+//! The platform's store, and the link of one host to it, which can be cut.
 
 use std::collections::BTreeMap;
-use std::io::{BufReader, Write};
-use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::io::{BufReader, Read, Write};
+use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Condvar, Mutex};
 use std::thread;
 use std::time::{Duration, Instant};
@@ -300,3 +301,63 @@
     }
     text
 }
+
+/// The link of a host to the store. While it is cut, nothing passes in either direction, and new
+/// connections hang.
+#[derive(Clone)]
+pub struct Link {
+    pub address: SocketAddr,
+    is_cut: Arc<AtomicBool>,
+}
+
+impl Link {
+    pub fn start(to: SocketAddr) -> Result<Self, String> {
+        let listener = TcpListener::bind("127.0.0.1:0").map_err(|error| error.to_string())?;
+        let address = listener.local_addr().map_err(|error| error.to_string())?;
+        let link = Self {
+            address,
+            is_cut: Arc::default(),
+        };
+        let is_cut = Arc::clone(&link.is_cut);
+        thread::spawn(move || {
+            for client in listener.incoming().flatten() {
+                let is_cut = Arc::clone(&is_cut);
+                thread::spawn(move || {
+                    wait_while(&is_cut);
+                    let Ok(server) = TcpStream::connect(to) else {
+                        return;
+                    };
+                    let (Ok(from), Ok(back)) = (client.try_clone(), server.try_clone()) else {
+                        return;
+                    };
+                    let cut = Arc::clone(&is_cut);
+                    thread::spawn(move || pass(from, server, &cut));
+                    pass(back, client, &is_cut);
+                });
+            }
+        });
+        Ok(link)
+    }
+
+    pub fn set_cut(&self, is_cut: bool) {
+        self.is_cut.store(is_cut, Ordering::SeqCst);
+    }
+}
+
+fn wait_while(is_cut: &AtomicBool) {
+    while is_cut.load(Ordering::SeqCst) {
+        thread::sleep(Duration::from_millis(2));
+    }
+}
+
+fn pass(mut from: TcpStream, mut to: TcpStream, is_cut: &AtomicBool) {
+    let _ = to.set_nodelay(true);
+    let mut buffer = vec![0; 65_536];
+    while let Ok(length) = from.read(&mut buffer) {
+        wait_while(is_cut);
+        if length == 0 || to.write_all(&buffer[..length]).is_err() {
+            break;
+        }
+    }
+    let _ = to.shutdown(Shutdown::Write);
+}
--- a/review/standins-3/take_up.rs
+++ b/review/standins-3/take_up.rs
@@ -12,6 +12,8 @@
 /// Streams that begin at the host that is killed, and the time between two.
 const STREAMS: usize = 24;
 const STREAM_INTERVAL: Duration = Duration::from_millis(20);
+/// Events of a stream, one each 100 ms.
+const EVENTS: u32 = 40;
 /// Least number of streams that are taken up for the rule to count.
 const MIN_TAKEN_UP: usize = 12;
 
@@ -26,7 +28,7 @@
         thread::spawn(move || {
             let id = format!("s{number}");
             record.line(format!("client: sends {id} to host 1"));
-            let began = request_notice(killed, &id, "");
+            let began = request_notice(killed, &id, EVENTS, "");
             let last = last_event(&began);
             record.line(format!(
                 "client: {id} answered {}, whole: {}, up to event {last}",
@@ -42,7 +44,7 @@
                 "client: {again} takes {id} up at host {}",
                 index + 2
             ));
-            let taken_up = request_notice(others[index], &again, &headers);
+            let taken_up = request_notice(others[index], &again, EVENTS, &headers);
             record.line(format!(
                 "client: {again} answered {} {}, whole: {}, up to event {}",
                 taken_up.status,
@@ -64,7 +66,7 @@
     let new = (0..STREAMS).map(|number| {
         thread::sleep(STREAM_INTERVAL);
         let to = others[number % others.len()];
-        thread::spawn(move || request_notice(to, &format!("n{number}"), ""))
+        thread::spawn(move || request_notice(to, &format!("n{number}"), EVENTS, ""))
     });
     let new = new.collect::<Vec<_>>();
     let taken_up = clients
