--- a/review/standins-3/deployment.rs
+++ b/review/standins-3/deployment.rs
@@ -95,6 +95,12 @@
         self.hosts[index].kill();
     }
 
+    pub fn start_host_again(&mut self, index: usize) -> Result<(), String> {
+        let host = &mut self.hosts[index];
+        self.record.line(format!("{} is started again", host.name));
+        host.start_again()
+    }
+
     /// Adds a runner with a new id, which serves before its entry is in the store.
     pub fn add_runner(&mut self, id: &str, software: &str) -> Result<(), String> {
         let (address, zone, born) = (free_address()?, ZONES[0], born(100));
--- a/review/standins-3/hosts.rs
+++ b/review/standins-3/hosts.rs
@@ -29,6 +29,8 @@
     pub name: String,
     pub callers: SocketAddr,
     readiness: SocketAddr,
+    settings: PathBuf,
+    log: File,
     child: Child,
 }
 
@@ -57,9 +59,21 @@
             callers: (ip, CALLERS_PORT).into(),
             readiness: (ip, READINESS_PORT).into(),
             child: spawn(&path, &log)?,
+            settings: path,
+            log,
         })
     }
 
+    /// Starts the process again after its end.
+    pub fn start_again(&mut self) -> Result<(), String> {
+        let settings = std::fs::read_to_string(&self.settings);
+        let settings = settings.map_err(|error| error.to_string())?;
+        let settings = settings.replace(r#""is_first_start":true"#, r#""is_first_start":false"#);
+        std::fs::write(&self.settings, settings).map_err(|error| error.to_string())?;
+        self.child = spawn(&self.settings, &self.log)?;
+        Ok(())
+    }
+
     pub fn wait_ready(&self) -> Result<(), String> {
         let end = Instant::now() + Duration::from_secs(15);
         let text = "GET /-/readiness HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n";
--- a/review/standins-3/take_up.rs
+++ b/review/standins-3/take_up.rs
@@ -3,7 +3,7 @@
 
 use std::path::Path;
 use std::thread;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use crate::Outcome;
 use crate::deployment::{Deployment, NOTICE, last_event, request_notice};
@@ -14,6 +14,8 @@
 const STREAM_INTERVAL: Duration = Duration::from_millis(20);
 /// Events of a stream, one each 100 ms.
 const EVENTS: u32 = 40;
+/// Time after which the platform starts a killed process again.
+const RESTART_DELAY: Duration = Duration::from_millis(500);
 /// Least number of streams that are taken up for the rule to count.
 const MIN_TAKEN_UP: usize = 12;
 
@@ -63,12 +65,15 @@
     thread::sleep(Duration::from_millis(700));
     record.line("host 1 is killed (SIGKILL)");
     deployment.kill_host(0);
+    let killed_at = Instant::now();
     let new = (0..STREAMS).map(|number| {
         thread::sleep(STREAM_INTERVAL);
         let to = others[number % others.len()];
         thread::spawn(move || request_notice(to, &format!("n{number}"), EVENTS, ""))
     });
     let new = new.collect::<Vec<_>>();
+    thread::sleep(RESTART_DELAY.saturating_sub(killed_at.elapsed()));
+    deployment.start_host_again(0)?;
     let taken_up = clients
         .into_iter()
         .filter_map(|client| client.join().expect("no panic"));
