--- a/review/standins-3/deployment.rs
+++ b/review/standins-3/deployment.rs
@@ -3,12 +3,12 @@
 use std::net::{SocketAddr, TcpListener};
 use std::path::Path;
 use std::thread;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use crate::hosts::{Folder, Host};
 use crate::http::{self, Answer};
 use crate::record::Record;
-use crate::runner::Runner;
+use crate::runner::{Faults, Runner, Works};
 use crate::store::{Link, Store};
 
 const RUNNERS: usize = 9;
@@ -30,6 +30,7 @@
     hosts: Vec<Host>,
     /// Link of the first host to the store.
     pub link: Link,
+    works: Works,
     _files: Folder,
 }
 
@@ -41,6 +42,18 @@
         has_trouble: bool,
         route: &str,
     ) -> Result<Self, String> {
+        Self::start_with(folder, case, has_trouble, route, |_| Faults::default())
+    }
+
+    /// Does the same with runners that do something wrong, given by their numbers.
+    pub fn start_with(
+        folder: &Path,
+        case: &str,
+        has_trouble: bool,
+        route: &str,
+        faults: impl Fn(usize) -> Faults,
+    ) -> Result<Self, String> {
+        let works = Works::default();
         let record = Record::create(&folder.join("record.txt"))?;
         record.line(format!("case: {case}, trouble: {has_trouble}"));
         let files = Folder::create()?;
@@ -59,7 +72,14 @@
                 &format!("servers/{id}"),
                 &Runner::entry(address, zone, "v1", born, "ready"),
             );
-            runners.push(Runner::start(&id, (address, zone), "v1", born, &record)?);
+            runners.push(Runner::start(
+                &id,
+                (address, zone),
+                "v1",
+                born,
+                faults(number),
+                (&record, &works),
+            )?);
         }
         let link = Link::start(store.address)?;
         let mut hosts = Vec::new();
@@ -77,6 +97,7 @@
             runners,
             hosts,
             link,
+            works,
             _files: files,
         };
         for host in &deployment.hosts {
@@ -87,6 +108,41 @@
         Ok(deployment)
     }
 
+    /// Lets the runners with faults do something wrong, or no longer.
+    pub fn set_faulty(&mut self, is_faulty: bool) {
+        self.record
+            .line(format!("disruption of the runners: {is_faulty}"));
+        for runner in &mut self.runners {
+            runner.set_faulty(is_faulty);
+        }
+    }
+
+    /// Returns each pair of runs of one request at two runners, by its id, with the time for which both worked
+    /// on it.
+    pub fn overlaps(&self) -> Vec<(String, Duration)> {
+        let works = self.works.lock().expect("not poisoned");
+        let mut runs = Vec::new();
+        for (index, work) in works.iter().enumerate().filter(|(_, work)| work.begins) {
+            let later = works[index..].iter();
+            let mut ends = later.filter(|end| !end.begins && end.id == work.id);
+            let end = ends.find(|end| end.runner == work.runner);
+            runs.push((
+                &work.id,
+                work.at,
+                end.map_or_else(Instant::now, |end| end.at),
+            ));
+        }
+        let mut overlaps = Vec::new();
+        for (index, (id, start, end)) in runs.iter().enumerate() {
+            for (_, later, other_end) in runs[index + 1..].iter().filter(|run| run.0 == *id) {
+                let until = (*end).min(*other_end);
+                let overlap = until.saturating_duration_since((*start).max(*later));
+                overlaps.push(((*id).clone(), overlap));
+            }
+        }
+        overlaps
+    }
+
     pub fn callers(&self) -> Vec<SocketAddr> {
         self.hosts.iter().map(|host| host.callers).collect()
     }
@@ -104,7 +160,14 @@
     /// Adds a runner with a new id, which serves before its entry is in the store.
     pub fn add_runner(&mut self, id: &str, software: &str) -> Result<(), String> {
         let (address, zone, born) = (free_address()?, ZONES[0], born(100));
-        let runner = Runner::start(id, (address, zone), software, born, &self.record)?;
+        let runner = Runner::start(
+            id,
+            (address, zone),
+            software,
+            born,
+            Faults::default(),
+            (&self.record, &self.works),
+        )?;
         self.runners.push(runner);
         let entry = Runner::entry(address, zone, software, born, "ready");
         self.store.put(&format!("servers/{id}"), &entry);
@@ -132,7 +195,14 @@
         let (address, zone, born) = (runner.address, runner.zone.clone(), runner.born + 60_000);
         let entry = Runner::entry(address, &zone, software, born, "ready");
         self.store.put(&format!("servers/{id}"), &entry);
-        *runner = Runner::start(&id, (address, &zone), software, born, &self.record)?;
+        *runner = Runner::start(
+            &id,
+            (address, &zone),
+            software,
+            born,
+            Faults::default(),
+            (&self.record, &self.works),
+        )?;
         Ok(())
     }
 }
--- a/review/standins-3/main.rs
+++ b/review/standins-3/main.rs
@@ -1,4 +1,4 @@
-//! Cases 9 and 10 of the second review: hosts and runners as processes of their own, before a stand-in for the
+//! Cases 9 and 10 of the second review, and the trial `in-place`: hosts and runners as processes of their own, before a stand-in for the
 //! platform's store, and clients.
 //!
 //! Usage: `review-3 CASE FOLDER`, in the root of the repository; the record is written to the folder.
@@ -7,6 +7,7 @@
 mod deployment;
 mod hosts;
 mod http;
+mod overlap;
 mod record;
 mod runner;
 mod software;
@@ -33,6 +34,7 @@
             return ExitCode::SUCCESS;
         }
         ["take_up", path] => take_up::run(&folder(path), has_trouble),
+        ["overlap", path] => overlap::run(&folder(path), has_trouble),
         ["software", path] => software::run(&folder(path), has_trouble),
         _ => {
             eprintln!("unknown case: {arguments:?}");
