--- /dev/null
+++ b/review/standins-4/runners.rs
@@ -0,0 +1,196 @@
+//! Runners of a booking service and of a model service, which register themselves in the store.
+
+use std::collections::HashMap;
+use std::io::{self, BufReader, Write};
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::{Arc, Condvar, Mutex};
+use std::thread;
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
+
+use crate::http::{Head, read_body};
+use crate::store::Store;
+
+const HEARTBEAT: Duration = Duration::from_millis(1_200);
+/// Time that a booking takes.
+const WORK: Duration = Duration::from_millis(60);
+/// Time to the first event of a stream, events of one, and the pause between them.
+const PREFILL: Duration = Duration::from_millis(200);
+const EVENTS: u32 = 13;
+const EVENT_PAUSE: Duration = Duration::from_millis(15);
+/// Bytes of an answer without end that are sent at a time, and the pause between them.
+const PIECE_BYTES: usize = 32 << 10;
+const PIECE_PAUSE: Duration = Duration::from_millis(60);
+
+/// What runs at a runner.
+#[derive(Clone, Copy, PartialEq, Eq)]
+pub enum Work {
+    Bookings,
+    Streams,
+}
+
+/// Requests that began to run, by their ids, and how often.
+pub type Runs = Arc<Mutex<HashMap<String, u32>>>;
+
+/// A running runner.
+pub struct Runner {
+    pub id: String,
+    /// Whether its streams hold an event without end.
+    pub is_in_trouble: AtomicBool,
+    address: SocketAddr,
+    work: Work,
+    slots: usize,
+    busy: Mutex<usize>,
+    freed: Condvar,
+    runs: Runs,
+}
+
+impl Runner {
+    /// Starts a runner and registers it.
+    pub fn start(id: &str, work: Work, slots: usize, store: &Store, runs: &Runs) -> Arc<Self> {
+        let listener = TcpListener::bind("127.0.0.1:0").expect("a loopback port is free");
+        let runner = Arc::new(Self {
+            id: id.to_owned(),
+            is_in_trouble: AtomicBool::new(false),
+            address: listener.local_addr().expect("the listener has an address"),
+            work,
+            slots,
+            busy: Mutex::new(0),
+            freed: Condvar::new(),
+            runs: Arc::clone(runs),
+        });
+        let (registered, store) = (Arc::clone(&runner), store.clone());
+        thread::spawn(move || registered.register(&store));
+        let serving = Arc::clone(&runner);
+        thread::spawn(move || {
+            for stream in listener.incoming().flatten() {
+                let runner = Arc::clone(&serving);
+                thread::spawn(move || {
+                    // A connection that fails has no effect on the others.
+                    let _ = runner.serve(&stream);
+                });
+            }
+        });
+        runner
+    }
+
+    fn register(&self, store: &Store) {
+        let born = SystemTime::now().duration_since(UNIX_EPOCH);
+        let born_ms = born.map_or(0, |born| born.as_millis());
+        let (service, stage) = match self.work {
+            Work::Bookings => ("booking", String::new()),
+            Work::Streams => (
+                "llm",
+                r#""stage":"both","models":[{"name":"m0","version":1,"adapters":[]}],"#.to_owned(),
+            ),
+        };
+        for sequence in 1.. {
+            let entry = format!(
+                r#"{{"service":"{service}","address":"{}","zone":"za-west-a","version":"v1","slots":{},{stage}"state":"ready","cold-remaining-ms":0,"sequence":{sequence},"born":{born_ms}}}"#,
+                self.address, self.slots
+            );
+            store.put(&format!("servers/{}", self.id), &entry);
+            thread::sleep(HEARTBEAT);
+        }
+    }
+
+    fn serve(&self, stream: &TcpStream) -> io::Result<()> {
+        stream.set_nodelay(true)?;
+        let mut writer = stream;
+        let mut reader = BufReader::new(stream);
+        loop {
+            let head = Head::read(&mut reader)?;
+            read_body(&head, &mut reader)?;
+            let id = head.header("request-attempt-id").unwrap_or_default();
+            match head.word(1) {
+                "/health" => {
+                    let answer = format!(
+                        "HTTP/1.1 200 OK\r\nInstance-Id: {}\r\nContent-Length: 0\r\n\r\n",
+                        self.id
+                    );
+                    writer.write_all(answer.as_bytes())?;
+                }
+                "/-/report" => {
+                    let report = r#"{"stage":"both","models":[{"name":"m0","version":1,"adapters":[]}],"busy":false,"sequence":0,"waiting-requests":0,"running-requests":0,"kv-cache-used":0,"kv-cache-total":101787,"handles":0}"#;
+                    let answer = format!(
+                        "HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nContent-Length: {}\r\n\r\n{report}",
+                        report.len()
+                    );
+                    writer.write_all(answer.as_bytes())?;
+                }
+                _ if head
+                    .header("target-instance")
+                    .is_some_and(|target| target != self.id) =>
+                {
+                    let answer = format!(
+                        "HTTP/1.1 421 Misdirected\r\nRequest-Attempt-Id: {id}\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n"
+                    );
+                    writer.write_all(answer.as_bytes())?;
+                }
+                _ => self.run(id, writer)?,
+            }
+        }
+    }
+
+    fn run(&self, id: &str, writer: &TcpStream) -> io::Result<()> {
+        let mut busy = self.busy.lock().expect("no thread panics");
+        while *busy >= self.slots {
+            busy = self.freed.wait(busy).expect("no thread panics");
+        }
+        *busy += 1;
+        drop(busy);
+        *self
+            .runs
+            .lock()
+            .expect("no thread panics")
+            .entry(id.to_owned())
+            .or_default() += 1;
+        let result = match self.work {
+            Work::Bookings => self.answer_booking(id, writer),
+            Work::Streams => self.answer_stream(id, writer),
+        };
+        *self.busy.lock().expect("no thread panics") -= 1;
+        self.freed.notify_one();
+        result
+    }
+
+    fn answer_booking(&self, id: &str, mut writer: &TcpStream) -> io::Result<()> {
+        thread::sleep(WORK);
+        let body = "b".repeat(800);
+        let answer = format!(
+            "HTTP/1.1 200 OK\r\nRequest-Attempt-Id: {id}\r\nServer-Seal: seal.{id}\r\nContent-Length: {}\r\n\r\n{body}",
+            body.len()
+        );
+        writer.write_all(answer.as_bytes())
+    }
+
+    fn answer_stream(&self, id: &str, mut writer: &TcpStream) -> io::Result<()> {
+        thread::sleep(PREFILL);
+        let head = format!(
+            "HTTP/1.1 200 OK\r\nRequest-Attempt-Id: {id}\r\nServer-Seal: seal.{id}\r\nContent-Type: text/event-stream\r\nWeight-Versions: 1\r\nTransfer-Encoding: chunked\r\n\r\n"
+        );
+        writer.write_all(head.as_bytes())?;
+        if self.is_in_trouble.load(Ordering::SeqCst) {
+            writer.write_all(&chunk(b"id: 1\n"))?;
+            let line = format!("data: {}\n", "x".repeat(PIECE_BYTES - 7));
+            // Without end, until the caller closes.
+            loop {
+                writer.write_all(&chunk(line.as_bytes()))?;
+                thread::sleep(PIECE_PAUSE);
+            }
+        }
+        for number in 1..=EVENTS {
+            let event = format!("id: {number}\ndata: piece {number}\n\n");
+            writer.write_all(&chunk(event.as_bytes()))?;
+            thread::sleep(EVENT_PAUSE);
+        }
+        writer.write_all(b"0\r\n\r\n")
+    }
+}
+
+fn chunk(bytes: &[u8]) -> Vec<u8> {
+    let mut chunk = format!("{:x}\r\n", bytes.len()).into_bytes();
+    chunk.extend_from_slice(bytes);
+    chunk.extend_from_slice(b"\r\n");
+    chunk
+}
