review: Add case 13, streams refused after their route was moved

Hosts that know where a stream began object to its going on at the route's new service, though its runners have the version that began it.

--- a/review/standins-4/cases.rs
+++ b/review/standins-4/cases.rs
@@ -9,8 +9,9 @@
 
 use crate::clients::{Attempt, Bookers, End, run_crowd};
 use crate::hosts::{self, Host, MEMORY_MB};
+use crate::moved_route;
 use crate::record::Record;
-use crate::runners::{Runner, Runs, Work};
+use crate::runners::{Runner, Runs, SHORT_STREAMS, Work};
 use crate::store::Store;
 
 const HOSTS: usize = 2;
@@ -39,15 +40,19 @@
 "tenants":[{"name":"karoo","api-keys":["key-a"],"priority":1,"isolated":false}]}"#;
 
 /// A store, runners and hosts, which end with it.
-struct Fleet {
+pub struct Fleet {
     folder: PathBuf,
-    record: Arc<Record>,
-    runs: Runs,
+    pub record: Arc<Record>,
+    pub store: Store,
+    pub runs: Runs,
     model_runners: Vec<Arc<Runner>>,
-    hosts: Vec<Arc<Host>>,
+    pub hosts: Vec<Arc<Host>>,
     crowds: Vec<Child>,
 }
 
+/// Runners of one kind: the start of their ids, their number, work and slots.
+pub type RunnerGroup = (&'static str, usize, Work, usize);
+
 impl Drop for Fleet {
     fn drop(&mut self) {
         for crowd in &mut self.crowds {
@@ -60,25 +65,31 @@
 }
 
 impl Fleet {
-    fn start(case_folder: &Path, model_runners: usize) -> Result<Self, String> {
+    /// Starts a store with a table, runners and hosts, and waits until the hosts are ready.
+    pub fn start(case_folder: &Path, config: &str, groups: &[RunnerGroup]) -> Result<Self, String> {
         let record = Record::create(case_folder).map_err(|error| error.to_string())?;
         let record = Arc::new(record);
         let name = format!("hickoryhall-review-{}", std::process::id());
         let folder = std::env::temp_dir().join(name);
         std::fs::create_dir_all(&folder).map_err(|error| error.to_string())?;
         let (store, runs) = (Store::start(), Runs::default());
-        store.put("op/config", CONFIG);
+        store.put("op/config", config);
         store.put("op/version/m0", r#"{"model":"m0","version":1}"#);
-        for number in 1..=3 {
-            Runner::start(&format!("b-{number}"), Work::Bookings, 6, &store, &runs);
+        let mut model_runners = Vec::new();
+        for &(prefix, count, work, slots) in groups {
+            for number in 1..=count {
+                let id = format!("{prefix}-{number}");
+                let runner = Runner::start(&id, work, slots, &store, &runs);
+                if work != Work::Bookings {
+                    model_runners.push(runner);
+                }
+            }
         }
-        let model_runners = (1..=model_runners)
-            .map(|number| Runner::start(&format!("m-{number}"), Work::Streams, 64, &store, &runs));
-        let model_runners = model_runners.collect();
         let hosts = hosts::start(HOSTS, store.address, &folder, &record);
         let fleet = Self {
             folder,
             record,
+            store,
             runs,
             model_runners,
             hosts,
@@ -167,9 +178,14 @@
     let (model_runners, troubled, crowd, count) = match case {
         "long-prefixes" => (3, 0, "long-prefixes", 500),
         "endless-events" => (5, 3, "streams", 160),
+        "moved-route" => return moved_route::run(folder, has_trouble),
         other => return Err(format!("no case {other}")),
     };
-    let mut fleet = Fleet::start(folder, model_runners)?;
+    let groups = [
+        ("b", 3, Work::Bookings, 6),
+        ("m", model_runners, SHORT_STREAMS, 64),
+    ];
+    let mut fleet = Fleet::start(folder, CONFIG, &groups)?;
     let bookers = fleet.hosts.iter().enumerate().map(|(number, host)| {
         let name = format!("h{number}");
         Bookers::start(host.front, &name, BOOKERS, &fleet.record)
--- a/review/standins-4/main.rs
+++ b/review/standins-4/main.rs
@@ -9,6 +9,7 @@
 mod hosts;
 mod http;
 mod json;
+mod moved_route;
 mod record;
 mod runners;
 mod store;
--- a/review/standins-4/runners.rs
+++ b/review/standins-4/runners.rs
@@ -3,6 +3,7 @@
 use std::collections::HashMap;
 use std::io::{self, BufReader, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::ops::RangeInclusive;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Condvar, Mutex};
 use std::thread;
@@ -11,24 +12,33 @@
 use crate::http::{Head, read_body};
 use crate::store::Store;
 
-const HEARTBEAT: Duration = Duration::from_millis(1_200);
 /// Time that a booking takes.
 const WORK: Duration = Duration::from_millis(60);
-/// Time to the first event of a stream, events of one, and the pause between them.
+/// Time to the first event of a stream.
 const PREFILL: Duration = Duration::from_millis(200);
-const EVENTS: u32 = 13;
-const EVENT_PAUSE: Duration = Duration::from_millis(15);
 /// Bytes of an answer without end that are sent at a time, and the pause between them.
 const PIECE_BYTES: usize = 32 << 10;
 const PIECE_PAUSE: Duration = Duration::from_millis(60);
 
-/// What runs at a runner.
+/// What runs at a runner, and the service that it belongs to.
 #[derive(Clone, Copy, PartialEq, Eq)]
 pub enum Work {
     Bookings,
-    Streams,
+    Streams {
+        service: &'static str,
+        /// Events of a stream, and the pause between them.
+        events: u32,
+        event_pause: Duration,
+    },
 }
 
+/// Streams of the usual length.
+pub const SHORT_STREAMS: Work = Work::Streams {
+    service: "llm",
+    events: 13,
+    event_pause: Duration::from_millis(15),
+};
+
 /// Requests that began to run, by their ids, and how often.
 pub type Runs = Arc<Mutex<HashMap<String, u32>>>;
 
@@ -59,8 +69,7 @@
             freed: Condvar::new(),
             runs: Arc::clone(runs),
         });
-        let (registered, store) = (Arc::clone(&runner), store.clone());
-        thread::spawn(move || registered.register(&store));
+        runner.register(store);
         let serving = Arc::clone(&runner);
         thread::spawn(move || {
             for stream in listener.incoming().flatten() {
@@ -79,19 +88,17 @@
         let born_ms = born.map_or(0, |born| born.as_millis());
         let (service, stage) = match self.work {
             Work::Bookings => ("booking", String::new()),
-            Work::Streams => (
-                "llm",
+            Work::Streams { service, .. } => (
+                service,
                 r#""stage":"both","models":[{"name":"m0","version":1,"adapters":[]}],"#.to_owned(),
             ),
         };
-        for sequence in 1.. {
-            let entry = format!(
-                r#"{{"service":"{service}","address":"{}","zone":"za-west-a","version":"v1","slots":{},{stage}"state":"ready","cold-remaining-ms":0,"sequence":{sequence},"born":{born_ms}}}"#,
-                self.address, self.slots
-            );
-            store.put(&format!("servers/{}", self.id), &entry);
-            thread::sleep(HEARTBEAT);
-        }
+        // A heartbeat that changes `sequence` alone does not change the entry.
+        let entry = format!(
+            r#"{{"service":"{service}","address":"{}","zone":"za-west-a","version":"v1","slots":{},{stage}"state":"ready","cold-remaining-ms":0,"sequence":1,"born":{born_ms}}}"#,
+            self.address, self.slots
+        );
+        store.put(&format!("servers/{}", self.id), &entry);
     }
 
     fn serve(&self, stream: &TcpStream) -> io::Result<()> {
@@ -127,12 +134,12 @@
                     );
                     writer.write_all(answer.as_bytes())?;
                 }
-                _ => self.run(id, writer)?,
+                _ => self.run(id, &head, writer)?,
             }
         }
     }
 
-    fn run(&self, id: &str, writer: &TcpStream) -> io::Result<()> {
+    fn run(&self, id: &str, head: &Head, writer: &TcpStream) -> io::Result<()> {
         let mut busy = self.busy.lock().expect("no thread panics");
         while *busy >= self.slots {
             busy = self.freed.wait(busy).expect("no thread panics");
@@ -147,7 +154,15 @@
             .or_default() += 1;
         let result = match self.work {
             Work::Bookings => self.answer_booking(id, writer),
-            Work::Streams => self.answer_stream(id, writer),
+            Work::Streams {
+                events,
+                event_pause,
+                ..
+            } => {
+                let after = head.header("last-event-id");
+                let after = after.and_then(|after| after.parse().ok()).unwrap_or(0);
+                self.answer_stream(id, (after + 1..=events, event_pause), writer)
+            }
         };
         *self.busy.lock().expect("no thread panics") -= 1;
         self.freed.notify_one();
@@ -164,7 +179,12 @@
         writer.write_all(answer.as_bytes())
     }
 
-    fn answer_stream(&self, id: &str, mut writer: &TcpStream) -> io::Result<()> {
+    fn answer_stream(
+        &self,
+        id: &str,
+        (events, pause): (RangeInclusive<u32>, Duration),
+        mut writer: &TcpStream,
+    ) -> io::Result<()> {
         thread::sleep(PREFILL);
         let head = format!(
             "HTTP/1.1 200 OK\r\nRequest-Attempt-Id: {id}\r\nServer-Seal: seal.{id}\r\nContent-Type: text/event-stream\r\nWeight-Versions: 1\r\nTransfer-Encoding: chunked\r\n\r\n"
@@ -179,10 +199,10 @@
                 thread::sleep(PIECE_PAUSE);
             }
         }
-        for number in 1..=EVENTS {
+        for number in events {
             let event = format!("id: {number}\ndata: piece {number}\n\n");
             writer.write_all(&chunk(event.as_bytes()))?;
-            thread::sleep(EVENT_PAUSE);
+            thread::sleep(pause);
         }
         writer.write_all(b"0\r\n\r\n")
     }
--- a/review/standins-4/store.rs
+++ b/review/standins-4/store.rs
@@ -12,6 +12,8 @@
 
 /// Interval at which a waiting watch looks for leases that have ended.
 const LEASE_CHECK: Duration = Duration::from_millis(100);
+/// Time that an answer takes, as on the sheet.
+const ANSWER_TIME: Duration = Duration::from_millis(4);
 
 struct Item {
     /// Standard Base64, as it is on the wire.
@@ -133,6 +135,7 @@
             return;
         };
         let (status, answer) = handle(shared, &head, &body);
+        thread::sleep(ANSWER_TIME);
         let answer = format!(
             "HTTP/1.1 {status} X\r\nContent-Type: application/json\r\nContent-Length: {}\r\n\r\n{answer}",
             answer.len()
