--- a/review/standins-4/cases.rs
+++ b/review/standins-4/cases.rs
@@ -10,6 +10,7 @@
 use crate::clients::{Attempt, Bookers, End, run_crowd};
 use crate::hosts::{self, Host, MEMORY_MB};
 use crate::moved_route;
+use crate::rank;
 use crate::record::Record;
 use crate::runners::{Runner, Runs, SHORT_STREAMS, Work};
 use crate::store::Store;
@@ -29,7 +30,7 @@
 const BOOKERS: usize = 10;
 
 /// The table of the runs, after the first site's sheet.
-const CONFIG: &str = r#"{"version":7,"routes":[
+pub const CONFIG: &str = r#"{"version":7,"routes":[
 {"name":"possession-scan","host":"svc.example","path-prefix":"/scan/","kind":"streaming","timeout-ms":5000,"target-latency-ms":600,"gap-target-ms":400,"priority":1,"service":"llm","attempts":1,"public":false,"sticky-sessions":true,"resumable":false},
 {"name":"notice-draft","host":"svc.example","path-prefix":"/draft/","kind":"streaming","timeout-ms":15000,"target-latency-ms":400,"gap-target-ms":400,"priority":0,"service":"llm","attempts":2,"public":false,"sticky-sessions":true,"resumable":true},
 {"name":"coach-booking","host":"svc.example","path-prefix":"/booking/","kind":"unsafe","timeout-ms":800,"target-latency-ms":300,"priority":2,"service":"booking","attempts":1,"public":false}],
@@ -179,6 +180,7 @@
         "long-prefixes" => (3, 0, "long-prefixes", 500),
         "endless-events" => (5, 3, "streams", 160),
         "moved-route" => return moved_route::run(folder, has_trouble),
+        "rank" => return rank::run(folder, has_trouble),
         other => return Err(format!("no case {other}")),
     };
     let groups = [
--- a/review/standins-4/clients.rs
+++ b/review/standins-4/clients.rs
@@ -29,6 +29,7 @@
 #[derive(Clone, Debug)]
 pub struct Attempt {
     pub id: String,
+    pub sent_at: Instant,
     /// Whether its connection had carried an answered request before.
     pub is_kept: bool,
     pub end: End,
@@ -44,6 +45,21 @@
     Some(Head::read(&mut BufReader::new(&stream)).ok()?.status())
 }
 
+/// Returns the status of an ordinary GET request with a key, 0 without an answer.
+pub fn get_with_key(front: SocketAddr, path: &str, id: &str) -> u16 {
+    let Ok(stream) = TcpStream::connect_timeout(&front, Duration::from_secs(1)) else {
+        return 0;
+    };
+    let request = format!(
+        "GET {path} HTTP/1.1\r\nHost: svc.example\r\nRequest-Attempt-Id: {id}\r\nKey: key-a\r\nDeadline-Ms: {}\r\n\r\n",
+        BOOKING_DEADLINE.as_millis()
+    );
+    match exchange(&stream, &mut BufReader::new(&stream), request.as_bytes()) {
+        End::Answered(status) => status,
+        End::Closed | End::TimedOut => 0,
+    }
+}
+
 /// Clients that book one after the other until they are stopped.
 pub struct Bookers {
     is_over: Arc<AtomicBool>,
@@ -108,10 +124,16 @@
             BOOKING_DEADLINE.as_millis(),
             body.len()
         );
+        let sent_at = Instant::now();
         let end = exchange(&stream, &mut reader, request.as_bytes());
         record.line(&format!("booking {id}: {end:?}"));
         let mut all = attempts.lock().expect("no thread panics");
-        all.push(Attempt { id, is_kept, end });
+        all.push(Attempt {
+            id,
+            sent_at,
+            is_kept,
+            end,
+        });
         drop(all);
         if !matches!(end, End::Answered(status) if status != 0) {
             return;
--- a/review/standins-4/hosts.rs
+++ b/review/standins-4/hosts.rs
@@ -170,6 +170,20 @@
         false
     }
 
+    /// Kills the process, as the platform's final fault does; it is started again by
+    /// [`start_again`](Self::start_again).
+    pub fn kill(&self, record: &Record) {
+        if let Some(mut process) = self.child.lock().expect("no thread panics").take() {
+            record.line(&format!("{} is killed", self.name));
+            let _ = process.kill();
+            let _ = process.wait();
+        }
+    }
+
+    pub fn start_again(&self, record: &Record) {
+        self.start_process(false, record);
+    }
+
     /// Ends the process for good.
     pub fn stop(&self) {
         self.is_over.store(true, Ordering::SeqCst);
--- a/review/standins-4/main.rs
+++ b/review/standins-4/main.rs
@@ -10,6 +10,7 @@
 mod http;
 mod json;
 mod moved_route;
+mod rank;
 mod record;
 mod runners;
 mod store;
