review: Drop the memory cases, and renumber the others

Both are shown by earlier cases: prompt parts by review/6, events without end by review/7. Their stand-ins go with them.

--- a/review/11/run.sh
+++ b/review/11/run.sh
@@ -1,4 +1,4 @@
 #!/bin/sh
-# Legal requests with very many short prompt entries, whose bodies stop short of their end.
+# A configuration with a rank over 255, and the final fault of a day.
 cd "$(dirname "$0")/../.."
-exec target/review-3/standins long-prefixes review/11
+exec target/review-3/standins rank review/11
