--- a/review/build-3.sh
+++ b/review/build-3.sh
@@ -4,3 +4,5 @@
 cd "$(dirname "$0")/.."
 mkdir -p target/review-3
 rustc --edition 2024 -O -o target/review-3/standins review/standins-4/main.rs
+# Case 13 uses those of the second review.
+rustc --edition 2024 -O -o target/review-3/second-review review/standins-3/main.rs
