review: Add case 14, streams of a host lost just before a release begins

A host that loses its power has told nobody of the streams that it began while their service had one software version.

--- a/review/standins-4/cases.rs
+++ b/review/standins-4/cases.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use crate::hosts::{self, Host};
+use crate::lost_host;
 use crate::moved_route;
 use crate::rank;
 use crate::record::Record;
@@ -44,8 +45,18 @@
 }
 
 impl Fleet {
-    /// Starts a store with a table, runners and hosts, and waits until the hosts are ready.
+    /// Starts a store with a table, runners and two hosts, and waits until the hosts are ready.
     pub fn start(case_folder: &Path, config: &str, groups: &[RunnerGroup]) -> Result<Self, String> {
+        Self::start_hosts(HOSTS, case_folder, config, groups)
+    }
+
+    /// Does the same with another number of hosts.
+    pub fn start_hosts(
+        count: usize,
+        case_folder: &Path,
+        config: &str,
+        groups: &[RunnerGroup],
+    ) -> Result<Self, String> {
         let record = Record::create(case_folder).map_err(|error| error.to_string())?;
         let record = Arc::new(record);
         let name = format!("hickoryhall-review-{}", std::process::id());
@@ -54,13 +65,13 @@
         let store = Store::start();
         store.put("op/config", config);
         store.put("op/version/m0", r#"{"model":"m0","version":1}"#);
-        for &(prefix, count, work, slots) in groups {
-            for number in 1..=count {
+        for &(prefix, runners, work, slots) in groups {
+            for number in 1..=runners {
                 let id = format!("{prefix}-{number}");
                 Runner::start(&id, work, slots, &store, &record);
             }
         }
-        let hosts = hosts::start(HOSTS, store.address, &folder, &record);
+        let hosts = hosts::start(count, store.address, &folder, &record);
         let fleet = Self {
             folder,
             record,
@@ -77,6 +88,7 @@
 /// Runs a case; returns whether the rule held.
 pub fn run(case: &str, folder: &Path, has_trouble: bool) -> Result<bool, String> {
     match case {
+        "lost-host" => lost_host::run(folder, has_trouble),
         "moved-route" => moved_route::run(folder, has_trouble),
         "rank" => rank::run(folder, has_trouble),
         other => Err(format!("no case {other}")),
--- a/review/standins-4/main.rs
+++ b/review/standins-4/main.rs
@@ -9,11 +9,14 @@
 mod hosts;
 mod http;
 mod json;
+mod lost_host;
 mod moved_route;
 mod rank;
 mod record;
+mod relay;
 mod runners;
 mod store;
+mod streams;
 
 use std::path::PathBuf;
 use std::process::ExitCode;
--- a/review/standins-4/runners.rs
+++ b/review/standins-4/runners.rs
@@ -40,13 +40,25 @@
 }
 
 impl Runner {
-    /// Starts a runner and registers it.
+    /// Starts a runner of software version v1 and registers it.
     pub fn start(
         id: &str,
         work: Work,
         slots: usize,
         store: &Store,
         record: &Arc<Record>,
+    ) -> Arc<Self> {
+        Self::start_of_version(id, "v1", work, slots, store, record)
+    }
+
+    /// Does the same for another software version.
+    pub fn start_of_version(
+        id: &str,
+        software: &str,
+        work: Work,
+        slots: usize,
+        store: &Store,
+        record: &Arc<Record>,
     ) -> Arc<Self> {
         let listener = TcpListener::bind("127.0.0.1:0").expect("a loopback port is free");
         let runner = Arc::new(Self {
@@ -58,7 +70,7 @@
             freed: Condvar::new(),
             record: Arc::clone(record),
         });
-        runner.register(store);
+        runner.register(software, store);
         let serving = Arc::clone(&runner);
         thread::spawn(move || {
             for stream in listener.incoming().flatten() {
@@ -72,7 +84,7 @@
         runner
     }
 
-    fn register(&self, store: &Store) {
+    fn register(&self, software: &str, store: &Store) {
         let born = SystemTime::now().duration_since(UNIX_EPOCH);
         let born_ms = born.map_or(0, |born| born.as_millis());
         let (service, stage) = match self.work {
@@ -84,7 +96,7 @@
         };
         // A heartbeat that changes `sequence` alone does not change the entry.
         let entry = format!(
-            r#"{{"service":"{service}","address":"{}","zone":"za-west-a","version":"v1","slots":{},{stage}"state":"ready","cold-remaining-ms":0,"sequence":1,"born":{born_ms}}}"#,
+            r#"{{"service":"{service}","address":"{}","zone":"za-west-a","version":"{software}","slots":{},{stage}"state":"ready","cold-remaining-ms":0,"sequence":1,"born":{born_ms}}}"#,
             self.address, self.slots
         );
         store.put(&format!("servers/{}", self.id), &entry);
