platform: Read a table entry by entry, so that one value does not discard the rest

Evidence: both hosts log `Operator record skipped` with `invalid value: integer 256, expected u8`, also after the restart.

What cannot be read is left out, logged with its path and counted in `table_entries_unreadable`; the rest is in force, and the host is ready. Requests that an unreadable entry may concern get 503 instead of 404 or 401, and those of an unreadable route do not fall to a route with a shorter prefix.

--- a/crates/hickoryhall-gateway/src/core.rs
+++ b/crates/hickoryhall-gateway/src/core.rs
@@ -19,8 +19,8 @@
 use hickoryhall_limits::FleetRetryLimit;
 use hickoryhall_routing::{Breaks, Reach, Suspects};
 use hickoryhall_types::{Incarnation, TargetId, WeightsVersion, hash_name, rendezvous_score};
-use metrics::counter;
-use slog::{Logger, info};
+use metrics::{counter, gauge};
+use slog::{Logger, error, info};
 use stakker::CX;
 use tokio::sync::oneshot;
 
@@ -152,6 +152,7 @@
             return false;
         }
         info!(self.logger, "core: Table in force."; "revision" => table.revision(), "before" => current);
+        self.report_unreadable_entries(&table);
         self.scheduler.set_table(&table);
         self.streams
             .versions
@@ -160,6 +161,17 @@
         true
     }
 
+    fn report_unreadable_entries(&self, table: &RouteTable) {
+        let entries = table.unreadable_entries();
+        gauge!("table_entries_unreadable").set(entries.len() as f64);
+        for entry in entries {
+            error!(
+                self.logger, "core: Entry of the table cannot be read and is left out.";
+                "entry" => &entry.path, "error" => &entry.reason, "revision" => table.revision()
+            );
+        }
+    }
+
     /// Records a desired version of a model and its age.
     pub fn set_desired_version(
         &mut self,
--- a/crates/hickoryhall-gateway/src/exchange/intake.rs
+++ b/crates/hickoryhall-gateway/src/exchange/intake.rs
@@ -18,7 +18,7 @@
 use crate::forwarding::ForwardedRequest;
 use crate::interface::{LocalFailure, Platform, Prompt, RequestMeta};
 use crate::scheduler::{Priority, PromptInfo};
-use crate::table::{CallerLimits, Route, RouteTable, Workspace};
+use crate::table::{CallerLimits, NotFound, Rank, Route, RouteTable, Workspace};
 
 /// Time before the caller's deadline at which the final response must be sent.
 const DEADLINE_MARGIN: Duration = Duration::from_millis(15);
@@ -34,7 +34,7 @@
 /// `Retry-After` while there is no memory for the body: about the time in which other requests end.
 const RETRY_AFTER_NO_MEMORY: Duration = Duration::from_millis(300);
 /// Priority of callers without a workspace, who come after the callers of every workspace.
-const PRIORITY_WITHOUT_WORKSPACE: u8 = u8::MAX;
+const PRIORITY_WITHOUT_WORKSPACE: Rank = Rank::MAX;
 
 /// A request that was read in full, authorized and given a service; it can be placed.
 pub(super) struct PreparedRequest {
@@ -232,20 +232,32 @@
 type Authorized = (Arc<Route>, Option<Arc<Workspace>>);
 
 fn authorize(table: &RouteTable, meta: &RequestMeta, path: &str) -> Result<Authorized, Rejection> {
-    let route = table.route(&meta.host, path).ok_or_else(|| {
-        Rejection::new(Some(meta), StatusCode::NOT_FOUND, "no_route").with_detail(format_args!(
+    let reject = |status, reason| {
+        Rejection::new(Some(meta), status, reason).with_detail(format_args!(
             "{}{path} in table {}",
             meta.host,
             table.revision()
         ))
-    })?;
-    let workspace = meta.key.as_deref().and_then(|key| table.workspace(key));
-    if table.needs_keys() && !route.is_public && workspace.is_none() {
-        return Err(
-            Rejection::new(Some(meta), StatusCode::UNAUTHORIZED, "unknown_key")
-                .with_detail(format_args!("table {}", table.revision())),
-        );
-    }
+    };
+    let route = table
+        .route(&meta.host, path)
+        .map_err(|not_found| match not_found {
+            NotFound::Missing => reject(StatusCode::NOT_FOUND, "no_route"),
+            NotFound::Unreadable => reject(StatusCode::SERVICE_UNAVAILABLE, "unreadable_route"),
+        })?;
+    let found = match meta.key.as_deref() {
+        Some(key) => table.workspace(key),
+        None => Err(NotFound::Missing),
+    };
+    let workspace = match found {
+        Ok(workspace) => Some(workspace),
+        Err(_) if route.is_public || !table.needs_keys() => None,
+        Err(NotFound::Missing) => return Err(reject(StatusCode::UNAUTHORIZED, "unknown_key")),
+        Err(NotFound::Unreadable) => {
+            let status = StatusCode::SERVICE_UNAVAILABLE;
+            return Err(reject(status, "unreadable_workspace"));
+        }
+    };
     Ok((Arc::clone(route), workspace.cloned()))
 }
 
--- a/crates/hickoryhall-gateway/src/forwarding.rs
+++ b/crates/hickoryhall-gateway/src/forwarding.rs
@@ -39,13 +39,15 @@
 const MAX_ELAPSED: Duration = Duration::from_secs(24 * 3_600);
 /// Reasons of refusals that another peer may not have: this one reaches no server, has another table, or
 /// stops.
-const UNREACHED_REASONS: [&str; 7] = [
+const UNREACHED_REASONS: [&str; 9] = [
     "no_server",
     "unreachable",
     "no_service",
     "no_table",
     "no_route",
+    "unreadable_route",
     "unknown_key",
+    "unreadable_workspace",
     "stopping",
 ];
 
--- a/crates/hickoryhall-gateway/src/scheduler.rs
+++ b/crates/hickoryhall-gateway/src/scheduler.rs
@@ -53,7 +53,7 @@
 
 use crate::peers::PromptUpdate;
 use crate::registry::{BackendServer, RegistryEvent, ServerId};
-use crate::table::{RouteTable, RunnerCapacity};
+use crate::table::{Rank, RouteTable, RunnerCapacity};
 
 /// Id of one attempt, unique within this host.
 pub type AttemptId = u64;
@@ -62,7 +62,7 @@
 /// Stable hash of a group of hosts.
 pub type GroupHash = u64;
 /// Priority of a request: that of its workspace, then that of its route. Lower values go first.
-pub type Priority = (u8, u8);
+pub type Priority = (Rank, Rank);
 
 /// Urgency of the requests that runners take first.
 const MOST_URGENT: Urgency = 0;
@@ -73,7 +73,7 @@
 /// workspaces is kept by the queue of the host.
 #[must_use]
 pub fn urgency((_, route): Priority) -> Urgency {
-    route.min(LEAST_URGENT)
+    Urgency::try_from(route).map_or(LEAST_URGENT, |urgency| urgency.min(LEAST_URGENT))
 }
 
 new_key_type! {
--- a/crates/hickoryhall-gateway/src/scheduler/crossing.rs
+++ b/crates/hickoryhall-gateway/src/scheduler/crossing.rs
@@ -156,7 +156,7 @@
         let asked = CrossingRequest {
             service: hash_name(&request.service),
             time_left_ms: millis(request.target_latency.saturating_sub(elapsed)),
-            rank: request.priority.1,
+            rank: u8::try_from(request.priority.1).unwrap_or(u8::MAX),
         };
         let at_home = match &home.best {
             Some(best) => HomeOffer::Offer(self.offer(request, best)),
--- a/crates/hickoryhall-gateway/src/table.rs
+++ b/crates/hickoryhall-gateway/src/table.rs
@@ -9,6 +9,9 @@
     FailureDomainId, Revision, TargetId, TokenCount, WorkspaceId, hash_name, rendezvous_score,
 };
 
+/// Rank of a route or workspace among others; 0 is the most urgent.
+pub type Rank = u64;
+
 /// Whether and how a request of a route may be repeated.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum RouteKind {
@@ -65,7 +68,7 @@
     /// Pause between events up to which a stream has its full value to the caller.
     pub target_gap: Duration,
     /// Urgency among requests of workspaces with equal priority; 0 is the most urgent.
-    pub priority: u8,
+    pub priority: Rank,
     /// Whether callers need no key.
     pub is_public: bool,
 }
@@ -148,14 +151,15 @@
     pub keys: Vec<Box<str>>,
     /// Urgency, 0 is the most urgent; it takes precedence over the priority of the route. A
     /// workspace without one comes last.
-    pub priority: Option<u8>,
+    pub priority: Option<Rank>,
     /// Whether it has a cache partition of its own instead of the shared one.
     pub is_isolated: bool,
     /// Limit on what its callers use; `None` for no limit.
     pub quota: Option<Quota>,
 }
 
-/// Limits on the size and duration of callers' requests.
+/// Limits on the size and duration of callers' requests. The default is for a table whose limits cannot be
+/// read.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct CallerLimits {
     /// Maximum size of a request head, in bytes.
@@ -166,6 +170,68 @@
     pub idle_timeout: Duration,
 }
 
+impl Default for CallerLimits {
+    fn default() -> Self {
+        Self {
+            head_bytes: 16 << 10,
+            body_bytes: 4 << 20,
+            idle_timeout: Duration::from_secs(60),
+        }
+    }
+}
+
+/// Entry of a table that could not be read.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct UnreadableEntry {
+    /// Path of the entry, such as `routes.chat`.
+    pub path: String,
+    /// Why it could not be read, without secrets.
+    pub reason: String,
+}
+
+/// Requests to one host and path prefix, whose route could not be read.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct RoutePlace {
+    /// Host name in the requests, without a port; its case does not matter.
+    pub host: Box<str>,
+    /// Prefix of the request paths.
+    pub path_prefix: Box<str>,
+}
+
+/// What could not be read of a table, and what that means for the lookups.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Omissions {
+    /// The entries.
+    pub entries: Vec<UnreadableEntry>,
+    /// Places of unreadable routes. Their requests belong to no other route.
+    pub places: Vec<RoutePlace>,
+    /// Whether there are routes whose place could not be read.
+    pub has_unplaced_routes: bool,
+    /// Keys of unreadable workspaces.
+    pub keys: Vec<Box<str>>,
+    /// Whether there are keys that could not be read.
+    pub has_unknown_keys: bool,
+}
+
+/// Why a lookup finds nothing.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum NotFound {
+    /// The table has no such entry.
+    Missing,
+    /// The table has, or may have, such an entry, but it could not be read.
+    Unreadable,
+}
+
+impl NotFound {
+    fn new(may_be_unreadable: bool) -> Self {
+        if may_be_unreadable {
+            Self::Unreadable
+        } else {
+            Self::Missing
+        }
+    }
+}
+
 /// Contents of a table before its indexes are built.
 #[derive(Clone, Debug)]
 pub struct TableParts {
@@ -179,6 +245,16 @@
     pub workspaces: Vec<Workspace>,
     /// Limits on callers' requests.
     pub limits: CallerLimits,
+    /// What could not be read.
+    pub omissions: Omissions,
+}
+
+/// A path prefix of a host.
+#[derive(Clone, Debug)]
+struct PrefixEntry {
+    path_prefix: Box<str>,
+    /// Index of the route; `None` if it could not be read.
+    route: Option<usize>,
 }
 
 /// A table of routes, services and workspaces, indexed for lookups.
@@ -186,26 +262,22 @@
 pub struct RouteTable {
     revision: Revision,
     routes: Vec<Arc<Route>>,
-    by_host: HashMap<Box<str>, Vec<usize>>,
+    /// Path prefixes by host, longest first.
+    by_host: HashMap<Box<str>, Vec<PrefixEntry>>,
     services: HashMap<TargetId, ServiceInfo>,
     workspaces: Vec<Arc<Workspace>>,
-    by_key: HashMap<Box<str>, usize>,
+    /// Indexes of workspaces by key; `None` for a key of an unreadable one.
+    by_key: HashMap<Box<str>, Option<usize>>,
     /// Cache partition of the workspaces that are not isolated.
     common_partition: Box<str>,
     limits: CallerLimits,
+    omissions: Omissions,
 }
 
 impl From<TableParts> for RouteTable {
     fn from(parts: TableParts) -> Self {
         let routes = parts.routes.into_iter().map(Arc::new).collect::<Vec<_>>();
-        let mut by_host = HashMap::<Box<str>, Vec<usize>>::new();
-        for (index, route) in routes.iter().enumerate() {
-            let host = route.host.to_ascii_lowercase().into_boxed_str();
-            by_host.entry(host).or_default().push(index);
-        }
-        for indexes in by_host.values_mut() {
-            indexes.sort_by_key(|&index| std::cmp::Reverse(routes[index].path_prefix.len()));
-        }
+        let omissions = parts.omissions;
         let workspaces = parts.workspaces.into_iter().map(Arc::new);
         let workspaces = workspaces.collect::<Vec<_>>();
         let keys = workspaces
@@ -213,21 +285,49 @@
             .enumerate()
             .flat_map(|(index, workspace)| {
                 let keys = workspace.keys.iter();
-                keys.map(move |key| (key.clone(), index))
+                keys.map(move |key| (key.clone(), Some(index)))
             });
+        let unreadable_keys = omissions.keys.iter().map(|key| (key.clone(), None));
         Self {
             common_partition: common_partition(&workspaces),
             revision: parts.revision,
-            by_key: keys.collect(),
-            by_host,
+            by_key: keys.chain(unreadable_keys).collect(),
+            by_host: prefixes_by_host(&routes, &omissions.places),
             routes,
             services: parts.services,
             workspaces,
             limits: parts.limits,
+            omissions,
         }
     }
 }
 
+fn prefixes_by_host(
+    routes: &[Arc<Route>],
+    unreadable: &[RoutePlace],
+) -> HashMap<Box<str>, Vec<PrefixEntry>> {
+    let mut by_host = HashMap::<Box<str>, Vec<PrefixEntry>>::new();
+    let mut add = |host: &str, path_prefix: &str, route| {
+        let entry = PrefixEntry {
+            path_prefix: path_prefix.into(),
+            route,
+        };
+        let host = host.to_ascii_lowercase().into_boxed_str();
+        by_host.entry(host).or_default().push(entry);
+    };
+    // At the same place, the unreadable route is found first: its kind may allow less.
+    for place in unreadable {
+        add(&place.host, &place.path_prefix, None);
+    }
+    for (index, route) in routes.iter().enumerate() {
+        add(&route.host, &route.path_prefix, Some(index));
+    }
+    for prefixes in by_host.values_mut() {
+        prefixes.sort_by_key(|entry| std::cmp::Reverse(entry.path_prefix.len()));
+    }
+    by_host
+}
+
 impl RouteTable {
     /// Returns the revision of the table.
     #[must_use]
@@ -237,14 +337,21 @@
 
     /// Returns the route of a host and path, the one with the longest matching prefix. The host may
     /// carry a port and be in any case.
-    #[must_use]
-    pub fn route(&self, host: &str, path: &str) -> Option<&Arc<Route>> {
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if there is no such route, or if it could not be read.
+    pub fn route(&self, host: &str, path: &str) -> Result<&Arc<Route>, NotFound> {
         let name = host.rsplit_once(':').map_or(host, |(name, _)| name);
-        let indexes = self.by_host.get(name.to_ascii_lowercase().as_str())?;
-        let routes = indexes.iter().map(|&index| &self.routes[index]);
-        routes
-            .into_iter()
-            .find(|route| path.starts_with(&*route.path_prefix))
+        let prefixes = self.by_host.get(name.to_ascii_lowercase().as_str());
+        let mut prefixes = prefixes.into_iter().flatten();
+        match prefixes.find(|entry| path.starts_with(&*entry.path_prefix)) {
+            Some(entry) => {
+                let index = entry.route.ok_or(NotFound::Unreadable)?;
+                Ok(&self.routes[index])
+            }
+            None => Err(NotFound::new(self.omissions.has_unplaced_routes)),
+        }
     }
 
     /// Returns the cache partition of a workspace: its own if it is isolated, else the one that all
@@ -260,9 +367,18 @@
     }
 
     /// Returns the workspace that a key belongs to.
-    #[must_use]
-    pub fn workspace(&self, key: &str) -> Option<&Arc<Workspace>> {
-        self.by_key.get(key).map(|&index| &self.workspaces[index])
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if there is no such workspace, or if it or its keys could not be read.
+    pub fn workspace(&self, key: &str) -> Result<&Arc<Workspace>, NotFound> {
+        match self.by_key.get(key) {
+            Some(index) => {
+                let index = index.ok_or(NotFound::Unreadable)?;
+                Ok(&self.workspaces[index])
+            }
+            None => Err(NotFound::new(self.omissions.has_unknown_keys)),
+        }
     }
 
     /// Returns all workspaces in the order of the table.
@@ -273,7 +389,7 @@
     /// Returns whether callers of routes that are not public need a key.
     #[must_use]
     pub fn needs_keys(&self) -> bool {
-        !self.workspaces.is_empty()
+        !self.by_key.is_empty() || !self.workspaces.is_empty() || self.omissions.has_unknown_keys
     }
 
     /// Returns the service with the given name.
@@ -299,6 +415,12 @@
     pub fn limits(&self) -> CallerLimits {
         self.limits
     }
+
+    /// Returns the entries that could not be read.
+    #[must_use]
+    pub fn unreadable_entries(&self) -> &[UnreadableEntry] {
+        &self.omissions.entries
+    }
 }
 
 impl Route {
--- a/crates/hickoryhall-gateway/tests/quotas.rs
+++ b/crates/hickoryhall-gateway/tests/quotas.rs
@@ -7,7 +7,7 @@
 use hickoryhall_gateway::peers::Digest;
 use hickoryhall_gateway::scheduler::SchedulerConfig;
 use hickoryhall_gateway::table::{
-    CallerLimits, Quota, QuotaUnit, RouteTable, TableParts, Workspace,
+    CallerLimits, Omissions, Quota, QuotaUnit, RouteTable, TableParts, Workspace,
 };
 use hickoryhall_limits::{FleetRetryLimit, QuotaDecision};
 use slog::{Discard, Logger, o};
@@ -39,6 +39,7 @@
             body_bytes: 1,
             idle_timeout: Duration::ZERO,
         },
+        omissions: Omissions::default(),
     })
 }
 
--- a/crates/hickoryhall-gateway/tests/support/mod.rs
+++ b/crates/hickoryhall-gateway/tests/support/mod.rs
@@ -8,7 +8,7 @@
 use hickoryhall_gateway::registry::BackendServer;
 use hickoryhall_gateway::scheduler::{PlacementRequest, PromptInfo};
 use hickoryhall_gateway::table::{
-    CallerLimits, RouteTable, RunnerCapacity, ServiceInfo, TableParts,
+    CallerLimits, Omissions, RouteTable, RunnerCapacity, ServiceInfo, TableParts,
 };
 use hickoryhall_routing::{Level, PrefixChain};
 
@@ -62,6 +62,7 @@
             body_bytes: 1,
             idle_timeout: Duration::ZERO,
         },
+        omissions: Omissions::default(),
     })
 }
 
--- a/crates/hickoryhall-gateway/tests/table.rs
+++ b/crates/hickoryhall-gateway/tests/table.rs
@@ -4,7 +4,8 @@
 use std::time::Duration;
 
 use hickoryhall_gateway::table::{
-    CallerLimits, Route, RouteKind, RouteTable, TableParts, Workspace,
+    CallerLimits, NotFound, Omissions, Route, RouteKind, RoutePlace, RouteTable, TableParts,
+    Workspace,
 };
 use rstest::rstest;
 
@@ -45,6 +46,7 @@
             body_bytes: 1,
             idle_timeout: Duration::ZERO,
         },
+        omissions: Omissions::default(),
     })
 }
 
@@ -62,7 +64,7 @@
     #[case] expected: Option<&str>,
 ) {
     let table = table();
-    let found = table.route(host, path).map(|route| &*route.name);
+    let found = table.route(host, path).ok().map(|route| &*route.name);
     assert_eq!(found, expected);
 }
 
@@ -71,11 +73,11 @@
     let table = table();
     for key in ["k1", "k2"] {
         assert_eq!(
-            table.workspace(key).map(|workspace| &*workspace.id),
+            table.workspace(key).ok().map(|workspace| &*workspace.id),
             Some("karoo")
         );
     }
-    assert!(table.workspace("k3").is_none());
+    assert_eq!(table.workspace("k3"), Err(NotFound::Missing));
     assert!(table.needs_keys());
 }
 
@@ -113,11 +115,12 @@
             body_bytes: 1,
             idle_timeout: Duration::ZERO,
         },
+        omissions: Omissions::default(),
     })
 }
 
 fn partition(table: &RouteTable, name: &str) -> String {
-    table.cache_partition(table.workspace(name).map(|workspace| &**workspace))
+    table.cache_partition(table.workspace(name).ok().map(|workspace| &**workspace))
 }
 
 /// Guards against workspaces that go on using what another one left before it became isolated.
@@ -142,3 +145,61 @@
         "callers without a workspace share"
     );
 }
+
+fn table_without(omissions: Omissions) -> RouteTable {
+    RouteTable::from(TableParts {
+        revision: 3,
+        routes: vec![
+            route("short", "one.example", "/a/"),
+            route("same", "two.example", "/a/"),
+        ],
+        services: HashMap::new(),
+        workspaces: Vec::new(),
+        limits: CallerLimits::default(),
+        omissions,
+    })
+}
+
+/// Guards against requests of an unreadable route that are handled as those of a shorter prefix.
+#[rstest]
+#[case("one.example", "/a/x", Ok("short"))]
+#[case("One.example:80", "/a/b/x", Err(NotFound::Unreadable))]
+#[case("two.example", "/a/x", Err(NotFound::Unreadable))]
+#[case("one.example", "/c", Err(NotFound::Missing))]
+fn an_unreadable_route_keeps_its_place(
+    #[case] host: &str,
+    #[case] path: &str,
+    #[case] expected: Result<&str, NotFound>,
+) {
+    let place = |host: &str, prefix: &str| RoutePlace {
+        host: host.into(),
+        path_prefix: prefix.into(),
+    };
+    let table = table_without(Omissions {
+        places: vec![place("ONE.example", "/a/b/"), place("two.example", "/a/")],
+        ..Omissions::default()
+    });
+    let found = table.route(host, path).map(|route| &*route.name);
+    assert_eq!(found, expected);
+}
+
+/// Guards against 404 and 401 for what the table may have.
+#[test]
+fn what_may_be_in_a_table_is_not_missing() {
+    let table = table_without(Omissions {
+        has_unplaced_routes: true,
+        keys: vec!["k1".into()],
+        ..Omissions::default()
+    });
+    assert_eq!(table.route("three.example", "/"), Err(NotFound::Unreadable));
+    assert!(table.route("one.example", "/a/").is_ok());
+    assert!(table.needs_keys());
+    assert_eq!(table.workspace("k1"), Err(NotFound::Unreadable));
+    assert_eq!(table.workspace("k2"), Err(NotFound::Missing));
+    let table = table_without(Omissions {
+        has_unknown_keys: true,
+        ..Omissions::default()
+    });
+    assert!(table.needs_keys());
+    assert_eq!(table.workspace("k2"), Err(NotFound::Unreadable));
+}
--- a/crates/hickoryhall-gateway/tests/urgency.rs
+++ b/crates/hickoryhall-gateway/tests/urgency.rs
@@ -75,7 +75,7 @@
             tokens: 800,
         };
         let request = PlacementRequest {
-            priority: (1, urgency),
+            priority: (1, u64::from(urgency)),
             target_latency: Duration::from_millis(250),
             ..placement_request(self.next_id, vec![level], self.now)
         };
