--- a/crates/hickoryhall-gateway/src/scheduler/cache_store_selection.rs
+++ b/crates/hickoryhall-gateway/src/scheduler/cache_store_selection.rs
@@ -3,7 +3,8 @@
 use std::net::SocketAddr;
 use std::time::Instant;
 
-use hickoryhall_types::{TokenCount, rendezvous_score};
+use hickoryhall_routing::sum_tokens;
+use hickoryhall_types::rendezvous_score;
 
 use super::{CacheStoreState, Candidate, PromptInfo, Scheduler};
 use crate::peers::PromptUpdate;
@@ -51,7 +52,7 @@
         let store = &mut self.cache_stores[index];
         let weights = self.servers[candidate.key].weights();
         let shared = prompt.shared_levels();
-        let shared_tokens = shared.iter().map(|level| level.tokens).sum::<TokenCount>();
+        let shared_tokens = sum_tokens(shared);
         let private_tokens = prompt.input_tokens.saturating_sub(shared_tokens);
         let prefills_shared = candidate.missing_tokens > private_tokens;
         let is_saved = store.cached_tokens(shared, weights) == shared_tokens;
--- a/crates/hickoryhall-gateway/src/scheduler/candidate.rs
+++ b/crates/hickoryhall-gateway/src/scheduler/candidate.rs
@@ -4,7 +4,7 @@
 use std::time::{Duration, Instant};
 
 use hickoryhall_limits::{LimitDecision, RoomDecision, Urgency};
-use hickoryhall_routing::CrossingReason;
+use hickoryhall_routing::{CrossingReason, sum_tokens};
 use hickoryhall_types::{FailureDomainId, TokenCount, rendezvous_score};
 
 use super::{
@@ -189,7 +189,10 @@
         let state = &self.servers[affinity.key];
         let load = state.load(now);
         let memory = f64::from(capacity.kv_cache_tokens) * self.config.memory_fraction;
-        let has_memory = f64::from(load.unshared_tokens + prompt.unshared_tokens()) <= memory;
+        let needed_tokens = load
+            .unshared_tokens
+            .saturating_add(prompt.unshared_tokens());
+        let has_memory = f64::from(needed_tokens) <= memory;
         let service = &state.server.service;
         let urgency = self.uses_urgency(state.service_hash).then_some(urgency);
         let slots = urgency.map_or(capacity.slots, |urgency| {
@@ -204,7 +207,7 @@
         let transfer =
             self.best_transfer(now, prompt, capacity, affinities, (affinity, work_factor));
         let fetched_tokens = transfer.map_or(0, |transfer| transfer.tokens);
-        let cached_tokens = affinity.cached_tokens + fetched_tokens;
+        let cached_tokens = affinity.cached_tokens.saturating_add(fetched_tokens);
         let missing_tokens = prompt.input_tokens.saturating_sub(cached_tokens);
         let prefill_ms = self.prefill_ms(missing_tokens, prompt.input_tokens) * work_factor;
         let transfer_ms = transfer.map_or(0.0, |transfer| transfer.duration_ms);
@@ -212,7 +215,7 @@
         let estimate_ms = queued_ms
             + (prefill_ms * speed.slowdown + transfer_ms)
             + speed.first_event_ms * speed.slowdown;
-        let evicting_tokens = missing_tokens + fetched_tokens;
+        let evicting_tokens = missing_tokens.saturating_add(fetched_tokens);
         let eviction_cost_ms = self.eviction_cost_ms(now, state, evicting_tokens, work_factor);
         let cost_ms = estimate_ms
             + self.old_weights_cost_ms(now, state, &prompt.model, estimate_ms)?
@@ -296,7 +299,7 @@
         let total_ms = |transfer: &Transfer| {
             transfer.duration_ms
                 + transfer.price_ms
-                + prefill_ms(to.cached_tokens + transfer.tokens)
+                + prefill_ms(to.cached_tokens.saturating_add(transfer.tokens))
         };
         let transfers = from_runner.into_iter().chain(from_near_runner);
         let best = transfers
@@ -385,10 +388,9 @@
         missing_tokens: TokenCount,
     ) -> Option<(SocketAddr, TokenCount)> {
         let store = &self.cache_stores[self.cache_store_index(now, prompt)?];
-        let shared = prompt.shared_levels().iter().map(|level| level.tokens);
-        let shared = shared.sum::<TokenCount>();
+        let shared = sum_tokens(prompt.shared_levels());
         let private = prompt.input_tokens.saturating_sub(shared);
-        let is_promising = missing_tokens >= private + self.config.min_save_tokens;
+        let is_promising = missing_tokens >= private.saturating_add(self.config.min_save_tokens);
         let is_near = store.domain == to.server.domain;
         let is_promising = is_promising && (is_near || self.is_move_worth_it(prompt, shared));
         is_promising.then_some((store.address, 0))
--- a/crates/hickoryhall-gateway/src/scheduler/placement.rs
+++ b/crates/hickoryhall-gateway/src/scheduler/placement.rs
@@ -4,7 +4,7 @@
 use std::time::{Duration, Instant};
 
 use hickoryhall_limits::Urgency;
-use hickoryhall_routing::{Level, PrefixChain};
+use hickoryhall_routing::{Level, PrefixChain, sum_tokens};
 use hickoryhall_types::{TargetId, TokenCount, WeightsVersion};
 
 use super::{AttemptId, Crossing, HostLoad, Priority};
@@ -174,7 +174,8 @@
     /// levels: for its private level and its answer.
     #[must_use]
     pub fn unshared_tokens(&self) -> TokenCount {
-        let shared = self.shared_levels().iter().map(|level| level.tokens);
-        self.input_tokens.saturating_sub(shared.sum()) + self.output_tokens
+        let shared_tokens = sum_tokens(self.shared_levels());
+        let private_tokens = self.input_tokens.saturating_sub(shared_tokens);
+        private_tokens.saturating_add(self.output_tokens)
     }
 }
--- a/crates/hickoryhall-gateway/src/scheduler/server.rs
+++ b/crates/hickoryhall-gateway/src/scheduler/server.rs
@@ -361,8 +361,10 @@
         self.own_total.requests += 1;
         self.own_total.pending_ms += load.pending_ms;
         self.own_total.urgent_pending_ms += load.urgent_pending_ms();
-        self.own_total.unshared_tokens += load.unshared_tokens;
-        self.own_total.output_tokens += load.output_tokens;
+        let tokens = &mut self.own_total.unshared_tokens;
+        *tokens = tokens.saturating_add(load.unshared_tokens);
+        let tokens = &mut self.own_total.output_tokens;
+        *tokens = tokens.saturating_add(load.output_tokens);
         self.own_total.non_resumable += u32::from(load.is_non_resumable);
     }
 
@@ -390,8 +392,10 @@
             self.own_total.requests -= 1;
             self.own_total.pending_ms -= load.pending_ms;
             self.own_total.urgent_pending_ms -= load.urgent_pending_ms();
-            self.own_total.unshared_tokens -= load.unshared_tokens;
-            self.own_total.output_tokens -= load.output_tokens;
+            let tokens = &mut self.own_total.unshared_tokens;
+            *tokens = tokens.saturating_sub(load.unshared_tokens);
+            let tokens = &mut self.own_total.output_tokens;
+            *tokens = tokens.saturating_sub(load.output_tokens);
             self.own_total.non_resumable -= u32::from(load.is_non_resumable);
         }
     }
@@ -466,8 +470,10 @@
             requests: sum.requests + peer.load.requests,
             pending_ms: sum.pending_ms + peer.load.pending_ms,
             urgent_pending_ms: sum.urgent_pending_ms + peer.load.urgent_pending_ms,
-            unshared_tokens: sum.unshared_tokens + peer.load.unshared_tokens,
-            output_tokens: sum.output_tokens + peer.load.output_tokens,
+            unshared_tokens: sum
+                .unshared_tokens
+                .saturating_add(peer.load.unshared_tokens),
+            output_tokens: sum.output_tokens.saturating_add(peer.load.output_tokens),
             non_resumable: sum.non_resumable + peer.load.non_resumable,
         })
     }
--- a/crates/hickoryhall-routing/src/cache_estimate.rs
+++ b/crates/hickoryhall-routing/src/cache_estimate.rs
@@ -6,7 +6,7 @@
 
 use hickoryhall_types::TokenCount;
 
-use crate::{Level, LevelKey, PrefixChain};
+use crate::{Level, LevelKey, PrefixChain, sum_tokens};
 
 /// Position in the eviction order: least recently used first, and the deepest level first among
 /// those of one request.
@@ -54,7 +54,7 @@
     /// Returns the tokens of the longest prefix of the prompt that is cached.
     #[must_use]
     pub fn cached_tokens(&self, chain: &PrefixChain) -> TokenCount {
-        self.cached_levels(chain).map(|level| level.tokens).sum()
+        sum_tokens(self.cached_levels(chain))
     }
 
     /// Returns the value, in tokens, of what would be evicted to store `tokens` more.
--- a/crates/hickoryhall-routing/src/lib.rs
+++ b/crates/hickoryhall-routing/src/lib.rs
@@ -37,7 +37,7 @@
 pub use ejection::Ejection;
 pub use ledger::{Class, Ledger, Quote, ReservationId};
 pub use placement::{Candidate, Choice, Placement, PlacementConfig, Reason};
-pub use prefix::{Level, LevelKey, PrefixChain, PrefixSeed};
+pub use prefix::{Level, LevelKey, PrefixChain, PrefixSeed, sum_tokens};
 pub use reach::{
     DomainHash, PeerEnd, Probe, Reach, ReachStatement, ReachStep, ServerHash, ServiceHash,
 };
--- a/crates/hickoryhall-routing/src/prefix.rs
+++ b/crates/hickoryhall-routing/src/prefix.rs
@@ -99,7 +99,7 @@
     /// Returns the number of tokens of the whole prompt.
     #[must_use]
     pub fn tokens(&self) -> TokenCount {
-        self.levels.iter().map(|level| level.tokens).sum()
+        sum_tokens(&self.levels)
     }
 
     /// Returns the key of the outermost level, which many requests share, or 0 for an empty chain.
@@ -119,6 +119,13 @@
     }
 }
 
+/// Returns the number of tokens of some levels, at most [`TokenCount::MAX`].
+#[must_use]
+pub fn sum_tokens<'a>(levels: impl IntoIterator<Item = &'a Level>) -> TokenCount {
+    let levels = levels.into_iter();
+    levels.fold(0, |sum: TokenCount, level| sum.saturating_add(level.tokens))
+}
+
 fn first_u64(bytes: &[u8; 32]) -> u64 {
     let mut first = [0; 8];
     first.copy_from_slice(&bytes[..8]);
--- a/crates/hickoryhall-routing/tests/prefix.rs
+++ b/crates/hickoryhall-routing/tests/prefix.rs
@@ -1,7 +1,7 @@
 //! Tests of prefix keys: stable across releases, and never shared between workspaces, models,
 //! adapters or weights versions.
 
-use hickoryhall_routing::{PrefixChain, PrefixSeed};
+use hickoryhall_routing::{Level, PrefixChain, PrefixSeed};
 use proptest::prelude::*;
 use rstest::rstest;
 
@@ -59,3 +59,14 @@
         prop_assert!(a.iter().skip(equal).all(|key| !b.contains(key)));
     }
 }
+
+/// Guards against a sum that wraps, so that a very large prompt looks like a small one.
+#[test]
+fn the_tokens_of_very_large_levels_do_not_wrap() {
+    let level = |key| Level {
+        key,
+        tokens: u32::MAX - 1,
+    };
+    let chain = PrefixChain::from_levels(vec![level(1), level(2), level(3)]);
+    assert_eq!(chain.tokens(), u32::MAX);
+}
