--- a/crates/hickoryhall-gateway/src/core.rs
+++ b/crates/hickoryhall-gateway/src/core.rs
@@ -39,7 +39,7 @@
 use quotas::QuotaState;
 use retries::RetryState;
 use streams::StreamState;
-pub use streams::{StreamMessages, TakeUpReply};
+pub use streams::{StreamMessages, TakeUpReply, ToldStreams};
 
 /// Time between two ticks while requests are queued for a server.
 const WAITING_TICK_INTERVAL: Duration = Duration::from_millis(10);
--- a/crates/hickoryhall-gateway/src/core/streams.rs
+++ b/crates/hickoryhall-gateway/src/core/streams.rs
@@ -5,7 +5,8 @@
 use std::time::{Duration, Instant};
 
 use hickoryhall_types::hash_name;
-use slog::{debug, info};
+use metrics::counter;
+use slog::{debug, info, warn};
 use tokio::sync::oneshot;
 
 use super::Core;
@@ -20,21 +21,31 @@
 /// Time between two inquiries about services, and the time for which each is open.
 const SERVICE_INQUIRY_INTERVAL: Duration = Duration::from_secs(1);
 const SERVICE_INQUIRY_TIME: Duration = Duration::from_millis(250);
+/// Shortest time between two log lines about streams that are forgotten too early.
+const FORGOTTEN_INTERVAL: Duration = Duration::from_secs(10);
 /// Maximum number of saved streams that a read adds to the memory, apart from those that are asked for.
 const MAX_SAVED_STREAMS: usize = 32_768;
 
 /// Receives the version at which a stream goes on, `None` if nobody knows.
 pub type TakeUpReply = oneshot::Sender<Option<SoftwareHash>>;
 
+/// A message about streams that a host began, with its recipients.
+pub type ToldStreams = (Vec<Ipv4Addr>, Vec<StreamOrigin>);
+
 /// State of the streams of this host and of those that callers take up here.
 pub(super) struct StreamState {
     pub versions: StreamVersions,
     /// What each peer that keeps streams of this host has been told.
     keepers: KeeperPositions<Ipv4Addr>,
+    /// The same of the streams that are told in the background.
+    background_keepers: KeeperPositions<Ipv4Addr>,
     /// Position up to which all keepers have been told of shared streams.
     told_until: SharePosition,
     /// Position up to which shared streams are saved in the store.
     saved_until: SharePosition,
+    /// Whether this host saves streams of others, and the position up to which it has.
+    is_saver: bool,
+    kept_saved_until: SharePosition,
     inquiries: HashMap<StreamQuestion, OpenInquiry>,
     /// Questions that no peer has been asked.
     unasked: Vec<StreamQuestion>,
@@ -46,6 +57,9 @@
     saved_reads: SavedStreamReads,
     /// When peers were last asked about services.
     services_asked_at: Option<Instant>,
+    /// Own streams that were forgotten too early and not reported, and when such were last reported.
+    forgotten: u64,
+    forgotten_reported_at: Option<Instant>,
 }
 
 /// An inquiry with the requests that wait for it.
@@ -100,8 +114,11 @@
         Self {
             versions: StreamVersions::new(is_first_start),
             keepers: KeeperPositions::default(),
+            background_keepers: KeeperPositions::default(),
             told_until: 0,
             saved_until: 0,
+            is_saver: false,
+            kept_saved_until: 0,
             inquiries: HashMap::new(),
             unasked: Vec::new(),
             clock: SuspendAwareClock::new(),
@@ -109,6 +126,8 @@
             wants_registry: false,
             saved_reads: SavedStreamReads::default(),
             services_asked_at: None,
+            forgotten: 0,
+            forgotten_reported_at: None,
         }
     }
 }
@@ -200,6 +219,7 @@
     /// Shares the streams of services that had one software version when they began and may have
     /// several now.
     pub(super) fn share_streams(&mut self, now: Instant) {
+        self.report_forgotten_streams(now);
         if !self.streams.versions.may_have_to_share() {
             return;
         }
@@ -211,6 +231,23 @@
         }
     }
 
+    fn report_forgotten_streams(&mut self, now: Instant) {
+        let forgotten = self.streams.versions.take_forgotten();
+        if forgotten == 0 {
+            return;
+        }
+        counter!("streams_forgotten_total").increment(forgotten);
+        self.streams.forgotten += forgotten;
+        let reported_at = self.streams.forgotten_reported_at;
+        if reported_at.is_none_or(|at| now.saturating_duration_since(at) >= FORGOTTEN_INTERVAL) {
+            self.streams.forgotten_reported_at = Some(now);
+            warn!(
+                self.logger, "core: More streams are in progress than a host remembers. The oldest are forgotten.";
+                "streams" => std::mem::take(&mut self.streams.forgotten)
+            );
+        }
+    }
+
     /// Returns the time for which a stream may be taken up.
     #[must_use]
     pub fn stream_lifetime(&self) -> Duration {
@@ -218,14 +255,14 @@
     }
 
     pub(super) fn has_unsaved_streams(&self) -> bool {
-        self.streams.saved_until < self.streams.versions.own().end()
+        self.streams.saved_until < self.streams.versions.own().shared().end()
     }
 
     /// Returns streams that have to be saved, at most `max`, and the position behind them.
     #[must_use]
     pub fn unsaved_streams(&self, max: usize) -> (Vec<StreamOrigin>, SharePosition) {
         let own = self.streams.versions.own();
-        own.shared_from(self.streams.saved_until, max)
+        own.shared().streams_from(self.streams.saved_until, max)
     }
 
     /// Records that shared streams are saved up to a position.
@@ -239,6 +276,32 @@
         self.streams.saved_until = 0;
     }
 
+    /// Sets whether this host saves streams of services with one version, those of some peers too.
+    pub fn set_stream_saver(&mut self, is_saver: bool) {
+        if self.streams.is_saver != is_saver {
+            info!(self.logger, "core: Duty to save streams changed."; "is_saver" => is_saver);
+        }
+        self.streams.is_saver = is_saver;
+    }
+
+    /// Returns streams that this host has to save in the background, at most `max`, and the position
+    /// behind them.
+    #[must_use]
+    pub fn unsaved_kept_streams(&self, max: usize) -> (Vec<StreamOrigin>, SharePosition) {
+        let saved_until = self.streams.kept_saved_until;
+        if self.streams.is_saver {
+            let kept = self.streams.versions.kept();
+            kept.streams_from(saved_until, max)
+        } else {
+            (Vec::new(), saved_until)
+        }
+    }
+
+    /// Records that such streams are saved up to a position.
+    pub fn set_kept_saved_until(&mut self, position: SharePosition) {
+        self.streams.kept_saved_until = position;
+    }
+
     pub(super) fn wants_saved_streams(&self) -> bool {
         self.streams.saved_reads.is_demanded()
     }
@@ -424,7 +487,7 @@
             self.streams.versions.record_in_use(now, version);
         }
         for origin in &messages.told {
-            self.streams.versions.record(now, origin);
+            self.streams.versions.record_told(now, origin);
         }
         for (question, answer) in &messages.answers {
             debug!(
@@ -453,7 +516,7 @@
 
     pub(super) fn has_untold_streams(&self) -> bool {
         let versions = &self.streams.versions;
-        self.streams.told_until < versions.own().end() || versions.has_new()
+        self.streams.told_until < versions.own().shared().end() || versions.has_new()
     }
 
     pub(super) fn has_unasked_questions(&self) -> bool {
@@ -469,17 +532,26 @@
     /// all of them that are shared.
     pub fn set_stream_keepers(&mut self, keepers: &[Ipv4Addr]) {
         let own = self.streams.versions.own();
-        self.streams.keepers.set_keepers(keepers, own);
+        self.streams.keepers.set_keepers(keepers, own.shared());
+        let background = &mut self.streams.background_keepers;
+        background.set_keepers(keepers, own.background());
     }
 
     /// Returns the next message about shared streams, at most `max` of them, and the keepers that it
     /// goes to; `None` once all keepers have been told of all.
-    pub fn next_told_streams(&mut self, max: usize) -> Option<(Vec<Ipv4Addr>, Vec<StreamOrigin>)> {
-        let own = self.streams.versions.own();
-        let message = self.streams.keepers.next_message(own, max);
+    pub fn next_told_streams(&mut self, max: usize) -> Option<ToldStreams> {
+        let shared = self.streams.versions.own().shared();
+        let message = self.streams.keepers.next_message(shared, max);
         if message.is_none() {
-            self.streams.told_until = own.end();
+            self.streams.told_until = shared.end();
         }
         message
     }
+
+    /// Does the same for the streams that are told in the background.
+    pub fn next_background_streams(&mut self, max: usize) -> Option<ToldStreams> {
+        let background = self.streams.versions.own().background();
+        let keepers = &mut self.streams.background_keepers;
+        keepers.next_message(background, max)
+    }
 }
--- a/crates/hickoryhall-gateway/src/host.rs
+++ b/crates/hickoryhall-gateway/src/host.rs
@@ -480,6 +480,8 @@
     let streams = Rc::new(streams);
     let saving = Rc::clone(&streams);
     spawn_local(async move { saving.save().await });
+    let saving = Rc::clone(&streams);
+    spawn_local(async move { saving.save_in_background().await });
     spawn_local(async move { streams.load().await });
 }
 
--- a/crates/hickoryhall-gateway/src/peers/known_peers.rs
+++ b/crates/hickoryhall-gateway/src/peers/known_peers.rs
@@ -45,6 +45,16 @@
 const MAX_KNOWN_HOSTS: usize = 1_024;
 /// Number of peers that are told of a host's streams.
 const STREAM_KEEPERS: usize = 3;
+/// Number of hosts of which one saves streams for others.
+const HOSTS_PER_SAVER: usize = 4;
+/// Number of savers that each host chooses, and the same in a fleet so large that savers would get too many
+/// bytes.
+const SAVERS_PER_HOST: usize = 2;
+const SAVERS_PER_HOST_OF_LARGE_FLEET: usize = 1;
+/// Number of hosts beyond which a fleet counts as large for that.
+const LARGE_FLEET_HOSTS: usize = 128;
+/// Distinguishes the ranking of hosts as savers of streams from other rankings.
+const SAVER_DUTY: u64 = 0x7374_7265_616d_7361;
 /// Maximum number of addresses listed in one digest.
 const MAX_ADDRESSES_PER_DIGEST: usize = 16;
 
@@ -84,6 +94,15 @@
     group: GroupHash,
 }
 
+/// Peers that are told of the streams that this host begins.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct StreamKeepers {
+    /// The peers.
+    pub peers: Vec<Ipv4Addr>,
+    /// Whether this host saves the streams of those that have chosen it.
+    pub is_saver: bool,
+}
+
 impl KnownPeers {
     /// Creates a record of the seed hosts, which are kept even while unreachable.
     #[must_use]
@@ -151,10 +170,10 @@
         self.live_members(now).map(|(ip, _)| ip).collect()
     }
 
-    /// Returns the few peers that are told of the streams that this host begins: one in its own failure domain and the others in different ones, so that a
-    /// cut leaves some, as far as there are as many domains.
+    /// Returns the few peers that are told of the streams that this host begins: one in its own failure
+    /// domain, the savers that it has chosen, and others in different domains, so that a cut leaves some.
     #[must_use]
-    pub fn stream_keepers(&self, now: Instant) -> Vec<Ipv4Addr> {
+    pub fn stream_keepers(&self, now: Instant) -> StreamKeepers {
         let local_host = self.local_host;
         let peers = self.live_peers(now).map(|(ip, identity)| {
             let score = rendezvous_score(local_host.host, identity.host);
@@ -165,12 +184,48 @@
             (domain != local_host.domain, Reverse(score))
         });
         let mut domains = HashSet::new();
-        let (mut first, rest) = peers
+        let (mut ranked, rest) = peers
             .into_iter()
             .partition::<Vec<_>, _>(|(domain, _, _)| domains.insert(*domain));
-        first.extend(rest);
-        let keepers = first.into_iter().take(STREAM_KEEPERS);
-        keepers.map(|(_, _, ip)| ip).collect()
+        ranked.extend(rest);
+        let (savers, is_saver) = self.stream_savers(now);
+        let mut ranked = ranked.into_iter().map(|(_, _, ip)| ip);
+        let nearest = ranked.next();
+        let mut keepers = Vec::new();
+        for ip in nearest.into_iter().chain(savers).chain(ranked) {
+            if keepers.len() < STREAM_KEEPERS && !keepers.contains(&ip) {
+                keepers.push(ip);
+            }
+        }
+        StreamKeepers {
+            peers: keepers,
+            is_saver,
+        }
+    }
+
+    /// Returns the peers that save the streams of this host, the first of them in another failure domain if
+    /// there is such a saver, and whether this host saves them itself, as it does for others.
+    fn stream_savers(&self, now: Instant) -> (Vec<Ipv4Addr>, bool) {
+        let LocalHost { host, domain, .. } = self.local_host;
+        let peers = self.live_peers(now);
+        let peers = peers.map(|(ip, identity)| (identity.host, identity.domain, Some(ip)));
+        let mut savers = peers.chain([(host, domain, None)]).collect::<Vec<_>>();
+        savers.sort_unstable_by_key(|&(host, _, _)| Reverse(rendezvous_score(SAVER_DUTY, host)));
+        let per_host = if savers.len() > LARGE_FLEET_HOSTS {
+            SAVERS_PER_HOST_OF_LARGE_FLEET
+        } else {
+            SAVERS_PER_HOST
+        };
+        savers.truncate(savers.len().div_ceil(HOSTS_PER_SAVER).max(per_host));
+        savers.sort_unstable_by_key(|&(saver, _, _)| Reverse(rendezvous_score(host, saver)));
+        let is_saver = savers.iter().any(|(_, _, ip)| ip.is_none());
+        let elsewhere = savers.iter().position(|(_, other, _)| *other != domain);
+        if let Some(elsewhere) = elsewhere {
+            savers[..=elsewhere].rotate_right(1);
+        }
+        let chosen = savers.into_iter().filter_map(|(_, _, ip)| ip);
+        let count = per_host - usize::from(is_saver);
+        (chosen.take(count).collect(), is_saver)
     }
 
     /// Returns all known peers, also those that are not heard of now.
--- a/crates/hickoryhall-gateway/src/peers/streams.rs
+++ b/crates/hickoryhall-gateway/src/peers/streams.rs
@@ -4,10 +4,10 @@
 use std::time::{Duration, Instant};
 
 use metrics::counter;
-use tokio::time::timeout;
+use tokio::time::{timeout, timeout_at};
 
 use super::Peers;
-use crate::core::{Core, StreamMessages};
+use crate::core::{Core, StreamMessages, ToldStreams};
 use crate::interface::Platform;
 
 /// Time between two messages about streams that this host began, for each host of the fleet: streams
@@ -17,8 +17,10 @@
 /// fleet, when a software version joins, must fit into the recipients' buffers.
 const MAX_MESSAGES_AT_ONCE: usize = 16;
 const MESSAGES_PAUSE: Duration = Duration::from_millis(2);
-/// Time after which it is checked whether other peers have to be told.
-const KEEPERS_INTERVAL: Duration = Duration::from_millis(500);
+/// Time between two messages about streams that are told in the background, and the same time for each
+/// host of the fleet; it is also checked then whether other peers have to be told.
+const BACKGROUND_INTERVAL: Duration = Duration::from_millis(250);
+const BACKGROUND_INTERVAL_PER_HOST: Duration = Duration::from_micros(1_800);
 /// Time after which peers are asked again, because a message may be lost and a host that has just
 /// started does not know its peers.
 const ASK_INTERVAL: Duration = Duration::from_millis(40);
@@ -28,32 +30,49 @@
 impl<P: Platform> Peers<P> {
     /// Tells some peers of the streams that this host began, until the task is dropped.
     pub async fn tell_streams(&self) {
+        let mut background_at = Instant::now();
         loop {
-            // Ends early if there is something to tell; keepers may have changed in any case.
-            let _ = timeout(KEEPERS_INTERVAL, self.core.has_untold_streams()).await;
+            // Ends early if there is something to tell at once.
+            let untold = self.core.has_untold_streams();
+            let _ = timeout_at(background_at.into(), untold).await;
             self.tell_new_versions().await;
             let keepers = self.known_peers.borrow().stream_keepers(Instant::now());
-            self.core.with(|core, _| core.set_stream_keepers(&keepers));
-            for number in 1.. {
-                let next = |core: &mut Core, _| core.next_told_streams(MAX_STREAMS_PER_MESSAGE);
-                let Some((recipients, told)) = self.core.with(next) else {
-                    break;
-                };
-                counter!("streams_told_total").increment((told.len() * recipients.len()) as u64);
-                let messages = StreamMessages {
-                    told,
-                    ..StreamMessages::default()
-                };
-                self.send_about_streams(&recipients, messages).await;
-                if number % MAX_MESSAGES_AT_ONCE == 0 {
-                    tokio::time::sleep(MESSAGES_PAUSE).await;
-                }
-            }
+            self.core.with(|core, _| {
+                core.set_stream_keepers(&keepers.peers);
+                core.set_stream_saver(keepers.is_saver);
+            });
+            self.tell_all(Core::next_told_streams).await;
             let hosts = u32::try_from(self.known_peers.borrow().count()).unwrap_or(u32::MAX);
+            let now = Instant::now();
+            if now >= background_at {
+                self.tell_all(Core::next_background_streams).await;
+                background_at = now + BACKGROUND_INTERVAL.max(BACKGROUND_INTERVAL_PER_HOST * hosts);
+            }
             tokio::time::sleep(TELL_INTERVAL_PER_HOST * hosts).await;
         }
     }
 
+    /// Sends all messages of one kind; `next` returns each with its recipients.
+    async fn tell_all(&self, next: fn(&mut Core, usize) -> Option<ToldStreams>) {
+        for number in 1.. {
+            let message = self
+                .core
+                .with(|core, _| next(core, MAX_STREAMS_PER_MESSAGE));
+            let Some((recipients, told)) = message else {
+                break;
+            };
+            counter!("streams_told_total").increment((told.len() * recipients.len()) as u64);
+            let messages = StreamMessages {
+                told,
+                ..StreamMessages::default()
+            };
+            self.send_about_streams(&recipients, messages).await;
+            if number % MAX_MESSAGES_AT_ONCE == 0 {
+                tokio::time::sleep(MESSAGES_PAUSE).await;
+            }
+        }
+    }
+
     /// Tells the members of the group of versions that appeared in the registry: other members may
     /// read it later, and take one that they know for the only one.
     async fn tell_new_versions(&self) {
--- a/crates/hickoryhall-gateway/src/stream_record.rs
+++ b/crates/hickoryhall-gateway/src/stream_record.rs
@@ -1,8 +1,9 @@
-//! Saves the software versions of streams in the store while a service may have several.
+//! Saves the software versions of streams in the store.
 //!
-//! If all hosts end at once, nobody remembers at which version a stream began. Each host saves what it
-//! began in parts that end with a lease. A host reads all parts when a caller takes a stream up whose
-//! version neither it nor its peers know.
+//! If all hosts end at once, nobody remembers at which version a stream began. While a service may have
+//! several versions, each host saves what it began in parts that end with a lease. Before, a few hosts save
+//! what their peers tell them in the background. A host reads all parts when a caller takes a stream up
+//! whose version neither it nor its peers know.
 
 use std::rc::Rc;
 use std::time::{Duration, Instant};
@@ -26,6 +27,12 @@
 /// The same time for each host of the fleet, so that all hosts together write a hundred parts a second
 /// at most.
 const SAVE_INTERVAL_PER_HOST: Duration = Duration::from_millis(10);
+/// Time between two parts of a host that saves streams in the background, and the same time for each host
+/// of the fleet.
+const BACKGROUND_INTERVAL: Duration = Duration::from_millis(650);
+const BACKGROUND_INTERVAL_PER_HOST: Duration = Duration::from_micros(2_500);
+/// Pause after a part that could not be written in the background.
+const BACKGROUND_RETRY_PAUSE: Duration = Duration::from_secs(2);
 /// Maximum number of streams in one part, so that it fits into a value.
 const MAX_STREAMS_PER_PART: usize = 16_384;
 /// Pause after a call to the store that failed.
@@ -144,11 +151,46 @@
         }
     }
 
-    fn save_interval(&self) -> Duration {
+    /// Saves the streams of services with one version, if this host does so for others, until the task is
+    /// dropped.
+    pub async fn save_in_background(&self) {
+        let process = rand::rng().random::<u64>();
+        let mut lease = None;
+        let mut era = self.store.era();
+        for number in 0_u64.. {
+            let interval = BACKGROUND_INTERVAL_PER_HOST.saturating_mul(self.host_count());
+            sleep(interval.max(BACKGROUND_INTERVAL)).await;
+            if self.store.era() > era {
+                era = self.store.era();
+                lease = None;
+                self.core.with(|core, _| core.set_kept_saved_until(0));
+            }
+            let (origins, end) = self
+                .core
+                .with(|core, _| core.unsaved_kept_streams(MAX_STREAMS_PER_PART));
+            if origins.is_empty() {
+                continue;
+            }
+            let key = format!("{PARTS_PREFIX}{process:016x}/{number:x}");
+            if let Err(error) = self.write(key, &origins, &mut lease).await {
+                info!(self.logger, "streams: Versions of streams not saved in the background."; "streams" => origins.len(), "error" => %error);
+                lease = None;
+                sleep(BACKGROUND_RETRY_PAUSE).await;
+                continue;
+            }
+            counter!("streams_saved_total").increment(origins.len() as u64);
+            self.core.with(|core, _| core.set_kept_saved_until(end));
+        }
+    }
+
+    fn host_count(&self) -> u32 {
         let hosts = self.core.with(Core::host_count);
-        let hosts = u32::try_from(hosts).unwrap_or(u32::MAX);
+        u32::try_from(hosts).unwrap_or(u32::MAX)
+    }
+
+    fn save_interval(&self) -> Duration {
         SAVE_INTERVAL_PER_HOST
-            .saturating_mul(hosts)
+            .saturating_mul(self.host_count())
             .max(MIN_SAVE_INTERVAL)
     }
 
--- a/crates/hickoryhall-gateway/src/stream_versions.rs
+++ b/crates/hickoryhall-gateway/src/stream_versions.rs
@@ -1,10 +1,10 @@
 //! Decides at which software version a stream goes on.
 //!
 //! What two software versions write does not fit together, so a stream goes on only at the version
-//! that began it. Each host remembers that of the streams that it began. Once a service may have
-//! several versions, it tells some peers of those streams, and of each further one when its first
-//! event leaves. A caller that takes a stream up at another host names the request that brought its
-//! first event. The host needs no memory of that request where the service has had one version for
+//! that began it. Each host remembers that of the streams that it began, and tells some peers of them in
+//! the background, which save them for all. Once a service may have several versions, it tells them of
+//! those streams at once, and of each further one when its first event leaves. A caller that takes a
+//! stream up at another host names the request that brought its first event. The host needs no memory of that request where the service has had one version for
 //! longer than any stream lasts; else it asks its peers, and then the store. What is registered now
 //! tells nothing of servers that have left, so that a host which has just started relies on the
 //! versions that the store records.
@@ -17,7 +17,7 @@
 use std::time::{Duration, Instant};
 
 pub use inquiry::{Inquiry, OwnKnowledge};
-pub use own_streams::{KeeperPositions, OwnStreams, SharePosition};
+pub use own_streams::{KeeperPositions, OwnStreams, SharePosition, StreamLog};
 pub use saved_reads::SavedStreamReads;
 
 use hickoryhall_types::{Incarnation, hash_name};
@@ -155,6 +155,8 @@
     may_need_record: bool,
     /// Streams that this host began.
     own: OwnStreams,
+    /// Streams of services with one version, those of peers too, which this host may have to save.
+    kept: StreamLog,
     /// Whether a service that had one version may have several since own streams were last shared.
     may_have_to_share: bool,
     lifetime: Duration,
@@ -178,6 +180,7 @@
             vouched: HashSet::new(),
             may_need_record: false,
             own: OwnStreams::default(),
+            kept: StreamLog::default(),
             may_have_to_share: false,
             lifetime: MIN_STREAM_LIFETIME,
         }
@@ -319,6 +322,7 @@
         self.may_need_record |= is_any_forgotten;
         self.may_have_to_share |= is_any_forgotten;
         self.own.expire(now, lifetime);
+        self.kept.expire(now, lifetime);
         while let Some(&(at, stream)) = self.by_age.front() {
             if !is_old(at) && self.by_age.len() <= MAX_STREAMS {
                 break;
@@ -364,12 +368,36 @@
         self.expire(now);
     }
 
-    /// Records a stream that this host begins. Others have to know it if the version of its service
-    /// alone does not tell where it goes on.
+    /// Records a stream that this host begins. Others have to know it at once if the version of its
+    /// service alone does not tell where it goes on.
     pub fn begin(&mut self, now: Instant, origin: StreamOrigin) {
         let is_shared = self.must_share(now, origin.service);
         self.record(now, &origin);
         self.own.begin(now, origin, is_shared);
+        if !is_shared {
+            self.kept.push(now, origin);
+        }
+    }
+
+    /// Records a stream that a peer began. Of a service that may have several versions, the peer saves
+    /// its streams itself.
+    pub fn record_told(&mut self, now: Instant, origin: &StreamOrigin) {
+        self.record(now, origin);
+        if !self.must_share(now, origin.service) {
+            self.kept.push(now, *origin);
+        }
+    }
+
+    /// Returns the streams of this host and of its peers that are saved in the background.
+    #[must_use]
+    pub fn kept(&self) -> &StreamLog {
+        &self.kept
+    }
+
+    /// Returns the number of own streams that were forgotten since the last call though they may still be
+    /// taken up.
+    pub fn take_forgotten(&mut self) -> u64 {
+        self.own.take_forgotten()
     }
 
     /// Returns whether [`share_own`](Self::share_own) has to be called.
--- a/crates/hickoryhall-gateway/src/stream_versions/own_streams.rs
+++ b/crates/hickoryhall-gateway/src/stream_versions/own_streams.rs
@@ -1,8 +1,10 @@
 //! Streams that a host began, and which of them other hosts and the store have to know.
 //!
-//! While a service has one software version, it alone tells where its streams go on, and only the
-//! host that began them remembers them. Once the service may have several, they are shared: they join
-//! a sequence, in which each recipient has a position up to which it has got them.
+//! While a service has one software version, it alone tells where its streams go on, but hosts that are
+//! lost cannot tell of their streams once another version joins. So they are told and saved in the
+//! background, many in one message. Once the service may have several versions, all of its streams are
+//! shared at once. Streams of either kind form a sequence, in which each recipient has a position up to
+//! which it has got them.
 
 use std::collections::{BTreeMap, BTreeSet, HashMap, VecDeque};
 use std::hash::Hash;
@@ -10,43 +12,108 @@
 
 use super::{MAX_STREAMS, ServiceHash, StreamOrigin};
 
-/// Position in the sequence of shared streams.
+/// Position in a sequence of streams.
 pub type SharePosition = u64;
 
-/// Streams that a host began and that may still be taken up.
+/// Streams in the order in which they came, oldest first; the oldest are forgotten beyond a maximum.
 #[derive(Debug, Default)]
-pub struct OwnStreams {
-    /// Streams that only this host has to know, oldest first.
-    unshared: VecDeque<OwnStream>,
-    /// Streams that others have to know, in the order in which they were shared.
-    shared: VecDeque<OwnStream>,
+pub struct StreamLog {
+    streams: VecDeque<TimedStream>,
     /// Position of the first of them.
     first: SharePosition,
+    /// Streams that were forgotten before they could no longer be taken up.
+    forgotten: u64,
 }
 
 #[derive(Clone, Copy, Debug)]
-struct OwnStream {
+struct TimedStream {
     origin: StreamOrigin,
     begun_at: Instant,
 }
 
+impl StreamLog {
+    /// Appends a stream that begins or that a peer tells of.
+    pub fn push(&mut self, now: Instant, origin: StreamOrigin) {
+        let begun_at = now;
+        self.append(TimedStream { origin, begun_at });
+    }
+
+    fn append(&mut self, stream: TimedStream) {
+        self.streams.push_back(stream);
+        if self.streams.len() > MAX_STREAMS {
+            self.streams.pop_front();
+            self.first += 1;
+            self.forgotten += 1;
+        }
+    }
+
+    /// Forgets streams that can no longer be taken up.
+    pub fn expire(&mut self, now: Instant, lifetime: Duration) {
+        while self.streams.front().is_some_and(is_old(now, lifetime)) {
+            self.streams.pop_front();
+            self.first += 1;
+        }
+    }
+
+    /// Returns the position of the oldest stream that is remembered.
+    #[must_use]
+    pub fn first(&self) -> SharePosition {
+        self.first
+    }
+
+    /// Returns the position behind the last stream.
+    #[must_use]
+    pub fn end(&self) -> SharePosition {
+        self.first + self.streams.len() as SharePosition
+    }
+
+    /// Returns streams from a position on, at most `max`, and the position behind them.
+    #[must_use]
+    pub fn streams_from(
+        &self,
+        position: SharePosition,
+        max: usize,
+    ) -> (Vec<StreamOrigin>, SharePosition) {
+        let begin = position.max(self.first);
+        let skipped = usize::try_from(begin - self.first).unwrap_or(usize::MAX);
+        let streams = self.streams.iter().skip(skipped).take(max);
+        let streams = streams.map(|stream| stream.origin).collect::<Vec<_>>();
+        let end = begin + streams.len() as SharePosition;
+        (streams, end)
+    }
+}
+
+fn is_old(now: Instant, lifetime: Duration) -> impl Fn(&TimedStream) -> bool {
+    move |stream| now.saturating_duration_since(stream.begun_at) > lifetime
+}
+
+/// Streams that a host began and that may still be taken up.
+#[derive(Debug, Default)]
+pub struct OwnStreams {
+    /// Streams that are not shared at once, oldest first.
+    unshared: VecDeque<TimedStream>,
+    /// The same, and those of them that were shared later.
+    background: StreamLog,
+    /// Streams that others have to know at once.
+    shared: StreamLog,
+}
+
 impl OwnStreams {
-    /// Records a stream that begins, and whether others have to know it.
+    /// Records a stream that begins, and whether others have to know it at once.
     pub fn begin(&mut self, now: Instant, origin: StreamOrigin, is_shared: bool) {
-        let stream = OwnStream {
-            origin,
-            begun_at: now,
-        };
-        let streams = if is_shared {
-            &mut self.shared
-        } else {
-            &mut self.unshared
-        };
-        streams.push_back(stream);
-        self.limit();
-    }
-
-    /// Returns the services with streams that only this host has to know.
+        if is_shared {
+            self.shared.push(now, origin);
+            return;
+        }
+        self.background.push(now, origin);
+        let begun_at = now;
+        self.unshared.push_back(TimedStream { origin, begun_at });
+        if self.unshared.len() > MAX_STREAMS {
+            self.unshared.pop_front();
+        }
+    }
+
+    /// Returns the services with streams that are not shared.
     pub fn unshared_services(&self) -> BTreeSet<ServiceHash> {
         let streams = self.unshared.iter();
         streams.map(|stream| stream.origin.service).collect()
@@ -59,64 +126,43 @@
         self.unshared.retain(|stream| {
             let is_kept = stream.origin.service != service;
             if !is_kept {
-                shared.push_back(*stream);
+                shared.append(*stream);
             }
             is_kept
         });
-        let count = before - self.unshared.len();
-        self.limit();
-        count
+        before - self.unshared.len()
     }
 
     /// Forgets streams that can no longer be taken up.
     pub fn expire(&mut self, now: Instant, lifetime: Duration) {
-        let is_old = |stream: &OwnStream| now.saturating_duration_since(stream.begun_at) > lifetime;
-        while self.unshared.front().is_some_and(is_old) {
+        while self.unshared.front().is_some_and(is_old(now, lifetime)) {
             self.unshared.pop_front();
         }
-        while self.shared.front().is_some_and(is_old) {
-            self.shared.pop_front();
-            self.first += 1;
-        }
-    }
-
-    fn limit(&mut self) {
-        let excess = self.unshared.len().saturating_sub(MAX_STREAMS);
-        self.unshared.drain(..excess);
-        let excess = self.shared.len().saturating_sub(MAX_STREAMS);
-        self.shared.drain(..excess);
-        self.first += excess as SharePosition;
+        self.background.expire(now, lifetime);
+        self.shared.expire(now, lifetime);
     }
 
-    /// Returns the position of the oldest shared stream that is remembered.
+    /// Returns the streams that are shared at once.
     #[must_use]
-    pub fn first(&self) -> SharePosition {
-        self.first
+    pub fn shared(&self) -> &StreamLog {
+        &self.shared
     }
 
-    /// Returns the position behind the last shared stream.
+    /// Returns the streams that are shared in the background.
     #[must_use]
-    pub fn end(&self) -> SharePosition {
-        self.first + self.shared.len() as SharePosition
+    pub fn background(&self) -> &StreamLog {
+        &self.background
     }
 
-    /// Returns shared streams from a position on, at most `max`, and the position behind them.
-    #[must_use]
-    pub fn shared_from(
-        &self,
-        position: SharePosition,
-        max: usize,
-    ) -> (Vec<StreamOrigin>, SharePosition) {
-        let begin = position.max(self.first);
-        let skipped = usize::try_from(begin - self.first).unwrap_or(usize::MAX);
-        let streams = self.shared.iter().skip(skipped).take(max);
-        let streams = streams.map(|stream| stream.origin).collect::<Vec<_>>();
-        let end = begin + streams.len() as SharePosition;
-        (streams, end)
+    /// Returns the number of streams that were forgotten since the last call though they may still be
+    /// taken up.
+    pub fn take_forgotten(&mut self) -> u64 {
+        let background = std::mem::take(&mut self.background.forgotten);
+        background + std::mem::take(&mut self.shared.forgotten)
     }
 }
 
-/// Which shared streams the peers that keep them have been told.
+/// Which streams of a sequence the peers that keep them have been told.
 #[derive(Debug)]
 pub struct KeeperPositions<K> {
     told: HashMap<K, SharePosition>,
@@ -131,8 +177,8 @@
 }
 
 impl<K: Copy + Eq + Hash + Ord> KeeperPositions<K> {
-    /// Replaces the keepers. One that is new, or was none for a while, is told of all shared streams.
-    pub fn set_keepers(&mut self, keepers: &[K], streams: &OwnStreams) {
+    /// Replaces the keepers. One that is new, or was none for a while, is told of all streams.
+    pub fn set_keepers(&mut self, keepers: &[K], streams: &StreamLog) {
         self.told.retain(|keeper, _| keepers.contains(keeper));
         for &keeper in keepers {
             self.told.entry(keeper).or_insert(streams.first());
@@ -140,10 +186,10 @@
     }
 
     /// Returns the next message, at most `max` streams, and the keepers that it goes to; `None` if all
-    /// of them have been told of all shared streams.
+    /// of them have been told of all streams.
     pub fn next_message(
         &mut self,
-        streams: &OwnStreams,
+        streams: &StreamLog,
         max: usize,
     ) -> Option<(Vec<K>, Vec<StreamOrigin>)> {
         let mut behind = BTreeMap::<SharePosition, Vec<K>>::new();
@@ -155,7 +201,7 @@
         }
         let (position, mut keepers) = behind.pop_first()?;
         keepers.sort_unstable();
-        let (message, end) = streams.shared_from(position, max);
+        let (message, end) = streams.streams_from(position, max);
         for keeper in &keepers {
             self.told.insert(*keeper, end);
         }
--- a/crates/hickoryhall-gateway/tests/groups.rs
+++ b/crates/hickoryhall-gateway/tests/groups.rs
@@ -3,7 +3,7 @@
 
 mod support;
 
-use std::collections::HashSet;
+use std::collections::{HashMap, HashSet};
 use std::net::Ipv4Addr;
 use std::time::{Duration, Instant};
 
@@ -432,3 +432,44 @@
     let group = known_peers.group(start + rotation);
     assert_eq!(group, rendezvous_score(0, ME % 32));
 }
+
+/// Guards against streams that nobody saves, or that one host saves for a whole fleet, and against keepers
+/// that one failure domain takes with it.
+#[rstest]
+#[case(2, 2)]
+#[case(7, 2)]
+#[case(24, 6)]
+#[case(70, 18)]
+fn each_host_has_two_savers_and_keepers_in_several_domains(
+    #[case] hosts: usize,
+    #[case] expected_savers: usize,
+) {
+    let mut network = Network::new(hosts);
+    network.converge();
+    let now = network.now;
+    let keepers = network.hosts.iter().map(|host| {
+        let keepers = host.known_peers.stream_keepers(now);
+        (host.ip, keepers)
+    });
+    let keepers = keepers.collect::<Vec<_>>();
+    let savers = keepers.iter().filter(|(_, keepers)| keepers.is_saver);
+    let savers = savers.map(|(ip, _)| *ip).collect::<HashSet<_>>();
+    assert_eq!(savers.len(), expected_savers);
+    let mut told_savers = HashMap::<Ipv4Addr, usize>::new();
+    for (index, (ip, keepers)) in keepers.iter().enumerate() {
+        let distinct = keepers.peers.iter().collect::<HashSet<_>>();
+        assert_eq!(distinct.len(), 3.min(hosts - 1));
+        assert!(!distinct.contains(ip));
+        let of_host = keepers.peers.iter().filter(|peer| savers.contains(peer));
+        let of_host = of_host.copied().collect::<Vec<_>>();
+        assert!(of_host.len() + usize::from(keepers.is_saver) >= 2, "{ip}");
+        for saver in of_host {
+            *told_savers.entry(saver).or_default() += 1;
+        }
+        let domain = |peer: &Ipv4Addr| (u32::from(*peer) - 0x0a00_0001) as usize % DOMAINS;
+        let is_elsewhere = |peer: &&Ipv4Addr| domain(peer) != index % DOMAINS;
+        assert!(keepers.peers.iter().any(|peer| is_elsewhere(&peer)), "{ip}");
+    }
+    let most = told_savers.values().max().copied().unwrap_or_default();
+    assert!(most <= 24, "{most} hosts tell one saver");
+}
--- a/crates/hickoryhall-gateway/tests/own_streams.rs
+++ b/crates/hickoryhall-gateway/tests/own_streams.rs
@@ -7,7 +7,8 @@
 
 use hickoryhall_gateway::registry::BackendServer;
 use hickoryhall_gateway::stream_versions::{
-    KeeperPositions, OwnStreams, SavedStreamReads, ServiceVersion, StreamOrigin, StreamVersions,
+    KeeperPositions, OwnStreams, SavedStreamReads, ServiceVersion, StreamLog, StreamOrigin,
+    StreamVersions,
 };
 use hickoryhall_types::hash_name;
 use rstest::rstest;
@@ -52,7 +53,7 @@
 }
 
 fn shared(versions: &StreamVersions) -> Vec<u64> {
-    let (streams, _) = versions.own().shared_from(0, usize::MAX);
+    let (streams, _) = versions.own().shared().streams_from(0, usize::MAX);
     streams.iter().map(|origin| origin.stream).collect()
 }
 
@@ -117,7 +118,7 @@
 /// Returns what a keeper is told, in messages of ten streams.
 fn told(positions: &mut KeeperPositions<u8>, streams: &OwnStreams, keeper: u8) -> Vec<u64> {
     let mut told = Vec::new();
-    while let Some((keepers, message)) = positions.next_message(streams, 10) {
+    while let Some((keepers, message)) = positions.next_message(streams.shared(), 10) {
         assert!(message.len() <= 10);
         if keepers.contains(&keeper) {
             told.extend(message.iter().map(|origin| origin.stream));
@@ -132,15 +133,15 @@
     let start = Instant::now();
     let mut streams = shared_streams(start, 25);
     let mut positions = KeeperPositions::default();
-    positions.set_keepers(&[1, 2], &streams);
+    positions.set_keepers(&[1, 2], streams.shared());
     let all = (0..25).collect::<Vec<_>>();
     assert_eq!(told(&mut positions, &streams, 1), all);
-    assert_eq!(positions.next_message(&streams, 10), None);
+    assert_eq!(positions.next_message(streams.shared(), 10), None);
     streams.begin(start, origin(25, "models", "v1"), true);
-    positions.set_keepers(&[2, 3], &streams);
+    positions.set_keepers(&[2, 3], streams.shared());
     let mut later = positions;
     assert_eq!(told(&mut later, &streams, 3), (0..26).collect::<Vec<_>>());
-    later.set_keepers(&[1, 2, 3], &streams);
+    later.set_keepers(&[1, 2, 3], streams.shared());
     assert_eq!(
         told(&mut later, &streams, 1),
         (0..26).collect::<Vec<_>>(),
@@ -156,9 +157,9 @@
     streams.begin(later, origin(5, "models", "v1"), true);
     streams.expire(later, LIFETIME);
     let mut positions = KeeperPositions::default();
-    positions.set_keepers(&[1], &streams);
+    positions.set_keepers(&[1], streams.shared());
     assert_eq!(told(&mut positions, &streams, 1), [5]);
-    assert_eq!((streams.first(), streams.end()), (5, 6));
+    assert_eq!((streams.shared().first(), streams.shared().end()), (5, 6));
 }
 
 /// Guards against streams beyond one part that are left out in silence.
@@ -172,14 +173,14 @@
     assert_eq!(streams.share(hash_name("models")) as u64, MAX_STREAMS);
     let (mut position, mut count) = (0, 0);
     loop {
-        let (part, end) = streams.shared_from(position, 16_384);
+        let (part, end) = streams.shared().streams_from(position, 16_384);
         if part.is_empty() {
             break;
         }
         count += part.len() as u64;
         position = end;
     }
-    assert_eq!((count, position), (MAX_STREAMS, streams.end()));
+    assert_eq!((count, position), (MAX_STREAMS, streams.shared().end()));
 }
 
 /// Guards against a read of the store for each stream that nobody knows.
@@ -197,3 +198,48 @@
     assert!(!reads.demand(at(10_000), 520));
     assert!(reads.demand(at(52_720), 520));
 }
+
+fn streams_of(log: &StreamLog) -> Vec<u64> {
+    let (streams, _) = log.streams_from(0, usize::MAX);
+    streams.iter().map(|origin| origin.stream).collect()
+}
+
+/// Guards against streams that only their host knows while their service has one version.
+#[test]
+fn streams_of_a_service_with_one_version_are_told_and_saved_in_the_background() {
+    let start = Instant::now();
+    let mut host = host(start);
+    host.begin(start, origin(1, "models", "v1"));
+    host.record_told(start, &origin(2, "models", "v1"));
+    assert_eq!(streams_of(host.own().background()), [1]);
+    assert_eq!(streams_of(host.kept()), [1, 2]);
+    host.on_server(&server(3, "models", "v2"));
+    host.share_own(start);
+    host.begin(start, origin(3, "models", "v2"));
+    host.record_told(start, &origin(4, "models", "v1"));
+    assert_eq!(
+        streams_of(host.own().background()),
+        [1],
+        "the others are shared at once"
+    );
+    assert_eq!(
+        streams_of(host.kept()),
+        [1, 2],
+        "their hosts save the others"
+    );
+    host.expire(start + LIFETIME * 2);
+    assert!(streams_of(host.own().background()).is_empty());
+    assert!(streams_of(host.kept()).is_empty());
+}
+
+/// Guards against streams that are forgotten in silence.
+#[test]
+fn streams_that_are_forgotten_too_early_are_counted() {
+    let start = Instant::now();
+    let mut host = host(start);
+    for stream in 0..MAX_STREAMS + 10 {
+        host.begin(start, origin(stream, "models", "v1"));
+    }
+    assert_eq!(host.take_forgotten(), 10);
+    assert_eq!(host.take_forgotten(), 0, "once only");
+}
--- a/crates/hickoryhall-gateway/tests/stream_versions_fleet.rs
+++ b/crates/hickoryhall-gateway/tests/stream_versions_fleet.rs
@@ -13,7 +13,7 @@
 use hickoryhall_gateway::registry::BackendServer;
 use hickoryhall_gateway::stream_versions::{
     Inquiry, KeeperPositions, Moment, OwnKnowledge, SavedStreamReads, ServiceVersion,
-    SharePosition, StreamKnowledge, StreamOrigin, StreamQuestion, StreamVersions, TakeUp,
+    SharePosition, StreamOrigin, StreamQuestion, StreamVersions, TakeUp,
 };
 use hickoryhall_types::hash_name;
 use rand::{RngExt, SeedableRng};
@@ -27,7 +27,18 @@
 /// Time between two reads of the registry by a host.
 const READ_INTERVAL: Duration = Duration::from_millis(500);
 const SAVE_INTERVAL: Duration = Duration::from_millis(300);
+/// Times between two messages, and two values in the store, about streams of services with one version.
+const BACKGROUND_INTERVAL: Duration = Duration::from_millis(250);
+const BACKGROUND_SAVE_INTERVAL: Duration = Duration::from_millis(650);
 const KEEPERS: usize = 3;
+/// Number of hosts of which some save the streams of all, the number of these, and the time for which one
+/// that is down is taken for one of them.
+const HOSTS_PER_BLOCK: usize = 8;
+const SAVERS: usize = 2;
+const NOTICED_WITHIN: Duration = Duration::from_secs(3);
+/// Age from which on streams must be known to more than their host.
+const KNOWN_WITHIN: Duration = Duration::from_secs(1);
+const CUT_TIME: Duration = Duration::from_secs(4);
 /// Time between two servers that are replaced in a release.
 const STEP: Duration = Duration::from_millis(500);
 /// Servers that leave before the first new one joins, where they leave first.
@@ -46,10 +57,25 @@
     power_interval: Option<Duration>,
     /// Interval at which one host is killed.
     kill_interval: Option<Duration>,
-    /// Interval at which some hosts are cut off from the store and all others for four seconds.
+    /// Interval at which some hosts are cut off for four seconds.
     cut_interval: Option<Duration>,
+    /// From whom they are cut off.
+    cut: Cut,
     /// Time after the first server of a version has joined at which hosts are killed, and their number.
     kill_after_join: Option<(Duration, usize)>,
+    /// Time before the first server of a version joins at which hosts are killed for a second, and their
+    /// number.
+    kill_before_join: Option<(Duration, usize)>,
+    /// Time after which callers notice that their host is lost, and take their streams up.
+    noticed_after: Duration,
+}
+
+/// From whom hosts are cut off.
+#[derive(Clone, Copy, PartialEq, Eq)]
+enum Cut {
+    Both,
+    Peers,
+    Store,
 }
 
 const SMALL: Setup = Setup {
@@ -60,7 +86,16 @@
     power_interval: None,
     kill_interval: None,
     cut_interval: None,
+    cut: Cut::Both,
     kill_after_join: None,
+    kill_before_join: None,
+    noticed_after: Duration::ZERO,
+};
+
+/// Hosts are killed just before a release, which begins before callers take their streams up.
+const BEFORE_JOIN: Setup = Setup {
+    noticed_after: Duration::from_secs(2),
+    ..SMALL
 };
 
 struct Host {
@@ -69,11 +104,15 @@
     read_at: Option<Instant>,
     next_read_at: Instant,
     down_until: Option<Instant>,
-    /// Whether the process before knew of several versions when it was killed.
-    knew_several: bool,
-    cut_until: Instant,
+    killed_at: Option<Instant>,
+    cut_from_peers_until: Instant,
+    cut_from_store_until: Instant,
     keepers: KeeperPositions<usize>,
     saved_until: SharePosition,
+    background_keepers: KeeperPositions<usize>,
+    next_background_at: Instant,
+    kept_saved_until: SharePosition,
+    next_background_save_at: Instant,
     saved_reads: SavedStreamReads,
 }
 
@@ -82,6 +121,9 @@
     host: usize,
     server: String,
     software: String,
+    begun_at: Instant,
+    /// When its host was killed.
+    lost_at: Option<Instant>,
     /// Whether its host knew of one version only when it began.
     is_of_only_version: bool,
 }
@@ -91,8 +133,10 @@
     joined: u32,
     /// Streams that were taken up.
     streams: Shares,
-    /// Those of killed hosts that knew of one version when they began and of several when they ended.
+    /// Those of killed hosts that knew of one version when they began.
     of_only_version: Shares,
+    /// Those of them that were older than a second when their host was killed.
+    known_to_others: Shares,
 }
 
 #[derive(Debug, Default)]
@@ -149,10 +193,15 @@
             read_at: None,
             next_read_at: now,
             down_until: None,
-            knew_several: false,
-            cut_until: now,
+            killed_at: None,
+            cut_from_peers_until: now,
+            cut_from_store_until: now,
             keepers: KeeperPositions::default(),
             saved_until: 0,
+            background_keepers: KeeperPositions::default(),
+            next_background_at: now,
+            kept_saved_until: 0,
+            next_background_save_at: now,
             saved_reads: SavedStreamReads::default(),
         }
     }
@@ -161,6 +210,20 @@
         self.down_until.is_none()
     }
 
+    fn reaches_store(&self, now: Instant) -> bool {
+        self.is_up() && now >= self.cut_from_store_until
+    }
+
+    fn reaches_peers(&self, now: Instant) -> bool {
+        self.is_up() && now >= self.cut_from_peers_until
+    }
+
+    /// Returns whether others take it for live.
+    fn seems_live(&self, now: Instant) -> bool {
+        let is_unnoticed = |at| now < at + NOTICED_WITHIN;
+        self.is_up() || self.killed_at.is_some_and(is_unnoticed)
+    }
+
     fn moment(&self, now: Instant) -> Moment {
         Moment {
             now,
@@ -280,10 +343,22 @@
             let first = self.random.random_range(0..setup.hosts);
             (first..first + count).for_each(|host| self.kill(host % setup.hosts, 1_000));
         }
+        if let Some((lead, count)) = setup.kill_before_join
+            && Self::is_due(elapsed + lead, setup.release_interval)
+        {
+            let first = self.random.random_range(0..setup.hosts);
+            (first..first + count).for_each(|host| self.kill(host % setup.hosts, 1_000));
+        }
         if is_due(setup.cut_interval) {
             for _ in 0..setup.hosts.div_ceil(7) {
                 let host = self.random.random_range(0..setup.hosts);
-                self.hosts[host].cut_until = self.now + Duration::from_secs(4);
+                let (until, host) = (self.now + CUT_TIME, &mut self.hosts[host]);
+                if setup.cut != Cut::Store {
+                    host.cut_from_peers_until = until;
+                }
+                if setup.cut != Cut::Peers {
+                    host.cut_from_store_until = until;
+                }
             }
         }
     }
@@ -304,15 +379,12 @@
 
     /// Kills a host; its streams break and are taken up when another host is up.
     fn kill(&mut self, host: usize, down_ms: u64) {
-        let (now, state) = (self.now, &mut self.hosts[host]);
-        let question = StreamQuestion {
-            stream: None,
-            service: service(),
-        };
-        let moment = state.moment(now);
-        let knew_several = state.versions.knowledge(moment, &question) == StreamKnowledge::Several;
         self.hosts[host] = Host::new(self.now, false);
-        self.hosts[host].knew_several = knew_several;
+        self.hosts[host].killed_at = Some(self.now);
+        let streams = self.streams.iter_mut();
+        for stream in streams.filter(|stream| stream.host == host) {
+            stream.lost_at.get_or_insert(self.now);
+        }
         self.hosts[host].down_until = Some(self.now + Duration::from_millis(down_ms));
     }
 
@@ -323,10 +395,10 @@
             state.down_until = None;
             state.next_read_at = now;
         }
-        if !state.is_up() || now < state.cut_until {
+        if !state.is_up() {
             return;
         }
-        if now >= state.next_read_at {
+        if state.reaches_store(now) && now >= state.next_read_at {
             state.next_read_at = now + READ_INTERVAL;
             state.read_registry(now, &self.registry);
             state.versions.on_recorded(now, self.record.clone());
@@ -334,46 +406,101 @@
                 self.record = record;
             }
         }
-        for version in state.versions.take_new() {
-            for other in &mut self.hosts {
-                if other.is_up() && now >= other.cut_until {
+        if state.reaches_peers(now) {
+            for version in state.versions.take_new() {
+                let others = self.hosts.iter_mut();
+                for other in others.filter(|other| other.reaches_peers(now)) {
                     other.versions.record_in_use(now, version);
                 }
             }
         }
         self.share_streams(host);
+        self.share_in_background(host);
+    }
+
+    /// Returns the hosts that save the streams of another one.
+    fn savers(&self, host: usize) -> Vec<usize> {
+        let first = host / HOSTS_PER_BLOCK * HOSTS_PER_BLOCK;
+        let hosts = first..(first + HOSTS_PER_BLOCK).min(self.hosts.len());
+        let live = hosts.filter(|&other| self.hosts[other].seems_live(self.now));
+        live.take(SAVERS).collect()
+    }
+
+    fn keepers(&self, host: usize) -> Vec<usize> {
+        let count = self.hosts.len();
+        let next = |step| (host + step) % count;
+        let mut keepers = vec![next(1)];
+        let others = (2..count).map(next);
+        for other in self.savers(host).into_iter().chain(others) {
+            if keepers.len() < KEEPERS && other != host && !keepers.contains(&other) {
+                keepers.push(other);
+            }
+        }
+        keepers
+    }
+
+    /// Tells keepers of streams, unless the message is lost.
+    fn tell(&mut self, host: usize, keepers: &[usize], told: &[StreamOrigin]) {
+        let now = self.now;
+        let is_sent = self.hosts[host].reaches_peers(now);
+        for &keeper in keepers {
+            let keeper = &mut self.hosts[keeper];
+            if is_sent && keeper.reaches_peers(now) && self.random.random_bool(0.95) {
+                let versions = &mut keeper.versions;
+                told.iter()
+                    .for_each(|origin| versions.record_told(now, origin));
+            }
+        }
+    }
+
+    /// Tells the keepers of the streams of a service with one version, and saves those of other hosts.
+    fn share_in_background(&mut self, host: usize) {
+        let (now, keepers) = (self.now, self.keepers(host));
+        let is_saver = self.savers(host).contains(&host);
+        let state = &mut self.hosts[host];
+        if now >= state.next_background_at {
+            state.next_background_at = now + BACKGROUND_INTERVAL;
+            let background = state.versions.own().background();
+            state.background_keepers.set_keepers(&keepers, background);
+            while let Some((keepers, told)) = {
+                let state = &mut self.hosts[host];
+                let background = state.versions.own().background();
+                state.background_keepers.next_message(background, 120)
+            } {
+                self.tell(host, &keepers, &told);
+            }
+        }
+        let state = &mut self.hosts[host];
+        if is_saver && now >= state.next_background_save_at && state.reaches_store(now) {
+            state.next_background_save_at = now + BACKGROUND_SAVE_INTERVAL;
+            let kept = state.versions.kept();
+            let (unsaved, end) = kept.streams_from(state.kept_saved_until, usize::MAX);
+            state.kept_saved_until = end;
+            self.saved.extend(unsaved);
+        }
     }
 
     /// Tells the keepers of the streams that a host began, and saves them.
     fn share_streams(&mut self, host: usize) {
-        let (now, count) = (self.now, self.hosts.len());
+        let (now, keepers) = (self.now, self.keepers(host));
         let state = &mut self.hosts[host];
         state.versions.share_own(now);
-        let keepers = (1..=KEEPERS).map(|keeper| (host + keeper) % count);
-        let own = state.versions.own();
-        state.keepers.set_keepers(&keepers.collect::<Vec<_>>(), own);
+        let shared = state.versions.own().shared();
+        state.keepers.set_keepers(&keepers, shared);
         while let Some((keepers, told)) = {
             let state = &mut self.hosts[host];
-            state.keepers.next_message(state.versions.own(), 120)
+            let shared = state.versions.own().shared();
+            state.keepers.next_message(shared, 120)
         } {
-            for keeper in keepers {
-                let keeper = &mut self.hosts[keeper];
-                let is_reached = keeper.is_up() && now >= keeper.cut_until;
-                if is_reached && self.random.random_bool(0.95) {
-                    let versions = &mut keeper.versions;
-                    told.iter().for_each(|origin| versions.record(now, origin));
-                }
-            }
+            self.tell(host, &keepers, &told);
         }
-        if self
+        let is_due = self
             .next_id
-            .is_multiple_of((SAVE_INTERVAL.as_millis() / TICK.as_millis()) as u64)
-        {
-            let state = &mut self.hosts[host];
-            let (unsaved, end) = state
-                .versions
-                .own()
-                .shared_from(state.saved_until, usize::MAX);
+            .is_multiple_of((SAVE_INTERVAL.as_millis() / TICK.as_millis()) as u64);
+        let state = &mut self.hosts[host];
+        if is_due && state.reaches_store(now) {
+            let shared = state.versions.own().shared();
+            let (unsaved, end) = shared.streams_from(state.saved_until, usize::MAX);
             state.saved_until = end;
             self.saved.extend(unsaved);
         }
@@ -398,17 +525,17 @@
                 service: service(),
                 software: hash_name(&software),
             };
-            let shared = state.versions.own().end();
+            let shared = state.versions.own().shared().end();
             state.versions.begin(self.now, origin);
-            let is_of_only_version = state.versions.own().end() == shared;
-            if self.now >= state.cut_until {
-                self.share_streams(host);
-            }
+            let is_of_only_version = state.versions.own().shared().end() == shared;
+            self.share_streams(host);
             self.streams.push(Stream {
                 id: stream,
                 host,
                 server: id,
                 software,
+                begun_at: self.now,
+                lost_at: None,
                 is_of_only_version,
             });
         }
@@ -421,10 +548,12 @@
         }
         let streams = std::mem::take(&mut self.streams);
         for stream in streams {
-            if !self.hosts[stream.host].is_up() || self.random.random_bool(0.004) {
-                self.take_up(stream);
-            } else if !self.random.random_bool(0.02) {
-                self.streams.push(stream);
+            match stream.lost_at {
+                Some(at) if self.now >= at + self.setup.noticed_after => self.take_up(stream),
+                Some(_) => self.streams.push(stream),
+                None if self.random.random_bool(0.004) => self.take_up(stream),
+                None if self.random.random_bool(0.02) => {}
+                None => self.streams.push(stream),
             }
         }
     }
@@ -442,7 +571,9 @@
             service: service(),
         };
         let software = self.decide(host, &question);
-        let is_in_touch = self.now >= self.hosts[host].cut_until;
+        let taken_up_at = &self.hosts[host];
+        let is_in_touch =
+            taken_up_at.reaches_store(self.now) && taken_up_at.reaches_peers(self.now);
         let servers = self.registry.values();
         let is_continuable = servers
             .filter(|software| **software == stream.software)
@@ -452,9 +583,11 @@
         self.outcome.joined += u32::from(software.is_some() && !went_on);
         if is_in_touch && is_continuable {
             self.outcome.streams.count(went_on);
-            let host = &self.hosts[stream.host];
-            if stream.is_of_only_version && !host.is_up() && host.knew_several {
+            if let Some(lost_at) = stream.lost_at.filter(|_| stream.is_of_only_version) {
                 self.outcome.of_only_version.count(went_on);
+                if lost_at - stream.begun_at >= KNOWN_WITHIN {
+                    self.outcome.known_to_others.count(went_on);
+                }
             }
         }
     }
@@ -466,17 +599,17 @@
         if let TakeUp::At(software) = state.versions.take_up(state.moment(now), question) {
             return Some(software);
         }
-        let is_cut = now < state.cut_until;
-        if !is_cut {
+        let (reaches_store, reaches_peers) = (state.reaches_store(now), state.reaches_peers(now));
+        if reaches_store {
             state.read_registry(now, &self.registry);
             if state.versions.may_miss_streams(now) && !state.saved_reads.has_read() {
                 self.read_saved(host);
             }
         }
         let mut inquiry = Inquiry::default();
-        for peer in (0..self.hosts.len()).filter(|_| !is_cut) {
+        for peer in (0..self.hosts.len()).filter(|_| reaches_peers) {
             let other = &mut self.hosts[peer];
-            if peer == host || !other.is_up() || now < other.cut_until {
+            if peer == host || !other.reaches_peers(now) {
                 continue;
             }
             if self.random.random_bool(0.02) {
@@ -498,7 +631,7 @@
         let hosts = self.hosts.len();
         let state = &mut self.hosts[host];
         let software = finish(state);
-        if software.is_some() || is_cut || !state.saved_reads.demand(now, hosts) {
+        if software.is_some() || !reaches_store || !state.saved_reads.demand(now, hosts) {
             return software;
         }
         self.read_saved(host);
@@ -528,6 +661,15 @@
 #[case::all_hosts_killed_after_a_join(Setup { kill_after_join: Some((Duration::from_millis(1_000), 7)), ..SMALL })]
 #[case::cut_hosts_killed_after_a_join(Setup { kill_after_join: Some((Duration::from_millis(1_500), 2)), cut_interval: Some(Duration::from_secs(5)), ..SMALL })]
 #[case::many_hosts_killed_after_a_join(Setup { hosts: 95, servers: 53, release_interval: Duration::from_secs(40), kill_after_join: Some((Duration::from_millis(600), 30)), ..SMALL })]
+#[case::a_host_killed_before_a_join(Setup { kill_before_join: Some((Duration::from_millis(500), 1)), ..BEFORE_JOIN })]
+#[case::most_hosts_killed_before_a_join(Setup { kill_before_join: Some((Duration::from_millis(500), 5)), ..BEFORE_JOIN })]
+#[case::all_hosts_killed_before_a_join(Setup { kill_before_join: Some((Duration::from_millis(500), 7)), ..BEFORE_JOIN })]
+#[case::all_hosts_killed_before_a_join_and_others_in_it(Setup { kill_before_join: Some((Duration::from_millis(500), 7)), kill_interval: Some(Duration::from_secs(3)), ..BEFORE_JOIN })]
+#[case::hosts_cut_off_from_peers_killed_before_a_join(Setup { kill_before_join: Some((Duration::from_millis(500), 3)), cut_interval: Some(Duration::from_secs(5)), cut: Cut::Peers, ..BEFORE_JOIN })]
+#[case::hosts_cut_off_from_the_store_killed_before_a_join(Setup { kill_before_join: Some((Duration::from_millis(500), 3)), cut_interval: Some(Duration::from_secs(5)), cut: Cut::Store, ..BEFORE_JOIN })]
+#[case::cut_hosts_killed_before_a_join(Setup { kill_before_join: Some((Duration::from_millis(500), 3)), cut_interval: Some(Duration::from_secs(5)), ..BEFORE_JOIN })]
+#[case::many_hosts_killed_before_a_join(Setup { hosts: 95, servers: 53, release_interval: Duration::from_secs(40), kill_before_join: Some((Duration::from_millis(500), 30)), ..BEFORE_JOIN })]
+#[case::all_of_many_hosts_killed_before_a_join(Setup { hosts: 95, servers: 53, release_interval: Duration::from_secs(40), kill_before_join: Some((Duration::from_millis(500), 95)), ..BEFORE_JOIN })]
 #[case::large(Setup { hosts: 95, servers: 53, release_interval: Duration::from_secs(40), power_interval: Some(Duration::from_secs(17)), kill_interval: Some(Duration::from_secs(2)), cut_interval: Some(Duration::from_secs(6)), ..SMALL })]
 fn streams_go_on_at_their_version_only(#[case] setup: Setup) {
     for seed in 0..4 {
@@ -539,5 +681,6 @@
         );
         assert!(outcome.streams.holds(), "seed {seed}: {outcome:?}");
         assert!(outcome.of_only_version.holds(), "seed {seed}: {outcome:?}");
+        assert!(outcome.known_to_others.holds(), "seed {seed}: {outcome:?}");
     }
 }
