streams: Count streams that savers forget, too

A host that saves streams of others forgot the oldest ones beyond 65,536 without a line or a metric, as only its own were counted. Its log counts them now; own streams in the background are among these.

--- a/crates/hickoryhall-gateway/src/stream_versions.rs
+++ b/crates/hickoryhall-gateway/src/stream_versions.rs
@@ -1,13 +1,13 @@
 //! Decides at which software version a stream goes on.
 //!
 //! What two software versions write does not fit together, so a stream goes on only at the version
-//! that began it. Each host remembers that of the streams that it began, and tells some peers of them in
-//! the background, which save them for all. Once a service may have several versions, it tells them of
-//! those streams at once, and of each further one when its first event leaves. A caller that takes a
-//! stream up at another host names the request that brought its first event. The host needs no memory of that request where the service has had one version for
-//! longer than any stream lasts; else it asks its peers, and then the store. What is registered now
-//! tells nothing of servers that have left, so that a host which has just started relies on the
-//! versions that the store records.
+//! that began it. Each host remembers that of the streams that it began, and tells some peers of them
+//! in the background, which save them for all. Once a service may have several versions, it tells
+//! them of those streams at once, and of each further one when its first event leaves. A caller that
+//! takes a stream up at another host names the request that brought its first event. The host needs no
+//! memory of that request where the service has had one version for longer than any stream lasts; else
+//! it asks its peers, and then the store. What is registered now tells nothing of servers that have
+//! left, so that a host which has just started relies on the versions that the store records.
 
 mod inquiry;
 mod own_streams;
@@ -394,10 +394,10 @@
         &self.kept
     }
 
-    /// Returns the number of own streams that were forgotten since the last call though they may still be
-    /// taken up.
+    /// Returns the number of streams, shared or kept, that were forgotten since the last call though they
+    /// may still be taken up.
     pub fn take_forgotten(&mut self) -> u64 {
-        self.own.take_forgotten()
+        self.own.take_forgotten() + self.kept.take_forgotten()
     }
 
     /// Returns whether [`share_own`](Self::share_own) has to be called.
--- a/crates/hickoryhall-gateway/src/stream_versions/own_streams.rs
+++ b/crates/hickoryhall-gateway/src/stream_versions/own_streams.rs
@@ -34,8 +34,10 @@
 impl StreamLog {
     /// Appends a stream that begins or that a peer tells of.
     pub fn push(&mut self, now: Instant, origin: StreamOrigin) {
-        let begun_at = now;
-        self.append(TimedStream { origin, begun_at });
+        self.append(TimedStream {
+            origin,
+            begun_at: now,
+        });
     }
 
     fn append(&mut self, stream: TimedStream) {
@@ -55,6 +57,12 @@
         }
     }
 
+    /// Returns the number of streams that were forgotten since the last call though they may still be
+    /// taken up.
+    pub fn take_forgotten(&mut self) -> u64 {
+        std::mem::take(&mut self.forgotten)
+    }
+
     /// Returns the position of the oldest stream that is remembered.
     #[must_use]
     pub fn first(&self) -> SharePosition {
@@ -106,8 +114,10 @@
             return;
         }
         self.background.push(now, origin);
-        let begun_at = now;
-        self.unshared.push_back(TimedStream { origin, begun_at });
+        self.unshared.push_back(TimedStream {
+            origin,
+            begun_at: now,
+        });
         if self.unshared.len() > MAX_STREAMS {
             self.unshared.pop_front();
         }
@@ -154,11 +164,10 @@
         &self.background
     }
 
-    /// Returns the number of streams that were forgotten since the last call though they may still be
-    /// taken up.
+    /// Returns the number of shared streams that were forgotten since the last call though they may still
+    /// be taken up.
     pub fn take_forgotten(&mut self) -> u64 {
-        let background = std::mem::take(&mut self.background.forgotten);
-        background + std::mem::take(&mut self.shared.forgotten)
+        self.shared.take_forgotten()
     }
 }
 
