streams: Save streams in the background with fewer calls of the store

Cause: a quarter of the hosts wrote a value each 0.65 s.

Change: in a fleet of one group an eighth of the hosts save streams, two for each host; in a larger one a twelfth, one for each host, and a value each 0.65 s or 10 ms a host, 1.3 s at most. So 3, 8 and 34 writes a second of the whole fleet at 7, 68 and 520 hosts.

--- a/crates/hickoryhall-gateway/src/peers/known_peers.rs
+++ b/crates/hickoryhall-gateway/src/peers/known_peers.rs
@@ -45,14 +45,6 @@
 const MAX_KNOWN_HOSTS: usize = 1_024;
 /// Number of peers that are told of a host's streams.
 const STREAM_KEEPERS: usize = 3;
-/// Number of hosts of which one saves streams for others.
-const HOSTS_PER_SAVER: usize = 4;
-/// Number of savers that each host chooses, and the same in a fleet so large that savers would get too many
-/// bytes.
-const SAVERS_PER_HOST: usize = 2;
-const SAVERS_PER_HOST_OF_LARGE_FLEET: usize = 1;
-/// Number of hosts beyond which a fleet counts as large for that.
-const LARGE_FLEET_HOSTS: usize = 128;
 /// Distinguishes the ranking of hosts as savers of streams from other rankings.
 const SAVER_DUTY: u64 = 0x7374_7265_616d_7361;
 /// Maximum number of addresses listed in one digest.
@@ -94,6 +86,24 @@
     group: GroupHash,
 }
 
+/// How the hosts of a fleet divide the saving of streams in the store.
+struct SaverDivision {
+    /// Number of hosts of which one saves streams for others.
+    hosts_per_saver: usize,
+    /// Number of savers that each host chooses.
+    savers_per_host: usize,
+}
+
+/// Division in a fleet that forms a single group, and in a larger one, where each saver costs more.
+const SINGLE_GROUP_DIVISION: SaverDivision = SaverDivision {
+    hosts_per_saver: 8,
+    savers_per_host: 2,
+};
+const LARGE_FLEET_DIVISION: SaverDivision = SaverDivision {
+    hosts_per_saver: 12,
+    savers_per_host: 1,
+};
+
 /// Peers that are told of the streams that this host begins.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct StreamKeepers {
@@ -211,12 +221,13 @@
         let peers = peers.map(|(ip, identity)| (identity.host, identity.domain, Some(ip)));
         let mut savers = peers.chain([(host, domain, None)]).collect::<Vec<_>>();
         savers.sort_unstable_by_key(|&(host, _, _)| Reverse(rendezvous_score(SAVER_DUTY, host)));
-        let per_host = if savers.len() > LARGE_FLEET_HOSTS {
-            SAVERS_PER_HOST_OF_LARGE_FLEET
+        let division = if savers.len() > MAX_SINGLE_GROUP_HOSTS {
+            LARGE_FLEET_DIVISION
         } else {
-            SAVERS_PER_HOST
+            SINGLE_GROUP_DIVISION
         };
-        savers.truncate(savers.len().div_ceil(HOSTS_PER_SAVER).max(per_host));
+        let count = savers.len().div_ceil(division.hosts_per_saver);
+        savers.truncate(count.max(division.savers_per_host));
         savers.sort_unstable_by_key(|&(saver, _, _)| Reverse(rendezvous_score(host, saver)));
         let is_saver = savers.iter().any(|(_, _, ip)| ip.is_none());
         let elsewhere = savers.iter().position(|(_, other, _)| *other != domain);
@@ -224,7 +235,7 @@
             savers[..=elsewhere].rotate_right(1);
         }
         let chosen = savers.into_iter().filter_map(|(_, _, ip)| ip);
-        let count = per_host - usize::from(is_saver);
+        let count = division.savers_per_host - usize::from(is_saver);
         (chosen.take(count).collect(), is_saver)
     }
 
--- a/crates/hickoryhall-gateway/src/stream_record.rs
+++ b/crates/hickoryhall-gateway/src/stream_record.rs
@@ -5,6 +5,7 @@
 //! what their peers tell them in the background. A host reads all parts when a caller takes a stream up
 //! whose version neither it nor its peers know.
 
+use std::ops::RangeInclusive;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
@@ -27,10 +28,11 @@
 /// The same time for each host of the fleet, so that all hosts together write a hundred parts a second
 /// at most.
 const SAVE_INTERVAL_PER_HOST: Duration = Duration::from_millis(10);
-/// Time between two parts of a host that saves streams in the background, and the same time for each host
-/// of the fleet.
-const BACKGROUND_INTERVAL: Duration = Duration::from_millis(650);
-const BACKGROUND_INTERVAL_PER_HOST: Duration = Duration::from_micros(2_500);
+/// Time between two parts of a host that saves streams in the background, for each host of the fleet, and
+/// its bounds.
+const BACKGROUND_INTERVAL_PER_HOST: Duration = Duration::from_millis(10);
+const BACKGROUND_INTERVAL_RANGE: RangeInclusive<Duration> =
+    Duration::from_millis(650)..=Duration::from_millis(1_300);
 /// Pause after a part that could not be written in the background.
 const BACKGROUND_RETRY_PAUSE: Duration = Duration::from_secs(2);
 /// Maximum number of streams in one part, so that it fits into a value.
@@ -159,7 +161,8 @@
         let mut era = self.store.era();
         for number in 0_u64.. {
             let interval = BACKGROUND_INTERVAL_PER_HOST.saturating_mul(self.host_count());
-            sleep(interval.max(BACKGROUND_INTERVAL)).await;
+            let (shortest, longest) = BACKGROUND_INTERVAL_RANGE.into_inner();
+            sleep(interval.clamp(shortest, longest)).await;
             if self.store.era() > era {
                 era = self.store.era();
                 lease = None;
